thin path: one call from entry to worker and back, as separate processes

Not taken: a proxy library, or state kept by the entries themselves. Conclusion: the path holds as processes; all else grows on it.

--- /dev/null
+++ b/packages/baobabwell-calls/src/BaobabwellCalls.ts
@@ -0,0 +1,61 @@
+import type { Outcome, PriorityClass } from '@baobabwell/model';
+import type { WorkerAnswer } from '@baobabwell/workers';
+
+/** Why a call ended as it did. */
+export enum CallReason {
+  Answered = 'answered',
+  UnknownQueue = 'unknown-queue',
+  KeyMissing = 'key-missing',
+  KeyRefused = 'key-refused',
+  TeamNotAllowed = 'team-not-allowed',
+  TargetLeaving = 'target-leaving',
+  ViewStale = 'view-stale',
+  QueueFull = 'queue-full',
+  Deadline = 'deadline',
+  Cancelled = 'cancelled',
+  NoHost = 'no-host',
+  EntryStopping = 'entry-stopping',
+  WorkFailed = 'work-failed',
+  AnswerLost = 'answer-lost',
+  WorkerRejected = 'worker-rejected',
+  WorkerUnreachable = 'worker-unreachable',
+}
+
+/** A call as it was received. */
+export type CallRequest = {
+  readonly id: string;
+  readonly queue: string;
+  /** The secret that came with the call, or `null`. */
+  readonly secret: string | null;
+  readonly priority: PriorityClass;
+  /** Time that the caller allows, or `null` for the queue's own. */
+  readonly timeoutMs: number | null;
+  /** Whether the work may run more than once. */
+  readonly isRepeatable: boolean;
+  readonly contentType: string;
+  readonly body: Uint8Array;
+};
+
+/** How a call ended. */
+export type CallResult = {
+  readonly outcome: Outcome;
+  readonly reason: CallReason;
+  /** Whether the caller may send the call again without the work running twice. */
+  readonly isRepeatSafe: boolean;
+  /** When to come back, or `null` where coming back does not help. */
+  readonly retryAfterMs: number | null;
+  /** The worker's answer, when there is one. */
+  readonly answer: WorkerAnswer | null;
+};
+
+/** A call that runs or waits now, as operators see it. */
+export type ActiveCall = {
+  readonly id: string;
+  readonly queue: string;
+  readonly team: string;
+  readonly pool: string;
+  /** The host on which it runs, or `null` while it waits. */
+  readonly host: string | null;
+  /** Wall-clock milliseconds at which it was received. */
+  readonly since: number;
+};
--- /dev/null
+++ b/packages/baobabwell-calls/src/BaobabwellCallsAuthorization.ts
@@ -0,0 +1,79 @@
+import type { FleetView, Queue, Target } from '@baobabwell/model';
+import type { Result } from '@baobabwell/utils';
+
+import { createHash, timingSafeEqual } from 'node:crypto';
+
+import { EntityKind, QueueAccess, TargetState } from '@baobabwell/model';
+import { createError, createOk } from '@baobabwell/utils';
+
+import { CallReason } from './BaobabwellCalls';
+
+/** Team to which work of callers without a key is counted. */
+export const OPEN_TEAM = 'open';
+
+/** What a call may do, by the view at one version. */
+export type Authorization = {
+  readonly queue: Queue;
+  readonly target: Target;
+  readonly team: string;
+};
+
+/** Computes the digest under which a secret is known. */
+export function buildDigest(secret: string): string {
+  return createHash('sha256').update(secret, 'utf8').digest('hex');
+}
+
+function isSameDigest(a: string, b: string): boolean {
+  const left = Buffer.from(a, 'hex');
+  const right = Buffer.from(b, 'hex');
+  return left.length === right.length && timingSafeEqual(left, right);
+}
+
+function findTeam(view: FleetView, secret: string, wallTime: number): string | null {
+  const digest = buildDigest(secret);
+  const key = view.findKey(digest);
+  if (key === null || !isSameDigest(key.digest, digest)) {
+    return null;
+  }
+  return key.expiresAt === null || key.expiresAt > wallTime ? key.team : null;
+}
+
+function checkTeam(
+  view: FleetView,
+  queue: Queue,
+  secret: string | null,
+  wallTime: number,
+): Result<string, CallReason> {
+  if (secret === null) {
+    return queue.access === QueueAccess.Open
+      ? createOk(OPEN_TEAM)
+      : createError(CallReason.KeyMissing);
+  }
+  const team = findTeam(view, secret, wallTime);
+  if (team === null) {
+    return createError(CallReason.KeyRefused);
+  }
+  return queue.access === QueueAccess.Open || queue.teams.includes(team)
+    ? createOk(team)
+    : createError(CallReason.TeamNotAllowed);
+}
+
+/** Checks queue, target, key and team of a call against a view. */
+export function checkAuthorization(
+  view: FleetView,
+  request: { readonly queue: string; readonly secret: string | null },
+  wallTime: number,
+): Result<Authorization, CallReason> {
+  const queue = view.get(EntityKind.Queue, request.queue);
+  const target = queue === null ? null : view.get(EntityKind.Target, queue.target);
+  if (queue === null || target === null) {
+    return createError(CallReason.UnknownQueue);
+  }
+  const team = checkTeam(view, queue, request.secret, wallTime);
+  if (!team.ok) {
+    return team;
+  }
+  return target.state === TargetState.Serving
+    ? createOk({ queue, target, team: team.value })
+    : createError(CallReason.TargetLeaving);
+}
--- /dev/null
+++ b/packages/baobabwell-calls/src/index.ts
@@ -0,0 +1,9 @@
+export type { ActiveCall, CallRequest, CallResult } from './BaobabwellCalls';
+export type { Authorization } from './BaobabwellCallsAuthorization';
+export type { CallObserver } from './BaobabwellCallsHttp';
+export type { CallServiceParts } from './BaobabwellCallsService';
+
+export { CallReason } from './BaobabwellCalls';
+export { buildDigest, checkAuthorization, OPEN_TEAM } from './BaobabwellCallsAuthorization';
+export { buildCallServer } from './BaobabwellCallsHttp';
+export { CallService } from './BaobabwellCallsService';
--- /dev/null
+++ b/packages/baobabwell-cli/src/BaobabwellCliVersion.ts
@@ -0,0 +1,2 @@
+/** Version of the program. */
+export const VERSION = '0.1.0';
--- /dev/null
+++ b/packages/baobabwell-cli/src/index.ts
@@ -0,0 +1,2 @@
+export { runCli } from './BaobabwellCli';
+export { ExitCode } from './BaobabwellCliExit';
--- /dev/null
+++ b/packages/baobabwell-cli/src/main.ts
@@ -0,0 +1,3 @@
+import { runCli } from './index';
+
+void runCli(process.argv);
--- /dev/null
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
@@ -0,0 +1,100 @@
+import type { Kernel, Plugin } from '@baobabwell/kernel';
+
+import { buildCallServer, CallService } from '@baobabwell/calls';
+import { mergeUndo } from '@baobabwell/kernel';
+import { EntityKind } from '@baobabwell/model';
+import { StaticPermitPool } from '@baobabwell/scheduling';
+import { HttpWorkerClientFactory } from '@baobabwell/workers';
+
+import { parseAddress } from './BaobabwellEntryAddress';
+import {
+  CALL_SERVICE,
+  ENTRY_SETTINGS,
+  FRESHNESS,
+  IDENTITY,
+  LOGGER,
+  METRICS,
+  PERMIT_POOL,
+  VIEW_STORE,
+  WORKER_CLIENT_FACTORY,
+  WORKER_DIRECTORY,
+} from './BaobabwellEntryTokens';
+import { WorkerDirectory } from './BaobabwellEntryWorkers';
+
+const CLOSE_BOUND_MS = 30_000;
+
+function buildPermitPool(kernel: Kernel): StaticPermitPool {
+  const view = kernel.getService(VIEW_STORE);
+  const { id } = kernel.getService(IDENTITY);
+  return new StaticPermitPool({
+    getLimit: (team) => view.get().get(EntityKind.Team, team)?.limit ?? Number.MAX_SAFE_INTEGER,
+    getRank: () => {
+      const members = view.get().list(EntityKind.Member);
+      const index = members.findIndex((member) => member.id === id);
+      return index < 0 ? null : { index, count: members.length };
+    },
+  });
+}
+
+function buildDirectory(kernel: Kernel): WorkerDirectory {
+  const { id, incarnation } = kernel.getService(IDENTITY);
+  const freshness = kernel.getService(FRESHNESS);
+  return new WorkerDirectory({
+    clock: kernel.clock,
+    view: kernel.getService(VIEW_STORE),
+    permits: kernel.getService(PERMIT_POOL),
+    factory: kernel.getService(WORKER_CLIENT_FACTORY),
+    holder: `${id}.${incarnation}`,
+    isCurrent: () => freshness.isCurrent(),
+  });
+}
+
+function buildCallService(kernel: Kernel): CallService {
+  const view = kernel.getService(VIEW_STORE);
+  const freshness = kernel.getService(FRESHNESS);
+  const directory = kernel.getService(WORKER_DIRECTORY);
+  return new CallService({
+    clock: kernel.clock,
+    getView: () => view.get(),
+    isCurrent: () => freshness.isCurrent(),
+    getScheduler: (pool) => directory.getScheduler(pool),
+  });
+}
+
+/** Serves callers. */
+export const callsPlugin: Plugin = {
+  name: 'calls',
+  register(kernel) {
+    return mergeUndo(
+      kernel.registerService(WORKER_CLIENT_FACTORY, () => new HttpWorkerClientFactory()),
+      kernel.registerService(PERMIT_POOL, buildPermitPool),
+      kernel.registerService(WORKER_DIRECTORY, buildDirectory),
+      kernel.registerService(CALL_SERVICE, buildCallService),
+    );
+  },
+  async start(kernel) {
+    const view = kernel.getService(VIEW_STORE);
+    const directory = kernel.getService(WORKER_DIRECTORY);
+    const logger = kernel.getService(LOGGER);
+    const metrics = kernel.getService(METRICS);
+    directory.update(view.get());
+    const undo = mergeUndo(
+      view.registerListener(({ current }) => directory.update(current)),
+      kernel.getService(PERMIT_POOL).registerListener(() => directory.dispatchTurns()),
+    );
+    const server = buildCallServer(
+      kernel.getService(CALL_SERVICE),
+      ({ id, queue }, { outcome, reason }, durationMs) => {
+        logger.recordDebug('call-ended', { call: id, queue, outcome, reason, durationMs });
+        metrics.calls.inc({ queue, outcome, reason });
+        metrics.callSeconds.observe({ queue }, durationMs / 1_000);
+      },
+    );
+    await server.listen(parseAddress(kernel.getService(ENTRY_SETTINGS).callers));
+    kernel.lifecycle.add('worker sessions', () => {
+      undo();
+      directory.stop();
+    });
+    kernel.lifecycle.add('caller server', async () => server.close(), CLOSE_BOUND_MS);
+  },
+};
--- /dev/null
+++ b/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
@@ -0,0 +1,53 @@
+import type { WorkerDirectory } from './BaobabwellEntryWorkers';
+import type { CallService } from '@baobabwell/calls';
+import type { Logger } from '@baobabwell/logging';
+import type { EntryMetrics } from '@baobabwell/metrics';
+import type { ViewChange } from '@baobabwell/model';
+import type { OperatorService } from '@baobabwell/operations';
+import type { PeerConnector } from '@baobabwell/peers';
+import type { HostList, ObjectStore, TableService } from '@baobabwell/platform';
+import type { PermitPool } from '@baobabwell/scheduling';
+import type { EntrySettings, Settings } from '@baobabwell/settings';
+import type {
+  FreshnessTracker,
+  ViewFollower,
+  ViewHistory,
+  ViewLog,
+  ViewStore,
+  ViewWriter,
+} from '@baobabwell/view';
+import type { WorkerClientFactory } from '@baobabwell/workers';
+import type { AnyTRPCRouter } from '@trpc/server';
+
+import { createEvent, createServiceToken } from '@baobabwell/kernel';
+
+/** Identity of this process among the members. */
+export type EntryIdentity = {
+  readonly id: string;
+  readonly incarnation: string;
+};
+
+export const SETTINGS = createServiceToken<Settings>('settings');
+export const ENTRY_SETTINGS = createServiceToken<EntrySettings>('entrySettings');
+export const IDENTITY = createServiceToken<EntryIdentity>('identity');
+export const LOGGER = createServiceToken<Logger>('logger');
+export const METRICS = createServiceToken<EntryMetrics>('metrics');
+export const TABLE_SERVICE = createServiceToken<TableService>('tableService');
+export const OBJECT_STORE = createServiceToken<ObjectStore>('objectStore');
+export const HOST_LIST = createServiceToken<HostList>('hostList');
+export const VIEW_STORE = createServiceToken<ViewStore>('viewStore');
+export const VIEW_LOG = createServiceToken<ViewLog>('viewLog');
+export const VIEW_HISTORY = createServiceToken<ViewHistory>('viewHistory');
+export const VIEW_FOLLOWER = createServiceToken<ViewFollower>('viewFollower');
+export const VIEW_WRITER = createServiceToken<ViewWriter>('viewWriter');
+export const FRESHNESS = createServiceToken<FreshnessTracker>('freshness');
+export const PEER_CONNECTOR = createServiceToken<PeerConnector>('peerConnector');
+export const PEER_ROUTERS = createServiceToken<AnyTRPCRouter[]>('peerRouters');
+export const WORKER_CLIENT_FACTORY = createServiceToken<WorkerClientFactory>('workerClientFactory');
+export const WORKER_DIRECTORY = createServiceToken<WorkerDirectory>('workerDirectory');
+export const PERMIT_POOL = createServiceToken<PermitPool>('permitPool');
+export const CALL_SERVICE = createServiceToken<CallService>('callService');
+export const OPERATOR_SERVICE = createServiceToken<OperatorService>('operatorService');
+
+/** A change that this entry committed. */
+export const CHANGE_COMMITTED = createEvent<ViewChange>('change-committed');
--- /dev/null
+++ b/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
@@ -0,0 +1,108 @@
+import type { FleetView, Host } from '@baobabwell/model';
+import type { PermitPool } from '@baobabwell/scheduling';
+import type { Clock } from '@baobabwell/utils';
+import type { ViewStore } from '@baobabwell/view';
+import type { WorkerClientFactory } from '@baobabwell/workers';
+
+import { EntityKind, HostState } from '@baobabwell/model';
+import { PoolScheduler } from '@baobabwell/scheduling';
+import { CONTROL_CONNECTIONS, WORKER_CONNECTIONS, WorkerSession } from '@baobabwell/workers';
+
+/** What the directory works with. */
+export type WorkerDirectoryParts = {
+  readonly clock: Clock;
+  readonly view: ViewStore;
+  readonly permits: PermitPool;
+  readonly factory: WorkerClientFactory;
+  readonly holder: string;
+  readonly isCurrent: () => boolean;
+};
+
+const DEFAULT_WEIGHT = 1;
+
+/** Keeps a session with each host of the view, and a scheduler for each pool. */
+export class WorkerDirectory {
+  readonly #parts: WorkerDirectoryParts;
+
+  readonly #sessions = new Map<string, { readonly host: Host; readonly session: WorkerSession }>();
+
+  readonly #schedulers = new Map<string, PoolScheduler>();
+
+  constructor(parts: WorkerDirectoryParts) {
+    this.#parts = parts;
+  }
+
+  /** Opens sessions with new hosts and closes those with hosts that are gone. */
+  update(view: FleetView): void {
+    const hosts = new Map(view.list(EntityKind.Host).map((host) => [host.id, host]));
+    this.#sessions.forEach(({ host, session }, id) => {
+      if (hosts.get(id)?.address !== host.address) {
+        session.stop();
+        this.#sessions.delete(id);
+      }
+    });
+    hosts.forEach((host, id) => {
+      const session = this.#sessions.get(id)?.session ?? this.#startSession(host);
+      this.#sessions.set(id, { host, session });
+    });
+    this.#schedulers.forEach((scheduler) => scheduler.dispatchTurns());
+  }
+
+  /** Gets the scheduler of a pool, creating it on first use. */
+  getScheduler(pool: string): PoolScheduler {
+    const known = this.#schedulers.get(pool);
+    if (known !== undefined) {
+      return known;
+    }
+    const scheduler = new PoolScheduler({
+      clock: this.#parts.clock,
+      permits: this.#parts.permits,
+      getWeight: (team) =>
+        this.#parts.view.get().get(EntityKind.Team, team)?.share ?? DEFAULT_WEIGHT,
+      listSessions: () => this.#listServing(pool),
+    });
+    this.#schedulers.set(pool, scheduler);
+    return scheduler;
+  }
+
+  /** Gives out slots of every pool, for example after permits came free. */
+  dispatchTurns(): void {
+    this.#schedulers.forEach((scheduler) => scheduler.dispatchTurns());
+  }
+
+  /** Refuses waiting calls and gives all leases up. */
+  stop(): void {
+    this.#schedulers.forEach((scheduler) => scheduler.stop());
+    this.#sessions.forEach(({ session }) => session.stop());
+    this.#sessions.clear();
+  }
+
+  #listServing(pool: string): readonly WorkerSession[] {
+    return this.#parts.view
+      .get()
+      .listHosts(pool)
+      .filter(({ state }) => state === HostState.Serving)
+      .flatMap(({ id }) => this.#sessions.get(id)?.session ?? []);
+  }
+
+  #startSession(host: Host): WorkerSession {
+    const { clock, factory, holder, isCurrent } = this.#parts;
+    const connections = this.#getTaskConnections();
+    const session = new WorkerSession({
+      host: host.id,
+      holder,
+      client: factory.create(host.address, connections),
+      clock,
+      maxSlots: Math.min(host.slots, connections),
+      isCurrent,
+      onChange: () => this.dispatchTurns(),
+    });
+    void session.run();
+    return session;
+  }
+
+  #getTaskConnections(): number {
+    const members = Math.max(1, this.#parts.view.get().getCount(EntityKind.Member));
+    return Math.max(1, Math.floor(WORKER_CONNECTIONS / members) - CONTROL_CONNECTIONS);
+  }
+}
--- /dev/null
+++ b/packages/baobabwell-entry/src/index.ts
@@ -0,0 +1,1 @@
+export { buildEntry } from './BaobabwellEntry';
--- /dev/null
+++ b/packages/baobabwell-kernel/src/BaobabwellKernel.ts
@@ -0,0 +1,158 @@
+import type { CloseFailure, Undo } from './BaobabwellKernelLifecycle';
+import type {
+  Command,
+  CommandHandler,
+  EventListener,
+  KernelEvent,
+  ServiceToken,
+} from './BaobabwellKernelMessages';
+import type { Clock } from '@baobabwell/utils';
+import type { AwilixContainer } from 'awilix';
+
+import { asFunction, createContainer, InjectionMode } from 'awilix';
+
+import { checkInvariant } from '@baobabwell/utils';
+
+import { LifecycleManager } from './BaobabwellKernelLifecycle';
+import { CommandPriority } from './BaobabwellKernelMessages';
+
+type RegisteredHandler = {
+  readonly priority: CommandPriority;
+  readonly handler: CommandHandler<unknown, unknown>;
+};
+
+/** A feature: registers its services, commands and listeners, and returns the undo of it all. */
+export type Plugin = {
+  readonly name: string;
+  readonly register: (kernel: Kernel) => Undo;
+  /** Runs after every plug-in has registered; starts tasks and servers. */
+  readonly start?: (kernel: Kernel) => Promise<void>;
+};
+
+/** Merges several undo functions into one that calls them in reverse order. */
+export function mergeUndo(...undos: readonly Undo[]): Undo {
+  return () => {
+    undos.toReversed().forEach((undo) => undo());
+  };
+}
+
+/**
+ * Holds services, commands, events and life cycles. It knows no feature; features are
+ * plug-ins that reach each other through tokens, commands and events.
+ */
+export class Kernel {
+  readonly clock: Clock;
+
+  readonly lifecycle: LifecycleManager;
+
+  readonly #container: AwilixContainer = createContainer({
+    injectionMode: InjectionMode.PROXY,
+    strict: true,
+  });
+
+  readonly #handlers = new Map<object, RegisteredHandler[]>();
+
+  readonly #listeners = new Map<object, Set<EventListener<unknown>>>();
+
+  readonly #plugins: Plugin[] = [];
+
+  constructor(clock: Clock) {
+    this.clock = clock;
+    this.lifecycle = new LifecycleManager(clock);
+  }
+
+  /** Registers a plug-in; its registrations end when the kernel closes. */
+  use(plugin: Plugin): void {
+    checkInvariant(
+      this.#plugins.every((other) => other.name !== plugin.name),
+      `plug-in ${plugin.name} is registered twice`,
+    );
+    this.#plugins.push(plugin);
+    this.lifecycle.add(`plug-in ${plugin.name}`, plugin.register(this));
+  }
+
+  /** Starts all plug-ins in the order in which they were registered. */
+  async start(): Promise<void> {
+    for (const plugin of this.#plugins) {
+      await plugin.start?.(this);
+    }
+  }
+
+  /** Closes everything in reverse order. */
+  async close(): Promise<readonly CloseFailure[]> {
+    return this.lifecycle.close();
+  }
+
+  /** Registers the factory of a service, which is built once, when first asked for. */
+  registerService<Service>(token: ServiceToken<Service>, build: (kernel: Kernel) => Service): Undo {
+    checkInvariant(
+      !this.#container.hasRegistration(token.name),
+      `service ${token.name} is registered twice`,
+    );
+    this.#container.register(token.name, asFunction(() => build(this)).singleton());
+    return () => {
+      delete this.#container.registrations[token.name];
+    };
+  }
+
+  /** True when a service of this kind is registered. */
+  hasService(token: ServiceToken<unknown>): boolean {
+    return this.#container.hasRegistration(token.name);
+  }
+
+  /** Gets a service, building it on first use. */
+  getService<Service>(token: ServiceToken<Service>): Service {
+    return this.#container.resolve<Service>(token.name);
+  }
+
+  /** Registers a handler of a command. */
+  registerCommand<Payload, Reply>(
+    command: Command<Payload, Reply>,
+    handler: CommandHandler<Payload, Reply>,
+    priority: CommandPriority = CommandPriority.Normal,
+  ): Undo {
+    const registered = { priority, handler: handler as CommandHandler<unknown, unknown> };
+    const handlers = this.#handlers.get(command) ?? [];
+    this.#handlers.set(
+      command,
+      [...handlers, registered].toSorted((a, b) => b.priority - a.priority),
+    );
+    return () => {
+      const remaining = this.#handlers.get(command)?.filter((other) => other !== registered);
+      this.#handlers.set(command, remaining ?? []);
+    };
+  }
+
+  /**
+   * Asks the handlers of a command by priority until one answers.
+   *
+   * @returns the answer, or `null` when no handler dealt with the command.
+   */
+  async dispatchCommand<Payload, Reply>(
+    command: Command<Payload, Reply>,
+    payload: Payload,
+  ): Promise<Reply | null> {
+    for (const { handler } of this.#handlers.get(command) ?? []) {
+      const reply = await handler(payload);
+      if (reply !== null) {
+        return reply as Reply;
+      }
+    }
+    return null;
+  }
+
+  /** Registers a listener of an event. */
+  registerListener<Payload>(event: KernelEvent<Payload>, listener: EventListener<Payload>): Undo {
+    const listeners = this.#listeners.get(event) ?? new Set();
+    listeners.add(listener as EventListener<unknown>);
+    this.#listeners.set(event, listeners);
+    return () => {
+      listeners.delete(listener as EventListener<unknown>);
+    };
+  }
+
+  /** Calls every listener of an event, in the order of registration. */
+  dispatchEvent<Payload>(event: KernelEvent<Payload>, payload: Payload): void {
+    this.#listeners.get(event)?.forEach((listener) => listener(payload));
+  }
+}
--- /dev/null
+++ b/packages/baobabwell-language/src/index.ts
@@ -0,0 +1,10 @@
+export type {
+  CommandStatement,
+  Condition,
+  QueryStatement,
+  Statement,
+  SyntaxFinding,
+} from './BaobabwellLanguage';
+
+export { Comparison } from './BaobabwellLanguage';
+export { parseStatement } from './BaobabwellLanguageParser';
--- /dev/null
+++ b/packages/baobabwell-load/src/BaobabwellLoad.ts
@@ -0,0 +1,106 @@
+import type { Clock } from '@baobabwell/utils';
+
+import { Agent, request } from 'undici';
+import { z } from 'zod';
+
+import { Outcome } from '@baobabwell/model';
+import { Random } from '@baobabwell/utils';
+
+const MS_PER_SECOND = 1_000;
+const CALL_TIMEOUT_MS = 30_000;
+
+/** What load to send. */
+export type LoadPlan = {
+  readonly clock: Clock;
+  /** `host:port` of the entries; calls are spread at random. */
+  readonly addresses: readonly string[];
+  readonly queue: string;
+  readonly secret: string | null;
+  readonly ratePerSecond: number;
+  readonly durationMs: number;
+  /** Run time asked of the work. */
+  readonly runMs: number;
+  readonly isRepeatable: boolean;
+  readonly seed: number;
+};
+
+/** What became of the calls. */
+export type LoadCounts = {
+  readonly calls: number;
+  readonly completed: number;
+  readonly notRun: number;
+  readonly unknown: number;
+  /** Calls that ended without any answer. */
+  readonly lost: number;
+  /** Answers that belong to another call. */
+  readonly wrongAnswer: number;
+};
+
+type CallEnd = Exclude<keyof LoadCounts, 'calls'>;
+
+const COUNT_BY_OUTCOME: Readonly<Record<Outcome, CallEnd>> = {
+  [Outcome.Completed]: 'completed',
+  [Outcome.NotRun]: 'notRun',
+  [Outcome.Unknown]: 'unknown',
+};
+
+const answerSchema = z.object({ echo: z.string() });
+
+function isOwnAnswer(answer: string, body: string): boolean {
+  const parsed = answerSchema.safeParse(JSON.parse(answer));
+  return parsed.success && parsed.data.echo === body;
+}
+
+async function sendCall(
+  plan: LoadPlan,
+  agent: Agent,
+  address: string,
+  body: string,
+): Promise<CallEnd> {
+  try {
+    const reply = await request(`http://${address}/v1/queues/${plan.queue}/calls`, {
+      method: 'POST',
+      dispatcher: agent,
+      headers: {
+        'content-type': 'application/json',
+        'call-repeatable': plan.isRepeatable ? 'yes' : 'no',
+        ...(plan.secret === null ? {} : { authorization: `Bearer ${plan.secret}` }),
+      },
+      body,
+      signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+    });
+    const outcome = reply.headers['call-outcome'] as Outcome;
+    const answer = await reply.body.text();
+    if (outcome === Outcome.Completed && !isOwnAnswer(answer, body)) {
+      return 'wrongAnswer';
+    }
+    return COUNT_BY_OUTCOME[outcome] ?? 'lost';
+  } catch {
+    return 'lost';
+  }
+}
+
+/** Sends calls at a steady mean rate, waits for all of them, and counts how they ended. */
+export async function runLoad(plan: LoadPlan): Promise<LoadCounts> {
+  const random = new Random(plan.seed);
+  const agent = new Agent();
+  const counts = { calls: 0, completed: 0, notRun: 0, unknown: 0, lost: 0, wrongAnswer: 0 };
+  const pending = new Set<Promise<void>>();
+  const endsAt = plan.clock.getNow() + plan.durationMs;
+  let nextAt = plan.clock.getNow();
+  while (nextAt < endsAt) {
+    await plan.clock.wait(nextAt - plan.clock.getNow());
+    nextAt += random.getExponential(MS_PER_SECOND / plan.ratePerSecond);
+    counts.calls += 1;
+    const body = JSON.stringify({ runMs: plan.runMs, number: counts.calls, seed: plan.seed });
+    const address = random.getOneOf(plan.addresses);
+    const call = sendCall(plan, agent, address, body).then((end) => {
+      counts[end] += 1;
+      pending.delete(call);
+    });
+    pending.add(call);
+  }
+  await Promise.all(pending);
+  await agent.close();
+  return counts;
+}
--- /dev/null
+++ b/packages/baobabwell-load/src/index.ts
@@ -0,0 +1,3 @@
+export type { LoadCounts, LoadPlan } from './BaobabwellLoad';
+
+export { runLoad } from './BaobabwellLoad';
--- /dev/null
+++ b/packages/baobabwell-logging/src/BaobabwellLogging.ts
@@ -0,0 +1,84 @@
+import type { ConsolaInstance, ConsolaReporter } from 'consola';
+
+import { createConsola } from 'consola';
+
+/** Values that a log line may carry. */
+export type LogFields = Readonly<Record<string, string | number | boolean | null>>;
+
+/** Least severe event that is written. */
+export enum LogLevel {
+  Error = 'error',
+  Warn = 'warn',
+  Info = 'info',
+  Debug = 'debug',
+}
+
+const CONSOLA_LEVELS: Readonly<Record<LogLevel, number>> = {
+  [LogLevel.Error]: 0,
+  [LogLevel.Warn]: 1,
+  [LogLevel.Info]: 3,
+  [LogLevel.Debug]: 4,
+};
+
+const NEEDS_QUOTES = /[\s"=]/;
+
+function formatValue(value: string | number | boolean | null): string {
+  const text = String(value);
+  return NEEDS_QUOTES.test(text) || text === '' ? JSON.stringify(text) : text;
+}
+
+/** Formats one event as a line of key=value pairs. */
+export function formatEvent(at: Date, level: string, event: string, fields: LogFields): string {
+  const pairs = Object.entries(fields).map(([name, value]) => `${name}=${formatValue(value)}`);
+  return [`at=${at.toISOString()}`, `level=${level}`, `event=${event}`, ...pairs].join(' ');
+}
+
+function createReporter(write: (line: string) => void): ConsolaReporter {
+  return {
+    log({ date, type, args }) {
+      const [event, fields] = args as [string, LogFields | undefined];
+      write(formatEvent(date, type, event, fields ?? {}));
+    },
+  };
+}
+
+/** Writes one line of key=value pairs for each event. */
+export class Logger {
+  readonly #consola: ConsolaInstance;
+
+  readonly #fields: LogFields;
+
+  /** @param fields values that every line of this logger carries. */
+  constructor(
+    level: LogLevel,
+    fields: LogFields,
+    write: (line: string) => void = (line) => process.stderr.write(`${line}\n`),
+  ) {
+    this.#consola = createConsola({
+      level: CONSOLA_LEVELS[level],
+      reporters: [createReporter(write)],
+      throttle: 0,
+    });
+    this.#fields = fields;
+  }
+
+  /** Records that something failed and needs attention. */
+  recordError(event: string, fields: LogFields = {}): void {
+    this.#consola.error(event, { ...this.#fields, ...fields });
+  }
+
+  /** Records something unusual that the system deals with. */
+  recordWarning(event: string, fields: LogFields = {}): void {
+    this.#consola.warn(event, { ...this.#fields, ...fields });
+  }
+
+  /** Records an ordinary event. */
+  recordInfo(event: string, fields: LogFields = {}): void {
+    this.#consola.info(event, { ...this.#fields, ...fields });
+  }
+
+  /** Records a detail. */
+  recordDebug(event: string, fields: LogFields = {}): void {
+    this.#consola.debug(event, { ...this.#fields, ...fields });
+  }
+}
--- /dev/null
+++ b/packages/baobabwell-logging/src/index.ts
@@ -0,0 +1,3 @@
+export type { LogFields } from './BaobabwellLogging';
+
+export { formatEvent, Logger, LogLevel } from './BaobabwellLogging';
--- /dev/null
+++ b/packages/baobabwell-metrics/src/index.ts
@@ -0,0 +1,1 @@
+export { EntryMetrics } from './BaobabwellMetrics';
--- /dev/null
+++ b/packages/baobabwell-peers/src/BaobabwellPeersConnector.ts
@@ -0,0 +1,60 @@
+import type { TRPCLink } from '@trpc/client';
+import type { AnyTRPCRouter } from '@trpc/server';
+
+import { httpLink } from '@trpc/client';
+import { Agent, fetch } from 'undici';
+
+import {
+  PEER_CONNECT_TIMEOUT_MS,
+  PEER_IDLE_MS,
+  PEER_PATH,
+  PEER_SECRET_HEADER,
+  PEER_TIMEOUT_MS,
+} from './BaobabwellPeersConstants';
+
+/** Reaches other entries. Tests replace it by one that delays and drops requests. */
+export abstract class PeerConnector {
+  /** Creates a link to the entry at an address. */
+  abstract createLink<Router extends AnyTRPCRouter>(address: string): TRPCLink<Router>;
+
+  /** Closes all connections at once. */
+  abstract close(): Promise<void>;
+}
+
+/** Reaches other entries over HTTP. */
+export class HttpPeerConnector extends PeerConnector {
+  readonly #secret: string;
+
+  readonly #agent = new Agent({
+    connect: { timeout: PEER_CONNECT_TIMEOUT_MS },
+    keepAliveTimeout: PEER_IDLE_MS,
+    keepAliveMaxTimeout: PEER_IDLE_MS,
+  });
+
+  constructor(secret: string) {
+    super();
+    this.#secret = secret;
+  }
+
+  override createLink<Router extends AnyTRPCRouter>(address: string): TRPCLink<Router> {
+    const options = {
+      url: `http://${address}${PEER_PATH}`,
+      headers: { [PEER_SECRET_HEADER]: this.#secret },
+      fetch: this.#createFetch(),
+    };
+    return httpLink(options as unknown as Parameters<typeof httpLink<Router>>[0]);
+  }
+
+  override async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  #createFetch(): typeof fetch {
+    return async (input, init) =>
+      fetch(input, {
+        ...init,
+        dispatcher: this.#agent,
+        signal: AbortSignal.timeout(PEER_TIMEOUT_MS),
+      });
+  }
+}
--- /dev/null
+++ b/packages/baobabwell-scheduling/src/index.ts
@@ -0,0 +1,7 @@
+export type { Permit, StaticDivision } from './BaobabwellSchedulingPermits';
+export type { PoolSchedulerParts } from './BaobabwellSchedulingPool';
+export type { Turn, TurnRefusal, TurnRequest } from './BaobabwellSchedulingTurns';
+
+export { FairQueue } from './BaobabwellSchedulingFairQueue';
+export { PermitPool, StaticPermitPool } from './BaobabwellSchedulingPermits';
+export { PoolScheduler } from './BaobabwellSchedulingPool';
--- /dev/null
+++ b/packages/baobabwell-settings/src/BaobabwellSettingsFleet.ts
@@ -0,0 +1,37 @@
+import type { FleetSettings } from './BaobabwellSettingsSchema';
+import type { Mutation } from '@baobabwell/model';
+
+import { createPut, EntityKind, HostState, TargetState } from '@baobabwell/model';
+
+/** Builds the mutations that create the fleet of the settings. */
+export function buildFleet(fleet: FleetSettings, wallTime: number): readonly Mutation[] {
+  const pools = fleet.pools.flatMap(({ hosts, spare, ...pool }) => [
+    createPut(EntityKind.Pool, { ...pool, isSpare: spare }),
+    ...hosts.map(({ memory, ...host }) =>
+      createPut(EntityKind.Host, {
+        ...host,
+        pool: pool.id,
+        memoryGb: memory,
+        state: HostState.Serving,
+        stateReason: 'settings',
+        stateSince: wallTime,
+        movingTo: null,
+      }),
+    ),
+  ]);
+  return [
+    ...fleet.organisations.map((value) => createPut(EntityKind.Organisation, value)),
+    ...fleet.teams.map((value) => createPut(EntityKind.Team, value)),
+    ...fleet.keys.map((value) =>
+      createPut(EntityKind.Key, { ...value, createdAt: wallTime, expiresAt: null }),
+    ),
+    ...fleet.operators.map((value) => createPut(EntityKind.Operator, value)),
+    ...pools,
+    ...fleet.targets.map((value) =>
+      createPut(EntityKind.Target, { ...value, state: TargetState.Serving }),
+    ),
+    ...fleet.queues.map(({ deadline, ...queue }) =>
+      createPut(EntityKind.Queue, { ...queue, deadlineMs: deadline }),
+    ),
+  ];
+}
--- /dev/null
+++ b/packages/baobabwell-stand-ins/src/BaobabwellStandInsPlatform.ts
@@ -0,0 +1,84 @@
+import type { ListedHost, PlatformError } from '@baobabwell/platform';
+import type { Clock, Result } from '@baobabwell/utils';
+
+import { HostList, ObjectStore } from '@baobabwell/platform';
+import { createError, createOk } from '@baobabwell/utils';
+
+/** An object store in memory. */
+export class StandInObjectStore extends ObjectStore {
+  readonly #objects = new Map<string, Uint8Array>();
+
+  #isDown = false;
+
+  /** Makes every operation fail, or work again. */
+  applyDown(isDown: boolean): void {
+    this.#isDown = isDown;
+  }
+
+  override async put(name: string, body: Uint8Array): Promise<Result<null, PlatformError>> {
+    return this.#check(() => {
+      this.#objects.set(name, body);
+      return createOk(null);
+    });
+  }
+
+  override async get(name: string): Promise<Result<Uint8Array, PlatformError>> {
+    return this.#check(() => {
+      const body = this.#objects.get(name);
+      return body === undefined ? createError({ kind: 'not-found', cause: name }) : createOk(body);
+    });
+  }
+
+  override async remove(name: string): Promise<Result<null, PlatformError>> {
+    return this.#check(() => {
+      this.#objects.delete(name);
+      return createOk(null);
+    });
+  }
+
+  #check<T>(run: () => Result<T, PlatformError>): Result<T, PlatformError> {
+    return this.#isDown ? createError({ kind: 'unavailable', cause: 'service down' }) : run();
+  }
+}
+
+type ListVersion = {
+  readonly visibleAt: number;
+  readonly hosts: readonly ListedHost[];
+};
+
+/** A host list that shows changes only after a lag. */
+export class StandInHostList extends HostList {
+  readonly #clock: Clock;
+
+  readonly #lagMs: number;
+
+  #versions: ListVersion[] = [{ visibleAt: Number.NEGATIVE_INFINITY, hosts: [] }];
+
+  #isDown = false;
+
+  constructor(clock: Clock, lagMs: number) {
+    super();
+    this.#clock = clock;
+    this.#lagMs = lagMs;
+  }
+
+  /** Makes every read fail, or work again. */
+  applyDown(isDown: boolean): void {
+    this.#isDown = isDown;
+  }
+
+  /** Replaces the list; readers see it after the lag. */
+  replace(hosts: readonly ListedHost[]): void {
+    this.#versions.push({ visibleAt: this.#clock.getNow() + this.#lagMs, hosts });
+  }
+
+  override async list(): Promise<Result<readonly ListedHost[], PlatformError>> {
+    if (this.#isDown) {
+      return createError({ kind: 'unavailable', cause: 'service down' });
+    }
+    const now = this.#clock.getNow();
+    const visible = this.#versions.filter(({ visibleAt }) => visibleAt <= now);
+    const newest = visible.at(-1);
+    return createOk(newest?.hosts ?? []);
+  }
+}
--- /dev/null
+++ b/packages/baobabwell-stand-ins/src/BaobabwellStandInsWorker.ts
@@ -0,0 +1,243 @@
+import type { WorkerFaults } from './BaobabwellStandInsFaults';
+import type { Clock } from '@baobabwell/utils';
+
+import { z } from 'zod';
+
+import { NO_WORKER_FAULTS } from './BaobabwellStandInsFaults';
+
+/** What a task did, as the worker itself knows it. */
+export enum LedgerEvent {
+  Started = 'started',
+  Completed = 'completed',
+  Failed = 'failed',
+  Stopped = 'stopped',
+}
+
+/** One line of a worker's ledger. */
+export type LedgerLine = {
+  readonly taskId: string;
+  readonly team: string;
+  readonly event: LedgerEvent;
+  /** Monotonic milliseconds of the worker's clock. */
+  readonly at: number;
+};
+
+/** Why a worker did not start a task. */
+export enum RejectionCode {
+  NoSlot = 'no-slot',
+  LeaseLapsed = 'lease-lapsed',
+  Stopping = 'stopping',
+}
+
+/** A task as it reaches the worker. */
+export type IncomingTask = {
+  readonly taskId: string;
+  readonly holder: string;
+  readonly team: string;
+  readonly body: Buffer;
+};
+
+/** How a task ended. */
+export type TaskResult =
+  | { readonly kind: 'rejected'; readonly code: RejectionCode }
+  | {
+      readonly kind: 'completed';
+      /** The task that the answer belongs to; another one's when answers are crossed. */
+      readonly taskId: string;
+      readonly body: Buffer;
+    }
+  | { readonly kind: 'failed' }
+  | { readonly kind: 'stopped' };
+
+/** What a holder asks for when it renews its lease. */
+export type LeaseRequest = {
+  readonly holder: string;
+  readonly slots: number;
+  readonly startTtlMs: number;
+  readonly taskTtlMs: number;
+};
+
+/** What the worker grants. */
+export type LeaseGrant = {
+  readonly slots: number;
+  /** Slots that no holder has. */
+  readonly free: number;
+  /** Tasks of this holder that are running. */
+  readonly tasks: readonly string[];
+};
+
+type Holder = {
+  slots: number;
+  startableUntil: number;
+  tasksUntil: number;
+  readonly running: Map<string, AbortController>;
+};
+
+const DEFAULT_RUN_MS = 20;
+const LEASE_SCAN_MS = 100;
+
+const workSchema = z.object({ runMs: z.number().nonnegative().default(DEFAULT_RUN_MS) });
+
+function parseRunMs(body: Buffer): number {
+  try {
+    return workSchema.parse(JSON.parse(body.toString('utf8'))).runMs;
+  } catch {
+    return DEFAULT_RUN_MS;
+  }
+}
+
+/** A worker in memory: leased slots, tasks, a ledger and fault switches. */
+export class StandInWorker {
+  readonly id: string;
+
+  readonly slots: number;
+
+  readonly #clock: Clock;
+
+  readonly #holders = new Map<string, Holder>();
+
+  readonly #ledger: LedgerLine[] = [];
+
+  #faults: WorkerFaults = NO_WORKER_FAULTS;
+
+  #isStopping = false;
+
+  #lastAnswer: TaskResult = { kind: 'completed', taskId: 'none', body: Buffer.from('{}') };
+
+  constructor(id: string, slots: number, clock: Clock) {
+    this.id = id;
+    this.slots = slots;
+    this.#clock = clock;
+  }
+
+  /** The faults in force. */
+  getFaults(): WorkerFaults {
+    return this.#faults;
+  }
+
+  /** Replaces the faults in force. */
+  applyFaults(faults: WorkerFaults): void {
+    this.#faults = faults;
+  }
+
+  /** Everything that the worker did, oldest first. */
+  getLedger(): readonly LedgerLine[] {
+    return this.#ledger;
+  }
+
+  /** Number of running tasks. */
+  getRunningCount(): number {
+    return [...this.#holders.values()].reduce((sum, { running }) => sum + running.size, 0);
+  }
+
+  /** Takes no new tasks, or takes them again. */
+  applyStopping(isStopping: boolean): void {
+    this.#isStopping = isStopping;
+  }
+
+  /** Ends every task and forgets all holders, as a restart does. */
+  crash(): void {
+    this.#holders.forEach(({ running }) => running.forEach((task) => task.abort()));
+    this.#holders.clear();
+  }
+
+  /** Renews the lease of a holder and changes the number of its slots. */
+  renew({ holder: id, slots, startTtlMs, taskTtlMs }: LeaseRequest): LeaseGrant {
+    const now = this.#clock.getNow();
+    this.#removeLapsed(now);
+    const holder = this.#holders.get(id) ?? {
+      slots: 0,
+      startableUntil: 0,
+      tasksUntil: 0,
+      running: new Map<string, AbortController>(),
+    };
+    this.#holders.set(id, holder);
+    const wanted = this.#isStopping ? holder.running.size : Math.max(slots, holder.running.size);
+    holder.slots = Math.min(wanted, holder.slots + this.#countFree());
+    holder.startableUntil = now + startTtlMs;
+    holder.tasksUntil = now + taskTtlMs;
+    return { slots: holder.slots, free: this.#countFree(), tasks: [...holder.running.keys()] };
+  }
+
+  /** Runs a task in one of its holder's slots. */
+  async run(task: IncomingTask): Promise<TaskResult> {
+    const holder = this.#holders.get(task.holder);
+    if (this.#isStopping) {
+      return { kind: 'rejected', code: RejectionCode.Stopping };
+    }
+    if (holder === undefined || holder.startableUntil < this.#clock.getNow()) {
+      return { kind: 'rejected', code: RejectionCode.LeaseLapsed };
+    }
+    if (holder.running.size >= holder.slots) {
+      return { kind: 'rejected', code: RejectionCode.NoSlot };
+    }
+    const abort = new AbortController();
+    holder.running.set(task.taskId, abort);
+    this.#record(task, LedgerEvent.Started);
+    await this.#waitWhileLeased(holder, parseRunMs(task.body), abort);
+    holder.running.delete(task.taskId);
+    return this.#finish(task, abort.signal.aborted);
+  }
+
+  /** Stops a running task; unknown ones are ignored. */
+  stop(taskId: string): void {
+    this.#holders.forEach(({ running }) => running.get(taskId)?.abort());
+  }
+
+  #finish(task: IncomingTask, wasStopped: boolean): TaskResult {
+    if (wasStopped) {
+      this.#record(task, LedgerEvent.Stopped);
+      return { kind: 'stopped' };
+    }
+    if (this.#faults.failAll) {
+      this.#record(task, LedgerEvent.Failed);
+      return { kind: 'failed' };
+    }
+    this.#record(task, LedgerEvent.Completed);
+    const body = Buffer.from(
+      JSON.stringify({ taskId: task.taskId, worker: this.id, echo: task.body.toString('utf8') }),
+    );
+    const answer: TaskResult = { kind: 'completed', taskId: task.taskId, body };
+    const sent = this.#faults.crossAnswers ? this.#lastAnswer : answer;
+    this.#lastAnswer = answer;
+    return sent;
+  }
+
+  async #waitWhileLeased(holder: Holder, runMs: number, abort: AbortController): Promise<void> {
+    const endsAt = this.#clock.getNow() + runMs;
+    while (!abort.signal.aborted) {
+      const now = this.#clock.getNow();
+      if (now >= endsAt) {
+        return;
+      }
+      if (now >= holder.tasksUntil) {
+        abort.abort();
+        return;
+      }
+      await this.#clock.wait(Math.min(LEASE_SCAN_MS, endsAt - now), abort.signal);
+    }
+  }
+
+  #countFree(): number {
+    const held = [...this.#holders.values()].reduce(
+      (sum, { slots, running }) => sum + Math.max(slots, running.size),
+      0,
+    );
+    return Math.max(0, this.slots - held);
+  }
+
+  #removeLapsed(now: number): void {
+    this.#holders.forEach((holder, id) => {
+      if (holder.startableUntil < now) {
+        Object.assign(holder, { slots: holder.running.size });
+        if (holder.running.size === 0) {
+          this.#holders.delete(id);
+        }
+      }
+    });
+  }
+
+  #record({ taskId, team }: IncomingTask, event: LedgerEvent): void {
+    this.#ledger.push({ taskId, team, event, at: this.#clock.getNow() });
+  }
+}
--- /dev/null
+++ b/packages/baobabwell-utils/src/BaobabwellClock.ts
@@ -0,0 +1,52 @@
+/** A pending timer; calling it cancels the timer. */
+export type CancelTimer = () => void;
+
+/**
+ * Source of time for every package. Production code uses {@link SystemClock};
+ * tests pass a clock whose time they advance themselves.
+ */
+export abstract class Clock {
+  /** Monotonic time in milliseconds; only differences are meaningful. */
+  abstract getNow(): number;
+
+  /** Wall-clock time in milliseconds since the epoch. */
+  abstract getWallTime(): number;
+
+  /** Runs `callback` once after `delayMs`. */
+  abstract startTimer(delayMs: number, callback: () => void): CancelTimer;
+
+  /** Resolves after `delayMs`, or at once when `signal` is aborted. Never rejects. */
+  async wait(delayMs: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      if (signal?.aborted) {
+        resolve();
+        return;
+      }
+      const cancel = this.startTimer(delayMs, () => {
+        signal?.removeEventListener('abort', onAbort);
+        resolve();
+      });
+      function onAbort(): void {
+        cancel();
+        resolve();
+      }
+      signal?.addEventListener('abort', onAbort, { once: true });
+    });
+  }
+}
+
+/** The clock of the running process. */
+export class SystemClock extends Clock {
+  override getNow(): number {
+    return performance.now();
+  }
+
+  override getWallTime(): number {
+    return Date.now();
+  }
+
+  override startTimer(delayMs: number, callback: () => void): CancelTimer {
+    const timer = setTimeout(callback, delayMs);
+    return () => clearTimeout(timer);
+  }
+}
--- /dev/null
+++ b/packages/baobabwell-utils/src/index.ts
@@ -0,0 +1,9 @@
+export type { CancelTimer } from './BaobabwellClock';
+export type { Finding, Place } from './BaobabwellFindings';
+export type { Result } from './BaobabwellResult';
+
+export { Clock, SystemClock } from './BaobabwellClock';
+export { FindingList, formatFinding } from './BaobabwellFindings';
+export { checkInvariant, InvariantError } from './BaobabwellInvariant';
+export { Random } from './BaobabwellRandom';
+export { createError, createOk } from './BaobabwellResult';
--- /dev/null
+++ b/packages/baobabwell-view/src/BaobabwellViewConstants.ts
@@ -0,0 +1,35 @@
+/** Table that holds one row for each change. */
+export const LOG_TABLE = 'view-log';
+
+/** Table whose single row names the last change. */
+export const HEAD_TABLE = 'view-head';
+
+/** Key of the only row of the head table. */
+export const HEAD_KEY = 'head';
+
+/** Table that holds one row for each transaction identifier. */
+export const TRANSACTION_TABLE = 'view-transactions';
+
+/** Most log rows fetched by one read. */
+export const LOG_PAGE_ROWS = 500;
+
+/** Time between two reads of the log by one entry. */
+export const LOG_POLL_INTERVAL_MS = 1_000;
+
+/** Longest age of the view at which an entry may still start work. */
+export const FRESHNESS_BOUND_MS = 2_500;
+
+/** Attempts to commit a change that other changes overtake. */
+export const COMMIT_ATTEMPTS = 8;
+
+/** Attempts to find out whether a transaction without an answer was committed. */
+export const SETTLE_ATTEMPTS = 4;
+
+/** Time between two such attempts. */
+export const SETTLE_INTERVAL_MS = 250;
+
+/** Time between two heartbeats to one peer. */
+export const PEER_HEARTBEAT_INTERVAL_MS = 500;
+
+/** Changes kept in memory for peers that lag behind. */
+export const HISTORY_CHANGES = 1_000;
--- /dev/null
+++ b/packages/baobabwell-view/src/BaobabwellViewHistory.ts
@@ -0,0 +1,29 @@
+import type { ViewChange } from '@baobabwell/model';
+
+/** Keeps the newest changes in memory, for peers that lag behind. */
+export class ViewHistory {
+  readonly #capacity: number;
+
+  readonly #changes: ViewChange[] = [];
+
+  constructor(capacity: number) {
+    this.#capacity = capacity;
+  }
+
+  /** Adds the next change. */
+  add(change: ViewChange): void {
+    this.#changes.push(change);
+    if (this.#changes.length > this.#capacity) {
+      this.#changes.shift();
+    }
+  }
+
+  /** Lists the changes after a version, oldest first; empty when they are no longer all kept. */
+  listSince(version: number): readonly ViewChange[] {
+    const first = this.#changes[0];
+    if (first === undefined || first.version > version + 1) {
+      return [];
+    }
+    return this.#changes.slice(version + 1 - first.version);
+  }
+}
