--- a/packages/baobabwell-language/src/BaobabwellLanguageParser.ts
+++ b/packages/baobabwell-language/src/BaobabwellLanguageParser.ts
@@ -1,160 +1,113 @@
-import type {
-  CommandStatement,
-  QueryStatement,
-  Statement,
-  SyntaxFinding,
-} from './BaobabwellLanguage';
+import type { Statement, SyntaxFinding } from './BaobabwellLanguage';
 import type { Result } from '@baobabwell/utils';
+import type { ISyntacticContentAssistPath, IToken } from 'chevrotain';
 
-import { createToken, EmbeddedActionsParser, EOF, Lexer } from 'chevrotain';
+import { EOF, Lexer, tokenMatcher } from 'chevrotain';
 
 import { createError, createOk } from '@baobabwell/utils';
 
-import { Comparison } from './BaobabwellLanguage';
+import { StatementParser } from './BaobabwellLanguageGrammar';
+import { formatSuggestions, listNearNames } from './BaobabwellLanguageSuggestions';
+import { isFixedToken, TOKENS } from './BaobabwellLanguageTokens';
 
-const Space = createToken({ name: 'Space', pattern: /\s+/, group: Lexer.SKIPPED });
-const Text = createToken({ name: 'Text', pattern: /"(?:[^"\\]|\\.)*"/ });
-const NotEqual = createToken({ name: 'NotEqual', pattern: /!=/ });
-const Equal = createToken({ name: 'Equal', pattern: /=/ });
-const Comma = createToken({ name: 'Comma', pattern: /,/ });
-const Word = createToken({ name: 'Word', pattern: /[^\s"=!,]+/ });
-const Where = createToken({ name: 'Where', pattern: /where/, longer_alt: Word });
-const And = createToken({ name: 'And', pattern: /and/, longer_alt: Word });
-const Show = createToken({ name: 'Show', pattern: /show/, longer_alt: Word });
-const Reason = createToken({ name: 'Reason', pattern: /reason/, longer_alt: Word });
-const If = createToken({ name: 'If', pattern: /if/, longer_alt: Word });
-const Version = createToken({ name: 'Version', pattern: /version/, longer_alt: Word });
-const Verb = createToken({
-  name: 'Verb',
-  pattern: /grant|withdraw|drain|return|retire/,
-  longer_alt: Word,
-});
+const lexer = new Lexer([...TOKENS]);
+const parser = new StatementParser();
 
-const TOKENS = [
-  Space,
-  Text,
-  NotEqual,
-  Equal,
-  Comma,
-  Where,
-  And,
-  Show,
-  Reason,
-  If,
-  Version,
-  Verb,
-  Word,
-];
+/** What may follow the beginning of a statement. */
+export type Continuation = {
+  /** Words and signs of the grammar. */
+  readonly keywords: readonly string[];
+  /** Rules of the grammar whose names may stand here, such as `source` or `column`. */
+  readonly rules: readonly string[];
+  /** What the grammar calls that which may stand here. */
+  readonly labels: readonly string[];
+};
 
-const lexer = new Lexer(TOKENS);
+function getLabel({ nextTokenType }: ISyntacticContentAssistPath): string {
+  return nextTokenType === EOF ? 'the end' : (nextTokenType.LABEL ?? nextTokenType.name);
+}
 
-function parseText(image: string): string {
-  return image.startsWith('"') ? (JSON.parse(image) as string) : image;
+/** Finds what the grammar allows after the tokens. */
+function findContinuation(tokens: readonly IToken[]): Continuation {
+  const paths = parser.computeContentAssist('statement', [...tokens]);
+  const fixed = paths.filter(({ nextTokenType }) => isFixedToken(nextTokenType));
+  const open = paths.filter(({ nextTokenType }) => !isFixedToken(nextTokenType));
+  return {
+    keywords: [...new Set(fixed.map(getLabel))],
+    rules: [...new Set(open.map(({ ruleStack }) => ruleStack.at(-1) ?? ''))],
+    labels: [...new Set(paths.map(getLabel))],
+  };
 }
 
-class StatementParser extends EmbeddedActionsParser {
-  constructor() {
-    super(TOKENS);
-    this.performSelfAnalysis();
-  }
+/** Finds what may follow a text that ends before the next word. */
+export function findNext(text: string): Continuation {
+  return findContinuation(lexer.tokenize(text).tokens);
+}
 
-  readonly statement = this.RULE('statement', (): Statement => {
-    const statement = this.OR<Statement>([
-      { ALT: () => this.SUBRULE(this.command) },
-      { ALT: () => this.SUBRULE(this.query) },
-    ]);
-    this.CONSUME(EOF);
-    return statement;
-  });
+function canFollow(before: readonly IToken[], token: IToken): boolean {
+  return parser
+    .computeContentAssist('statement', [...before])
+    .some(({ nextTokenType }) => tokenMatcher(token, nextTokenType));
+}
 
-  readonly value = this.RULE('value', (): string =>
-    this.OR([
-      { ALT: () => parseText(this.CONSUME(Text).image) },
-      { ALT: () => this.CONSUME(Word).image },
-    ]),
-  );
+function findFirstFault(tokens: readonly IToken[]): number {
+  const index = tokens.findIndex((token, at) => !canFollow(tokens.slice(0, at), token));
+  return index < 0 ? tokens.length : index;
+}
 
-  readonly query = this.RULE('query', (): QueryStatement => {
-    const source = this.CONSUME(Word).image;
-    const conditions: QueryStatement['conditions'][number][] = [];
-    const columns: string[] = [];
-    this.OPTION(() => {
-      this.CONSUME(Where);
-      this.AT_LEAST_ONE_SEP({
-        SEP: And,
-        DEF: () => {
-          const column = this.CONSUME1(Word).image;
-          const comparison = this.OR([
-            {
-              ALT: () => {
-                this.CONSUME(Equal);
-                return Comparison.Equal;
-              },
-            },
-            {
-              ALT: () => {
-                this.CONSUME(NotEqual);
-                return Comparison.NotEqual;
-              },
-            },
-          ]);
-          conditions.push({ column, comparison, value: this.SUBRULE(this.value) });
-        },
-      });
-    });
-    this.OPTION1(() => {
-      this.CONSUME(Show);
-      this.AT_LEAST_ONE_SEP1({
-        SEP: Comma,
-        DEF: () => {
-          columns.push(this.CONSUME2(Word).image);
-        },
-      });
-    });
-    return { kind: 'query', source, conditions, columns };
-  });
+/** Finds a keyword that the word before the fault may have been meant to be. */
+function findMistypedKeyword(tokens: readonly IToken[], fault: number): SyntaxFinding | null {
+  const token = tokens[fault - 1];
+  if (token === undefined || isFixedToken(token.tokenType)) {
+    return null;
+  }
+  const { keywords } = findContinuation(tokens.slice(0, fault - 1));
+  const suggestions = listNearNames(token.image, keywords);
+  return suggestions.length === 0
+    ? null
+    : {
+        column: token.startColumn ?? 1,
+        problem: `found "${token.image}"${formatSuggestions(suggestions)}`,
+        suggestions,
+      };
+}
 
-  readonly command = this.RULE('command', (): CommandStatement => {
-    const verb = this.CONSUME(Verb).image;
-    const object = this.CONSUME(Word).image;
-    const values: string[] = [];
-    let reason: string | null = null;
-    let expectedVersion: number | null = null;
-    this.MANY(() => {
-      values.push(this.SUBRULE(this.value));
-    });
-    this.OPTION(() => {
-      this.CONSUME(If);
-      this.CONSUME(Version);
-      expectedVersion = Number(this.CONSUME1(Word).image);
-    });
-    this.OPTION1(() => {
-      this.CONSUME(Reason);
-      reason = parseText(this.CONSUME(Text).image);
-    });
+function buildFinding(text: string, tokens: readonly IToken[]): SyntaxFinding {
+  const fault = findFirstFault(tokens);
+  const token = tokens[fault];
+  const { labels, keywords } = findContinuation(tokens.slice(0, fault));
+  const expected = labels.toSorted().join(', ');
+  if (token === undefined) {
     return {
-      kind: 'command',
-      name: `${verb} ${object}`,
-      arguments: values,
-      reason,
-      expectedVersion,
+      column: text.length + 1,
+      problem: `the statement ends where one of these is expected: ${expected}`,
+      suggestions: [],
     };
-  });
+  }
+  const suggestions = listNearNames(token.image, keywords);
+  const mistyped = suggestions.length === 0 ? findMistypedKeyword(tokens, fault) : null;
+  const problem = `found "${token.image}" where one of these is expected: ${expected}`;
+  return (
+    mistyped ?? {
+      column: token.startColumn ?? 1,
+      problem: `${problem}${formatSuggestions(suggestions)}`,
+      suggestions,
+    }
+  );
 }
 
-const parser = new StatementParser();
-
-/** Parses what an operator typed. */
+/** Parses what an operator typed, or reports everything that is wrong with it. */
 export function parseStatement(text: string): Result<Statement, readonly SyntaxFinding[]> {
-  const lexed = lexer.tokenize(text);
-  parser.input = lexed.tokens;
+  const { tokens, errors } = lexer.tokenize(text);
+  parser.input = tokens;
   const statement = parser.statement();
   const findings = [
-    ...lexed.errors.map(({ column, message }) => ({ column: column ?? 1, problem: message })),
-    ...parser.errors.map(({ token, message }) => ({
-      column: Number.isNaN(token.startColumn) ? text.length + 1 : (token.startColumn ?? 1),
-      problem: message,
+    ...errors.map(({ column = 1 }) => ({
+      column,
+      problem: `no word, sign or quoted text begins at ${text.slice(column - 1)}`,
+      suggestions: [],
     })),
+    ...(errors.length === 0 && parser.errors.length > 0 ? [buildFinding(text, tokens)] : []),
   ];
   return findings.length > 0 ? createError(findings) : createOk(statement);
 }
--- a/packages/baobabwell-language/src/index.ts
+++ b/packages/baobabwell-language/src/index.ts
@@ -1,10 +1,18 @@
 export type {
+  CommandOption,
   CommandStatement,
   Condition,
+  LocatedText,
+  QueryOrder,
   QueryStatement,
   Statement,
   SyntaxFinding,
 } from './BaobabwellLanguage';
+export type { Completion } from './BaobabwellLanguageCompletion';
+export type { Continuation } from './BaobabwellLanguageParser';
 
-export { Comparison } from './BaobabwellLanguage';
-export { parseStatement } from './BaobabwellLanguageParser';
+export { CommandMode, Comparison } from './BaobabwellLanguage';
+export { listCompletions, NameCatalog } from './BaobabwellLanguageCompletion';
+export { findNext, parseStatement } from './BaobabwellLanguageParser';
+export { formatSuggestions, listNearNames } from './BaobabwellLanguageSuggestions';
+export { VERBS } from './BaobabwellLanguageTokens';
--- a/packages/baobabwell-model/src/BaobabwellModel.ts
+++ b/packages/baobabwell-model/src/BaobabwellModel.ts
@@ -1,11 +1,17 @@
 import type {
   EntityKind,
   HostState,
+  MaintenanceGoal,
   MemberState,
   OperatorRole,
   QueueAccess,
   QueueMode,
+  SplitState,
+  SplitStep,
   TargetState,
+  WavePolicyName,
+  WaveScope,
+  WaveState,
 } from './BaobabwellModelConstants';
 
 /** A group of hosts that share an availability budget. */
@@ -19,6 +25,17 @@
   readonly selfRepair: boolean;
 };
 
+/** Why a host is out of service by plan, and what comes next. */
+export type HostMaintenance = {
+  readonly goal: MaintenanceGoal;
+  /** The wave that took the host out, or `null`. */
+  readonly wave: string | null;
+  /** The split that took the host out, or `null`. */
+  readonly split: string | null;
+  /** Version of the view at which the host was taken out; later orders carry higher ones. */
+  readonly token: number;
+};
+
 /** A worker host; it belongs to exactly one pool. */
 export type Host = {
   readonly id: string;
@@ -38,6 +55,8 @@
   readonly stateSince: number;
   /** The pool that the host joins once it is drained, or `null`. */
   readonly movingTo: string | null;
+  /** Present while the host is out of service by plan. */
+  readonly maintenance?: HostMaintenance | null;
 };
 
 /** A back end's service, which runs on the hosts of one pool. */
@@ -114,6 +133,56 @@
   readonly digest: string;
 };
 
+/** Maintenance of several hosts in steps that keep to the budgets. */
+export type Wave = {
+  readonly id: string;
+  readonly scope: WaveScope;
+  /** Identifier of the pool or rack; empty for the fleet. */
+  readonly scopeId: string;
+  readonly policy: WavePolicyName;
+  readonly state: WaveState;
+  readonly stateReason: string;
+  /** Hosts not yet taken out. */
+  readonly waiting: readonly string[];
+  /** Hosts that are out now. */
+  readonly working: readonly string[];
+  readonly done: readonly string[];
+  /** Hosts that came back bad or could not be taken out. */
+  readonly failed: readonly string[];
+  /** Hosts that may come back bad before the wave stops itself. */
+  readonly maximumFailures: number;
+  /** Wall-clock milliseconds. */
+  readonly startedAt: number;
+  /** Wall-clock milliseconds, or `null` while it is not over. */
+  readonly endedAt: number | null;
+};
+
+/** The plan by which a part of the fleet leaves. */
+export type Split = {
+  readonly id: string;
+  readonly targets: readonly string[];
+  readonly hosts: readonly string[];
+  readonly teams: readonly string[];
+  /** Wall-clock milliseconds before which it does not start, or `null`. */
+  readonly notBefore: number | null;
+  readonly state: SplitState;
+  readonly stateReason: string;
+  /** The last step that is done. */
+  readonly step: SplitStep;
+  /** What the steps replaced, newest first, for the undo. */
+  readonly saved: readonly Mutation[];
+};
+
+/** The entry that carries out maintenance; a higher token replaces a lower one. */
+export type Controller = {
+  readonly id: string;
+  /** Identifier of the member that owns the work. */
+  readonly owner: string;
+  readonly incarnation: string;
+  /** Fencing token, raised at each change of owner. */
+  readonly token: number;
+};
+
 /** The type of each kind of entity. */
 export type EntityTypes = {
   readonly [EntityKind.Pool]: Pool;
@@ -125,6 +194,9 @@
   readonly [EntityKind.Key]: Key;
   readonly [EntityKind.Member]: Member;
   readonly [EntityKind.Operator]: Operator;
+  readonly [EntityKind.Wave]: Wave;
+  readonly [EntityKind.Split]: Split;
+  readonly [EntityKind.Controller]: Controller;
 };
 
 /** Any entity of the fleet view. */
--- a/packages/baobabwell-model/src/BaobabwellModelConstants.ts
+++ b/packages/baobabwell-model/src/BaobabwellModelConstants.ts
@@ -61,6 +61,69 @@
   Key = 'key',
   Member = 'member',
   Operator = 'operator',
+  Wave = 'wave',
+  Split = 'split',
+  Controller = 'controller',
+}
+
+/** What becomes of a host that is taken out of service. */
+export enum MaintenanceGoal {
+  /** Stays drained until an operator returns it. */
+  Drain = 'drain',
+  /** Is rebooted and returned. */
+  Reboot = 'reboot',
+  /** Joins another pool. */
+  Move = 'move',
+}
+
+/** Which hosts a wave covers. */
+export enum WaveScope {
+  Pool = 'pool',
+  Rack = 'rack',
+  Fleet = 'fleet',
+}
+
+/** How a wave chooses the hosts to take out next. */
+export enum WavePolicyName {
+  /** As many hosts at once as the budgets of their pools allow. */
+  Budget = 'budget',
+  /** One host of the whole fleet at a time. */
+  OneByOne = 'one-by-one',
+}
+
+/** Condition of a wave. */
+export enum WaveState {
+  Running = 'running',
+  /** Starts no further host; hosts in work are finished. */
+  Paused = 'paused',
+  /** Paused by itself, because hosts came back bad or spare ran short. */
+  Stopped = 'stopped',
+  Aborted = 'aborted',
+  Finished = 'finished',
+}
+
+/** Condition of a split. */
+export enum SplitState {
+  Planned = 'planned',
+  Running = 'running',
+  Paused = 'paused',
+  /** Every step that can be undone is done. */
+  Ready = 'ready',
+  Undoing = 'undoing',
+  Finished = 'finished',
+}
+
+/** The steps of a split, in order; all but the last can be undone. */
+export enum SplitStep {
+  None = 'none',
+  /** The leaving targets get no new work. */
+  TargetsLeaving = 'targets-leaving',
+  /** Nothing runs on the leaving hosts. */
+  HostsDrained = 'hosts-drained',
+  /** The keys and queues of the leaving half are gone. */
+  KeysWithdrawn = 'keys-withdrawn',
+  /** Hosts, targets and teams of the leaving half are gone. */
+  Removed = 'removed',
 }
 
 /** Urgency that a caller gives to its work. */
--- a/packages/baobabwell-model/src/index.ts
+++ b/packages/baobabwell-model/src/index.ts
@@ -1,7 +1,9 @@
 export type {
+  Controller,
   Entity,
   EntityTypes,
   Host,
+  HostMaintenance,
   Key,
   Member,
   Mutation,
@@ -10,21 +12,29 @@
   Pool,
   Queue,
   ServiceWindow,
+  Split,
   Target,
   Team,
   ViewChange,
+  Wave,
 } from './BaobabwellModel';
 
 export { createPut, createRemoval } from './BaobabwellModel';
 export {
   EntityKind,
   HostState,
+  MaintenanceGoal,
   MemberState,
   OperatorRole,
   Outcome,
   PriorityClass,
   QueueAccess,
   QueueMode,
+  SplitState,
+  SplitStep,
   TargetState,
+  WavePolicyName,
+  WaveScope,
+  WaveState,
 } from './BaobabwellModelConstants';
 export { FleetView } from './BaobabwellModelView';
--- a/packages/baobabwell-operations/src/BaobabwellOperations.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperations.ts
@@ -1,9 +1,56 @@
-import type { Mutation, FleetView } from '@baobabwell/model';
+import type { GetHostEvidence } from '@baobabwell/maintenance';
+import type { EntityKind, FleetView, Mutation, OperatorRole } from '@baobabwell/model';
 import type { Result } from '@baobabwell/utils';
 
+/** Kinds of value that an option of a command takes. */
+export enum OptionKind {
+  Text = 'text',
+  /** A whole number. */
+  Whole = 'whole number',
+  Number = 'number',
+  /** `yes` or `no`. */
+  Flag = 'yes or no',
+  /** A duration such as `30d`, in milliseconds. */
+  Duration = 'duration',
+  List = 'list',
+}
+
+/** A value of an option. */
+export type OptionValue = string | number | boolean | readonly string[];
+
+/** One positional argument of a command. */
+export type CommandParameter = {
+  readonly name: string;
+  /** Kind of entity that the argument names, or `null`. */
+  readonly kind: EntityKind | null;
+  /** Whether the entity must exist, must not, or need not. */
+  readonly isNew?: boolean;
+};
+
+/** One option of a command. */
+export type CommandOptionSpec = {
+  readonly name: string;
+  readonly kind: OptionKind;
+  /** The only values allowed, when there are only some. */
+  readonly allowed?: readonly string[];
+  /** Kind of entity that the value names. */
+  readonly references?: EntityKind;
+  readonly isRequired?: boolean;
+};
+
+/** What an operator gave to a command, checked against its parameters and options. */
+export type CommandInput = {
+  readonly values: readonly string[];
+  readonly options: ReadonlyMap<string, OptionValue>;
+};
+
+/** Codes of refusals. */
+export type RefusalCode =
+  'unknown-command' | 'bad-argument' | 'not-found' | 'conflict' | 'not-allowed' | 'role';
+
 /** Why a command cannot be carried out on the fleet as it is. */
 export type Refusal = {
-  readonly code: 'unknown-command' | 'bad-argument' | 'not-found' | 'conflict' | 'not-allowed';
+  readonly code: RefusalCode;
   readonly message: string;
 };
 
@@ -19,6 +66,8 @@
   readonly view: FleetView;
   readonly wallTime: number;
   readonly reason: string;
+  readonly operator: string;
+  readonly getEvidence: GetHostEvidence;
 };
 
 /** One command of the operators' language. */
@@ -26,15 +75,37 @@
   /** The words that name the command, such as `drain host`. */
   abstract readonly name: string;
 
-  /** Names of the arguments, in order. */
-  abstract readonly parameters: readonly string[];
+  /** What the command does, in one sentence. */
+  abstract readonly summary: string;
+
+  /** Least role that may give the command. */
+  abstract readonly role: OperatorRole;
+
+  /** The arguments, in order. */
+  abstract readonly parameters: readonly CommandParameter[];
+
+  readonly options: readonly CommandOptionSpec[] = [];
 
   /** Decides the change from the newest view; may be called several times. */
-  abstract decide(values: readonly string[], context: CommandContext): Result<Decision, Refusal>;
+  abstract decide(input: CommandInput, context: CommandContext): Result<Decision, Refusal>;
 }
 
+/** A cell of the answer to a query. */
+export type QueryCell = string | number | boolean | null;
+
 /** A row of the answer to a query. */
-export type QueryRow = Readonly<Record<string, string | number | boolean | null>>;
+export type QueryRow = Readonly<Record<string, QueryCell>>;
+
+/** What a source is asked for. */
+export type QueryRequest = {
+  /** Columns that are shown, compared or sorted by. */
+  readonly columns: ReadonlySet<string>;
+  readonly argument: string | null;
+  readonly since: number | null;
+};
+
+/** Why a source cannot answer. */
+export type QueryRefusal = { readonly code: string; readonly message: string };
 
 /** A source of rows for queries. */
 export abstract class QuerySource {
@@ -42,6 +113,16 @@
 
   abstract readonly columns: readonly string[];
 
+  /** Columns shown when a query names none. */
+  get shownColumns(): readonly string[] {
+    return this.columns;
+  }
+
+  /** Name of the argument that the source needs, or `null`. */
+  readonly parameter: string | null = null;
+
   /** Lists all rows. */
-  abstract listRows(): Promise<readonly QueryRow[]>;
+  abstract listRows(
+    request: QueryRequest,
+  ): Promise<Result<readonly QueryRow[], QueryRefusal>>;
 }
--- /dev/null
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsFleetSources.ts
@@ -0,0 +1,163 @@
+import type { QueryRefusal, QueryRequest, QueryRow } from './BaobabwellOperations';
+import type { GetHostEvidence } from '@baobabwell/maintenance';
+import type { FleetView, Pool } from '@baobabwell/model';
+import type { Result } from '@baobabwell/utils';
+
+import { getPoolBudget } from '@baobabwell/maintenance';
+import { EntityKind, HostState } from '@baobabwell/model';
+import { createOk } from '@baobabwell/utils';
+
+import { QuerySource } from './BaobabwellOperations';
+import { EntitySource } from './BaobabwellOperationsSources';
+
+/** A call that waits or runs at one entry. */
+export type CallActivity = {
+  readonly id: string;
+  readonly entry: string;
+  readonly queue: string;
+  readonly team: string;
+  readonly pool: string;
+  /** `null` while the call waits. */
+  readonly host: string | null;
+  /** Wall-clock milliseconds of its arrival. */
+  readonly since: number;
+};
+
+/** Lists the calls of all entries, and the entries that did not answer. */
+export type ListCallActivity = () => Promise<{
+  readonly calls: readonly CallActivity[];
+  readonly missing: readonly string[];
+}>;
+
+/** What the sources about the running fleet work with. */
+export type FleetSourceParts = {
+  readonly getView: () => FleetView;
+  readonly getEvidence: GetHostEvidence;
+  readonly listCalls: ListCallActivity;
+};
+
+function countBy<Item>(items: readonly Item[], getGroup: (item: Item) => string | null): Map<string, number> {
+  const counts = new Map<string, number>();
+  items.forEach((item) => {
+    const group = getGroup(item);
+    if (group !== null) {
+      counts.set(group, (counts.get(group) ?? 0) + 1);
+    }
+  });
+  return counts;
+}
+
+/** Hosts with what is known of them and the calls that run on them. */
+export class HostsSource extends EntitySource<EntityKind.Host> {
+  override readonly columns: readonly string[];
+
+  readonly #parts: FleetSourceParts;
+
+  constructor(parts: FleetSourceParts) {
+    super(EntityKind.Host, parts.getView);
+    this.#parts = parts;
+    this.columns = [...super.shownColumns, 'listed', 'reachable', 'running', 'id'];
+  }
+
+  override async listRows(
+    request: QueryRequest,
+  ): Promise<Result<readonly QueryRow[], never>> {
+    const calls = request.columns.has('running') ? (await this.#parts.listCalls()).calls : [];
+    const running = countBy(calls, ({ host }) => host);
+    const rows = this.listEntityRows().map((row) => {
+      const { isListed, isReachable } = this.#parts.getEvidence(String(row.name));
+      return {
+        ...row,
+        listed: isListed,
+        reachable: isReachable,
+        running: running.get(String(row.name)) ?? 0,
+      };
+    });
+    return createOk(rows);
+  }
+}
+
+/** Pools with their budgets. */
+export class PoolsSource extends EntitySource<EntityKind.Pool> {
+  override readonly columns: readonly string[];
+
+  readonly #parts: FleetSourceParts;
+
+  constructor(parts: FleetSourceParts) {
+    super(EntityKind.Pool, parts.getView);
+    this.#parts = parts;
+    this.columns = [...super.shownColumns, 'hosts', 'serving', 'out', 'spareBudget', 'id'];
+  }
+
+  override get shownColumns(): readonly string[] {
+    return this.columns.filter((column) => column !== 'id');
+  }
+
+  override async listRows(_request: QueryRequest): Promise<Result<readonly QueryRow[], never>> {
+    const view = this.#parts.getView();
+    const rows = this.listEntityRows().map((row) => {
+      const pool = view.get(EntityKind.Pool, String(row.name)) as Pool;
+      const { total, serving, out } = getPoolBudget(view, pool, this.#parts.getEvidence);
+      return {
+        ...row,
+        hosts: total,
+        serving,
+        out: out.map(({ host, why }) => `${host} (${why})`).join(', '),
+        spareBudget: serving - pool.minimumServing,
+      };
+    });
+    return createOk(rows);
+  }
+}
+
+/** The calls that wait or run, where, for whom, and why they wait. */
+export class CallsSource extends QuerySource {
+  override readonly name = 'calls';
+
+  override readonly columns = [
+    'id',
+    'entry',
+    'queue',
+    'team',
+    'pool',
+    'host',
+    'state',
+    'why',
+    'since',
+  ];
+
+  readonly #parts: FleetSourceParts;
+
+  constructor(parts: FleetSourceParts) {
+    super();
+    this.#parts = parts;
+  }
+
+  override async listRows(
+    _request: QueryRequest,
+  ): Promise<Result<readonly QueryRow[], QueryRefusal>> {
+    const { calls } = await this.#parts.listCalls();
+    const runningByTeam = countBy(calls, ({ host, team }) => (host === null ? null : team));
+    return createOk(
+      calls.map((call) => ({
+        ...call,
+        since: new Date(call.since).toISOString(),
+        state: call.host === null ? 'waiting' : 'running',
+        why: call.host === null ? this.#findWaitCause(call, runningByTeam) : null,
+      })),
+    );
+  }
+
+  #findWaitCause({ team, pool }: CallActivity, running: ReadonlyMap<string, number>): string {
+    const view = this.#parts.getView();
+    const limit = view.get(EntityKind.Team, team)?.limit;
+    if (limit !== undefined && (running.get(team) ?? 0) >= limit) {
+      return `team ${team} runs its limit of ${limit}`;
+    }
+    const hosts = view.listHosts(pool);
+    const serving = hosts.filter(({ state }) => state === HostState.Serving).length;
+    return serving === 0
+      ? `no host of pool ${pool} is serving`
+      : `every slot it may use in pool ${pool} is taken`;
+  }
+}
--- /dev/null
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsHistorySources.ts
@@ -0,0 +1,140 @@
+import type { QueryRefusal, QueryRequest, QueryRow } from './BaobabwellOperations';
+import type { ChangeJournal } from './BaobabwellOperationsJournal';
+import type { CommandRecords } from './BaobabwellOperationsRecords';
+import type { ViewChange } from '@baobabwell/model';
+import type { Result } from '@baobabwell/utils';
+
+import { createError, createOk } from '@baobabwell/utils';
+
+import { QuerySource } from './BaobabwellOperations';
+import { formatTouched } from './BaobabwellOperationsExplain';
+
+/** What became of a transaction. */
+export type TransactionFate =
+  | { readonly kind: 'committed'; readonly version: number }
+  | { readonly kind: 'abandoned' }
+  /** It never reached the table service, or still may. */
+  | { readonly kind: 'absent' };
+
+/** Finds what became of a transaction; fails while the table service cannot tell. */
+export type FindTransaction = (id: string) => Promise<Result<TransactionFate, string>>;
+
+function buildChangeRow(change: ViewChange): QueryRow {
+  return {
+    version: change.version,
+    at: new Date(change.at).toISOString(),
+    author: change.author,
+    command: change.command,
+    reason: change.reason,
+    touched: formatTouched(change.mutations),
+    transaction: change.transactionId,
+  };
+}
+
+/** What changed in the fleet after a version. */
+export class ChangesSource extends QuerySource {
+  override readonly name = 'changes';
+
+  override readonly columns = [
+    'version',
+    'at',
+    'author',
+    'command',
+    'reason',
+    'touched',
+    'transaction',
+  ];
+
+  readonly #journal: ChangeJournal;
+
+  constructor(journal: ChangeJournal) {
+    super();
+    this.#journal = journal;
+  }
+
+  override async listRows({
+    since,
+  }: QueryRequest): Promise<Result<readonly QueryRow[], QueryRefusal>> {
+    const oldest = this.#journal.getOldest();
+    if (since !== null && oldest !== null && since + 1 < oldest) {
+      const message = `changes before version ${oldest} are no longer remembered here`;
+      return createError({ code: 'not-found', message });
+    }
+    return createOk(this.#journal.listSince(since ?? 0).map(buildChangeRow));
+  }
+}
+
+/** The commands that operators and entries gave, also those that were refused. */
+export class CommandsSource extends QuerySource {
+  override readonly name = 'commands';
+
+  override readonly columns = ['at', 'author', 'command', 'reason', 'result', 'detail'];
+
+  readonly #journal: ChangeJournal;
+
+  readonly #records: CommandRecords;
+
+  constructor(journal: ChangeJournal, records: CommandRecords) {
+    super();
+    this.#journal = journal;
+    this.#records = records;
+  }
+
+  override async listRows(): Promise<Result<readonly QueryRow[], QueryRefusal>> {
+    const records = await this.#records.list();
+    if (!records.ok) {
+      return createError({ code: 'unavailable', message: records.error });
+    }
+    const changes = this.#journal.listSince(0);
+    const committed = new Set(changes.map(({ transactionId }) => transactionId));
+    const accepted = changes.map(({ at, author, command, reason, version }) => ({
+      at,
+      author,
+      command,
+      reason,
+      result: 'changed',
+      detail: `version ${version}`,
+    }));
+    const others = records.value
+      .filter(({ id }) => !committed.has(id))
+      .map(({ operator, ...record }) => ({ ...record, author: operator }));
+    const rows = [...accepted, ...others].toSorted((a, b) => a.at - b.at);
+    return createOk(rows.map((row) => ({ ...row, at: new Date(row.at).toISOString() })));
+  }
+}
+
+/** What became of one transaction. */
+export class TransactionSource extends QuerySource {
+  override readonly name = 'transaction';
+
+  override readonly columns = ['transaction', 'result', 'version', 'command', 'author'];
+
+  override readonly parameter = 'transaction identifier';
+
+  readonly #journal: ChangeJournal;
+
+  readonly #find: FindTransaction;
+
+  constructor(journal: ChangeJournal, find: FindTransaction) {
+    super();
+    this.#journal = journal;
+    this.#find = find;
+  }
+
+  override async listRows({
+    argument,
+  }: QueryRequest): Promise<Result<readonly QueryRow[], QueryRefusal>> {
+    const id = argument ?? '';
+    const change = this.#journal.listSince(0).find(({ transactionId }) => transactionId === id);
+    if (change !== undefined) {
+      const { version, command, author } = change;
+      return createOk([{ transaction: id, result: 'committed', version, command, author }]);
+    }
+    const fate = await this.#find(id);
+    if (!fate.ok) {
+      return createError({ code: 'unavailable', message: `not known yet: ${fate.error}` });
+    }
+    const version = fate.value.kind === 'committed' ? fate.value.version : null;
+    return createOk([{ transaction: id, result: fate.value.kind, version }]);
+  }
+}
--- /dev/null
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsInput.ts
@@ -0,0 +1,184 @@
+import type {
+  CommandInput,
+  CommandOptionSpec,
+  CommandParameter,
+  OperatorCommand,
+  OptionValue,
+} from './BaobabwellOperations';
+import type { CommandOption, CommandStatement, SyntaxFinding } from '@baobabwell/language';
+import type { FleetView } from '@baobabwell/model';
+import type { Result } from '@baobabwell/utils';
+
+import { formatSuggestions, listNearNames } from '@baobabwell/language';
+import { parseDuration } from '@baobabwell/settings';
+import { createError, createOk } from '@baobabwell/utils';
+
+import { OptionKind } from './BaobabwellOperations';
+
+const IDENTIFIER = /^[a-z0-9][a-z0-9-]*$/;
+const YES = 'yes';
+const NO = 'no';
+
+/** Builds a finding about a name that is not one of those known. */
+export function buildUnknownName(
+  what: string,
+  { text, column }: { readonly text: string; readonly column: number },
+  known: readonly string[],
+): SyntaxFinding {
+  const suggestions = listNearNames(text, known);
+  const problem = `there is no ${what} "${text}"${formatSuggestions(suggestions)}`;
+  return { column, problem, suggestions };
+}
+
+function parseSingle(text: string, kind: OptionKind): OptionValue | null {
+  switch (kind) {
+    case OptionKind.Whole:
+      return /^\d+$/.test(text) ? Number(text) : null;
+    case OptionKind.Number:
+      return /^\d+(?:\.\d+)?$/.test(text) ? Number(text) : null;
+    case OptionKind.Flag:
+      return [YES, NO].includes(text) ? text === YES : null;
+    case OptionKind.Duration:
+      return parseDuration(text);
+    case OptionKind.Text:
+    case OptionKind.List:
+      return text;
+  }
+}
+
+function parseOption(
+  { values }: CommandOption,
+  spec: CommandOptionSpec,
+): Result<OptionValue, readonly SyntaxFinding[]> {
+  const findings: SyntaxFinding[] = [];
+  const parsed = values.map(({ text, column }) => {
+    const value = parseSingle(text, spec.kind);
+    const isAllowed = spec.allowed?.includes(text) ?? true;
+    if (value === null || !isAllowed) {
+      const allowed = spec.allowed?.join(', ') ?? `a ${spec.kind}`;
+      const suggestions = listNearNames(text, spec.allowed ?? []);
+      findings.push({ column, problem: `"${text}" is not ${allowed}`, suggestions });
+    }
+    return value;
+  });
+  if (findings.length > 0) {
+    return createError(findings);
+  }
+  if (spec.kind === OptionKind.List) {
+    return createOk(values.map(({ text }) => text));
+  }
+  const [first = null] = parsed;
+  return first === null || parsed.length > 1
+    ? createError([
+        { column: values[1]?.column ?? 1, problem: `${spec.name} takes one value`, suggestions: [] },
+      ])
+    : createOk(first);
+}
+
+function listReferenceFindings(
+  { values }: CommandOption,
+  spec: CommandOptionSpec,
+  view: FleetView,
+): readonly SyntaxFinding[] {
+  const { references } = spec;
+  if (references === undefined) {
+    return [];
+  }
+  return values
+    .filter(({ text }) => view.get(references, text) === null)
+    .map((value) =>
+      buildUnknownName(
+        references,
+        value,
+        view.list(references).map(({ id }) => id),
+      ),
+    );
+}
+
+function listParameterFindings(
+  { name, kind, isNew }: CommandParameter,
+  value: { readonly text: string; readonly column: number },
+  view: FleetView,
+): readonly SyntaxFinding[] {
+  const { text, column } = value;
+  if (isNew) {
+    return IDENTIFIER.test(text)
+      ? []
+      : [
+          {
+            column,
+            problem: `${name} "${text}" is not an identifier (lower-case letters, digits and hyphens)`,
+            suggestions: [],
+          },
+        ];
+  }
+  if (kind === null || view.get(kind, text) !== null) {
+    return [];
+  }
+  return [
+    buildUnknownName(
+      kind,
+      value,
+      view.list(kind).map(({ id }) => id),
+    ),
+  ];
+}
+
+/** Formats how a command is written. */
+export function formatUsage({ name, parameters, options }: OperatorCommand): string {
+  const positional = parameters.map((parameter) => parameter.name.toUpperCase());
+  const named = options.map(({ name: option, kind, isRequired }) => {
+    const text = `${option} = ${kind.toUpperCase()}`;
+    return isRequired ? text : `[${text}]`;
+  });
+  return [name, ...positional, ...named].join(' ');
+}
+
+function listCountFindings(
+  command: OperatorCommand,
+  { arguments: values, name }: CommandStatement,
+): readonly SyntaxFinding[] {
+  if (values.length === command.parameters.length) {
+    return [];
+  }
+  const extra = values[command.parameters.length];
+  const column = extra?.column ?? name.column;
+  return [{ column, problem: `usage: ${formatUsage(command)}`, suggestions: [] }];
+}
+
+/** Checks what an operator gave to a command; reports all that is wrong together. */
+export function parseInput(
+  command: OperatorCommand,
+  statement: CommandStatement,
+  view: FleetView,
+): Result<CommandInput, readonly SyntaxFinding[]> {
+  const findings = [...listCountFindings(command, statement)];
+  const options = new Map<string, OptionValue>();
+  statement.arguments.slice(0, command.parameters.length).forEach((value, index) => {
+    const parameter = command.parameters[index];
+    findings.push(...(parameter ? listParameterFindings(parameter, value, view) : []));
+  });
+  statement.options.forEach((option) => {
+    const spec = command.options.find(({ name }) => name === option.name.text);
+    if (spec === undefined) {
+      const known = command.options.map(({ name }) => name);
+      findings.push(buildUnknownName(`option of ${command.name}`, option.name, known));
+      return;
+    }
+    const parsed = parseOption(option, spec);
+    findings.push(...(parsed.ok ? listReferenceFindings(option, spec, view) : parsed.error));
+    if (parsed.ok) {
+      options.set(spec.name, parsed.value);
+    }
+  });
+  command.options
+    .filter(({ name, isRequired }) => isRequired && !options.has(name))
+    .filter(({ name }) => statement.options.every((option) => option.name.text !== name))
+    .forEach(({ name }) => {
+      const column = statement.name.column;
+      findings.push({ column, problem: `${command.name} needs ${name} = …`, suggestions: [] });
+    });
+  return findings.length > 0
+    ? createError(findings)
+    : createOk({ values: statement.arguments.map(({ text }) => text), options });
+}
--- a/packages/baobabwell-operations/src/BaobabwellOperationsService.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsService.ts
@@ -1,58 +1,77 @@
 import type {
+  CommandContext,
+  CommandInput,
   Decision,
   OperatorCommand,
-  QueryRow,
   QuerySource,
   Refusal,
 } from './BaobabwellOperations';
+import type { ChangeJournal } from './BaobabwellOperationsJournal';
+import type { CommandRecords } from './BaobabwellOperationsRecords';
+import type { OperatorReply } from './BaobabwellOperationsReply';
 import type { Undo } from '@baobabwell/kernel';
-import type { CommandStatement, QueryStatement } from '@baobabwell/language';
-import type { FleetView } from '@baobabwell/model';
+import type { CommandStatement, Completion, QueryStatement } from '@baobabwell/language';
+import type { GetHostEvidence } from '@baobabwell/maintenance';
+import type { FleetView, Mutation } from '@baobabwell/model';
 import type { Clock, Result } from '@baobabwell/utils';
-import type { ViewWriter } from '@baobabwell/view';
+import type { ViewStore, ViewWriter } from '@baobabwell/view';
 
-import { Comparison, parseStatement } from '@baobabwell/language';
+import { randomUUID } from 'node:crypto';
+
+import {
+  CommandMode,
+  formatSuggestions,
+  listCompletions,
+  listNearNames,
+  parseStatement,
+  VERBS,
+} from '@baobabwell/language';
+import { EntityKind, OperatorRole } from '@baobabwell/model';
 import { createError, createOk } from '@baobabwell/utils';
 
-/** What an operator is answered. */
-export type OperatorReply =
-  | {
-      readonly kind: 'rows';
-      readonly columns: readonly string[];
-      readonly rows: readonly QueryRow[];
-    }
-  | {
-      readonly kind: 'changed';
-      readonly version: number;
-      readonly transactionId: string;
-      readonly notes: readonly string[];
-    }
-  | {
-      readonly kind: 'refused';
-      readonly code: string;
-      readonly message: string;
-      /** Column of the text at fault, counted from one, or `null`. */
-      readonly column: number | null;
-    }
-  | { readonly kind: 'unavailable'; readonly cause: string }
-  | { readonly kind: 'unknown'; readonly transactionId: string };
+import { FleetNameCatalog } from './BaobabwellOperationsCatalog';
+import {
+  DRY_RUN_COLUMNS,
+  EXPLAIN_COLUMNS,
+  listDryRunRows,
+  listExplanation,
+} from './BaobabwellOperationsExplain';
+import { buildUnknownName, parseInput } from './BaobabwellOperationsInput';
+import { listIntegrityFindings } from './BaobabwellOperationsIntegrity';
+import { applyQuery } from './BaobabwellOperationsQuery';
+import { buildRefused, buildRefusedFindings } from './BaobabwellOperationsReply';
 
 /** What the service works with. */
 export type OperatorServiceParts = {
   readonly writer: ViewWriter;
+  readonly store: ViewStore;
+  readonly journal: ChangeJournal;
+  readonly records: CommandRecords;
   readonly clock: Clock;
+  readonly getEvidence: GetHostEvidence;
 };
 
-function createRefused(code: string, message: string, column: number | null): OperatorReply {
-  return { kind: 'refused', code, message, column };
-}
+/** How a statement is to be run. */
+export type StatementOptions = {
+  /** Version of the fleet that the operator saw last, or `null`. */
+  readonly seenVersion?: number | null;
+};
 
-function matchesConditions(row: QueryRow, { conditions }: QueryStatement): boolean {
-  return conditions.every(({ column, comparison, value }) => {
-    const isEqual = String(row[column] ?? '') === value;
-    return comparison === Comparison.Equal ? isEqual : !isEqual;
-  });
-}
+type ParsedCommand = {
+  readonly command: OperatorCommand;
+  readonly statement: CommandStatement;
+  readonly input: CommandInput;
+  readonly text: string;
+  readonly operator: string;
+};
+
+const RANKS: Readonly<Record<OperatorRole, number>> = {
+  [OperatorRole.Viewer]: 0,
+  [OperatorRole.Operator]: 1,
+  [OperatorRole.Administrator]: 2,
+};
+
+const FIRST_WORD = /^\s*([^\s"=!<>,()]+)/;
 
 function checkVersion(view: FleetView, expected: number | null): Result<null, Refusal> {
   return expected === null || view.version === expected
@@ -91,81 +110,198 @@
     };
   }
 
+  /** Lists what may complete a text. */
+  listCompletions(text: string): readonly Completion[] {
+    const catalog = new FleetNameCatalog({
+      commands: [...this.#commands.values()],
+      sources: [...this.#sources.values()],
+      view: this.#parts.store.get(),
+    });
+    return listCompletions(text, catalog);
+  }
+
   /** Runs what an operator typed. Never rejects. */
-  async run(text: string, operator: string): Promise<OperatorReply> {
+  async run(
+    text: string,
+    operator: string,
+    options: StatementOptions = {},
+  ): Promise<OperatorReply> {
     const statement = parseStatement(text);
     if (!statement.ok) {
-      const first = statement.error[0];
-      return createRefused('syntax', first?.problem ?? 'not a statement', first?.column ?? null);
+      return this.#buildFirstWordRefusal(text) ?? buildRefusedFindings('syntax', statement.error);
     }
     return statement.value.kind === 'query'
       ? this.#runQuery(statement.value)
-      : this.#runCommand(statement.value, text, operator);
+      : this.#runCommand(statement.value, text, operator, options);
+  }
+
+  /** When not even the first word is known, the rest of the text says nothing. */
+  #buildFirstWordRefusal(text: string): OperatorReply | null {
+    const word = FIRST_WORD.exec(text)?.[1];
+    const known: readonly string[] = [...this.#sources.keys(), ...VERBS, ...Object.values(CommandMode)];
+    if (word === undefined || known.includes(word)) {
+      return null;
+    }
+    const suggestions = listNearNames(word, known);
+    const problem = `"${word}" is neither a command nor a source${formatSuggestions(suggestions)}`;
+    const column = text.indexOf(word) + 1;
+    return buildRefusedFindings('unknown-word', [{ column, problem, suggestions }]);
   }
 
   async #runQuery(query: QueryStatement): Promise<OperatorReply> {
-    const source = this.#sources.get(query.source);
+    const source = this.#sources.get(query.source.text);
     if (source === undefined) {
-      const known = [...this.#sources.keys()].toSorted().join(', ');
-      return createRefused('unknown-source', `"${query.source}" is none of ${known}`, 1);
+      const known = [...this.#sources.keys(), ...VERBS];
+      return buildRefusedFindings('unknown-source', [
+        buildUnknownName('source', query.source, known),
+      ]);
     }
-    const named = [...query.columns, ...query.conditions.map(({ column }) => column)];
-    const unknown = named.find((column) => !source.columns.includes(column));
-    if (unknown !== undefined) {
-      const known = source.columns.join(', ');
-      return createRefused('unknown-column', `"${unknown}" is none of ${known}`, null);
+    const named = [
+      ...query.columns,
+      ...query.conditions.map(({ column }) => column),
+      ...query.order.map(({ column }) => column),
+    ];
+    const unknown = named.filter(({ text }) => !source.columns.includes(text));
+    if (unknown.length > 0) {
+      const findings = unknown.map((column) =>
+        buildUnknownName(`column of ${source.name}`, column, source.columns),
+      );
+      return buildRefusedFindings('unknown-column', findings);
     }
-    const columns = query.columns.length > 0 ? query.columns : source.columns;
-    const rows = await source.listRows();
-    return {
-      kind: 'rows',
-      columns,
-      rows: rows
-        .filter((row) => matchesConditions(row, query))
-        .map((row) => Object.fromEntries(columns.map((column) => [column, row[column] ?? null]))),
-    };
+    if ((source.parameter !== null) !== (query.argument !== null)) {
+      const usage = source.parameter === null ? 'takes no argument' : `needs a ${source.parameter}`;
+      const column = query.argument?.column ?? query.source.column;
+      return buildRefused('bad-argument', `${source.name} ${usage}`, column);
+    }
+    const shown = query.columns.map(({ text }) => text);
+    const columns = shown.length > 0 ? shown : source.shownColumns;
+    const { version } = this.#parts.store.get();
+    const rows = await source.listRows({
+      columns: new Set([...columns, ...named.map(({ text }) => text)]),
+      argument: query.argument?.text ?? null,
+      since: query.since,
+    });
+    return rows.ok
+      ? { kind: 'rows', columns, rows: applyQuery(rows.value, query, columns), version }
+      : buildRefused(rows.error.code, rows.error.message);
   }
 
   async #runCommand(
     statement: CommandStatement,
     text: string,
     operator: string,
+    { seenVersion }: StatementOptions,
   ): Promise<OperatorReply> {
-    const command = this.#commands.get(statement.name);
-    if (command === undefined) {
-      const known = [...this.#commands.keys()].toSorted().join(', ');
-      return createRefused('unknown-command', `"${statement.name}" is none of ${known}`, 1);
-    }
-    if (statement.arguments.length !== command.parameters.length) {
-      const usage = `${command.name} ${command.parameters.join(' ').toUpperCase()}`;
-      return createRefused('bad-argument', `usage: ${usage}`, null);
+    const parsed = this.#parseCommand(statement, text, operator);
+    const reply = parsed.ok ? await this.#runParsed(parsed.value, seenVersion) : parsed.error;
+    this.#recordFailure(reply, statement, text, operator);
+    return reply;
+  }
+
+  async #runParsed(
+    parsed: ParsedCommand,
+    seenVersion: number | null | undefined,
+  ): Promise<OperatorReply> {
+    switch (parsed.statement.mode) {
+      case CommandMode.Explain:
+        return this.#explain(parsed);
+      case CommandMode.DryRun:
+        return this.#dryRun(parsed);
+      case CommandMode.Run:
+        return this.#writeChange(parsed, seenVersion ?? this.#parts.store.get().version);
     }
-    return this.#writeChange(command, statement, text, operator);
   }
 
-  async #writeChange(
-    command: OperatorCommand,
+  #parseCommand(
     statement: CommandStatement,
     text: string,
     operator: string,
-  ): Promise<OperatorReply> {
-    const reason = statement.reason ?? '';
+  ): Result<ParsedCommand, OperatorReply> {
+    const view = this.#parts.store.get();
+    const command = this.#commands.get(statement.name.text);
+    if (command === undefined) {
+      return createError(this.#buildUnknownCommand(statement));
+    }
+    const role = view.get(EntityKind.Operator, operator)?.role;
+    if (role === undefined || RANKS[role] < RANKS[command.role]) {
+      const has = role === undefined ? 'is not known' : `has the role ${role}`;
+      const message = `operator ${operator} ${has}; ${command.name} needs ${command.role}`;
+      return createError(buildRefused('role', message, statement.name.column));
+    }
+    const input = parseInput(command, statement, view);
+    return input.ok
+      ? createOk({ command, statement, input: input.value, text, operator })
+      : createError(buildRefusedFindings('bad-argument', input.error));
+  }
+
+  #buildUnknownCommand({ name, object }: CommandStatement): OperatorReply {
+    const verb = name.text.split(' ')[0] ?? '';
+    const objects = [...this.#commands.keys()]
+      .filter((known) => known.startsWith(`${verb} `))
+      .map((known) => known.slice(verb.length + 1));
+    const suggestions = listNearNames(object.text, objects);
+    const known = `${verb} takes ${objects.toSorted().join(', ')}`;
+    const problem = `there is no command "${name.text}"; ${known}${formatSuggestions(suggestions)}`;
+    return buildRefusedFindings('unknown-command', [
+      { column: object.column, problem, suggestions },
+    ]);
+  }
+
+  #decide(parsed: ParsedCommand, view: FleetView): Result<Decision, Refusal> {
+    const { command, statement, input, operator } = parsed;
+    const version = checkVersion(view, statement.expectedVersion);
+    if (!version.ok) {
+      return version;
+    }
+    const context: CommandContext = {
+      view,
+      wallTime: this.#parts.clock.getWallTime(),
+      reason: statement.reason ?? '',
+      operator,
+      getEvidence: this.#parts.getEvidence,
+    };
+    const decision = command.decide(input, context);
+    if (!decision.ok) {
+      return decision;
+    }
+    const findings = listIntegrityFindings(view, decision.value.mutations);
+    return findings.length === 0
+      ? decision
+      : createError({ code: 'not-allowed', message: findings.join('; ') });
+  }
+
+  #explain(parsed: ParsedCommand): OperatorReply {
+    const view = this.#parts.store.get();
+    const lines = listExplanation(parsed.command, view, this.#decide(parsed, view));
+    const rows = lines.map((line) => ({ line }));
+    return { kind: 'rows', columns: EXPLAIN_COLUMNS, rows, version: view.version };
+  }
+
+  #dryRun(parsed: ParsedCommand): OperatorReply {
+    const view = this.#parts.store.get();
+    const decision = this.#decide(parsed, view);
+    if (!decision.ok) {
+      return buildRefused(decision.error.code, decision.error.message);
+    }
+    const rows = listDryRunRows(view, decision.value.mutations);
+    return { kind: 'rows', columns: DRY_RUN_COLUMNS, rows, version: view.version };
+  }
+
+  async #writeChange(parsed: ParsedCommand, seenVersion: number): Promise<OperatorReply> {
+    const { text, operator, statement } = parsed;
     let notes: readonly string[] = [];
     const written = await this.#parts.writer.write<Refusal>({
       author: operator,
       command: text,
-      reason,
+      reason: statement.reason ?? '',
       build: (view) => {
-        const version = checkVersion(view, statement.expectedVersion);
-        const decision: Result<Decision, Refusal> = version.ok
-          ? command.decide(statement.arguments, {
-              view,
-              wallTime: this.#parts.clock.getWallTime(),
-              reason,
-            })
-          : version;
+        const decision = this.#decide(parsed, view);
         if (!decision.ok) {
-          return decision;
+          return this.#addOtherChange(decision, parsed, seenVersion);
+        }
+        const conflict = this.#findConflict(decision.value.mutations, seenVersion);
+        if (conflict !== null) {
+          return createError(conflict);
         }
         notes = decision.value.notes;
         return createOk(decision.value.mutations);
@@ -176,7 +312,64 @@
       return { kind: 'changed', version, transactionId, notes };
     }
     return written.error.kind === 'refused'
-      ? createRefused(written.error.refusal.code, written.error.refusal.message, null)
+      ? buildRefused(written.error.refusal.code, written.error.refusal.message)
       : written.error;
   }
+
+  /** Finds a change that another made to the same entity since the operator saw it. */
+  #findConflict(mutations: readonly Mutation[], seenVersion: number): Refusal | null {
+    for (const { kind, id } of mutations) {
+      const last = this.#parts.journal.findLastChange(kind, id);
+      if (last !== null && last.version > seenVersion) {
+        const when = new Date(last.at).toISOString();
+        const message = `${kind} ${id} was changed by ${last.author} at ${when} in version ${last.version}: ${last.command}`;
+        return { code: 'conflict', message };
+      }
+    }
+    return null;
+  }
+
+  /** Tells who changed the named entities last when their state forbids a command. */
+  #addOtherChange(
+    decision: { readonly ok: false; readonly error: Refusal },
+    { command, input }: ParsedCommand,
+    seenVersion: number,
+  ): { readonly ok: false; readonly error: Refusal } {
+    if (!['conflict', 'not-found'].includes(decision.error.code)) {
+      return decision;
+    }
+    const named = command.parameters.flatMap(({ kind }, index) =>
+      kind === null ? [] : [{ kind, id: input.values[index] ?? '', value: null } as Mutation],
+    );
+    const other =
+      this.#findConflict(named, seenVersion) ??
+      (decision.error.code === 'conflict' ? this.#findConflict(named, 0) : null);
+    return other === null
+      ? decision
+      : createError({ code: 'conflict', message: `${decision.error.message}; ${other.message}` });
+  }
+
+  #recordFailure(
+    reply: OperatorReply,
+    statement: CommandStatement,
+    text: string,
+    operator: string,
+  ): void {
+    const isRun = statement.mode === CommandMode.Run;
+    if (!isRun || reply.kind === 'changed' || reply.kind === 'rows') {
+      return;
+    }
+    this.#parts.records.add({
+      id: reply.kind === 'unknown' ? reply.transactionId : randomUUID(),
+      operator,
+      command: text,
+      reason: statement.reason ?? '',
+      at: this.#parts.clock.getWallTime(),
+      result: reply.kind,
+      detail:
+        reply.kind === 'refused'
+          ? `${reply.code}: ${reply.message}`
+          : JSON.stringify(reply),
+    });
+  }
 }
--- a/packages/baobabwell-operations/src/BaobabwellOperationsSources.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsSources.ts
@@ -1,7 +1,9 @@
-import type { QueryRow } from './BaobabwellOperations';
+import type { QueryCell, QueryRequest, QueryRow } from './BaobabwellOperations';
 import type { EntityTypes, FleetView } from '@baobabwell/model';
+import type { Result } from '@baobabwell/utils';
 
 import { EntityKind } from '@baobabwell/model';
+import { createOk } from '@baobabwell/utils';
 
 import { QuerySource } from './BaobabwellOperations';
 
@@ -15,40 +17,89 @@
   [EntityKind.Key]: 'keys',
   [EntityKind.Member]: 'members',
   [EntityKind.Operator]: 'operators',
+  [EntityKind.Wave]: 'waves',
+  [EntityKind.Split]: 'splits',
+  [EntityKind.Controller]: 'controllers',
 };
 
+const HOST_COLUMNS = [
+  'name',
+  'pool',
+  'rack',
+  'dataCentre',
+  'address',
+  'slots',
+  'state',
+  'stateReason',
+  'stateSince',
+  'movingTo',
+  'cores',
+  'memoryGb',
+  'accelerators',
+];
+
+const WAVE_COLUMNS = [
+  'name',
+  'scope',
+  'scopeId',
+  'policy',
+  'state',
+  'stateReason',
+  'waiting',
+  'working',
+  'done',
+  'failed',
+  'maximumFailures',
+  'startedAt',
+  'endedAt',
+];
+
 const COLUMNS: Readonly<Record<EntityKind, readonly string[]>> = {
-  [EntityKind.Pool]: ['id', 'minimumServing', 'isSpare', 'selfRepair'],
-  [EntityKind.Host]: [
-    'id',
-    'pool',
-    'rack',
-    'dataCentre',
-    'address',
-    'slots',
+  [EntityKind.Pool]: ['name', 'minimumServing', 'isSpare', 'selfRepair'],
+  [EntityKind.Host]: HOST_COLUMNS,
+  [EntityKind.Target]: ['name', 'pool', 'state'],
+  [EntityKind.Queue]: ['name', 'target', 'access', 'teams', 'mode', 'deadlineMs'],
+  [EntityKind.Organisation]: ['name', 'share'],
+  [EntityKind.Team]: ['name', 'organisation', 'share', 'limit'],
+  [EntityKind.Key]: ['name', 'team', 'createdAt', 'expiresAt'],
+  [EntityKind.Member]: ['name', 'incarnation', 'dataCentre', 'peerAddress', 'state'],
+  [EntityKind.Operator]: ['name', 'role'],
+  [EntityKind.Wave]: WAVE_COLUMNS,
+  [EntityKind.Split]: [
+    'name',
+    'targets',
+    'hosts',
+    'teams',
+    'notBefore',
     'state',
     'stateReason',
-    'movingTo',
+    'step',
   ],
-  [EntityKind.Target]: ['id', 'pool', 'state'],
-  [EntityKind.Queue]: ['id', 'target', 'access', 'teams', 'mode', 'deadlineMs'],
-  [EntityKind.Organisation]: ['id', 'share'],
-  [EntityKind.Team]: ['id', 'organisation', 'share', 'limit'],
-  [EntityKind.Key]: ['id', 'team', 'createdAt', 'expiresAt'],
-  [EntityKind.Member]: ['id', 'incarnation', 'dataCentre', 'peerAddress', 'state'],
-  [EntityKind.Operator]: ['id', 'role'],
+  [EntityKind.Controller]: ['name', 'owner', 'incarnation', 'token'],
 };
 
-function formatCell(value: unknown): QueryRow[string] {
+const TIME_COLUMNS: ReadonlySet<string> = new Set([
+  'createdAt',
+  'expiresAt',
+  'stateSince',
+  'startedAt',
+  'endedAt',
+  'notBefore',
+]);
+
+function formatCell(column: string, value: unknown): QueryCell {
   if (Array.isArray(value)) {
     return value.join(',');
   }
+  if (TIME_COLUMNS.has(column) && typeof value === 'number') {
+    return new Date(value).toISOString();
+  }
   return typeof value === 'string' || typeof value === 'number' || typeof value === 'boolean'
     ? value
     : null;
 }
 
-/** The entities of one kind in the view. */
+/** The entities of one kind in the view. `id` is accepted for `name`. */
 export class EntitySource<Kind extends EntityKind> extends QuerySource {
   override readonly name: string;
 
@@ -63,10 +114,19 @@
     this.#kind = kind;
     this.#getView = getView;
     this.name = SOURCE_NAMES[kind];
-    this.columns = COLUMNS[kind];
+    this.columns = [...COLUMNS[kind], 'id'];
+  }
+
+  override get shownColumns(): readonly string[] {
+    return COLUMNS[this.#kind];
+  }
+
+  override async listRows(_request: QueryRequest): Promise<Result<readonly QueryRow[], never>> {
+    return createOk(this.listEntityRows());
   }
 
-  override async listRows(): Promise<readonly QueryRow[]> {
+  /** Lists the rows without asking anybody. */
+  listEntityRows(): readonly QueryRow[] {
     return this.#getView()
       .list(this.#kind)
       .map((entity: EntityTypes[Kind]) => this.#buildRow(entity));
@@ -74,6 +134,7 @@
 
   #buildRow(entity: EntityTypes[Kind]): QueryRow {
     const values = entity as unknown as Readonly<Record<string, unknown>>;
-    return Object.fromEntries(this.columns.map((column) => [column, formatCell(values[column])]));
+    const cells = COLUMNS[this.#kind].map((column) => [column, formatCell(column, values[column])]);
+    return { ...(Object.fromEntries(cells) as QueryRow), id: entity.id, name: entity.id };
   }
 }
--- a/packages/baobabwell-operations/src/index.ts
+++ b/packages/baobabwell-operations/src/index.ts
@@ -1,13 +1,57 @@
-export type { CommandContext, Decision, QueryRow, Refusal } from './BaobabwellOperations';
-export type { OperatorReply, OperatorServiceParts } from './BaobabwellOperationsService';
+export type {
+  CommandContext,
+  CommandInput,
+  CommandOptionSpec,
+  CommandParameter,
+  Decision,
+  OptionValue,
+  QueryCell,
+  QueryRefusal,
+  QueryRequest,
+  QueryRow,
+  Refusal,
+  RefusalCode,
+} from './BaobabwellOperations';
+export type { EntityForm } from './BaobabwellOperationsEntityCommands';
+export type {
+  CallActivity,
+  FleetSourceParts,
+  ListCallActivity,
+} from './BaobabwellOperationsFleetSources';
+export type { FindTransaction, TransactionFate } from './BaobabwellOperationsHistorySources';
+export type { JournalEntry } from './BaobabwellOperationsJournal';
+export type { CommandRecord } from './BaobabwellOperationsRecords';
+export type { OperatorReply } from './BaobabwellOperationsReply';
+export type { OperatorServiceParts, StatementOptions } from './BaobabwellOperationsService';
 
-export { OperatorCommand, QuerySource } from './BaobabwellOperations';
+export { OperatorCommand, OptionKind, QuerySource } from './BaobabwellOperations';
+export {
+  ChangeEntityCommand,
+  CreateEntityCommand,
+  createEntityCommands,
+  RemoveEntityCommand,
+} from './BaobabwellOperationsEntityCommands';
+export { CallsSource, HostsSource, PoolsSource } from './BaobabwellOperationsFleetSources';
+export {
+  ChangesSource,
+  CommandsSource,
+  TransactionSource,
+} from './BaobabwellOperationsHistorySources';
 export {
   DrainHostCommand,
-  GrantKeyCommand,
-  RetireTargetCommand,
+  MoveHostCommand,
+  RebootHostCommand,
   ReturnHostCommand,
+} from './BaobabwellOperationsHostCommands';
+export { ChangeJournal } from './BaobabwellOperationsJournal';
+export {
+  CreateOperatorCommand,
+  GrantKeyCommand,
+  RotateKeyCommand,
   WithdrawKeyCommand,
-} from './BaobabwellOperationsCommands';
+} from './BaobabwellOperationsKeyCommands';
+export { CommandRecords } from './BaobabwellOperationsRecords';
 export { OperatorService } from './BaobabwellOperationsService';
 export { EntitySource } from './BaobabwellOperationsSources';
+export { RetireTargetCommand, ReturnTargetCommand } from './BaobabwellOperationsTargetCommands';
+export { UndoChangeCommand } from './BaobabwellOperationsUndoCommand';
