entry: features apart from their connections

Cause: an entry could only be built with HTTP around it, so several could not share one process and one clock. Change: plug-ins for services and plug-ins for servers are separate, and the entry takes both; not taken: flags inside the plug-ins. Measured: none: no behaviour. Conclusion: an emulator can build real entries.

--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -1,3 +1,4 @@
+import type { Plugin } from '@baobabwell/kernel';
 import type { LogLevel } from '@baobabwell/logging';
 import type { EntrySettings, Settings } from '@baobabwell/settings';
 import type { Clock } from '@baobabwell/utils';
@@ -8,27 +9,67 @@
 import { Logger } from '@baobabwell/logging';
 import { EntryMetrics } from '@baobabwell/metrics';
 
+import { callServerPlugin } from './BaobabwellEntryCallServerPlugin';
 import { callsPlugin } from './BaobabwellEntryCallsPlugin';
+import { operatorServerPlugin } from './BaobabwellEntryOperatorServerPlugin';
 import { operatorsPlugin } from './BaobabwellEntryOperatorsPlugin';
 import { peerServerPlugin, peersPlugin } from './BaobabwellEntryPeersPlugin';
 import { platformPlugin } from './BaobabwellEntryPlatformPlugin';
-import { ENTRY_SETTINGS, IDENTITY, LOGGER, METRICS, SETTINGS } from './BaobabwellEntryTokens';
+import {
+  ENTRY_SETTINGS,
+  IDENTITY,
+  LOGGER,
+  METRICS,
+  PEER_ROUTERS,
+  SETTINGS,
+} from './BaobabwellEntryTokens';
 import { viewPlugin } from './BaobabwellEntryViewPlugin';
+import { workersPlugin } from './BaobabwellEntryWorkersPlugin';
 
-/** Builds one entry from its settings; `start` and `close` of the kernel run it. */
-export function buildEntry(settings: Settings, entry: EntrySettings, clock: Clock): Kernel {
+/** What one entry is built from. */
+export type EntryOptions = {
+  readonly settings: Settings;
+  readonly entry: EntrySettings;
+  readonly clock: Clock;
+  /** Distinguishes the lives of one entry. */
+  readonly incarnation: string;
+  readonly logger: Logger;
+};
+
+/** How an entry reaches the rest: its platform, its peers, its workers, and its servers. */
+export type EntryConnections = {
+  /** Registered before the features, which use what these provide. */
+  readonly before: readonly Plugin[];
+  /** Registered after the features, which they offer to the outside. */
+  readonly after: readonly Plugin[];
+};
+
+const FEATURES: readonly Plugin[] = [viewPlugin, callsPlugin, operatorsPlugin];
+
+/** Builds an entry with the given connections. */
+export function buildConnectedEntry(
+  { settings, entry, clock, incarnation, logger }: EntryOptions,
+  { before, after }: EntryConnections,
+): Kernel {
   const kernel = new Kernel(clock);
-  const identity = { id: entry.id, incarnation: randomUUID() };
   kernel.registerService(SETTINGS, () => settings);
   kernel.registerService(ENTRY_SETTINGS, () => entry);
-  kernel.registerService(IDENTITY, () => identity);
-  kernel.registerService(
-    LOGGER,
-    () => new Logger(settings.log.level as LogLevel, { entry: entry.id }),
-  );
+  kernel.registerService(IDENTITY, () => ({ id: entry.id, incarnation }));
+  kernel.registerService(LOGGER, () => logger);
   kernel.registerService(METRICS, () => new EntryMetrics());
-  [platformPlugin, peersPlugin, viewPlugin, callsPlugin, operatorsPlugin, peerServerPlugin].forEach(
-    (plugin) => kernel.use(plugin),
-  );
+  kernel.registerService(PEER_ROUTERS, () => []);
+  [...before, ...FEATURES, ...after].forEach((plugin) => kernel.use(plugin));
   return kernel;
 }
+
+/** Builds an entry that is connected over HTTP; `start` and `close` of the kernel run it. */
+export function buildEntry(settings: Settings, entry: EntrySettings, clock: Clock): Kernel {
+  const logger = new Logger(settings.log.level as LogLevel, { entry: entry.id });
+  return buildConnectedEntry(
+    { settings, entry, clock, incarnation: randomUUID(), logger },
+    {
+      before: [platformPlugin, peersPlugin, workersPlugin],
+      after: [callServerPlugin, operatorServerPlugin, peerServerPlugin],
+    },
+  );
+}
--- /dev/null
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallServerPlugin.ts
@@ -0,0 +1,29 @@
+import type { Plugin } from '@baobabwell/kernel';
+
+import { buildCallServer } from '@baobabwell/calls';
+
+import { parseAddress } from './BaobabwellEntryAddress';
+import { CALL_SERVICE, ENTRY_SETTINGS, LOGGER, METRICS } from './BaobabwellEntryTokens';
+
+const CLOSE_BOUND_MS = 30_000;
+const MS_PER_SECOND = 1_000;
+
+/** Serves callers over HTTP. */
+export const callServerPlugin: Plugin = {
+  name: 'call server',
+  register: () => () => {},
+  async start(kernel) {
+    const logger = kernel.getService(LOGGER);
+    const metrics = kernel.getService(METRICS);
+    const server = buildCallServer(
+      kernel.getService(CALL_SERVICE),
+      ({ id, queue }, { outcome, reason }, durationMs) => {
+        logger.recordDebug('call-ended', { call: id, queue, outcome, reason, durationMs });
+        metrics.calls.inc({ queue, outcome, reason });
+        metrics.callSeconds.observe({ queue }, durationMs / MS_PER_SECOND);
+      },
+    );
+    await server.listen(parseAddress(kernel.getService(ENTRY_SETTINGS).callers));
+    kernel.lifecycle.add('caller server', async () => server.close(), CLOSE_BOUND_MS);
+  },
+};
--- a/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
@@ -1,19 +1,14 @@
 import type { Kernel, Plugin } from '@baobabwell/kernel';
 
-import { buildCallServer, CallService } from '@baobabwell/calls';
+import { CallService } from '@baobabwell/calls';
 import { mergeUndo } from '@baobabwell/kernel';
 import { EntityKind } from '@baobabwell/model';
 import { StaticPermitPool } from '@baobabwell/scheduling';
-import { HttpWorkerClientFactory } from '@baobabwell/workers';
 
-import { parseAddress } from './BaobabwellEntryAddress';
 import {
   CALL_SERVICE,
-  ENTRY_SETTINGS,
   FRESHNESS,
   IDENTITY,
-  LOGGER,
-  METRICS,
   PERMIT_POOL,
   VIEW_STORE,
   WORKER_CLIENT_FACTORY,
@@ -21,8 +16,6 @@
 } from './BaobabwellEntryTokens';
 import { WorkerDirectory } from './BaobabwellEntryWorkers';
 
-const CLOSE_BOUND_MS = 30_000;
-
 function buildPermitPool(kernel: Kernel): StaticPermitPool {
   const view = kernel.getService(VIEW_STORE);
   const { id } = kernel.getService(IDENTITY);
@@ -61,12 +54,11 @@
   });
 }
 
-/** Serves callers. */
+/** Runs calls on the workers of the view. */
 export const callsPlugin: Plugin = {
   name: 'calls',
   register(kernel) {
     return mergeUndo(
-      kernel.registerService(WORKER_CLIENT_FACTORY, () => new HttpWorkerClientFactory()),
       kernel.registerService(PERMIT_POOL, buildPermitPool),
       kernel.registerService(WORKER_DIRECTORY, buildDirectory),
       kernel.registerService(CALL_SERVICE, buildCallService),
@@ -75,26 +67,14 @@
   async start(kernel) {
     const view = kernel.getService(VIEW_STORE);
     const directory = kernel.getService(WORKER_DIRECTORY);
-    const logger = kernel.getService(LOGGER);
-    const metrics = kernel.getService(METRICS);
     directory.update(view.get());
     const undo = mergeUndo(
       view.registerListener(({ current }) => directory.update(current)),
       kernel.getService(PERMIT_POOL).registerListener(() => directory.dispatchTurns()),
     );
-    const server = buildCallServer(
-      kernel.getService(CALL_SERVICE),
-      ({ id, queue }, { outcome, reason }, durationMs) => {
-        logger.recordDebug('call-ended', { call: id, queue, outcome, reason, durationMs });
-        metrics.calls.inc({ queue, outcome, reason });
-        metrics.callSeconds.observe({ queue }, durationMs / 1_000);
-      },
-    );
-    await server.listen(parseAddress(kernel.getService(ENTRY_SETTINGS).callers));
     kernel.lifecycle.add('worker sessions', () => {
       undo();
       directory.stop();
     });
-    kernel.lifecycle.add('caller server', async () => server.close(), CLOSE_BOUND_MS);
   },
 };
--- a/packages/baobabwell-entry/src/BaobabwellEntryPeersPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryPeersPlugin.ts
@@ -1,6 +1,5 @@
 import type { Plugin } from '@baobabwell/kernel';
 
-import { mergeUndo } from '@baobabwell/kernel';
 import { buildPeerServer, HttpPeerConnector, mergePeerRouters } from '@baobabwell/peers';
 
 import { parseAddress } from './BaobabwellEntryAddress';
@@ -12,10 +11,7 @@
   register(kernel) {
     const connector = new HttpPeerConnector(kernel.getService(SETTINGS).peers.secret);
     kernel.lifecycle.add('peer connections', async () => connector.close());
-    return mergeUndo(
-      kernel.registerService(PEER_CONNECTOR, () => connector),
-      kernel.registerService(PEER_ROUTERS, () => []),
-    );
+    return kernel.registerService(PEER_CONNECTOR, () => connector);
   },
 };
 
--- a/packages/baobabwell-entry/src/index.ts
+++ b/packages/baobabwell-entry/src/index.ts
@@ -1,1 +1,19 @@
-export { buildEntry } from './BaobabwellEntry';
+export type { EntryConnections, EntryOptions } from './BaobabwellEntry';
+export type { EntryIdentity } from './BaobabwellEntryTokens';
+
+export { buildConnectedEntry, buildEntry } from './BaobabwellEntry';
+export {
+  CALL_SERVICE,
+  FRESHNESS,
+  HOST_LIST,
+  IDENTITY,
+  OBJECT_STORE,
+  OPERATOR_SERVICE,
+  PEER_CONNECTOR,
+  PEER_ROUTERS,
+  TABLE_SERVICE,
+  VIEW_STORE,
+  VIEW_WRITER,
+  WORKER_CLIENT_FACTORY,
+  WORKER_DIRECTORY,
+} from './BaobabwellEntryTokens';
