--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -11,6 +11,7 @@
 
 import { callServerPlugin } from './BaobabwellEntryCallServerPlugin';
 import { callsPlugin } from './BaobabwellEntryCallsPlugin';
+import { maintenancePlugin } from './BaobabwellEntryMaintenancePlugin';
 import { operatorServerPlugin } from './BaobabwellEntryOperatorServerPlugin';
 import { operatorsPlugin } from './BaobabwellEntryOperatorsPlugin';
 import { peerServerPlugin, peersPlugin } from './BaobabwellEntryPeersPlugin';
@@ -44,7 +45,7 @@
   readonly after: readonly Plugin[];
 };
 
-const FEATURES: readonly Plugin[] = [viewPlugin, callsPlugin, operatorsPlugin];
+const FEATURES: readonly Plugin[] = [viewPlugin, callsPlugin, maintenancePlugin, operatorsPlugin];
 
 /** Builds an entry with the given connections. */
 export function buildConnectedEntry(
--- a/packages/baobabwell-entry/src/BaobabwellEntryOperatorServerPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryOperatorServerPlugin.ts
@@ -2,6 +2,7 @@
 import type { FastifyInstance } from 'fastify';
 
 import Fastify from 'fastify';
+import { timingSafeEqual } from 'node:crypto';
 import { z } from 'zod';
 
 import { buildDigest } from '@baobabwell/calls';
@@ -20,7 +21,11 @@
 const HTTP_UNAVAILABLE = 503;
 const BEARER = 'Bearer ';
 
-const statementBody = z.object({ text: z.string().min(1) });
+const statementBody = z.object({
+  text: z.string().min(1),
+  seenVersion: z.number().int().nonnegative().nullable().default(null),
+});
+const completionQuery = z.object({ text: z.string() });
 
 const MS_PER_SECOND = 1_000;
 
@@ -30,7 +35,10 @@
   }
   const digest = buildDigest(header.slice(BEARER.length));
   const operators = kernel.getService(VIEW_STORE).get().list(EntityKind.Operator);
-  return operators.find((operator) => operator.digest === digest)?.id ?? null;
+  const found = operators.filter((operator) =>
+    timingSafeEqual(Buffer.from(operator.digest), Buffer.from(digest)),
+  );
+  return found[0]?.id ?? null;
 }
 
 function registerOperatorRoutes(kernel: Kernel, server: FastifyInstance): void {
@@ -39,8 +47,15 @@
     if (operator === null) {
       return reply.code(HTTP_UNAUTHORIZED).send({ kind: 'refused', code: 'operator-unknown' });
     }
-    const { text } = statementBody.parse(request.body);
-    return kernel.getService(OPERATOR_SERVICE).run(text, operator);
+    const { text, seenVersion } = statementBody.parse(request.body);
+    return kernel.getService(OPERATOR_SERVICE).run(text, operator, { seenVersion });
+  });
+  server.get('/v1/completions', async (request, reply) => {
+    if (findOperator(kernel, request.headers.authorization) === null) {
+      return reply.code(HTTP_UNAUTHORIZED).send({ kind: 'refused', code: 'operator-unknown' });
+    }
+    const { text } = completionQuery.parse(request.query);
+    return { completions: kernel.getService(OPERATOR_SERVICE).listCompletions(text) };
   });
 }
 
--- a/packages/baobabwell-entry/src/BaobabwellEntryOperatorsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryOperatorsPlugin.ts
@@ -1,113 +1,128 @@
 import type { Kernel, Plugin } from '@baobabwell/kernel';
-import type { QueryRow } from '@baobabwell/operations';
-import type { PeerConnector } from '@baobabwell/peers';
-
-import { createTRPCClient } from '@trpc/client';
 
+import { mergeUndo } from '@baobabwell/kernel';
 import { EntityKind } from '@baobabwell/model';
 import {
+  CallsSource,
+  ChangeJournal,
+  ChangesSource,
+  CommandRecords,
+  CommandsSource,
+  createEntityCommands,
+  CreateOperatorCommand,
   DrainHostCommand,
   EntitySource,
   GrantKeyCommand,
+  HostsSource,
+  MoveHostCommand,
   OperatorService,
-  QuerySource,
+  PoolsSource,
+  RebootHostCommand,
   RetireTargetCommand,
   ReturnHostCommand,
+  ReturnTargetCommand,
+  RotateKeyCommand,
+  TransactionSource,
+  UndoChangeCommand,
   WithdrawKeyCommand,
 } from '@baobabwell/operations';
-import { createPeerRouter, peerProcedure } from '@baobabwell/peers';
 
 import {
-  CALL_SERVICE,
-  IDENTITY,
+  buildActivityRouter,
+  createActivityLister,
+  listOwnActivity,
+} from './BaobabwellEntryActivity';
+import {
+  CHANGE_JOURNAL,
+  COMMAND_RECORDS,
+  HOST_HEALTH,
   OPERATOR_SERVICE,
-  PEER_CONNECTOR,
   PEER_ROUTERS,
+  TABLE_SERVICE,
+  VIEW_LOG,
   VIEW_STORE,
   VIEW_WRITER,
 } from './BaobabwellEntryTokens';
 
-function buildActivityRouter(listRows: () => readonly QueryRow[]) {
-  return createPeerRouter({
-    activity: createPeerRouter({
-      list: peerProcedure.query(() => [...listRows()]),
-    }),
-  });
-}
-
-type ActivityRouter = ReturnType<typeof buildActivityRouter>;
-
-/** The calls that wait or run, at all entries. */
-class ActivitySource extends QuerySource {
-  override readonly name = 'calls';
-
-  override readonly columns = ['id', 'entry', 'queue', 'team', 'pool', 'host', 'since'];
+const JOURNAL_CHANGES = 10_000;
 
-  readonly #kernel: Kernel;
-
-  constructor(kernel: Kernel) {
-    super();
-    this.#kernel = kernel;
-  }
-
-  listOwnRows(): readonly QueryRow[] {
-    const entry = this.#kernel.getService(IDENTITY).id;
-    return this.#kernel
-      .getService(CALL_SERVICE)
-      .listActive()
-      .map((call) => ({ ...call, entry }));
-  }
-
-  override async listRows(): Promise<readonly QueryRow[]> {
-    const own = this.#kernel.getService(IDENTITY).id;
-    const connector = this.#kernel.getService(PEER_CONNECTOR);
-    const peers = this.#kernel
-      .getService(VIEW_STORE)
-      .get()
-      .list(EntityKind.Member)
-      .filter(({ id }) => id !== own);
-    const others = await Promise.all(
-      peers.map(async ({ peerAddress }) => this.#listPeerRows(connector, peerAddress)),
-    );
-    return [...this.listOwnRows(), ...others.flat()];
-  }
-
-  async #listPeerRows(connector: PeerConnector, address: string): Promise<readonly QueryRow[]> {
-    const client = createTRPCClient<ActivityRouter>({ links: [connector.createLink(address)] });
-    try {
-      return await client.activity.list.query();
-    } catch {
-      return [];
-    }
-  }
-}
-
-function buildOperatorService(kernel: Kernel): OperatorService {
-  const service = new OperatorService({
-    writer: kernel.getService(VIEW_WRITER),
-    clock: kernel.clock,
-  });
-  const view = kernel.getService(VIEW_STORE);
+function registerCommands(kernel: Kernel, service: OperatorService): void {
   [
+    ...createEntityCommands(),
+    new CreateOperatorCommand(),
     new GrantKeyCommand(),
+    new RotateKeyCommand(),
     new WithdrawKeyCommand(),
     new DrainHostCommand(),
+    new RebootHostCommand(),
+    new MoveHostCommand(),
     new ReturnHostCommand(),
     new RetireTargetCommand(),
+    new ReturnTargetCommand(),
+    new UndoChangeCommand(kernel.getService(CHANGE_JOURNAL)),
   ].forEach((command) => service.registerCommand(command));
-  Object.values(EntityKind).forEach((kind) => {
-    service.registerSource(new EntitySource(kind, () => view.get()));
+}
+
+function registerSources(kernel: Kernel, service: OperatorService): void {
+  const store = kernel.getService(VIEW_STORE);
+  const journal = kernel.getService(CHANGE_JOURNAL);
+  const parts = {
+    getView: () => store.get(),
+    getEvidence: (host: string) => kernel.getService(HOST_HEALTH).getEvidence(host),
+    listCalls: createActivityLister(kernel),
+  };
+  Object.values(EntityKind)
+    .filter((kind) => kind !== EntityKind.Host && kind !== EntityKind.Pool)
+    .forEach((kind) => service.registerSource(new EntitySource(kind, parts.getView)));
+  service.registerSource(new HostsSource(parts));
+  service.registerSource(new PoolsSource(parts));
+  service.registerSource(new CallsSource(parts));
+  service.registerSource(new ChangesSource(journal));
+  service.registerSource(new CommandsSource(journal, kernel.getService(COMMAND_RECORDS)));
+  service.registerSource(
+    new TransactionSource(journal, async (id) => kernel.getService(VIEW_LOG).findTransaction(id)),
+  );
+}
+
+function buildOperatorService(kernel: Kernel): OperatorService {
+  const service = new OperatorService({
+    writer: kernel.getService(VIEW_WRITER),
+    store: kernel.getService(VIEW_STORE),
+    journal: kernel.getService(CHANGE_JOURNAL),
+    records: kernel.getService(COMMAND_RECORDS),
+    clock: kernel.clock,
+    getEvidence: (host) => kernel.getService(HOST_HEALTH).getEvidence(host),
   });
+  registerCommands(kernel, service);
+  registerSources(kernel, service);
   return service;
 }
 
+function registerJournal(kernel: Kernel): () => void {
+  const journal = new ChangeJournal(JOURNAL_CHANGES);
+  const undo = kernel
+    .getService(VIEW_STORE)
+    .registerListener(({ previous, change }) => journal.record(previous, change));
+  return mergeUndo(
+    undo,
+    kernel.registerService(CHANGE_JOURNAL, () => journal),
+  );
+}
+
 /** Answers queries and commands of operators. */
 export const operatorsPlugin: Plugin = {
   name: 'operators',
-  register: (kernel) => kernel.registerService(OPERATOR_SERVICE, buildOperatorService),
+  register: (kernel) =>
+    mergeUndo(
+      registerJournal(kernel),
+      kernel.registerService(
+        COMMAND_RECORDS,
+        () => new CommandRecords(kernel.getService(TABLE_SERVICE), kernel.clock),
+      ),
+      kernel.registerService(OPERATOR_SERVICE, buildOperatorService),
+    ),
   async start(kernel) {
-    const activity = new ActivitySource(kernel);
-    kernel.getService(OPERATOR_SERVICE).registerSource(activity);
-    kernel.getService(PEER_ROUTERS).push(buildActivityRouter(() => activity.listOwnRows()));
+    kernel.lifecycle.add('command records', () => kernel.getService(COMMAND_RECORDS).stop());
+    kernel.getService(PEER_ROUTERS).push(buildActivityRouter(() => listOwnActivity(kernel)));
   },
 };
--- a/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
@@ -1,9 +1,10 @@
 import type { WorkerDirectory } from './BaobabwellEntryWorkers';
 import type { CallService } from '@baobabwell/calls';
 import type { Logger } from '@baobabwell/logging';
+import type { HostControl, HostHealth } from '@baobabwell/maintenance';
 import type { EntryMetrics } from '@baobabwell/metrics';
 import type { ViewChange } from '@baobabwell/model';
-import type { OperatorService } from '@baobabwell/operations';
+import type { ChangeJournal, CommandRecords, OperatorService } from '@baobabwell/operations';
 import type { PeerConnector } from '@baobabwell/peers';
 import type { HostList, ObjectStore, TableService } from '@baobabwell/platform';
 import type { PermitPool } from '@baobabwell/scheduling';
@@ -47,6 +48,10 @@
 export const WORKER_DIRECTORY = createServiceToken<WorkerDirectory>('workerDirectory');
 export const PERMIT_POOL = createServiceToken<PermitPool>('permitPool');
 export const CALL_SERVICE = createServiceToken<CallService>('callService');
+export const HOST_CONTROL = createServiceToken<HostControl>('hostControl');
+export const HOST_HEALTH = createServiceToken<HostHealth>('hostHealth');
+export const CHANGE_JOURNAL = createServiceToken<ChangeJournal>('changeJournal');
+export const COMMAND_RECORDS = createServiceToken<CommandRecords>('commandRecords');
 export const OPERATOR_SERVICE = createServiceToken<OperatorService>('operatorService');
 
 /** A change that this entry committed. */
--- a/packages/baobabwell-entry/src/BaobabwellEntryWorkersPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryWorkersPlugin.ts
@@ -1,12 +1,20 @@
 import type { Plugin } from '@baobabwell/kernel';
 
+import { mergeUndo } from '@baobabwell/kernel';
+import { HttpHostControl } from '@baobabwell/maintenance';
 import { HttpWorkerClientFactory } from '@baobabwell/workers';
 
-import { WORKER_CLIENT_FACTORY } from './BaobabwellEntryTokens';
+import { HOST_CONTROL, WORKER_CLIENT_FACTORY } from './BaobabwellEntryTokens';
 
-/** Reaches workers over HTTP. */
+/** Reaches workers and the machines under them over HTTP. */
 export const workersPlugin: Plugin = {
   name: 'workers',
-  register: (kernel) =>
-    kernel.registerService(WORKER_CLIENT_FACTORY, () => new HttpWorkerClientFactory()),
+  register(kernel) {
+    const control = new HttpHostControl();
+    kernel.lifecycle.add('host control', async () => control.close());
+    return mergeUndo(
+      kernel.registerService(WORKER_CLIENT_FACTORY, () => new HttpWorkerClientFactory()),
+      kernel.registerService(HOST_CONTROL, () => control),
+    );
+  },
 };
--- a/packages/baobabwell-entry/src/index.ts
+++ b/packages/baobabwell-entry/src/index.ts
@@ -4,7 +4,10 @@
 export { buildConnectedEntry, buildEntry } from './BaobabwellEntry';
 export {
   CALL_SERVICE,
+  CHANGE_JOURNAL,
   FRESHNESS,
+  HOST_CONTROL,
+  HOST_HEALTH,
   HOST_LIST,
   IDENTITY,
   OBJECT_STORE,
--- a/packages/baobabwell-language/src/BaobabwellLanguageSuggestions.ts
+++ b/packages/baobabwell-language/src/BaobabwellLanguageSuggestions.ts
@@ -18,7 +18,7 @@
 }
 
 function sortLetters(text: string): string {
-  return [...text].toSorted().join('');
+  return Array.from(text).toSorted().join('');
 }
 
 function getDistance(typed: string, name: string): number {
--- a/packages/baobabwell-language/src/BaobabwellLanguageTokens.ts
+++ b/packages/baobabwell-language/src/BaobabwellLanguageTokens.ts
@@ -144,5 +144,7 @@
 
 /** Whether a token type stands for one fixed word or sign. */
 export function isFixedToken(type: TokenType): boolean {
-  return KEYWORDS.includes(type) || [NotEqual, Equal, Less, Greater, Comma, Open, Close].includes(type);
+  return (
+    KEYWORDS.includes(type) || [NotEqual, Equal, Less, Greater, Comma, Open, Close].includes(type)
+  );
 }
--- a/packages/baobabwell-maintenance/src/index.ts
+++ b/packages/baobabwell-maintenance/src/index.ts
@@ -5,6 +5,8 @@
   MaintenanceRefusal,
 } from './BaobabwellMaintenance';
 export type { OutOfService, PoolBudget } from './BaobabwellMaintenanceBudget';
+export type { HostHealthParts } from './BaobabwellMaintenanceHealth';
+export type { HostControlError, HostStatus } from './BaobabwellMaintenanceHostControl';
 export type { TakeOutRequest } from './BaobabwellMaintenanceHosts';
 
 export { NO_EVIDENCE } from './BaobabwellMaintenance';
@@ -15,6 +17,8 @@
   getPoolBudget,
   isPlannedOut,
 } from './BaobabwellMaintenanceBudget';
+export { HostHealth } from './BaobabwellMaintenanceHealth';
+export { HostControl } from './BaobabwellMaintenanceHostControl';
 export {
   buildHostState,
   buildReturn,
@@ -22,3 +26,4 @@
   decideTakeOut,
   findHost,
 } from './BaobabwellMaintenanceHosts';
+export { HttpHostControl } from './BaobabwellMaintenanceHttpHostControl';
--- a/packages/baobabwell-operations/src/BaobabwellOperations.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperations.ts
@@ -122,7 +122,5 @@
   readonly parameter: string | null = null;
 
   /** Lists all rows. */
-  abstract listRows(
-    request: QueryRequest,
-  ): Promise<Result<readonly QueryRow[], QueryRefusal>>;
+  abstract listRows(request: QueryRequest): Promise<Result<readonly QueryRow[], QueryRefusal>>;
 }
--- a/packages/baobabwell-operations/src/BaobabwellOperationsExplain.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsExplain.ts
@@ -2,7 +2,6 @@
 import type { FleetView, Mutation } from '@baobabwell/model';
 import type { Result } from '@baobabwell/utils';
 
-
 import { formatUsage } from './BaobabwellOperationsInput';
 
 const HIDDEN = '(hidden)';
@@ -80,4 +79,3 @@
 export function formatTouched(mutations: readonly Mutation[]): string {
   return mutations.map(({ kind, id, value }) => `${value ? '' : '-'}${kind}/${id}`).join(' ');
 }
-
--- a/packages/baobabwell-operations/src/BaobabwellOperationsFleetSources.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsFleetSources.ts
@@ -36,7 +36,10 @@
   readonly listCalls: ListCallActivity;
 };
 
-function countBy<Item>(items: readonly Item[], getGroup: (item: Item) => string | null): Map<string, number> {
+function countBy<Item>(
+  items: readonly Item[],
+  getGroup: (item: Item) => string | null,
+): Map<string, number> {
   const counts = new Map<string, number>();
   items.forEach((item) => {
     const group = getGroup(item);
@@ -59,9 +62,7 @@
     this.columns = [...super.shownColumns, 'listed', 'reachable', 'running', 'id'];
   }
 
-  override async listRows(
-    request: QueryRequest,
-  ): Promise<Result<readonly QueryRow[], never>> {
+  override async listRows(request: QueryRequest): Promise<Result<readonly QueryRow[], never>> {
     const calls = request.columns.has('running') ? (await this.#parts.listCalls()).calls : [];
     const running = countBy(calls, ({ host }) => host);
     const rows = this.listEntityRows().map((row) => {
--- a/packages/baobabwell-operations/src/BaobabwellOperationsHistorySources.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsHistorySources.ts
@@ -3,19 +3,13 @@
 import type { CommandRecords } from './BaobabwellOperationsRecords';
 import type { ViewChange } from '@baobabwell/model';
 import type { Result } from '@baobabwell/utils';
+import type { TransactionFate } from '@baobabwell/view';
 
 import { createError, createOk } from '@baobabwell/utils';
 
 import { QuerySource } from './BaobabwellOperations';
 import { formatTouched } from './BaobabwellOperationsExplain';
 
-/** What became of a transaction. */
-export type TransactionFate =
-  | { readonly kind: 'committed'; readonly version: number }
-  | { readonly kind: 'abandoned' }
-  /** It never reached the table service, or still may. */
-  | { readonly kind: 'absent' };
-
 /** Finds what became of a transaction; fails while the table service cannot tell. */
 export type FindTransaction = (id: string) => Promise<Result<TransactionFate, string>>;
 
--- a/packages/baobabwell-operations/src/BaobabwellOperationsInput.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsInput.ts
@@ -70,7 +70,11 @@
   const [first = null] = parsed;
   return first === null || parsed.length > 1
     ? createError([
-        { column: values[1]?.column ?? 1, problem: `${spec.name} takes one value`, suggestions: [] },
+        {
+          column: values[1]?.column ?? 1,
+          problem: `${spec.name} takes one value`,
+          suggestions: [],
+        },
       ])
     : createOk(first);
 }
--- a/packages/baobabwell-operations/src/BaobabwellOperationsIntegrity.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsIntegrity.ts
@@ -27,7 +27,12 @@
       ]),
     ...view
       .list(Team)
-      .map(({ id, organisation }) => ({ kind: Team, from: id, to: Organisation, id: organisation })),
+      .map(({ id, organisation }) => ({
+        kind: Team,
+        from: id,
+        to: Organisation,
+        id: organisation,
+      })),
     ...view.list(Key).map(({ id, team }) => ({ kind: Key, from: id, to: Team, id: team })),
   ];
 }
--- a/packages/baobabwell-operations/src/BaobabwellOperationsKeyCommands.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsKeyCommands.ts
@@ -87,10 +87,7 @@
     const expiresAt = Math.min(old.expiresAt ?? Number.MAX_SAFE_INTEGER, wallTime + overlapMs);
     const { key, notes } = createKey(old.team, wallTime, getLifetime(input));
     return createOk({
-      mutations: [
-        createPut(EntityKind.Key, { ...old, expiresAt }),
-        createPut(EntityKind.Key, key),
-      ],
+      mutations: [createPut(EntityKind.Key, { ...old, expiresAt }), createPut(EntityKind.Key, key)],
       notes: [...notes, `key ${id} expires at ${new Date(expiresAt).toISOString()}`],
     });
   }
--- a/packages/baobabwell-operations/src/BaobabwellOperationsRecords.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsRecords.ts
@@ -1,9 +1,10 @@
 import type { JsonValue, TableService } from '@baobabwell/platform';
 import type { Clock, Result } from '@baobabwell/utils';
 
-import { createError, createOk } from '@baobabwell/utils';
 import { z } from 'zod';
 
+import { createError, createOk } from '@baobabwell/utils';
+
 /** A command that was refused, or whose result is not known. */
 export type CommandRecord = {
   readonly id: string;
--- a/packages/baobabwell-operations/src/BaobabwellOperationsService.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsService.ts
@@ -73,13 +73,25 @@
 
 const FIRST_WORD = /^\s*([^\s"=!<>,()]+)/;
 
-function checkVersion(view: FleetView, expected: number | null): Result<null, Refusal> {
+function checkVersion(view: FleetView, expected: number | null): Refusal | null {
   return expected === null || view.version === expected
-    ? createOk(null)
-    : createError({
+    ? null
+    : {
         code: 'conflict',
         message: `the fleet is at version ${view.version}, not ${expected}`,
-      });
+      };
+}
+
+function checkRole(view: FleetView, command: OperatorCommand, operator: string): Refusal | null {
+  const role = view.get(EntityKind.Operator, operator)?.role;
+  if (role !== undefined && RANKS[role] >= RANKS[command.role]) {
+    return null;
+  }
+  const has = role === undefined ? 'is not known' : `has the role ${role}`;
+  return {
+    code: 'role',
+    message: `operator ${operator} ${has}; ${command.name} needs ${command.role}`,
+  };
 }
 
 /** Answers queries and carries out commands of operators. */
@@ -138,7 +150,11 @@
   /** When not even the first word is known, the rest of the text says nothing. */
   #buildFirstWordRefusal(text: string): OperatorReply | null {
     const word = FIRST_WORD.exec(text)?.[1];
-    const known: readonly string[] = [...this.#sources.keys(), ...VERBS, ...Object.values(CommandMode)];
+    const known: readonly string[] = [
+      ...this.#sources.keys(),
+      ...VERBS,
+      ...Object.values(CommandMode),
+    ];
     if (word === undefined || known.includes(word)) {
       return null;
     }
@@ -222,11 +238,9 @@
     if (command === undefined) {
       return createError(this.#buildUnknownCommand(statement));
     }
-    const role = view.get(EntityKind.Operator, operator)?.role;
-    if (role === undefined || RANKS[role] < RANKS[command.role]) {
-      const has = role === undefined ? 'is not known' : `has the role ${role}`;
-      const message = `operator ${operator} ${has}; ${command.name} needs ${command.role}`;
-      return createError(buildRefused('role', message, statement.name.column));
+    const refusal = checkRole(view, command, operator);
+    if (refusal !== null) {
+      return createError(buildRefused(refusal.code, refusal.message, statement.name.column));
     }
     const input = parseInput(command, statement, view);
     return input.ok
@@ -249,9 +263,11 @@
 
   #decide(parsed: ParsedCommand, view: FleetView): Result<Decision, Refusal> {
     const { command, statement, input, operator } = parsed;
-    const version = checkVersion(view, statement.expectedVersion);
-    if (!version.ok) {
-      return version;
+    // The view may have changed since the command was parsed, also the operator's own role.
+    const refusal =
+      checkRole(view, command, operator) ?? checkVersion(view, statement.expectedVersion);
+    if (refusal !== null) {
+      return createError(refusal);
     }
     const context: CommandContext = {
       view,
@@ -366,10 +382,7 @@
       reason: statement.reason ?? '',
       at: this.#parts.clock.getWallTime(),
       result: reply.kind,
-      detail:
-        reply.kind === 'refused'
-          ? `${reply.code}: ${reply.message}`
-          : JSON.stringify(reply),
+      detail: reply.kind === 'refused' ? `${reply.code}: ${reply.message}` : JSON.stringify(reply),
     });
   }
 }
--- a/packages/baobabwell-operations/src/index.ts
+++ b/packages/baobabwell-operations/src/index.ts
@@ -18,7 +18,7 @@
   FleetSourceParts,
   ListCallActivity,
 } from './BaobabwellOperationsFleetSources';
-export type { FindTransaction, TransactionFate } from './BaobabwellOperationsHistorySources';
+export type { FindTransaction } from './BaobabwellOperationsHistorySources';
 export type { JournalEntry } from './BaobabwellOperationsJournal';
 export type { CommandRecord } from './BaobabwellOperationsRecords';
 export type { OperatorReply } from './BaobabwellOperationsReply';
--- a/packages/baobabwell-stand-ins/src/BaobabwellStandInsWorker.ts
+++ b/packages/baobabwell-stand-ins/src/BaobabwellStandInsWorker.ts
@@ -74,6 +74,7 @@
 };
 
 const DEFAULT_RUN_MS = 20;
+const DEFAULT_BOOT_MS = 2_000;
 const LEASE_SCAN_MS = 100;
 
 const workSchema = z.object({ runMs: z.number().nonnegative().default(DEFAULT_RUN_MS) });
@@ -102,6 +103,12 @@
 
   #isStopping = false;
 
+  #isBooting = false;
+
+  #bootMs = DEFAULT_BOOT_MS;
+
+  #rebootToken = 0;
+
   #lastAnswer: TaskResult = { kind: 'completed', taskId: 'none', body: Buffer.from('{}') };
 
   constructor(id: string, slots: number, clock: Clock) {
@@ -135,6 +142,39 @@
     this.#isStopping = isStopping;
   }
 
+  /** Token of the last order to reboot that was obeyed, zero for none. */
+  getRebootToken(): number {
+    return this.#rebootToken;
+  }
+
+  /**
+   * Restarts the machine; it answers nothing until it is up again.
+   *
+   * @returns false for an order older than the last one; the same order again changes nothing.
+   */
+  reboot(token: number): boolean {
+    if (token <= this.#rebootToken) {
+      return token === this.#rebootToken;
+    }
+    this.#rebootToken = token;
+    this.crash();
+    this.#isBooting = true;
+    this.#clock.startTimer(this.#bootMs, () => {
+      this.#isBooting = false;
+    });
+    return true;
+  }
+
+  /** True while the machine restarts. */
+  isBooting(): boolean {
+    return this.#isBooting;
+  }
+
+  /** Sets how long a restart takes. */
+  applyBootTime(bootMs: number): void {
+    this.#bootMs = bootMs;
+  }
+
   /** Ends every task and forgets all holders, as a restart does. */
   crash(): void {
     this.#holders.forEach(({ running }) => running.forEach((task) => task.abort()));
--- a/packages/baobabwell-stand-ins/src/BaobabwellStandInsWorkerServer.ts
+++ b/packages/baobabwell-stand-ins/src/BaobabwellStandInsWorkerServer.ts
@@ -20,6 +20,7 @@
 const holderParameters = z.object({ holder: z.string() });
 const taskParameters = z.object({ taskId: z.string() });
 const taskHeaders = z.object({ 'lease-holder': z.string(), 'task-team': z.string() });
+const rebootBody = z.object({ token: z.number().int().positive() });
 const stoppingBody = z.object({ stopping: z.boolean() });
 
 function parseJson<Schema extends z.ZodType>(schema: Schema, body: unknown): z.infer<Schema> {
@@ -89,6 +90,14 @@
     worker.applyStopping(parseJson(stoppingBody, request.body).stopping);
     return {};
   });
+  server.get('/status', async () => ({
+    running: worker.getRunningCount(),
+    rebootToken: worker.getRebootToken(),
+  }));
+  server.put('/reboot', async (request, reply) => {
+    const isObeyed = worker.reboot(parseJson(rebootBody, request.body).token);
+    return isObeyed ? {} : reply.code(HTTP_CONFLICT).send({ code: 'stale-token' });
+  });
   server.post('/crash', async () => {
     worker.crash();
     return {};
@@ -109,7 +118,7 @@
     if (isControl) {
       return undefined;
     }
-    if (down) {
+    if (down || worker.isBooting()) {
       request.raw.destroy();
       return reply.hijack();
     }
--- a/packages/baobabwell-stand-ins/src/index.ts
+++ b/packages/baobabwell-stand-ins/src/index.ts
@@ -1,4 +1,5 @@
 export type { PlatformFaults, WorkerFaults } from './BaobabwellStandInsFaults';
+export type { FindWorker } from './BaobabwellStandInsHostControl';
 export type { PlatformStandIns } from './BaobabwellStandInsPlatformServer';
 export type { TableCounts } from './BaobabwellStandInsTable';
 export type {
@@ -10,6 +11,7 @@
 } from './BaobabwellStandInsWorker';
 
 export { NO_PLATFORM_FAULTS, NO_WORKER_FAULTS } from './BaobabwellStandInsFaults';
+export { StandInHostControl } from './BaobabwellStandInsHostControl';
 export { StandInHostList, StandInObjectStore } from './BaobabwellStandInsPlatform';
 export { buildPlatformServer } from './BaobabwellStandInsPlatformServer';
 export { StandInTableService } from './BaobabwellStandInsTable';
--- a/packages/baobabwell-view/src/BaobabwellViewLog.ts
+++ b/packages/baobabwell-view/src/BaobabwellViewLog.ts
@@ -40,6 +40,12 @@
   | { readonly kind: 'unavailable'; readonly cause: string }
   | { readonly kind: 'unknown'; readonly transactionId: string };
 
+/** What became of a transaction. */
+export type TransactionFate =
+  | { readonly kind: 'committed'; readonly version: number }
+  | { readonly kind: 'abandoned' }
+  | { readonly kind: 'absent' };
+
 /** Where the log begins. */
 export const LOG_START: LogPosition = { viewVersion: 0, rowVersion: 0 };
 
@@ -115,6 +121,22 @@
     return this.#settle(change);
   }
 
+  /**
+   * Finds what became of a transaction; fails while the table service cannot be read. An absent
+   * one may still be under way for as long as a request may take.
+   */
+  async findTransaction(id: string): Promise<Result<TransactionFate, string>> {
+    const row = await this.#tables.read(TRANSACTION_TABLE, id);
+    if (!row.ok) {
+      return createError('the table service could not be read');
+    }
+    if (row.value === null) {
+      return createOk({ kind: 'absent' });
+    }
+    const version = row.value.value as number;
+    return createOk(version === 0 ? { kind: 'abandoned' } : { kind: 'committed', version });
+  }
+
   /**
    * Finds out whether a transaction was committed. Writing its row first makes sure that a
    * request still under way can no longer commit.
--- a/packages/baobabwell-view/src/index.ts
+++ b/packages/baobabwell-view/src/index.ts
@@ -1,5 +1,5 @@
 export type { ViewFollowerParts } from './BaobabwellViewFollower';
-export type { LogError, LogPage, LogPosition } from './BaobabwellViewLog';
+export type { LogError, LogPage, LogPosition, TransactionFate } from './BaobabwellViewLog';
 export type { ViewPeerParts, ViewPeerRouter } from './BaobabwellViewPeers';
 export type { ViewListener, ViewUpdate } from './BaobabwellViewStore';
 export type { ChangeDraft, ChangeError, CommitListener } from './BaobabwellViewWriter';
