emulator, measures, fuzz: real entries on an emulated clock and network

Cause: the promises need failures that are the same every time. Not taken: a cluster of processes for tests of decisions. Conclusion: decisions can be tested under faults without real time.

--- /dev/null
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorNetwork.ts
@@ -0,0 +1,116 @@
+import type { Clock } from '@baobabwell/utils';
+
+/** One end of an emulated connection. */
+export type Endpoint = {
+  readonly name: string;
+  readonly clock: Clock;
+};
+
+/** What became of one exchange. */
+export type ExchangeResult<T> =
+  | { readonly kind: 'answered'; readonly value: T }
+  /** Nothing listens there; nothing was delivered. */
+  | { readonly kind: 'refused' }
+  /** No answer came; the request may have been delivered. */
+  | { readonly kind: 'timeout' };
+
+/** One request and its answer between two endpoints. */
+export type Exchange<T> = {
+  readonly from: Endpoint;
+  readonly to: Endpoint;
+  readonly timeoutMs: number;
+  readonly signal?: AbortSignal;
+  readonly handle: () => Promise<T>;
+};
+
+const DEFAULT_LATENCY_MS = 1;
+
+/** Carries requests between endpoints, with latency, cuts in one direction, and closed ends. */
+export class EmulatedNetwork {
+  readonly #cuts = new Set<string>();
+
+  readonly #closed = new Set<string>();
+
+  #latencyMs = DEFAULT_LATENCY_MS;
+
+  /** Sets the latency of one direction, in whole milliseconds. */
+  applyLatency(latencyMs: number): void {
+    this.#latencyMs = latencyMs;
+  }
+
+  /** Loses everything that `from` sends to `to`. */
+  cut(from: string, to: string): void {
+    this.#cuts.add(`${from} ${to}`);
+  }
+
+  /** Carries again what `from` sends to `to`. */
+  restore(from: string, to: string): void {
+    this.#cuts.delete(`${from} ${to}`);
+  }
+
+  /** Cuts both directions between every pair of the two groups. */
+  cutBetween(left: readonly string[], right: readonly string[]): void {
+    left.forEach((a) =>
+      right.forEach((b) => {
+        this.cut(a, b);
+        this.cut(b, a);
+      }),
+    );
+  }
+
+  /** Ends all cuts. */
+  restoreAll(): void {
+    this.#cuts.clear();
+  }
+
+  /** Refuses connections to a name. */
+  close(name: string): void {
+    this.#closed.add(name);
+  }
+
+  /** Accepts connections to a name again. */
+  open(name: string): void {
+    this.#closed.delete(name);
+  }
+
+  /** Sends a request and waits for the answer by the sender's clock. Rejects as `handle` does. */
+  async send<T>(exchange: Exchange<T>): Promise<ExchangeResult<T>> {
+    const { from, to, timeoutMs, signal, handle } = exchange;
+    return new Promise((resolve, reject) => {
+      const finish = (result: ExchangeResult<T>): void => {
+        cancelTimeout();
+        signal?.removeEventListener('abort', onAbort);
+        resolve(result);
+      };
+      const onAbort = (): void => finish({ kind: 'timeout' });
+      const cancelTimeout = Number.isFinite(timeoutMs)
+        ? from.clock.startTimer(timeoutMs, onAbort)
+        : (): void => {};
+      signal?.addEventListener('abort', onAbort, { once: true });
+      const answer = (run: () => void): void => {
+        from.clock.startTimer(this.#latencyMs, () => {
+          if (!this.#isCut(to, from)) {
+            run();
+          }
+        });
+      };
+      to.clock.startTimer(this.#latencyMs, () => {
+        if (this.#isCut(from, to)) {
+          return;
+        }
+        if (this.#closed.has(to.name)) {
+          answer(() => finish({ kind: 'refused' }));
+          return;
+        }
+        handle().then(
+          (value) => answer(() => finish({ kind: 'answered', value })),
+          (error: Error) => answer(() => reject(error)),
+        );
+      });
+    });
+  }
+
+  #isCut(from: Endpoint, to: Endpoint): boolean {
+    return this.#cuts.has(`${from.name} ${to.name}`);
+  }
+}
--- /dev/null
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorPeers.ts
@@ -0,0 +1,98 @@
+import type { EmulatedNetwork, Endpoint } from './BaobabwellEmulatorNetwork';
+import type { TRPCLink } from '@trpc/client';
+import type { AnyTRPCRouter } from '@trpc/server';
+
+import { TRPCClientError } from '@trpc/client';
+import { callTRPCProcedure } from '@trpc/server';
+import { observable } from '@trpc/server/observable';
+
+import { PeerConnector } from '@baobabwell/peers';
+
+const TIMEOUT_MS = 1_000;
+
+/** An entry as its peers reach it. */
+export type PeerEndpoint = {
+  readonly endpoint: Endpoint;
+  /** `null` until the entry serves peers. */
+  readonly getRouter: () => AnyTRPCRouter | null;
+};
+
+function copyAsJson(value: unknown): unknown {
+  return value === undefined ? undefined : (JSON.parse(JSON.stringify(value)) as unknown);
+}
+
+/** Reaches peers across the emulated network; values are copied as JSON would. */
+export class EmulatedPeerConnector extends PeerConnector {
+  readonly #network: EmulatedNetwork;
+
+  readonly #from: Endpoint;
+
+  readonly #findPeer: (address: string) => PeerEndpoint | null;
+
+  constructor(
+    network: EmulatedNetwork,
+    from: Endpoint,
+    findPeer: (address: string) => PeerEndpoint | null,
+  ) {
+    super();
+    this.#network = network;
+    this.#from = from;
+    this.#findPeer = findPeer;
+  }
+
+  override createLink<Router extends AnyTRPCRouter>(address: string): TRPCLink<Router> {
+    return () =>
+      ({ op }) =>
+        observable((observer) => {
+          this.#send(address, op.path, op.type, op.input).then(
+            (data) => {
+              observer.next({ result: { type: 'data', data } });
+              observer.complete();
+            },
+            (error: Error) => observer.error(TRPCClientError.from(error)),
+          );
+        });
+  }
+
+  override async close(): Promise<void> {
+    // Emulated exchanges hold no connection.
+  }
+
+  async #send(
+    address: string,
+    path: string,
+    type: 'query' | 'mutation' | 'subscription',
+    input: unknown,
+  ): Promise<unknown> {
+    const peer = this.#findPeer(address);
+    if (peer === null) {
+      throw new Error(`nothing listens at ${address}`);
+    }
+    const sent = copyAsJson(input);
+    const result = await this.#network.send({
+      from: this.#from,
+      to: peer.endpoint,
+      timeoutMs: TIMEOUT_MS,
+      handle: async () => {
+        const router = peer.getRouter();
+        if (router === null) {
+          throw new Error(`nothing listens at ${address}`);
+        }
+        const reply: unknown = await callTRPCProcedure({
+          router,
+          path,
+          type,
+          ctx: {},
+          getRawInput: async () => sent,
+          signal: undefined,
+          batchIndex: 0,
+        });
+        return copyAsJson(reply);
+      },
+    });
+    if (result.kind !== 'answered') {
+      throw new Error(`${address}: ${result.kind}`);
+    }
+    return result.value;
+  }
+}
--- /dev/null
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzRegistry.ts
@@ -0,0 +1,9 @@
+import type { FuzzSuite } from './BaobabwellFuzz';
+
+/** All suites. */
+export const FUZZ_SUITES: readonly FuzzSuite[] = [];
+
+/** Finds a suite by its name. */
+export function findFuzzSuite(name: string): FuzzSuite | null {
+  return FUZZ_SUITES.find((suite) => suite.name === name) ?? null;
+}
--- /dev/null
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
@@ -0,0 +1,11 @@
+import type { Measure } from './BaobabwellMeasures';
+
+import { ViewMeasure } from './BaobabwellMeasuresView';
+
+/** All measures, in the order in which `all` takes them. */
+export const MEASURES: readonly Measure[] = [new ViewMeasure()];
+
+/** Finds a measure by its name. */
+export function findMeasure(name: string): Measure | null {
+  return MEASURES.find((measure) => measure.name === name) ?? null;
+}
--- /dev/null
+++ b/packages/baobabwell-measures/src/index.ts
@@ -0,0 +1,11 @@
+export type {
+  Figure,
+  Figures,
+  MeasureFindings,
+  MeasureOptions,
+  MeasureReport,
+  Target,
+} from './BaobabwellMeasures';
+
+export { Deployment, findFigure, isMet, Measure } from './BaobabwellMeasures';
+export { findMeasure, MEASURES } from './BaobabwellMeasuresRegistry';
--- /dev/null
+++ b/scripts/measure.ts
@@ -0,0 +1,46 @@
+/** Takes one measure, or all, and prints the report. */
+import type { MeasureReport } from '@baobabwell/measures';
+
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+
+import { Deployment, findMeasure, MEASURES } from '@baobabwell/measures';
+
+function printReport(report: MeasureReport, json: boolean): void {
+  console.log(json ? JSON.stringify(report) : JSON.stringify(report, null, 2));
+}
+
+const options = await yargs(hideBin(process.argv))
+  .command('$0 <name>', 'Take a measure', (command) =>
+    command.positional('name', {
+      choices: ['all', ...MEASURES.map(({ name }) => name)],
+      demandOption: true,
+    }),
+  )
+  .option('deployment', {
+    choices: Object.values(Deployment),
+    default: Deployment.Braudvakt,
+  })
+  .option('seed', { type: 'number', default: 1 })
+  .option('long', { type: 'boolean', default: false, describe: 'Allow more than 25 s' })
+  .option('json', { type: 'boolean', default: false, describe: 'Print one JSON object' })
+  .strict()
+  .parseAsync();
+
+const measureOptions = {
+  deployment: options.deployment,
+  seed: options.seed,
+  isLong: options.long,
+};
+const chosen = findMeasure(options['name'] as string);
+const measures = chosen === null ? MEASURES : [chosen];
+const reports: MeasureReport[] = [];
+for (const measure of measures) {
+  reports.push(await measure.run(measureOptions));
+}
+const [first] = reports;
+if (chosen !== null && first !== undefined) {
+  printReport(first, options.json);
+} else {
+  console.log(JSON.stringify(reports, null, options.json ? 0 : 2));
+}
