--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
@@ -11,6 +11,7 @@
 import {
   buildConnectedEntry,
   CALL_SERVICE,
+  HOST_CONTROL,
   HOST_LIST,
   OBJECT_STORE,
   OPERATOR_SERVICE,
@@ -32,6 +33,7 @@
 } from '@baobabwell/stand-ins';
 import { checkInvariant, Random } from '@baobabwell/utils';
 
+import { EmulatedHostControl } from './BaobabwellEmulatorHostControl';
 import { EmulatedNetwork } from './BaobabwellEmulatorNetwork';
 import { EmulatedPeerConnector } from './BaobabwellEmulatorPeers';
 import {
@@ -292,6 +294,10 @@
             PEER_CONNECTOR,
             () => new EmulatedPeerConnector(network, from, (address) => this.#findPeer(address)),
           ),
+          kernel.registerService(
+            HOST_CONTROL,
+            () => new EmulatedHostControl(network, from, (a) => this.#findWorker(a)),
+          ),
           kernel.registerService(
             WORKER_CLIENT_FACTORY,
             () => new EmulatedWorkerClientFactory(network, from, (a) => this.#findWorker(a)),
--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorWorkers.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorWorkers.ts
@@ -51,7 +51,7 @@
 
   override async renew({ holder, slots }: LeaseRequest): Promise<Result<LeaseGrant, WorkerError>> {
     const { worker, endpoint } = this.#to;
-    if (worker.getFaults().down) {
+    if (worker.getFaults().down || worker.isBooting()) {
       return createError({ kind: 'unreachable', cause: 'refused' });
     }
     const request = { holder, slots, startTtlMs: START_TTL_MS, taskTtlMs: TASK_TTL_MS };
@@ -71,7 +71,7 @@
 
   override async run(task: Task, signal: AbortSignal): Promise<TaskOutcome> {
     const { worker, endpoint } = this.#to;
-    if (worker.getFaults().down) {
+    if (worker.getFaults().down || worker.isBooting()) {
       return { kind: 'not-sent', cause: 'refused' };
     }
     const { id: taskId, holder, team, body } = task;
--- a/packages/baobabwell-language/src/BaobabwellLanguageTokens.ts
+++ b/packages/baobabwell-language/src/BaobabwellLanguageTokens.ts
@@ -75,12 +75,12 @@
   label: 'a command',
 });
 
-function createKeyword(word: string, category: TokenType | null = Name): TokenType {
+function createKeyword(word: string, category: TokenType = Name): TokenType {
   return createToken({
     name: `Keyword-${word}`,
     pattern: new RegExp(word),
     longer_alt: Word,
-    categories: category === null ? [] : [category],
+    categories: [category],
     label: word,
   });
 }
@@ -97,9 +97,9 @@
 export const In = createKeyword('in');
 export const Like = createKeyword('like');
 export const Version = createKeyword('version');
-export const To = createKeyword('to', null);
-export const If = createKeyword('if', null);
-export const Reason = createKeyword('reason', null);
+export const To = createKeyword('to');
+export const If = createKeyword('if');
+export const Reason = createKeyword('reason');
 export const Explain = createKeyword('explain', Value);
 export const DryRun = createKeyword('dry-run', Value);
 
--- a/packages/baobabwell-operations/src/BaobabwellOperationsFleetSources.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsFleetSources.ts
@@ -159,6 +159,6 @@
     const serving = hosts.filter(({ state }) => state === HostState.Serving).length;
     return serving === 0
       ? `no host of pool ${pool} is serving`
-      : `every slot it may use in pool ${pool} is taken`;
+      : `for a slot in pool ${pool} or a permit of team ${team}`;
   }
 }
--- a/packages/baobabwell-operations/src/BaobabwellOperationsIntegrity.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsIntegrity.ts
@@ -25,14 +25,12 @@
         { kind: Queue, from: id, to: Target, id: target },
         ...teams.map((team) => ({ kind: Queue, from: id, to: Team, id: team })),
       ]),
-    ...view
-      .list(Team)
-      .map(({ id, organisation }) => ({
-        kind: Team,
-        from: id,
-        to: Organisation,
-        id: organisation,
-      })),
+    ...view.list(Team).map(({ id, organisation }) => ({
+      kind: Team,
+      from: id,
+      to: Organisation,
+      id: organisation,
+    })),
     ...view.list(Key).map(({ id, team }) => ({ kind: Key, from: id, to: Team, id: team })),
   ];
 }
