maintenance: drains, moves, reboots and waves carried out by one entry at a time

Cause: a drained host stayed draining for ever; nothing moved, rebooted or returned it. Change: a controller whose whole state is in the view (owner with a fencing token, a task for each host in work, waves as duties decided again on each newest view); the budget is counted in the change that takes a host out and again, with fresh probes, in the change that reboots it. Not taken: a lease of the owner renewed in the store, since membership tells already who is alive and costs no writes. Conclusion: any entry goes on where another stopped, since nothing is kept elsewhere.

--- a/packages/baobabwell-entry/src/BaobabwellEntryOperatorsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryOperatorsPlugin.ts
@@ -10,6 +10,7 @@
   CommandsSource,
   createEntityCommands,
   CreateOperatorCommand,
+  createWaveCommands,
   DrainHostCommand,
   EntitySource,
   GrantKeyCommand,
@@ -49,6 +50,7 @@
 function registerCommands(kernel: Kernel, service: OperatorService): void {
   [
     ...createEntityCommands(),
+    ...createWaveCommands(),
     new CreateOperatorCommand(),
     new GrantKeyCommand(),
     new RotateKeyCommand(),
--- a/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
@@ -1,7 +1,7 @@
 import type { WorkerDirectory } from './BaobabwellEntryWorkers';
 import type { CallService } from '@baobabwell/calls';
 import type { Logger } from '@baobabwell/logging';
-import type { HostControl, HostHealth } from '@baobabwell/maintenance';
+import type { HostControl, HostHealth, MaintenanceController } from '@baobabwell/maintenance';
 import type { EntryMetrics } from '@baobabwell/metrics';
 import type { ViewChange } from '@baobabwell/model';
 import type { ChangeJournal, CommandRecords, OperatorService } from '@baobabwell/operations';
@@ -50,6 +50,8 @@
 export const CALL_SERVICE = createServiceToken<CallService>('callService');
 export const HOST_CONTROL = createServiceToken<HostControl>('hostControl');
 export const HOST_HEALTH = createServiceToken<HostHealth>('hostHealth');
+export const MAINTENANCE_CONTROLLER =
+  createServiceToken<MaintenanceController>('maintenanceController');
 export const CHANGE_JOURNAL = createServiceToken<ChangeJournal>('changeJournal');
 export const COMMAND_RECORDS = createServiceToken<CommandRecords>('commandRecords');
 export const OPERATOR_SERVICE = createServiceToken<OperatorService>('operatorService');
--- /dev/null
+++ b/packages/baobabwell-maintenance/src/__tests__/unit/BaobabwellMaintenanceWaves.test.ts
@@ -0,0 +1,189 @@
+import type { OperatorReply } from '@baobabwell/operations';
+
+import { expect } from 'earl';
+
+import { buildEmulatedSettings, EmulatedFleet, getTeamSecret } from '@baobabwell/emulator';
+import { VIEW_STORE } from '@baobabwell/entry';
+import { EntityKind, HostState, Outcome, WaveState } from '@baobabwell/model';
+import { NO_WORKER_FAULTS } from '@baobabwell/stand-ins';
+
+const SEED = 13;
+const LIMIT_MS = 60_000;
+const BOOT_MS = 20_000;
+const STEP_MS = 50;
+const WAVE_LIMIT_MS = 1_200_000;
+
+function createFleet(): EmulatedFleet {
+  const settings = buildEmulatedSettings({
+    entries: 3,
+    pools: [
+      { id: 'ovens', workers: 6, minimumServing: 4 },
+      { id: 'spare', workers: 2, minimumServing: 0, spare: true },
+    ],
+    teams: [{ id: 'guilds', share: 1, limit: 30 }],
+  });
+  const fleet = new EmulatedFleet(settings, SEED);
+  fleet.listWorkers().forEach((worker) => worker.applyBootTime(BOOT_MS));
+  return fleet;
+}
+
+describe('maintenance', () => {
+  let fleet: EmulatedFleet;
+
+  beforeEach(async () => {
+    fleet = createFleet();
+    await fleet.startAll();
+    await fleet.advance(3_000);
+  });
+
+  afterEach(() => fleet.close());
+
+  async function operate(text: string, entry = 'entry-2'): Promise<OperatorReply> {
+    return (await fleet.time.settle(fleet.operate(entry, text), LIMIT_MS)) as OperatorReply;
+  }
+
+  function getView(entry = 'entry-3') {
+    return fleet.getService(entry, VIEW_STORE).get();
+  }
+
+  function getHost(id: string) {
+    return getView().get(EntityKind.Host, id);
+  }
+
+  function countUp(pool: string): number {
+    return getView()
+      .listHosts(pool)
+      .filter((host) => host.state === HostState.Serving && !fleet.getWorker(host.id).isBooting())
+      .length;
+  }
+
+  async function advanceUntil(isDone: () => boolean, check: () => void = () => {}): Promise<void> {
+    const endsAt = fleet.time.getNow() + WAVE_LIMIT_MS;
+    while (!isDone() && fleet.time.getNow() < endsAt) {
+      await fleet.advance(STEP_MS);
+      check();
+    }
+    expect(isDone()).toEqual(true);
+  }
+
+  function isWave(id: string, state: WaveState, entry = 'entry-3'): boolean {
+    return getView(entry).get(EntityKind.Wave, id)?.state === state;
+  }
+
+  it('reboots a host only after its work has ended, and returns it', async () => {
+    const call = {
+      queue: 'ovens',
+      secret: getTeamSecret('guilds'),
+      body: Buffer.from('{"runMs":9000}'),
+      timeoutMs: 30_000,
+    };
+    const calls = Array.from({ length: 9 }, async () => fleet.call('entry-1', call));
+    await fleet.advance(500);
+    const host = fleet.listWorkers().find((worker) => worker.getRunningCount() > 0)?.id ?? '';
+    await operate(`reboot host ${host} reason "kernel"`);
+    const results = await fleet.time.settle(Promise.all(calls), LIMIT_MS);
+    await advanceUntil(() => getHost(host)?.state === HostState.Serving);
+    expect(results.map((result) => result?.outcome)).toEqual(
+      Array.from({ length: 9 }, () => Outcome.Completed),
+    );
+    expect(fleet.getWorker(host).getRebootToken() > 0).toEqual(true);
+    expect(fleet.listLedger().filter(({ event }) => event === 'stopped')).toEqual([]);
+  });
+
+  it('moves a host in one pool at a time', async () => {
+    await operate('move host ovens-1 to spare reason "less load"');
+    const pools = new Set<string>();
+    await advanceUntil(
+      () => getHost('ovens-1')?.pool === 'spare',
+      () => pools.add(`${getHost('ovens-1')?.pool} ${getHost('ovens-1')?.state}`),
+    );
+    expect([...pools]).toEqual([
+      'ovens draining',
+      ...(pools.has('ovens drained') ? ['ovens drained'] : []),
+      'spare serving',
+    ]);
+  });
+
+  it('reboots a pool in a wave as fast as its budget allows, and never below it', async () => {
+    await operate('start wave spring pool = ovens reason "kernel"');
+    let lowest = 6;
+    await advanceUntil(
+      () => isWave('spring', WaveState.Finished),
+      () => {
+        lowest = Math.min(lowest, countUp('ovens'));
+      },
+    );
+    expect(lowest).toEqual(4);
+    expect(getView().get(EntityKind.Wave, 'spring')?.done.length).toEqual(6);
+  });
+
+  it('refuses to reboot a drained host once its pool has lost another', async () => {
+    await operate('reboot host ovens-1');
+    await operate('reboot host ovens-2');
+    ['ovens-3'].forEach((id) =>
+      fleet.getWorker(id).applyFaults({ ...NO_WORKER_FAULTS, down: true }),
+    );
+    await fleet.advance(60_000);
+    expect(getHost('ovens-1')?.state).toEqual(HostState.Drained);
+    expect(fleet.getWorker('ovens-1').getRebootToken()).toEqual(0);
+    fleet.getWorker('ovens-3').applyFaults(NO_WORKER_FAULTS);
+    await advanceUntil(() => getHost('ovens-1')?.state === HostState.Serving);
+  });
+
+  it('stops a wave whose hosts come back bad, and tells which', async () => {
+    ['ovens-1', 'ovens-2'].forEach((id) => fleet.getWorker(id).applyBootTime(WAVE_LIMIT_MS * 2));
+    await operate('start wave spring pool = ovens');
+    await advanceUntil(() => isWave('spring', WaveState.Stopped));
+    const wave = getView().get(EntityKind.Wave, 'spring');
+    expect(wave?.failed).toEqual(['ovens-1', 'ovens-2']);
+    expect(wave?.stateReason).toEqual('came back bad or not at all: ovens-1, ovens-2');
+    expect(wave?.waiting.length).toEqual(4);
+  });
+
+  it('stops a wave when the budget leaves no room, and goes on when told to', async () => {
+    await operate('drain host ovens-1');
+    await operate('drain host ovens-2');
+    await operate('start wave spring pool = ovens');
+    await advanceUntil(() => isWave('spring', WaveState.Stopped));
+    const reason = getView().get(EntityKind.Wave, 'spring')?.stateReason;
+    await operate('return host ovens-1');
+    await operate('return host ovens-2');
+    await operate('resume wave spring');
+    await advanceUntil(() => isWave('spring', WaveState.Finished));
+    expect(reason).toEqual(expect.includes('pool ovens has 4 serving hosts and needs 4'));
+  });
+
+  it('pauses, resumes and aborts a wave', async () => {
+    await operate('start wave spring pool = ovens');
+    await fleet.advance(2_000);
+    await operate('pause wave spring');
+    await fleet.advance(100_000);
+    const paused = getView().get(EntityKind.Wave, 'spring');
+    await operate('resume wave spring');
+    await fleet.advance(2_000);
+    await operate('abort wave spring');
+    await fleet.advance(100_000);
+    const aborted = getView().get(EntityKind.Wave, 'spring');
+    expect([paused?.done.length, paused?.working.length]).toEqual([2, 0]);
+    expect([aborted?.done.length, aborted?.state]).toEqual([4, WaveState.Aborted]);
+  });
+
+  it('goes on at another entry when the one in charge stops', async () => {
+    await operate('start wave spring pool = ovens');
+    await fleet.advance(10_000);
+    const owner = getView().get(EntityKind.Controller, 'maintenance')?.owner ?? '';
+    await fleet.stopEntry(owner);
+    const other = fleet.listEntries()[0] ?? '';
+    await advanceUntil(() => isWave('spring', WaveState.Finished, other));
+    expect(getView(other).get(EntityKind.Controller, 'maintenance')?.owner).not.toEqual(owner);
+    expect(getView(other).get(EntityKind.Wave, 'spring')?.done.length).toEqual(6);
+  });
+
+  it('refuses a wave over hosts that another wave covers', async () => {
+    await operate('start wave spring pool = ovens');
+    const reply = await operate('start wave summer rack = ovens-rack-1');
+    expect(reply.kind === 'refused' && reply.message).toEqual(
+      expect.includes('wave spring (running) covers some of these hosts'),
+    );
+  });
+});
--- a/packages/baobabwell-maintenance/src/index.ts
+++ b/packages/baobabwell-maintenance/src/index.ts
@@ -5,9 +5,17 @@
   MaintenanceRefusal,
 } from './BaobabwellMaintenance';
 export type { OutOfService, PoolBudget } from './BaobabwellMaintenanceBudget';
+export type {
+  ControllerReport,
+  MaintenanceControllerParts,
+} from './BaobabwellMaintenanceController';
+export type { DutyContext, DutyDecision } from './BaobabwellMaintenanceDuty';
 export type { HostHealthParts } from './BaobabwellMaintenanceHealth';
 export type { HostControlError, HostStatus } from './BaobabwellMaintenanceHostControl';
 export type { TakeOutRequest } from './BaobabwellMaintenanceHosts';
+export type { ControllerIdentity } from './BaobabwellMaintenanceOwnership';
+export type { WaveStep } from './BaobabwellMaintenanceWavePolicy';
+export type { WavePlan } from './BaobabwellMaintenanceWaves';
 
 export { NO_EVIDENCE } from './BaobabwellMaintenance';
 export {
@@ -17,6 +25,8 @@
   getPoolBudget,
   isPlannedOut,
 } from './BaobabwellMaintenanceBudget';
+export { MaintenanceController } from './BaobabwellMaintenanceController';
+export { MaintenanceDuty } from './BaobabwellMaintenanceDuty';
 export { HostHealth } from './BaobabwellMaintenanceHealth';
 export { HostControl } from './BaobabwellMaintenanceHostControl';
 export {
@@ -27,3 +37,10 @@
   findHost,
 } from './BaobabwellMaintenanceHosts';
 export { HttpHostControl } from './BaobabwellMaintenanceHttpHostControl';
+export { CONTROLLER_ID, isOwner } from './BaobabwellMaintenanceOwnership';
+export {
+  BudgetWavePolicy,
+  OneByOneWavePolicy,
+  WavePolicy,
+} from './BaobabwellMaintenanceWavePolicy';
+export { decideWave, decideWaveState, WaveDuty } from './BaobabwellMaintenanceWaves';
--- a/packages/baobabwell-operations/src/BaobabwellOperationsExplain.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsExplain.ts
@@ -70,7 +70,7 @@
     command.summary,
     `usage: ${formatUsage(command)}`,
     `needs the role ${command.role}`,
-    `at version ${view.version}:`,
+    'on the fleet as it is now:',
     ...outcome,
   ];
 }
--- a/packages/baobabwell-operations/src/index.ts
+++ b/packages/baobabwell-operations/src/index.ts
@@ -55,3 +55,4 @@
 export { EntitySource } from './BaobabwellOperationsSources';
 export { RetireTargetCommand, ReturnTargetCommand } from './BaobabwellOperationsTargetCommands';
 export { UndoChangeCommand } from './BaobabwellOperationsUndoCommand';
+export { createWaveCommands } from './BaobabwellOperationsWaveCommands';
