entry: a planned stop falls out of readiness first and keeps peers until last

Cause: at SIGTERM the peer server closed first, new callers were still sent here, and the operator server went before the drain was over. Change: readiness falls, the balancer is given 1.5 s, the caller server ends what is in flight, leases and membership go, and the peer and operator servers close last. Not taken: a fixed sleep before exit. Conclusion: the order of a stop is the reverse of registration, so servers that must outlive the rest are registered before it.

--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -15,12 +15,15 @@
 import { operatorsPlugin } from './BaobabwellEntryOperatorsPlugin';
 import { peerServerPlugin, peersPlugin } from './BaobabwellEntryPeersPlugin';
 import { platformPlugin } from './BaobabwellEntryPlatformPlugin';
+import { Readiness } from './BaobabwellEntryReadiness';
 import {
   ENTRY_SETTINGS,
+  FRESHNESS,
   IDENTITY,
   LOGGER,
   METRICS,
   PEER_ROUTERS,
+  READINESS,
   SETTINGS,
 } from './BaobabwellEntryTokens';
 import { viewPlugin } from './BaobabwellEntryViewPlugin';
@@ -58,6 +61,10 @@
   kernel.registerService(LOGGER, () => logger);
   kernel.registerService(METRICS, () => new EntryMetrics());
   kernel.registerService(PEER_ROUTERS, () => []);
+  kernel.registerService(
+    READINESS,
+    () => new Readiness(() => kernel.getService(FRESHNESS).isCurrent()),
+  );
   [...before, ...FEATURES, ...after].forEach((plugin) => kernel.use(plugin));
   return kernel;
 }
--- a/packages/baobabwell-entry/src/BaobabwellEntryCallServerPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallServerPlugin.ts
@@ -3,9 +3,12 @@
 import { buildCallServer } from '@baobabwell/calls';
 
 import { parseAddress } from './BaobabwellEntryAddress';
-import { CALL_SERVICE, ENTRY_SETTINGS, LOGGER, METRICS } from './BaobabwellEntryTokens';
+import { registerHealthRoutes } from './BaobabwellEntryHealth';
+import { CALL_SERVICE, ENTRY_SETTINGS, LOGGER, METRICS, READINESS } from './BaobabwellEntryTokens';
 
 const CLOSE_BOUND_MS = 30_000;
+/** Time that the platform's balancer takes to see that an entry is not ready. */
+const READINESS_DELAY_MS = 1_500;
 const MS_PER_SECOND = 1_000;
 
 /** Serves callers over HTTP. */
@@ -23,7 +26,18 @@
         metrics.callSeconds.observe({ queue }, durationMs / MS_PER_SECOND);
       },
     );
+    const readiness = kernel.getService(READINESS);
+    registerHealthRoutes(server, readiness);
+    server.addHook('onSend', async (_request, reply) => {
+      if (readiness.isStopping()) {
+        reply.header('connection', 'close');
+      }
+    });
     await server.listen(parseAddress(kernel.getService(ENTRY_SETTINGS).callers));
     kernel.lifecycle.add('caller server', async () => server.close(), CLOSE_BOUND_MS);
+    kernel.lifecycle.add('readiness', async () => {
+      readiness.stop();
+      await kernel.clock.wait(READINESS_DELAY_MS);
+    });
   },
 };
--- a/packages/baobabwell-entry/src/BaobabwellEntryOperatorServerPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryOperatorServerPlugin.ts
@@ -8,16 +8,18 @@
 import { EntityKind } from '@baobabwell/model';
 
 import { parseAddress } from './BaobabwellEntryAddress';
+import { registerHealthRoutes } from './BaobabwellEntryHealth';
 import {
   ENTRY_SETTINGS,
   FRESHNESS,
   METRICS,
+  OPERATOR_SERVER,
   OPERATOR_SERVICE,
+  READINESS,
   VIEW_STORE,
 } from './BaobabwellEntryTokens';
 
 const HTTP_UNAUTHORIZED = 401;
-const HTTP_UNAVAILABLE = 503;
 const BEARER = 'Bearer ';
 
 const statementBody = z.object({ text: z.string().min(1) });
@@ -44,30 +46,28 @@
   });
 }
 
-function registerHealthRoutes(kernel: Kernel, server: FastifyInstance): void {
+function registerMetricsRoute(kernel: Kernel, server: FastifyInstance): void {
   const freshness = kernel.getService(FRESHNESS);
   const metrics = kernel.getService(METRICS);
-  server.get('/livez', async () => ({ live: true }));
-  server.get('/readyz', async (_request, reply) =>
-    freshness.isCurrent()
-      ? { ready: true }
-      : reply.code(HTTP_UNAVAILABLE).send({ ready: false, cause: 'view-stale' }),
-  );
   server.get('/metrics', async (_request, reply) => {
     metrics.viewAgeSeconds.set(freshness.getAge() / MS_PER_SECOND);
     return reply.type(metrics.registry.contentType).send(await metrics.registry.metrics());
   });
 }
 
-/** Serves operators, health checks and metrics over HTTP. */
+/** Serves operators, health checks and metrics over HTTP, until all else has stopped. */
 export const operatorServerPlugin: Plugin = {
   name: 'operator server',
-  register: () => () => {},
-  async start(kernel) {
+  register(kernel) {
     const server = Fastify({ forceCloseConnections: true });
+    kernel.lifecycle.add('operator server', async () => server.close());
+    return kernel.registerService(OPERATOR_SERVER, () => server);
+  },
+  async start(kernel) {
+    const server = kernel.getService(OPERATOR_SERVER);
     registerOperatorRoutes(kernel, server);
-    registerHealthRoutes(kernel, server);
+    registerHealthRoutes(server, kernel.getService(READINESS));
+    registerMetricsRoute(kernel, server);
     await server.listen(parseAddress(kernel.getService(ENTRY_SETTINGS).operators));
-    kernel.lifecycle.add('operator server', async () => server.close());
   },
 };
--- a/packages/baobabwell-entry/src/BaobabwellEntryPeersPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryPeersPlugin.ts
@@ -1,9 +1,16 @@
 import type { Plugin } from '@baobabwell/kernel';
+import type { FastifyInstance } from 'fastify';
 
 import { buildPeerServer, HttpPeerConnector, mergePeerRouters } from '@baobabwell/peers';
 
 import { parseAddress } from './BaobabwellEntryAddress';
-import { ENTRY_SETTINGS, PEER_CONNECTOR, PEER_ROUTERS, SETTINGS } from './BaobabwellEntryTokens';
+import {
+  ENTRY_SETTINGS,
+  PEER_CONNECTOR,
+  PEER_ROUTERS,
+  PEER_SERVERS,
+  SETTINGS,
+} from './BaobabwellEntryTokens';
 
 /** Connects to other entries. */
 export const peersPlugin: Plugin = {
@@ -15,14 +22,23 @@
   },
 };
 
-/** Serves other entries; started after every package has contributed its router. */
+/**
+ * Serves other entries; started after every package has contributed its router, and closed after
+ * everything that peers ask for has stopped.
+ */
 export const peerServerPlugin: Plugin = {
   name: 'peer server',
-  register: () => () => {},
+  register(kernel) {
+    const opened: FastifyInstance[] = [];
+    kernel.lifecycle.add('peer server', async () => {
+      await Promise.all(opened.map(async (server) => server.close()));
+    });
+    return kernel.registerService(PEER_SERVERS, () => opened);
+  },
   async start(kernel) {
     const router = mergePeerRouters(kernel.getService(PEER_ROUTERS));
     const server = await buildPeerServer(router, kernel.getService(SETTINGS).peers.secret);
+    kernel.getService(PEER_SERVERS).push(server);
     await server.listen(parseAddress(kernel.getService(ENTRY_SETTINGS).peers));
-    kernel.lifecycle.add('peer server', async () => server.close());
   },
 };
--- a/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
@@ -1,3 +1,4 @@
+import type { Readiness } from './BaobabwellEntryReadiness';
 import type { WorkerDirectory } from './BaobabwellEntryWorkers';
 import type { CallService } from '@baobabwell/calls';
 import type { Logger } from '@baobabwell/logging';
@@ -18,6 +19,7 @@
 } from '@baobabwell/view';
 import type { WorkerClientFactory } from '@baobabwell/workers';
 import type { AnyTRPCRouter } from '@trpc/server';
+import type { FastifyInstance } from 'fastify';
 
 import { createEvent, createServiceToken } from '@baobabwell/kernel';
 
@@ -43,10 +45,13 @@
 export const FRESHNESS = createServiceToken<FreshnessTracker>('freshness');
 export const PEER_CONNECTOR = createServiceToken<PeerConnector>('peerConnector');
 export const PEER_ROUTERS = createServiceToken<AnyTRPCRouter[]>('peerRouters');
+export const PEER_SERVERS = createServiceToken<FastifyInstance[]>('peerServers');
 export const WORKER_CLIENT_FACTORY = createServiceToken<WorkerClientFactory>('workerClientFactory');
 export const WORKER_DIRECTORY = createServiceToken<WorkerDirectory>('workerDirectory');
 export const PERMIT_POOL = createServiceToken<PermitPool>('permitPool');
+export const READINESS = createServiceToken<Readiness>('readiness');
 export const CALL_SERVICE = createServiceToken<CallService>('callService');
+export const OPERATOR_SERVER = createServiceToken<FastifyInstance>('operatorServer');
 export const OPERATOR_SERVICE = createServiceToken<OperatorService>('operatorService');
 
 /** A change that this entry committed. */
