split: plan, rehearsal, undoable steps and the end of the leaving half

Cause: the split, for which the product is made, could not be planned or run. Change: a plan in the view, a rehearsal of both halves with everything in the way, steps taken by the controller (targets leaving, hosts drained, keys and queues withdrawn) with what they replace kept for an undo in one change, and a last step that cannot be undone; the leaving half is stored as an object before that. Not taken: an undo step by step, since a half undone split is a third state that nobody asked for. Conclusion: what keeps an undo honest is that it is one conditional change.

--- a/packages/baobabwell-entry/src/BaobabwellEntryMaintenancePlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryMaintenancePlugin.ts
@@ -2,6 +2,7 @@
 
 import { mergeUndo } from '@baobabwell/kernel';
 import { HostHealth, MaintenanceController, WaveDuty } from '@baobabwell/maintenance';
+import { SplitDuty } from '@baobabwell/split';
 
 import {
   FRESHNESS,
@@ -11,6 +12,7 @@
   IDENTITY,
   LOGGER,
   MAINTENANCE_CONTROLLER,
+  OBJECT_STORE,
   VIEW_STORE,
   VIEW_WRITER,
 } from './BaobabwellEntryTokens';
@@ -34,7 +36,7 @@
     control: kernel.getService(HOST_CONTROL),
     clock: kernel.clock,
     isCurrent: () => kernel.getService(FRESHNESS).isCurrent(),
-    duties: [new WaveDuty()],
+    duties: [new WaveDuty(), new SplitDuty(kernel.getService(OBJECT_STORE))],
     report: (event, fields) => logger.recordInfo(event, fields),
   });
 }
--- a/packages/baobabwell-entry/src/BaobabwellEntryOperatorsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryOperatorsPlugin.ts
@@ -10,6 +10,7 @@
   CommandsSource,
   createEntityCommands,
   CreateOperatorCommand,
+  createSplitCommands,
   createWaveCommands,
   DrainHostCommand,
   EntitySource,
@@ -51,6 +52,7 @@
   [
     ...createEntityCommands(),
     ...createWaveCommands(),
+    ...createSplitCommands(),
     new CreateOperatorCommand(),
     new GrantKeyCommand(),
     new RotateKeyCommand(),
--- a/packages/baobabwell-maintenance/src/BaobabwellMaintenanceBudget.ts
+++ b/packages/baobabwell-maintenance/src/BaobabwellMaintenanceBudget.ts
@@ -37,9 +37,10 @@
   return evidence.isReachable === false ? 'probe failed' : null;
 }
 
-/** Whether a host is out of service on purpose. */
-export function isPlannedOut({ state }: Host): boolean {
-  return PLANNED_STATES.has(state);
+/** Whether a host is out of service on purpose, to come back; one that has left does not. */
+export function isPlannedOut({ state, maintenance }: Host): boolean {
+  const hasLeft = state === HostState.Drained && (maintenance?.split ?? null) !== null;
+  return PLANNED_STATES.has(state) && !hasLeft;
 }
 
 /** Counts what serves in a pool and what is out, for any reason. */
--- a/packages/baobabwell-model/src/BaobabwellModelConstants.ts
+++ b/packages/baobabwell-model/src/BaobabwellModelConstants.ts
@@ -109,7 +109,6 @@
   Paused = 'paused',
   /** Every step that can be undone is done. */
   Ready = 'ready',
-  Undoing = 'undoing',
   Finished = 'finished',
 }
 
--- a/packages/baobabwell-operations/src/BaobabwellOperations.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperations.ts
@@ -2,6 +2,8 @@
 import type { EntityKind, FleetView, Mutation, OperatorRole } from '@baobabwell/model';
 import type { Result } from '@baobabwell/utils';
 
+import { createOk } from '@baobabwell/utils';
+
 /** Kinds of value that an option of a command takes. */
 export enum OptionKind {
   Text = 'text',
@@ -90,6 +92,21 @@
   abstract decide(input: CommandInput, context: CommandContext): Result<Decision, Refusal>;
 }
 
+/** A command that answers with rows and changes nothing. */
+export abstract class OperatorReport extends OperatorCommand {
+  abstract readonly columns: readonly string[];
+
+  /** Lists the rows of the answer. */
+  abstract listRows(
+    input: CommandInput,
+    context: CommandContext,
+  ): Result<readonly QueryRow[], Refusal>;
+
+  override decide(): Result<Decision, Refusal> {
+    return createOk({ mutations: [], notes: [] });
+  }
+}
+
 /** A cell of the answer to a query. */
 export type QueryCell = string | number | boolean | null;
 
--- a/packages/baobabwell-operations/src/BaobabwellOperationsService.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsService.ts
@@ -29,6 +29,7 @@
 import { EntityKind, OperatorRole } from '@baobabwell/model';
 import { createError, createOk } from '@baobabwell/utils';
 
+import { OperatorReport } from './BaobabwellOperations';
 import { FleetNameCatalog } from './BaobabwellOperationsCatalog';
 import {
   DRY_RUN_COLUMNS,
@@ -224,6 +225,9 @@
       case CommandMode.DryRun:
         return this.#dryRun(parsed);
       case CommandMode.Run:
+        if (parsed.command instanceof OperatorReport) {
+          return this.#report(parsed.command, parsed);
+        }
         return this.#writeChange(parsed, seenVersion ?? this.#parts.store.get().version);
     }
   }
@@ -269,14 +273,7 @@
     if (refusal !== null) {
       return createError(refusal);
     }
-    const context: CommandContext = {
-      view,
-      wallTime: this.#parts.clock.getWallTime(),
-      reason: statement.reason ?? '',
-      operator,
-      getEvidence: this.#parts.getEvidence,
-    };
-    const decision = command.decide(input, context);
+    const decision = command.decide(input, this.#buildContext(parsed, view));
     if (!decision.ok) {
       return decision;
     }
@@ -286,6 +283,24 @@
       : createError({ code: 'not-allowed', message: findings.join('; ') });
   }
 
+  #buildContext({ statement, operator }: ParsedCommand, view: FleetView): CommandContext {
+    return {
+      view,
+      wallTime: this.#parts.clock.getWallTime(),
+      reason: statement.reason ?? '',
+      operator,
+      getEvidence: this.#parts.getEvidence,
+    };
+  }
+
+  #report(command: OperatorReport, parsed: ParsedCommand): OperatorReply {
+    const view = this.#parts.store.get();
+    const rows = command.listRows(parsed.input, this.#buildContext(parsed, view));
+    return rows.ok
+      ? { kind: 'rows', columns: command.columns, rows: rows.value, version: view.version }
+      : buildRefused(rows.error.code, rows.error.message);
+  }
+
   #explain(parsed: ParsedCommand): OperatorReply {
     const view = this.#parts.store.get();
     const lines = listExplanation(parsed.command, view, this.#decide(parsed, view));
--- a/packages/baobabwell-operations/src/index.ts
+++ b/packages/baobabwell-operations/src/index.ts
@@ -24,7 +24,7 @@
 export type { OperatorReply } from './BaobabwellOperationsReply';
 export type { OperatorServiceParts, StatementOptions } from './BaobabwellOperationsService';
 
-export { OperatorCommand, OptionKind, QuerySource } from './BaobabwellOperations';
+export { OperatorCommand, OperatorReport, OptionKind, QuerySource } from './BaobabwellOperations';
 export {
   ChangeEntityCommand,
   CreateEntityCommand,
@@ -53,6 +53,7 @@
 export { CommandRecords } from './BaobabwellOperationsRecords';
 export { OperatorService } from './BaobabwellOperationsService';
 export { EntitySource } from './BaobabwellOperationsSources';
+export { createSplitCommands } from './BaobabwellOperationsSplitCommands';
 export { RetireTargetCommand, ReturnTargetCommand } from './BaobabwellOperationsTargetCommands';
 export { UndoChangeCommand } from './BaobabwellOperationsUndoCommand';
 export { createWaveCommands } from './BaobabwellOperationsWaveCommands';
--- /dev/null
+++ b/packages/baobabwell-split/src/index.ts
@@ -0,0 +1,8 @@
+export type { SplitPlan } from './BaobabwellSplit';
+export type { SplitHalf, SplitHalves } from './BaobabwellSplitHalves';
+export type { RehearsalLine } from './BaobabwellSplitRehearsal';
+
+export { decideFinish, decidePause, decidePlan, decideStart, decideUndo } from './BaobabwellSplit';
+export { getExportName, SplitDuty } from './BaobabwellSplitDuty';
+export { getHalves } from './BaobabwellSplitHalves';
+export { rehearseSplit, SplitSide } from './BaobabwellSplitRehearsal';
