--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -62,12 +62,12 @@
   ...configs.node.recommended,
   prettier,
   {
-    files: ['packages/**/*.ts', 'scripts/**/*.ts'],
+    files: ['packages/**/*.ts', 'scripts/**/*.ts', 'tests/**/*.ts'],
     languageOptions: { parserOptions: { projectService: true } },
     rules: houseRules,
   },
   {
-    files: ['**/__tests__/**/*.ts', 'scripts/**'],
+    files: ['**/__tests__/**/*.ts', 'tests/**', 'scripts/**'],
     rules: testRules,
   },
   {
--- a/packages/baobabwell-load/src/BaobabwellLoad.ts
+++ b/packages/baobabwell-load/src/BaobabwellLoad.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@baobabwell/utils';
+import type { Dispatcher } from 'undici';
 
 import { Agent, request } from 'undici';
 import { z } from 'zod';
@@ -6,13 +7,15 @@
 import { Outcome } from '@baobabwell/model';
 import { Random } from '@baobabwell/utils';
 
+import { LoadBalancer } from './BaobabwellLoadBalancer';
+
 const MS_PER_SECOND = 1_000;
 const CALL_TIMEOUT_MS = 30_000;
 
 /** What load to send. */
 export type LoadPlan = {
   readonly clock: Clock;
-  /** `host:port` of the entries; calls are spread at random. */
+  /** `host:port` of the entries; calls are spread over those that are ready. */
   readonly addresses: readonly string[];
   readonly queue: string;
   readonly secret: string | null;
@@ -51,56 +54,83 @@
   return parsed.success && parsed.data.echo === body;
 }
 
+function isRefused(error: unknown): boolean {
+  return (error as { code?: unknown }).code === 'ECONNREFUSED';
+}
+
 async function sendCall(
   plan: LoadPlan,
-  agent: Agent,
+  agent: Dispatcher,
   address: string,
   body: string,
 ): Promise<CallEnd> {
-  try {
-    const reply = await request(`http://${address}/v1/queues/${plan.queue}/calls`, {
-      method: 'POST',
-      dispatcher: agent,
-      headers: {
-        'content-type': 'application/json',
-        'call-repeatable': plan.isRepeatable ? 'yes' : 'no',
-        ...(plan.secret === null ? {} : { authorization: `Bearer ${plan.secret}` }),
-      },
-      body,
-      signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
-    });
-    const outcome = reply.headers['call-outcome'] as Outcome;
-    const answer = await reply.body.text();
-    if (outcome === Outcome.Completed && !isOwnAnswer(answer, body)) {
-      return 'wrongAnswer';
+  const reply = await request(`http://${address}/v1/queues/${plan.queue}/calls`, {
+    method: 'POST',
+    dispatcher: agent,
+    headers: {
+      'content-type': 'application/json',
+      'call-repeatable': plan.isRepeatable ? 'yes' : 'no',
+      ...(plan.secret === null ? {} : { authorization: `Bearer ${plan.secret}` }),
+    },
+    body,
+    signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+  });
+  const outcome = reply.headers['call-outcome'] as Outcome;
+  const answer = await reply.body.text();
+  if (outcome === Outcome.Completed && !isOwnAnswer(answer, body)) {
+    return 'wrongAnswer';
+  }
+  return COUNT_BY_OUTCOME[outcome] ?? 'lost';
+}
+
+/** Sends a call through the balancer, which tries another entry where nothing listens. */
+async function sendBalanced(
+  plan: LoadPlan,
+  agent: Dispatcher,
+  balancer: LoadBalancer,
+  body: string,
+): Promise<CallEnd> {
+  let attemptsLeft = plan.addresses.length;
+  while (attemptsLeft > 0) {
+    attemptsLeft -= 1;
+    const address = balancer.getAddress();
+    try {
+      return await sendCall(plan, agent, address, body);
+    } catch (error) {
+      if (!isRefused(error)) {
+        return 'lost';
+      }
+      balancer.remove(address);
     }
-    return COUNT_BY_OUTCOME[outcome] ?? 'lost';
-  } catch {
-    return 'lost';
   }
+  return 'lost';
 }
 
 /** Sends calls at a steady mean rate, waits for all of them, and counts how they ended. */
 export async function runLoad(plan: LoadPlan): Promise<LoadCounts> {
+  const { addresses, clock } = plan;
   const random = new Random(plan.seed);
   const agent = new Agent();
+  const balancer = new LoadBalancer({ addresses, clock, random: new Random(plan.seed + 1), agent });
+  const checks = balancer.run();
   const counts = { calls: 0, completed: 0, notRun: 0, unknown: 0, lost: 0, wrongAnswer: 0 };
   const pending = new Set<Promise<void>>();
-  const endsAt = plan.clock.getNow() + plan.durationMs;
-  let nextAt = plan.clock.getNow();
+  const endsAt = clock.getNow() + plan.durationMs;
+  let nextAt = clock.getNow();
   while (nextAt < endsAt) {
-    await plan.clock.wait(nextAt - plan.clock.getNow());
+    await clock.wait(nextAt - clock.getNow());
     nextAt += random.getExponential(MS_PER_SECOND / plan.ratePerSecond);
     counts.calls += 1;
     const body = JSON.stringify({ runMs: plan.runMs, number: counts.calls, seed: plan.seed });
-    const address = random.getOneOf(plan.addresses);
-    const call = sendCall(plan, agent, address, body).then((end) => {
+    const call = sendBalanced(plan, agent, balancer, body).then((end) => {
       counts[end] += 1;
       pending.delete(call);
     });
     pending.add(call);
   }
   await Promise.all(pending);
+  balancer.stop();
+  await checks;
   await agent.close();
   return counts;
 }
--- a/scripts/processes.ts
+++ b/scripts/processes.ts
@@ -77,15 +77,17 @@
   /** Stops all processes, the newest first. */
   async close(): Promise<void> {
     for (const child of this.#children.toReversed()) {
-      await this.#stop(child);
+      await this.stop(child);
     }
   }
 
-  async #stop(child: ChildProcess): Promise<void> {
+  /** Asks a process to stop and waits; returns its exit code, or `null` if it had to be killed. */
+  async stop(child: ChildProcess): Promise<number | null> {
     if (child.exitCode !== null || child.signalCode !== null) {
-      return;
+      return child.exitCode;
     }
     const exited = once(child, 'exit');
+    child.kill('SIGCONT');
     child.kill('SIGTERM');
     const timeout = new AbortController();
     const killed = wait(STOP_TIMEOUT_MS, null, { signal: timeout.signal }).then(
@@ -95,5 +97,6 @@
     await exited;
     timeout.abort();
     await killed;
+    return child.exitCode;
   }
 }
