settings: every finding at once, with its place and what is allowed

Change: one module a section; checks between sections read the document, so that they report beside schema errors; peers.secretFile; objectives of queues; aliases are refused since they hide places. Way not taken: zod refinements between sections, which do not run once a part of the schema fails. Conclusion: a document with positions is enough for cross checks; the schema stays plain.

--- a/packages/baobabwell-cli/src/BaobabwellCli.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCli.ts
@@ -3,10 +3,10 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 
-import { ExitCode, writeErrorLine, writeLine } from './BaobabwellCliExit';
+import { ExitCode, writeErrorLine } from './BaobabwellCliExit';
 import { runLoadCommand } from './BaobabwellCliLoad';
 import { runServe } from './BaobabwellCliServe';
-import { readSettings } from './BaobabwellCliSettings';
+import { runCheck } from './BaobabwellCliSettings';
 import { runStandInPlatform, runStandInWorkers } from './BaobabwellCliStandIns';
 import { runStatement } from './BaobabwellCliStatements';
 import { VERSION } from './BaobabwellCliVersion';
@@ -30,12 +30,12 @@
   return cli.command(
     'check <file>',
     'Report everything that is wrong with a settings file',
-    (command) => command.positional('file', { type: 'string', demandOption: true }),
-    async ({ file }) => {
-      if ((await readSettings(file)) !== null) {
-        writeLine(`${file}: no findings`);
-      }
-    },
+    (command) =>
+      command
+        .positional('file', { type: 'string', demandOption: true })
+        .option('json', { type: 'boolean', default: false, describe: 'Print JSON' })
+        .example('$0 check fleet.yaml', 'List every finding with its line and what is allowed'),
+    async ({ file, json }) => runCheck(file, json),
   );
 }
 
--- a/packages/baobabwell-cli/src/BaobabwellCliServe.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCliServe.ts
@@ -2,7 +2,7 @@
 import { SystemClock } from '@baobabwell/utils';
 
 import { ExitCode, writeErrorLine } from './BaobabwellCliExit';
-import { readSettings } from './BaobabwellCliSettings';
+import { loadSettings } from './BaobabwellCliSettings';
 
 /** Resolves when the process is asked to stop. */
 export async function waitForStop(): Promise<void> {
@@ -24,7 +24,7 @@
     process.exitCode = ExitCode.BadInput;
     return;
   }
-  const settings = await readSettings(file);
+  const settings = await loadSettings(file);
   if (settings === null) {
     return;
   }
--- a/packages/baobabwell-cli/src/BaobabwellCliSettings.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCliSettings.ts
@@ -1,27 +1,37 @@
 import type { Settings } from '@baobabwell/settings';
+import type { Finding } from '@baobabwell/utils';
 
-import { readFile } from 'node:fs/promises';
-
-import { parseSettings } from '@baobabwell/settings';
+import { readSettings } from '@baobabwell/settings';
 import { formatFinding } from '@baobabwell/utils';
 
-import { ExitCode, writeErrorLine } from './BaobabwellCliExit';
+import { ExitCode, writeErrorLine, writeLine } from './BaobabwellCliExit';
 
-/** Reads settings; on findings prints all of them and sets the exit code. */
-export async function readSettings(file: string): Promise<Settings | null> {
-  let text: string;
-  try {
-    text = await readFile(file, 'utf8');
-  } catch (error) {
-    writeErrorLine(`${file}: cannot be read: ${(error as Error).message}`);
-    process.exitCode = ExitCode.BadInput;
-    return null;
-  }
-  const parsed = parseSettings(text, file);
-  if (parsed.ok) {
-    return parsed.value;
+function writeFindings(findings: readonly Finding[], file: string): void {
+  findings.forEach((finding) => writeErrorLine(formatFinding(finding)));
+  writeErrorLine(`${file}: ${findings.length} finding${findings.length === 1 ? '' : 's'}`);
+}
+
+/** Loads settings; on findings prints all of them and sets the exit code. */
+export async function loadSettings(file: string): Promise<Settings | null> {
+  const read = await readSettings(file);
+  if (read.ok) {
+    return read.value;
   }
-  parsed.error.forEach((finding) => writeErrorLine(formatFinding(finding)));
+  writeFindings(read.error, file);
   process.exitCode = ExitCode.BadInput;
   return null;
 }
+
+/** Reports everything that is wrong with a settings file. */
+export async function runCheck(file: string, json: boolean): Promise<void> {
+  const read = await readSettings(file);
+  const findings = read.ok ? [] : read.error;
+  if (json) {
+    writeLine(JSON.stringify({ file, findings }));
+  } else if (read.ok) {
+    writeLine(`${file}: no findings`);
+  } else {
+    writeFindings(findings, file);
+  }
+  process.exitCode = read.ok ? ExitCode.Success : ExitCode.BadInput;
+}
--- a/packages/baobabwell-settings/src/BaobabwellSettingsFleet.ts
+++ b/packages/baobabwell-settings/src/BaobabwellSettingsFleet.ts
@@ -1,8 +1,20 @@
 import type { FleetSettings } from './BaobabwellSettingsSchema';
-import type { Mutation } from '@baobabwell/model';
+import type { Mutation, Queue } from '@baobabwell/model';
 
 import { createPut, EntityKind, HostState, TargetState } from '@baobabwell/model';
 
+function buildQueue(queue: FleetSettings['queues'][number]): Queue {
+  return {
+    id: queue.id,
+    target: queue.target,
+    access: queue.access,
+    teams: queue.teams,
+    mode: queue.mode,
+    deadlineMs: queue.deadline,
+    window: queue.window,
+  };
+}
+
 /** Builds the mutations that create the fleet of the settings. */
 export function buildFleet(fleet: FleetSettings, wallTime: number): readonly Mutation[] {
   const pools = fleet.pools.flatMap(({ hosts, spare, ...pool }) => [
@@ -30,8 +42,6 @@
     ...fleet.targets.map((value) =>
       createPut(EntityKind.Target, { ...value, state: TargetState.Serving }),
     ),
-    ...fleet.queues.map(({ deadline, ...queue }) =>
-      createPut(EntityKind.Queue, { ...queue, deadlineMs: deadline }),
-    ),
+    ...fleet.queues.map((queue) => createPut(EntityKind.Queue, buildQueue(queue))),
   ];
 }
--- a/packages/baobabwell-settings/src/BaobabwellSettingsParser.ts
+++ b/packages/baobabwell-settings/src/BaobabwellSettingsParser.ts
@@ -1,89 +1,101 @@
-import type { Settings } from './BaobabwellSettingsSchema';
+/** Reads settings, or reports everything that is wrong with them at once. */
+import type { Settings, WrittenSettings } from './BaobabwellSettingsSchema';
 import type { Finding, Result } from '@baobabwell/utils';
-import type { z } from 'zod';
 
-import { isNode, LineCounter, parseDocument } from 'yaml';
+import { readFile } from 'node:fs/promises';
+import { dirname, resolve } from 'node:path';
 
 import { createError, createOk, FindingList } from '@baobabwell/utils';
 
+import { SettingsDocument } from './BaobabwellSettingsDocument';
+import { buildFindings } from './BaobabwellSettingsIssues';
+import { checkQueues } from './BaobabwellSettingsQueueChecks';
+import { REFERENCE_CHECKS } from './BaobabwellSettingsReferences';
 import { settingsSchema } from './BaobabwellSettingsSchema';
 
-type Source = {
-  readonly file: string;
-  readonly document: ReturnType<typeof parseDocument>;
-  readonly lines: LineCounter;
-};
+const MIN_SECRET_CHARACTERS = 16;
+const SECRET_FILE = ['peers', 'secretFile'];
 
-function formatPath(path: readonly PropertyKey[]): string {
-  return path.reduce<string>(
-    (text, part) =>
-      typeof part === 'number' ? `${text}[${part}]` : `${text}${text && '.'}${String(part)}`,
-    '',
-  );
+function checkSyntax(document: SettingsDocument, findings: FindingList): boolean {
+  const problems = document.listProblems();
+  problems.forEach(({ place, problem }) => {
+    findings.add({ place, problem, allowed: 'YAML 1.2 without aliases' });
+  });
+  // A repeated key leaves a document that the other checks can still read.
+  return problems.every(({ isRepeatedKey }) => isRepeatedKey);
 }
 
-/** Finds the position of a path, or of the nearest part of it that exists. */
-function findOffset({ document }: Source, path: readonly PropertyKey[]): number {
-  for (let length = path.length; length >= 0; length -= 1) {
-    const node = document.getIn(path.slice(0, length), true);
-    if (isNode(node) && node.range) {
-      return node.range[0];
-    }
-  }
-  return 0;
+function checkSchema(document: SettingsDocument, findings: FindingList): WrittenSettings | null {
+  const parsed = settingsSchema.safeParse(document.getValue());
+  parsed.error?.issues
+    .flatMap((issue) => buildFindings(document, settingsSchema, issue))
+    .forEach((finding) => findings.add(finding));
+  return parsed.data ?? null;
 }
 
-function formatAllowed(issue: z.core.$ZodIssue): string {
-  const { params } = issue as { params?: { allowed?: string } };
-  if (params?.allowed !== undefined) {
-    return params.allowed;
+/** Gets the peers' secret from the settings or from the text of its file. */
+function getSecret(
+  document: SettingsDocument,
+  secretText: string | null,
+  findings: FindingList,
+): string | null {
+  if (document.getText(SECRET_FILE) === null) {
+    return document.getText(['peers', 'secret']);
   }
-  switch (issue.code) {
-    case 'invalid_type':
-      return `a value of type ${issue.expected}`;
-    case 'invalid_value':
-      return issue.values.join(', ');
-    case 'too_small':
-      return `at least ${issue.minimum}`;
-    case 'too_big':
-      return `at most ${issue.maximum}`;
-    case 'unrecognized_keys':
-      return 'only the documented keys';
-    default:
-      return 'see docs/SETTINGS.md';
+  const secret = secretText?.trim() ?? null;
+  if (secret === null || secret.length < MIN_SECRET_CHARACTERS) {
+    findings.add({
+      place: document.findPlace(SECRET_FILE),
+      problem: secret === null ? 'the file cannot be read' : 'the secret in the file is too short',
+      allowed: `a readable file with a secret of ${MIN_SECRET_CHARACTERS} characters or more`,
+    });
   }
+  return secret;
 }
 
-function buildFinding(source: Source, issue: z.core.$ZodIssue): Finding {
-  const { line, col } = source.lines.linePos(findOffset(source, issue.path));
-  return {
-    place: { file: source.file, line, column: col, path: formatPath(issue.path) },
-    problem: issue.message,
-    allowed: formatAllowed(issue),
-  };
-}
-
-/** Reads settings from YAML, or reports everything that is wrong with them. */
-export function parseSettings(text: string, file: string): Result<Settings, readonly Finding[]> {
-  const lines = new LineCounter();
-  const document = parseDocument(text, { lineCounter: lines });
+/**
+ * Parses settings written in YAML.
+ *
+ * @param file name of the text in findings.
+ * @param secretText text of the file that `peers.secretFile` names, or `null`.
+ * @returns the settings, or all findings in the order of their place. Findings quote no secret.
+ */
+export function parseSettings(
+  text: string,
+  file: string,
+  secretText: string | null = null,
+): Result<Settings, readonly Finding[]> {
+  const document = new SettingsDocument(text, file);
   const findings = new FindingList();
-  document.errors.forEach(({ message, linePos }) => {
-    const [{ line, col }] = linePos ?? [{ line: 1, col: 1 }];
-    findings.add({
-      place: { file, line, column: col, path: '' },
-      problem: message,
-      allowed: 'YAML 1.2',
-    });
-  });
-  if (!findings.isEmpty()) {
+  if (!checkSyntax(document, findings)) {
     return createError(findings.list());
   }
-  const parsed = settingsSchema.safeParse(document.toJS());
-  if (parsed.success) {
-    return createOk(parsed.data);
+  const written = checkSchema(document, findings);
+  REFERENCE_CHECKS.forEach((check) => check(document, findings));
+  checkQueues(document).forEach((finding) => findings.add(finding));
+  const secret = getSecret(document, secretText, findings);
+  return written !== null && secret !== null && findings.isEmpty()
+    ? createOk({ ...written, peers: { secret } })
+    : createError(findings.list());
+}
+
+async function readText(path: string): Promise<string | null> {
+  try {
+    return await readFile(path, 'utf8');
+  } catch {
+    return null;
+  }
+}
+
+/** Reads settings from a file, and the peers' secret from the file that they may name beside it. */
+export async function readSettings(file: string): Promise<Result<Settings, readonly Finding[]>> {
+  const text = await readText(file);
+  if (text === null) {
+    const place = { file, line: 1, column: 1, path: '' };
+    return createError([{ place, problem: 'cannot be read', allowed: 'a readable file' }]);
   }
-  const source = { file, document, lines };
-  parsed.error.issues.forEach((issue) => findings.add(buildFinding(source, issue)));
-  return createError(findings.list());
+  const secretFile = new SettingsDocument(text, file).getText(SECRET_FILE);
+  const secretText =
+    secretFile === null ? null : await readText(resolve(dirname(file), secretFile));
+  return parseSettings(text, file, secretText);
 }
--- a/packages/baobabwell-settings/src/BaobabwellSettingsUnits.ts
+++ b/packages/baobabwell-settings/src/BaobabwellSettingsUnits.ts
@@ -1,3 +1,4 @@
+/** Quantities with their units, as they are written in settings. */
 import { z } from 'zod';
 
 const MS_PER_UNIT: Readonly<Record<string, number>> = {
@@ -10,11 +11,29 @@
 
 const DURATION = /^(\d+(?:\.\d+)?)(ms|s|m|h|d)$/;
 const MEMORY = /^(\d+(?:\.\d+)?)(GB|TB)$/;
+const PERCENTAGE = /^(\d+(?:\.\d+)?)%$/;
 const GB_PER_TB = 1_024;
+const PERCENT = 100;
 
-/** A text that must match a pattern; `allowed` is what a finding tells the reader to write. */
-export function createPattern(pattern: RegExp, problem: string, allowed: string): z.ZodString {
-  return z.string().refine((text) => pattern.test(text), { error: problem, params: { allowed } });
+/** A text that passes a check; `allowed` is what a finding tells the reader to write. */
+export function createText(
+  isValid: (text: string) => boolean,
+  problem: string,
+  allowed: string,
+): z.ZodCustom<string, string> {
+  return z.custom<string>((value) => typeof value === 'string' && isValid(value), {
+    error: problem,
+    params: { allowed },
+  });
+}
+
+/** A text that matches a pattern. */
+export function createPattern(
+  pattern: RegExp,
+  problem: string,
+  allowed: string,
+): z.ZodCustom<string, string> {
+  return createText((text) => pattern.test(text), problem, allowed);
 }
 
 /** Parses a duration such as `800ms` into milliseconds, or `null` when it is not one. */
@@ -23,19 +42,36 @@
   return amount === undefined ? null : Number(amount) * (MS_PER_UNIT[unit ?? 'ms'] ?? 1);
 }
 
+/** Parses an amount of memory such as `64GB` into gigabytes, or `null` when it is not one. */
+export function parseMemory(text: string): number | null {
+  const [, amount, unit] = MEMORY.exec(text) ?? [];
+  return amount === undefined ? null : Number(amount) * (unit === 'TB' ? GB_PER_TB : 1);
+}
+
+/** Parses a percentage such as `99.9%` into a fraction, or `null` when it is not one. */
+export function parsePercentage(text: string): number | null {
+  const [, amount] = PERCENTAGE.exec(text) ?? [];
+  const percent = Number(amount);
+  return amount === undefined || percent > PERCENT ? null : percent / PERCENT;
+}
+
 /** A duration such as `800ms`, `2s` or `1.5h`; parsed into milliseconds. */
 export const durationSchema = createPattern(
   DURATION,
-  'is not a duration',
+  'is not a duration with its unit',
   '800ms, 2s, 5m, 1.5h, 7d',
 ).transform((text) => parseDuration(text) ?? 0);
 
 /** An amount of memory such as `64GB`; parsed into gigabytes. */
 export const memorySchema = createPattern(
   MEMORY,
-  'is not an amount of memory',
+  'is not an amount of memory with its unit',
   '64GB, 1TB',
-).transform((text) => {
-  const [, amount = '0', unit = 'GB'] = MEMORY.exec(text) ?? [];
-  return Number(amount) * (unit === 'TB' ? GB_PER_TB : 1);
-});
+).transform((text) => parseMemory(text) ?? 0);
+
+/** A percentage such as `99.9%`; parsed into a fraction. */
+export const percentageSchema = createText(
+  (text) => parsePercentage(text) !== null,
+  'is not a percentage',
+  '0% to 100%, such as 99.9%',
+).transform((text) => parsePercentage(text) ?? 0);
--- a/packages/baobabwell-settings/src/index.ts
+++ b/packages/baobabwell-settings/src/index.ts
@@ -1,6 +1,7 @@
+export type { Objective } from './BaobabwellSettingsQueues';
 export type { EntrySettings, FleetSettings, Settings } from './BaobabwellSettingsSchema';
 
 export { buildFleet } from './BaobabwellSettingsFleet';
-export { parseSettings } from './BaobabwellSettingsParser';
+export { parseSettings, readSettings } from './BaobabwellSettingsParser';
 export { settingsSchema } from './BaobabwellSettingsSchema';
-export { parseDuration } from './BaobabwellSettingsUnits';
+export { parseDuration, parseMemory, parsePercentage } from './BaobabwellSettingsUnits';
