settings: the schema gives settings that can be used as they are

Cause: the schema's own output had an optional peers' secret, which the emulator's settings do not fit. Change: the schema yields one secret, empty until its file is read; findings see through transformed sections. Conclusion: other packages keep building settings with settingsSchema.parse.

--- a/packages/baobabwell-settings/src/BaobabwellSettingsEntries.ts
+++ b/packages/baobabwell-settings/src/BaobabwellSettingsEntries.ts
@@ -14,7 +14,10 @@
   peers: addressSchema,
 });
 
-/** The secret that entries show each other, given here or in a file of its own. */
+/**
+ * The secret that entries show each other, given here or in a file of its own; empty until the
+ * file is read.
+ */
 export const peersSchema = z
   .strictObject({
     secret: z.string().min(MIN_SECRET_CHARACTERS).optional(),
@@ -23,7 +26,8 @@
   .refine(({ secret, secretFile }) => (secret === undefined) !== (secretFile === undefined), {
     error: 'needs exactly one of secret and secretFile',
     params: { allowed: `a secret of ${MIN_SECRET_CHARACTERS} characters or more, or a file of it` },
-  });
+  })
+  .transform(({ secret }) => ({ secret: secret ?? '' }));
 
 /** What is logged. */
 export const logSchema = z.strictObject({
--- a/packages/baobabwell-settings/src/BaobabwellSettingsIssues.ts
+++ b/packages/baobabwell-settings/src/BaobabwellSettingsIssues.ts
@@ -20,6 +20,9 @@
 
 function getInner(schema: z.core.$ZodType): z.core.$ZodType {
   const { def } = schema._zod;
+  if (def.type === 'pipe') {
+    return getInner((def as z.core.$ZodPipeDef).in);
+  }
   return WRAPPERS.includes(def.type) ? getInner((def as z.core.$ZodDefaultDef).innerType) : schema;
 }
 
--- a/packages/baobabwell-settings/src/BaobabwellSettingsParser.ts
+++ b/packages/baobabwell-settings/src/BaobabwellSettingsParser.ts
@@ -1,5 +1,5 @@
 /** Reads settings, or reports everything that is wrong with them at once. */
-import type { Settings, WrittenSettings } from './BaobabwellSettingsSchema';
+import type { Settings } from './BaobabwellSettingsSchema';
 import type { Finding, Result } from '@baobabwell/utils';
 
 import { readFile } from 'node:fs/promises';
@@ -25,7 +25,7 @@
   return problems.every(({ isRepeatedKey }) => isRepeatedKey);
 }
 
-function checkSchema(document: SettingsDocument, findings: FindingList): WrittenSettings | null {
+function checkSchema(document: SettingsDocument, findings: FindingList): Settings | null {
   const parsed = settingsSchema.safeParse(document.getValue());
   parsed.error?.issues
     .flatMap((issue) => buildFindings(document, settingsSchema, issue))
--- a/packages/baobabwell-settings/src/BaobabwellSettingsSchema.ts
+++ b/packages/baobabwell-settings/src/BaobabwellSettingsSchema.ts
@@ -33,13 +33,8 @@
   fleet: fleetSchema,
 });
 
-/** The settings as written, with defaults; the peers' secret may still be in its file. */
-export type WrittenSettings = z.infer<typeof settingsSchema>;
-
 /** The settings of a whole deployment; durations in milliseconds, memory in gigabytes. */
-export type Settings = Omit<WrittenSettings, 'peers'> & {
-  readonly peers: { readonly secret: string };
-};
+export type Settings = z.infer<typeof settingsSchema>;
 
 /** The settings of one entry. */
 export type EntrySettings = Settings['entries'][number];
