repair: failed hosts found, replaced from spare and brought back

Cause: a dead host counted against its pool's budget until an operator acted. Change: a duty of the controller weighs host list, probes and results over time, takes a failed host out, sends a spare one and puts the failed one into spare once nothing of its old pool can run on it, and reboots it when it answers again; each change says why, and each pool can switch it off. Not taken: acting on one kind of evidence at once, since the host list lags and a probe may fail for a path of this entry alone. Conclusion: when most hosts look failed, the entry doubts its own sight.

--- a/packages/baobabwell-entry/src/BaobabwellEntryMaintenancePlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryMaintenancePlugin.ts
@@ -1,7 +1,9 @@
 import type { Kernel, Plugin } from '@baobabwell/kernel';
+import type { ControllerReport } from '@baobabwell/maintenance';
 
 import { mergeUndo } from '@baobabwell/kernel';
 import { HostHealth, MaintenanceController, WaveDuty } from '@baobabwell/maintenance';
+import { RepairDuty } from '@baobabwell/repair';
 import { SplitDuty } from '@baobabwell/split';
 
 import {
@@ -28,6 +30,7 @@
 
 function buildController(kernel: Kernel): MaintenanceController {
   const logger = kernel.getService(LOGGER);
+  const report: ControllerReport = (event, fields) => logger.recordInfo(event, fields);
   return new MaintenanceController({
     identity: kernel.getService(IDENTITY),
     store: kernel.getService(VIEW_STORE),
@@ -36,8 +39,12 @@
     control: kernel.getService(HOST_CONTROL),
     clock: kernel.clock,
     isCurrent: () => kernel.getService(FRESHNESS).isCurrent(),
-    duties: [new WaveDuty(), new SplitDuty(kernel.getService(OBJECT_STORE))],
-    report: (event, fields) => logger.recordInfo(event, fields),
+    duties: [
+      new WaveDuty(),
+      new SplitDuty(kernel.getService(OBJECT_STORE)),
+      new RepairDuty(() => null, report),
+    ],
+    report,
   });
 }
 
--- a/packages/baobabwell-maintenance/src/BaobabwellMaintenance.ts
+++ b/packages/baobabwell-maintenance/src/BaobabwellMaintenance.ts
@@ -6,6 +6,8 @@
   readonly isListed: boolean | null;
   /** Whether its last probe succeeded, or `null` when that is not known. */
   readonly isReachable: boolean | null;
+  /** Tasks that ran on it at the last answered probe, or `null` when that is not known. */
+  readonly running: number | null;
 };
 
 /** Gives what is known of a host besides the view. */
@@ -24,4 +26,8 @@
 };
 
 /** A host of which nothing is known besides the view. */
-export const NO_EVIDENCE: HostEvidence = { isListed: null, isReachable: null };
+export const NO_EVIDENCE: HostEvidence = {
+  isListed: null,
+  isReachable: null,
+  running: null,
+};
--- a/packages/baobabwell-maintenance/src/BaobabwellMaintenanceHealth.ts
+++ b/packages/baobabwell-maintenance/src/BaobabwellMaintenanceHealth.ts
@@ -51,7 +51,11 @@
     if (probe === undefined && this.#listed === null) {
       return NO_EVIDENCE;
     }
-    return { isListed: this.#isListed(host), isReachable: this.#isReachable(probe) };
+    return {
+      isListed: this.#isListed(host),
+      isReachable: this.#isReachable(probe),
+      running: probe?.status?.running ?? null,
+    };
   }
 
   /** Number of probes of a host that failed in a row. */
--- a/packages/baobabwell-maintenance/src/__tests__/unit/BaobabwellMaintenanceWaves.test.ts
+++ b/packages/baobabwell-maintenance/src/__tests__/unit/BaobabwellMaintenanceWaves.test.ts
@@ -33,6 +33,7 @@
   beforeEach(async () => {
     fleet = createFleet();
     await fleet.startAll();
+    await operate('change pool ovens self-repair = no');
     await fleet.advance(3_000);
   });
 
--- /dev/null
+++ b/packages/baobabwell-repair/src/__tests__/unit/BaobabwellRepair.test.ts
@@ -0,0 +1,137 @@
+import type { OperatorReply } from '@baobabwell/operations';
+
+import { expect } from 'earl';
+
+import { buildEmulatedSettings, EmulatedFleet } from '@baobabwell/emulator';
+import { VIEW_STORE } from '@baobabwell/entry';
+import { EntityKind, HostState } from '@baobabwell/model';
+import { ListedHostState } from '@baobabwell/platform';
+import { NO_WORKER_FAULTS } from '@baobabwell/stand-ins';
+
+const SEED = 19;
+const LIMIT_MS = 60_000;
+const REPAIR_LIMIT_MS = 120_000;
+const STEP_MS = 100;
+const DOWN = { ...NO_WORKER_FAULTS, down: true };
+
+function createFleet(): EmulatedFleet {
+  const settings = buildEmulatedSettings({
+    entries: 3,
+    pools: [
+      { id: 'ovens', workers: 5, minimumServing: 4 },
+      { id: 'spare', workers: 2, minimumServing: 0, spare: true },
+    ],
+    teams: [{ id: 'guilds', share: 1, limit: 30 }],
+  });
+  return new EmulatedFleet(settings, SEED);
+}
+
+describe('self-repair', () => {
+  let fleet: EmulatedFleet;
+
+  beforeEach(async () => {
+    fleet = createFleet();
+    await fleet.startAll();
+    await fleet.advance(3_000);
+  });
+
+  afterEach(() => fleet.close());
+
+  async function operate(text: string): Promise<OperatorReply> {
+    return (await fleet.time.settle(fleet.operate('entry-2', text), LIMIT_MS)) as OperatorReply;
+  }
+
+  function getHost(id: string) {
+    return fleet.getService('entry-3', VIEW_STORE).get().get(EntityKind.Host, id);
+  }
+
+  function listPool(pool: string): readonly string[] {
+    return fleet
+      .getService('entry-3', VIEW_STORE)
+      .get()
+      .listHosts(pool)
+      .map(({ id, state }) => `${id} ${state}`);
+  }
+
+  function applyUnlisted(hosts: readonly string[]): void {
+    const listed = fleet.settings.fleet.pools
+      .flatMap((pool) => pool.hosts)
+      .filter(({ id }) => !hosts.includes(id))
+      .map(({ id, address }) => ({ id, address, state: ListedHostState.Live }));
+    fleet.hosts.replace(listed);
+  }
+
+  async function advanceUntil(isDone: () => boolean): Promise<void> {
+    const endsAt = fleet.time.getNow() + REPAIR_LIMIT_MS;
+    while (!isDone() && fleet.time.getNow() < endsAt) {
+      await fleet.advance(STEP_MS);
+    }
+    expect(isDone()).toEqual(true);
+  }
+
+  it('replaces a failed host from spare and explains it', async function () {
+    fleet.getWorker('ovens-2').applyFaults(DOWN);
+    applyUnlisted(['ovens-2']);
+    await advanceUntil(
+      () => getHost('ovens-2')?.pool === 'spare' && getHost('spare-1')?.pool === 'ovens',
+    );
+    const reply = await operate('changes where reason like "self-repair*" show command, reason');
+    expect(listPool('ovens')).toEqual([
+      'ovens-1 serving',
+      'ovens-3 serving',
+      'ovens-4 serving',
+      'ovens-5 serving',
+      'spare-1 serving',
+    ]);
+    expect(reply.kind === 'rows' && reply.rows).toMatchSnapshot(this);
+  });
+
+  it('needs longer when only one kind of evidence speaks against a host', async () => {
+    fleet.getWorker('ovens-2').applyFaults(DOWN);
+    await fleet.advance(20_000);
+    const early = getHost('ovens-2')?.state;
+    await advanceUntil(() => getHost('ovens-2')?.state === HostState.Failed);
+    expect(early).toEqual(HostState.Serving);
+  });
+
+  it('leaves a host alone that was silent only for a moment', async () => {
+    fleet.getWorker('ovens-2').applyFaults(DOWN);
+    await fleet.advance(4_000);
+    fleet.getWorker('ovens-2').applyFaults(NO_WORKER_FAULTS);
+    await fleet.advance(60_000);
+    expect(getHost('ovens-2')?.stateReason).toEqual('settings');
+  });
+
+  it('reboots a failed host that answers again, before it serves', async () => {
+    fleet.getWorker('ovens-2').applyFaults(DOWN);
+    await advanceUntil(() => getHost('ovens-2')?.pool === 'spare');
+    fleet.getWorker('ovens-2').applyFaults(NO_WORKER_FAULTS);
+    await advanceUntil(() => getHost('ovens-2')?.state === HostState.Serving);
+    expect(fleet.getWorker('ovens-2').getRebootToken() > 0).toEqual(true);
+    expect(getHost('ovens-2')?.pool).toEqual('spare');
+  });
+
+  it('does nothing in a pool that switched it off', async () => {
+    await operate('change pool ovens self-repair = no');
+    fleet.getWorker('ovens-2').applyFaults(DOWN);
+    applyUnlisted(['ovens-2']);
+    await fleet.advance(120_000);
+    expect(getHost('ovens-2')?.state).toEqual(HostState.Serving);
+  });
+
+  it('doubts itself rather than the fleet when most hosts look failed', async () => {
+    fleet.listWorkers().forEach((worker) => worker.applyFaults(DOWN));
+    await fleet.advance(120_000);
+    const log = fleet.getLogLines().filter((line) => line.includes('event=self-repair-doubted'));
+    expect(listPool('ovens').every((line) => line.endsWith('serving'))).toEqual(true);
+    expect(log.length).toEqual(1);
+  });
+
+  it('takes no more from spare than its budget allows', async () => {
+    await operate('change pool spare minimum-serving = 2');
+    fleet.getWorker('ovens-2').applyFaults(DOWN);
+    await fleet.advance(120_000);
+    expect(getHost('ovens-2')?.state).toEqual(HostState.Failed);
+    expect(listPool('spare')).toEqual(['spare-1 serving', 'spare-2 serving']);
+  });
+});
