--- a/packages/baobabwell-cli/src/BaobabwellCliLoad.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCliLoad.ts
@@ -1,45 +1,83 @@
-import { runLoad } from '@baobabwell/load';
-import { parseDuration } from '@baobabwell/settings';
+/** The command `load`. */
+import type { LoadCounts } from '@baobabwell/load';
+import type { Argv } from 'yargs';
+
 import { SystemClock } from '@baobabwell/utils';
 
-import { ExitCode, writeErrorLine, writeLine } from './BaobabwellCliExit';
+import { ExitCode, writeLine } from './BaobabwellCliExit';
+import {
+  createDurationOption,
+  createNumberOption,
+  getCallerKey,
+  JSON_OPTION,
+  SEED_OPTION,
+} from './BaobabwellCliOptions';
 
-/** Options of the load command as they were typed. */
-export type LoadOptions = {
+type LoadOptions = {
   readonly address: readonly string[];
   readonly queue: string;
   readonly rate: number;
-  readonly duration: string;
-  readonly run: string;
+  readonly durationMs: number;
+  readonly runMs: number;
   readonly seed: number;
   readonly json: boolean;
 };
 
-/** Sends load and prints the counts. */
-export async function runLoadCommand(options: LoadOptions): Promise<void> {
-  const durationMs = parseDuration(options.duration);
-  const runMs = parseDuration(options.run);
-  if (durationMs === null || runMs === null) {
-    writeErrorLine('--for and --run take durations such as 800ms or 5s');
-    process.exitCode = ExitCode.BadInput;
-    return;
-  }
+function formatCounts(counts: LoadCounts): string {
+  return Object.entries(counts)
+    .map(([name, value]) => `${name} ${value}`)
+    .join('\n');
+}
+
+async function runLoadCommand(options: LoadOptions): Promise<void> {
+  const { runLoad } = await import('@baobabwell/load');
   const counts = await runLoad({
     clock: new SystemClock(),
     addresses: options.address,
     queue: options.queue,
-    secret: process.env['BAOBABWELL_KEY'] ?? null,
+    secret: getCallerKey(),
     ratePerSecond: options.rate,
-    durationMs,
-    runMs,
+    durationMs: options.durationMs,
+    runMs: options.runMs,
     isRepeatable: true,
     seed: options.seed,
   });
-  writeLine(
-    options.json
-      ? JSON.stringify(counts)
-      : Object.entries(counts)
-          .map(([name, value]) => `${name} ${value}`)
-          .join('\n'),
+  writeLine(options.json ? JSON.stringify(counts) : formatCounts(counts));
+  process.exitCode = ExitCode.Success;
+}
+
+/** Adds the command `load`. */
+export function addLoad(cli: Argv): Argv {
+  return cli.command(
+    'load',
+    'Send calls at a steady rate and count their outcomes',
+    (command) =>
+      command
+        .option('address', {
+          type: 'string',
+          array: true,
+          demandOption: true,
+          describe: 'Caller addresses of entries',
+        })
+        .option('queue', { type: 'string', demandOption: true, describe: 'Queue to call' })
+        .option('rate', {
+          ...createNumberOption('rate', 'Calls a second', { moreThan: 0 }),
+          default: 100,
+        })
+        .option('for', createDurationOption('for', 'How long to call', '5s'))
+        .option('run', createDurationOption('run', 'Run time of the work', '20ms'))
+        .option('seed', SEED_OPTION)
+        .option('json', JSON_OPTION)
+        .example(
+          '$0 load --address 127.0.0.1:8001 --queue enrolments --rate 50 --for 10s',
+          'Call the queue 50 times a second',
+        )
+        .epilogue('The key of the caller is read from BAOBABWELL_KEY.'),
+    async (options) =>
+      runLoadCommand({
+        ...options,
+        durationMs: options.for as unknown as number,
+        runMs: options.run as unknown as number,
+      }),
   );
 }
--- a/packages/baobabwell-cli/src/BaobabwellCliServe.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCliServe.ts
@@ -1,7 +1,10 @@
-import { buildEntry } from '@baobabwell/entry';
+/** The command `serve`. */
+import type { Settings } from '@baobabwell/settings';
+import type { Argv } from 'yargs';
+
 import { SystemClock } from '@baobabwell/utils';
 
-import { ExitCode, writeErrorLine } from './BaobabwellCliExit';
+import { ExitCode, getMessage, writeErrorLine } from './BaobabwellCliExit';
 import { loadSettings } from './BaobabwellCliSettings';
 
 /** Resolves when the process is asked to stop. */
@@ -17,8 +20,30 @@
   return value !== undefined && value !== '0';
 }
 
+async function runEntry(settings: Settings, entry: Settings['entries'][number]): Promise<void> {
+  const { buildEntry } = await import('@baobabwell/entry');
+  const kernel = buildEntry(settings, entry, new SystemClock());
+  const stopped = waitForStop();
+  let hasStarted = false;
+  try {
+    await Promise.race([
+      kernel.start().then(() => {
+        hasStarted = true;
+      }),
+      stopped,
+    ]);
+    await stopped;
+  } catch (error) {
+    writeErrorLine(`${entry.id} cannot start: ${getMessage(error)}`);
+  }
+  const failures = await kernel.close();
+  failures.forEach(({ name, cause }) => writeErrorLine(`${name}: ${getMessage(cause)}`));
+  const isClean = hasStarted && failures.length === 0;
+  process.exitCode = isClean ? ExitCode.Success : ExitCode.Failure;
+}
+
 /** Runs one entry until the process is asked to stop. */
-export async function runServe(file: string, entryId: string): Promise<void> {
+async function runServe(file: string, entryId: string): Promise<void> {
   if (isIoUringOn()) {
     writeErrorLine('UV_USE_IO_URING is set: the system does not run with io_uring');
     process.exitCode = ExitCode.BadInput;
@@ -35,11 +60,20 @@
     process.exitCode = ExitCode.BadInput;
     return;
   }
-  const kernel = buildEntry(settings, entry, new SystemClock());
-  const stopped = waitForStop();
-  await kernel.start();
-  await stopped;
-  const failures = await kernel.close();
-  failures.forEach(({ name, cause }) => writeErrorLine(`${name}: ${String(cause)}`));
-  process.exitCode = failures.length > 0 ? ExitCode.Failure : ExitCode.Success;
+  await runEntry(settings, entry);
+}
+
+/** Adds the command `serve`. */
+export function addServe(cli: Argv): Argv {
+  return cli.command(
+    'serve',
+    'Run one entry',
+    (command) =>
+      command
+        .option('settings', { type: 'string', demandOption: true, describe: 'Settings file' })
+        .option('entry', { type: 'string', demandOption: true, describe: 'Entry to run' })
+        .example('$0 serve --settings fleet.yaml --entry entry-1', 'Run the entry entry-1')
+        .epilogue('SIGTERM stops the entry without cutting a call.'),
+    async ({ settings, entry }) => runServe(settings, entry),
+  );
 }
--- a/packages/baobabwell-cli/src/BaobabwellCliSettings.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCliSettings.ts
@@ -1,10 +1,13 @@
+/** The command `check`, and the settings of `serve`. */
 import type { Settings } from '@baobabwell/settings';
 import type { Finding } from '@baobabwell/utils';
+import type { Argv } from 'yargs';
 
 import { readSettings } from '@baobabwell/settings';
 import { formatFinding } from '@baobabwell/utils';
 
 import { ExitCode, writeErrorLine, writeLine } from './BaobabwellCliExit';
+import { JSON_OPTION } from './BaobabwellCliOptions';
 
 function writeFindings(findings: readonly Finding[], file: string): void {
   findings.forEach((finding) => writeErrorLine(formatFinding(finding)));
@@ -22,8 +25,7 @@
   return null;
 }
 
-/** Reports everything that is wrong with a settings file. */
-export async function runCheck(file: string, json: boolean): Promise<void> {
+async function runCheck(file: string, json: boolean): Promise<void> {
   const read = await readSettings(file);
   const findings = read.ok ? [] : read.error;
   if (json) {
@@ -35,3 +37,18 @@
   }
   process.exitCode = read.ok ? ExitCode.Success : ExitCode.BadInput;
 }
+
+/** Adds the command `check`. */
+export function addCheck(cli: Argv): Argv {
+  return cli.command(
+    'check <file>',
+    'Report everything that is wrong with a settings file',
+    (command) =>
+      command
+        .positional('file', { type: 'string', demandOption: true, describe: 'Settings file' })
+        .option('json', JSON_OPTION)
+        .example('$0 check fleet.yaml', 'List every finding with its line and what is allowed')
+        .example('$0 check fleet.yaml --json', 'The same for a program'),
+    async ({ file, json }) => runCheck(file, json),
+  );
+}
--- a/packages/baobabwell-cli/src/BaobabwellCliStandIns.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCliStandIns.ts
@@ -1,42 +1,110 @@
-import {
-  buildPlatformServer,
-  buildWorkerServer,
-  StandInHostList,
-  StandInObjectStore,
-  StandInTableService,
-  StandInWorker,
-} from '@baobabwell/stand-ins';
+/** The command `stand-in`. */
+import type { FastifyInstance } from 'fastify';
+import type { Argv } from 'yargs';
+
 import { Random, SystemClock } from '@baobabwell/utils';
 
 import { writeLine } from './BaobabwellCliExit';
+import {
+  createNumberOption,
+  createPortOption,
+  JSON_OPTION,
+  SEED_OPTION,
+} from './BaobabwellCliOptions';
 import { waitForStop } from './BaobabwellCliServe';
 
 const HOST_LIST_LAG_MS = 5_000;
+const DEFAULT_SLOTS = 8;
+const LOOPBACK = '127.0.0.1';
+
+type StandInWorkers = {
+  readonly port: number;
+  readonly count: number;
+  readonly slots: number;
+  readonly json: boolean;
+};
+
+function writeReady(what: string, ports: readonly number[], json: boolean): void {
+  const text = `${what} on ${ports.map((port) => `${LOOPBACK}:${port}`).join(', ')}`;
+  writeLine(json ? JSON.stringify({ what, host: LOOPBACK, ports }) : text);
+}
+
+async function runServers(
+  servers: readonly FastifyInstance[],
+  firstPort: number,
+  what: string,
+  json: boolean,
+): Promise<void> {
+  const ports = servers.map((_, index) => firstPort + index);
+  await Promise.all(
+    servers.map(async (server, index) =>
+      server.listen({ host: LOOPBACK, port: firstPort + index }),
+    ),
+  );
+  writeReady(what, ports, json);
+  await waitForStop();
+  await Promise.all(servers.map(async (server) => server.close()));
+}
 
-/** Runs the platform stand-ins until the process is asked to stop. */
-export async function runStandInPlatform(port: number, seed: number): Promise<void> {
+async function runPlatform(port: number, seed: number, json: boolean): Promise<void> {
+  const standIns = await import('@baobabwell/stand-ins');
   const clock = new SystemClock();
-  const server = buildPlatformServer({
-    tables: new StandInTableService(clock, new Random(seed)),
-    objects: new StandInObjectStore(),
-    hosts: new StandInHostList(clock, HOST_LIST_LAG_MS),
+  const server = standIns.buildPlatformServer({
+    tables: new standIns.StandInTableService(clock, new Random(seed)),
+    objects: new standIns.StandInObjectStore(),
+    hosts: new standIns.StandInHostList(clock, HOST_LIST_LAG_MS),
   });
-  await server.listen({ host: '127.0.0.1', port });
-  writeLine(`platform stand-in on port ${port}`);
-  await waitForStop();
-  await server.close();
+  await runServers([server], port, 'platform stand-in', json);
 }
 
-/** Runs worker stand-ins on successive ports until the process is asked to stop. */
-export async function runStandInWorkers(port: number, count: number, slots: number): Promise<void> {
+async function runWorkers({ port, count, slots, json }: StandInWorkers): Promise<void> {
+  const { buildWorkerServer, StandInWorker } = await import('@baobabwell/stand-ins');
   const clock = new SystemClock();
   const servers = Array.from({ length: count }, (_, index) =>
     buildWorkerServer(new StandInWorker(`worker-${port + index}`, slots, clock), clock),
   );
-  await Promise.all(
-    servers.map(async (server, index) => server.listen({ host: '127.0.0.1', port: port + index })),
+  await runServers(servers, port, 'worker stand-ins', json);
+}
+
+function addPlatform(cli: Argv): Argv {
+  return cli.command(
+    'platform',
+    'Run the table service, object store and host list',
+    (command) =>
+      command
+        .option('port', { ...createPortOption('Port on loopback'), demandOption: true })
+        .option('seed', SEED_OPTION)
+        .option('json', JSON_OPTION)
+        .example('$0 stand-in platform --port 9000', 'Serve the platform on 127.0.0.1:9000'),
+    async ({ port, seed, json }) => runPlatform(port, seed, json),
+  );
+}
+
+function addWorker(cli: Argv): Argv {
+  const whole = { isWhole: true, atLeast: 1 };
+  return cli.command(
+    'worker',
+    'Run workers on successive ports',
+    (command) =>
+      command
+        .option('port', { ...createPortOption('First port on loopback'), demandOption: true })
+        .option('count', {
+          ...createNumberOption('count', 'Number of workers', whole),
+          default: 1,
+        })
+        .option('slots', {
+          ...createNumberOption('slots', 'Slots of each worker', whole),
+          default: DEFAULT_SLOTS,
+        })
+        .option('json', JSON_OPTION)
+        .example('$0 stand-in worker --port 8500 --count 12', 'Serve workers on 8500 to 8511'),
+    async (options) => runWorkers(options),
+  );
+}
+
+/** Adds the command `stand-in`. */
+export function addStandIns(cli: Argv): Argv {
+  return cli.command('stand-in', 'Run stand-ins for tests and demonstrations', (command) =>
+    addWorker(addPlatform(command)).demandCommand(1, 'name a stand-in: platform or worker'),
   );
-  writeLine(`${count} worker stand-ins from port ${port}`);
-  await waitForStop();
-  await Promise.all(servers.map(async (server) => server.close()));
 }
--- a/packages/baobabwell-cli/src/BaobabwellCliStatements.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCliStatements.ts
@@ -1,33 +1,24 @@
-import type { OperatorReply, QueryRow } from '@baobabwell/operations';
-
-import { request } from 'undici';
+/** The commands `query` and `command`. */
+import type { OperatorTarget } from './BaobabwellCliOperatorClient';
+import type { OperatorReply } from '@baobabwell/operations';
+import type { Argv } from 'yargs';
 
 import { ExitCode, writeErrorLine, writeLine } from './BaobabwellCliExit';
+import { formatFailure, OperatorClient } from './BaobabwellCliOperatorClient';
+import { ADDRESS_OPTION, CA_OPTION, getOperatorSecret, JSON_OPTION } from './BaobabwellCliOptions';
+import { formatTable } from './BaobabwellCliTable';
 
-const HTTP_OK = 200;
-const COLUMN_GAP = '  ';
-
-/** Where and as whom statements are sent. */
-export type StatementTarget = {
-  /** `host:port` of an entry's operator address. */
-  readonly address: string;
-  readonly secret: string;
-  readonly json: boolean;
-};
-
-/** Formats rows as a table with aligned columns. */
-export function formatTable(columns: readonly string[], rows: readonly QueryRow[]): string {
-  const lines = [columns, ...rows.map((row) => columns.map((name) => String(row[name] ?? '-')))];
-  const widths = columns.map((_, index) =>
-    Math.max(...lines.map((line) => (line[index] ?? '').length)),
-  );
-  return lines
-    .map((line) => line.map((cell, index) => cell.padEnd(widths[index] ?? 0)).join(COLUMN_GAP))
-    .map((line) => line.trimEnd())
-    .join('\n');
-}
+const BAD_TEXT_CODES = [
+  'syntax',
+  'unknown-word',
+  'unknown-source',
+  'unknown-column',
+  'unknown-command',
+  'bad-argument',
+];
 
-function formatReply(reply: OperatorReply): string {
+/** Formats a reply for a reader. */
+export function formatReply(reply: OperatorReply): string {
   switch (reply.kind) {
     case 'rows':
       return formatTable(reply.columns, reply.rows);
@@ -42,13 +33,14 @@
   }
 }
 
-function getExitCode(reply: OperatorReply): ExitCode {
+/** Gets the exit code that tells a script how a statement ended. */
+export function getExitCode(reply: OperatorReply): ExitCode {
   switch (reply.kind) {
     case 'rows':
     case 'changed':
       return ExitCode.Success;
     case 'refused':
-      return reply.code === 'syntax' ? ExitCode.BadInput : ExitCode.Refused;
+      return BAD_TEXT_CODES.includes(reply.code) ? ExitCode.BadInput : ExitCode.Refused;
     case 'unavailable':
       return ExitCode.Failure;
     case 'unknown':
@@ -56,29 +48,60 @@
   }
 }
 
-/** Sends one statement to an entry and prints the reply. */
-export async function runStatement(
-  text: string,
-  { address, secret, json }: StatementTarget,
-): Promise<void> {
-  try {
-    const { statusCode, body } = await request(`http://${address}/v1/statements`, {
-      method: 'POST',
-      headers: { authorization: `Bearer ${secret}`, 'content-type': 'application/json' },
-      body: JSON.stringify({ text }),
-    });
-    const reply = (await body.json()) as OperatorReply;
-    if (statusCode !== HTTP_OK) {
-      writeErrorLine(`refused with status ${statusCode}`);
-      process.exitCode = ExitCode.Refused;
-      return;
-    }
-    const isAnswer = reply.kind === 'rows' || reply.kind === 'changed';
-    const write = isAnswer || json ? writeLine : writeErrorLine;
-    write(json ? JSON.stringify(reply) : formatReply(reply));
-    process.exitCode = getExitCode(reply);
-  } catch (error) {
-    writeErrorLine(`${address}: ${(error as Error).message}`);
-    process.exitCode = ExitCode.Failure;
+async function runStatement(text: string, target: OperatorTarget, json: boolean): Promise<void> {
+  const client = await OperatorClient.open(target);
+  const sent = await client.send(text);
+  await client.close();
+  if (!sent.ok) {
+    writeErrorLine(formatFailure(sent.error, target.address));
+    process.exitCode = sent.error.kind === 'unreachable' ? ExitCode.Failure : ExitCode.Refused;
+    return;
   }
+  const reply = sent.value;
+  const isAnswer = reply.kind === 'rows' || reply.kind === 'changed';
+  const write = isAnswer || json ? writeLine : writeErrorLine;
+  write(json ? JSON.stringify(reply) : formatReply(reply));
+  process.exitCode = getExitCode(reply);
+}
+
+function addStatement(
+  cli: Argv,
+  name: 'query' | 'command',
+  description: string,
+  examples: readonly (readonly [string, string])[],
+): Argv {
+  return cli.command(
+    `${name} <text..>`,
+    description,
+    (command) =>
+      command
+        .positional('text', { type: 'string', array: true, demandOption: true })
+        .option('address', ADDRESS_OPTION)
+        .option('ca', CA_OPTION)
+        .option('json', JSON_OPTION)
+        .example(examples.map(([text, what]): [string, string] => [`$0 ${name} '${text}'`, what]))
+        .epilogue('The operator is known by the secret in BAOBABWELL_OPERATOR_SECRET.'),
+    async ({ text, address, ca, json }) =>
+      runStatement(
+        text.join(' '),
+        { address, secret: getOperatorSecret(), authorityFile: ca ?? null },
+        json,
+      ),
+  );
+}
+
+/** Adds the command `query`. */
+export function addQuery(cli: Argv): Argv {
+  return addStatement(cli, 'query', 'Ask about the fleet', [
+    ['calls show entry, queue, team, host', 'What runs where and for whom'],
+    ['hosts where state = draining show id, pool, rack', 'Hosts that are being drained'],
+  ]);
+}
+
+/** Adds the command `command`. */
+export function addCommand(cli: Argv): Argv {
+  return addStatement(cli, 'command', 'Change the fleet', [
+    ['drain host oven-1 reason "new firmware"', 'Take a host out of service'],
+    ['withdraw key key-guilds if version 12', 'Only if nothing changed since version 12'],
+  ]);
 }
--- /dev/null
+++ b/packages/baobabwell-cli/src/__tests__/unit/BaobabwellCli.test.ts
@@ -0,0 +1,80 @@
+import { expect } from 'earl';
+import { execFile } from 'node:child_process';
+
+import { ExitCode } from '../../BaobabwellCliExit';
+import { formatReply, getExitCode } from '../../BaobabwellCliStatements';
+
+const MAIN = 'packages/baobabwell-cli/src/main.ts';
+const UNUSED_ADDRESS = '127.0.0.1:1';
+
+type Run = { readonly exit: number; readonly output: string; readonly errors: string };
+
+async function runProgram(line: string): Promise<Run> {
+  const words = line.split(' ').filter((word) => word !== '');
+  return new Promise((resolve) => {
+    execFile(process.execPath, ['--import', 'tsx', MAIN, ...words], (error, output, errors) => {
+      resolve({ exit: Number(error?.code ?? 0), output, errors });
+    });
+  });
+}
+
+describe('the command line', () => {
+  it('refuses bad input with one line and runs nothing', async function () {
+    const lines = [
+      '',
+      'no-such-command',
+      'serve --entry entry-1',
+      'serve --settings none.yaml --entry entry-1',
+      'load --address a --queue b --for 5',
+      'stand-in worker --port 99999',
+      'measure no-such-measure --seed -1',
+    ];
+    const runs = await Promise.all(lines.map(async (line) => runProgram(line)));
+    expect(runs).toMatchSnapshot(this);
+  });
+
+  it('tells a check from a failure to reach an entry by the exit code', async () => {
+    const json = await runProgram('check none.yaml --json');
+    expect([json.exit, JSON.parse(json.output)]).toEqual([
+      ExitCode.BadInput,
+      {
+        file: 'none.yaml',
+        findings: [
+          {
+            place: { file: 'none.yaml', line: 1, column: 1, path: '' },
+            problem: 'cannot be read',
+            allowed: 'a readable file',
+          },
+        ],
+      },
+    ]);
+    const query = await runProgram(`query hosts --address ${UNUSED_ADDRESS}`);
+    expect(query).toEqual({
+      exit: ExitCode.Failure,
+      output: '',
+      errors: `${UNUSED_ADDRESS}: connect ECONNREFUSED ${UNUSED_ADDRESS}\n`,
+    });
+  });
+});
+
+describe('formatReply', () => {
+  it('aligns columns and marks missing values', () => {
+    const rows = [
+      { id: 'oven-1', slots: 8 },
+      { id: 'oven-12', slots: null },
+    ];
+    const reply = { kind: 'rows' as const, columns: ['id', 'slots'], rows };
+    expect(formatReply(reply)).toEqual('id       slots\noven-1   8\noven-12  -');
+  });
+
+  it('gives each kind of ending an exit code of its own', () => {
+    const refuse = (code: string): ExitCode =>
+      getExitCode({ kind: 'refused', code, message: '', column: null });
+    expect([
+      refuse('syntax'),
+      refuse('conflict'),
+      getExitCode({ kind: 'unavailable', cause: '' }),
+      getExitCode({ kind: 'unknown', transactionId: '' }),
+    ]).toEqual([ExitCode.BadInput, ExitCode.Refused, ExitCode.Failure, ExitCode.Unknown]);
+  });
+});
--- a/packages/baobabwell-utils/src/BaobabwellFindings.ts
+++ b/packages/baobabwell-utils/src/BaobabwellFindings.ts
@@ -37,6 +37,7 @@
 
 /** Formats a finding as `file:line:column path: problem (allowed: …)`. */
 export function formatFinding({ place, problem, allowed }: Finding): string {
-  const where = `${place.file}:${place.line}:${place.column}`;
-  return `${where} ${place.path}: ${problem} (allowed: ${allowed})`;
+  const path = place.path === '' ? '' : ` ${place.path}`;
+  const where = `${place.file}:${place.line}:${place.column}${path}`;
+  return `${where}: ${problem} (allowed: ${allowed})`;
 }
