scheduling: look for a fitting host before taking a permit

Cause: a permit given back wakes every pool, which took it again for the same call that fits no host: a retry whose other hosts had no slot recursed until the stack was full. Change: the host is found first, then the permit taken; a call whose every host is excluded is refused as no-host instead of waiting for its deadline. Measured: none: the retry tests of package calls failed with RangeError before and pass after. Conclusion: giving back must never be part of looking.

--- a/packages/baobabwell-scheduling/src/BaobabwellSchedulingPool.ts
+++ b/packages/baobabwell-scheduling/src/BaobabwellSchedulingPool.ts
@@ -55,6 +55,9 @@
     if (this.#waiting.size >= MAX_WAITING) {
       return createError({ kind: 'queue-full', retryAfterMs: this.#getRetryAfter() });
     }
+    if (this.#isWithoutHost(request)) {
+      return createError({ kind: 'no-host' });
+    }
     return new Promise((resolve) => {
       this.#add(request, signal, resolve);
       this.dispatchTurns();
@@ -79,6 +82,14 @@
     });
   }
 
+  /** True when every host of the pool is excluded; waiting would be useless. */
+  #isWithoutHost({ excludedHosts }: TurnRequest): boolean {
+    return (
+      excludedHosts.size > 0 &&
+      this.#parts.listSessions().every(({ host }) => excludedHosts.has(host))
+    );
+  }
+
   #add(
     request: TurnRequest,
     signal: AbortSignal,
@@ -121,24 +132,20 @@
     if (sessions.length === 0) {
       return false;
     }
-    for (const team of this.#waiting.listTeams()) {
-      const permit = this.#parts.permits.acquire(team);
-      if (permit !== null) {
-        if (this.#dispatchTeam(team, permit, sessions)) {
-          return true;
-        }
-        permit.release();
-      }
-    }
-    return false;
+    return this.#waiting.listTeams().some((team) => this.#dispatchTeam(team, sessions));
   }
 
-  #dispatchTeam(team: string, permit: Permit, sessions: readonly WorkerSession[]): boolean {
+  /** Looks for a fitting host before it takes a permit: a permit given back wakes the pools. */
+  #dispatchTeam(team: string, sessions: readonly WorkerSession[]): boolean {
     for (const waiting of this.#waiting.listItems(team)) {
       const session = sessions
         .filter(({ host }) => !waiting.request.excludedHosts.has(host))
         .toSorted((a, b) => a.getSlotsInUse() - b.getSlotsInUse())[0];
       if (session !== undefined) {
+        const permit = this.#parts.permits.acquire(team);
+        if (permit === null) {
+          return false;
+        }
         this.#remove(waiting);
         waiting.resolve(createOk(this.#createTurn(team, permit, session)));
         return true;
