workers: leave silent exchanges, fence lost tasks, and suspect workers that fail everything

Cause: a lost task gave its slot and permit back while the worker might still run it; an exchange on a silent connection waited for its deadline; a request could be sent after a pause although lease or view had become too old; a worker that failed everything kept its share of the load. Change: renewals carry the tasks to stop, and an answered renewal (or a lapsed lease) is what ends a lost task; tasks that a worker no longer reports are silent and replace all connections of their age; the last check is made right before the first byte. A run of failures makes a worker suspect only when it is improbable at the failure rate of the pool's other workers and the pool can spare it. Not taken: a separate stop request, which can be lost where the renewal is not. Conclusion: one exchange, the renewal, carries liveness, stops and silence.

--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
@@ -216,6 +216,7 @@
       priority: PriorityClass.Normal,
       timeoutMs: null,
       isRepeatable: false,
+      idempotencyKey: null,
       contentType: 'application/json',
       body: Buffer.from('{}'),
       ...call,
--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorWorkers.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorWorkers.ts
@@ -49,12 +49,16 @@
     this.#to = to;
   }
 
-  override async renew({ holder, slots }: LeaseRequest): Promise<Result<LeaseGrant, WorkerError>> {
+  override async renew({
+    holder,
+    slots,
+    stops,
+  }: LeaseRequest): Promise<Result<LeaseGrant, WorkerError>> {
     const { worker, endpoint } = this.#to;
     if (worker.getFaults().down) {
       return createError({ kind: 'unreachable', cause: 'refused' });
     }
-    const request = { holder, slots, startTtlMs: START_TTL_MS, taskTtlMs: TASK_TTL_MS };
+    const request = { holder, slots, stops, startTtlMs: START_TTL_MS, taskTtlMs: TASK_TTL_MS };
     const result = await this.#network.send({
       from: this.#from,
       to: endpoint,
@@ -74,7 +78,10 @@
     if (worker.getFaults().down) {
       return { kind: 'not-sent', cause: 'refused' };
     }
-    const { id: taskId, holder, team, body } = task;
+    if (!task.canStart()) {
+      return { kind: 'not-sent', cause: 'the lease or the view is too old' };
+    }
+    const { id: taskId, holder, team, body, timeoutMs } = task;
     const result = await this.#network.send({
       from: this.#from,
       to: endpoint,
@@ -82,7 +89,8 @@
       signal,
       handle: async () => {
         await this.#waitWhileSilent();
-        const ended = await worker.run({ taskId, holder, team, body: Buffer.from(body) });
+        const incoming = { taskId, holder, team, body: Buffer.from(body), timeoutMs };
+        const ended = await worker.run(incoming);
         await endpoint.clock.wait(worker.getFaults().slowMs);
         return buildOutcome(task, worker, ended);
       },
@@ -106,6 +114,10 @@
     });
   }
 
+  override replaceConnections(): void {
+    // Emulated exchanges hold no connection.
+  }
+
   override async close(): Promise<void> {
     // Emulated exchanges hold no connection.
   }
--- a/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
@@ -85,15 +85,34 @@
       .flatMap(({ id }) => this.#sessions.get(id)?.session ?? []);
   }
 
+  /** The pool can spare a worker while enough others are trusted. */
+  #canSpare({ id, pool }: Host): boolean {
+    const minimum = this.#parts.view.get().get(EntityKind.Pool, pool)?.minimumServing ?? 0;
+    const trusted = this.#listServing(pool).filter(
+      (session) => session.host !== id && !session.isSuspect(),
+    );
+    return trusted.length >= minimum;
+  }
+
+  #getOthersFailureFraction({ id, pool }: Host): number {
+    const others = this.#listServing(pool).filter((session) => session.host !== id);
+    const sum = others.reduce((total, { health }) => total + health.getFailureFraction(), 0);
+    return others.length === 0 ? 1 : sum / others.length;
+  }
+
   #startSession(host: Host): WorkerSession {
     const { clock, factory, holder, isCurrent } = this.#parts;
-    const connections = this.#getTaskConnections();
     const session = new WorkerSession({
       host: host.id,
       holder,
-      client: factory.create(host.address, connections),
+      client: factory.create(host.address, this.#getTaskConnections()),
       clock,
-      maxSlots: Math.min(host.slots, connections),
+      getMaxSlots: () => Math.min(host.slots, this.#getTaskConnections()),
+      getConnections: () => this.#getTaskConnections(),
+      comparison: {
+        getOthersFailureFraction: () => this.#getOthersFailureFraction(host),
+        canSpare: () => this.#canSpare(host),
+      },
       isCurrent,
       onChange: () => this.dispatchTurns(),
     });
--- a/packages/baobabwell-stand-ins/src/BaobabwellStandInsWorker.ts
+++ b/packages/baobabwell-stand-ins/src/BaobabwellStandInsWorker.ts
@@ -26,6 +26,8 @@
 export enum RejectionCode {
   NoSlot = 'no-slot',
   LeaseLapsed = 'lease-lapsed',
+  /** The holder said before that the task must not run. */
+  Withdrawn = 'withdrawn',
   Stopping = 'stopping',
 }
 
@@ -35,6 +37,8 @@
   readonly holder: string;
   readonly team: string;
   readonly body: Buffer;
+  /** Time after which the task is stopped; without it the lease alone bounds the task. */
+  readonly timeoutMs?: number;
 };
 
 /** How a task ended. */
@@ -53,6 +57,8 @@
 export type LeaseRequest = {
   readonly holder: string;
   readonly slots: number;
+  /** Tasks that must not run, or not run on. */
+  readonly stops?: readonly string[];
   readonly startTtlMs: number;
   readonly taskTtlMs: number;
 };
@@ -75,6 +81,7 @@
 
 const DEFAULT_RUN_MS = 20;
 const LEASE_SCAN_MS = 100;
+const WITHDRAWN_TASKS = 10_000;
 
 const workSchema = z.object({ runMs: z.number().nonnegative().default(DEFAULT_RUN_MS) });
 
@@ -98,6 +105,9 @@
 
   readonly #ledger: LedgerLine[] = [];
 
+  /** Tasks that must not start any more, oldest first. */
+  readonly #withdrawn = new Set<string>();
+
   #faults: WorkerFaults = NO_WORKER_FAULTS;
 
   #isStopping = false;
@@ -142,9 +152,10 @@
   }
 
   /** Renews the lease of a holder and changes the number of its slots. */
-  renew({ holder: id, slots, startTtlMs, taskTtlMs }: LeaseRequest): LeaseGrant {
+  renew({ holder: id, slots, stops = [], startTtlMs, taskTtlMs }: LeaseRequest): LeaseGrant {
     const now = this.#clock.getNow();
     this.#removeLapsed(now);
+    stops.forEach((taskId) => this.stop(taskId));
     const holder = this.#holders.get(id) ?? {
       slots: 0,
       startableUntil: 0,
@@ -165,6 +176,9 @@
     if (this.#isStopping) {
       return { kind: 'rejected', code: RejectionCode.Stopping };
     }
+    if (this.#withdrawn.has(task.taskId)) {
+      return { kind: 'rejected', code: RejectionCode.Withdrawn };
+    }
     if (holder === undefined || holder.startableUntil < this.#clock.getNow()) {
       return { kind: 'rejected', code: RejectionCode.LeaseLapsed };
     }
@@ -174,13 +188,22 @@
     const abort = new AbortController();
     holder.running.set(task.taskId, abort);
     this.#record(task, LedgerEvent.Started);
+    const { timeoutMs = Number.POSITIVE_INFINITY } = task;
+    const cancelTimer = Number.isFinite(timeoutMs)
+      ? this.#clock.startTimer(timeoutMs, () => abort.abort())
+      : (): void => {};
     await this.#waitWhileLeased(holder, parseRunMs(task.body), abort);
+    cancelTimer();
     holder.running.delete(task.taskId);
     return this.#finish(task, abort.signal.aborted);
   }
 
-  /** Stops a running task; unknown ones are ignored. */
+  /** Stops a task if it runs, and keeps it from starting later. */
   stop(taskId: string): void {
+    this.#withdrawn.add(taskId);
+    if (this.#withdrawn.size > WITHDRAWN_TASKS) {
+      this.#withdrawn.delete([...this.#withdrawn.values()][0] as string);
+    }
     this.#holders.forEach(({ running }) => running.get(taskId)?.abort());
   }
 
--- a/packages/baobabwell-stand-ins/src/BaobabwellStandInsWorkerServer.ts
+++ b/packages/baobabwell-stand-ins/src/BaobabwellStandInsWorkerServer.ts
@@ -14,12 +14,17 @@
 
 const leaseBody = z.object({
   slots: z.number().int().nonnegative(),
+  stops: z.array(z.string()).default([]),
   startTtlMs: z.number().positive(),
   taskTtlMs: z.number().positive(),
 });
 const holderParameters = z.object({ holder: z.string() });
 const taskParameters = z.object({ taskId: z.string() });
-const taskHeaders = z.object({ 'lease-holder': z.string(), 'task-team': z.string() });
+const taskHeaders = z.object({
+  'lease-holder': z.string(),
+  'task-team': z.string(),
+  'task-timeout-ms': z.coerce.number().positive(),
+});
 const stoppingBody = z.object({ stopping: z.boolean() });
 
 function parseJson<Schema extends z.ZodType>(schema: Schema, body: unknown): z.infer<Schema> {
@@ -68,6 +73,7 @@
       taskId,
       holder: headers['lease-holder'],
       team: headers['task-team'],
+      timeoutMs: headers['task-timeout-ms'],
       body: (request.body as Buffer | undefined) ?? Buffer.alloc(0),
     });
     await clock.wait(worker.getFaults().slowMs);
--- a/packages/baobabwell-workers/src/BaobabwellWorkersClient.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersClient.ts
@@ -1,3 +1,4 @@
+import type { PriorityClass } from '@baobabwell/model';
 import type { Result } from '@baobabwell/utils';
 
 /** The lease that an entry asks a worker for. */
@@ -5,6 +6,8 @@
   /** Identity of the entry and of its incarnation. */
   readonly holder: string;
   readonly slots: number;
+  /** Tasks that must not run, or not run on; an answer confirms that they do not. */
+  readonly stops: readonly string[];
 };
 
 /** The lease that a worker granted. */
@@ -24,8 +27,11 @@
   readonly queue: string;
   readonly contentType: string;
   readonly body: Uint8Array;
-  /** Milliseconds left until the deadline. */
+  readonly priority: PriorityClass;
+  /** Milliseconds left until the deadline, after which the worker stops the task. */
   readonly timeoutMs: number;
+  /** Asked right before the first byte is sent; `false` keeps the task from being sent. */
+  readonly canStart: () => boolean;
 };
 
 /** A whole answer of a worker. */
@@ -61,6 +67,14 @@
   /** Asks the worker to stop a task. */
   abstract stop(taskId: string): Promise<void>;
 
+  /**
+   * Replaces every connection for tasks: exchanges in flight end on the old ones, which are then
+   * closed, and later tasks use new ones.
+   *
+   * @param connections most connections for tasks from now on.
+   */
+  abstract replaceConnections(connections: number): void;
+
   /** Closes all connections at once. */
   abstract close(): Promise<void>;
 }
--- a/packages/baobabwell-workers/src/BaobabwellWorkersExchange.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersExchange.ts
@@ -1,4 +1,4 @@
-import type { TaskOutcome } from './BaobabwellWorkersClient';
+import type { Task, TaskOutcome } from './BaobabwellWorkersClient';
 import type { Dispatcher } from 'undici';
 
 type Headers = Record<string, string | string[] | undefined>;
@@ -30,6 +30,8 @@
 
   readonly #maxBytes: number;
 
+  readonly #canStart: () => boolean;
+
   readonly #resolve: (outcome: TaskOutcome) => void;
 
   readonly #chunks: Buffer[] = [];
@@ -44,8 +46,13 @@
 
   #abortCause: string | null = null;
 
-  constructor(taskId: string, maxBytes: number, resolve: (outcome: TaskOutcome) => void) {
-    this.#taskId = taskId;
+  constructor(
+    { id, canStart }: Pick<Task, 'id' | 'canStart'>,
+    maxBytes: number,
+    resolve: (outcome: TaskOutcome) => void,
+  ) {
+    this.#taskId = id;
+    this.#canStart = canStart;
     this.#maxBytes = maxBytes;
     this.#resolve = resolve;
   }
@@ -60,7 +67,14 @@
     }
   }
 
+  /** Called before the first byte is written; what is aborted here was never sent. */
   onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.#controller !== null) {
+      // A second start would send the request again.
+      this.#abortCause ??= 'the connection was lost';
+    } else if (!this.#canStart()) {
+      this.#abortCause ??= 'the lease or the view is too old';
+    }
     if (this.#abortCause !== null) {
       controller.abort(new Error(this.#abortCause));
       return;
--- a/packages/baobabwell-workers/src/BaobabwellWorkersHttp.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersHttp.ts
@@ -52,6 +52,7 @@
       'lease-holder': task.holder,
       'task-team': task.team,
       'task-queue': task.queue,
+      'task-priority': task.priority,
       'task-timeout-ms': String(Math.ceil(task.timeoutMs)),
     },
     body: Buffer.from(task.body.buffer, task.body.byteOffset, task.body.byteLength),
@@ -64,10 +65,13 @@
 export class HttpWorkerClient extends WorkerClient {
   readonly #address: string;
 
-  readonly #tasks: Pool;
+  #tasks: Pool;
 
   readonly #control: Pool;
 
+  /** Pools that only wait for their last exchanges. */
+  readonly #replaced = new Set<Pool>();
+
   constructor(address: string, connections: number) {
     super();
     this.#address = address;
@@ -75,14 +79,18 @@
     this.#control = buildPool(address, CONTROL_CONNECTIONS);
   }
 
-  override async renew({ holder, slots }: LeaseRequest): Promise<Result<LeaseGrant, WorkerError>> {
+  override async renew({
+    holder,
+    slots,
+    stops,
+  }: LeaseRequest): Promise<Result<LeaseGrant, WorkerError>> {
     try {
       const { statusCode, body } = await request(
         `http://${this.#address}/leases/${encodeURIComponent(holder)}`,
         {
           method: 'PUT',
           headers: { 'content-type': 'application/json' },
-          body: JSON.stringify({ slots, startTtlMs: START_TTL_MS, taskTtlMs: TASK_TTL_MS }),
+          body: JSON.stringify({ slots, stops, startTtlMs: START_TTL_MS, taskTtlMs: TASK_TTL_MS }),
           dispatcher: this.#control,
           signal: AbortSignal.timeout(RENEW_TIMEOUT_MS),
         },
@@ -98,7 +106,7 @@
 
   override async run(task: Task, signal: AbortSignal): Promise<TaskOutcome> {
     return new Promise((resolve) => {
-      const exchange = new TaskExchange(task.id, MAX_ANSWER_BYTES, (outcome) => {
+      const exchange = new TaskExchange(task, MAX_ANSWER_BYTES, (outcome) => {
         signal.removeEventListener('abort', onAbort);
         resolve(outcome);
       });
@@ -130,8 +138,16 @@
     }
   }
 
+  override replaceConnections(connections: number): void {
+    const replaced = this.#tasks;
+    this.#tasks = buildPool(this.#address, connections);
+    this.#replaced.add(replaced);
+    void replaced.close().then(() => this.#replaced.delete(replaced));
+  }
+
   override async close(): Promise<void> {
-    await Promise.all([this.#tasks.destroy(), this.#control.destroy()]);
+    const pools = [this.#tasks, this.#control, ...this.#replaced];
+    await Promise.all(pools.map(async (pool) => pool.destroy()));
   }
 }
 
--- a/packages/baobabwell-workers/src/BaobabwellWorkersSession.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersSession.ts
@@ -1,9 +1,12 @@
-import type { WorkerClient } from './BaobabwellWorkersClient';
+import type { Task, TaskOutcome, WorkerClient } from './BaobabwellWorkersClient';
+import type { HealthComparison } from './BaobabwellWorkersHealth';
 import type { Clock } from '@baobabwell/utils';
 
 import { checkInvariant } from '@baobabwell/utils';
 
 import { RENEW_INTERVAL_MS, START_TTL_MS } from './BaobabwellWorkersConstants';
+import { WorkerHealth } from './BaobabwellWorkersHealth';
+import { TaskTracker } from './BaobabwellWorkersTasks';
 
 /** What a session works with. */
 export type WorkerSessionParts = {
@@ -12,7 +15,10 @@
   readonly client: WorkerClient;
   readonly clock: Clock;
   /** Most slots that this entry may hold on the worker. */
-  readonly maxSlots: number;
+  readonly getMaxSlots: () => number;
+  /** Most connections for tasks that this entry may open to the worker. */
+  readonly getConnections: () => number;
+  readonly comparison: HealthComparison;
   /** Whether this entry may hold leases now. */
   readonly isCurrent: () => boolean;
   /** Called when slots may have become usable. */
@@ -27,6 +33,10 @@
 
   readonly holder: string;
 
+  readonly health: WorkerHealth;
+
+  readonly #tasks: TaskTracker;
+
   readonly #parts: WorkerSessionParts;
 
   readonly #stopped = new AbortController();
@@ -43,6 +53,8 @@
 
   #free = 0;
 
+  #connections: number;
+
   #isReachable = true;
 
   #startableUntil = Number.NEGATIVE_INFINITY;
@@ -52,13 +64,51 @@
     this.client = parts.client;
     this.host = parts.host;
     this.holder = parts.holder;
+    this.health = new WorkerHealth(parts.comparison);
+    this.#tasks = new TaskTracker(parts.clock);
+    this.#connections = parts.getConnections();
   }
 
-  /** Slots in which a task can be started now. */
+  /** Slots in which a task can be started now; a suspect worker has one, for its probes. */
   getUsableSlots(): number {
-    return this.#startableUntil < this.#parts.clock.getNow()
-      ? 0
-      : Math.max(0, this.#held - this.#inUse);
+    if (!this.#canStart()) {
+      return 0;
+    }
+    const usable = Math.max(0, this.#held - this.#inUse);
+    if (!this.health.isSuspect()) {
+      return usable;
+    }
+    const isProbeDue = this.#inUse === 0 && this.health.canProbe(this.#parts.clock.getNow());
+    return isProbeDue ? Math.min(1, usable) : 0;
+  }
+
+  /** True while the worker fails what it is given and gets probes only. */
+  isSuspect(): boolean {
+    return this.health.isSuspect();
+  }
+
+  /**
+   * Runs a task in an acquired slot. Never rejects. After an outcome other than an answer the
+   * slot must be kept until {@link waitForEnd} resolves.
+   */
+  async runTask(task: Task, signal: AbortSignal): Promise<TaskOutcome> {
+    if (signal.aborted) {
+      return { kind: 'not-sent', cause: 'abandoned' };
+    }
+    const abandoned = this.#tasks.add(task.id);
+    const outcome = await this.client.run(
+      { ...task, canStart: () => this.#canStart() && task.canStart() },
+      AbortSignal.any([signal, abandoned]),
+    );
+    this.#tasks.remove(task.id, outcome.kind === 'lost');
+    this.#recordOutcome(outcome, signal.aborted);
+    return outcome;
+  }
+
+  /** Resolves when a task that was given up runs no more on the worker. */
+  async waitForEnd(taskId: string): Promise<void> {
+    this.#wake.abort();
+    await this.#tasks.waitForEnd(taskId);
   }
 
   /** Slots with a task of this entry. */
@@ -68,7 +118,10 @@
 
   /** Slots that may still be granted, as far as is known. */
   getFreeSlots(): number {
-    const roomBelowCap = this.#parts.maxSlots - this.#held - this.#requested;
+    const roomBelowCap = this.#parts.getMaxSlots() - this.#held - this.#requested;
+    if (this.health.isSuspect() && this.#held > 0) {
+      return 0;
+    }
     return this.#isReachable ? Math.max(0, Math.min(this.#free, roomBelowCap)) : 0;
   }
 
@@ -88,6 +141,7 @@
     checkInvariant(this.getUsableSlots() > 0, `no usable slot on ${this.host}`);
     this.#inUse += 1;
     this.#peakInUse = Math.max(this.#peakInUse, this.#inUse);
+    this.health.recordStart(this.#parts.clock.getNow());
   }
 
   /** Gives a slot back. */
@@ -119,12 +173,14 @@
   }
 
   async #renew(): Promise<void> {
-    const { client, clock, holder, maxSlots, onChange } = this.#parts;
+    const { client, clock, holder, getMaxSlots, onChange } = this.#parts;
+    this.#updateConnections();
+    const stops = this.#tasks.listStops();
     const asked = this.#requested;
-    const wanted = Math.min(maxSlots, Math.max(this.#peakInUse, this.#inUse) + asked);
+    const wanted = Math.min(getMaxSlots(), this.#getSlotsToKeep() + asked);
     this.#peakInUse = this.#inUse;
     const sentAt = clock.getNow();
-    const grant = await client.renew({ holder, slots: wanted });
+    const grant = await client.renew({ holder, slots: wanted, stops });
     this.#requested = Math.max(0, this.#requested - asked);
     this.#isReachable = grant.ok;
     if (grant.ok) {
@@ -132,6 +188,46 @@
       this.#free = grant.value.free;
       this.#startableUntil = sentAt + START_TTL_MS;
     }
+    const isSilent = grant.ok
+      ? this.#tasks.recordGrant(sentAt, grant.value.tasks, stops)
+      : this.#tasks.recordUnanswered(sentAt);
+    if (isSilent) {
+      this.#replaceConnections();
+    }
     onChange();
   }
+
+  /** Slots of the last interval, and one for the probe of a suspect worker. */
+  #getSlotsToKeep(): number {
+    const isProbeDue = this.health.isSuspect() && this.health.canProbe(this.#parts.clock.getNow());
+    return Math.max(this.#peakInUse, this.#inUse, isProbeDue ? 1 : 0);
+  }
+
+  #recordOutcome(outcome: TaskOutcome, wasGivenUp: boolean): void {
+    if (outcome.kind === 'answered') {
+      this.health.recordSuccess();
+    }
+    if (outcome.kind === 'failed' || (outcome.kind === 'lost' && !wasGivenUp)) {
+      this.health.recordFailure(this.#parts.clock.getNow());
+    }
+    if (outcome.kind === 'lost' && !wasGivenUp) {
+      this.#replaceConnections();
+    }
+  }
+
+  #canStart(): boolean {
+    return this.#startableUntil >= this.#parts.clock.getNow();
+  }
+
+  #updateConnections(): void {
+    if (this.#connections !== this.#parts.getConnections()) {
+      this.#replaceConnections();
+    }
+  }
+
+  /** One stalled connection makes all of the same age suspect. */
+  #replaceConnections(): void {
+    this.#connections = this.#parts.getConnections();
+    this.client.replaceConnections(this.#connections);
+  }
 }
--- /dev/null
+++ b/packages/baobabwell-workers/src/__tests__/unit/BaobabwellWorkersExchange.test.ts
@@ -0,0 +1,142 @@
+import type { Task, TaskOutcome } from '../../BaobabwellWorkersClient';
+import type { AddressInfo, Server, Socket } from 'node:net';
+
+import { expect } from 'earl';
+import { once } from 'node:events';
+import { createServer } from 'node:net';
+
+import { PriorityClass } from '@baobabwell/model';
+
+import { HttpWorkerClient } from '../../BaobabwellWorkersHttp';
+
+const PATIENCE_MS = 50;
+
+type Answer = (socket: Socket, request: string) => void;
+
+function createTask(canStart = true): Task {
+  return {
+    id: 'call-1.0',
+    holder: 'entry-1.a',
+    team: 'guilds',
+    queue: 'seats',
+    contentType: 'application/json',
+    body: Buffer.from('{}'),
+    priority: PriorityClass.Normal,
+    timeoutMs: 1_000,
+    canStart: () => canStart,
+  };
+}
+
+function buildAnswer(taskId: string, body: string, length = body.length): string {
+  return `HTTP/1.1 200 OK\r\ntask-id: ${taskId}\r\ncontent-length: ${length}\r\n\r\n${body}`;
+}
+
+describe('a task exchange', () => {
+  let server: Server;
+  let client: HttpWorkerClient;
+  let received: string[];
+  let connections: number;
+  /** The connection on which each request came. */
+  let origins: number[];
+  let answer: Answer;
+
+  beforeEach(async () => {
+    received = [];
+    connections = 0;
+    origins = [];
+    server = createServer((socket) => {
+      connections += 1;
+      const connection = connections;
+      socket.on('error', () => {});
+      socket.on('data', (data) => {
+        received.push(data.toString());
+        if (data.toString().includes('{}')) {
+          origins.push(connection);
+          answer(socket, data.toString());
+        }
+      });
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    client = new HttpWorkerClient(`127.0.0.1:${(server.address() as AddressInfo).port}`, 2);
+  });
+
+  afterEach(async () => {
+    await client.close();
+    server.close();
+  });
+
+  async function runTask(task: Task, abortAfterMs: number | null = null): Promise<TaskOutcome> {
+    const abandoned = new AbortController();
+    if (abortAfterMs !== null) {
+      setTimeout(() => abandoned.abort(), abortAfterMs);
+    }
+    return client.run(task, abandoned.signal);
+  }
+
+  it('is answered by a whole answer with its own identifier', async () => {
+    answer = (socket) => socket.write(buildAnswer('call-1.0', 'done'));
+    const outcome = await runTask(createTask());
+    expect(outcome.kind === 'answered' && Buffer.from(outcome.answer.body).toString()).toEqual(
+      'done',
+    );
+  });
+
+  it('is lost when the answer belongs to another task', async () => {
+    answer = (socket) => socket.write(buildAnswer('call-2.0', 'done'));
+    expect((await runTask(createTask())).kind).toEqual('lost');
+  });
+
+  it('is lost when the answer ends before its declared length', async () => {
+    answer = (socket) => socket.end(buildAnswer('call-1.0', 'done', 100));
+    expect((await runTask(createTask())).kind).toEqual('lost');
+  });
+
+  it('is lost when a chunked answer has no end marker', async () => {
+    answer = (socket) =>
+      socket.end(
+        'HTTP/1.1 200 OK\r\ntask-id: call-1.0\r\ntransfer-encoding: chunked\r\n\r\n4\r\ndone\r\n',
+      );
+    expect((await runTask(createTask())).kind).toEqual('lost');
+  });
+
+  it('is not sent, down to the last byte, when it may not start any more', async () => {
+    answer = (socket) => socket.write(buildAnswer('call-1.0', 'done'));
+    const outcome = await runTask(createTask(false));
+    await new Promise((resolve) => {
+      setTimeout(resolve, PATIENCE_MS);
+    });
+    expect({ kind: outcome.kind, received }).toEqual({ kind: 'not-sent', received: [] });
+  });
+
+  it('is not sent when nothing listens', async () => {
+    server.close();
+    await once(server, 'close');
+    expect((await runTask(createTask())).kind).toEqual('not-sent');
+  });
+
+  it('is lost when it is given up, and its connection is not used again', async () => {
+    answer = () => {};
+    const first = await runTask(createTask(), PATIENCE_MS);
+    answer = (socket) => socket.write(buildAnswer('call-1.0', 'done'));
+    const second = await runTask(createTask());
+    expect([first.kind, second.kind, origins.length]).toEqual(['lost', 'answered', 2]);
+    expect(origins[0] === origins[1]).toEqual(false);
+  });
+
+  it('uses new connections once they were replaced and lets old ones end', async () => {
+    answer = (socket) =>
+      setTimeout(() => socket.write(buildAnswer('call-1.0', 'old')), PATIENCE_MS);
+    const old = runTask(createTask());
+    await new Promise((resolve) => {
+      setTimeout(resolve, PATIENCE_MS / 2);
+    });
+    client.replaceConnections(2);
+    answer = (socket) => socket.write(buildAnswer('call-1.0', 'new'));
+    expect([(await runTask(createTask())).kind, (await old).kind, origins]).toEqual([
+      'answered',
+      'answered',
+      [1, 2],
+    ]);
+  });
+});
--- a/packages/baobabwell-workers/src/index.ts
+++ b/packages/baobabwell-workers/src/index.ts
@@ -6,14 +6,19 @@
   WorkerAnswer,
   WorkerError,
 } from './BaobabwellWorkersClient';
+export type { HealthComparison } from './BaobabwellWorkersHealth';
 export type { WorkerSessionParts } from './BaobabwellWorkersSession';
 
 export { WorkerClient, WorkerClientFactory } from './BaobabwellWorkersClient';
 export {
   CONTROL_CONNECTIONS,
+  SILENT_TASK_MS,
+  SILENT_WORKER_MS,
   START_TTL_MS,
+  STOP_BOUND_MS,
   TASK_TTL_MS,
   WORKER_CONNECTIONS,
 } from './BaobabwellWorkersConstants';
 export { HttpWorkerClient, HttpWorkerClientFactory } from './BaobabwellWorkersHttp';
+export { WorkerHealth } from './BaobabwellWorkersHealth';
 export { WorkerSession } from './BaobabwellWorkersSession';
