calls: truthful results, retries within a budget, parked work, outcomes on every answer

All errors of the server tell outcome, reason and findings. Metric labels come from the view only. Not taken: resending after a worker's rejection, since bytes have reached it. Conclusion: the deadline is the caller's; the truth about the work is the worker's.

--- a/packages/baobabwell-calls/src/BaobabwellCalls.ts
+++ b/packages/baobabwell-calls/src/BaobabwellCalls.ts
@@ -19,6 +19,22 @@
   AnswerLost = 'answer-lost',
   WorkerRejected = 'worker-rejected',
   WorkerUnreachable = 'worker-unreachable',
+  /** The same work failed on several workers a short time ago. */
+  WorkParked = 'work-parked',
+  /** The claim of an idempotent call could not be written. */
+  StoreUnavailable = 'store-unavailable',
+  /** The idempotency key was used before for another request. */
+  IdempotencyKeyReused = 'idempotency-key-reused',
+  /** The idempotency key belongs to another team. */
+  IdempotencyKeyForeign = 'idempotency-key-foreign',
+  /** An earlier request with the same idempotency key has not ended yet. */
+  InProgress = 'in-progress',
+  /** The entry that ran an earlier request with the same idempotency key is gone. */
+  OwnerLost = 'owner-lost',
+  BadRequest = 'bad-request',
+  NotFound = 'not-found',
+  BodyTooLarge = 'body-too-large',
+  InternalError = 'internal-error',
 }
 
 /** A call as it was received. */
@@ -32,6 +48,8 @@
   readonly timeoutMs: number | null;
   /** Whether the work may run more than once. */
   readonly isRepeatable: boolean;
+  /** Names the call across repeats, or `null`. */
+  readonly idempotencyKey: string | null;
   readonly contentType: string;
   readonly body: Uint8Array;
 };
--- a/packages/baobabwell-calls/src/BaobabwellCallsHttp.ts
+++ b/packages/baobabwell-calls/src/BaobabwellCallsHttp.ts
@@ -8,46 +8,29 @@
 
 import { Outcome, PriorityClass } from '@baobabwell/model';
 
-import { CallReason } from './BaobabwellCalls';
+import {
+  applyOutcomeHeaders,
+  handleClientError,
+  registerErrorReplies,
+  sendWithoutAnswer,
+} from './BaobabwellCallsHttpErrors';
 
-const HTTP_BAD_REQUEST = 400;
-const HTTP_UNAUTHORIZED = 401;
-const HTTP_FORBIDDEN = 403;
-const HTTP_NOT_FOUND = 404;
-const HTTP_TOO_MANY_REQUESTS = 429;
-const HTTP_BAD_GATEWAY = 502;
-const HTTP_UNAVAILABLE = 503;
-const HTTP_GATEWAY_TIMEOUT = 504;
 const BODY_LIMIT_BYTES = 1024 * 1024;
-const MS_PER_SECOND = 1_000;
+const HEADER_LIMIT_BYTES = 16 * 1024;
+const REQUEST_TIMEOUT_MS = 30_000;
+const IDLE_SOCKET_MS = 120_000;
+const MAX_TIMEOUT_MS = 24 * 60 * 60 * 1_000;
+const MAX_KEY_LENGTH = 255;
 const BEARER = 'Bearer ';
 
-const STATUS_BY_REASON: Readonly<Record<CallReason, number>> = {
-  [CallReason.Answered]: 200,
-  [CallReason.UnknownQueue]: HTTP_NOT_FOUND,
-  [CallReason.KeyMissing]: HTTP_UNAUTHORIZED,
-  [CallReason.KeyRefused]: HTTP_UNAUTHORIZED,
-  [CallReason.TeamNotAllowed]: HTTP_FORBIDDEN,
-  [CallReason.TargetLeaving]: HTTP_UNAVAILABLE,
-  [CallReason.ViewStale]: HTTP_UNAVAILABLE,
-  [CallReason.QueueFull]: HTTP_TOO_MANY_REQUESTS,
-  [CallReason.Deadline]: HTTP_GATEWAY_TIMEOUT,
-  [CallReason.Cancelled]: HTTP_UNAVAILABLE,
-  [CallReason.NoHost]: HTTP_UNAVAILABLE,
-  [CallReason.EntryStopping]: HTTP_UNAVAILABLE,
-  [CallReason.WorkFailed]: HTTP_BAD_GATEWAY,
-  [CallReason.AnswerLost]: HTTP_BAD_GATEWAY,
-  [CallReason.WorkerRejected]: HTTP_BAD_GATEWAY,
-  [CallReason.WorkerUnreachable]: HTTP_UNAVAILABLE,
-};
-
 const parameters = z.object({ queue: z.string() });
 const callHeaders = z.object({
   authorization: z.string().startsWith(BEARER).optional(),
   'content-type': z.string().default('application/octet-stream'),
-  'call-timeout-ms': z.coerce.number().int().positive().optional(),
+  'call-timeout-ms': z.coerce.number().int().positive().max(MAX_TIMEOUT_MS).optional(),
   'call-priority': z.enum(PriorityClass).default(PriorityClass.Normal),
   'call-repeatable': z.enum(['yes', 'no']).default('no'),
+  'idempotency-key': z.string().min(1).max(MAX_KEY_LENGTH).optional(),
 });
 
 function parseCall(request: FastifyRequest): CallRequest {
@@ -60,6 +43,7 @@
     priority: headers['call-priority'],
     timeoutMs: headers['call-timeout-ms'] ?? null,
     isRepeatable: headers['call-repeatable'] === 'yes',
+    idempotencyKey: headers['idempotency-key'] ?? null,
     contentType: headers['content-type'],
     body: (request.body as Buffer | undefined) ?? Buffer.alloc(0),
   };
@@ -69,47 +53,44 @@
 async function sendResult(
   reply: FastifyReply,
   callId: string,
-  { outcome, reason, isRepeatSafe, retryAfterMs, answer }: CallResult,
+  result: CallResult,
 ): Promise<FastifyReply> {
-  reply.headers({
-    'call-id': callId,
-    'call-outcome': outcome,
-    'call-reason': reason,
-    'call-repeat-safe': isRepeatSafe ? 'yes' : 'no',
-  });
-  if (retryAfterMs !== null) {
-    reply.header('retry-after', String(Math.ceil(retryAfterMs / MS_PER_SECOND)));
-  }
-  if (outcome === Outcome.Completed && answer !== null) {
-    return reply
-      .code(answer.status)
-      .header('content-type', answer.contentType)
-      .send(Buffer.from(answer.body.buffer, answer.body.byteOffset, answer.body.byteLength));
+  const { outcome, answer } = result;
+  reply.header('call-id', callId);
+  if (outcome !== Outcome.Completed || answer === null) {
+    return sendWithoutAnswer(reply, result, { callId });
   }
+  applyOutcomeHeaders(reply, result);
   return reply
-    .code(STATUS_BY_REASON[reason])
-    .send({ callId, outcome, reason, repeatSafe: isRepeatSafe, retryAfterMs });
+    .code(answer.status)
+    .header('content-type', answer.contentType)
+    .send(Buffer.from(answer.body.buffer, answer.body.byteOffset, answer.body.byteLength));
 }
 
 /** Told about each ended call. */
 export type CallObserver = (request: CallRequest, result: CallResult, durationMs: number) => void;
 
-/** Builds the HTTP server for callers; the caller of this function listens and closes. */
-export function buildCallServer(service: CallService, observe: CallObserver): FastifyInstance {
-  const server = Fastify({ bodyLimit: BODY_LIMIT_BYTES, forceCloseConnections: 'idle' });
+function createServer(): FastifyInstance {
+  const server = Fastify({
+    bodyLimit: BODY_LIMIT_BYTES,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    connectionTimeout: IDLE_SOCKET_MS,
+    http: { maxHeaderSize: HEADER_LIMIT_BYTES },
+    forceCloseConnections: 'idle',
+    return503OnClosing: false,
+    clientErrorHandler: handleClientError,
+  });
   server.removeAllContentTypeParsers();
   server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
     done(null, body);
   });
-  server.setErrorHandler(async (error, _request, reply) => {
-    const status = error instanceof z.ZodError ? HTTP_BAD_REQUEST : undefined;
-    const message = error instanceof z.ZodError ? z.prettifyError(error) : String(error);
-    const ownStatus = (error as { statusCode?: number }).statusCode;
-    return reply
-      .code(status ?? ownStatus ?? HTTP_UNAVAILABLE)
-      .header('call-outcome', Outcome.NotRun)
-      .send({ outcome: Outcome.NotRun, reason: 'bad-request', message });
-  });
+  registerErrorReplies(server);
+  return server;
+}
+
+/** Builds the HTTP server for callers; the caller of this function listens and closes. */
+export function buildCallServer(service: CallService, observe: CallObserver): FastifyInstance {
+  const server = createServer();
   server.post('/v1/queues/:queue/calls', async (request, reply) => {
     const call = parseCall(request);
     const abandoned = new AbortController();
--- /dev/null
+++ b/packages/baobabwell-calls/src/BaobabwellCallsHttpErrors.ts
@@ -0,0 +1,114 @@
+import type { CallResult } from './BaobabwellCalls';
+import type { FastifyInstance, FastifyReply } from 'fastify';
+import type { Socket } from 'node:net';
+
+import { z } from 'zod';
+
+import { CallReason } from './BaobabwellCalls';
+import { RETRY_AFTER_MS } from './BaobabwellCallsConstants';
+import { STATUS_BY_REASON } from './BaobabwellCallsHttpStatus';
+import { createNotRun, createUnknown } from './BaobabwellCallsResults';
+
+const MS_PER_SECOND = 1_000;
+const HTTP_TOO_LARGE = 413;
+const HTTP_BAD_REQUEST = 400;
+const HTTP_INTERNAL = 500;
+
+/** One thing wrong with a request, with its place. */
+type RequestFinding = {
+  readonly place: string;
+  readonly problem: string;
+};
+
+/** Writes outcome, reason, and when to come back into the headers of a reply. */
+export function applyOutcomeHeaders(
+  reply: FastifyReply,
+  { outcome, reason, isRepeatSafe, retryAfterMs }: CallResult,
+): void {
+  reply.headers({
+    'call-outcome': outcome,
+    'call-reason': reason,
+    'call-repeat-safe': isRepeatSafe ? 'yes' : 'no',
+  });
+  if (retryAfterMs !== null) {
+    reply.header('retry-after', String(Math.ceil(retryAfterMs / MS_PER_SECOND)));
+  }
+}
+
+/** Sends a result that comes without an answer of a worker. */
+export async function sendWithoutAnswer(
+  reply: FastifyReply,
+  result: CallResult,
+  extra: Readonly<Record<string, unknown>> = {},
+): Promise<FastifyReply> {
+  const { outcome, reason, isRepeatSafe, retryAfterMs } = result;
+  applyOutcomeHeaders(reply, result);
+  return reply
+    .code(STATUS_BY_REASON[reason])
+    .send({ outcome, reason, repeatSafe: isRepeatSafe, retryAfterMs, ...extra });
+}
+
+function buildFindings(error: unknown): readonly RequestFinding[] {
+  if (error instanceof z.ZodError) {
+    return error.issues.map(({ path, message }) => ({ place: path.join('.'), problem: message }));
+  }
+  return [{ place: 'request', problem: error instanceof Error ? error.message : String(error) }];
+}
+
+function buildErrorResult(error: unknown): CallResult {
+  const { statusCode } = error as { readonly statusCode?: number };
+  if (statusCode === HTTP_TOO_LARGE) {
+    return createNotRun(CallReason.BodyTooLarge, null);
+  }
+  const isCallersFault =
+    error instanceof z.ZodError ||
+    (statusCode !== undefined && statusCode >= HTTP_BAD_REQUEST && statusCode < HTTP_INTERNAL);
+  return isCallersFault
+    ? createNotRun(CallReason.BadRequest, null)
+    : createUnknown(CallReason.InternalError, false);
+}
+
+/** Answers what is not HTTP at all; fastify has no reply for it. */
+export function handleClientError(_error: Error, socket: Socket): void {
+  if (!socket.writable || socket.bytesWritten > 0) {
+    // A part of an answer may be out: only a reset cannot be taken for its end.
+    socket.destroy();
+    return;
+  }
+  const { outcome, reason, isRepeatSafe } = createNotRun(CallReason.BadRequest, null);
+  const body = JSON.stringify({ outcome, reason, repeatSafe: isRepeatSafe, retryAfterMs: null });
+  socket.end(
+    [
+      'HTTP/1.1 400 Bad Request',
+      'content-type: application/json; charset=utf-8',
+      `content-length: ${Buffer.byteLength(body)}`,
+      `call-outcome: ${outcome}`,
+      `call-reason: ${reason}`,
+      'call-repeat-safe: yes',
+      'connection: close',
+      '',
+      body,
+    ].join('\r\n'),
+  );
+}
+
+/** Makes every answer that no handler gives tell its outcome and reason. */
+export function registerErrorReplies(server: FastifyInstance): void {
+  let isClosing = false;
+  server.addHook('preClose', async () => {
+    isClosing = true;
+  });
+  server.addHook('onRequest', async (_request, reply) => {
+    if (!isClosing) {
+      return undefined;
+    }
+    reply.header('connection', 'close');
+    return sendWithoutAnswer(reply, createNotRun(CallReason.EntryStopping, RETRY_AFTER_MS));
+  });
+  server.setNotFoundHandler(async (_request, reply) =>
+    sendWithoutAnswer(reply, createNotRun(CallReason.NotFound, null)),
+  );
+  server.setErrorHandler(async (error, _request, reply) =>
+    sendWithoutAnswer(reply, buildErrorResult(error), { findings: buildFindings(error) }),
+  );
+}
--- /dev/null
+++ b/packages/baobabwell-calls/src/__tests__/unit/BaobabwellCallsHttp.test.ts
@@ -0,0 +1,106 @@
+import type { CallRequest, CallResult } from '../../BaobabwellCalls';
+import type { CallService } from '../../BaobabwellCallsService';
+import type { FastifyInstance } from 'fastify';
+import type { AddressInfo } from 'node:net';
+
+import { expect } from 'earl';
+import { once } from 'node:events';
+import { connect } from 'node:net';
+
+import { CallReason } from '../../BaobabwellCalls';
+import { buildCallServer } from '../../BaobabwellCallsHttp';
+import { createNotRun, createUnknown } from '../../BaobabwellCallsResults';
+
+const PATH = '/v1/queues/seats/calls';
+const MEGABYTE = 1024 * 1024;
+
+type Reply = {
+  readonly status: number;
+  readonly outcome: unknown;
+  readonly reason: unknown;
+  readonly retryAfter: unknown;
+  readonly body: unknown;
+};
+
+describe('the call server', () => {
+  let server: FastifyInstance;
+  let run: (request: CallRequest, signal: AbortSignal) => Promise<CallResult>;
+
+  beforeEach(() => {
+    run = async () => createNotRun(CallReason.QueueFull, 2_500);
+    const service = {
+      run: async (request: CallRequest, signal: AbortSignal) => run(request, signal),
+    };
+    server = buildCallServer(service as unknown as CallService, () => {});
+  });
+
+  afterEach(async () => server.close());
+
+  async function send(headers: Record<string, string>, payload = '{}'): Promise<Reply> {
+    const reply = await server.inject({ method: 'POST', url: PATH, headers, payload });
+    const { callId, ...body } = reply.json<Record<string, unknown>>();
+    return {
+      status: reply.statusCode,
+      outcome: reply.headers['call-outcome'],
+      reason: reply.headers['call-reason'],
+      retryAfter: reply.headers['retry-after'],
+      body,
+    };
+  }
+
+  it('tells a refusal with outcome, reason and when to come back', async function () {
+    expect(await send({})).toMatchSnapshot(this);
+  });
+
+  it('tells an unknown outcome of work that must not be repeated', async function () {
+    run = async () => createUnknown(CallReason.AnswerLost, false);
+    expect(await send({})).toMatchSnapshot(this);
+  });
+
+  it('reports all findings on bad headers together', async function () {
+    const headers = { 'call-timeout-ms': '-3', 'call-priority': 'first', 'call-repeatable': '?' };
+    expect(await send(headers)).toMatchSnapshot(this);
+  });
+
+  it('refuses a body above the limit', async function () {
+    expect(await send({}, 'x'.repeat(MEGABYTE + 1))).toMatchSnapshot(this);
+  });
+
+  it('does not call an internal error not run', async function () {
+    run = async () => {
+      throw new Error('broken');
+    };
+    expect(await send({})).toMatchSnapshot(this);
+  });
+
+  it('tells the outcome on a path that does not exist', async () => {
+    const reply = await server.inject({ method: 'POST', url: '/nowhere' });
+    expect([reply.statusCode, reply.headers['call-outcome']]).toEqual([404, 'not-run']);
+  });
+
+  it('tells the outcome of what is not HTTP', async () => {
+    await server.listen({ port: 0, host: '127.0.0.1' });
+    const socket = connect((server.server.address() as AddressInfo).port, '127.0.0.1');
+    socket.write('nonsense\r\n\r\n');
+    const [data] = (await once(socket, 'data')) as [Buffer];
+    socket.destroy();
+    expect(data.toString().includes('call-outcome: not-run')).toEqual(true);
+  });
+
+  it('gives the call up when its caller goes away', async () => {
+    const givenUp = new Promise<void>((resolve) => {
+      run = async (_request, signal) =>
+        new Promise((finish) => {
+          signal.addEventListener('abort', () => {
+            finish(createUnknown(CallReason.Cancelled, false));
+            resolve();
+          });
+        });
+    });
+    await server.listen({ port: 0, host: '127.0.0.1' });
+    const socket = connect((server.server.address() as AddressInfo).port, '127.0.0.1');
+    socket.write(`POST ${PATH} HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\n{}`);
+    setTimeout(() => socket.destroy(), 20);
+    await givenUp;
+  });
+});
--- a/packages/baobabwell-calls/src/index.ts
+++ b/packages/baobabwell-calls/src/index.ts
@@ -6,4 +6,5 @@
 export { CallReason } from './BaobabwellCalls';
 export { buildDigest, checkAuthorization, OPEN_TEAM } from './BaobabwellCallsAuthorization';
 export { buildCallServer } from './BaobabwellCallsHttp';
+export { STATUS_BY_REASON } from './BaobabwellCallsHttpStatus';
 export { CallService } from './BaobabwellCallsService';
--- a/packages/baobabwell-entry/src/BaobabwellEntryCallServerPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallServerPlugin.ts
@@ -1,6 +1,6 @@
 import type { Plugin } from '@baobabwell/kernel';
 
-import { buildCallServer } from '@baobabwell/calls';
+import { buildCallServer, CallReason } from '@baobabwell/calls';
 
 import { parseAddress } from './BaobabwellEntryAddress';
 import { registerHealthRoutes } from './BaobabwellEntryHealth';
@@ -10,6 +10,7 @@
 /** Time that the platform's balancer takes to see that an entry is not ready. */
 const READINESS_DELAY_MS = 1_500;
 const MS_PER_SECOND = 1_000;
+const UNKNOWN_QUEUE_LABEL = 'unknown';
 
 /** Serves callers over HTTP. */
 export const callServerPlugin: Plugin = {
@@ -22,8 +23,10 @@
       kernel.getService(CALL_SERVICE),
       ({ id, queue }, { outcome, reason }, durationMs) => {
         logger.recordDebug('call-ended', { call: id, queue, outcome, reason, durationMs });
-        metrics.calls.inc({ queue, outcome, reason });
-        metrics.callSeconds.observe({ queue }, durationMs / MS_PER_SECOND);
+        // Callers choose the name: only those of the view may become label values.
+        const label = reason === CallReason.UnknownQueue ? UNKNOWN_QUEUE_LABEL : queue;
+        metrics.calls.inc({ queue: label, outcome, reason });
+        metrics.callSeconds.observe({ queue: label }, durationMs / MS_PER_SECOND);
       },
     );
     const readiness = kernel.getService(READINESS);
--- a/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
@@ -1,9 +1,12 @@
 import type { Kernel, Plugin } from '@baobabwell/kernel';
 
+import { createHash } from 'node:crypto';
+
 import { CallService } from '@baobabwell/calls';
 import { mergeUndo } from '@baobabwell/kernel';
 import { EntityKind } from '@baobabwell/model';
 import { StaticPermitPool } from '@baobabwell/scheduling';
+import { Random } from '@baobabwell/utils';
 
 import {
   CALL_SERVICE,
@@ -16,6 +19,10 @@
 } from './BaobabwellEntryTokens';
 import { WorkerDirectory } from './BaobabwellEntryWorkers';
 
+function buildSeed(text: string): number {
+  return createHash('sha256').update(text).digest().readInt32LE();
+}
+
 function buildPermitPool(kernel: Kernel): StaticPermitPool {
   const view = kernel.getService(VIEW_STORE);
   const { id } = kernel.getService(IDENTITY);
@@ -46,8 +53,10 @@
   const view = kernel.getService(VIEW_STORE);
   const freshness = kernel.getService(FRESHNESS);
   const directory = kernel.getService(WORKER_DIRECTORY);
+  const { id, incarnation } = kernel.getService(IDENTITY);
   return new CallService({
     clock: kernel.clock,
+    random: new Random(buildSeed(`${id}.${incarnation}`)),
     getView: () => view.get(),
     isCurrent: () => freshness.isCurrent(),
     getScheduler: (pool) => directory.getScheduler(pool),
