idempotency: claims and outcomes in shared transactions, told to every repeat

Cause: nothing kept work with a request id from running twice when its caller repeated it through another entry, after a lost answer or after the entry's death. Change: a claim row before dispatch, its outcome after it, both gathered into one transaction per entry and spacing (25 ms for each member, so that the fleet sends at most 40 a second). A transaction without an answer is settled by reading before the next is sent. Repeats poll the row. A claim whose owner is gone (fence) or whose deadline is long over is settled as unknown, never run again; a living owner may still replace that by the true outcome. The first member removes rows in the order in which they were written. Not taken: renewing claims (writes per second for every running call) and asking the owner (one more protocol for a rare case). Conclusion: an outage of the store costs keyed work that must not be repeated its availability, never its promise.

--- a/packages/baobabwell-calls/src/BaobabwellCallsService.ts
+++ b/packages/baobabwell-calls/src/BaobabwellCallsService.ts
@@ -1,6 +1,7 @@
 import type { ActiveCall, CallRequest, CallResult } from './BaobabwellCalls';
 import type { AdmittedCall, AttemptParts } from './BaobabwellCallsAttempts';
 import type { Authorization } from './BaobabwellCallsAuthorization';
+import type { IdempotencyRegistry } from '@baobabwell/idempotency';
 import type { FleetView } from '@baobabwell/model';
 import type { PoolScheduler } from '@baobabwell/scheduling';
 import type { Clock, Random, Result } from '@baobabwell/utils';
@@ -11,6 +12,7 @@
 import { buildParkedRefusal, CallAttempts } from './BaobabwellCallsAttempts';
 import { checkAuthorization } from './BaobabwellCallsAuthorization';
 import { RETRY_AFTER_MS } from './BaobabwellCallsConstants';
+import { buildKeyedCall, buildKeyedResult } from './BaobabwellCallsKeyed';
 import { WorkParking } from './BaobabwellCallsParking';
 import { createNotRun } from './BaobabwellCallsResults';
 import { RetryBudget } from './BaobabwellCallsRetryBudget';
@@ -23,6 +25,7 @@
   /** Whether the view is recent enough to start work. */
   readonly isCurrent: () => boolean;
   readonly getScheduler: (pool: string) => PoolScheduler;
+  readonly idempotency: IdempotencyRegistry;
 };
 
 /** Takes a call from its receipt to its only result. */
@@ -72,10 +75,6 @@
     if (!authorization.ok) {
       return authorization.error;
     }
-    const parkedMs = this.#parking.getRemaining(request);
-    if (parkedMs !== null) {
-      return buildParkedRefusal(parkedMs);
-    }
     this.#budget.recordCall();
     const timeoutMs = request.timeoutMs ?? authorization.value.queue.deadlineMs;
     const call: AdmittedCall = {
@@ -87,12 +86,39 @@
     };
     this.#running.set(request.id, call);
     try {
-      return await new CallAttempts(this.#attemptParts, call, signal).run();
+      const { idempotencyKey } = request;
+      return await (idempotencyKey === null
+        ? this.#runAttempts(call, signal)
+        : this.#runKeyed(call, idempotencyKey, signal));
     } finally {
       this.#running.delete(request.id);
     }
   }
 
+  async #runAttempts(call: AdmittedCall, signal: AbortSignal): Promise<CallResult> {
+    const parkedMs = this.#parking.getRemaining(call.request);
+    return parkedMs === null
+      ? new CallAttempts(this.#attemptParts, call, signal).run()
+      : buildParkedRefusal(parkedMs);
+  }
+
+  /** Work with a key goes on when its caller goes away, so that a repeat finds its outcome. */
+  async #runKeyed(call: AdmittedCall, key: string, signal: AbortSignal): Promise<CallResult> {
+    let executed: CallResult | null = null;
+    const keyed = await this.#parts.idempotency.run(
+      buildKeyedCall(call, key),
+      async () => {
+        executed = await this.#runAttempts(call, new AbortController().signal);
+        return executed;
+      },
+      signal,
+    );
+    if (keyed.kind === 'unavailable' && call.request.isRepeatable) {
+      return this.#runAttempts(call, signal);
+    }
+    return buildKeyedResult(keyed, executed, signal.aborted);
+  }
+
   #check(request: CallRequest): Result<Authorization, CallResult> {
     const { getView, isCurrent, clock } = this.#parts;
     if (!isCurrent()) {
--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -11,6 +11,7 @@
 
 import { callServerPlugin } from './BaobabwellEntryCallServerPlugin';
 import { callsPlugin } from './BaobabwellEntryCallsPlugin';
+import { idempotencyPlugin } from './BaobabwellEntryIdempotencyPlugin';
 import { operatorServerPlugin } from './BaobabwellEntryOperatorServerPlugin';
 import { operatorsPlugin } from './BaobabwellEntryOperatorsPlugin';
 import { peerServerPlugin, peersPlugin } from './BaobabwellEntryPeersPlugin';
@@ -47,7 +48,7 @@
   readonly after: readonly Plugin[];
 };
 
-const FEATURES: readonly Plugin[] = [viewPlugin, callsPlugin, operatorsPlugin];
+const FEATURES: readonly Plugin[] = [viewPlugin, idempotencyPlugin, callsPlugin, operatorsPlugin];
 
 /** Builds an entry with the given connections. */
 export function buildConnectedEntry(
--- a/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
@@ -1,16 +1,16 @@
 import type { Kernel, Plugin } from '@baobabwell/kernel';
 
-import { createHash } from 'node:crypto';
-
 import { CallService } from '@baobabwell/calls';
 import { mergeUndo } from '@baobabwell/kernel';
 import { EntityKind } from '@baobabwell/model';
 import { StaticPermitPool } from '@baobabwell/scheduling';
 import { Random } from '@baobabwell/utils';
 
+import { buildSeed } from './BaobabwellEntrySeed';
 import {
   CALL_SERVICE,
   FRESHNESS,
+  IDEMPOTENCY,
   IDENTITY,
   PERMIT_POOL,
   VIEW_STORE,
@@ -19,10 +19,6 @@
 } from './BaobabwellEntryTokens';
 import { WorkerDirectory } from './BaobabwellEntryWorkers';
 
-function buildSeed(text: string): number {
-  return createHash('sha256').update(text).digest().readInt32LE();
-}
-
 function buildPermitPool(kernel: Kernel): StaticPermitPool {
   const view = kernel.getService(VIEW_STORE);
   const { id } = kernel.getService(IDENTITY);
@@ -60,6 +56,7 @@
     getView: () => view.get(),
     isCurrent: () => freshness.isCurrent(),
     getScheduler: (pool) => directory.getScheduler(pool),
+    idempotency: kernel.getService(IDEMPOTENCY),
   });
 }
 
--- a/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
@@ -1,6 +1,7 @@
 import type { Readiness } from './BaobabwellEntryReadiness';
 import type { WorkerDirectory } from './BaobabwellEntryWorkers';
 import type { CallService } from '@baobabwell/calls';
+import type { GroupCommit, IdempotencyRegistry } from '@baobabwell/idempotency';
 import type { Logger } from '@baobabwell/logging';
 import type { EntryMetrics } from '@baobabwell/metrics';
 import type { ViewChange } from '@baobabwell/model';
@@ -50,6 +51,8 @@
 export const WORKER_DIRECTORY = createServiceToken<WorkerDirectory>('workerDirectory');
 export const PERMIT_POOL = createServiceToken<PermitPool>('permitPool');
 export const READINESS = createServiceToken<Readiness>('readiness');
+export const CLAIM_COMMITS = createServiceToken<GroupCommit>('claimCommits');
+export const IDEMPOTENCY = createServiceToken<IdempotencyRegistry>('idempotency');
 export const CALL_SERVICE = createServiceToken<CallService>('callService');
 export const OPERATOR_SERVER = createServiceToken<FastifyInstance>('operatorServer');
 export const OPERATOR_SERVICE = createServiceToken<OperatorService>('operatorService');
--- a/packages/baobabwell-entry/src/index.ts
+++ b/packages/baobabwell-entry/src/index.ts
@@ -4,8 +4,10 @@
 export { buildConnectedEntry, buildEntry } from './BaobabwellEntry';
 export {
   CALL_SERVICE,
+  CLAIM_COMMITS,
   FRESHNESS,
   HOST_LIST,
+  IDEMPOTENCY,
   IDENTITY,
   OBJECT_STORE,
   OPERATOR_SERVICE,
