--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -11,6 +11,7 @@
 
 import { callServerPlugin } from './BaobabwellEntryCallServerPlugin';
 import { callsPlugin } from './BaobabwellEntryCallsPlugin';
+import { idempotencyPlugin } from './BaobabwellEntryIdempotencyPlugin';
 import { maintenancePlugin } from './BaobabwellEntryMaintenancePlugin';
 import { operatorServerPlugin } from './BaobabwellEntryOperatorServerPlugin';
 import { operatorsPlugin } from './BaobabwellEntryOperatorsPlugin';
@@ -48,7 +49,13 @@
   readonly after: readonly Plugin[];
 };
 
-const FEATURES: readonly Plugin[] = [viewPlugin, callsPlugin, maintenancePlugin, operatorsPlugin];
+const FEATURES: readonly Plugin[] = [
+  viewPlugin,
+  idempotencyPlugin,
+  callsPlugin,
+  maintenancePlugin,
+  operatorsPlugin,
+];
 
 /** Builds an entry with the given connections. */
 export function buildConnectedEntry(
--- a/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
@@ -4,10 +4,13 @@
 import { mergeUndo } from '@baobabwell/kernel';
 import { EntityKind } from '@baobabwell/model';
 import { StaticPermitPool } from '@baobabwell/scheduling';
+import { Random } from '@baobabwell/utils';
 
+import { buildSeed } from './BaobabwellEntrySeed';
 import {
   CALL_SERVICE,
   FRESHNESS,
+  IDEMPOTENCY,
   IDENTITY,
   PERMIT_POOL,
   VIEW_STORE,
@@ -46,11 +49,14 @@
   const view = kernel.getService(VIEW_STORE);
   const freshness = kernel.getService(FRESHNESS);
   const directory = kernel.getService(WORKER_DIRECTORY);
+  const { id, incarnation } = kernel.getService(IDENTITY);
   return new CallService({
     clock: kernel.clock,
+    random: new Random(buildSeed(`${id}.${incarnation}`)),
     getView: () => view.get(),
     isCurrent: () => freshness.isCurrent(),
     getScheduler: (pool) => directory.getScheduler(pool),
+    idempotency: kernel.getService(IDEMPOTENCY),
   });
 }
 
