--- a/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
@@ -1,6 +1,7 @@
 import type { Readiness } from './BaobabwellEntryReadiness';
 import type { WorkerDirectory } from './BaobabwellEntryWorkers';
 import type { CallService } from '@baobabwell/calls';
+import type { GroupCommit, IdempotencyRegistry } from '@baobabwell/idempotency';
 import type { Logger } from '@baobabwell/logging';
 import type { HostControl, HostHealth, MaintenanceController } from '@baobabwell/maintenance';
 import type { EntryMetrics } from '@baobabwell/metrics';
@@ -51,6 +52,8 @@
 export const WORKER_DIRECTORY = createServiceToken<WorkerDirectory>('workerDirectory');
 export const PERMIT_POOL = createServiceToken<PermitPool>('permitPool');
 export const READINESS = createServiceToken<Readiness>('readiness');
+export const CLAIM_COMMITS = createServiceToken<GroupCommit>('claimCommits');
+export const IDEMPOTENCY = createServiceToken<IdempotencyRegistry>('idempotency');
 export const CALL_SERVICE = createServiceToken<CallService>('callService');
 export const HOST_CONTROL = createServiceToken<HostControl>('hostControl');
 export const HOST_HEALTH = createServiceToken<HostHealth>('hostHealth');
--- a/packages/baobabwell-entry/src/index.ts
+++ b/packages/baobabwell-entry/src/index.ts
@@ -5,10 +5,12 @@
 export {
   CALL_SERVICE,
   CHANGE_JOURNAL,
+  CLAIM_COMMITS,
   FRESHNESS,
   HOST_CONTROL,
   HOST_HEALTH,
   HOST_LIST,
+  IDEMPOTENCY,
   IDENTITY,
   OBJECT_STORE,
   OPERATOR_SERVICE,
