--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorSettings.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorSettings.ts
@@ -19,6 +19,7 @@
   readonly minimumServing: number;
   readonly slots?: number;
   readonly spare?: boolean;
+  readonly workersPerRack?: number;
 };
 
 /** A team of an emulated deployment; its key's secret is `secret-` followed by its name. */
@@ -53,12 +54,12 @@
 
 function buildPools(pools: readonly EmulatedPool[]): unknown[] {
   let port = FIRST_WORKER_PORT;
-  return pools.map(({ id, workers, minimumServing, slots = 8, spare = false }) => ({
+  return pools.map(({ id, workers, minimumServing, slots = 8, spare = false, workersPerRack }) => ({
     id,
     minimumServing,
     spare,
     hosts: Array.from({ length: workers }, (_, index) => {
-      const rack = Math.floor(index / DEFAULT_WORKERS_PER_RACK);
+      const rack = Math.floor(index / (workersPerRack ?? DEFAULT_WORKERS_PER_RACK));
       port += 1;
       return {
         id: `${id}-${index + 1}`,
