stand-ins: the table service can be copied and restored, entry hosts are listed

Cause: a store restored from an older copy could not be brought about, and the emulated host list knew only worker hosts, so it could not show a lost entry. Change: createCopy and restore on the table service; the emulated host list also shows the entries. Not taken: a list of its own for entries, the platform has one.

--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
@@ -101,8 +101,13 @@
         worker: new StandInWorker(id, slots, this.time),
       });
     });
+    const entries = settings.entries.map(({ id, peers }) => ({ id, address: peers }));
     this.hosts.replace(
-      hosts.map(({ id, address }) => ({ id, address, state: ListedHostState.Live })),
+      [...hosts, ...entries].map(({ id, address }) => ({
+        id,
+        address,
+        state: ListedHostState.Live,
+      })),
     );
   }
 
--- a/packages/baobabwell-stand-ins/src/BaobabwellStandInsTable.ts
+++ b/packages/baobabwell-stand-ins/src/BaobabwellStandInsTable.ts
@@ -13,6 +13,12 @@
   readonly writes: number;
 };
 
+/** Everything that a table service held at one moment. */
+export type TableCopy = {
+  readonly version: number;
+  readonly writes: readonly StoredRow[];
+};
+
 type StoredRow = {
   readonly row: Row;
   readonly table: string;
@@ -48,6 +54,23 @@
     this.#faults = faults;
   }
 
+  /** Copies everything, as a backup does. */
+  createCopy(): TableCopy {
+    const writes = [...this.#history.values()].flat();
+    return {
+      version: this.#version,
+      writes: writes.toSorted((a, b) => a.row.version - b.row.version),
+    };
+  }
+
+  /** Goes back to a copy, as a restore from a backup does. */
+  restore({ version, writes }: TableCopy): void {
+    this.#tables.clear();
+    this.#history.clear();
+    writes.forEach(({ table, row }) => this.#put(table, row));
+    this.#version = version;
+  }
+
   /** Operations counted since the start. */
   getCounts(): TableCounts {
     return { reads: this.#reads, writes: this.#writes };
--- a/packages/baobabwell-stand-ins/src/index.ts
+++ b/packages/baobabwell-stand-ins/src/index.ts
@@ -1,6 +1,6 @@
 export type { PlatformFaults, WorkerFaults } from './BaobabwellStandInsFaults';
 export type { PlatformStandIns } from './BaobabwellStandInsPlatformServer';
-export type { TableCounts } from './BaobabwellStandInsTable';
+export type { TableCopy, TableCounts } from './BaobabwellStandInsTable';
 export type {
   IncomingTask,
   LeaseGrant,
