view, membership: accepted and in force, a quorum without the store, fences

Cause: the view had one way to be current (the store, or a peer that read it), a change lost to an unreachable peer was not sent again, an abandoned transaction ended as unavailable, a store restored from an older copy was believed, and membership was two log rows without fences, so nothing could be taken over. Change: ViewQuorum confirms the view through a majority of members and tells pending, accepted and in force with the missing named; peers are pushed to until they acknowledge; heartbeat rows carry acknowledgements round cut links; the follower checks that its place in the log still stands, gives back changes that the log lost, and distrusts it until a quorum confirms. Package membership: join, leave, take-over by a new life, suspicion by a majority of reports plus a silent heartbeat row, host list and operator's word as outside evidence, one membership change at a time, FenceTracker with the moment of release, a new life after a fence. MemberState goes: a fenced life is a Fence entity, so the members are just those that count. Not taken: replacing an entry's life in one change, since the majorities before and after need not share a member (3 entries: {A, C}, {B, C'}).

--- a/packages/baobabwell-cli/src/BaobabwellCliStatements.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCliStatements.ts
@@ -1,4 +1,5 @@
 import type { OperatorReply, QueryRow } from '@baobabwell/operations';
+import type { ChangeProgress } from '@baobabwell/view';
 
 import { request } from 'undici';
 
@@ -27,12 +28,18 @@
     .join('\n');
 }
 
+function formatProgress({ stage, missing }: ChangeProgress): string {
+  return missing.length === 0 ? stage : `${stage}, not yet at ${missing.join(', ')}`;
+}
+
 function formatReply(reply: OperatorReply): string {
   switch (reply.kind) {
     case 'rows':
       return formatTable(reply.columns, reply.rows);
     case 'changed':
-      return [`version ${reply.version}`, ...reply.notes].join('\n');
+      return [`version ${reply.version} ${formatProgress(reply.progress)}`, ...reply.notes].join(
+        '\n',
+      );
     case 'refused':
       return `${reply.code}: ${reply.message}`;
     case 'unavailable':
--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -7,10 +7,12 @@
 
 import { Kernel } from '@baobabwell/kernel';
 import { Logger } from '@baobabwell/logging';
+import { MemberIdentity } from '@baobabwell/membership';
 import { EntryMetrics } from '@baobabwell/metrics';
 
 import { callServerPlugin } from './BaobabwellEntryCallServerPlugin';
 import { callsPlugin } from './BaobabwellEntryCallsPlugin';
+import { joinPlugin, membershipPlugin } from './BaobabwellEntryMembershipPlugin';
 import { operatorServerPlugin } from './BaobabwellEntryOperatorServerPlugin';
 import { operatorsPlugin } from './BaobabwellEntryOperatorsPlugin';
 import { peerServerPlugin, peersPlugin } from './BaobabwellEntryPeersPlugin';
@@ -47,7 +49,7 @@
   readonly after: readonly Plugin[];
 };
 
-const FEATURES: readonly Plugin[] = [viewPlugin, callsPlugin, operatorsPlugin];
+const FEATURES: readonly Plugin[] = [viewPlugin, membershipPlugin, callsPlugin, operatorsPlugin];
 
 /** Builds an entry with the given connections. */
 export function buildConnectedEntry(
@@ -57,7 +59,7 @@
   const kernel = new Kernel(clock);
   kernel.registerService(SETTINGS, () => settings);
   kernel.registerService(ENTRY_SETTINGS, () => entry);
-  kernel.registerService(IDENTITY, () => ({ id: entry.id, incarnation }));
+  kernel.registerService(IDENTITY, () => new MemberIdentity(entry.id, incarnation));
   kernel.registerService(LOGGER, () => logger);
   kernel.registerService(METRICS, () => new EntryMetrics());
   kernel.registerService(PEER_ROUTERS, () => []);
@@ -65,7 +67,7 @@
     READINESS,
     () => new Readiness(() => kernel.getService(FRESHNESS).isCurrent()),
   );
-  [...before, ...FEATURES, ...after].forEach((plugin) => kernel.use(plugin));
+  [...before, ...FEATURES, ...after, joinPlugin].forEach((plugin) => kernel.use(plugin));
   return kernel;
 }
 
--- /dev/null
+++ b/packages/baobabwell-entry/src/BaobabwellEntryMembershipPlugin.ts
@@ -0,0 +1,124 @@
+import type { Kernel, Plugin } from '@baobabwell/kernel';
+
+import { mergeUndo } from '@baobabwell/kernel';
+import {
+  FenceMemberCommand,
+  FenceTracker,
+  MembershipMonitor,
+  MembershipService,
+} from '@baobabwell/membership';
+import { buildFleet } from '@baobabwell/settings';
+
+import {
+  ENTRY_SETTINGS,
+  FENCE_TRACKER,
+  HEARTBEAT_ROWS,
+  HOST_LIST,
+  IDENTITY,
+  LIFE_STARTED,
+  LOGGER,
+  MEMBER_FENCED,
+  MEMBER_RELEASED,
+  MEMBERSHIP_MONITOR,
+  MEMBERSHIP_SERVICE,
+  OPERATOR_SERVICE,
+  SETTINGS,
+  VIEW_QUORUM,
+  VIEW_STORE,
+  VIEW_WRITER,
+} from './BaobabwellEntryTokens';
+
+function buildMembershipService(kernel: Kernel): MembershipService {
+  const { dataCentre, peers: peerAddress } = kernel.getService(ENTRY_SETTINGS);
+  const logger = kernel.getService(LOGGER);
+  return new MembershipService({
+    writer: kernel.getService(VIEW_WRITER),
+    quorum: kernel.getService(VIEW_QUORUM),
+    clock: kernel.clock,
+    identity: kernel.getService(IDENTITY),
+    location: { dataCentre, peerAddress },
+    buildInitialFleet: (wallTime) => buildFleet(kernel.getService(SETTINGS).fleet, wallTime),
+    onFailure: (command, error) =>
+      logger.recordDebug('membership-change-failed', { command, cause: JSON.stringify(error) }),
+  });
+}
+
+function buildMembershipMonitor(kernel: Kernel): MembershipMonitor {
+  return new MembershipMonitor({
+    service: kernel.getService(MEMBERSHIP_SERVICE),
+    store: kernel.getService(VIEW_STORE),
+    quorum: kernel.getService(VIEW_QUORUM),
+    heartbeats: kernel.getService(HEARTBEAT_ROWS),
+    hostList: kernel.getService(HOST_LIST),
+    clock: kernel.clock,
+    identity: kernel.getService(IDENTITY),
+    onLook: () => kernel.getService(FENCE_TRACKER).update(),
+  });
+}
+
+function buildFenceTracker(kernel: Kernel): FenceTracker {
+  const logger = kernel.getService(LOGGER);
+  return new FenceTracker({
+    store: kernel.getService(VIEW_STORE),
+    quorum: kernel.getService(VIEW_QUORUM),
+    clock: kernel.clock,
+    onFenced: (life) => {
+      logger.recordInfo('member-fenced', { member: life.id, incarnation: life.incarnation });
+      kernel.dispatchEvent(MEMBER_FENCED, life);
+    },
+    onReleased: (life) => {
+      logger.recordInfo('member-released', { member: life.id, incarnation: life.incarnation });
+      kernel.dispatchEvent(MEMBER_RELEASED, life);
+    },
+  });
+}
+
+async function joinFleet(kernel: Kernel): Promise<void> {
+  await kernel.getService(MEMBERSHIP_SERVICE).join();
+  const { incarnation } = kernel.getService(IDENTITY);
+  kernel.getService(LOGGER).recordInfo('entry-joined', { incarnation });
+}
+
+/** Begins a new life once nothing of the fenced one still runs. */
+async function startNewLife(kernel: Kernel): Promise<void> {
+  const identity = kernel.getService(IDENTITY);
+  identity.startNewLife();
+  const { id, incarnation } = identity;
+  kernel.dispatchEvent(LIFE_STARTED, { id, incarnation });
+  await joinFleet(kernel);
+}
+
+/** Keeps this entry a member: watches the others, and joins anew after a fence. */
+export const membershipPlugin: Plugin = {
+  name: 'membership',
+  register: (kernel) =>
+    mergeUndo(
+      kernel.registerService(MEMBERSHIP_SERVICE, buildMembershipService),
+      kernel.registerService(MEMBERSHIP_MONITOR, buildMembershipMonitor),
+      kernel.registerService(FENCE_TRACKER, buildFenceTracker),
+    ),
+  async start(kernel) {
+    const service = kernel.getService(MEMBERSHIP_SERVICE);
+    const monitor = kernel.getService(MEMBERSHIP_MONITOR);
+    kernel.getService(OPERATOR_SERVICE).registerCommand(new FenceMemberCommand());
+    const undo = kernel.registerListener(MEMBER_RELEASED, ({ id, incarnation }) => {
+      const own = kernel.getService(IDENTITY);
+      if (id === own.id && incarnation === own.incarnation) {
+        void startNewLife(kernel);
+      }
+    });
+    void monitor.run();
+    kernel.lifecycle.add('membership', async () => {
+      undo();
+      monitor.stop();
+      await service.leave();
+    });
+  },
+};
+
+/** Joins the fleet; started last, when peers are already answered at this entry's address. */
+export const joinPlugin: Plugin = {
+  name: 'join',
+  register: () => () => {},
+  start: joinFleet,
+};
--- a/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
@@ -2,6 +2,12 @@
 import type { WorkerDirectory } from './BaobabwellEntryWorkers';
 import type { CallService } from '@baobabwell/calls';
 import type { Logger } from '@baobabwell/logging';
+import type {
+  FenceTracker,
+  MemberIdentity,
+  MembershipMonitor,
+  MembershipService,
+} from '@baobabwell/membership';
 import type { EntryMetrics } from '@baobabwell/metrics';
 import type { ViewChange } from '@baobabwell/model';
 import type { OperatorService } from '@baobabwell/operations';
@@ -11,9 +17,12 @@
 import type { EntrySettings, Settings } from '@baobabwell/settings';
 import type {
   FreshnessTracker,
+  HeartbeatRows,
+  MemberLife,
   ViewFollower,
   ViewHistory,
   ViewLog,
+  ViewQuorum,
   ViewStore,
   ViewWriter,
 } from '@baobabwell/view';
@@ -23,15 +32,9 @@
 
 import { createEvent, createServiceToken } from '@baobabwell/kernel';
 
-/** Identity of this process among the members. */
-export type EntryIdentity = {
-  readonly id: string;
-  readonly incarnation: string;
-};
-
 export const SETTINGS = createServiceToken<Settings>('settings');
 export const ENTRY_SETTINGS = createServiceToken<EntrySettings>('entrySettings');
-export const IDENTITY = createServiceToken<EntryIdentity>('identity');
+export const IDENTITY = createServiceToken<MemberIdentity>('identity');
 export const LOGGER = createServiceToken<Logger>('logger');
 export const METRICS = createServiceToken<EntryMetrics>('metrics');
 export const TABLE_SERVICE = createServiceToken<TableService>('tableService');
@@ -41,8 +44,13 @@
 export const VIEW_LOG = createServiceToken<ViewLog>('viewLog');
 export const VIEW_HISTORY = createServiceToken<ViewHistory>('viewHistory');
 export const VIEW_FOLLOWER = createServiceToken<ViewFollower>('viewFollower');
+export const VIEW_QUORUM = createServiceToken<ViewQuorum>('viewQuorum');
+export const HEARTBEAT_ROWS = createServiceToken<HeartbeatRows>('heartbeatRows');
 export const VIEW_WRITER = createServiceToken<ViewWriter>('viewWriter');
 export const FRESHNESS = createServiceToken<FreshnessTracker>('freshness');
+export const MEMBERSHIP_SERVICE = createServiceToken<MembershipService>('membershipService');
+export const MEMBERSHIP_MONITOR = createServiceToken<MembershipMonitor>('membershipMonitor');
+export const FENCE_TRACKER = createServiceToken<FenceTracker>('fenceTracker');
 export const PEER_CONNECTOR = createServiceToken<PeerConnector>('peerConnector');
 export const PEER_ROUTERS = createServiceToken<AnyTRPCRouter[]>('peerRouters');
 export const PEER_SERVERS = createServiceToken<FastifyInstance[]>('peerServers');
@@ -56,3 +64,12 @@
 
 /** A change that this entry committed. */
 export const CHANGE_COMMITTED = createEvent<ViewChange>('change-committed');
+
+/** A life of an entry was fenced: it takes no new work once the fence is in force. */
+export const MEMBER_FENCED = createEvent<MemberLife>('member-fenced');
+
+/** Nothing that a fenced life started still runs: others may take what it held. */
+export const MEMBER_RELEASED = createEvent<MemberLife>('member-released');
+
+/** This process was fenced and begins the given life, which holds nothing of the one before. */
+export const LIFE_STARTED = createEvent<MemberLife>('life-started');
--- a/packages/baobabwell-entry/src/BaobabwellEntryViewPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryViewPlugin.ts
@@ -3,93 +3,56 @@
 import type { ViewPeerParts } from '@baobabwell/view';
 
 import { mergeUndo } from '@baobabwell/kernel';
-import { createPut, createRemoval, EntityKind, MemberState } from '@baobabwell/model';
-import { buildFleet } from '@baobabwell/settings';
-import { createOk } from '@baobabwell/utils';
+import { isMember } from '@baobabwell/membership';
+import { EntityKind } from '@baobabwell/model';
 import {
   buildViewRouter,
   FRESHNESS_BOUND_MS,
   FreshnessTracker,
+  HeartbeatRows,
   HISTORY_CHANGES,
   ViewFollower,
   ViewHistory,
   ViewLog,
   ViewPeerTask,
+  ViewQuorum,
   ViewStore,
   ViewWriter,
 } from '@baobabwell/view';
 
 import {
   CHANGE_COMMITTED,
-  ENTRY_SETTINGS,
   FRESHNESS,
+  HEARTBEAT_ROWS,
   IDENTITY,
   LOGGER,
+  MEMBERSHIP_MONITOR,
   METRICS,
   PEER_CONNECTOR,
   PEER_ROUTERS,
-  SETTINGS,
   TABLE_SERVICE,
   VIEW_FOLLOWER,
   VIEW_HISTORY,
   VIEW_LOG,
+  VIEW_QUORUM,
   VIEW_STORE,
   VIEW_WRITER,
 } from './BaobabwellEntryTokens';
 
-const JOIN_RETRY_MS = 500;
-
 function getPeerParts(kernel: Kernel): ViewPeerParts {
   return {
     store: kernel.getService(VIEW_STORE),
     history: kernel.getService(VIEW_HISTORY),
     freshness: kernel.getService(FRESHNESS),
+    quorum: kernel.getService(VIEW_QUORUM),
     follower: kernel.getService(VIEW_FOLLOWER),
     clock: kernel.clock,
+    self: kernel.getService(IDENTITY),
+    onReport: (from, unreachable) =>
+      kernel.getService(MEMBERSHIP_MONITOR).recordReport(from, unreachable),
   };
 }
 
-function buildMember(kernel: Kernel): Member {
-  const { id, incarnation } = kernel.getService(IDENTITY);
-  const { dataCentre, peers } = kernel.getService(ENTRY_SETTINGS);
-  return { id, incarnation, dataCentre, peerAddress: peers, state: MemberState.Active };
-}
-
-/** Joins the fleet; the first entry of an empty log also creates the fleet of the settings. */
-async function joinFleet(kernel: Kernel): Promise<void> {
-  const writer = kernel.getService(VIEW_WRITER);
-  const logger = kernel.getService(LOGGER);
-  const member = buildMember(kernel);
-  for (;;) {
-    const joined = await writer.write<never>({
-      author: member.id,
-      command: 'join',
-      reason: 'entry started',
-      build: (view) => {
-        const { fleet } = kernel.getService(SETTINGS);
-        const initial = view.version === 0 ? buildFleet(fleet, kernel.clock.getWallTime()) : [];
-        return createOk([...initial, createPut(EntityKind.Member, member)]);
-      },
-    });
-    if (joined.ok) {
-      logger.recordInfo('entry-joined', { version: joined.value.version });
-      return;
-    }
-    logger.recordWarning('entry-join-failed', { cause: JSON.stringify(joined.error) });
-    await kernel.clock.wait(JOIN_RETRY_MS);
-  }
-}
-
-async function leaveFleet(kernel: Kernel): Promise<void> {
-  const { id } = kernel.getService(IDENTITY);
-  await kernel.getService(VIEW_WRITER).write<never>({
-    author: id,
-    command: 'leave',
-    reason: 'entry stopped',
-    build: () => createOk([createRemoval(EntityKind.Member, id)]),
-  });
-}
-
 /** Runs one task for each other member, following the membership. */
 class PeerTasks {
   readonly #kernel: Kernel;
@@ -124,47 +87,78 @@
   }
 }
 
-/** Follows the view, exchanges it with the peers, and joins and leaves the fleet. */
+function buildFreshness(kernel: Kernel): FreshnessTracker {
+  const store = kernel.getService(VIEW_STORE);
+  const identity = kernel.getService(IDENTITY);
+  return new FreshnessTracker(kernel.clock, FRESHNESS_BOUND_MS, () =>
+    isMember(store.get(), identity),
+  );
+}
+
+function buildFollower(kernel: Kernel): ViewFollower {
+  const logger = kernel.getService(LOGGER);
+  return new ViewFollower({
+    log: kernel.getService(VIEW_LOG),
+    store: kernel.getService(VIEW_STORE),
+    history: kernel.getService(VIEW_HISTORY),
+    freshness: kernel.getService(FRESHNESS),
+    clock: kernel.clock,
+    onFault: ({ kind, version }) => logger.recordError(`view-log-${kind}`, { version }),
+  });
+}
+
+function buildWriter(kernel: Kernel): ViewWriter {
+  return new ViewWriter({
+    log: kernel.getService(VIEW_LOG),
+    store: kernel.getService(VIEW_STORE),
+    follower: kernel.getService(VIEW_FOLLOWER),
+    quorum: kernel.getService(VIEW_QUORUM),
+    heartbeats: kernel.getService(HEARTBEAT_ROWS),
+    clock: kernel.clock,
+    onCommit: (change) => kernel.dispatchEvent(CHANGE_COMMITTED, change),
+  });
+}
+
+function buildHeartbeatRows(kernel: Kernel): HeartbeatRows {
+  return new HeartbeatRows({
+    tables: kernel.getService(TABLE_SERVICE),
+    store: kernel.getService(VIEW_STORE),
+    clock: kernel.clock,
+    self: kernel.getService(IDENTITY),
+  });
+}
+
+function buildQuorum(kernel: Kernel): ViewQuorum {
+  return new ViewQuorum({
+    store: kernel.getService(VIEW_STORE),
+    freshness: kernel.getService(FRESHNESS),
+    clock: kernel.clock,
+    self: kernel.getService(IDENTITY),
+  });
+}
+
+/** Follows the view and exchanges it with the peers. */
 export const viewPlugin: Plugin = {
   name: 'view',
   register(kernel) {
     return mergeUndo(
       kernel.registerService(VIEW_STORE, () => new ViewStore()),
       kernel.registerService(VIEW_HISTORY, () => new ViewHistory(HISTORY_CHANGES)),
-      kernel.registerService(
-        FRESHNESS,
-        () => new FreshnessTracker(kernel.clock, FRESHNESS_BOUND_MS),
-      ),
+      kernel.registerService(FRESHNESS, buildFreshness),
       kernel.registerService(
         VIEW_LOG,
         () => new ViewLog(kernel.getService(TABLE_SERVICE), kernel.clock),
       ),
-      kernel.registerService(
-        VIEW_FOLLOWER,
-        () =>
-          new ViewFollower({
-            log: kernel.getService(VIEW_LOG),
-            store: kernel.getService(VIEW_STORE),
-            freshness: kernel.getService(FRESHNESS),
-            clock: kernel.clock,
-          }),
-      ),
-      kernel.registerService(
-        VIEW_WRITER,
-        () =>
-          new ViewWriter({
-            log: kernel.getService(VIEW_LOG),
-            store: kernel.getService(VIEW_STORE),
-            follower: kernel.getService(VIEW_FOLLOWER),
-            clock: kernel.clock,
-            onCommit: (change) => kernel.dispatchEvent(CHANGE_COMMITTED, change),
-          }),
-      ),
+      kernel.registerService(VIEW_FOLLOWER, buildFollower),
+      kernel.registerService(VIEW_QUORUM, buildQuorum),
+      kernel.registerService(HEARTBEAT_ROWS, buildHeartbeatRows),
+      kernel.registerService(VIEW_WRITER, buildWriter),
     );
   },
   async start(kernel) {
     const store = kernel.getService(VIEW_STORE);
     const follower = kernel.getService(VIEW_FOLLOWER);
+    const heartbeats = kernel.getService(HEARTBEAT_ROWS);
     const metrics = kernel.getService(METRICS);
     const tasks = new PeerTasks(kernel);
     kernel.getService(PEER_ROUTERS).push(buildViewRouter(getPeerParts(kernel)));
@@ -174,15 +168,15 @@
         metrics.viewVersion.set(current.version);
         tasks.update(current.list(EntityKind.Member));
       }),
-      kernel.registerListener(CHANGE_COMMITTED, (change) =>
-        tasks.forEach((task) => task.push(change)),
+      kernel.registerListener(CHANGE_COMMITTED, ({ version }) =>
+        tasks.forEach((task) => task.push(version)),
       ),
     );
-    await joinFleet(kernel);
     void follower.run();
-    kernel.lifecycle.add('view tasks', async () => {
-      await leaveFleet(kernel);
+    void heartbeats.run();
+    kernel.lifecycle.add('view tasks', () => {
       follower.stop();
+      heartbeats.stop();
       undo();
       tasks.update([]);
     });
--- a/packages/baobabwell-language/src/BaobabwellLanguageParser.ts
+++ b/packages/baobabwell-language/src/BaobabwellLanguageParser.ts
@@ -26,7 +26,7 @@
 const Version = createToken({ name: 'Version', pattern: /version/, longer_alt: Word });
 const Verb = createToken({
   name: 'Verb',
-  pattern: /grant|withdraw|drain|return|retire/,
+  pattern: /grant|withdraw|drain|return|retire|fence/,
   longer_alt: Word,
 });
 
--- a/packages/baobabwell-model/src/BaobabwellModel.ts
+++ b/packages/baobabwell-model/src/BaobabwellModel.ts
@@ -1,7 +1,6 @@
 import type {
   EntityKind,
   HostState,
-  MemberState,
   OperatorRole,
   QueueAccess,
   QueueMode,
@@ -103,7 +102,17 @@
   readonly dataCentre: string;
   /** `host:port` for other entries. */
   readonly peerAddress: string;
-  readonly state: MemberState;
+};
+
+/** A life of an entry that was taken out of the members, or left them. */
+export type Fence = {
+  /** The entry and its incarnation, joined by a dot. */
+  readonly id: string;
+  readonly member: string;
+  readonly incarnation: string;
+  readonly reason: string;
+  /** Wall-clock milliseconds. */
+  readonly at: number;
 };
 
 /** A person or program that may give commands. */
@@ -124,6 +133,7 @@
   readonly [EntityKind.Team]: Team;
   readonly [EntityKind.Key]: Key;
   readonly [EntityKind.Member]: Member;
+  readonly [EntityKind.Fence]: Fence;
   readonly [EntityKind.Operator]: Operator;
 };
 
--- a/packages/baobabwell-model/src/BaobabwellModelConstants.ts
+++ b/packages/baobabwell-model/src/BaobabwellModelConstants.ts
@@ -36,13 +36,6 @@
   Deferred = 'deferred',
 }
 
-/** Condition of an entry in the fleet. */
-export enum MemberState {
-  Active = 'active',
-  /** Cut off from the fleet; what it held is given to others after the fence has passed. */
-  Fenced = 'fenced',
-}
-
 /** What an operator may do. */
 export enum OperatorRole {
   Viewer = 'viewer',
@@ -60,6 +53,7 @@
   Team = 'team',
   Key = 'key',
   Member = 'member',
+  Fence = 'fence',
   Operator = 'operator',
 }
 
--- a/packages/baobabwell-model/src/index.ts
+++ b/packages/baobabwell-model/src/index.ts
@@ -1,6 +1,7 @@
 export type {
   Entity,
   EntityTypes,
+  Fence,
   Host,
   Key,
   Member,
@@ -19,7 +20,6 @@
 export {
   EntityKind,
   HostState,
-  MemberState,
   OperatorRole,
   Outcome,
   PriorityClass,
--- a/packages/baobabwell-operations/src/BaobabwellOperationsService.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsService.ts
@@ -9,7 +9,7 @@
 import type { CommandStatement, QueryStatement } from '@baobabwell/language';
 import type { FleetView } from '@baobabwell/model';
 import type { Clock, Result } from '@baobabwell/utils';
-import type { ViewWriter } from '@baobabwell/view';
+import type { ChangeProgress, ViewWriter } from '@baobabwell/view';
 
 import { Comparison, parseStatement } from '@baobabwell/language';
 import { createError, createOk } from '@baobabwell/utils';
@@ -26,6 +26,8 @@
       readonly version: number;
       readonly transactionId: string;
       readonly notes: readonly string[];
+      /** How far the change has come, and which members have not acknowledged it. */
+      readonly progress: ChangeProgress;
     }
   | {
       readonly kind: 'refused';
@@ -173,7 +175,8 @@
     });
     if (written.ok) {
       const { version, transactionId } = written.value;
-      return { kind: 'changed', version, transactionId, notes };
+      const progress = await this.#parts.writer.waitAccepted(version);
+      return { kind: 'changed', version, transactionId, notes, progress };
     }
     return written.error.kind === 'refused'
       ? createRefused(written.error.refusal.code, written.error.refusal.message, null)
--- a/packages/baobabwell-operations/src/BaobabwellOperationsSources.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsSources.ts
@@ -14,6 +14,7 @@
   [EntityKind.Team]: 'teams',
   [EntityKind.Key]: 'keys',
   [EntityKind.Member]: 'members',
+  [EntityKind.Fence]: 'fences',
   [EntityKind.Operator]: 'operators',
 };
 
@@ -35,7 +36,8 @@
   [EntityKind.Organisation]: ['id', 'share'],
   [EntityKind.Team]: ['id', 'organisation', 'share', 'limit'],
   [EntityKind.Key]: ['id', 'team', 'createdAt', 'expiresAt'],
-  [EntityKind.Member]: ['id', 'incarnation', 'dataCentre', 'peerAddress', 'state'],
+  [EntityKind.Member]: ['id', 'incarnation', 'dataCentre', 'peerAddress'],
+  [EntityKind.Fence]: ['id', 'member', 'incarnation', 'reason', 'at'],
   [EntityKind.Operator]: ['id', 'role'],
 };
 
--- a/packages/baobabwell-view/src/BaobabwellViewConstants.ts
+++ b/packages/baobabwell-view/src/BaobabwellViewConstants.ts
@@ -33,3 +33,24 @@
 
 /** Changes kept in memory for peers that lag behind. */
 export const HISTORY_CHANGES = 1_000;
+
+/** Table that holds one heartbeat row for each entry. */
+export const HEARTBEAT_TABLE = 'member-heartbeats';
+
+/** Longest time between two writes of an entry's heartbeat row. */
+export const HEARTBEAT_ROW_INTERVAL_MS = 3_000;
+
+/** Time after its last answer from which a member counts as unreachable. */
+export const UNREACHABLE_AFTER_MS = 2_000;
+
+/** Time that a writer waits for the acceptance of its change before it reports it as pending. */
+export const ACCEPTANCE_WAIT_MS = 2_000;
+
+/** Time between two looks at the heartbeat rows while a change is not accepted. */
+export const ACCEPTANCE_READ_INTERVAL_MS = 500;
+
+/** Fewest members that can confirm the view without the table service. */
+export const SMALLEST_QUORUM_FLEET = 2;
+
+/** Changes sent to one peer at once. */
+export const PUSH_CHANGES = 100;
--- a/packages/baobabwell-view/src/BaobabwellViewFollower.ts
+++ b/packages/baobabwell-view/src/BaobabwellViewFollower.ts
@@ -1,20 +1,37 @@
 import type { FreshnessTracker } from './BaobabwellViewFreshness';
-import type { LogPosition, ViewLog } from './BaobabwellViewLog';
+import type { ViewHistory } from './BaobabwellViewHistory';
+import type { LogPage, LogPosition, ViewLog } from './BaobabwellViewLog';
 import type { ViewStore } from './BaobabwellViewStore';
+import type { ViewChange } from '@baobabwell/model';
 import type { Clock } from '@baobabwell/utils';
 
-import { LOG_POLL_INTERVAL_MS } from './BaobabwellViewConstants';
+import { EntityKind } from '@baobabwell/model';
+
+import { LOG_POLL_INTERVAL_MS, SMALLEST_QUORUM_FLEET } from './BaobabwellViewConstants';
 import { LOG_START } from './BaobabwellViewLog';
 
+/** What the follower found wrong with the log. */
+export type LogFault =
+  /** The log lost changes that were in it before, as after a restore from an older copy. */
+  | { readonly kind: 'rolled-back'; readonly version: number }
+  /** The log holds another change at a version than this entry has applied. */
+  | { readonly kind: 'diverged'; readonly version: number };
+
 /** What the follower works with. */
 export type ViewFollowerParts = {
   readonly log: ViewLog;
   readonly store: ViewStore;
+  readonly history: ViewHistory;
   readonly freshness: FreshnessTracker;
   readonly clock: Clock;
+  readonly onFault: (fault: LogFault) => void;
 };
 
-/** Reads the log about once a second and applies what is new. */
+/**
+ * Reads the log about once a second and applies what is new. A log that was restored from an
+ * older copy is not believed: it gets back the changes that this entry holds, and confirms the
+ * view again only after another source has confirmed it.
+ */
 export class ViewFollower {
   readonly #parts: ViewFollowerParts;
 
@@ -24,6 +41,9 @@
 
   #serviceVersion = 0;
 
+  /** When the log was last seen to have gone back, or `null` while it is believed. */
+  #doubtedAt: number | null = null;
+
   constructor(parts: ViewFollowerParts) {
     this.#parts = parts;
   }
@@ -39,26 +59,29 @@
    * @returns whether the view was confirmed to be complete.
    */
   async read(): Promise<boolean> {
-    const { log, store, freshness, clock } = this.#parts;
+    const { log, store, clock } = this.#parts;
     for (;;) {
       const sentAt = clock.getNow();
+      const heldVersion = store.get().version;
+      const serviceVersion = this.#serviceVersion;
       const page = await log.readSince(this.#position);
-      if (!page.ok || page.value.serviceVersion < this.#serviceVersion) {
+      if (!page.ok) {
         return false;
       }
-      this.#serviceVersion = page.value.serviceVersion;
-      page.value.changes.forEach((change) => store.apply(change));
-      if (page.value.position.viewVersion >= this.#position.viewVersion) {
-        this.#position = page.value.position;
+      if (!this.#checkContinuity(page.value, serviceVersion)) {
+        return false;
       }
+      if (!this.#applyChanges(page.value.changes)) {
+        return false;
+      }
+      this.recordAppended(page.value.position);
       if (page.value.isComplete) {
-        freshness.recordConfirmation(sentAt);
-        return true;
+        return this.#confirm(page.value.position, heldVersion, sentAt);
       }
     }
   }
 
-  /** Records the position of a change that this entry added itself. */
+  /** Records the position of a change that is known to stand in the log. */
   recordAppended(position: LogPosition): void {
     if (position.viewVersion > this.#position.viewVersion) {
       this.#position = position;
@@ -78,4 +101,76 @@
   stop(): void {
     this.#stopped.abort();
   }
+
+  /** @param knownVersion service version that was known when the page was asked for. */
+  #checkContinuity({ isContinuous, serviceVersion }: LogPage, knownVersion: number): boolean {
+    if (isContinuous && serviceVersion >= knownVersion) {
+      this.#serviceVersion = Math.max(this.#serviceVersion, serviceVersion);
+      return true;
+    }
+    this.#serviceVersion = serviceVersion;
+    this.#position = LOG_START;
+    this.#doubt({ kind: 'rolled-back', version: this.#parts.store.get().version });
+    return false;
+  }
+
+  #applyChanges(changes: readonly ViewChange[]): boolean {
+    const { store, history } = this.#parts;
+    const other = changes.find((change) => {
+      const known = history.find(change.version);
+      return known !== null && known.transactionId !== change.transactionId;
+    });
+    if (other !== undefined) {
+      this.#doubt({ kind: 'diverged', version: other.version });
+      return false;
+    }
+    changes.forEach((change) => store.apply(change));
+    return true;
+  }
+
+  async #confirm(position: LogPosition, heldVersion: number, sentAt: number): Promise<boolean> {
+    if (heldVersion > position.viewVersion) {
+      // What this entry held before it asked must stand in the log.
+      this.#doubt({ kind: 'rolled-back', version: heldVersion });
+      await this.#restore(position);
+      return false;
+    }
+    if (this.#isDoubted()) {
+      return false;
+    }
+    this.#parts.freshness.recordConfirmation(sentAt);
+    return true;
+  }
+
+  /** Adds the changes that the log has lost; another entry may do the same meanwhile. */
+  async #restore(position: LogPosition): Promise<void> {
+    const { log, history } = this.#parts;
+    let end = position;
+    for (const change of history.listSince(position.viewVersion)) {
+      const appended = await log.appendAgain(end, change);
+      if (appended === null) {
+        return;
+      }
+      end = appended;
+    }
+    this.#position = end;
+  }
+
+  #doubt(fault: LogFault): void {
+    if (this.#doubtedAt === null) {
+      this.#parts.onFault(fault);
+    }
+    this.#doubtedAt = this.#parts.clock.getNow();
+  }
+
+  /** The log is believed again once another source confirmed the view after the doubt arose. */
+  #isDoubted(): boolean {
+    const { freshness, clock, store } = this.#parts;
+    const isAlone = store.get().getCount(EntityKind.Member) < SMALLEST_QUORUM_FLEET;
+    const isConfirmed = clock.getNow() - freshness.getAge() > (this.#doubtedAt ?? 0);
+    if (isAlone || isConfirmed) {
+      this.#doubtedAt = null;
+    }
+    return this.#doubtedAt !== null;
+  }
 }
--- a/packages/baobabwell-view/src/BaobabwellViewFreshness.ts
+++ b/packages/baobabwell-view/src/BaobabwellViewFreshness.ts
@@ -6,15 +6,19 @@
 
   readonly #boundMs: number;
 
+  readonly #isMember: () => boolean;
+
   #newestAt = Number.NEGATIVE_INFINITY;
 
-  constructor(clock: Clock, boundMs: number) {
+  /** @param isMember whether the view names this life of the entry as a member. */
+  constructor(clock: Clock, boundMs: number, isMember: () => boolean = () => true) {
     this.#clock = clock;
     this.#boundMs = boundMs;
+    this.#isMember = isMember;
   }
 
   /**
-   * Records that the view held every change known at a moment.
+   * Records that the view held every accepted change known at a moment.
    *
    * @param at monotonic time at which the confirming request was sent, never when it was
    *   answered: a pause in between must count as age.
@@ -28,8 +32,8 @@
     return this.#clock.getNow() - this.#newestAt;
   }
 
-  /** True while the view is recent enough to start work. */
+  /** True while this entry is a member and its view is recent enough to start work. */
   isCurrent(): boolean {
-    return this.getAge() <= this.#boundMs;
+    return this.getAge() <= this.#boundMs && this.#isMember();
   }
 }
--- a/packages/baobabwell-view/src/BaobabwellViewHistory.ts
+++ b/packages/baobabwell-view/src/BaobabwellViewHistory.ts
@@ -18,6 +18,12 @@
     }
   }
 
+  /** Finds the change with a version, or `null` when it is not kept. */
+  find(version: number): ViewChange | null {
+    const first = this.#changes[0];
+    return first === undefined ? null : (this.#changes[version - first.version] ?? null);
+  }
+
   /** Lists the changes after a version, oldest first; empty when they are no longer all kept. */
   listSince(version: number): readonly ViewChange[] {
     const first = this.#changes[0];
--- a/packages/baobabwell-view/src/BaobabwellViewWriter.ts
+++ b/packages/baobabwell-view/src/BaobabwellViewWriter.ts
@@ -1,5 +1,7 @@
 import type { ViewFollower } from './BaobabwellViewFollower';
-import type { ViewLog } from './BaobabwellViewLog';
+import type { HeartbeatRows } from './BaobabwellViewHeartbeats';
+import type { LogError, ViewLog } from './BaobabwellViewLog';
+import type { ChangeProgress, ViewQuorum } from './BaobabwellViewQuorum';
 import type { ViewStore } from './BaobabwellViewStore';
 import type { FleetView, Mutation, ViewChange } from '@baobabwell/model';
 import type { Clock, Result } from '@baobabwell/utils';
@@ -8,7 +10,13 @@
 
 import { createError, createOk } from '@baobabwell/utils';
 
-import { COMMIT_ATTEMPTS } from './BaobabwellViewConstants';
+import {
+  ACCEPTANCE_READ_INTERVAL_MS,
+  ACCEPTANCE_WAIT_MS,
+  COMMIT_ATTEMPTS,
+} from './BaobabwellViewConstants';
+
+const ACCEPTANCE_POLL_MS = 5;
 
 /** A change before it has a version. */
 export type ChangeDraft<Refusal> = {
@@ -28,61 +36,96 @@
 /** Receives a change right after this entry committed it. */
 export type CommitListener = (change: ViewChange) => void;
 
-/** Makes changes: decides on the newest view and commits only if nothing came in between. */
-export class ViewWriter {
-  readonly #log: ViewLog;
-
-  readonly #store: ViewStore;
-
-  readonly #follower: ViewFollower;
+/** What the writer works with. */
+export type ViewWriterParts = {
+  readonly log: ViewLog;
+  readonly store: ViewStore;
+  readonly follower: ViewFollower;
+  readonly quorum: ViewQuorum;
+  readonly heartbeats: HeartbeatRows;
+  readonly clock: Clock;
+  readonly onCommit: CommitListener;
+};
 
-  readonly #clock: Clock;
+function isOutcome(
+  error: LogError,
+): error is Exclude<LogError, { kind: 'overtaken' | 'abandoned' }> {
+  return error.kind !== 'overtaken' && error.kind !== 'abandoned';
+}
 
-  readonly #onCommit: CommitListener;
+/** Makes changes: decides on the newest view and commits only if nothing came in between. */
+export class ViewWriter {
+  readonly #parts: ViewWriterParts;
 
-  constructor(parts: {
-    readonly log: ViewLog;
-    readonly store: ViewStore;
-    readonly follower: ViewFollower;
-    readonly clock: Clock;
-    readonly onCommit: CommitListener;
-  }) {
-    this.#log = parts.log;
-    this.#store = parts.store;
-    this.#follower = parts.follower;
-    this.#clock = parts.clock;
-    this.#onCommit = parts.onCommit;
+  constructor(parts: ViewWriterParts) {
+    this.#parts = parts;
   }
 
-  /** Commits a change, or says why it could not be committed. */
+  /**
+   * Commits a change, or says why it could not be committed. A committed change is not yet
+   * accepted; {@link waitAccepted} tells.
+   */
   async write<Refusal>(
     draft: ChangeDraft<Refusal>,
   ): Promise<Result<ViewChange, ChangeError<Refusal>>> {
+    const { log, store, follower, onCommit } = this.#parts;
     for (let attempt = 0; attempt < COMMIT_ATTEMPTS; attempt += 1) {
-      if (!(await this.#follower.read())) {
+      if (!(await follower.read())) {
         return createError({ kind: 'unavailable', cause: 'the log could not be read' });
       }
-      const view = this.#store.get();
+      const view = store.get();
+      const position = follower.getPosition();
+      if (view.version !== position.viewVersion) {
+        // A peer told of a newer change than the log did: read on.
+        continue;
+      }
       const mutations = draft.build(view);
       if (!mutations.ok) {
         return createError({ kind: 'refused', refusal: mutations.error });
       }
       const change = this.#buildChange(draft, view.version + 1, mutations.value);
-      const position = this.#follower.getPosition();
-      const appended = await this.#log.append(position, change);
+      const appended = await log.append(position, change);
       if (appended.ok) {
-        this.#follower.recordAppended(appended.value);
-        this.#store.apply(change);
-        this.#onCommit(change);
+        follower.recordAppended(appended.value);
+        store.apply(change);
+        onCommit(change);
         return createOk(change);
       }
-      if (appended.error.kind !== 'overtaken') {
+      if (isOutcome(appended.error)) {
         return createError(appended.error);
       }
     }
     return createError({ kind: 'unavailable', cause: 'other changes kept coming first' });
   }
 
+  /**
+   * Waits until a committed change is accepted, for as long as an operator should wait.
+   *
+   * @returns how far the change has come by then.
+   */
+  async waitAccepted(
+    version: number,
+    limitMs: number = ACCEPTANCE_WAIT_MS,
+  ): Promise<ChangeProgress> {
+    const { clock, quorum } = this.#parts;
+    const startedAt = clock.getNow();
+    let readAt = startedAt;
+    while (quorum.getAcceptedVersion() < version && clock.getNow() < startedAt + limitMs) {
+      await clock.wait(ACCEPTANCE_POLL_MS);
+      if (clock.getNow() >= readAt + ACCEPTANCE_READ_INTERVAL_MS) {
+        readAt = clock.getNow();
+        await this.readHeartbeats();
+      }
+    }
+    return quorum.getProgress(version);
+  }
+
+  /** Takes the acknowledgements that stand in the table service into account. */
+  async readHeartbeats(): Promise<void> {
+    const rows = await this.#parts.heartbeats.list();
+    rows?.forEach((row) => this.#parts.quorum.recordAcknowledgement(row));
+  }
+
   #buildChange(
     { author, command, reason }: ChangeDraft<unknown>,
     version: number,
@@ -94,7 +137,7 @@
       author,
       command,
       reason,
-      at: this.#clock.getWallTime(),
+      at: this.#parts.clock.getWallTime(),
       mutations,
     };
   }
