--- a/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
@@ -23,6 +23,7 @@
   ViewHistory,
   ViewLog,
   ViewQuorum,
+  ViewSnapshots,
   ViewStore,
   ViewWriter,
 } from '@baobabwell/view';
@@ -45,6 +46,7 @@
 export const VIEW_HISTORY = createServiceToken<ViewHistory>('viewHistory');
 export const VIEW_FOLLOWER = createServiceToken<ViewFollower>('viewFollower');
 export const VIEW_QUORUM = createServiceToken<ViewQuorum>('viewQuorum');
+export const VIEW_SNAPSHOTS = createServiceToken<ViewSnapshots>('viewSnapshots');
 export const HEARTBEAT_ROWS = createServiceToken<HeartbeatRows>('heartbeatRows');
 export const VIEW_WRITER = createServiceToken<ViewWriter>('viewWriter');
 export const FRESHNESS = createServiceToken<FreshnessTracker>('freshness');
--- a/packages/baobabwell-entry/src/BaobabwellEntryViewPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryViewPlugin.ts
@@ -1,6 +1,6 @@
 import type { Kernel, Plugin } from '@baobabwell/kernel';
-import type { Member } from '@baobabwell/model';
-import type { ViewPeerParts } from '@baobabwell/view';
+import type { Member, ViewChange } from '@baobabwell/model';
+import type { LogPosition, ViewPeerParts } from '@baobabwell/view';
 
 import { mergeUndo } from '@baobabwell/kernel';
 import { isMember } from '@baobabwell/membership';
@@ -14,8 +14,10 @@
   ViewFollower,
   ViewHistory,
   ViewLog,
+  SNAPSHOT_CHANGES,
   ViewPeerTask,
   ViewQuorum,
+  ViewSnapshots,
   ViewStore,
   ViewWriter,
 } from '@baobabwell/view';
@@ -28,6 +30,7 @@
   LOGGER,
   MEMBERSHIP_MONITOR,
   METRICS,
+  OBJECT_STORE,
   PEER_CONNECTOR,
   PEER_ROUTERS,
   TABLE_SERVICE,
@@ -35,6 +38,7 @@
   VIEW_HISTORY,
   VIEW_LOG,
   VIEW_QUORUM,
+  VIEW_SNAPSHOTS,
   VIEW_STORE,
   VIEW_WRITER,
 } from './BaobabwellEntryTokens';
@@ -101,12 +105,21 @@
     log: kernel.getService(VIEW_LOG),
     store: kernel.getService(VIEW_STORE),
     history: kernel.getService(VIEW_HISTORY),
+    snapshots: kernel.getService(VIEW_SNAPSHOTS),
     freshness: kernel.getService(FRESHNESS),
     clock: kernel.clock,
     onFault: ({ kind, version }) => logger.recordError(`view-log-${kind}`, { version }),
   });
 }
 
+/** Stores a snapshot after every so many changes; the entry that made the last of them does. */
+function writeSnapshot(kernel: Kernel, position: LogPosition): void {
+  const view = kernel.getService(VIEW_STORE).get();
+  if (view.version === position.viewVersion && view.version % SNAPSHOT_CHANGES === 0) {
+    void kernel.getService(VIEW_SNAPSHOTS).write(view, position);
+  }
+}
+
 function buildWriter(kernel: Kernel): ViewWriter {
   return new ViewWriter({
     log: kernel.getService(VIEW_LOG),
@@ -115,7 +128,10 @@
     quorum: kernel.getService(VIEW_QUORUM),
     heartbeats: kernel.getService(HEARTBEAT_ROWS),
     clock: kernel.clock,
-    onCommit: (change) => kernel.dispatchEvent(CHANGE_COMMITTED, change),
+    onCommit: (change, position) => {
+      kernel.dispatchEvent(CHANGE_COMMITTED, change);
+      writeSnapshot(kernel, position);
+    },
   });
 }
 
@@ -137,6 +153,14 @@
   });
 }
 
+function updateHistory(history: ViewHistory, change: ViewChange, isSnapshot: boolean): void {
+  if (isSnapshot) {
+    history.clear();
+  } else {
+    history.add(change);
+  }
+}
+
 /** Follows the view and exchanges it with the peers. */
 export const viewPlugin: Plugin = {
   name: 'view',
@@ -149,6 +173,10 @@
         VIEW_LOG,
         () => new ViewLog(kernel.getService(TABLE_SERVICE), kernel.clock),
       ),
+      kernel.registerService(
+        VIEW_SNAPSHOTS,
+        () => new ViewSnapshots(kernel.getService(TABLE_SERVICE), kernel.getService(OBJECT_STORE)),
+      ),
       kernel.registerService(VIEW_FOLLOWER, buildFollower),
       kernel.registerService(VIEW_QUORUM, buildQuorum),
       kernel.registerService(HEARTBEAT_ROWS, buildHeartbeatRows),
@@ -163,8 +191,8 @@
     const tasks = new PeerTasks(kernel);
     kernel.getService(PEER_ROUTERS).push(buildViewRouter(getPeerParts(kernel)));
     const undo = mergeUndo(
-      store.registerListener(({ current, change }) => {
-        kernel.getService(VIEW_HISTORY).add(change);
+      store.registerListener(({ current, change, isSnapshot }) => {
+        updateHistory(kernel.getService(VIEW_HISTORY), change, isSnapshot);
         metrics.viewVersion.set(current.version);
         tasks.update(current.list(EntityKind.Member));
       }),
--- a/packages/baobabwell-view/src/BaobabwellViewConstants.ts
+++ b/packages/baobabwell-view/src/BaobabwellViewConstants.ts
@@ -54,3 +54,15 @@
 
 /** Changes sent to one peer at once. */
 export const PUSH_CHANGES = 100;
+
+/** Table whose single row names the newest snapshot. */
+export const SNAPSHOT_TABLE = 'view-snapshot';
+
+/** Key of the only row of the snapshot table. */
+export const SNAPSHOT_KEY = 'newest';
+
+/** Changes between two snapshots. */
+export const SNAPSHOT_CHANGES = 200;
+
+/** Changes that stay in the log before the newest snapshot, for readers that lag behind. */
+export const LOG_KEPT_CHANGES = 400;
--- a/packages/baobabwell-view/src/BaobabwellViewFollower.ts
+++ b/packages/baobabwell-view/src/BaobabwellViewFollower.ts
@@ -1,6 +1,7 @@
 import type { FreshnessTracker } from './BaobabwellViewFreshness';
 import type { ViewHistory } from './BaobabwellViewHistory';
 import type { LogPage, LogPosition, ViewLog } from './BaobabwellViewLog';
+import type { ViewSnapshots } from './BaobabwellViewSnapshots';
 import type { ViewStore } from './BaobabwellViewStore';
 import type { ViewChange } from '@baobabwell/model';
 import type { Clock } from '@baobabwell/utils';
@@ -22,6 +23,7 @@
   readonly log: ViewLog;
   readonly store: ViewStore;
   readonly history: ViewHistory;
+  readonly snapshots: ViewSnapshots;
   readonly freshness: FreshnessTracker;
   readonly clock: Clock;
   readonly onFault: (fault: LogFault) => void;
@@ -60,6 +62,9 @@
    */
   async read(): Promise<boolean> {
     const { log, store, clock } = this.#parts;
+    if (store.get().version === 0) {
+      await this.#readSnapshot();
+    }
     for (;;) {
       const sentAt = clock.getNow();
       const heldVersion = store.get().version;
@@ -71,6 +76,10 @@
       if (!this.#checkContinuity(page.value, serviceVersion)) {
         return false;
       }
+      if (page.value.isTrimmed) {
+        await this.#readSnapshot();
+        return false;
+      }
       if (!this.#applyChanges(page.value.changes)) {
         return false;
       }
@@ -114,6 +123,14 @@
     return false;
   }
 
+  async #readSnapshot(): Promise<void> {
+    const snapshot = await this.#parts.snapshots.read();
+    if (snapshot !== null) {
+      this.#parts.store.applySnapshot(snapshot.view);
+      this.recordAppended(snapshot.position);
+    }
+  }
+
   #applyChanges(changes: readonly ViewChange[]): boolean {
     const { store, history } = this.#parts;
     const other = changes.find((change) => {
--- a/packages/baobabwell-view/src/BaobabwellViewHistory.ts
+++ b/packages/baobabwell-view/src/BaobabwellViewHistory.ts
@@ -18,6 +18,11 @@
     }
   }
 
+  /** Forgets everything, after the view jumped past changes that are not known. */
+  clear(): void {
+    this.#changes.length = 0;
+  }
+
   /** Finds the change with a version, or `null` when it is not kept. */
   find(version: number): ViewChange | null {
     const first = this.#changes[0];
--- a/packages/baobabwell-view/src/BaobabwellViewLog.ts
+++ b/packages/baobabwell-view/src/BaobabwellViewLog.ts
@@ -44,6 +44,8 @@
   readonly serviceVersion: number;
   /** False when the log no longer holds what stood at the position: it was restored or changed. */
   readonly isContinuous: boolean;
+  /** True when changes after the position have been trimmed; a snapshot holds them. */
+  readonly isTrimmed: boolean;
 };
 
 /** Why a change was not, or may not have been, added to the log. */
@@ -63,7 +65,8 @@
 /** Where the log begins. */
 export const LOG_START: LogPosition = { viewVersion: 0, rowVersion: 0 };
 
-function formatVersion(version: number): string {
+/** Formats a version as the key of its log row, so that keys sort like versions. */
+export function formatVersion(version: number): string {
   return String(version).padStart(VERSION_DIGITS, '0');
 }
 
@@ -75,10 +78,19 @@
   return row?.version === rowVersion && parseChange(row).version === viewVersion;
 }
 
+function isAfterGap(row: Row | undefined, { viewVersion, rowVersion }: LogPosition): boolean {
+  return (
+    row !== undefined && row.version > rowVersion && parseChange(row).version > viewVersion + 1
+  );
+}
+
 /** Builds a page from rows that begin with the one at the position, unless it is the start. */
-function buildPage(position: LogPosition, { rows, serviceVersion }: RowPage): LogPage {
+function buildPage(position: LogPosition, page: RowPage): LogPage {
+  // Trimmed rows come with no value.
+  const rows = page.rows.filter(({ value }) => value !== null);
   const isAtStart = position.rowVersion === LOG_START.rowVersion;
-  const isContinuous = isAtStart || isAtPosition(rows[0], position);
+  const isTrimmed = isAfterGap(rows[0], position);
+  const isContinuous = isAtStart || isTrimmed || isAtPosition(rows[0], position);
   const added = isAtStart ? rows : rows.slice(1);
   const last = added.at(-1);
   return {
@@ -87,9 +99,10 @@
       last === undefined
         ? position
         : { viewVersion: parseChange(last).version, rowVersion: last.version },
-    isComplete: rows.length < LOG_PAGE_ROWS,
-    serviceVersion,
+    isComplete: page.rows.length < LOG_PAGE_ROWS,
+    serviceVersion: page.serviceVersion,
     isContinuous,
+    isTrimmed,
   };
 }
 
--- a/packages/baobabwell-view/src/BaobabwellViewWriter.ts
+++ b/packages/baobabwell-view/src/BaobabwellViewWriter.ts
@@ -1,6 +1,6 @@
 import type { ViewFollower } from './BaobabwellViewFollower';
 import type { HeartbeatRows } from './BaobabwellViewHeartbeats';
-import type { LogError, ViewLog } from './BaobabwellViewLog';
+import type { LogError, LogPosition, ViewLog } from './BaobabwellViewLog';
 import type { ChangeProgress, ViewQuorum } from './BaobabwellViewQuorum';
 import type { ViewStore } from './BaobabwellViewStore';
 import type { FleetView, Mutation, ViewChange } from '@baobabwell/model';
@@ -34,7 +34,7 @@
   | { readonly kind: 'unknown'; readonly transactionId: string };
 
 /** Receives a change right after this entry committed it. */
-export type CommitListener = (change: ViewChange) => void;
+export type CommitListener = (change: ViewChange, position: LogPosition) => void;
 
 /** What the writer works with. */
 export type ViewWriterParts = {
@@ -88,7 +88,7 @@
       if (appended.ok) {
         follower.recordAppended(appended.value);
         store.apply(change);
-        onCommit(change);
+        onCommit(change, appended.value);
         return createOk(change);
       }
       if (isOutcome(appended.error)) {
--- a/packages/baobabwell-view/src/index.ts
+++ b/packages/baobabwell-view/src/index.ts
@@ -8,6 +8,7 @@
   MemberLife,
   ViewQuorumParts,
 } from './BaobabwellViewQuorum';
+export type { ViewSnapshot } from './BaobabwellViewSnapshots';
 export type { ViewListener, ViewUpdate } from './BaobabwellViewStore';
 export type {
   ChangeDraft,
@@ -21,6 +22,7 @@
   FRESHNESS_BOUND_MS,
   HEARTBEAT_ROW_INTERVAL_MS,
   HISTORY_CHANGES,
+  SNAPSHOT_CHANGES,
   UNREACHABLE_AFTER_MS,
 } from './BaobabwellViewConstants';
 export { ViewFollower } from './BaobabwellViewFollower';
@@ -30,5 +32,6 @@
 export { LOG_START, ViewLog } from './BaobabwellViewLog';
 export { buildViewRouter, ViewPeerTask } from './BaobabwellViewPeers';
 export { ChangeStage, getMajority, ViewQuorum } from './BaobabwellViewQuorum';
+export { ViewSnapshots } from './BaobabwellViewSnapshots';
 export { ViewStore } from './BaobabwellViewStore';
 export { ViewWriter } from './BaobabwellViewWriter';
