--- a/packages/baobabwell-maintenance/src/BaobabwellMaintenanceOwnership.ts
+++ b/packages/baobabwell-maintenance/src/BaobabwellMaintenanceOwnership.ts
@@ -1,7 +1,7 @@
 import type { Controller, FleetView } from '@baobabwell/model';
 import type { Mutation } from '@baobabwell/model';
 
-import { createPut, EntityKind, MemberState } from '@baobabwell/model';
+import { createPut, EntityKind } from '@baobabwell/model';
 
 /** Identifier of the controller of the whole fleet. */
 export const CONTROLLER_ID = 'maintenance';
@@ -14,7 +14,7 @@
 
 function isAlive(view: FleetView, { owner, incarnation }: Controller): boolean {
   const member = view.get(EntityKind.Member, owner);
-  return member?.state === MemberState.Active && member.incarnation === incarnation;
+  return member?.incarnation === incarnation;
 }
 
 /** Whether an entry owns the controller's work. */
@@ -29,12 +29,11 @@
   return controller === null || !isAlive(view, controller);
 }
 
-/** Place of an entry among the active members, or `null` when it is not one. */
+/** Place of an entry among the members, or `null` when it is not one. */
 export function getRank(view: FleetView, { id, incarnation }: ControllerIdentity): number | null {
-  const active = view.list(EntityKind.Member).filter(({ state }) => state === MemberState.Active);
-  const index = active.findIndex(
-    (member) => member.id === id && member.incarnation === incarnation,
-  );
+  const index = view
+    .list(EntityKind.Member)
+    .findIndex((member) => member.id === id && member.incarnation === incarnation);
   return index < 0 ? null : index;
 }
 
