entry: the life of each call in the log, bounded metrics of queues, slots and objectives

Cause: only the end of a call was logged; nothing told how long calls wait, what slots are leased and used, who is a member, what the process uses, or how calls stand against an objective. Change: a recorder, told by the call service, the schedulers and the worker clients of the entry; gauges collected when /metrics is read; prom-client's process metrics; counters of objective results. Conclusion: what the caller or an operator decided does not count against an objective.

--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -7,10 +7,10 @@
 
 import { Kernel } from '@baobabwell/kernel';
 import { Logger } from '@baobabwell/logging';
-import { EntryMetrics } from '@baobabwell/metrics';
 
 import { callServerPlugin } from './BaobabwellEntryCallServerPlugin';
 import { callsPlugin } from './BaobabwellEntryCallsPlugin';
+import { metricsPlugin } from './BaobabwellEntryMetricsPlugin';
 import { operatorServerPlugin } from './BaobabwellEntryOperatorServerPlugin';
 import { operatorsPlugin } from './BaobabwellEntryOperatorsPlugin';
 import { peerServerPlugin, peersPlugin } from './BaobabwellEntryPeersPlugin';
@@ -21,7 +21,6 @@
   FRESHNESS,
   IDENTITY,
   LOGGER,
-  METRICS,
   PEER_ROUTERS,
   READINESS,
   SETTINGS,
@@ -47,7 +46,7 @@
   readonly after: readonly Plugin[];
 };
 
-const FEATURES: readonly Plugin[] = [viewPlugin, callsPlugin, operatorsPlugin];
+const FEATURES: readonly Plugin[] = [metricsPlugin, viewPlugin, callsPlugin, operatorsPlugin];
 
 /** Builds an entry with the given connections. */
 export function buildConnectedEntry(
@@ -59,7 +58,6 @@
   kernel.registerService(ENTRY_SETTINGS, () => entry);
   kernel.registerService(IDENTITY, () => ({ id: entry.id, incarnation }));
   kernel.registerService(LOGGER, () => logger);
-  kernel.registerService(METRICS, () => new EntryMetrics());
   kernel.registerService(PEER_ROUTERS, () => []);
   kernel.registerService(
     READINESS,
--- a/packages/baobabwell-entry/src/BaobabwellEntryCallServerPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallServerPlugin.ts
@@ -4,27 +4,20 @@
 
 import { parseAddress } from './BaobabwellEntryAddress';
 import { registerHealthRoutes } from './BaobabwellEntryHealth';
-import { CALL_SERVICE, ENTRY_SETTINGS, LOGGER, METRICS, READINESS } from './BaobabwellEntryTokens';
+import { CALL_RECORDER, CALL_SERVICE, ENTRY_SETTINGS, READINESS } from './BaobabwellEntryTokens';
 
 const CLOSE_BOUND_MS = 30_000;
 /** Time that the platform's balancer takes to see that an entry is not ready. */
 const READINESS_DELAY_MS = 1_500;
-const MS_PER_SECOND = 1_000;
 
 /** Serves callers over HTTP. */
 export const callServerPlugin: Plugin = {
   name: 'call server',
   register: () => () => {},
   async start(kernel) {
-    const logger = kernel.getService(LOGGER);
-    const metrics = kernel.getService(METRICS);
-    const server = buildCallServer(
-      kernel.getService(CALL_SERVICE),
-      ({ id, queue }, { outcome, reason }, durationMs) => {
-        logger.recordDebug('call-ended', { call: id, queue, outcome, reason, durationMs });
-        metrics.calls.inc({ queue, outcome, reason });
-        metrics.callSeconds.observe({ queue }, durationMs / MS_PER_SECOND);
-      },
+    const recorder = kernel.getService(CALL_RECORDER);
+    const server = buildCallServer(kernel.getService(CALL_SERVICE), (request, result, durationMs) =>
+      recorder.recordEnded(request, result, durationMs),
     );
     const readiness = kernel.getService(READINESS);
     registerHealthRoutes(server, readiness);
--- a/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
@@ -1,11 +1,13 @@
+import type { CallService } from '@baobabwell/calls';
 import type { Kernel, Plugin } from '@baobabwell/kernel';
 
-import { CallService } from '@baobabwell/calls';
 import { mergeUndo } from '@baobabwell/kernel';
 import { EntityKind } from '@baobabwell/model';
 import { StaticPermitPool } from '@baobabwell/scheduling';
 
+import { RecordedCallService, RecordedWorkerClientFactory } from './BaobabwellEntryRecorded';
 import {
+  CALL_RECORDER,
   CALL_SERVICE,
   FRESHNESS,
   IDENTITY,
@@ -36,7 +38,11 @@
     clock: kernel.clock,
     view: kernel.getService(VIEW_STORE),
     permits: kernel.getService(PERMIT_POOL),
-    factory: kernel.getService(WORKER_CLIENT_FACTORY),
+    factory: new RecordedWorkerClientFactory(
+      kernel.getService(WORKER_CLIENT_FACTORY),
+      kernel.getService(CALL_RECORDER),
+    ),
+    recorder: kernel.getService(CALL_RECORDER),
     holder: `${id}.${incarnation}`,
     isCurrent: () => freshness.isCurrent(),
   });
@@ -46,12 +52,13 @@
   const view = kernel.getService(VIEW_STORE);
   const freshness = kernel.getService(FRESHNESS);
   const directory = kernel.getService(WORKER_DIRECTORY);
-  return new CallService({
+  const parts = {
     clock: kernel.clock,
     getView: () => view.get(),
     isCurrent: () => freshness.isCurrent(),
-    getScheduler: (pool) => directory.getScheduler(pool),
-  });
+    getScheduler: (pool: string) => directory.getScheduler(pool),
+  };
+  return new RecordedCallService(parts, kernel.getService(CALL_RECORDER));
 }
 
 /** Runs calls on the workers of the view. */
--- /dev/null
+++ b/packages/baobabwell-entry/src/BaobabwellEntryMetricsPlugin.ts
@@ -0,0 +1,72 @@
+import type { Kernel, Plugin, Undo } from '@baobabwell/kernel';
+
+import { mergeUndo } from '@baobabwell/kernel';
+import { EntryMetrics } from '@baobabwell/metrics';
+import { EntityKind, MemberState } from '@baobabwell/model';
+
+import { CallRecorder } from './BaobabwellEntryCallRecorder';
+import {
+  CALL_RECORDER,
+  FRESHNESS,
+  LOGGER,
+  METRICS,
+  SETTINGS,
+  VIEW_STORE,
+  WORKER_DIRECTORY,
+} from './BaobabwellEntryTokens';
+
+const MS_PER_SECOND = 1_000;
+
+function buildRecorder(kernel: Kernel): CallRecorder {
+  const { queues } = kernel.getService(SETTINGS).fleet;
+  const objectives = new Map(queues.map(({ id, objective }) => [id, objective]));
+  return new CallRecorder({
+    logger: kernel.getService(LOGGER),
+    metrics: kernel.getService(METRICS),
+    findObjective: (queue) => objectives.get(queue) ?? null,
+  });
+}
+
+function collectPools(kernel: Kernel, metrics: EntryMetrics): void {
+  [metrics.waitingCalls, metrics.leasedSlots, metrics.usedSlots].forEach((gauge) => gauge.reset());
+  kernel
+    .getService(WORKER_DIRECTORY)
+    .listPoolUse()
+    .forEach(({ pool, waiting, leasedSlots, usedSlots }) => {
+      metrics.waitingCalls.set({ pool }, waiting);
+      metrics.leasedSlots.set({ pool }, leasedSlots);
+      metrics.usedSlots.set({ pool }, usedSlots);
+    });
+}
+
+function collectView(kernel: Kernel, metrics: EntryMetrics): void {
+  const view = kernel.getService(VIEW_STORE).get();
+  const members = view.list(EntityKind.Member);
+  Object.values(MemberState).forEach((state) => {
+    metrics.members.set({ state }, members.filter((member) => member.state === state).length);
+  });
+  metrics.viewVersion.set(view.version);
+  metrics.viewAgeSeconds.set(kernel.getService(FRESHNESS).getAge() / MS_PER_SECOND);
+}
+
+function registerCollectors(kernel: Kernel): Undo {
+  const metrics = kernel.getService(METRICS);
+  return mergeUndo(
+    metrics.registerCollector(() => collectPools(kernel, metrics)),
+    metrics.registerCollector(() => collectView(kernel, metrics)),
+  );
+}
+
+/** Keeps the metrics of the entry and records the life of its calls. */
+export const metricsPlugin: Plugin = {
+  name: 'metrics',
+  register(kernel) {
+    return mergeUndo(
+      kernel.registerService(METRICS, () => new EntryMetrics()),
+      kernel.registerService(CALL_RECORDER, buildRecorder),
+    );
+  },
+  async start(kernel) {
+    kernel.lifecycle.add('metrics collectors', registerCollectors(kernel));
+  },
+};
--- a/packages/baobabwell-entry/src/BaobabwellEntryOperatorServerPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryOperatorServerPlugin.ts
@@ -11,7 +11,6 @@
 import { registerHealthRoutes } from './BaobabwellEntryHealth';
 import {
   ENTRY_SETTINGS,
-  FRESHNESS,
   METRICS,
   OPERATOR_SERVER,
   OPERATOR_SERVICE,
@@ -24,8 +23,6 @@
 
 const statementBody = z.object({ text: z.string().min(1) });
 
-const MS_PER_SECOND = 1_000;
-
 function findOperator(kernel: Kernel, header: string | undefined): string | null {
   if (!header?.startsWith(BEARER)) {
     return null;
@@ -47,11 +44,9 @@
 }
 
 function registerMetricsRoute(kernel: Kernel, server: FastifyInstance): void {
-  const freshness = kernel.getService(FRESHNESS);
   const metrics = kernel.getService(METRICS);
   server.get('/metrics', async (_request, reply) => {
-    metrics.viewAgeSeconds.set(freshness.getAge() / MS_PER_SECOND);
-    return reply.type(metrics.registry.contentType).send(await metrics.registry.metrics());
+    return reply.type(metrics.registry.contentType).send(await metrics.format());
   });
 }
 
@@ -65,6 +60,7 @@
   },
   async start(kernel) {
     const server = kernel.getService(OPERATOR_SERVER);
+    kernel.getService(METRICS).startProcessMetrics();
     registerOperatorRoutes(kernel, server);
     registerHealthRoutes(server, kernel.getService(READINESS));
     registerMetricsRoute(kernel, server);
--- a/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
@@ -1,3 +1,4 @@
+import type { CallRecorder } from './BaobabwellEntryCallRecorder';
 import type { Readiness } from './BaobabwellEntryReadiness';
 import type { WorkerDirectory } from './BaobabwellEntryWorkers';
 import type { CallService } from '@baobabwell/calls';
@@ -33,6 +34,7 @@
 export const ENTRY_SETTINGS = createServiceToken<EntrySettings>('entrySettings');
 export const IDENTITY = createServiceToken<EntryIdentity>('identity');
 export const LOGGER = createServiceToken<Logger>('logger');
+export const CALL_RECORDER = createServiceToken<CallRecorder>('callRecorder');
 export const METRICS = createServiceToken<EntryMetrics>('metrics');
 export const TABLE_SERVICE = createServiceToken<TableService>('tableService');
 export const OBJECT_STORE = createServiceToken<ObjectStore>('objectStore');
--- a/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
@@ -1,13 +1,15 @@
+import type { CallRecorder } from './BaobabwellEntryCallRecorder';
 import type { FleetView, Host } from '@baobabwell/model';
-import type { PermitPool } from '@baobabwell/scheduling';
+import type { PermitPool, PoolScheduler } from '@baobabwell/scheduling';
 import type { Clock } from '@baobabwell/utils';
 import type { ViewStore } from '@baobabwell/view';
 import type { WorkerClientFactory } from '@baobabwell/workers';
 
 import { EntityKind, HostState } from '@baobabwell/model';
-import { PoolScheduler } from '@baobabwell/scheduling';
 import { CONTROL_CONNECTIONS, WORKER_CONNECTIONS, WorkerSession } from '@baobabwell/workers';
 
+import { RecordedPoolScheduler } from './BaobabwellEntryRecorded';
+
 /** What the directory works with. */
 export type WorkerDirectoryParts = {
   readonly clock: Clock;
@@ -15,9 +17,18 @@
   readonly permits: PermitPool;
   readonly factory: WorkerClientFactory;
   readonly holder: string;
+  readonly recorder: CallRecorder;
   readonly isCurrent: () => boolean;
 };
 
+/** What this entry uses of one pool. */
+export type PoolUse = {
+  readonly pool: string;
+  readonly waiting: number;
+  readonly leasedSlots: number;
+  readonly usedSlots: number;
+};
+
 const DEFAULT_WEIGHT = 1;
 
 /** Keeps a session with each host of the view, and a scheduler for each pool. */
@@ -54,17 +65,32 @@
     if (known !== undefined) {
       return known;
     }
-    const scheduler = new PoolScheduler({
+    const parts = {
       clock: this.#parts.clock,
       permits: this.#parts.permits,
-      getWeight: (team) =>
+      getWeight: (team: string) =>
         this.#parts.view.get().get(EntityKind.Team, team)?.share ?? DEFAULT_WEIGHT,
       listSessions: () => this.#listServing(pool),
-    });
+    };
+    const scheduler = new RecordedPoolScheduler(parts, this.#parts.recorder);
     this.#schedulers.set(pool, scheduler);
     return scheduler;
   }
 
+  /** Lists what this entry uses of each pool. */
+  listPoolUse(): readonly PoolUse[] {
+    const view = this.#parts.view.get();
+    return view.list(EntityKind.Pool).map(({ id }) => {
+      const sessions = view.listHosts(id).flatMap((host) => this.#sessions.get(host.id) ?? []);
+      const used = sessions.map(({ session }) => session.getSlotsInUse());
+      const usable = sessions.map(({ session }) => session.getUsableSlots());
+      const usedSlots = used.reduce((sum, slots) => sum + slots, 0);
+      const leasedSlots = usable.reduce((sum, slots) => sum + slots, usedSlots);
+      const waiting = this.#schedulers.get(id)?.getWaitingCount() ?? 0;
+      return { pool: id, waiting, leasedSlots, usedSlots };
+    });
+  }
+
   /** Gives out slots of every pool, for example after permits came free. */
   dispatchTurns(): void {
     this.#schedulers.forEach((scheduler) => scheduler.dispatchTurns());
--- a/packages/baobabwell-metrics/src/BaobabwellMetrics.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetrics.ts
@@ -1,8 +1,22 @@
-import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+/** The metrics of one entry. Label values come from settings and view, so their number is bounded. */
+import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
 
-const CALL_SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
+const SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
 
-/** The metrics of one entry. Label values come from the view, so their number is bounded. */
+/** How a call counts against the service-level objective of its queue. */
+export enum ObjectiveResult {
+  /** Completed within the latency. */
+  Met = 'met',
+  /** Completed, but later. */
+  Slow = 'slow',
+  /** Not completed, for a reason that is not the caller's. */
+  Failed = 'failed',
+}
+
+/** Brings gauges up to date before they are read. */
+export type CollectGauges = () => void;
+
+/** Holds and renders the metrics of one entry. */
 export class EntryMetrics {
   readonly registry = new Registry();
 
@@ -17,7 +31,57 @@
     name: 'baobabwell_call_seconds',
     help: 'Time from receipt to result of a call.',
     labelNames: ['queue'] as const,
-    buckets: CALL_SECONDS_BUCKETS,
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+
+  readonly objectiveCalls = new Counter({
+    name: 'baobabwell_objective_calls_total',
+    help: 'Ended calls that count against the objective of their queue, by result.',
+    labelNames: ['queue', 'result'] as const,
+    registers: [this.registry],
+  });
+
+  readonly turnWaitSeconds = new Histogram({
+    name: 'baobabwell_turn_wait_seconds',
+    help: 'Time that calls waited for a slot, by pool and priority.',
+    labelNames: ['pool', 'priority'] as const,
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+
+  readonly attempts = new Counter({
+    name: 'baobabwell_attempts_total',
+    help: 'Attempts on workers, by queue and how they ended.',
+    labelNames: ['queue', 'result'] as const,
+    registers: [this.registry],
+  });
+
+  readonly waitingCalls = new Gauge({
+    name: 'baobabwell_waiting_calls',
+    help: 'Calls that wait for a slot, by pool.',
+    labelNames: ['pool'] as const,
+    registers: [this.registry],
+  });
+
+  readonly leasedSlots = new Gauge({
+    name: 'baobabwell_leased_slots',
+    help: 'Worker slots that this entry holds a lease on, by pool.',
+    labelNames: ['pool'] as const,
+    registers: [this.registry],
+  });
+
+  readonly usedSlots = new Gauge({
+    name: 'baobabwell_used_slots',
+    help: 'Worker slots in which work of this entry runs, by pool.',
+    labelNames: ['pool'] as const,
+    registers: [this.registry],
+  });
+
+  readonly members = new Gauge({
+    name: 'baobabwell_members',
+    help: 'Entries in the view, by state.',
+    labelNames: ['state'] as const,
     registers: [this.registry],
   });
 
@@ -32,4 +96,25 @@
     help: 'Time since the view was last confirmed to be complete.',
     registers: [this.registry],
   });
+
+  readonly #collectors = new Set<CollectGauges>();
+
+  /** Adds the metrics of the process: memory, processor time, event loop, garbage collection. */
+  startProcessMetrics(): void {
+    collectDefaultMetrics({ register: this.registry });
+  }
+
+  /** Calls `collect` before each rendering; returns the undo. */
+  registerCollector(collect: CollectGauges): () => void {
+    this.#collectors.add(collect);
+    return () => {
+      this.#collectors.delete(collect);
+    };
+  }
+
+  /** Renders all metrics in the text format of Prometheus. */
+  async format(): Promise<string> {
+    this.#collectors.forEach((collect) => collect());
+    return this.registry.metrics();
+  }
 }
--- a/packages/baobabwell-metrics/src/index.ts
+++ b/packages/baobabwell-metrics/src/index.ts
@@ -1,1 +1,3 @@
-export { EntryMetrics } from './BaobabwellMetrics';
+export type { CollectGauges } from './BaobabwellMetrics';
+
+export { EntryMetrics, ObjectiveResult } from './BaobabwellMetrics';
