--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -10,6 +10,7 @@
 
 import { callServerPlugin } from './BaobabwellEntryCallServerPlugin';
 import { callsPlugin } from './BaobabwellEntryCallsPlugin';
+import { maintenancePlugin } from './BaobabwellEntryMaintenancePlugin';
 import { metricsPlugin } from './BaobabwellEntryMetricsPlugin';
 import { operatorServerPlugin } from './BaobabwellEntryOperatorServerPlugin';
 import { operatorsPlugin } from './BaobabwellEntryOperatorsPlugin';
@@ -46,7 +47,13 @@
   readonly after: readonly Plugin[];
 };
 
-const FEATURES: readonly Plugin[] = [metricsPlugin, viewPlugin, callsPlugin, operatorsPlugin];
+const FEATURES: readonly Plugin[] = [
+  metricsPlugin,
+  viewPlugin,
+  callsPlugin,
+  maintenancePlugin,
+  operatorsPlugin,
+];
 
 /** Builds an entry with the given connections. */
 export function buildConnectedEntry(
--- a/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
@@ -3,9 +3,10 @@
 import type { WorkerDirectory } from './BaobabwellEntryWorkers';
 import type { CallService } from '@baobabwell/calls';
 import type { Logger } from '@baobabwell/logging';
+import type { HostControl, HostHealth, MaintenanceController } from '@baobabwell/maintenance';
 import type { EntryMetrics } from '@baobabwell/metrics';
 import type { ViewChange } from '@baobabwell/model';
-import type { OperatorService } from '@baobabwell/operations';
+import type { ChangeJournal, CommandRecords, OperatorService } from '@baobabwell/operations';
 import type { PeerConnector } from '@baobabwell/peers';
 import type { HostList, ObjectStore, TableService } from '@baobabwell/platform';
 import type { PermitPool } from '@baobabwell/scheduling';
@@ -54,6 +55,12 @@
 export const READINESS = createServiceToken<Readiness>('readiness');
 export const CALL_SERVICE = createServiceToken<CallService>('callService');
 export const OPERATOR_SERVER = createServiceToken<FastifyInstance>('operatorServer');
+export const HOST_CONTROL = createServiceToken<HostControl>('hostControl');
+export const HOST_HEALTH = createServiceToken<HostHealth>('hostHealth');
+export const MAINTENANCE_CONTROLLER =
+  createServiceToken<MaintenanceController>('maintenanceController');
+export const CHANGE_JOURNAL = createServiceToken<ChangeJournal>('changeJournal');
+export const COMMAND_RECORDS = createServiceToken<CommandRecords>('commandRecords');
 export const OPERATOR_SERVICE = createServiceToken<OperatorService>('operatorService');
 
 /** A change that this entry committed. */
