--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -7,12 +7,14 @@
 
 import { Kernel } from '@baobabwell/kernel';
 import { Logger } from '@baobabwell/logging';
-import { EntryMetrics } from '@baobabwell/metrics';
+import { MemberIdentity } from '@baobabwell/membership';
 
 import { callServerPlugin } from './BaobabwellEntryCallServerPlugin';
 import { callsPlugin } from './BaobabwellEntryCallsPlugin';
 import { idempotencyPlugin } from './BaobabwellEntryIdempotencyPlugin';
 import { maintenancePlugin } from './BaobabwellEntryMaintenancePlugin';
+import { joinPlugin, membershipPlugin } from './BaobabwellEntryMembershipPlugin';
+import { metricsPlugin } from './BaobabwellEntryMetricsPlugin';
 import { operatorServerPlugin } from './BaobabwellEntryOperatorServerPlugin';
 import { operatorsPlugin } from './BaobabwellEntryOperatorsPlugin';
 import { peerServerPlugin, peersPlugin } from './BaobabwellEntryPeersPlugin';
@@ -23,7 +25,6 @@
   FRESHNESS,
   IDENTITY,
   LOGGER,
-  METRICS,
   PEER_ROUTERS,
   READINESS,
   SETTINGS,
@@ -50,7 +51,9 @@
 };
 
 const FEATURES: readonly Plugin[] = [
+  metricsPlugin,
   viewPlugin,
+  membershipPlugin,
   idempotencyPlugin,
   callsPlugin,
   maintenancePlugin,
@@ -65,15 +68,14 @@
   const kernel = new Kernel(clock);
   kernel.registerService(SETTINGS, () => settings);
   kernel.registerService(ENTRY_SETTINGS, () => entry);
-  kernel.registerService(IDENTITY, () => ({ id: entry.id, incarnation }));
+  kernel.registerService(IDENTITY, () => new MemberIdentity(entry.id, incarnation));
   kernel.registerService(LOGGER, () => logger);
-  kernel.registerService(METRICS, () => new EntryMetrics());
   kernel.registerService(PEER_ROUTERS, () => []);
   kernel.registerService(
     READINESS,
     () => new Readiness(() => kernel.getService(FRESHNESS).isCurrent()),
   );
-  [...before, ...FEATURES, ...after].forEach((plugin) => kernel.use(plugin));
+  [...before, ...FEATURES, ...after, joinPlugin].forEach((plugin) => kernel.use(plugin));
   return kernel;
 }
 
--- a/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
@@ -1,13 +1,15 @@
+import type { CallService } from '@baobabwell/calls';
 import type { Kernel, Plugin } from '@baobabwell/kernel';
 
-import { CallService } from '@baobabwell/calls';
 import { mergeUndo } from '@baobabwell/kernel';
 import { EntityKind } from '@baobabwell/model';
 import { StaticPermitPool } from '@baobabwell/scheduling';
 import { Random } from '@baobabwell/utils';
 
+import { RecordedCallService, RecordedWorkerClientFactory } from './BaobabwellEntryRecorded';
 import { buildSeed } from './BaobabwellEntrySeed';
 import {
+  CALL_RECORDER,
   CALL_SERVICE,
   FRESHNESS,
   IDEMPOTENCY,
@@ -39,7 +41,11 @@
     clock: kernel.clock,
     view: kernel.getService(VIEW_STORE),
     permits: kernel.getService(PERMIT_POOL),
-    factory: kernel.getService(WORKER_CLIENT_FACTORY),
+    factory: new RecordedWorkerClientFactory(
+      kernel.getService(WORKER_CLIENT_FACTORY),
+      kernel.getService(CALL_RECORDER),
+    ),
+    recorder: kernel.getService(CALL_RECORDER),
     holder: `${id}.${incarnation}`,
     isCurrent: () => freshness.isCurrent(),
   });
@@ -50,14 +56,15 @@
   const freshness = kernel.getService(FRESHNESS);
   const directory = kernel.getService(WORKER_DIRECTORY);
   const { id, incarnation } = kernel.getService(IDENTITY);
-  return new CallService({
+  const parts = {
     clock: kernel.clock,
     random: new Random(buildSeed(`${id}.${incarnation}`)),
     getView: () => view.get(),
     isCurrent: () => freshness.isCurrent(),
-    getScheduler: (pool) => directory.getScheduler(pool),
+    getScheduler: (pool: string) => directory.getScheduler(pool),
     idempotency: kernel.getService(IDEMPOTENCY),
-  });
+  };
+  return new RecordedCallService(parts, kernel.getService(CALL_RECORDER));
 }
 
 /** Runs calls on the workers of the view. */
--- a/packages/baobabwell-language/src/BaobabwellLanguageTokens.ts
+++ b/packages/baobabwell-language/src/BaobabwellLanguageTokens.ts
@@ -4,6 +4,7 @@
 
 /** The first words of commands. */
 export const VERBS = [
+  'fence',
   'abort',
   'change',
   'create',
--- a/packages/baobabwell-operations/src/BaobabwellOperationsReply.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsReply.ts
@@ -1,5 +1,6 @@
 import type { QueryRow } from './BaobabwellOperations';
 import type { SyntaxFinding } from '@baobabwell/language';
+import type { ChangeProgress } from '@baobabwell/view';
 
 /** What an operator is answered. */
 export type OperatorReply =
@@ -15,6 +16,8 @@
       readonly version: number;
       readonly transactionId: string;
       readonly notes: readonly string[];
+      /** How far the change has come, and which members have not acknowledged it. */
+      readonly progress: ChangeProgress;
     }
   | {
       readonly kind: 'refused';
