fuzz, measures: suite fleet and measure roll-out; drains wait until they are in force

Cause: waves, moves and racing operators were tested one by one; a drain waited a fixed time, which is wrong while a change is pending and too long otherwise. Change: random histories of operators, waves, moves and faults checked after each step against the log and the workers' own ledgers; broken commands in the tests show that the checks fail; a drain ends after it is in force and leases for new work have lapsed.

--- a/packages/baobabwell-entry/src/BaobabwellEntryMaintenancePlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryMaintenancePlugin.ts
@@ -15,6 +15,7 @@
   LOGGER,
   MAINTENANCE_CONTROLLER,
   OBJECT_STORE,
+  VIEW_QUORUM,
   VIEW_STORE,
   VIEW_WRITER,
 } from './BaobabwellEntryTokens';
@@ -39,6 +40,7 @@
     control: kernel.getService(HOST_CONTROL),
     clock: kernel.clock,
     isCurrent: () => kernel.getService(FRESHNESS).isCurrent(),
+    isInForce: (version) => kernel.getService(VIEW_QUORUM).getInForceVersion() >= version,
     duties: [
       new WaveDuty(),
       new SplitDuty(kernel.getService(OBJECT_STORE)),
--- /dev/null
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzFleetHistory.ts
@@ -0,0 +1,276 @@
+import type { AcceptedCommand } from './BaobabwellFuzzFleetOracle';
+import type { FleetStep } from './BaobabwellFuzzFleetSteps';
+import type { OperatorService } from '@baobabwell/operations';
+
+import { buildEmulatedSettings, EmulatedFleet, getTeamSecret } from '@baobabwell/emulator';
+import { OPERATOR_SERVICE } from '@baobabwell/entry';
+import { NO_PLATFORM_FAULTS, NO_WORKER_FAULTS } from '@baobabwell/stand-ins';
+import { ChangeStage } from '@baobabwell/view';
+
+import { FleetOracle } from './BaobabwellFuzzFleetOracle';
+import { FLEET_ENTRIES, FLEET_HOSTS, FLEET_POOLS, FleetStepKind } from './BaobabwellFuzzFleetSteps';
+
+const TEAMS = ['guilds', 'crews'] as const;
+const QUEUES = ['ovens', 'doors'] as const;
+const MINIMUM_SERVING = 3;
+const LIMIT = 20;
+const BOOT_MS = 3_000;
+const CALLS_PER_STEP = 4;
+const LONGEST_RUN_MS = 2_500;
+const CALL_TIMEOUT_MS = 20_000;
+const CHECK_INTERVAL_MS = 500;
+const SLOW_MS = 400;
+const LOST_FRACTION = 0.5;
+const RECOVERY_MS = 40_000;
+const PLATFORM = 'platform';
+
+/** Changes the operators' service of an entry; for tests that break the product on purpose. */
+export type PrepareService = (service: OperatorService) => void;
+
+/** One history of a small fleet. */
+export class FleetHistory {
+  readonly #fleet: EmulatedFleet;
+
+  readonly #oracle: FleetOracle;
+
+  readonly #entries: readonly string[];
+
+  readonly #prepare: PrepareService;
+
+  #accepted: AcceptedCommand[] = [];
+
+  #waves = 0;
+
+  #calls = 0;
+
+  constructor(seed: number, prepare: PrepareService) {
+    const settings = buildEmulatedSettings({
+      entries: FLEET_ENTRIES,
+      pools: FLEET_POOLS.map((id) => ({
+        id,
+        workers: FLEET_HOSTS,
+        minimumServing: id === 'spare' ? 0 : MINIMUM_SERVING,
+        spare: id === 'spare',
+        workersPerRack: 1,
+      })),
+      teams: TEAMS.map((id) => ({ id, share: 1, limit: LIMIT })),
+    });
+    this.#fleet = new EmulatedFleet(settings, seed);
+    this.#oracle = new FleetOracle(this.#fleet);
+    this.#entries = settings.entries.map(({ id }) => id);
+    this.#prepare = prepare;
+  }
+
+  /** Starts all entries. */
+  async start(): Promise<void> {
+    this.#fleet.listWorkers().forEach((worker) => worker.applyBootTime(BOOT_MS));
+    await this.#fleet.startAll();
+    this.#entries.forEach((entry) => this.#prepareEntry(entry));
+    await this.#fleet.advance(2_000);
+  }
+
+  /** Takes one step, lets time pass, and checks all invariants on the way. */
+  async run(step: FleetStep): Promise<void> {
+    this.#sendCalls();
+    this.#apply(step);
+    await this.#advance(step.thenMs);
+  }
+
+  /** Ends all faults and checks that every entry holds what the log says. */
+  async finish(): Promise<void> {
+    this.#fleet.network.restoreAll();
+    this.#fleet.tables.applyFaults(NO_PLATFORM_FAULTS);
+    this.#fleet.listWorkers().forEach((worker) => this.#applyDown(worker.id, false));
+    this.#entries.forEach((entry) => {
+      if (this.#fleet.isPaused(entry)) {
+        this.#fleet.resumeEntry(entry);
+      }
+    });
+    await this.#advance(RECOVERY_MS);
+    this.#check();
+    this.#oracle.checkConverged();
+  }
+
+  /** Ends the fleet. */
+  close(): void {
+    this.#fleet.close();
+  }
+
+  async #advance(durationMs: number): Promise<void> {
+    const endsAt = this.#fleet.time.getNow() + durationMs;
+    while (this.#fleet.time.getNow() < endsAt) {
+      const leftMs = endsAt - this.#fleet.time.getNow();
+      await this.#fleet.advance(Math.min(CHECK_INTERVAL_MS, leftMs));
+      this.#check();
+    }
+  }
+
+  #check(): void {
+    this.#oracle.check();
+    const accepted = this.#accepted;
+    this.#accepted = [];
+    accepted.forEach((command) => this.#oracle.checkAccepted(command));
+  }
+
+  #apply(step: FleetStep): void {
+    this.#applyCommand(step);
+    this.#applyHostFault(step);
+    this.#applyStoreFault(step);
+    this.#applyEntryFault(step);
+  }
+
+  #applyCommand(step: FleetStep): void {
+    const host = this.#getHost(step);
+    const pool = FLEET_POOLS[step.pool] as string;
+    const otherPool = FLEET_POOLS[(step.pool + 1) % FLEET_POOLS.length] as string;
+    const queue = QUEUES[step.pool % QUEUES.length] as string;
+    const team = TEAMS[step.pool % TEAMS.length] as string;
+    const wave = `wave-${this.#waves}`;
+    switch (step.kind) {
+      case FleetStepKind.Drain:
+      case FleetStepKind.Reboot:
+      case FleetStepKind.Return:
+        this.#operate(step.entry, `${step.kind} host ${host}`);
+        break;
+      case FleetStepKind.Move:
+        this.#operate(step.entry, `move host ${host} to ${otherPool}`);
+        break;
+      case FleetStepKind.Race:
+        this.#operate(step.entry, `move host ${host} to ${otherPool}`);
+        this.#operate(step.otherEntry, `reboot host ${host}`);
+        break;
+      case FleetStepKind.StartWave:
+        this.#waves += 1;
+        this.#operate(step.entry, `start wave wave-${this.#waves} pool = ${pool}`);
+        break;
+      case FleetStepKind.PauseWave:
+        this.#operate(step.entry, `pause wave ${wave}`);
+        break;
+      case FleetStepKind.ResumeWave:
+        this.#operate(step.entry, `resume wave ${wave}`);
+        break;
+      case FleetStepKind.AbortWave:
+        this.#operate(step.entry, `abort wave ${wave}`);
+        break;
+      case FleetStepKind.WithdrawKey:
+        this.#operate(step.entry, `withdraw key key-${team}`, () =>
+          this.#oracle.recordWithdrawal(team),
+        );
+        break;
+      case FleetStepKind.RetireTarget:
+        this.#operate(step.entry, `retire target ${queue}`, () =>
+          this.#oracle.recordRetirement(queue),
+        );
+        break;
+      default:
+    }
+  }
+
+  #applyHostFault(step: FleetStep): void {
+    if (step.kind === FleetStepKind.HostDown || step.kind === FleetStepKind.HostUp) {
+      this.#applyDown(this.#getHost(step), step.kind === FleetStepKind.HostDown);
+    }
+  }
+
+  #applyStoreFault({ kind }: FleetStep): void {
+    const { tables } = this.#fleet;
+    switch (kind) {
+      case FleetStepKind.StoreDown:
+        tables.applyFaults({ ...NO_PLATFORM_FAULTS, down: true });
+        break;
+      case FleetStepKind.StoreSlow:
+        tables.applyFaults({ ...NO_PLATFORM_FAULTS, slowMs: SLOW_MS });
+        break;
+      case FleetStepKind.LoseAnswers:
+        tables.applyFaults({ ...NO_PLATFORM_FAULTS, loseAnswers: LOST_FRACTION });
+        break;
+      case FleetStepKind.StoreWell:
+        tables.applyFaults(NO_PLATFORM_FAULTS);
+        break;
+      default:
+    }
+  }
+
+  #applyEntryFault({ kind, entry: index }: FleetStep): void {
+    const entry = this.#entries[index] as string;
+    const others = [PLATFORM, ...this.#entries.filter((other) => other !== entry)];
+    const isThere = this.#fleet.listEntries().includes(entry);
+    switch (kind) {
+      case FleetStepKind.Cut:
+        this.#fleet.network.cutBetween([entry], others);
+        break;
+      case FleetStepKind.Heal:
+        this.#fleet.network.restoreAll();
+        break;
+      case FleetStepKind.Start:
+        if (!isThere) {
+          void this.#fleet.createEntry(entry).start();
+          this.#prepareEntry(entry);
+        }
+        break;
+      case FleetStepKind.Kill:
+      case FleetStepKind.Pause:
+      case FleetStepKind.Resume:
+        if (isThere) {
+          this.#applyToProcess(kind, entry);
+        }
+        break;
+      default:
+    }
+  }
+
+  #applyToProcess(kind: FleetStepKind, entry: string): void {
+    if (kind === FleetStepKind.Kill) {
+      this.#fleet.killEntry(entry);
+    } else if (kind === FleetStepKind.Pause) {
+      this.#fleet.pauseEntry(entry);
+    } else if (this.#fleet.isPaused(entry)) {
+      this.#fleet.resumeEntry(entry);
+    }
+  }
+
+  #prepareEntry(entry: string): void {
+    this.#prepare(this.#fleet.getService(entry, OPERATOR_SERVICE));
+  }
+
+  #applyDown(host: string, isDown: boolean): void {
+    this.#fleet.getWorker(host).applyFaults({ ...NO_WORKER_FAULTS, down: isDown });
+    this.#oracle.recordDead(host, isDown);
+  }
+
+  #getHost({ host, pool }: FleetStep): string {
+    return `${FLEET_POOLS[pool]}-${host + 1}`;
+  }
+
+  #operate(index: number, text: string, onAccepted: () => void = () => {}): void {
+    const entry = this.#entries[index] as string;
+    if (!this.#fleet.listEntries().includes(entry)) {
+      return;
+    }
+    void this.#fleet.operate(entry, text).then((reply) => {
+      if (reply?.kind === 'changed') {
+        this.#accepted.push({ version: reply.version, text });
+      }
+      // A pending change is told as such, and binds nobody yet.
+      if (reply?.kind === 'changed' && reply.progress.stage !== ChangeStage.Pending) {
+        onAccepted();
+      }
+    });
+  }
+
+  #sendCalls(): void {
+    const { random } = this.#fleet;
+    const entries = this.#fleet.listEntries();
+    for (let index = 0; index < CALLS_PER_STEP && entries.length > 0; index += 1) {
+      const queue = random.getOneOf(QUEUES);
+      const team = random.getOneOf(TEAMS);
+      this.#calls += 1;
+      const id = `fuzz-${this.#calls}`;
+      this.#oracle.recordCall(id, { queue, team });
+      const body = Buffer.from(JSON.stringify({ runMs: random.getInteger(LONGEST_RUN_MS) }));
+      const secret = getTeamSecret(team);
+      const call = { id, queue, secret, body, timeoutMs: CALL_TIMEOUT_MS };
+      void this.#fleet.call(random.getOneOf(entries), call);
+    }
+  }
+}
--- a/packages/baobabwell-fuzz/src/index.ts
+++ b/packages/baobabwell-fuzz/src/index.ts
@@ -1,4 +1,6 @@
 export type { FuzzOptions, FuzzReport } from './BaobabwellFuzz';
+export type { PrepareService } from './BaobabwellFuzzFleetHistory';
 
 export { FuzzSuite } from './BaobabwellFuzz';
+export { FleetSuite } from './BaobabwellFuzzFleet';
 export { findFuzzSuite, FUZZ_SUITES } from './BaobabwellFuzzRegistry';
--- a/packages/baobabwell-maintenance/src/BaobabwellMaintenanceConstants.ts
+++ b/packages/baobabwell-maintenance/src/BaobabwellMaintenanceConstants.ts
@@ -1,3 +1,5 @@
+import { START_TTL_MS } from '@baobabwell/workers';
+
 /** Time between two probes of one host. */
 export const PROBE_INTERVAL_MS = 1_000;
 
@@ -14,10 +16,10 @@
 export const HOST_LIST_MAX_AGE_MS = 15_000;
 
 /**
- * Time after a host was taken out until no entry can start work on it any more: an entry that
- * does not know of it yet is no longer current by then, and its leases have lapsed.
+ * Time after a drain is in force until nothing that was dispatched before can begin on the host:
+ * the lease under which it was sent has lapsed for new work.
  */
-export const DRAIN_SETTLE_MS = 4_000;
+export const DRAIN_SETTLE_MS = START_TTL_MS + 100;
 
 /** Time between two looks at a host that drains or reboots. */
 export const HOST_POLL_MS = 250;
--- a/packages/baobabwell-maintenance/src/BaobabwellMaintenanceController.ts
+++ b/packages/baobabwell-maintenance/src/BaobabwellMaintenanceController.ts
@@ -30,6 +30,8 @@
   readonly clock: Clock;
   /** Whether the view is recent enough to act on. */
   readonly isCurrent: () => boolean;
+  /** Whether no entry starts work any more without knowing the change of a version. */
+  readonly isInForce: (version: number) => boolean;
   readonly duties: readonly MaintenanceDuty[];
   readonly report: ControllerReport;
 };
@@ -113,7 +115,7 @@
   }
 
   #startTasks(): void {
-    const { health, control, clock, isCurrent } = this.#parts;
+    const { health, control, clock, isCurrent, isInForce } = this.#parts;
     this.#getView()
       .list(EntityKind.Host)
       .filter((host) => isInWork(host) && !this.#tasks.has(host.id))
@@ -124,6 +126,7 @@
           health,
           control,
           clock,
+          isInForce,
           canAct: () => this.#isInCharge() && isCurrent(),
         });
         this.#tasks.set(id, task);
--- a/packages/baobabwell-maintenance/src/BaobabwellMaintenanceHostTask.ts
+++ b/packages/baobabwell-maintenance/src/BaobabwellMaintenanceHostTask.ts
@@ -28,6 +28,8 @@
   readonly clock: Clock;
   /** Whether this entry is in charge and its view is recent enough to act. */
   readonly canAct: () => boolean;
+  /** Whether no entry starts work any more without knowing the change of a version. */
+  readonly isInForce: (version: number) => boolean;
 };
 
 type Step = (host: Host, view: FleetView) => Result<readonly Mutation[], string>;
@@ -87,7 +89,10 @@
   }
 
   async #finishDrain(host: Host): Promise<void> {
-    const { clock } = this.#parts;
+    const { clock, isInForce } = this.#parts;
+    while (this.#isSame(host) && !isInForce(host.maintenance?.token ?? 0)) {
+      await this.#wait(HOST_POLL_MS);
+    }
     await this.#wait(DRAIN_SETTLE_MS);
     let answeredAt = clock.getNow();
     while (this.#isSame(host)) {
--- a/packages/baobabwell-stand-ins/src/BaobabwellStandInsTable.ts
+++ b/packages/baobabwell-stand-ins/src/BaobabwellStandInsTable.ts
@@ -71,6 +71,11 @@
     this.#version = version;
   }
 
+  /** Lists what a table holds after a version, whatever faults are in force. */
+  listRows(table: string, version: number): readonly Row[] {
+    return this.#listSince(table, version);
+  }
+
   /** Operations counted since the start. */
   getCounts(): TableCounts {
     return { reads: this.#reads, writes: this.#writes };
--- a/packages/baobabwell-stand-ins/src/BaobabwellStandInsWorker.ts
+++ b/packages/baobabwell-stand-ins/src/BaobabwellStandInsWorker.ts
@@ -119,6 +119,8 @@
 
   #rebootToken = 0;
 
+  #cutByReboot = 0;
+
   #lastAnswer: TaskResult = { kind: 'completed', taskId: 'none', body: Buffer.from('{}') };
 
   constructor(id: string, slots: number, clock: Clock) {
@@ -167,6 +169,7 @@
       return token === this.#rebootToken;
     }
     this.#rebootToken = token;
+    this.#cutByReboot += this.getRunningCount();
     this.crash();
     this.#isBooting = true;
     this.#clock.startTimer(this.#bootMs, () => {
@@ -175,6 +178,11 @@
     return true;
   }
 
+  /** Number of tasks that ran when the machine was told to restart. */
+  getCutByReboot(): number {
+    return this.#cutByReboot;
+  }
+
   /** True while the machine restarts. */
   isBooting(): boolean {
     return this.#isBooting;
