deferred: work that is stored on acceptance and run once in its window

Cause: queues in deferred mode ran their work within the call. Change: acceptance is a row written before the caller is told (group commit), claims stand in the row before anything is sent, a rendezvous owner a queue runs by deadline, orphans of a lost owner are settled after its lapse, waves of cancellations are one transaction. Not taken: every entry claiming at random, which costs conflicts on each claim. Conclusion: the row is the only owner of the truth; entries may all go.

--- a/packages/baobabwell-calls/src/BaobabwellCalls.ts
+++ b/packages/baobabwell-calls/src/BaobabwellCalls.ts
@@ -43,6 +43,8 @@
   readonly queue: string;
   /** The secret that came with the call, or `null`. */
   readonly secret: string | null;
+  /** Team whose work was accepted before; its key was checked then. */
+  readonly acceptedTeam?: string;
   readonly priority: PriorityClass;
   /** Time that the caller allows, or `null` for the queue's own. */
   readonly timeoutMs: number | null;
--- a/packages/baobabwell-calls/src/BaobabwellCallsAuthorization.ts
+++ b/packages/baobabwell-calls/src/BaobabwellCallsAuthorization.ts
@@ -1,3 +1,4 @@
+import type { CallRequest } from './BaobabwellCalls';
 import type { FleetView, Queue, Target } from '@baobabwell/model';
 import type { Result } from '@baobabwell/utils';
 
@@ -38,6 +39,15 @@
   return key.expiresAt === null || key.expiresAt > wallTime ? key.team : null;
 }
 
+/** Finds the team of a valid key, or `null`. */
+export function findTeamOfSecret(
+  view: FleetView,
+  secret: string | null,
+  wallTime: number,
+): string | null {
+  return secret === null ? null : findTeam(view, secret, wallTime);
+}
+
 function checkTeam(
   view: FleetView,
   queue: Queue,
@@ -58,10 +68,13 @@
     : createError(CallReason.TeamNotAllowed);
 }
 
+/** What a call shows to be allowed. */
+export type AuthorizationRequest = Pick<CallRequest, 'queue' | 'secret' | 'acceptedTeam'>;
+
 /** Checks queue, target, key and team of a call against a view. */
 export function checkAuthorization(
   view: FleetView,
-  request: { readonly queue: string; readonly secret: string | null },
+  request: AuthorizationRequest,
   wallTime: number,
 ): Result<Authorization, CallReason> {
   const queue = view.get(EntityKind.Queue, request.queue);
@@ -69,7 +82,10 @@
   if (queue === null || target === null) {
     return createError(CallReason.UnknownQueue);
   }
-  const team = checkTeam(view, queue, request.secret, wallTime);
+  const team =
+    request.acceptedTeam === undefined
+      ? checkTeam(view, queue, request.secret, wallTime)
+      : createOk(request.acceptedTeam);
   if (!team.ok) {
     return team;
   }
--- a/packages/baobabwell-calls/src/BaobabwellCallsHttp.ts
+++ b/packages/baobabwell-calls/src/BaobabwellCallsHttp.ts
@@ -33,7 +33,12 @@
   'idempotency-key': z.string().min(1).max(MAX_KEY_LENGTH).optional(),
 });
 
-function parseCall(request: FastifyRequest): CallRequest {
+/**
+ * Reads a call from its request.
+ *
+ * @throws {z.ZodError} with all findings when headers are wrong.
+ */
+export function parseCall(request: FastifyRequest): CallRequest {
   const { queue } = parameters.parse(request.params);
   const headers = callHeaders.parse(request.headers);
   return {
--- a/packages/baobabwell-calls/src/index.ts
+++ b/packages/baobabwell-calls/src/index.ts
@@ -4,7 +4,14 @@
 export type { CallServiceParts } from './BaobabwellCallsService';
 
 export { CallReason } from './BaobabwellCalls';
-export { buildDigest, checkAuthorization, OPEN_TEAM } from './BaobabwellCallsAuthorization';
-export { buildCallServer } from './BaobabwellCallsHttp';
+export {
+  buildDigest,
+  checkAuthorization,
+  findTeamOfSecret,
+  OPEN_TEAM,
+} from './BaobabwellCallsAuthorization';
+export { buildCallServer, parseCall } from './BaobabwellCallsHttp';
+export { sendWithoutAnswer } from './BaobabwellCallsHttpErrors';
+export { createNotRun } from './BaobabwellCallsResults';
 export { STATUS_BY_REASON } from './BaobabwellCallsHttpStatus';
 export { CallService } from './BaobabwellCallsService';
--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
@@ -228,14 +228,14 @@
       body: Buffer.from('{}'),
       ...call,
     };
-    return this.#sendFrom(entry, async (kernel) =>
+    return this.ask(entry, async (kernel) =>
       kernel.getService(CALL_SERVICE).run(request, signal ?? new AbortController().signal),
     );
   }
 
   /** Gives a statement to an entry; `null` when the entry never answered. */
   async operate(entry: string, text: string, operator = 'operator'): Promise<OperatorReply | null> {
-    return this.#sendFrom(entry, async (kernel) =>
+    return this.ask(entry, async (kernel) =>
       kernel.getService(OPERATOR_SERVICE).run(text, operator),
     );
   }
@@ -255,7 +255,8 @@
     this.listEntries().forEach((id) => this.killEntry(id));
   }
 
-  async #sendFrom<T>(entry: string, handle: (kernel: Kernel) => Promise<T>): Promise<T | null> {
+  /** Has an entry handle a request of a caller; `null` when it never answers. */
+  async ask<T>(entry: string, handle: (kernel: Kernel) => Promise<T>): Promise<T | null> {
     const { clock, kernel } = this.#getEntry(entry);
     const result = await this.network.send({
       from: { name: CALLER, clock: this.time },
--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorSettings.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorSettings.ts
@@ -2,7 +2,7 @@
 
 import { createHash } from 'node:crypto';
 
-import { OperatorRole } from '@baobabwell/model';
+import { OperatorRole, QueueMode } from '@baobabwell/model';
 import { settingsSchema } from '@baobabwell/settings';
 
 const FIRST_CALLER_PORT = 1_000;
@@ -10,6 +10,7 @@
 const FIRST_PEER_PORT = 3_000;
 const FIRST_WORKER_PORT = 4_000;
 const DATA_CENTRES = ['north', 'east', 'south'];
+const ALWAYS_OPEN = { opens: '00:00', closes: '23:59' };
 const DEFAULT_WORKERS_PER_RACK = 4;
 
 /** A pool of an emulated deployment. */
@@ -28,11 +29,20 @@
   readonly limit: number;
 };
 
+/** A deferred queue of an emulated deployment. */
+export type EmulatedDeferredQueue = {
+  readonly id: string;
+  /** The pool, and so the target, that its work runs on. */
+  readonly pool: string;
+  readonly window?: { readonly opens: string; readonly closes: string };
+};
+
 /** What an emulated deployment consists of. Each pool has a target and a queue of its name. */
 export type EmulatedDeployment = {
   readonly entries: number;
   readonly pools: readonly EmulatedPool[];
   readonly teams: readonly EmulatedTeam[];
+  readonly deferred?: readonly EmulatedDeferredQueue[];
 };
 
 /** The secret of the emulated operator. */
@@ -74,7 +84,12 @@
 }
 
 /** Builds the settings of an emulated deployment. */
-export function buildEmulatedSettings({ entries, pools, teams }: EmulatedDeployment): Settings {
+export function buildEmulatedSettings({
+  entries,
+  pools,
+  teams,
+  deferred = [],
+}: EmulatedDeployment): Settings {
   const serving = pools.filter(({ spare }) => spare !== true);
   return settingsSchema.parse({
     name: 'emulated',
@@ -105,12 +120,22 @@
       ],
       pools: buildPools(pools),
       targets: serving.map(({ id }) => ({ id, pool: id })),
-      queues: serving.map(({ id }) => ({
-        id,
-        target: id,
-        teams: teams.map((team) => team.id),
-        deadline: '10s',
-      })),
+      queues: [
+        ...serving.map(({ id }) => ({
+          id,
+          target: id,
+          teams: teams.map((team) => team.id),
+          deadline: '10s',
+        })),
+        ...deferred.map(({ id, pool, window = ALWAYS_OPEN }) => ({
+          id,
+          target: pool,
+          teams: teams.map((team) => team.id),
+          mode: QueueMode.Deferred,
+          deadline: '12h',
+          window,
+        })),
+      ],
     },
   });
 }
--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -11,6 +11,7 @@
 
 import { callServerPlugin } from './BaobabwellEntryCallServerPlugin';
 import { callsPlugin } from './BaobabwellEntryCallsPlugin';
+import { deferredPlugin } from './BaobabwellEntryDeferredPlugin';
 import { idempotencyPlugin } from './BaobabwellEntryIdempotencyPlugin';
 import { maintenancePlugin } from './BaobabwellEntryMaintenancePlugin';
 import { joinPlugin, membershipPlugin } from './BaobabwellEntryMembershipPlugin';
@@ -58,6 +59,7 @@
   callsPlugin,
   maintenancePlugin,
   operatorsPlugin,
+  deferredPlugin,
 ];
 
 /** Builds an entry with the given connections. */
--- a/packages/baobabwell-entry/src/BaobabwellEntryCallServerPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallServerPlugin.ts
@@ -1,15 +1,29 @@
-import type { Plugin } from '@baobabwell/kernel';
+import type { Kernel, Plugin } from '@baobabwell/kernel';
 
-import { buildCallServer } from '@baobabwell/calls';
+import { buildCallServer, findTeamOfSecret, OPEN_TEAM } from '@baobabwell/calls';
+import { registerDeferredCalls, registerWorkRoutes } from '@baobabwell/deferred';
 
 import { parseAddress } from './BaobabwellEntryAddress';
 import { registerHealthRoutes } from './BaobabwellEntryHealth';
-import { CALL_RECORDER, CALL_SERVICE, ENTRY_SETTINGS, READINESS } from './BaobabwellEntryTokens';
+import {
+  CALL_RECORDER,
+  CALL_SERVICE,
+  DEFERRED_GATE,
+  DEFERRED_SERVICE,
+  ENTRY_SETTINGS,
+  READINESS,
+  VIEW_STORE,
+} from './BaobabwellEntryTokens';
 
 const CLOSE_BOUND_MS = 30_000;
 /** Time that the platform's balancer takes to see that an entry is not ready. */
 const READINESS_DELAY_MS = 1_500;
 
+function findTeam(kernel: Kernel, secret: string | null): string | null {
+  const view = kernel.getService(VIEW_STORE).get();
+  return secret === null ? OPEN_TEAM : findTeamOfSecret(view, secret, kernel.clock.getWallTime());
+}
+
 /** Serves callers over HTTP. */
 export const callServerPlugin: Plugin = {
   name: 'call server',
@@ -21,6 +35,10 @@
     );
     const readiness = kernel.getService(READINESS);
     registerHealthRoutes(server, readiness);
+    registerDeferredCalls(server, kernel.getService(DEFERRED_GATE));
+    registerWorkRoutes(server, kernel.getService(DEFERRED_SERVICE), (secret) =>
+      findTeam(kernel, secret),
+    );
     server.addHook('onSend', async (_request, reply) => {
       if (readiness.isStopping()) {
         reply.header('connection', 'close');
--- a/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
@@ -2,6 +2,7 @@
 import type { Readiness } from './BaobabwellEntryReadiness';
 import type { WorkerDirectory } from './BaobabwellEntryWorkers';
 import type { CallService } from '@baobabwell/calls';
+import type { DeferredGate, DeferredService, WorkIndex } from '@baobabwell/deferred';
 import type { GroupCommit, IdempotencyRegistry } from '@baobabwell/idempotency';
 import type { Logger } from '@baobabwell/logging';
 import type { HostControl, HostHealth, MaintenanceController } from '@baobabwell/maintenance';
@@ -74,6 +75,9 @@
   createServiceToken<MaintenanceController>('maintenanceController');
 export const CHANGE_JOURNAL = createServiceToken<ChangeJournal>('changeJournal');
 export const COMMAND_RECORDS = createServiceToken<CommandRecords>('commandRecords');
+export const WORK_INDEX = createServiceToken<WorkIndex>('workIndex');
+export const DEFERRED_SERVICE = createServiceToken<DeferredService>('deferredService');
+export const DEFERRED_GATE = createServiceToken<DeferredGate>('deferredGate');
 export const OPERATOR_SERVICE = createServiceToken<OperatorService>('operatorService');
 
 /** A change that this entry committed. */
--- a/packages/baobabwell-entry/src/index.ts
+++ b/packages/baobabwell-entry/src/index.ts
@@ -4,6 +4,8 @@
 export {
   CALL_SERVICE,
   CHANGE_JOURNAL,
+  DEFERRED_GATE,
+  DEFERRED_SERVICE,
   CLAIM_COMMITS,
   FENCE_TRACKER,
   FRESHNESS,
