repair, maintenance: results of tasks as evidence; killed, paused and store-less controllers tested

Cause: a host that answers probes and fails every task was never taken out, and the take-over of a wave was tested only for a planned stop. Change: the worker sessions' own judgement counts as evidence; tests kill and pause the entry in charge and take the store away in a wave.

--- a/packages/baobabwell-entry/src/BaobabwellEntryMaintenancePlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryMaintenancePlugin.ts
@@ -18,6 +18,7 @@
   VIEW_QUORUM,
   VIEW_STORE,
   VIEW_WRITER,
+  WORKER_DIRECTORY,
 } from './BaobabwellEntryTokens';
 
 function buildHealth(kernel: Kernel): HostHealth {
@@ -44,7 +45,7 @@
     duties: [
       new WaveDuty(),
       new SplitDuty(kernel.getService(OBJECT_STORE)),
-      new RepairDuty(() => null, report),
+      new RepairDuty((host) => kernel.getService(WORKER_DIRECTORY).hasBadResults(host), report),
     ],
     report,
   });
--- a/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
@@ -91,6 +91,11 @@
     });
   }
 
+  /** Whether the tasks of a host all fail here, or `null` when nothing is known of it. */
+  hasBadResults(host: string): boolean | null {
+    return this.#sessions.get(host)?.session.isSuspect() ?? null;
+  }
+
   /** Gives out slots of every pool, for example after permits came free. */
   dispatchTurns(): void {
     this.#schedulers.forEach((scheduler) => scheduler.dispatchTurns());
--- a/packages/baobabwell-maintenance/src/__tests__/unit/BaobabwellMaintenanceWaves.test.ts
+++ b/packages/baobabwell-maintenance/src/__tests__/unit/BaobabwellMaintenanceWaves.test.ts
@@ -3,9 +3,9 @@
 import { expect } from 'earl';
 
 import { buildEmulatedSettings, EmulatedFleet, getTeamSecret } from '@baobabwell/emulator';
-import { VIEW_STORE } from '@baobabwell/entry';
+import { CHANGE_JOURNAL, VIEW_STORE } from '@baobabwell/entry';
 import { EntityKind, HostState, Outcome, WaveState } from '@baobabwell/model';
-import { NO_WORKER_FAULTS } from '@baobabwell/stand-ins';
+import { NO_PLATFORM_FAULTS, NO_WORKER_FAULTS } from '@baobabwell/stand-ins';
 
 const SEED = 13;
 const LIMIT_MS = 60_000;
@@ -180,6 +180,49 @@
     expect(getView(other).get(EntityKind.Wave, 'spring')?.done.length).toEqual(6);
   });
 
+  it('goes on at another entry when the one in charge is killed between order and return', async () => {
+    await operate('start wave spring pool = ovens');
+    await advanceUntil(() => fleet.listWorkers().some((worker) => worker.isBooting()));
+    const owner = getView().get(EntityKind.Controller, 'maintenance')?.owner ?? '';
+    fleet.killEntry(owner);
+    const other = fleet.listEntries()[0] ?? '';
+    await advanceUntil(() => isWave('spring', WaveState.Finished, other));
+    const orders = fleet.listWorkers().filter((worker) => worker.getRebootToken() > 0);
+    expect(orders.length).toEqual(6);
+    expect(getView(other).get(EntityKind.Wave, 'spring')?.done.length).toEqual(6);
+  });
+
+  it('does nothing after a pause in which another entry took over', async () => {
+    await operate('start wave spring pool = ovens');
+    await fleet.advance(1_000);
+    const owner = getView().get(EntityKind.Controller, 'maintenance')?.owner ?? '';
+    fleet.pauseEntry(owner);
+    const other = fleet.listEntries().find((entry) => entry !== owner) ?? '';
+    await advanceUntil(
+      () => getView(other).get(EntityKind.Controller, 'maintenance')?.owner !== owner,
+    );
+    fleet.resumeEntry(owner);
+    const { version } = getView(other);
+    await advanceUntil(() => isWave('spring', WaveState.Finished, other));
+    const late = fleet
+      .getService(other, CHANGE_JOURNAL)
+      .listSince(version)
+      .filter(({ author, command }) => author === owner && /host|wave|reboot|drain/.test(command));
+    expect(late).toEqual([]);
+  });
+
+  it('keeps to the budget while the store is down, and goes on after it', async () => {
+    await operate('start wave spring pool = ovens');
+    await fleet.advance(1_000);
+    fleet.tables.applyFaults({ ...NO_PLATFORM_FAULTS, down: true });
+    await fleet.advance(120_000);
+    const rebooted = fleet.listWorkers().filter((worker) => worker.getRebootToken() > 0);
+    fleet.tables.applyFaults(NO_PLATFORM_FAULTS);
+    await advanceUntil(() => isWave('spring', WaveState.Finished));
+    expect(rebooted.length <= 2).toEqual(true);
+    expect(getView().get(EntityKind.Wave, 'spring')?.done.length).toEqual(6);
+  });
+
   it('refuses a wave over hosts that another wave covers', async () => {
     await operate('start wave spring pool = ovens');
     const reply = await operate('start wave summer rack = ovens-rack-1');
--- a/packages/baobabwell-repair/src/__tests__/unit/BaobabwellRepair.test.ts
+++ b/packages/baobabwell-repair/src/__tests__/unit/BaobabwellRepair.test.ts
@@ -2,7 +2,7 @@
 
 import { expect } from 'earl';
 
-import { buildEmulatedSettings, EmulatedFleet } from '@baobabwell/emulator';
+import { buildEmulatedSettings, EmulatedFleet, getTeamSecret } from '@baobabwell/emulator';
 import { VIEW_STORE } from '@baobabwell/entry';
 import { EntityKind, HostState } from '@baobabwell/model';
 import { ListedHostState } from '@baobabwell/platform';
@@ -12,6 +12,7 @@
 const LIMIT_MS = 60_000;
 const REPAIR_LIMIT_MS = 120_000;
 const STEP_MS = 100;
+const CALL_INTERVAL_MS = 50;
 const DOWN = { ...NO_WORKER_FAULTS, down: true };
 
 function createFleet(): EmulatedFleet {
@@ -86,6 +87,21 @@
     expect(reply.kind === 'rows' && reply.rows).toMatchSnapshot(this);
   });
 
+  it('takes out a host that answers probes and fails every task', async () => {
+    fleet.getWorker('ovens-2').applyFaults({ ...NO_WORKER_FAULTS, failAll: true });
+    const callers = fleet.listEntries().map(async (entry) => {
+      while (getHost('ovens-2')?.state === HostState.Serving) {
+        const body = Buffer.from('{"runMs":200}');
+        const secret = getTeamSecret('guilds');
+        const call = { queue: 'ovens', secret, body, isRepeatable: true };
+        await Promise.all(Array.from({ length: 8 }, async () => fleet.call(entry, call)));
+        await fleet.time.wait(CALL_INTERVAL_MS);
+      }
+    });
+    await fleet.time.settle(Promise.all(callers), REPAIR_LIMIT_MS);
+    expect(getHost('ovens-2')?.stateReason).toEqual(expect.includes('fails every task'));
+  });
+
   it('needs longer when only one kind of evidence speaks against a host', async () => {
     fleet.getWorker('ovens-2').applyFaults(DOWN);
     await fleet.advance(20_000);
