--- a/packages/baobabwell-entry/src/BaobabwellEntryMaintenancePlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryMaintenancePlugin.ts
@@ -2,7 +2,13 @@
 import type { ControllerReport } from '@baobabwell/maintenance';
 
 import { mergeUndo } from '@baobabwell/kernel';
-import { HostHealth, MaintenanceController, WaveDuty } from '@baobabwell/maintenance';
+import {
+  getPoolBudget,
+  HostHealth,
+  MaintenanceController,
+  WaveDuty,
+} from '@baobabwell/maintenance';
+import { EntityKind } from '@baobabwell/model';
 import { RepairDuty } from '@baobabwell/repair';
 import { SplitDuty } from '@baobabwell/split';
 
@@ -14,6 +20,7 @@
   IDENTITY,
   LOGGER,
   MAINTENANCE_CONTROLLER,
+  METRICS,
   OBJECT_STORE,
   VIEW_QUORUM,
   VIEW_STORE,
@@ -51,6 +58,21 @@
   });
 }
 
+/** Brings the gauges about hosts, budgets and waves up to date. */
+function collectMaintenance(kernel: Kernel): void {
+  const view = kernel.getService(VIEW_STORE).get();
+  const { hosts, budgetLeft, waves } = kernel.getService(METRICS);
+  [hosts, budgetLeft, waves].forEach((gauge) => gauge.reset());
+  view.list(EntityKind.Host).forEach(({ pool, state }) => hosts.inc({ pool, state }));
+  view.list(EntityKind.Wave).forEach(({ state }) => waves.inc({ state }));
+  view.list(EntityKind.Pool).forEach((pool) => {
+    const { serving } = getPoolBudget(view, pool, (host) =>
+      kernel.getService(HOST_HEALTH).getEvidence(host),
+    );
+    budgetLeft.set({ pool: pool.id }, serving - pool.minimumServing);
+  });
+}
+
 /** Follows the health of hosts and carries out maintenance while this entry is in charge. */
 export const maintenancePlugin: Plugin = {
   name: 'maintenance',
@@ -64,6 +86,10 @@
     const controller = kernel.getService(MAINTENANCE_CONTROLLER);
     void health.run();
     void controller.run();
+    kernel.lifecycle.add(
+      'maintenance gauges',
+      kernel.getService(METRICS).registerCollector(() => collectMaintenance(kernel)),
+    );
     kernel.lifecycle.add('host health', () => health.stop());
     kernel.lifecycle.add('maintenance controller', () => controller.stop());
   },
--- a/packages/baobabwell-metrics/src/BaobabwellMetrics.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetrics.ts
@@ -78,6 +78,27 @@
     registers: [this.registry],
   });
 
+  readonly hosts = new Gauge({
+    name: 'baobabwell_hosts',
+    help: 'Hosts by pool and state.',
+    labelNames: ['pool', 'state'] as const,
+    registers: [this.registry],
+  });
+
+  readonly budgetLeft = new Gauge({
+    name: 'baobabwell_budget_left_hosts',
+    help: 'Hosts that serve above the availability budget, by pool; negative below it.',
+    labelNames: ['pool'] as const,
+    registers: [this.registry],
+  });
+
+  readonly waves = new Gauge({
+    name: 'baobabwell_waves',
+    help: 'Waves by state.',
+    labelNames: ['state'] as const,
+    registers: [this.registry],
+  });
+
   readonly members = new Gauge({
     name: 'baobabwell_members',
     help: 'Entries that belong to the fleet.',
--- a/packages/baobabwell-operations/src/BaobabwellOperationsUndoCommand.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsUndoCommand.ts
@@ -12,6 +12,7 @@
 const LIVE_KINDS: ReadonlySet<EntityKind> = new Set([
   EntityKind.Host,
   EntityKind.Member,
+  EntityKind.Fence,
   EntityKind.Controller,
   EntityKind.Wave,
   EntityKind.Split,
@@ -42,8 +43,9 @@
     const version = Number(text);
     const entry = this.#journal.find(version);
     if (entry === null) {
-      const known = `changes since ${this.#journal.getOldest() ?? view.version} are remembered`;
-      return createError({ code: 'not-found', message: `change ${text} is not; ${known}` });
+      const oldest = this.#journal.getOldest() ?? view.version;
+      const message = `change ${text} is not remembered; those from ${oldest} to ${view.version} are`;
+      return createError({ code: 'not-found', message });
     }
     const refusal = this.#findObstacle(entry, view);
     return refusal === null
