permits: a keeper of each team lends its permits to the entries

Cause: limits were divided evenly, so a team calling through one entry could use a ninth of its limit and a limit of one could not be used at most entries. A lost answer gave its permit back while the work could still run. Change: the new package permits; a keeper per team by rendezvous hashing lends permits, entries report what they hold, a new keeper learns from every member first, and removed members keep their permits until their fence is over. A turn with a lost answer ends only when the worker confirms the stop or its lease lapsed. Slots are asked for only with an idle permit. Way not taken: handing units from entry to entry, which has no place that knows the sum after a loss.

--- a/packages/baobabwell-calls/src/BaobabwellCallsService.ts
+++ b/packages/baobabwell-calls/src/BaobabwellCallsService.ts
@@ -208,13 +208,14 @@
         AbortSignal.any([signal, deadline.signal]),
       );
       if (outcome.kind === 'lost') {
-        void turn.session.client.stop(task.id);
+        void turn.abandon(task.id);
+      } else {
+        turn.release();
       }
       return buildAttempt(outcome, call.request.isRepeatable);
     } finally {
       cancelTimer();
       Object.assign(call, { host: null });
-      turn.release();
     }
   }
 
--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
@@ -85,11 +85,15 @@
 
   readonly #logLines: string[] = [];
 
+  readonly #plugins: readonly Plugin[];
+
   #incarnations = 0;
 
   #calls = 0;
 
-  constructor(settings: Settings, seed: number) {
+  /** @param plugins used by every entry, before the features that they replace parts of. */
+  constructor(settings: Settings, seed: number, plugins: readonly Plugin[] = []) {
+    this.#plugins = plugins;
     this.settings = settings;
     this.random = new Random(seed);
     this.tables = new StandInTableService(this.time, new Random(seed + 1));
@@ -146,7 +150,7 @@
         logger: this.#createLogger(id),
       },
       {
-        before: [this.#createConnections({ name: id, clock })],
+        before: [this.#createConnections({ name: id, clock }), ...this.#plugins],
         after: [this.#createPeerServer(id)],
       },
     );
--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorNetwork.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorNetwork.ts
@@ -31,6 +31,8 @@
 
   readonly #closed = new Set<string>();
 
+  readonly #repeated = new Map<string, number>();
+
   #latencyMs = DEFAULT_LATENCY_MS;
 
   /** Sets the latency of one direction, in whole milliseconds. */
@@ -58,9 +60,15 @@
     );
   }
 
-  /** Ends all cuts. */
+  /** Delivers everything that `from` sends to `to` a second time, after `delayMs`. */
+  repeat(from: string, to: string, delayMs: number): void {
+    this.#repeated.set(`${from} ${to}`, delayMs);
+  }
+
+  /** Ends all cuts and repetitions. */
   restoreAll(): void {
     this.#cuts.clear();
+    this.#repeated.clear();
   }
 
   /** Refuses connections to a name. */
@@ -102,6 +110,12 @@
           answer(() => finish({ kind: 'refused' }));
           return;
         }
+        const repeatMs = this.#repeated.get(`${from.name} ${to.name}`);
+        if (repeatMs !== undefined) {
+          to.clock.startTimer(repeatMs, () => {
+            handle().catch(() => {});
+          });
+        }
         handle().then(
           (value) => answer(() => finish({ kind: 'answered', value })),
           (error: Error) => answer(() => reject(error)),
--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorSettings.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorSettings.ts
@@ -1,4 +1,4 @@
-import type { Settings } from '@baobabwell/settings';
+import type { PolicySettings, Settings } from '@baobabwell/settings';
 
 import { createHash } from 'node:crypto';
 
@@ -33,6 +33,8 @@
   readonly entries: number;
   readonly pools: readonly EmulatedPool[];
   readonly teams: readonly EmulatedTeam[];
+  /** Policies other than the usual ones. */
+  readonly policies?: Partial<PolicySettings>;
 };
 
 /** The secret of the emulated operator. */
@@ -74,7 +76,12 @@
 }
 
 /** Builds the settings of an emulated deployment. */
-export function buildEmulatedSettings({ entries, pools, teams }: EmulatedDeployment): Settings {
+export function buildEmulatedSettings({
+  entries,
+  pools,
+  teams,
+  policies = {},
+}: EmulatedDeployment): Settings {
   const serving = pools.filter(({ spare }) => spare !== true);
   return settingsSchema.parse({
     name: 'emulated',
@@ -88,6 +95,7 @@
     platform: { url: 'http://127.0.0.1:1' },
     peers: { secret: 'emulated-peer-secret' },
     log: { level: 'error' },
+    policies,
     fleet: {
       organisations: [{ id: 'organisation', share: 1 }],
       teams: teams.map((team) => ({ ...team, organisation: 'organisation' })),
--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorWorkers.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorWorkers.ts
@@ -97,13 +97,20 @@
     }
   }
 
-  override async stop(taskId: string): Promise<void> {
-    await this.#network.send({
+  override async stop(taskId: string): Promise<boolean> {
+    if (this.#to.worker.getFaults().down) {
+      return false;
+    }
+    const result = await this.#network.send({
       from: this.#from,
       to: this.#to.endpoint,
       timeoutMs: RENEW_TIMEOUT_MS,
-      handle: async () => this.#to.worker.stop(taskId),
+      handle: async () => {
+        await this.#waitWhileSilent();
+        this.#to.worker.stop(taskId);
+      },
     });
+    return result.kind === 'answered';
   }
 
   override async close(): Promise<void> {
--- a/packages/baobabwell-emulator/src/index.ts
+++ b/packages/baobabwell-emulator/src/index.ts
@@ -1,7 +1,10 @@
+export type { CallerPlan, EndedCall } from './BaobabwellEmulatorCallers';
 export type { EmulatedCall } from './BaobabwellEmulatorFleet';
 export type { Endpoint, ExchangeResult } from './BaobabwellEmulatorNetwork';
+export type { RunningStep } from './BaobabwellEmulatorRunning';
 export type { EmulatedDeployment, EmulatedPool, EmulatedTeam } from './BaobabwellEmulatorSettings';
 
+export { EmulatedCallers } from './BaobabwellEmulatorCallers';
 export { EmulatedFleet } from './BaobabwellEmulatorFleet';
 export { EmulatedNetwork } from './BaobabwellEmulatorNetwork';
 export {
@@ -9,4 +12,5 @@
   getTeamSecret,
   OPERATOR_SECRET,
 } from './BaobabwellEmulatorSettings';
+export { listRunning, measureMeanRunning } from './BaobabwellEmulatorRunning';
 export { EmulatedTime, NotSettledError, ProcessClock } from './BaobabwellEmulatorTime';
--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -14,6 +14,7 @@
 import { operatorServerPlugin } from './BaobabwellEntryOperatorServerPlugin';
 import { operatorsPlugin } from './BaobabwellEntryOperatorsPlugin';
 import { peerServerPlugin, peersPlugin } from './BaobabwellEntryPeersPlugin';
+import { permitsPlugin } from './BaobabwellEntryPermitsPlugin';
 import { platformPlugin } from './BaobabwellEntryPlatformPlugin';
 import { Readiness } from './BaobabwellEntryReadiness';
 import {
@@ -47,7 +48,7 @@
   readonly after: readonly Plugin[];
 };
 
-const FEATURES: readonly Plugin[] = [viewPlugin, callsPlugin, operatorsPlugin];
+const FEATURES: readonly Plugin[] = [viewPlugin, permitsPlugin, callsPlugin, operatorsPlugin];
 
 /** Builds an entry with the given connections. */
 export function buildConnectedEntry(
--- a/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
@@ -2,8 +2,6 @@
 
 import { CallService } from '@baobabwell/calls';
 import { mergeUndo } from '@baobabwell/kernel';
-import { EntityKind } from '@baobabwell/model';
-import { StaticPermitPool } from '@baobabwell/scheduling';
 
 import {
   CALL_SERVICE,
@@ -16,19 +14,6 @@
 } from './BaobabwellEntryTokens';
 import { WorkerDirectory } from './BaobabwellEntryWorkers';
 
-function buildPermitPool(kernel: Kernel): StaticPermitPool {
-  const view = kernel.getService(VIEW_STORE);
-  const { id } = kernel.getService(IDENTITY);
-  return new StaticPermitPool({
-    getLimit: (team) => view.get().get(EntityKind.Team, team)?.limit ?? Number.MAX_SAFE_INTEGER,
-    getRank: () => {
-      const members = view.get().list(EntityKind.Member);
-      const index = members.findIndex((member) => member.id === id);
-      return index < 0 ? null : { index, count: members.length };
-    },
-  });
-}
-
 function buildDirectory(kernel: Kernel): WorkerDirectory {
   const { id, incarnation } = kernel.getService(IDENTITY);
   const freshness = kernel.getService(FRESHNESS);
@@ -59,7 +44,6 @@
   name: 'calls',
   register(kernel) {
     return mergeUndo(
-      kernel.registerService(PERMIT_POOL, buildPermitPool),
       kernel.registerService(WORKER_DIRECTORY, buildDirectory),
       kernel.registerService(CALL_SERVICE, buildCallService),
     );
--- /dev/null
+++ b/packages/baobabwell-entry/src/BaobabwellEntryPermitsPlugin.ts
@@ -0,0 +1,111 @@
+import type { Kernel, Plugin, ServiceToken, Undo } from '@baobabwell/kernel';
+import type { Member } from '@baobabwell/model';
+import type { FenceClock, PermitPeer } from '@baobabwell/permits';
+import type { PermitPool } from '@baobabwell/scheduling';
+
+import { mergeUndo } from '@baobabwell/kernel';
+import { EntityKind } from '@baobabwell/model';
+import {
+  buildPermitRouter,
+  getMemberKey,
+  KeeperPermitPool,
+  MajorityFenceClock,
+  RemotePermitPeer,
+  WORK_FENCE_MS,
+} from '@baobabwell/permits';
+import { StaticPermitPool } from '@baobabwell/scheduling';
+import { PermitPolicy } from '@baobabwell/settings';
+import { FRESHNESS_BOUND_MS } from '@baobabwell/view';
+
+import {
+  FENCE_CLOCK,
+  FRESHNESS,
+  IDENTITY,
+  PEER_CONNECTOR,
+  PEER_ROUTERS,
+  PERMIT_PEERS,
+  PERMIT_POOL,
+  SETTINGS,
+  VIEW_STORE,
+} from './BaobabwellEntryTokens';
+
+const FIRST_VERSION = 1;
+
+function buildStaticPool(kernel: Kernel): StaticPermitPool {
+  const view = kernel.getService(VIEW_STORE);
+  const { id } = kernel.getService(IDENTITY);
+  return new StaticPermitPool({
+    getLimit: (team) => view.get().get(EntityKind.Team, team)?.limit ?? Number.MAX_SAFE_INTEGER,
+    getRank: () => {
+      const members = view.get().list(EntityKind.Member);
+      const index = members.findIndex((member) => member.id === id);
+      return index < 0 ? null : { index, count: members.length };
+    },
+  });
+}
+
+/** Builds the clock once this entry has joined, when it knows whether it is the first. */
+function buildFenceClock(kernel: Kernel): FenceClock {
+  return new MajorityFenceClock(
+    kernel.clock,
+    FRESHNESS_BOUND_MS + WORK_FENCE_MS,
+    kernel.getService(VIEW_STORE).get().version === FIRST_VERSION,
+  );
+}
+
+function buildPeers(kernel: Kernel): (member: Member) => PermitPeer {
+  const connector = kernel.getService(PEER_CONNECTOR);
+  return ({ peerAddress }) => new RemotePermitPeer(connector, peerAddress);
+}
+
+function buildKeeperPool(kernel: Kernel): KeeperPermitPool {
+  const view = kernel.getService(VIEW_STORE);
+  const freshness = kernel.getService(FRESHNESS);
+  return new KeeperPermitPool({
+    clock: kernel.clock,
+    member: getMemberKey(kernel.getService(IDENTITY)),
+    fences: kernel.getService(FENCE_CLOCK),
+    getView: () => view.get(),
+    isCurrent: () => freshness.isCurrent(),
+    createPeer: kernel.getService(PERMIT_PEERS),
+  });
+}
+
+function buildPool(kernel: Kernel): PermitPool {
+  const { permits } = kernel.getService(SETTINGS).policies;
+  return permits === PermitPolicy.Static ? buildStaticPool(kernel) : buildKeeperPool(kernel);
+}
+
+/** Registers a service unless an earlier plug-in provides it. */
+function registerDefault<Service>(
+  kernel: Kernel,
+  token: ServiceToken<Service>,
+  build: (kernel: Kernel) => Service,
+): Undo {
+  return kernel.hasService(token) ? () => {} : kernel.registerService(token, build);
+}
+
+/** Keeps the upper limits of teams. */
+export const permitsPlugin: Plugin = {
+  name: 'permits',
+  register: (kernel) =>
+    mergeUndo(
+      registerDefault(kernel, FENCE_CLOCK, buildFenceClock),
+      registerDefault(kernel, PERMIT_PEERS, buildPeers),
+      kernel.registerService(PERMIT_POOL, buildPool),
+    ),
+  async start(kernel) {
+    const pool = kernel.getService(PERMIT_POOL);
+    if (!(pool instanceof KeeperPermitPool)) {
+      return;
+    }
+    kernel.getService(PEER_ROUTERS).push(buildPermitRouter(pool.service));
+    const undo = kernel.getService(VIEW_STORE).registerListener((update) => pool.update(update));
+    void pool.run();
+    await pool.waitForReserve();
+    kernel.lifecycle.add('permits', async () => {
+      await pool.stop();
+      undo();
+    });
+  },
+};
--- a/packages/baobabwell-entry/src/index.ts
+++ b/packages/baobabwell-entry/src/index.ts
@@ -4,6 +4,7 @@
 export { buildConnectedEntry, buildEntry } from './BaobabwellEntry';
 export {
   CALL_SERVICE,
+  FENCE_CLOCK,
   FRESHNESS,
   HOST_LIST,
   IDENTITY,
@@ -11,6 +12,8 @@
   OPERATOR_SERVICE,
   PEER_CONNECTOR,
   PEER_ROUTERS,
+  PERMIT_PEERS,
+  PERMIT_POOL,
   TABLE_SERVICE,
   VIEW_STORE,
   VIEW_WRITER,
--- a/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
@@ -1,9 +1,10 @@
 import type { Measure } from './BaobabwellMeasures';
 
+import { LimitMeasure } from './BaobabwellMeasuresLimit';
 import { ViewMeasure } from './BaobabwellMeasuresView';
 
 /** All measures, in the order in which `all` takes them. */
-export const MEASURES: readonly Measure[] = [new ViewMeasure()];
+export const MEASURES: readonly Measure[] = [new ViewMeasure(), new LimitMeasure()];
 
 /** Finds a measure by its name. */
 export function findMeasure(name: string): Measure | null {
--- /dev/null
+++ b/packages/baobabwell-permits/src/index.ts
@@ -0,0 +1,17 @@
+export type {
+  HoldingReport,
+  Loan,
+  PendingFence,
+  PermitReply,
+  PermitReport,
+} from './BaobabwellPermits';
+export type { PermitKeeperParts } from './BaobabwellPermitsKeeper';
+export type { PermitPeerRouter, PermitPeerService } from './BaobabwellPermitsPeers';
+export type { KeeperPermitPoolParts } from './BaobabwellPermitsPool';
+
+export { WORK_FENCE_MS } from './BaobabwellPermitsConstants';
+export { FenceClock, MajorityFenceClock } from './BaobabwellPermitsFence';
+export { PermitKeeper } from './BaobabwellPermitsKeeper';
+export { getMemberKey, Membership } from './BaobabwellPermitsMembership';
+export { buildPermitRouter, PermitPeer, RemotePermitPeer } from './BaobabwellPermitsPeers';
+export { KeeperPermitPool } from './BaobabwellPermitsPool';
--- a/packages/baobabwell-scheduling/src/BaobabwellSchedulingFairQueue.ts
+++ b/packages/baobabwell-scheduling/src/BaobabwellSchedulingFairQueue.ts
@@ -57,6 +57,11 @@
       .map(([team]) => team);
   }
 
+  /** Number of waiting items of a team. */
+  getCount(team: string): number {
+    return this.#lines.get(team)?.items.size ?? 0;
+  }
+
   /** Lists the waiting items of a team, oldest first. */
   listItems(team: string): Iterable<T> {
     return this.#lines.get(team)?.items ?? [];
--- a/packages/baobabwell-scheduling/src/BaobabwellSchedulingPermits.ts
+++ b/packages/baobabwell-scheduling/src/BaobabwellSchedulingPermits.ts
@@ -11,6 +11,12 @@
   /** Takes a permit of a team, or `null` when this entry has none left. */
   abstract acquire(team: string): Permit | null;
 
+  /** Number of permits that could be taken now. */
+  abstract getIdle(team: string): number;
+
+  /** Counts a call that begins to wait, or with -1 one that no longer does. */
+  abstract addWaiting(team: string, count: number): void;
+
   /** Calls `listener` when permits of a team may have become available. */
   abstract registerListener(listener: (team: string) => void): Undo;
 }
@@ -55,6 +61,14 @@
     return { team, release };
   }
 
+  override getIdle(team: string): number {
+    return Math.max(0, this.#getQuota(team) - (this.#inUse.get(team) ?? 0));
+  }
+
+  override addWaiting(): void {
+    // The division does not follow demand.
+  }
+
   override registerListener(listener: (team: string) => void): Undo {
     this.#listeners.add(listener);
     return () => {
--- a/packages/baobabwell-scheduling/src/BaobabwellSchedulingPool.ts
+++ b/packages/baobabwell-scheduling/src/BaobabwellSchedulingPool.ts
@@ -95,6 +95,7 @@
     };
     const onAbort = (): void => this.#refuse(waiting, { kind: 'cancelled' });
     this.#waiting.add(request.team, waiting);
+    this.#parts.permits.addWaiting(request.team, 1);
     waiting.cancelTimer = clock.startTimer(request.deadlineAt - clock.getNow(), () => {
       this.#refuse(waiting, { kind: 'deadline', retryAfterMs: this.#getRetryAfter() });
     });
@@ -113,7 +114,11 @@
 
   #remove(waiting: Waiting): boolean {
     waiting.cancelTimer?.();
-    return this.#waiting.remove(waiting.request.team, waiting);
+    const wasThere = this.#waiting.remove(waiting.request.team, waiting);
+    if (wasThere) {
+      this.#parts.permits.addWaiting(waiting.request.team, -1);
+    }
+    return wasThere;
   }
 
   #dispatchOne(): boolean {
@@ -159,13 +164,17 @@
       permit.release();
       session.releaseSlot();
     };
-    return { session, release };
+    const abandon = async (taskId: string): Promise<void> => {
+      await session.waitForEnd(taskId);
+      release();
+    };
+    return { session, release, abandon };
   }
 
   #requestSlots(): void {
     const sessions = this.#parts.listSessions();
     const asked = sessions.reduce((sum, session) => sum + session.getRequestedSlots(), 0);
-    let missing = this.#waiting.size - asked;
+    let missing = this.#countStartable() - asked;
     while (missing > 0) {
       const session = sessions
         .filter((candidate) => candidate.getFreeSlots() > 0)
@@ -178,6 +187,17 @@
     }
   }
 
+  /** Calls that only lack a slot. */
+  #countStartable(): number {
+    return this.#waiting
+      .listTeams()
+      .reduce(
+        (sum, team) =>
+          sum + Math.min(this.#waiting.getCount(team), this.#parts.permits.getIdle(team)),
+        0,
+      );
+  }
+
   #getRetryAfter(): number {
     return Math.max(MIN_RETRY_AFTER_MS, this.#meanRunMs);
   }
--- a/packages/baobabwell-scheduling/src/BaobabwellSchedulingTurns.ts
+++ b/packages/baobabwell-scheduling/src/BaobabwellSchedulingTurns.ts
@@ -16,8 +16,10 @@
 /** A slot on a worker together with the team's permit. */
 export type Turn = {
   readonly session: WorkerSession;
-  /** Gives slot and permit back; must be called exactly once. */
+  /** Gives slot and permit back; the work ended or was never started. */
   readonly release: () => void;
+  /** Gives slot and permit back once a task whose answer was lost has certainly ended. */
+  readonly abandon: (taskId: string) => Promise<void>;
 };
 
 /** Why a call did not get its turn. */
--- a/packages/baobabwell-scheduling/src/index.ts
+++ b/packages/baobabwell-scheduling/src/index.ts
@@ -5,3 +5,4 @@
 export { FairQueue } from './BaobabwellSchedulingFairQueue';
 export { PermitPool, StaticPermitPool } from './BaobabwellSchedulingPermits';
 export { PoolScheduler } from './BaobabwellSchedulingPool';
+export { findRendezvousOwner } from './BaobabwellSchedulingRendezvous';
--- a/packages/baobabwell-settings/src/BaobabwellSettingsSchema.ts
+++ b/packages/baobabwell-settings/src/BaobabwellSettingsSchema.ts
@@ -2,6 +2,7 @@
 
 import { OperatorRole, QueueAccess, QueueMode } from '@baobabwell/model';
 
+import { policiesSchema } from './BaobabwellSettingsPolicies';
 import { createPattern, durationSchema, memorySchema } from './BaobabwellSettingsUnits';
 
 const MAX_SLOTS = 64;
@@ -87,6 +88,7 @@
   }),
   peers: z.strictObject({ secret: z.string().min(16) }),
   log: z.strictObject({ level: z.enum(['error', 'warn', 'info', 'debug']).default('info') }),
+  policies: policiesSchema,
   fleet,
 });
 
--- a/packages/baobabwell-stand-ins/src/BaobabwellStandInsWorker.ts
+++ b/packages/baobabwell-stand-ins/src/BaobabwellStandInsWorker.ts
@@ -27,6 +27,7 @@
   NoSlot = 'no-slot',
   LeaseLapsed = 'lease-lapsed',
   Stopping = 'stopping',
+  Stopped = 'stopped',
 }
 
 /** A task as it reaches the worker. */
@@ -98,6 +99,8 @@
 
   readonly #ledger: LedgerLine[] = [];
 
+  readonly #stoppedTasks = new Set<string>();
+
   #faults: WorkerFaults = NO_WORKER_FAULTS;
 
   #isStopping = false;
@@ -165,6 +168,9 @@
     if (this.#isStopping) {
       return { kind: 'rejected', code: RejectionCode.Stopping };
     }
+    if (this.#stoppedTasks.has(task.taskId)) {
+      return { kind: 'rejected', code: RejectionCode.Stopped };
+    }
     if (holder === undefined || holder.startableUntil < this.#clock.getNow()) {
       return { kind: 'rejected', code: RejectionCode.LeaseLapsed };
     }
@@ -179,8 +185,9 @@
     return this.#finish(task, abort.signal.aborted);
   }
 
-  /** Stops a running task; unknown ones are ignored. */
+  /** Stops a task if it runs, and never starts it later. */
   stop(taskId: string): void {
+    this.#stoppedTasks.add(taskId);
     this.#holders.forEach(({ running }) => running.get(taskId)?.abort());
   }
 
--- a/packages/baobabwell-workers/src/BaobabwellWorkersClient.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersClient.ts
@@ -58,8 +58,12 @@
   /** Runs a task; aborting the signal abandons the exchange and its connection. */
   abstract run(task: Task, signal: AbortSignal): Promise<TaskOutcome>;
 
-  /** Asks the worker to stop a task. */
-  abstract stop(taskId: string): Promise<void>;
+  /**
+   * Asks the worker to stop a task, and never to start it if it has not yet.
+   *
+   * @returns whether the worker confirmed that the task does not run.
+   */
+  abstract stop(taskId: string): Promise<boolean>;
 
   /** Closes all connections at once. */
   abstract close(): Promise<void>;
--- a/packages/baobabwell-workers/src/BaobabwellWorkersConstants.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersConstants.ts
@@ -10,6 +10,12 @@
 /** Longest time that a renewal may take. */
 export const RENEW_TIMEOUT_MS = 1_000;
 
+/** Time after which a task without renewals certainly ended, on top of its lease. */
+export const LEASE_LAPSE_SLACK_MS = 500;
+
+/** Time between two attempts to stop a task whose end is not known. */
+export const STOP_RETRY_MS = 250;
+
 /** Longest time that opening a connection may take. */
 export const CONNECT_TIMEOUT_MS = 500;
 
--- a/packages/baobabwell-workers/src/BaobabwellWorkersHttp.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersHttp.ts
@@ -114,9 +114,9 @@
     });
   }
 
-  override async stop(taskId: string): Promise<void> {
+  override async stop(taskId: string): Promise<boolean> {
     try {
-      const { body } = await request(
+      const { statusCode, body } = await request(
         `http://${this.#address}/tasks/${encodeURIComponent(taskId)}/stop`,
         {
           method: 'POST',
@@ -125,8 +125,9 @@
         },
       );
       await body.dump();
+      return statusCode === HTTP_OK;
     } catch {
-      // The lease ends the task when the worker cannot be told.
+      return false;
     }
   }
 
--- a/packages/baobabwell-workers/src/BaobabwellWorkersSession.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersSession.ts
@@ -3,7 +3,14 @@
 
 import { checkInvariant } from '@baobabwell/utils';
 
-import { RENEW_INTERVAL_MS, START_TTL_MS } from './BaobabwellWorkersConstants';
+import {
+  LEASE_LAPSE_SLACK_MS,
+  RENEW_INTERVAL_MS,
+  RENEW_TIMEOUT_MS,
+  START_TTL_MS,
+  STOP_RETRY_MS,
+  TASK_TTL_MS,
+} from './BaobabwellWorkersConstants';
 
 /** What a session works with. */
 export type WorkerSessionParts = {
@@ -47,6 +54,10 @@
 
   #startableUntil = Number.NEGATIVE_INFINITY;
 
+  #renewSentAt = Number.NEGATIVE_INFINITY;
+
+  #unsettled = 0;
+
   constructor(parts: WorkerSessionParts) {
     this.#parts = parts;
     this.client = parts.client;
@@ -97,11 +108,24 @@
     this.#parts.onChange();
   }
 
+  /**
+   * Waits until a task whose answer was lost has certainly ended: the worker confirms that it
+   * stopped it, or the lease has lapsed.
+   */
+  async waitForEnd(taskId: string): Promise<void> {
+    this.#unsettled += 1;
+    while (!(await this.client.stop(taskId)) && !this.#isLapsed()) {
+      await this.#parts.clock.wait(STOP_RETRY_MS);
+    }
+    this.#unsettled -= 1;
+    this.#wake.abort();
+  }
+
   /** Renews the lease until stopped. */
   async run(): Promise<void> {
     const { clock } = this.#parts;
     while (!this.#stopped.signal.aborted) {
-      if (this.#parts.isCurrent()) {
+      if (this.#parts.isCurrent() && !this.#isLapsing()) {
         await this.#renew();
       }
       if (!this.#wake.signal.aborted) {
@@ -118,12 +142,23 @@
     this.#wake.abort();
   }
 
+  /** A worker that does not answer loses its lease, so that the end of lost tasks is certain. */
+  #isLapsing(): boolean {
+    return this.#unsettled > 0 && !this.#isReachable;
+  }
+
+  #isLapsed(): boolean {
+    const lapsedAt = this.#renewSentAt + RENEW_TIMEOUT_MS + TASK_TTL_MS + LEASE_LAPSE_SLACK_MS;
+    return this.#parts.clock.getNow() > lapsedAt;
+  }
+
   async #renew(): Promise<void> {
     const { client, clock, holder, maxSlots, onChange } = this.#parts;
     const asked = this.#requested;
     const wanted = Math.min(maxSlots, Math.max(this.#peakInUse, this.#inUse) + asked);
     this.#peakInUse = this.#inUse;
     const sentAt = clock.getNow();
+    this.#renewSentAt = sentAt;
     const grant = await client.renew({ holder, slots: wanted });
     this.#requested = Math.max(0, this.#requested - asked);
     this.#isReachable = grant.ok;
