--- a/packages/baobabwell-cli/src/BaobabwellCliSettings.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCliSettings.ts
@@ -1,27 +1,54 @@
+/** The command `check`, and the settings of `serve`. */
 import type { Settings } from '@baobabwell/settings';
+import type { Finding } from '@baobabwell/utils';
+import type { Argv } from 'yargs';
 
-import { readFile } from 'node:fs/promises';
-
-import { parseSettings } from '@baobabwell/settings';
+import { readSettings } from '@baobabwell/settings';
 import { formatFinding } from '@baobabwell/utils';
 
-import { ExitCode, writeErrorLine } from './BaobabwellCliExit';
+import { ExitCode, writeErrorLine, writeLine } from './BaobabwellCliExit';
+import { JSON_OPTION } from './BaobabwellCliOptions';
 
-/** Reads settings; on findings prints all of them and sets the exit code. */
-export async function readSettings(file: string): Promise<Settings | null> {
-  let text: string;
-  try {
-    text = await readFile(file, 'utf8');
-  } catch (error) {
-    writeErrorLine(`${file}: cannot be read: ${(error as Error).message}`);
-    process.exitCode = ExitCode.BadInput;
-    return null;
-  }
-  const parsed = parseSettings(text, file);
-  if (parsed.ok) {
-    return parsed.value;
+function writeFindings(findings: readonly Finding[], file: string): void {
+  findings.forEach((finding) => writeErrorLine(formatFinding(finding)));
+  writeErrorLine(`${file}: ${findings.length} finding${findings.length === 1 ? '' : 's'}`);
+}
+
+/** Loads settings; on findings prints all of them and sets the exit code. */
+export async function loadSettings(file: string): Promise<Settings | null> {
+  const read = await readSettings(file);
+  if (read.ok) {
+    return read.value;
   }
-  parsed.error.forEach((finding) => writeErrorLine(formatFinding(finding)));
+  writeFindings(read.error, file);
   process.exitCode = ExitCode.BadInput;
   return null;
 }
+
+async function runCheck(file: string, json: boolean): Promise<void> {
+  const read = await readSettings(file);
+  const findings = read.ok ? [] : read.error;
+  if (json) {
+    writeLine(JSON.stringify({ file, findings }));
+  } else if (read.ok) {
+    writeLine(`${file}: no findings`);
+  } else {
+    writeFindings(findings, file);
+  }
+  process.exitCode = read.ok ? ExitCode.Success : ExitCode.BadInput;
+}
+
+/** Adds the command `check`. */
+export function addCheck(cli: Argv): Argv {
+  return cli.command(
+    'check <file>',
+    'Report everything that is wrong with a settings file',
+    (command) =>
+      command
+        .positional('file', { type: 'string', demandOption: true, describe: 'Settings file' })
+        .option('json', JSON_OPTION)
+        .example('$0 check fleet.yaml', 'List every finding with its line and what is allowed')
+        .example('$0 check fleet.yaml --json', 'The same for a program'),
+    async ({ file, json }) => runCheck(file, json),
+  );
+}
--- a/packages/baobabwell-entry/src/index.ts
+++ b/packages/baobabwell-entry/src/index.ts
@@ -4,8 +4,11 @@
 export { buildConnectedEntry, buildEntry } from './BaobabwellEntry';
 export {
   CALL_SERVICE,
+  CHANGE_JOURNAL,
   FENCE_CLOCK,
   FRESHNESS,
+  HOST_CONTROL,
+  HOST_HEALTH,
   HOST_LIST,
   IDENTITY,
   OBJECT_STORE,
--- a/packages/baobabwell-settings/src/index.ts
+++ b/packages/baobabwell-settings/src/index.ts
@@ -1,8 +1,9 @@
 export type { PolicySettings } from './BaobabwellSettingsPolicies';
+export type { Objective } from './BaobabwellSettingsQueues';
 export type { EntrySettings, FleetSettings, Settings } from './BaobabwellSettingsSchema';
 
 export { buildFleet } from './BaobabwellSettingsFleet';
-export { parseSettings } from './BaobabwellSettingsParser';
+export { parseSettings, readSettings } from './BaobabwellSettingsParser';
 export {
   AdmissionPolicy,
   PermitPolicy,
@@ -10,4 +11,4 @@
   SharePolicy,
 } from './BaobabwellSettingsPolicies';
 export { settingsSchema } from './BaobabwellSettingsSchema';
-export { parseDuration } from './BaobabwellSettingsUnits';
+export { parseDuration, parseMemory, parsePercentage } from './BaobabwellSettingsUnits';
