fuzz: suite limits, with the workers' ledgers as the oracle

Cause: nothing tried the limits under lost entries, cuts, pauses, a store that is down and repeated hand-overs. Change: a suite of random histories; afterwards the limit must be usable again. The shrunk case is printed by fast-check's own formatter, as records have no prototype.

--- a/packages/baobabwell-fuzz/src/BaobabwellFuzz.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzz.ts
@@ -1,11 +1,13 @@
 import type { IAsyncProperty } from 'fast-check';
 
-import { check } from 'fast-check';
+import { check, stringify } from 'fast-check';
 
 /** How much to try, and from which seed. */
 export type FuzzOptions = {
   readonly seed: number;
   readonly runs: number;
+  /** Whether the first failure ends the search as it was found; otherwise it is shrunk. */
+  readonly endsOnFailure?: boolean;
 };
 
 /** What a suite found. */
@@ -25,10 +27,14 @@
   abstract createProperty(): IAsyncProperty<unknown>;
 
   /** Tries histories and shrinks the first that breaks the property. */
-  async run({ seed, runs }: FuzzOptions): Promise<FuzzReport> {
-    const details = await check(this.createProperty(), { seed, numRuns: runs });
+  async run({ seed, runs, endsOnFailure = false }: FuzzOptions): Promise<FuzzReport> {
+    const details = await check(this.createProperty(), {
+      seed,
+      numRuns: runs,
+      endOnFailure: endsOnFailure,
+    });
     const failure = details.failed
-      ? `${String(details.counterexample)}\n${String(details.errorInstance)}`
+      ? `${stringify(details.counterexample)}\n${String(details.errorInstance)}`
       : null;
     return { suite: this.name, isPassed: !details.failed, runs: details.numRuns, failure };
   }
--- /dev/null
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzLimits.ts
@@ -0,0 +1,46 @@
+import type { LimitStep } from './BaobabwellFuzzLimitsSteps';
+import type { Plugin } from '@baobabwell/kernel';
+import type { IAsyncProperty } from 'fast-check';
+
+import { array, asyncProperty, record, integer } from 'fast-check';
+
+import { FuzzSuite } from './BaobabwellFuzz';
+import { LimitsHistory } from './BaobabwellFuzzLimitsHistory';
+import { stepArbitrary } from './BaobabwellFuzzLimitsSteps';
+
+const MAX_STEPS = 14;
+const MAX_SEED = 1_000;
+
+/** Upper limits of teams under lost entries, lost messages and changes, by the workers' ledgers. */
+export class LimitsSuite extends FuzzSuite {
+  override readonly name = 'limits';
+
+  readonly #plugins: readonly Plugin[];
+
+  /** @param plugins replace parts of the entries; for tests that break the product on purpose. */
+  constructor(plugins: readonly Plugin[] = []) {
+    super();
+    this.#plugins = plugins;
+  }
+
+  override createProperty(): IAsyncProperty<unknown> {
+    const history = record({
+      seed: integer({ min: 0, max: MAX_SEED }),
+      steps: array(stepArbitrary, { minLength: 1, maxLength: MAX_STEPS }),
+    });
+    return asyncProperty(history, async ({ seed, steps }) => this.#runHistory(seed, steps));
+  }
+
+  async #runHistory(seed: number, steps: readonly LimitStep[]): Promise<void> {
+    const history = new LimitsHistory(seed, this.#plugins);
+    try {
+      await history.start();
+      for (const step of steps) {
+        await history.run(step);
+      }
+      await history.finish();
+    } finally {
+      history.close();
+    }
+  }
+}
--- /dev/null
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzLimitsHistory.ts
@@ -0,0 +1,227 @@
+import type { LimitStep } from './BaobabwellFuzzLimitsSteps';
+import type { Plugin } from '@baobabwell/kernel';
+import type { Mutation } from '@baobabwell/model';
+
+import {
+  buildEmulatedSettings,
+  EmulatedCallers,
+  EmulatedFleet,
+  getTeamSecret,
+  listRunning,
+  measureMeanRunning,
+} from '@baobabwell/emulator';
+import { VIEW_STORE, VIEW_WRITER } from '@baobabwell/entry';
+import { createPut, createRemoval, EntityKind } from '@baobabwell/model';
+import { LedgerEvent, NO_PLATFORM_FAULTS, NO_WORKER_FAULTS } from '@baobabwell/stand-ins';
+import { checkInvariant, createOk } from '@baobabwell/utils';
+
+import { ENTRIES, LimitStepKind } from './BaobabwellFuzzLimitsSteps';
+
+const TEAM = 'guilds';
+const POOL = 'ovens';
+const PLATFORM = 'platform';
+const FIRST_LIMIT = 5;
+const CALLERS_PER_ENTRY = 6;
+const SHORT_RUN_MS = 60;
+const LONG_RUN_MS = 4_000;
+const LONG_RUNS = 0.1;
+const REPEAT_MS = 300;
+const WRITE_LIMIT_MS = 10_000;
+/** Time within which an accepted limit is in force everywhere. */
+const IN_FORCE_MS = 5_000;
+/** Time after the end of all faults until the limit is usable. */
+const RECOVERY_MS = 25_000;
+const OBSERVED_MS = 3_000;
+const USABLE = 0.8;
+
+type LimitSince = { readonly at: number; readonly limit: number };
+
+/** One history of a small fleet, and the oracle that watches its limit. */
+export class LimitsHistory {
+  readonly #fleet: EmulatedFleet;
+
+  readonly #limits: LimitSince[] = [{ at: 0, limit: FIRST_LIMIT }];
+
+  readonly #callers: EmulatedCallers[] = [];
+
+  readonly #entries: readonly string[];
+
+  constructor(seed: number, plugins: readonly Plugin[]) {
+    const settings = buildEmulatedSettings({
+      entries: ENTRIES,
+      pools: [{ id: POOL, workers: 3, minimumServing: 1 }],
+      teams: [{ id: TEAM, share: 1, limit: FIRST_LIMIT }],
+    });
+    this.#fleet = new EmulatedFleet(settings, seed, plugins);
+    this.#entries = settings.entries.map(({ id }) => id);
+  }
+
+  /** Starts all entries with callers at each. */
+  async start(): Promise<void> {
+    await this.#fleet.startAll();
+    this.#entries.forEach((entry) => this.#startCallers(entry));
+    await this.#fleet.advance(500);
+  }
+
+  /** Takes one step, lets time pass, and checks the limit. */
+  async run(step: LimitStep): Promise<void> {
+    await this.#apply(step);
+    await this.#fleet.advance(step.thenMs);
+    this.#checkLimit();
+  }
+
+  /** Ends all faults and checks that the limit is usable again. */
+  async finish(): Promise<void> {
+    this.#callers.forEach((callers) => callers.stop());
+    this.#fleet.network.restoreAll();
+    this.#fleet.tables.applyFaults(NO_PLATFORM_FAULTS);
+    this.#fleet.listWorkers().forEach((worker) => worker.applyFaults(NO_WORKER_FAULTS));
+    this.#entries.forEach((entry) => this.#replace(entry));
+    await this.#fleet.advance(RECOVERY_MS);
+    this.#entries.forEach((entry) => this.#startCallers(entry));
+    await this.#fleet.advance(OBSERVED_MS);
+    this.#checkLimit();
+    this.#checkUse();
+  }
+
+  /** Ends the fleet. */
+  close(): void {
+    this.#callers.forEach((callers) => callers.stop());
+    this.#fleet.close();
+  }
+
+  #startCallers(entry: string): void {
+    const { random } = this.#fleet;
+    const callers = new EmulatedCallers(this.#fleet, {
+      entry,
+      concurrency: CALLERS_PER_ENTRY,
+      buildCall: () => {
+        const runMs = random.getFraction() < LONG_RUNS ? LONG_RUN_MS : SHORT_RUN_MS;
+        const body = Buffer.from(JSON.stringify({ runMs }));
+        return { queue: POOL, secret: getTeamSecret(TEAM), body };
+      },
+    });
+    callers.start();
+    this.#callers.push(callers);
+  }
+
+  async #apply({ kind, entry: number, other: otherNumber, limit }: LimitStep): Promise<void> {
+    const entry = this.#entries[number] as string;
+    const other = this.#entries[otherNumber] ?? PLATFORM;
+    const isThere = this.#fleet.listEntries().includes(entry);
+    switch (kind) {
+      case LimitStepKind.Kill:
+        return isThere ? this.#fleet.killEntry(entry) : undefined;
+      case LimitStepKind.Start:
+        return isThere ? undefined : this.#startEntry(entry);
+      case LimitStepKind.Pause:
+        return isThere ? this.#fleet.pauseEntry(entry) : undefined;
+      case LimitStepKind.Resume:
+        return isThere ? this.#fleet.resumeEntry(entry) : undefined;
+      case LimitStepKind.Remove:
+        return this.#removeMember(entry, other);
+      case LimitStepKind.Cut:
+        return this.#fleet.network.cut(entry, other);
+      case LimitStepKind.Repeat:
+        return other === PLATFORM ? undefined : this.#fleet.network.repeat(entry, other, REPEAT_MS);
+      case LimitStepKind.Heal:
+        return this.#fleet.network.restoreAll();
+      case LimitStepKind.StopStore:
+        return this.#fleet.tables.applyFaults({ ...NO_PLATFORM_FAULTS, down: true });
+      case LimitStepKind.StartStore:
+        return this.#fleet.tables.applyFaults(NO_PLATFORM_FAULTS);
+      case LimitStepKind.Limit:
+        return this.#changeLimit(entry, limit);
+      case LimitStepKind.LoseAnswers:
+        return this.#applyWorkerFaults(number, { loseAnswers: true });
+      case LimitStepKind.Silence:
+        return this.#applyWorkerFaults(number, { silent: true });
+    }
+  }
+
+  #applyWorkerFaults(number: number, faults: object): void {
+    this.#fleet.listWorkers()[number]?.applyFaults({ ...NO_WORKER_FAULTS, ...faults });
+  }
+
+  #startEntry(entry: string): void {
+    this.#fleet
+      .createEntry(entry)
+      .start()
+      .catch(() => {});
+  }
+
+  #replace(entry: string): void {
+    if (this.#fleet.listEntries().includes(entry)) {
+      this.#fleet.killEntry(entry);
+    }
+    this.#startEntry(entry);
+  }
+
+  /** What the fleet does with a member that it found silent. */
+  async #removeMember(entry: string, by: string): Promise<void> {
+    if (by !== entry) {
+      await this.#write(by, createRemoval(EntityKind.Member, entry));
+    }
+  }
+
+  async #changeLimit(by: string, limit: number): Promise<void> {
+    const isThere = this.#fleet.listEntries().includes(by);
+    const team = isThere
+      ? this.#fleet.getService(by, VIEW_STORE).get().get(EntityKind.Team, TEAM)
+      : null;
+    if (team === null) {
+      return;
+    }
+    const before = this.#limits.at(-1) as LimitSince;
+    const highest = Math.max(limit, before.limit);
+    this.#limits.push({ at: this.#fleet.time.getNow(), limit: highest });
+    const isAccepted = await this.#write(by, createPut(EntityKind.Team, { ...team, limit }));
+    // An unclear answer may have taken effect, now or before.
+    this.#limits.push({ at: this.#fleet.time.getNow(), limit: isAccepted ? limit : highest });
+  }
+
+  async #write(by: string, mutation: Mutation): Promise<boolean> {
+    if (!this.#fleet.listEntries().includes(by) || this.#fleet.isPaused(by)) {
+      return false;
+    }
+    const writing = this.#fleet.getService(by, VIEW_WRITER).write<never>({
+      author: 'fuzz',
+      command: 'change',
+      reason: 'fuzz',
+      build: () => createOk([mutation]),
+    });
+    try {
+      return (await this.#fleet.time.settle(writing, WRITE_LIMIT_MS)).ok;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Highest limit that may be in force somewhere. */
+  #getLimitAt(at: number): number {
+    const current = this.#limits.findLastIndex((limit) => limit.at <= at);
+    const first = this.#limits.findLastIndex((limit) => limit.at <= at - IN_FORCE_MS);
+    return Math.max(
+      ...this.#limits.slice(Math.max(0, first), current + 1).map(({ limit }) => limit),
+    );
+  }
+
+  #checkLimit(): void {
+    listRunning(this.#fleet.listLedger(), TEAM).forEach(({ at, running, event }) => {
+      const limit = this.#getLimitAt(at);
+      checkInvariant(
+        event !== LedgerEvent.Started || running <= limit,
+        `${running} run at ${at} ms, with a limit of ${limit}`,
+      );
+    });
+  }
+
+  #checkUse(): void {
+    const now = this.#fleet.time.getNow();
+    const steps = listRunning(this.#fleet.listLedger(), TEAM);
+    const view = this.#fleet.getService(this.#entries[0] as string, VIEW_STORE).get();
+    const limit = view.get(EntityKind.Team, TEAM)?.limit ?? 0;
+    const use = measureMeanRunning(steps, now - OBSERVED_MS / 2, now);
+    checkInvariant(use >= limit * USABLE, `only ${use} of ${limit} run after recovery`);
+  }
+}
