--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzLimitsHistory.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzLimitsHistory.ts
@@ -111,31 +111,31 @@
     const isThere = this.#fleet.listEntries().includes(entry);
     switch (kind) {
       case LimitStepKind.Kill:
-        return isThere ? this.#fleet.killEntry(entry) : undefined;
+        return isThere ? void this.#fleet.killEntry(entry) : undefined;
       case LimitStepKind.Start:
-        return isThere ? undefined : this.#startEntry(entry);
+        return isThere ? undefined : void this.#startEntry(entry);
       case LimitStepKind.Pause:
-        return isThere ? this.#fleet.pauseEntry(entry) : undefined;
+        return isThere ? void this.#fleet.pauseEntry(entry) : undefined;
       case LimitStepKind.Resume:
-        return isThere ? this.#fleet.resumeEntry(entry) : undefined;
+        return isThere ? void this.#fleet.resumeEntry(entry) : undefined;
       case LimitStepKind.Remove:
         return this.#removeMember(entry, other);
       case LimitStepKind.Cut:
-        return this.#fleet.network.cut(entry, other);
+        return void this.#fleet.network.cut(entry, other);
       case LimitStepKind.Repeat:
-        return other === PLATFORM ? undefined : this.#fleet.network.repeat(entry, other, REPEAT_MS);
+        return other === PLATFORM ? undefined : void this.#fleet.network.repeat(entry, other, REPEAT_MS);
       case LimitStepKind.Heal:
-        return this.#fleet.network.restoreAll();
+        return void this.#fleet.network.restoreAll();
       case LimitStepKind.StopStore:
-        return this.#fleet.tables.applyFaults({ ...NO_PLATFORM_FAULTS, down: true });
+        return void this.#fleet.tables.applyFaults({ ...NO_PLATFORM_FAULTS, down: true });
       case LimitStepKind.StartStore:
-        return this.#fleet.tables.applyFaults(NO_PLATFORM_FAULTS);
+        return void this.#fleet.tables.applyFaults(NO_PLATFORM_FAULTS);
       case LimitStepKind.Limit:
         return this.#changeLimit(entry, limit);
       case LimitStepKind.LoseAnswers:
-        return this.#applyWorkerFaults(number, { loseAnswers: true });
+        return void this.#applyWorkerFaults(number, { loseAnswers: true });
       case LimitStepKind.Silence:
-        return this.#applyWorkerFaults(number, { silent: true });
+        return void this.#applyWorkerFaults(number, { silent: true });
     }
   }
 
--- a/packages/baobabwell-permits/src/BaobabwellPermitsTeamLoans.ts
+++ b/packages/baobabwell-permits/src/BaobabwellPermitsTeamLoans.ts
@@ -1,9 +1,10 @@
 import type { HoldingReport, Loan } from './BaobabwellPermits';
-import type { Claim } from './BaobabwellPermitsAllocation';
 import type { FenceClock } from './BaobabwellPermitsFence';
+import type { Claim } from '@baobabwell/scheduling';
 import type { Clock } from '@baobabwell/utils';
 
-import { buildAllocation } from './BaobabwellPermitsAllocation';
+import { buildAllocation } from '@baobabwell/scheduling';
+
 import { IDLE_SILENCE_MS, NUDGE_PACE_MS, SILENCE_MS } from './BaobabwellPermitsConstants';
 
 type Account = {
--- a/packages/baobabwell-permits/src/BaobabwellPermitsAllocation.ts
+++ b/packages/baobabwell-scheduling/src/BaobabwellSchedulingAllocation.ts
@@ -1,4 +1,4 @@
-/** What one entry could use of a team's permits. */
+/** What one entry could use of what a team is given. */
 export type Claim = {
   readonly member: string;
   readonly needed: number;
@@ -36,7 +36,7 @@
 }
 
 /**
- * Divides a team's permits among entries: needs first, by max-min fairness, and what is left
+ * Divides permits or slots of a team among entries: needs first, by max-min fairness, and what is left
  * evenly as a reserve.
  *
  * @param claims in the same order each time.
--- a/packages/baobabwell-scheduling/src/index.ts
+++ b/packages/baobabwell-scheduling/src/index.ts
@@ -1,3 +1,4 @@
+export type { Claim } from './BaobabwellSchedulingAllocation';
 export type { Permit, StaticDivision } from './BaobabwellSchedulingPermits';
 export type { PoolSchedulerParts } from './BaobabwellSchedulingPool';
 export type { Turn, TurnRefusal, TurnRequest } from './BaobabwellSchedulingTurns';
@@ -6,3 +7,5 @@
 export { PermitPool, StaticPermitPool } from './BaobabwellSchedulingPermits';
 export { PoolScheduler } from './BaobabwellSchedulingPool';
 export { findRendezvousOwner } from './BaobabwellSchedulingRendezvous';
+export { buildAllocation } from './BaobabwellSchedulingAllocation';
+export { LocalSlotShares, SlotShares } from './BaobabwellSchedulingShares';
