--- a/packages/baobabwell-cli/src/BaobabwellCliStatements.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCliStatements.ts
@@ -1,6 +1,7 @@
 /** The commands `query` and `command`. */
 import type { OperatorTarget } from './BaobabwellCliOperatorClient';
 import type { OperatorReply } from '@baobabwell/operations';
+import type { ChangeProgress } from '@baobabwell/view';
 import type { Argv } from 'yargs';
 
 import { ExitCode, writeErrorLine, writeLine } from './BaobabwellCliExit';
@@ -17,13 +18,19 @@
   'bad-argument',
 ];
 
+function formatProgress({ stage, missing }: ChangeProgress): string {
+  return missing.length === 0 ? stage : `${stage}, not yet at ${missing.join(', ')}`;
+}
+
 /** Formats a reply for a reader. */
 export function formatReply(reply: OperatorReply): string {
   switch (reply.kind) {
     case 'rows':
       return formatTable(reply.columns, reply.rows);
     case 'changed':
-      return [`version ${reply.version}`, ...reply.notes].join('\n');
+      return [`version ${reply.version} ${formatProgress(reply.progress)}`, ...reply.notes].join(
+        '\n',
+      );
     case 'refused':
       return `${reply.code}: ${reply.message}`;
     case 'unavailable':
--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
@@ -107,8 +107,13 @@
         worker: new StandInWorker(id, slots, this.time),
       });
     });
+    const entries = settings.entries.map(({ id, peers }) => ({ id, address: peers }));
     this.hosts.replace(
-      hosts.map(({ id, address }) => ({ id, address, state: ListedHostState.Live })),
+      [...hosts, ...entries].map(({ id, address }) => ({
+        id,
+        address,
+        state: ListedHostState.Live,
+      })),
     );
   }
 
@@ -222,6 +227,7 @@
       priority: PriorityClass.Normal,
       timeoutMs: null,
       isRepeatable: false,
+      idempotencyKey: null,
       contentType: 'application/json',
       body: Buffer.from('{}'),
       ...call,
--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -7,15 +7,18 @@
 
 import { Kernel } from '@baobabwell/kernel';
 import { Logger } from '@baobabwell/logging';
+import { MemberIdentity } from '@baobabwell/membership';
 import { EntryMetrics } from '@baobabwell/metrics';
 
 import { callServerPlugin } from './BaobabwellEntryCallServerPlugin';
 import { callsPlugin } from './BaobabwellEntryCallsPlugin';
+import { idempotencyPlugin } from './BaobabwellEntryIdempotencyPlugin';
 import { maintenancePlugin } from './BaobabwellEntryMaintenancePlugin';
+import { joinPlugin, membershipPlugin } from './BaobabwellEntryMembershipPlugin';
 import { operatorServerPlugin } from './BaobabwellEntryOperatorServerPlugin';
 import { operatorsPlugin } from './BaobabwellEntryOperatorsPlugin';
 import { peerServerPlugin, peersPlugin } from './BaobabwellEntryPeersPlugin';
-import { permitsPlugin } from './BaobabwellEntryPermitsPlugin';
+import { permitsPlugin, reservePlugin } from './BaobabwellEntryPermitsPlugin';
 import { platformPlugin } from './BaobabwellEntryPlatformPlugin';
 import { Readiness } from './BaobabwellEntryReadiness';
 import {
@@ -51,7 +54,9 @@
 
 const FEATURES: readonly Plugin[] = [
   viewPlugin,
+  membershipPlugin,
   permitsPlugin,
+  idempotencyPlugin,
   callsPlugin,
   maintenancePlugin,
   operatorsPlugin,
@@ -65,7 +70,7 @@
   const kernel = new Kernel(clock);
   kernel.registerService(SETTINGS, () => settings);
   kernel.registerService(ENTRY_SETTINGS, () => entry);
-  kernel.registerService(IDENTITY, () => ({ id: entry.id, incarnation }));
+  kernel.registerService(IDENTITY, () => new MemberIdentity(entry.id, incarnation));
   kernel.registerService(LOGGER, () => logger);
   kernel.registerService(METRICS, () => new EntryMetrics());
   kernel.registerService(PEER_ROUTERS, () => []);
@@ -73,7 +78,9 @@
     READINESS,
     () => new Readiness(() => kernel.getService(FRESHNESS).isCurrent()),
   );
-  [...before, ...FEATURES, ...after].forEach((plugin) => kernel.use(plugin));
+  [...before, ...FEATURES, ...after, joinPlugin, reservePlugin].forEach((plugin) =>
+    kernel.use(plugin),
+  );
   return kernel;
 }
 
--- a/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
@@ -2,10 +2,13 @@
 
 import { CallService } from '@baobabwell/calls';
 import { mergeUndo } from '@baobabwell/kernel';
+import { Random } from '@baobabwell/utils';
 
+import { buildSeed } from './BaobabwellEntrySeed';
 import {
   CALL_SERVICE,
   FRESHNESS,
+  IDEMPOTENCY,
   IDENTITY,
   PERMIT_POOL,
   VIEW_STORE,
@@ -31,11 +34,14 @@
   const view = kernel.getService(VIEW_STORE);
   const freshness = kernel.getService(FRESHNESS);
   const directory = kernel.getService(WORKER_DIRECTORY);
+  const { id, incarnation } = kernel.getService(IDENTITY);
   return new CallService({
     clock: kernel.clock,
+    random: new Random(buildSeed(`${id}.${incarnation}`)),
     getView: () => view.get(),
     isCurrent: () => freshness.isCurrent(),
     getScheduler: (pool) => directory.getScheduler(pool),
+    idempotency: kernel.getService(IDEMPOTENCY),
   });
 }
 
--- a/packages/baobabwell-entry/src/BaobabwellEntryPermitsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryPermitsPlugin.ts
@@ -9,18 +9,18 @@
   buildPermitRouter,
   getMemberKey,
   KeeperPermitPool,
-  MajorityFenceClock,
+  MembershipFenceClock,
   RemotePermitPeer,
-  WORK_FENCE_MS,
 } from '@baobabwell/permits';
 import { StaticPermitPool } from '@baobabwell/scheduling';
 import { PermitPolicy } from '@baobabwell/settings';
-import { FRESHNESS_BOUND_MS } from '@baobabwell/view';
 
 import {
   FENCE_CLOCK,
+  FENCE_TRACKER,
   FRESHNESS,
   IDENTITY,
+  LIFE_STARTED,
   PEER_CONNECTOR,
   PEER_ROUTERS,
   PERMIT_PEERS,
@@ -29,8 +29,6 @@
   VIEW_STORE,
 } from './BaobabwellEntryTokens';
 
-const FIRST_VERSION = 1;
-
 function buildStaticPool(kernel: Kernel): StaticPermitPool {
   const view = kernel.getService(VIEW_STORE);
   const { id } = kernel.getService(IDENTITY);
@@ -44,13 +42,8 @@
   });
 }
 
-/** Builds the clock once this entry has joined, when it knows whether it is the first. */
 function buildFenceClock(kernel: Kernel): FenceClock {
-  return new MajorityFenceClock(
-    kernel.clock,
-    FRESHNESS_BOUND_MS + WORK_FENCE_MS,
-    kernel.getService(VIEW_STORE).get().version === FIRST_VERSION,
-  );
+  return new MembershipFenceClock(kernel.getService(FENCE_TRACKER), kernel.clock);
 }
 
 function buildPeers(kernel: Kernel): (member: Member) => PermitPeer {
@@ -63,7 +56,7 @@
   const freshness = kernel.getService(FRESHNESS);
   return new KeeperPermitPool({
     clock: kernel.clock,
-    member: getMemberKey(kernel.getService(IDENTITY)),
+    getMember: () => getMemberKey(kernel.getService(IDENTITY)),
     fences: kernel.getService(FENCE_CLOCK),
     getView: () => view.get(),
     isCurrent: () => freshness.isCurrent(),
@@ -100,12 +93,26 @@
       return;
     }
     kernel.getService(PEER_ROUTERS).push(buildPermitRouter(pool.service));
-    const undo = kernel.getService(VIEW_STORE).registerListener((update) => pool.update(update));
+    const undo = mergeUndo(
+      kernel.getService(VIEW_STORE).registerListener((update) => pool.update(update)),
+      kernel.registerListener(LIFE_STARTED, () => pool.startNewLife()),
+    );
     void pool.run();
-    await pool.waitForReserve();
     kernel.lifecycle.add('permits', async () => {
       await pool.stop();
       undo();
     });
   },
 };
+
+/** Waits for this entry's first permits; started after it has joined. */
+export const reservePlugin: Plugin = {
+  name: 'permit reserve',
+  register: () => () => {},
+  async start(kernel) {
+    const pool = kernel.getService(PERMIT_POOL);
+    if (pool instanceof KeeperPermitPool) {
+      await pool.waitForReserve();
+    }
+  },
+};
--- a/packages/baobabwell-entry/src/index.ts
+++ b/packages/baobabwell-entry/src/index.ts
@@ -1,16 +1,22 @@
 export type { EntryConnections, EntryOptions } from './BaobabwellEntry';
-export type { EntryIdentity } from './BaobabwellEntryTokens';
 
 export { buildConnectedEntry, buildEntry } from './BaobabwellEntry';
 export {
   CALL_SERVICE,
   CHANGE_JOURNAL,
+  CLAIM_COMMITS,
   FENCE_CLOCK,
+  FENCE_TRACKER,
   FRESHNESS,
   HOST_CONTROL,
   HOST_HEALTH,
   HOST_LIST,
+  IDEMPOTENCY,
   IDENTITY,
+  LIFE_STARTED,
+  MEMBER_FENCED,
+  MEMBER_RELEASED,
+  MEMBERSHIP_SERVICE,
   OBJECT_STORE,
   OPERATOR_SERVICE,
   PEER_CONNECTOR,
@@ -18,6 +24,7 @@
   PERMIT_PEERS,
   PERMIT_POOL,
   TABLE_SERVICE,
+  VIEW_QUORUM,
   VIEW_STORE,
   VIEW_WRITER,
   WORKER_CLIENT_FACTORY,
--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzLimitsHistory.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzLimitsHistory.ts
@@ -10,8 +10,9 @@
   listRunning,
   measureMeanRunning,
 } from '@baobabwell/emulator';
-import { VIEW_STORE, VIEW_WRITER } from '@baobabwell/entry';
-import { createPut, createRemoval, EntityKind } from '@baobabwell/model';
+import { MEMBERSHIP_SERVICE, VIEW_STORE, VIEW_WRITER } from '@baobabwell/entry';
+import { FenceEvidence } from '@baobabwell/membership';
+import { createPut, EntityKind } from '@baobabwell/model';
 import { LedgerEvent, NO_PLATFORM_FAULTS, NO_WORKER_FAULTS } from '@baobabwell/stand-ins';
 import { checkInvariant, createOk } from '@baobabwell/utils';
 
@@ -108,34 +109,60 @@
   async #apply({ kind, entry: number, other: otherNumber, limit }: LimitStep): Promise<void> {
     const entry = this.#entries[number] as string;
     const other = this.#entries[otherNumber] ?? PLATFORM;
-    const isThere = this.#fleet.listEntries().includes(entry);
     switch (kind) {
+      case LimitStepKind.Remove:
+        await this.#removeMember(entry, other);
+        break;
+      case LimitStepKind.Limit:
+        await this.#changeLimit(entry, limit);
+        break;
       case LimitStepKind.Kill:
-        return isThere ? void this.#fleet.killEntry(entry) : undefined;
       case LimitStepKind.Start:
-        return isThere ? undefined : void this.#startEntry(entry);
       case LimitStepKind.Pause:
-        return isThere ? void this.#fleet.pauseEntry(entry) : undefined;
       case LimitStepKind.Resume:
-        return isThere ? void this.#fleet.resumeEntry(entry) : undefined;
-      case LimitStepKind.Remove:
-        return this.#removeMember(entry, other);
+        this.#applyToEntry(kind, entry);
+        break;
       case LimitStepKind.Cut:
-        return void this.#fleet.network.cut(entry, other);
       case LimitStepKind.Repeat:
-        return other === PLATFORM ? undefined : void this.#fleet.network.repeat(entry, other, REPEAT_MS);
       case LimitStepKind.Heal:
-        return void this.#fleet.network.restoreAll();
+        this.#applyToNetwork(kind, entry, other);
+        break;
       case LimitStepKind.StopStore:
-        return void this.#fleet.tables.applyFaults({ ...NO_PLATFORM_FAULTS, down: true });
       case LimitStepKind.StartStore:
-        return void this.#fleet.tables.applyFaults(NO_PLATFORM_FAULTS);
-      case LimitStepKind.Limit:
-        return this.#changeLimit(entry, limit);
+        this.#fleet.tables.applyFaults({
+          ...NO_PLATFORM_FAULTS,
+          down: kind === LimitStepKind.StopStore,
+        });
+        break;
       case LimitStepKind.LoseAnswers:
-        return void this.#applyWorkerFaults(number, { loseAnswers: true });
+        this.#applyWorkerFaults(number, { loseAnswers: true });
+        break;
       case LimitStepKind.Silence:
-        return void this.#applyWorkerFaults(number, { silent: true });
+        this.#applyWorkerFaults(number, { silent: true });
+        break;
+    }
+  }
+
+  #applyToEntry(kind: LimitStepKind, entry: string): void {
+    const isThere = this.#fleet.listEntries().includes(entry);
+    if (!isThere && kind === LimitStepKind.Start) {
+      this.#startEntry(entry);
+    } else if (isThere && kind === LimitStepKind.Kill) {
+      this.#fleet.killEntry(entry);
+    } else if (isThere && kind === LimitStepKind.Pause) {
+      this.#fleet.pauseEntry(entry);
+    } else if (isThere && kind === LimitStepKind.Resume) {
+      this.#fleet.resumeEntry(entry);
+    }
+  }
+
+  #applyToNetwork(kind: LimitStepKind, entry: string, other: string): void {
+    if (kind === LimitStepKind.Heal) {
+      this.#fleet.network.restoreAll();
+    } else if (kind === LimitStepKind.Cut) {
+      this.#fleet.network.cut(entry, other);
+    } else if (other !== PLATFORM) {
+      this.#fleet.network.repeat(entry, other, REPEAT_MS);
     }
   }
 
@@ -159,8 +186,13 @@
 
   /** What the fleet does with a member that it found silent. */
   async #removeMember(entry: string, by: string): Promise<void> {
-    if (by !== entry) {
-      await this.#write(by, createRemoval(EntityKind.Member, entry));
+    if (by === entry || !this.#canAct(by)) {
+      return;
+    }
+    const member = this.#fleet.getService(by, VIEW_STORE).get().get(EntityKind.Member, entry);
+    if (member !== null) {
+      const service = this.#fleet.getService(by, MEMBERSHIP_SERVICE);
+      await this.#settle(service.fence([member], 'fuzz', FenceEvidence.Suspicion));
     }
   }
 
@@ -181,7 +213,7 @@
   }
 
   async #write(by: string, mutation: Mutation): Promise<boolean> {
-    if (!this.#fleet.listEntries().includes(by) || this.#fleet.isPaused(by)) {
+    if (!this.#canAct(by)) {
       return false;
     }
     const writing = this.#fleet.getService(by, VIEW_WRITER).write<never>({
@@ -190,10 +222,18 @@
       reason: 'fuzz',
       build: () => createOk([mutation]),
     });
+    return (await this.#settle(writing))?.ok ?? false;
+  }
+
+  #canAct(entry: string): boolean {
+    return this.#fleet.listEntries().includes(entry) && !this.#fleet.isPaused(entry);
+  }
+
+  async #settle<T>(promise: Promise<T>): Promise<T | null> {
     try {
-      return (await this.#fleet.time.settle(writing, WRITE_LIMIT_MS)).ok;
+      return await this.#fleet.time.settle(promise, WRITE_LIMIT_MS);
     } catch {
-      return false;
+      return null;
     }
   }
 
--- a/packages/baobabwell-fuzz/src/__tests__/unit/BaobabwellFuzzLimits.test.ts
+++ b/packages/baobabwell-fuzz/src/__tests__/unit/BaobabwellFuzzLimits.test.ts
@@ -4,7 +4,7 @@
 import { expect } from 'earl';
 
 import { FENCE_CLOCK, PEER_CONNECTOR, PERMIT_PEERS } from '@baobabwell/entry';
-import { MajorityFenceClock, RemotePermitPeer } from '@baobabwell/permits';
+import { FenceClock, RemotePermitPeer } from '@baobabwell/permits';
 
 import { LimitsSuite } from '../../BaobabwellFuzzLimits';
 
@@ -12,9 +12,9 @@
 const FEW_RUNS = 3;
 const MANY_RUNS = 60;
 
-class ImpatientFenceClock extends MajorityFenceClock {
-  override isOver(): boolean {
-    return true;
+class ImpatientFenceClock extends FenceClock {
+  override recordLeft(): void {
+    // Every member counts as one that left in good order.
   }
 
   override listPending(): readonly [] {
@@ -32,8 +32,7 @@
 
 const impatientFences: Plugin = {
   name: 'impatient fences',
-  register: (kernel) =>
-    kernel.registerService(FENCE_CLOCK, () => new ImpatientFenceClock(kernel.clock, 0, true)),
+  register: (kernel) => kernel.registerService(FENCE_CLOCK, () => new ImpatientFenceClock()),
 };
 
 const hastyHandOvers: Plugin = {
--- a/packages/baobabwell-permits/src/BaobabwellPermits.ts
+++ b/packages/baobabwell-permits/src/BaobabwellPermits.ts
@@ -7,13 +7,6 @@
   readonly needed: number;
 };
 
-/** The fence of a removed member, as another entry knows it. */
-export type PendingFence = {
-  readonly member: string;
-  /** Milliseconds until the fence is over; `null` while no majority knows of the removal. */
-  readonly remainingMs: number | null;
-};
-
 /** All that an entry says to one keeper. Teams that are left out hold and need nothing. */
 export type PermitReport = {
   /** Entry and incarnation. */
@@ -24,9 +17,6 @@
   readonly sequence: number;
   /** True from the moment at which the entry starts no work any more and holds nothing. */
   readonly isLeaving: boolean;
-  /** Whether `fences` lists every fence that is not over. */
-  readonly hasAllFences: boolean;
-  readonly fences: readonly PendingFence[];
   readonly holdings: readonly HoldingReport[];
 };
 
--- a/packages/baobabwell-permits/src/BaobabwellPermitsConstants.ts
+++ b/packages/baobabwell-permits/src/BaobabwellPermitsConstants.ts
@@ -1,14 +1,3 @@
-import { START_TTL_MS, TASK_TTL_MS } from '@baobabwell/workers';
-
-/** Slack for the workers' own checks of task leases. */
-const LEASE_CHECK_SLACK_MS = 500;
-
-/**
- * Time after which nothing that a removed member started still runs, counted from when a majority
- * knows of the removal, and without the freshness bound of the view.
- */
-export const WORK_FENCE_MS = START_TTL_MS + TASK_TTL_MS + LEASE_CHECK_SLACK_MS;
-
 /** Time after its start in which an entry fetches its first permits. */
 export const FIRST_LOANS_MS = 1_000;
 
--- a/packages/baobabwell-permits/src/BaobabwellPermitsHoldings.ts
+++ b/packages/baobabwell-permits/src/BaobabwellPermitsHoldings.ts
@@ -110,9 +110,14 @@
     }
   }
 
+  /** Withdraws every team. */
+  withdrawAll(fromVersion: number): void {
+    this.#holdings.forEach((_, team) => this.withdraw(team, fromVersion));
+  }
+
   /** Gives up all that is not in use, for good. */
   stop(): void {
-    this.#holdings.forEach((_, team) => this.withdraw(team, Number.POSITIVE_INFINITY));
+    this.withdrawAll(Number.POSITIVE_INFINITY);
   }
 
   /** Builds what the keeper of a team is told. */
--- a/packages/baobabwell-permits/src/BaobabwellPermitsKeeper.ts
+++ b/packages/baobabwell-permits/src/BaobabwellPermitsKeeper.ts
@@ -11,7 +11,7 @@
   readonly clock: Clock;
   readonly fences: FenceClock;
   /** Key of this entry's own life. */
-  readonly member: string;
+  readonly getMember: () => string;
   readonly isCurrent: () => boolean;
   readonly getVersion: () => number;
   /** Upper limit of a team across the fleet; `null` when it has none. */
@@ -48,7 +48,7 @@
     this.#membership = membership;
     this.#firstReports.clear();
     this.#teams.forEach((loans, team) => {
-      const isKept = membership.getKeeper(team) === this.#parts.member;
+      const isKept = membership.getKeeper(team) === this.#parts.getMember();
       if (isKept && isContinuous && loans.isLearned()) {
         loans.applyMembers(new Set(membership.members.keys()));
       } else {
@@ -64,7 +64,8 @@
 
   /** Answers a report of a member, which may be this entry itself. */
   handleReport(report: PermitReport): PermitReply {
-    if (report.membership !== this.#membership.digest) {
+    const isMember = this.#membership.members.has(report.member);
+    if (!isMember || report.membership !== this.#membership.digest) {
       return { kind: 'other-membership' };
     }
     if ((this.#sequences.get(report.member) ?? 0) >= report.sequence) {
@@ -92,22 +93,16 @@
   }
 
   #recordReport(report: PermitReport): void {
-    const { fences, member } = this.#parts;
+    const { fences, getMember, clock } = this.#parts;
     if (report.isLeaving) {
       fences.recordLeft(report.member);
     }
-    if (report.hasAllFences && report.member !== member && !fences.isComplete()) {
-      fences.adopt(report.fences);
-    }
     if (!this.#firstReports.has(report.member)) {
       this.#firstReports.set(report.member, report.holdings);
-      if (this.#firstReports.size >= this.#membership.getMajority()) {
-        fences.recordMajority();
-      }
     }
     report.holdings.forEach(({ team }) => {
-      if (this.#membership.getKeeper(team) === member && !this.#teams.has(team)) {
-        this.#teams.set(team, new TeamLoans(this.#parts.clock, fences));
+      if (this.#membership.getKeeper(team) === getMember() && !this.#teams.has(team)) {
+        this.#teams.set(team, new TeamLoans(clock, fences));
       }
     });
     this.#teams.forEach((loans, team) => {
--- a/packages/baobabwell-permits/src/BaobabwellPermitsMembership.ts
+++ b/packages/baobabwell-permits/src/BaobabwellPermitsMembership.ts
@@ -2,7 +2,7 @@
 
 import { createHash } from 'node:crypto';
 
-import { EntityKind, MemberState } from '@baobabwell/model';
+import { EntityKind } from '@baobabwell/model';
 import { findRendezvousOwner } from '@baobabwell/scheduling';
 
 /** Names one life of an entry. */
@@ -10,7 +10,7 @@
   return `${id}.${incarnation}`;
 }
 
-/** The active members of one view. Two entries with equal digests name the same keepers. */
+/** The members of one view. Two entries with equal digests name the same keepers. */
 export class Membership {
   static readonly EMPTY = new Membership([]);
 
@@ -31,11 +31,9 @@
       .digest('hex');
   }
 
-  /** Reads the active members of a view. */
+  /** Reads the members of a view. */
   static create(view: FleetView): Membership {
-    return new Membership(
-      view.list(EntityKind.Member).filter(({ state }) => state === MemberState.Active),
-    );
+    return new Membership(view.list(EntityKind.Member));
   }
 
   /** Key of the member that lends a team's permits, or `null` without members. */
@@ -49,9 +47,4 @@
     this.#keepers.set(team, keeper);
     return keeper;
   }
-
-  /** Fewest members that are more than half. */
-  getMajority(): number {
-    return Math.floor(this.members.size / 2) + 1;
-  }
 }
--- a/packages/baobabwell-permits/src/BaobabwellPermitsPeerTask.ts
+++ b/packages/baobabwell-permits/src/BaobabwellPermitsPeerTask.ts
@@ -14,7 +14,7 @@
   readonly clock: Clock;
   readonly peer: PermitPeer;
   /** Key of this entry's own life. */
-  readonly member: string;
+  readonly getMember: () => string;
   readonly buildReport: (sequence: number) => PermitReport;
   /** Takes the answer to a report; never that to an earlier one. */
   readonly onReply: (report: PermitReport, reply: PermitReply) => void;
@@ -48,7 +48,7 @@
     }
     this.#isNudging = true;
     try {
-      await this.#parts.peer.nudge(this.#parts.member);
+      await this.#parts.peer.nudge(this.#parts.getMember());
     } catch {
       // The member reports by itself within its interval.
     } finally {
--- a/packages/baobabwell-permits/src/BaobabwellPermitsPeers.ts
+++ b/packages/baobabwell-permits/src/BaobabwellPermitsPeers.ts
@@ -14,8 +14,6 @@
   membership: z.string(),
   sequence: count,
   isLeaving: z.boolean(),
-  hasAllFences: z.boolean(),
-  fences: z.array(z.object({ member: z.string(), remainingMs: z.number().nullable() })),
   holdings: z.array(z.object({ team: z.string(), held: count, needed: count })),
 });
 
@@ -83,7 +81,6 @@
   override async report(report: PermitReport): Promise<PermitReply> {
     return this.#client.permits.report.mutate({
       ...report,
-      fences: [...report.fences],
       holdings: [...report.holdings],
     });
   }
--- a/packages/baobabwell-permits/src/BaobabwellPermitsPool.ts
+++ b/packages/baobabwell-permits/src/BaobabwellPermitsPool.ts
@@ -25,7 +25,7 @@
 export type KeeperPermitPoolParts = {
   readonly clock: Clock;
   /** Key of this entry's own life. */
-  readonly member: string;
+  readonly getMember: () => string;
   readonly fences: FenceClock;
   readonly getView: () => FleetView;
   readonly isCurrent: () => boolean;
@@ -74,7 +74,7 @@
     if (this.#getLimit(team) === null) {
       return { team, release: () => {} };
     }
-    if (!this.#membership.members.has(this.#parts.member) || !this.#holdings.acquire(team)) {
+    if (!this.#membership.members.has(this.#parts.getMember()) || !this.#holdings.acquire(team)) {
       return null;
     }
     let isReleased = false;
@@ -113,8 +113,8 @@
   }
 
   /** Goes over to the next view. */
-  update({ previous, current, change }: ViewUpdate): void {
-    const isContinuous = current.version === previous.version + 1;
+  update({ previous, current, change, isSnapshot }: ViewUpdate): void {
+    const isContinuous = !isSnapshot;
     const kinds = new Set(change.mutations.map(({ kind }) => kind));
     if (!isContinuous || kinds.has(EntityKind.Team)) {
       this.#withdrawLowered(previous, current);
@@ -151,6 +151,11 @@
     }
   }
 
+  /** Holds nothing any more, as a new life of this entry. */
+  startNewLife(): void {
+    this.#holdings.withdrawAll(this.#parts.getView().version);
+  }
+
   /** Gives everything back and tells all members so. */
   async stop(): Promise<void> {
     this.#holdings.stop();
@@ -192,7 +197,6 @@
       (member) => !membership.members.has(member),
     );
     removed.forEach((member) => {
-      this.#parts.fences.recordRemoved(member);
       this.#tasks.get(member)?.stop();
       this.#tasks.delete(member);
     });
@@ -209,9 +213,9 @@
   #startTask(member: Member, key: string): void {
     const task = new PermitPeerTask({
       clock: this.#parts.clock,
-      member: this.#parts.member,
+      getMember: this.#parts.getMember,
       peer:
-        key === this.#parts.member
+        key === this.#parts.getMember()
           ? new LocalPermitPeer(this.service)
           : this.#parts.createPeer(member),
       buildReport: (sequence) => this.#buildReport(key, sequence),
@@ -222,19 +226,16 @@
   }
 
   #buildReport(keeper: string, sequence: number): PermitReport {
-    const { fences, member } = this.#parts;
     const teams = this.#parts
       .getView()
       .list(EntityKind.Team)
       .map(({ id }) => id)
       .filter((team) => this.#membership.getKeeper(team) === keeper);
     return {
-      member,
+      member: this.#parts.getMember(),
       membership: this.#membership.digest,
       sequence,
       isLeaving: this.#stopped.signal.aborted && !this.#holdings.hasInUse(),
-      hasAllFences: fences.isComplete(),
-      fences: fences.listPending(),
       holdings: teams.map((team) => this.#holdings.report(team)),
     };
   }
--- a/packages/baobabwell-permits/src/BaobabwellPermitsTeamLoans.ts
+++ b/packages/baobabwell-permits/src/BaobabwellPermitsTeamLoans.ts
@@ -53,7 +53,7 @@
     held.forEach((lent, member) => {
       this.#getAccount(member).lent = lent;
     });
-    this.#unknown = this.#fences.listPending().map(({ member }) => member);
+    this.#unknown = this.#fences.listPending();
     this.#isLearned = true;
   }
 
