--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -8,13 +8,13 @@
 import { Kernel } from '@baobabwell/kernel';
 import { Logger } from '@baobabwell/logging';
 import { MemberIdentity } from '@baobabwell/membership';
-import { EntryMetrics } from '@baobabwell/metrics';
 
 import { callServerPlugin } from './BaobabwellEntryCallServerPlugin';
 import { callsPlugin } from './BaobabwellEntryCallsPlugin';
 import { idempotencyPlugin } from './BaobabwellEntryIdempotencyPlugin';
 import { maintenancePlugin } from './BaobabwellEntryMaintenancePlugin';
 import { joinPlugin, membershipPlugin } from './BaobabwellEntryMembershipPlugin';
+import { metricsPlugin } from './BaobabwellEntryMetricsPlugin';
 import { operatorServerPlugin } from './BaobabwellEntryOperatorServerPlugin';
 import { operatorsPlugin } from './BaobabwellEntryOperatorsPlugin';
 import { peerServerPlugin, peersPlugin } from './BaobabwellEntryPeersPlugin';
@@ -26,7 +26,6 @@
   FRESHNESS,
   IDENTITY,
   LOGGER,
-  METRICS,
   PEER_ROUTERS,
   READINESS,
   SETTINGS,
@@ -53,6 +52,7 @@
 };
 
 const FEATURES: readonly Plugin[] = [
+  metricsPlugin,
   viewPlugin,
   membershipPlugin,
   permitsPlugin,
@@ -72,7 +72,6 @@
   kernel.registerService(ENTRY_SETTINGS, () => entry);
   kernel.registerService(IDENTITY, () => new MemberIdentity(entry.id, incarnation));
   kernel.registerService(LOGGER, () => logger);
-  kernel.registerService(METRICS, () => new EntryMetrics());
   kernel.registerService(PEER_ROUTERS, () => []);
   kernel.registerService(
     READINESS,
