--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorSettings.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorSettings.ts
@@ -1,4 +1,4 @@
-import type { Settings } from '@baobabwell/settings';
+import type { PolicySettings, Settings } from '@baobabwell/settings';
 
 import { createHash } from 'node:crypto';
 
@@ -43,6 +43,8 @@
   readonly pools: readonly EmulatedPool[];
   readonly teams: readonly EmulatedTeam[];
   readonly deferred?: readonly EmulatedDeferredQueue[];
+  /** Policies other than the usual ones. */
+  readonly policies?: Partial<PolicySettings>;
 };
 
 /** The secret of the emulated operator. */
@@ -89,6 +91,7 @@
   pools,
   teams,
   deferred = [],
+  policies = {},
 }: EmulatedDeployment): Settings {
   const serving = pools.filter(({ spare }) => spare !== true);
   return settingsSchema.parse({
@@ -103,6 +106,7 @@
     platform: { url: 'http://127.0.0.1:1' },
     peers: { secret: 'emulated-peer-secret' },
     log: { level: 'error' },
+    policies,
     fleet: {
       organisations: [{ id: 'organisation', share: 1 }],
       teams: teams.map((team) => ({ ...team, organisation: 'organisation' })),
--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -19,6 +19,7 @@
 import { operatorServerPlugin } from './BaobabwellEntryOperatorServerPlugin';
 import { operatorsPlugin } from './BaobabwellEntryOperatorsPlugin';
 import { peerServerPlugin, peersPlugin } from './BaobabwellEntryPeersPlugin';
+import { permitsPlugin, reservePlugin } from './BaobabwellEntryPermitsPlugin';
 import { platformPlugin } from './BaobabwellEntryPlatformPlugin';
 import { Readiness } from './BaobabwellEntryReadiness';
 import {
@@ -55,6 +56,7 @@
   metricsPlugin,
   viewPlugin,
   membershipPlugin,
+  permitsPlugin,
   idempotencyPlugin,
   callsPlugin,
   maintenancePlugin,
@@ -77,7 +79,9 @@
     READINESS,
     () => new Readiness(() => kernel.getService(FRESHNESS).isCurrent()),
   );
-  [...before, ...FEATURES, ...after, joinPlugin].forEach((plugin) => kernel.use(plugin));
+  [...before, ...FEATURES, ...after, joinPlugin, reservePlugin].forEach((plugin) =>
+    kernel.use(plugin),
+  );
   return kernel;
 }
 
--- a/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
@@ -2,8 +2,6 @@
 import type { Kernel, Plugin } from '@baobabwell/kernel';
 
 import { mergeUndo } from '@baobabwell/kernel';
-import { EntityKind } from '@baobabwell/model';
-import { StaticPermitPool } from '@baobabwell/scheduling';
 import { Random } from '@baobabwell/utils';
 
 import { RecordedCallService, RecordedWorkerClientFactory } from './BaobabwellEntryRecorded';
@@ -21,19 +19,6 @@
 } from './BaobabwellEntryTokens';
 import { WorkerDirectory } from './BaobabwellEntryWorkers';
 
-function buildPermitPool(kernel: Kernel): StaticPermitPool {
-  const view = kernel.getService(VIEW_STORE);
-  const { id } = kernel.getService(IDENTITY);
-  return new StaticPermitPool({
-    getLimit: (team) => view.get().get(EntityKind.Team, team)?.limit ?? Number.MAX_SAFE_INTEGER,
-    getRank: () => {
-      const members = view.get().list(EntityKind.Member);
-      const index = members.findIndex((member) => member.id === id);
-      return index < 0 ? null : { index, count: members.length };
-    },
-  });
-}
-
 function buildDirectory(kernel: Kernel): WorkerDirectory {
   const { id, incarnation } = kernel.getService(IDENTITY);
   const freshness = kernel.getService(FRESHNESS);
@@ -72,7 +57,6 @@
   name: 'calls',
   register(kernel) {
     return mergeUndo(
-      kernel.registerService(PERMIT_POOL, buildPermitPool),
       kernel.registerService(WORKER_DIRECTORY, buildDirectory),
       kernel.registerService(CALL_SERVICE, buildCallService),
     );
--- a/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
@@ -13,9 +13,10 @@
   MembershipService,
 } from '@baobabwell/membership';
 import type { EntryMetrics } from '@baobabwell/metrics';
-import type { ViewChange } from '@baobabwell/model';
+import type { Member, ViewChange } from '@baobabwell/model';
 import type { ChangeJournal, CommandRecords, OperatorService } from '@baobabwell/operations';
 import type { PeerConnector } from '@baobabwell/peers';
+import type { FenceClock, PermitPeer } from '@baobabwell/permits';
 import type { HostList, ObjectStore, TableService } from '@baobabwell/platform';
 import type { PermitPool } from '@baobabwell/scheduling';
 import type { EntrySettings, Settings } from '@baobabwell/settings';
@@ -63,6 +64,8 @@
 export const PEER_SERVERS = createServiceToken<FastifyInstance[]>('peerServers');
 export const WORKER_CLIENT_FACTORY = createServiceToken<WorkerClientFactory>('workerClientFactory');
 export const WORKER_DIRECTORY = createServiceToken<WorkerDirectory>('workerDirectory');
+export const FENCE_CLOCK = createServiceToken<FenceClock>('fenceClock');
+export const PERMIT_PEERS = createServiceToken<(member: Member) => PermitPeer>('permitPeers');
 export const PERMIT_POOL = createServiceToken<PermitPool>('permitPool');
 export const READINESS = createServiceToken<Readiness>('readiness');
 export const CLAIM_COMMITS = createServiceToken<GroupCommit>('claimCommits');
--- a/packages/baobabwell-settings/src/index.ts
+++ b/packages/baobabwell-settings/src/index.ts
@@ -1,7 +1,14 @@
+export type { PolicySettings } from './BaobabwellSettingsPolicies';
 export type { Objective } from './BaobabwellSettingsQueues';
 export type { EntrySettings, FleetSettings, Settings } from './BaobabwellSettingsSchema';
 
 export { buildFleet } from './BaobabwellSettingsFleet';
 export { parseSettings, readSettings } from './BaobabwellSettingsParser';
+export {
+  AdmissionPolicy,
+  PermitPolicy,
+  policiesSchema,
+  SharePolicy,
+} from './BaobabwellSettingsPolicies';
 export { settingsSchema } from './BaobabwellSettingsSchema';
 export { parseDuration, parseMemory, parsePercentage } from './BaobabwellSettingsUnits';
