reports: burn report of each queue; the demo as a readable view with a closing summary

Cause: nothing told how fast a queue uses up its error budget; the demo printed no progress and a bare object. Way not taken: parsing the Prometheus text, which would be a parser of our own. Conclusion: counters and the start time of the process are enough; a first report needs no stored scrapes.

--- a/packages/baobabwell-cli/src/BaobabwellCli.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCli.ts
@@ -6,6 +6,7 @@
 import { addLoad } from './BaobabwellCliLoad';
 import { addMeasure } from './BaobabwellCliMeasure';
 import { addPrompt } from './BaobabwellCliPrompt';
+import { addReport } from './BaobabwellCliReport';
 import { addServe } from './BaobabwellCliServe';
 import { addCheck } from './BaobabwellCliSettings';
 import { addStandIns } from './BaobabwellCliStandIns';
@@ -20,6 +21,7 @@
   addPrompt,
   addLoad,
   addStandIns,
+  addReport,
   addMeasure,
   addVersion,
 ];
--- a/packages/baobabwell-entry/src/BaobabwellEntryOperatorServerPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryOperatorServerPlugin.ts
@@ -58,11 +58,12 @@
   });
 }
 
-function registerMetricsRoute(kernel: Kernel, server: FastifyInstance): void {
+function registerMetricsRoutes(kernel: Kernel, server: FastifyInstance): void {
   const metrics = kernel.getService(METRICS);
   server.get('/metrics', async (_request, reply) => {
     return reply.type(metrics.registry.contentType).send(await metrics.format());
   });
+  server.get('/metrics.json', async () => metrics.list());
 }
 
 /** Serves operators, health checks and metrics over HTTP, until all else has stopped. */
@@ -78,7 +79,7 @@
     kernel.getService(METRICS).startProcessMetrics();
     registerOperatorRoutes(kernel, server);
     registerHealthRoutes(server, kernel.getService(READINESS));
-    registerMetricsRoute(kernel, server);
+    registerMetricsRoutes(kernel, server);
     await server.listen(parseAddress(kernel.getService(ENTRY_SETTINGS).operators));
   },
 };
--- a/packages/baobabwell-metrics/src/BaobabwellMetrics.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetrics.ts
@@ -1,4 +1,6 @@
 /** The metrics of one entry. Label values come from settings and view, so their number is bounded. */
+import type { MetricObjectWithValues, MetricValue } from 'prom-client';
+
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 const SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
@@ -117,4 +119,10 @@
     this.#collectors.forEach((collect) => collect());
     return this.registry.metrics();
   }
+
+  /** Lists all metrics with their values. */
+  async list(): Promise<readonly MetricObjectWithValues<MetricValue<string>>[]> {
+    this.#collectors.forEach((collect) => collect());
+    return this.registry.getMetricsAsJSON();
+  }
 }
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -2,195 +2,189 @@
  * Runs the binary as a small fleet on loopback: a platform stand-in, a dozen workers, three
  * entries and load from two teams, while a host is drained and a key is withdrawn.
  */
-import { createHash, randomBytes } from 'node:crypto';
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
+import type { LoadCounts } from './deployment';
+
+import { once } from 'node:events';
 import { setTimeout as wait } from 'node:timers/promises';
-import { stringify } from 'yaml';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 
 import { parseDuration } from '@baobabwell/settings';
 
-import { Fleet, findPortBlock, waitForReady } from './processes';
+import { LocalDeployment } from './deployment';
+import { formatProgress } from './progress';
 
 const ENTRIES = 3;
 const WORKERS = 12;
-const WORKERS_PER_RACK = 4;
-const SECRET_BYTES = 24;
 const RATE_PER_TEAM = 60;
-const DATA_CENTRES = ['north', 'east', 'south'];
 const TEAMS = ['schools', 'guilds'];
-
-type DemoPorts = {
-  readonly platform: number;
-  readonly workers: number;
-  readonly entries: number;
+const WITHDRAWN_TEAM = 'guilds';
+const PROGRESS_INTERVAL_MS = 1_000;
+const BURN_PAGE = 'dist/burn.html';
+const COUNT_NAMES: readonly (keyof LoadCounts)[] = [
+  'calls',
+  'completed',
+  'notRun',
+  'unknown',
+  'lost',
+  'wrongAnswer',
+];
+
+type DemoOptions = {
+  readonly duration: string;
+  readonly durationMs: number;
+  readonly json: boolean;
+  readonly stay: boolean;
 };
 
-type DemoSecrets = {
-  readonly operator: string;
-  readonly peers: string;
-  readonly teams: readonly string[];
-};
+/** Tells what happens, unless only the summary is wanted. */
+class Narrator {
+  readonly #isSilent: boolean;
 
-type Counts = Record<'calls' | 'completed' | 'notRun' | 'unknown' | 'lost' | 'wrongAnswer', number>;
+  readonly #startedAt = Date.now();
 
-function createSecret(): string {
-  return randomBytes(SECRET_BYTES).toString('base64url');
-}
+  constructor(isSilent: boolean) {
+    this.#isSilent = isSilent;
+  }
 
-function buildDigest(secret: string): string {
-  return createHash('sha256').update(secret).digest('hex');
-}
+  report(text: string): void {
+    if (!this.#isSilent) {
+      console.log(text);
+    }
+  }
 
-function getEntryPort(ports: DemoPorts, index: number, role: number): number {
-  return ports.entries + index * 3 + role;
+  reportNow(text: string): void {
+    const seconds = ((Date.now() - this.#startedAt) / 1_000).toFixed(1);
+    this.report(`${seconds.padStart(6)} s  ${text}`);
+  }
 }
 
-function buildHosts(ports: DemoPorts): unknown[] {
-  return Array.from({ length: WORKERS }, (_, index) => ({
-    id: `oven-${index + 1}`,
-    rack: `rack-${Math.floor(index / WORKERS_PER_RACK) + 1}`,
-    dataCentre: DATA_CENTRES[Math.floor(index / WORKERS_PER_RACK)],
-    address: `127.0.0.1:${ports.workers + index}`,
-    slots: 8,
-    cores: 16,
-    memory: '64GB',
-  }));
+function sumCounts(all: readonly LoadCounts[]): LoadCounts {
+  const sums = COUNT_NAMES.map((name) => [
+    name,
+    all.reduce((sum, counts) => sum + counts[name], 0),
+  ]);
+  return Object.fromEntries(sums) as LoadCounts;
 }
 
-function buildSettings(ports: DemoPorts, secrets: DemoSecrets): string {
-  return stringify({
-    name: 'demo',
-    entries: Array.from({ length: ENTRIES }, (_, index) => ({
-      id: `entry-${index + 1}`,
-      dataCentre: DATA_CENTRES[index],
-      callers: `127.0.0.1:${getEntryPort(ports, index, 0)}`,
-      operators: `127.0.0.1:${getEntryPort(ports, index, 1)}`,
-      peers: `127.0.0.1:${getEntryPort(ports, index, 2)}`,
-    })),
-    platform: { url: `http://127.0.0.1:${ports.platform}`, timeout: '800ms' },
-    peers: { secret: secrets.peers },
-    log: { level: 'warn' },
-    fleet: {
-      organisations: [{ id: 'education', share: 1 }],
-      teams: TEAMS.map((id) => ({ id, organisation: 'education', share: 1, limit: 40 })),
-      keys: TEAMS.map((team, index) => ({
-        id: `key-${team}`,
-        team,
-        digest: buildDigest(secrets.teams[index] ?? ''),
-      })),
-      operators: [{ id: 'demo', role: 'administrator', digest: buildDigest(secrets.operator) }],
-      pools: [{ id: 'ovens', minimumServing: 9, hosts: buildHosts(ports) }],
-      targets: [{ id: 'enrolment', pool: 'ovens' }],
-      queues: [{ id: 'enrolments', target: 'enrolment', teams: TEAMS, deadline: '5s' }],
-    },
-  });
+function listOperatorAddresses(deployment: LocalDeployment): readonly string[] {
+  return Array.from({ length: ENTRIES }, (_, index) => deployment.getOperatorAddress(index));
 }
 
-async function startFleet(
-  fleet: Fleet,
-  folder: string,
-  ports: DemoPorts,
-  secrets: DemoSecrets,
+async function reportProgress(
+  deployment: LocalDeployment,
+  narrator: Narrator,
+  signal: AbortSignal,
 ): Promise<void> {
-  const settings = join(folder, 'demo.yaml');
-  await writeFile(settings, buildSettings(ports, secrets));
-  fleet.start(['stand-in', 'platform', '--port', String(ports.platform)]);
-  fleet.start(['stand-in', 'worker', '--port', String(ports.workers), '--count', String(WORKERS)]);
-  await waitForReady(`http://127.0.0.1:${ports.platform}/counts`);
-  for (let index = 0; index < ENTRIES; index += 1) {
-    fleet.start(['serve', '--settings', settings, '--entry', `entry-${index + 1}`]);
-  }
-  for (let index = 0; index < ENTRIES; index += 1) {
-    await waitForReady(`http://127.0.0.1:${getEntryPort(ports, index, 1)}/readyz`);
+  const addresses = listOperatorAddresses(deployment);
+  while (!signal.aborted) {
+    narrator.reportNow(await formatProgress(addresses));
+    await wait(PROGRESS_INTERVAL_MS, null, { signal }).catch(() => {});
   }
 }
 
-async function runLoad(
-  fleet: Fleet,
-  ports: DemoPorts,
-  duration: string,
-  secret: string,
-  seed: number,
-): Promise<Counts> {
-  const addresses = Array.from({ length: ENTRIES }, (_, index) => [
-    '--address',
-    `127.0.0.1:${getEntryPort(ports, index, 0)}`,
-  ]).flat();
-  const output = await fleet.run(
-    [
-      'load',
-      ...addresses,
-      ...['--queue', 'enrolments', '--rate', String(RATE_PER_TEAM), '--for', duration],
-      ...['--seed', String(seed), '--json'],
-    ],
-    { BAOBABWELL_KEY: secret },
-  );
-  return JSON.parse(output) as Counts;
+async function operate(
+  deployment: LocalDeployment,
+  narrator: Narrator,
+  kind: 'query' | 'command',
+  text: string,
+): Promise<void> {
+  narrator.reportNow(`${kind} '${text}'`);
+  const output = await deployment.operate(kind, text);
+  narrator.report(output.replace(/^/gm, '          '));
 }
 
-function sumCounts(all: readonly Counts[]): Counts {
-  const total = { calls: 0, completed: 0, notRun: 0, unknown: 0, lost: 0, wrongAnswer: 0 };
-  all.forEach((counts) => {
-    (Object.keys(total) as (keyof Counts)[]).forEach((name) => {
-      total[name] += counts[name];
-    });
+/** Drains a host and withdraws a key while the load runs. */
+async function runOperations(
+  deployment: LocalDeployment,
+  narrator: Narrator,
+  durationMs: number,
+): Promise<void> {
+  await wait(durationMs / 6);
+  await operate(deployment, narrator, 'query', 'calls show entry, queue, team, host');
+  await operate(deployment, narrator, 'command', 'drain host oven-1 reason "demonstration"');
+  await wait(durationMs / 12);
+  const withdrawal = `withdraw key key-${WITHDRAWN_TEAM} reason "demonstration"`;
+  await operate(deployment, narrator, 'command', withdrawal);
+}
+
+function reportSummary(narrator: Narrator, byTeam: ReadonlyMap<string, LoadCounts>): void {
+  narrator.report('\nHow the calls ended, as their callers saw it:');
+  const head = ['', ...COUNT_NAMES].map((name) => name.padStart(12)).join('');
+  narrator.report(head);
+  byTeam.forEach((counts, team) => {
+    const cells = [team, ...COUNT_NAMES.map((name) => String(counts[name]))];
+    narrator.report(cells.map((cell) => cell.padStart(12)).join(''));
   });
-  return total;
+  narrator.report(`\nThe key of ${WITHDRAWN_TEAM} was withdrawn: its later calls were not run.`);
 }
 
-async function runDemo(duration: string, json: boolean): Promise<void> {
-  const durationMs = parseDuration(duration);
-  if (durationMs === null) {
-    throw new Error(`--for ${duration} is not a duration such as 5s`);
-  }
-  const base = await findPortBlock(1 + WORKERS + ENTRIES * 3);
-  const ports = { platform: base, workers: base + 1, entries: base + 1 + WORKERS };
-  const secrets = {
-    operator: createSecret(),
-    peers: createSecret(),
-    teams: TEAMS.map(createSecret),
-  };
-  const folder = await mkdtemp(join(tmpdir(), 'baobabwell-demo-'));
-  const fleet = new Fleet();
-  const report = (line: string): void => {
-    if (!json) {
-      console.log(line);
-    }
-  };
-  const operate = async (words: readonly string[]): Promise<void> => {
-    const address = `127.0.0.1:${getEntryPort(ports, 0, 1)}`;
-    const environment = { BAOBABWELL_OPERATOR_SECRET: secrets.operator };
-    report(`> ${words.join(' ')}`);
-    report(await fleet.run([...words, '--address', address], environment));
-  };
+async function waitForInterrupt(deployment: LocalDeployment, narrator: Narrator): Promise<void> {
+  narrator.report('\nThe fleet stays until Ctrl-C. In another shell:');
+  narrator.report(`  export ENTRY=${deployment.getCallerAddress(0)}`);
+  narrator.report(`  export BAOBABWELL_ADDRESS=${deployment.getOperatorAddress(0)}`);
+  narrator.report(`  export BAOBABWELL_KEY=${deployment.getTeamSecret('schools')}`);
+  narrator.report(`  export BAOBABWELL_OPERATOR_SECRET=${deployment.getOperatorSecret()}`);
+  await once(process, 'SIGINT');
+}
+
+async function runLoads(
+  deployment: LocalDeployment,
+  narrator: Narrator,
+  { duration, durationMs }: DemoOptions,
+): Promise<ReadonlyMap<string, LoadCounts>> {
+  const ended = new AbortController();
+  const progress = reportProgress(deployment, narrator, ended.signal);
+  const loads = TEAMS.map(async (team, index) =>
+    deployment.runLoad({ team, rate: RATE_PER_TEAM, duration, seed: index + 1 }),
+  );
+  const [counts] = await Promise.all([
+    Promise.all(loads),
+    runOperations(deployment, narrator, durationMs),
+  ]);
+  ended.abort();
+  await progress;
+  return new Map(TEAMS.map((team, index) => [team, counts[index] as LoadCounts]));
+}
+
+async function runDemo(options: DemoOptions): Promise<void> {
+  const narrator = new Narrator(options.json);
+  const deployment = new LocalDeployment({ entries: ENTRIES, workers: WORKERS, teams: TEAMS });
   try {
-    await startFleet(fleet, folder, ports, secrets);
-    report(`${ENTRIES} entries, ${WORKERS} workers; load from ${TEAMS.join(' and ')}`);
-    const loads = secrets.teams.map(async (secret, index) =>
-      runLoad(fleet, ports, duration, secret, index + 1),
+    narrator.report(`Starting ${ENTRIES} entries, ${WORKERS} workers and a platform stand-in.`);
+    await deployment.start();
+    narrator.reportNow(
+      `ready; load from ${TEAMS.join(' and ')}, ${RATE_PER_TEAM} calls a second each`,
     );
-    await wait(durationMs / 4);
-    await operate(['query', 'calls show entry, queue, team, host']);
-    await operate(['command', 'drain host oven-1 reason "demonstration"']);
-    await wait(durationMs / 4);
-    await operate(['command', 'withdraw key key-guilds reason "demonstration"']);
-    const total = sumCounts(await Promise.all(loads));
-    await operate(['query', 'hosts where state = draining show id, pool, state, stateReason']);
-    const summary = { ...total, entries: ENTRIES, workers: WORKERS };
-    console.log(json ? JSON.stringify(summary) : summary);
+    const byTeam = await runLoads(deployment, narrator, options);
+    reportSummary(narrator, byTeam);
+    narrator.report('\nService-level burn:');
+    narrator.report(await deployment.reportBurn(BURN_PAGE));
+    narrator.report(`With plots: ${BURN_PAGE}`);
+    if (options.json) {
+      const total = sumCounts([...byTeam.values()]);
+      console.log(JSON.stringify({ ...total, entries: ENTRIES, workers: WORKERS }));
+    } else if (options.stay) {
+      await waitForInterrupt(deployment, narrator);
+    }
   } finally {
-    await fleet.close();
-    await rm(folder, { recursive: true });
+    await deployment.close();
+  }
+}
+
+function parseFor(text: string): number {
+  const durationMs = parseDuration(text);
+  if (durationMs === null) {
+    throw new Error('--for takes a duration such as 5s');
   }
+  return durationMs;
 }
 
-const { for: duration, json } = await yargs(hideBin(process.argv))
+const options = await yargs(hideBin(process.argv))
   .option('for', { type: 'string', default: '12s', describe: 'How long to send load' })
   .option('json', { type: 'boolean', default: false, describe: 'Print one JSON object' })
+  .option('stay', { type: 'boolean', default: false, describe: 'Keep the fleet until Ctrl-C' })
   .strict()
   .parseAsync();
-await runDemo(duration, json);
+const { for: duration, json, stay } = options;
+await runDemo({ duration, durationMs: parseFor(duration), json, stay });
--- a/scripts/deployment.ts
+++ b/scripts/deployment.ts
@@ -150,6 +150,17 @@
     return JSON.parse(output) as LoadCounts;
   }
 
+  /** The secret of the operator. */
+  getOperatorSecret(): string {
+    return this.#operatorSecret;
+  }
+
+  /** Reports how fast the error budget burns, and writes the report as a page. */
+  async reportBurn(page: string): Promise<string> {
+    const words = ['report', 'burn', '--settings', this.#getSettingsFile(), '--html', page];
+    return this.#fleet.run(words, {});
+  }
+
   /** Ends every process and removes the settings. */
   async close(): Promise<void> {
     await this.#fleet.close();
@@ -195,7 +206,15 @@
         ],
         pools: [this.#buildPool()],
         targets: [{ id: 'enrolment', pool: 'ovens' }],
-        queues: [{ id: 'enrolments', target: 'enrolment', teams, deadline: '5s' }],
+        queues: [
+          {
+            id: 'enrolments',
+            target: 'enrolment',
+            teams,
+            deadline: '5s',
+            objective: { success: '99%', latency: '1s', window: '30d' },
+          },
+        ],
       },
     });
   }
--- /dev/null
+++ b/scripts/progress.ts
@@ -0,0 +1,57 @@
+/** What the entries of a local deployment say of themselves. */
+import { fetch } from 'undici';
+import { z } from 'zod';
+
+import { Outcome } from '@baobabwell/model';
+
+const metricsSchema = z.array(
+  z.object({
+    name: z.string(),
+    values: z.array(
+      z.object({
+        value: z.number(),
+        metricName: z.string().optional(),
+        labels: z.record(z.string(), z.union([z.string(), z.number()])).default({}),
+      }),
+    ),
+  }),
+);
+
+type Metrics = z.infer<typeof metricsSchema>;
+
+async function readMetrics(address: string): Promise<Metrics> {
+  const reply = await fetch(`http://${address}/metrics.json`);
+  return metricsSchema.parse(await reply.json());
+}
+
+function sumValues(
+  all: readonly Metrics[],
+  name: string,
+  labels: Readonly<Record<string, string>> = {},
+): number {
+  return all
+    .flat()
+    .filter((metric) => metric.name === name)
+    .flatMap(({ values }) => values)
+    .filter((one) => Object.entries(labels).every(([key, value]) => one.labels[key] === value))
+    .reduce((sum, { value }) => sum + value, 0);
+}
+
+/** Formats one line on the calls and the slots of all entries. */
+export async function formatProgress(addresses: readonly string[]): Promise<string> {
+  const all = await Promise.all(addresses.map(readMetrics));
+  const countOutcome = (outcome: Outcome): number =>
+    sumValues(all, 'baobabwell_calls_total', { outcome });
+  const counts = [
+    `calls ${sumValues(all, 'baobabwell_calls_total')}`,
+    `completed ${countOutcome(Outcome.Completed)}`,
+    `not run ${countOutcome(Outcome.NotRun)}`,
+    `unknown ${countOutcome(Outcome.Unknown)}`,
+    `waiting ${sumValues(all, 'baobabwell_waiting_calls')}`,
+    `slots in use ${sumValues(all, 'baobabwell_used_slots')}`,
+  ];
+  return counts
+    .map((text) => text.padEnd(16))
+    .join('')
+    .trimEnd();
+}
