--- a/packages/baobabwell-cli/src/__tests__/unit/BaobabwellCli.test.ts
+++ b/packages/baobabwell-cli/src/__tests__/unit/BaobabwellCli.test.ts
@@ -63,7 +63,7 @@
       { id: 'oven-1', slots: 8 },
       { id: 'oven-12', slots: null },
     ];
-    const reply = { kind: 'rows' as const, columns: ['id', 'slots'], rows, version: 1 };
+    const reply = { kind: 'rows' as const, version: 3, columns: ['id', 'slots'], rows };
     expect(formatReply(reply)).toEqual('id       slots\noven-1   8\noven-12  -');
   });
 
--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -7,10 +7,13 @@
 
 import { Kernel } from '@baobabwell/kernel';
 import { Logger } from '@baobabwell/logging';
+import { MemberIdentity } from '@baobabwell/membership';
 
 import { callServerPlugin } from './BaobabwellEntryCallServerPlugin';
 import { callsPlugin } from './BaobabwellEntryCallsPlugin';
+import { idempotencyPlugin } from './BaobabwellEntryIdempotencyPlugin';
 import { maintenancePlugin } from './BaobabwellEntryMaintenancePlugin';
+import { joinPlugin, membershipPlugin } from './BaobabwellEntryMembershipPlugin';
 import { metricsPlugin } from './BaobabwellEntryMetricsPlugin';
 import { operatorServerPlugin } from './BaobabwellEntryOperatorServerPlugin';
 import { operatorsPlugin } from './BaobabwellEntryOperatorsPlugin';
@@ -50,6 +53,8 @@
 const FEATURES: readonly Plugin[] = [
   metricsPlugin,
   viewPlugin,
+  membershipPlugin,
+  idempotencyPlugin,
   callsPlugin,
   maintenancePlugin,
   operatorsPlugin,
@@ -63,14 +68,14 @@
   const kernel = new Kernel(clock);
   kernel.registerService(SETTINGS, () => settings);
   kernel.registerService(ENTRY_SETTINGS, () => entry);
-  kernel.registerService(IDENTITY, () => ({ id: entry.id, incarnation }));
+  kernel.registerService(IDENTITY, () => new MemberIdentity(entry.id, incarnation));
   kernel.registerService(LOGGER, () => logger);
   kernel.registerService(PEER_ROUTERS, () => []);
   kernel.registerService(
     READINESS,
     () => new Readiness(() => kernel.getService(FRESHNESS).isCurrent()),
   );
-  [...before, ...FEATURES, ...after].forEach((plugin) => kernel.use(plugin));
+  [...before, ...FEATURES, ...after, joinPlugin].forEach((plugin) => kernel.use(plugin));
   return kernel;
 }
 
--- a/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
@@ -4,12 +4,15 @@
 import { mergeUndo } from '@baobabwell/kernel';
 import { EntityKind } from '@baobabwell/model';
 import { StaticPermitPool } from '@baobabwell/scheduling';
+import { Random } from '@baobabwell/utils';
 
 import { RecordedCallService, RecordedWorkerClientFactory } from './BaobabwellEntryRecorded';
+import { buildSeed } from './BaobabwellEntrySeed';
 import {
   CALL_RECORDER,
   CALL_SERVICE,
   FRESHNESS,
+  IDEMPOTENCY,
   IDENTITY,
   PERMIT_POOL,
   VIEW_STORE,
@@ -52,11 +55,14 @@
   const view = kernel.getService(VIEW_STORE);
   const freshness = kernel.getService(FRESHNESS);
   const directory = kernel.getService(WORKER_DIRECTORY);
+  const { id, incarnation } = kernel.getService(IDENTITY);
   const parts = {
     clock: kernel.clock,
+    random: new Random(buildSeed(`${id}.${incarnation}`)),
     getView: () => view.get(),
     isCurrent: () => freshness.isCurrent(),
     getScheduler: (pool: string) => directory.getScheduler(pool),
+    idempotency: kernel.getService(IDEMPOTENCY),
   };
   return new RecordedCallService(parts, kernel.getService(CALL_RECORDER));
 }
--- a/packages/baobabwell-entry/src/BaobabwellEntryMetricsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryMetricsPlugin.ts
@@ -2,7 +2,7 @@
 
 import { mergeUndo } from '@baobabwell/kernel';
 import { EntryMetrics } from '@baobabwell/metrics';
-import { EntityKind, MemberState } from '@baobabwell/model';
+import { EntityKind } from '@baobabwell/model';
 
 import { CallRecorder } from './BaobabwellEntryCallRecorder';
 import {
@@ -41,10 +41,8 @@
 
 function collectView(kernel: Kernel, metrics: EntryMetrics): void {
   const view = kernel.getService(VIEW_STORE).get();
-  const members = view.list(EntityKind.Member);
-  Object.values(MemberState).forEach((state) => {
-    metrics.members.set({ state }, members.filter((member) => member.state === state).length);
-  });
+  metrics.members.set(view.getCount(EntityKind.Member));
+  metrics.fences.set(view.getCount(EntityKind.Fence));
   metrics.viewVersion.set(view.version);
   metrics.viewAgeSeconds.set(kernel.getService(FRESHNESS).getAge() / MS_PER_SECOND);
 }
--- a/packages/baobabwell-entry/src/BaobabwellEntryRecorded.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryRecorded.ts
@@ -82,6 +82,10 @@
     return this.#client.stop(taskId);
   }
 
+  override replaceConnections(connections: number): void {
+    this.#client.replaceConnections(connections);
+  }
+
   override async close(): Promise<void> {
     return this.#client.close();
   }
--- a/packages/baobabwell-metrics/src/BaobabwellMetrics.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetrics.ts
@@ -82,8 +82,13 @@
 
   readonly members = new Gauge({
     name: 'baobabwell_members',
-    help: 'Entries in the view, by state.',
-    labelNames: ['state'] as const,
+    help: 'Entries that belong to the fleet.',
+    registers: [this.registry],
+  });
+
+  readonly fences = new Gauge({
+    name: 'baobabwell_fences',
+    help: 'Lives of entries that were cut off from the fleet.',
     registers: [this.registry],
   });
 
--- a/packages/baobabwell-operations/src/BaobabwellOperationsService.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsService.ts
@@ -325,7 +325,8 @@
     });
     if (written.ok) {
       const { version, transactionId } = written.value;
-      return { kind: 'changed', version, transactionId, notes };
+      const progress = await this.#parts.writer.waitAccepted(version);
+      return { kind: 'changed', version, transactionId, notes, progress };
     }
     return written.error.kind === 'refused'
       ? buildRefused(written.error.refusal.code, written.error.refusal.message)
--- a/packages/baobabwell-operations/src/BaobabwellOperationsSources.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsSources.ts
@@ -16,6 +16,7 @@
   [EntityKind.Team]: 'teams',
   [EntityKind.Key]: 'keys',
   [EntityKind.Member]: 'members',
+  [EntityKind.Fence]: 'fences',
   [EntityKind.Operator]: 'operators',
   [EntityKind.Wave]: 'waves',
   [EntityKind.Split]: 'splits',
@@ -62,7 +63,7 @@
   [EntityKind.Organisation]: ['name', 'share'],
   [EntityKind.Team]: ['name', 'organisation', 'share', 'limit'],
   [EntityKind.Key]: ['name', 'team', 'createdAt', 'expiresAt'],
-  [EntityKind.Member]: ['name', 'incarnation', 'dataCentre', 'peerAddress', 'state'],
+  [EntityKind.Member]: ['name', 'incarnation', 'dataCentre', 'peerAddress'],
   [EntityKind.Operator]: ['name', 'role'],
   [EntityKind.Wave]: WAVE_COLUMNS,
   [EntityKind.Split]: [
@@ -75,6 +76,7 @@
     'stateReason',
     'step',
   ],
+  [EntityKind.Fence]: ['name', 'member', 'incarnation', 'reason', 'at'],
   [EntityKind.Controller]: ['name', 'owner', 'incarnation', 'token'],
 };
 
