--- a/packages/baobabwell-cli/src/BaobabwellCliReport.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCliReport.ts
@@ -22,7 +22,7 @@
 import { ExitCode, getMessage, writeErrorLine, writeLine } from './BaobabwellCliExit';
 import { buildUrl, openAgent } from './BaobabwellCliOperatorClient';
 import { CA_OPTION, createDurationOption, JSON_OPTION } from './BaobabwellCliOptions';
-import { loadSettings } from './BaobabwellCliSettings';
+import { openSettings } from './BaobabwellCliSettings';
 import { formatTable } from './BaobabwellCliTable';
 
 const SCRAPE_TIMEOUT_MS = 5_000;
@@ -51,8 +51,8 @@
   );
 }
 
-/** Scrapes one entry; one that does not answer is reported and left out. */
-async function scrapeEntry(
+/** Reads the counts of one entry; one that does not answer is reported and left out. */
+async function readEntry(
   { id, operators }: Settings['entries'][number],
   scheme: string,
   agent: Agent,
@@ -69,7 +69,7 @@
   }
 }
 
-async function scrapeEntries(
+async function readEntries(
   settings: Settings,
   { ca, store, durationMs, intervalMs }: ReportOptions,
 ): Promise<readonly Scrape[]> {
@@ -80,7 +80,7 @@
   const scrapes: Scrape[] = [];
   for (;;) {
     const taken = await Promise.all(
-      settings.entries.map(async (entry) => scrapeEntry(entry, scheme, agent)),
+      settings.entries.map(async (entry) => readEntry(entry, scheme, agent)),
     );
     const found = taken.flatMap((scrape) => scrape ?? []);
     scrapes.push(...found);
@@ -126,13 +126,13 @@
 }
 
 async function runBurnReport(options: ReportOptions): Promise<void> {
-  const settings = await loadSettings(options.settings);
+  const settings = await openSettings(options.settings);
   if (settings === null) {
     return;
   }
   const scrapes =
     options.from === undefined
-      ? await scrapeEntries(settings, options)
+      ? await readEntries(settings, options)
       : await readScrapes(options.from);
   if (scrapes === null) {
     return;
--- a/packages/baobabwell-cli/src/BaobabwellCliServe.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCliServe.ts
@@ -5,7 +5,7 @@
 import { SystemClock } from '@baobabwell/utils';
 
 import { ExitCode, getMessage, writeErrorLine } from './BaobabwellCliExit';
-import { loadSettings } from './BaobabwellCliSettings';
+import { openSettings } from './BaobabwellCliSettings';
 
 /** Resolves when the process is asked to stop. */
 export async function waitForStop(): Promise<void> {
@@ -49,7 +49,7 @@
     process.exitCode = ExitCode.BadInput;
     return;
   }
-  const settings = await loadSettings(file);
+  const settings = await openSettings(file);
   if (settings === null) {
     return;
   }
--- a/packages/baobabwell-cli/src/BaobabwellCliSettings.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCliSettings.ts
@@ -14,8 +14,8 @@
   writeErrorLine(`${file}: ${findings.length} finding${findings.length === 1 ? '' : 's'}`);
 }
 
-/** Loads settings; on findings prints all of them and sets the exit code. */
-export async function loadSettings(file: string): Promise<Settings | null> {
+/** Reads settings; on findings prints all of them and sets the exit code. */
+export async function openSettings(file: string): Promise<Settings | null> {
   const read = await readSettings(file);
   if (read.ok) {
     return read.value;
--- a/packages/baobabwell-cli/src/BaobabwellCliTable.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCliTable.ts
@@ -1,19 +1,22 @@
 /** Tables with aligned columns. */
 const COLUMN_GAP = '  ';
 const NO_VALUE = '-';
+const MAX_CELL_CHARACTERS = 60;
 
 /** A value of a table. */
 export type Cell = string | number | boolean | null | undefined;
 
-/** Formats rows under their columns. */
+function formatCell(value: Cell): string {
+  const text = String(value ?? NO_VALUE);
+  return text.length > MAX_CELL_CHARACTERS ? `${text.slice(0, MAX_CELL_CHARACTERS - 1)}…` : text;
+}
+
+/** Formats rows under their columns; long cells are cut, and whole in JSON. */
 export function formatTable(
   columns: readonly string[],
   rows: readonly Readonly<Record<string, Cell>>[],
 ): string {
-  const lines = [
-    columns,
-    ...rows.map((row) => columns.map((name) => String(row[name] ?? NO_VALUE))),
-  ];
+  const lines = [columns, ...rows.map((row) => columns.map((name) => formatCell(row[name])))];
   const widths = columns.map((_, index) =>
     Math.max(...lines.map((line) => (line[index] ?? '').length)),
   );
--- a/packages/baobabwell-entry/src/BaobabwellEntryMetricsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryMetricsPlugin.ts
@@ -27,7 +27,7 @@
   });
 }
 
-function collectPools(kernel: Kernel, metrics: EntryMetrics): void {
+function recordPools(kernel: Kernel, metrics: EntryMetrics): void {
   [metrics.waitingCalls, metrics.leasedSlots, metrics.usedSlots].forEach((gauge) => gauge.reset());
   kernel
     .getService(WORKER_DIRECTORY)
@@ -39,7 +39,7 @@
     });
 }
 
-function collectView(kernel: Kernel, metrics: EntryMetrics): void {
+function recordView(kernel: Kernel, metrics: EntryMetrics): void {
   const view = kernel.getService(VIEW_STORE).get();
   metrics.members.set(view.getCount(EntityKind.Member));
   metrics.fences.set(view.getCount(EntityKind.Fence));
@@ -50,8 +50,8 @@
 function registerCollectors(kernel: Kernel): Undo {
   const metrics = kernel.getService(METRICS);
   return mergeUndo(
-    metrics.registerCollector(() => collectPools(kernel, metrics)),
-    metrics.registerCollector(() => collectView(kernel, metrics)),
+    metrics.registerCollector(() => recordPools(kernel, metrics)),
+    metrics.registerCollector(() => recordView(kernel, metrics)),
   );
 }
 
--- a/packages/baobabwell-reports/src/BaobabwellReportsBurn.ts
+++ b/packages/baobabwell-reports/src/BaobabwellReportsBurn.ts
@@ -70,7 +70,7 @@
   return total === 0 ? null : (counts.slow + counts.failed) / total;
 }
 
-function roundCounts({ met, slow, failed }: CallCounts): CallCounts {
+function buildWholeCounts({ met, slow, failed }: CallCounts): CallCounts {
   return { met: Math.round(met), slow: Math.round(slow), failed: Math.round(failed) };
 }
 
@@ -90,7 +90,7 @@
   }
 
   getBurnRate(windowMs: number, at: number): number | null {
-    const errorRate = getErrorRate(this.#curve.countCalls(at - windowMs, at));
+    const errorRate = getErrorRate(this.#curve.sumCalls(at - windowMs, at));
     return errorRate === null ? null : errorRate / (1 - this.#objective.success);
   }
 
@@ -105,7 +105,7 @@
     const windows = [...new Set(lengths)].toSorted((a, b) => a - b);
     return {
       ...this.#objective,
-      calls: roundCounts(this.#curve.countCalls(at - windowMs, at)),
+      calls: buildWholeCounts(this.#curve.sumCalls(at - windowMs, at)),
       budgetLeft: this.getBudgetLeft(at),
       coveredMs: at - from,
       windows: windows.map((length) => ({
--- a/packages/baobabwell-reports/src/BaobabwellReportsCurve.ts
+++ b/packages/baobabwell-reports/src/BaobabwellReportsCurve.ts
@@ -85,8 +85,8 @@
     return firsts.length === 0 ? null : { from: Math.min(...firsts), to: Math.max(...lasts) };
   }
 
-  /** Counts the calls that ended between two moments. */
-  countCalls(from: number, to: number): CallCounts {
+  /** Sums the calls that ended between two moments. */
+  sumCalls(from: number, to: number): CallCounts {
     return this.#pointsByEntry
       .map((points) => addCounts(getCountsAt(points, to), getCountsAt(points, from), -1))
       .reduce((sum, counts) => addCounts(sum, counts), ZERO);
--- a/packages/baobabwell-settings/src/BaobabwellSettingsIssues.ts
+++ b/packages/baobabwell-settings/src/BaobabwellSettingsIssues.ts
@@ -61,10 +61,10 @@
   return issue.inclusive === false ? `more than ${issue.minimum}` : `at least ${issue.minimum}`;
 }
 
-function describeIssue(issue: Issue, isMissing: boolean): Pick<Finding, 'problem' | 'allowed'> {
+function formatIssue(issue: Issue, isMissing: boolean): Pick<Finding, 'problem' | 'allowed'> {
   const { params } = issue as { params?: { allowed?: string } };
   if (isMissing) {
-    return { ...describeIssue(issue, false), problem: 'is missing' };
+    return { ...formatIssue(issue, false), problem: 'is missing' };
   }
   switch (issue.code) {
     case 'invalid_type':
@@ -106,5 +106,5 @@
     }));
   }
   const isMissing = !hasValue(document.getValue(), path);
-  return [{ place: document.findPlace(path), ...describeIssue(issue, isMissing) }];
+  return [{ place: document.findPlace(path), ...formatIssue(issue, isMissing) }];
 }
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -83,7 +83,7 @@
   }
 }
 
-async function operate(
+async function runOperation(
   deployment: LocalDeployment,
   narrator: Narrator,
   kind: 'query' | 'command',
@@ -101,11 +101,11 @@
   durationMs: number,
 ): Promise<void> {
   await wait(durationMs / 6);
-  await operate(deployment, narrator, 'query', 'calls show entry, queue, team, host');
-  await operate(deployment, narrator, 'command', 'drain host oven-1 reason "demonstration"');
+  await runOperation(deployment, narrator, 'query', 'calls show entry, queue, team, host');
+  await runOperation(deployment, narrator, 'command', 'drain host oven-1 reason "demonstration"');
   await wait(durationMs / 12);
   const withdrawal = `withdraw key key-${WITHDRAWN_TEAM} reason "demonstration"`;
-  await operate(deployment, narrator, 'command', withdrawal);
+  await runOperation(deployment, narrator, 'command', withdrawal);
 }
 
 function reportSummary(narrator: Narrator, byTeam: ReadonlyMap<string, LoadCounts>): void {
--- a/scripts/progress.ts
+++ b/scripts/progress.ts
@@ -40,13 +40,13 @@
 /** Formats one line on the calls and the slots of all entries. */
 export async function formatProgress(addresses: readonly string[]): Promise<string> {
   const all = await Promise.all(addresses.map(readMetrics));
-  const countOutcome = (outcome: Outcome): number =>
+  const sumOutcome = (outcome: Outcome): number =>
     sumValues(all, 'baobabwell_calls_total', { outcome });
   const counts = [
     `calls ${sumValues(all, 'baobabwell_calls_total')}`,
-    `completed ${countOutcome(Outcome.Completed)}`,
-    `not run ${countOutcome(Outcome.NotRun)}`,
-    `unknown ${countOutcome(Outcome.Unknown)}`,
+    `completed ${sumOutcome(Outcome.Completed)}`,
+    `not run ${sumOutcome(Outcome.NotRun)}`,
+    `unknown ${sumOutcome(Outcome.Unknown)}`,
     `waiting ${sumValues(all, 'baobabwell_waiting_calls')}`,
     `slots in use ${sumValues(all, 'baobabwell_used_slots')}`,
   ];
