--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzRegistry.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzRegistry.ts
@@ -1,9 +1,10 @@
 import type { FuzzSuite } from './BaobabwellFuzz';
 
+import { FleetSuite } from './BaobabwellFuzzFleet';
 import { LimitsSuite } from './BaobabwellFuzzLimits';
 
 /** All suites. */
-export const FUZZ_SUITES: readonly FuzzSuite[] = [new LimitsSuite()];
+export const FUZZ_SUITES: readonly FuzzSuite[] = [new LimitsSuite(), new FleetSuite()];
 
 /** Finds a suite by its name. */
 export function findFuzzSuite(name: string): FuzzSuite | null {
