fuzz: suite call, with an oracle from the workers' ledgers

Cause: nothing compared what callers are told with what ran under combined faults. Change: model runs of calls, repeats, cancels and every fault through three entries; the oracle reads the ledgers. The identity of an answer is now checked by the session, for every kind of client, so that the emulator runs the product's check and not a copy of it (the unit test of the HTTP exchange says so: it names the task, the session refuses it, and the emulated test of crossed answers covers the refusal).

--- a/packages/baobabwell-calls/src/BaobabwellCalls.ts
+++ b/packages/baobabwell-calls/src/BaobabwellCalls.ts
@@ -54,6 +54,9 @@
   readonly body: Uint8Array;
 };
 
+/** The answer that a caller is given. */
+export type CallAnswer = Omit<WorkerAnswer, 'taskId'>;
+
 /** How a call ended. */
 export type CallResult = {
   readonly outcome: Outcome;
@@ -63,7 +66,7 @@
   /** When to come back, or `null` where coming back does not help. */
   readonly retryAfterMs: number | null;
   /** The worker's answer, when there is one. */
-  readonly answer: WorkerAnswer | null;
+  readonly answer: CallAnswer | null;
 };
 
 /** A call that runs or waits now, as operators see it. */
--- a/packages/baobabwell-calls/src/__tests__/unit/BaobabwellCallsFaults.test.ts
+++ b/packages/baobabwell-calls/src/__tests__/unit/BaobabwellCallsFaults.test.ts
@@ -62,6 +62,12 @@
     ]);
   });
 
+  it('never gets the answer of another call', async () => {
+    await call();
+    applyFaults({ crossAnswers: true });
+    expect(describeResult(await call())).toEqual('unknown answer-lost unsafe');
+  });
+
   it('ends as unknown at its deadline, and the worker stops the work', async () => {
     const startedAt = fleet.time.getNow();
     const result = await call({ timeoutMs: 300, body: Buffer.from('{"runMs":5000}') });
--- a/packages/baobabwell-calls/src/index.ts
+++ b/packages/baobabwell-calls/src/index.ts
@@ -1,4 +1,4 @@
-export type { ActiveCall, CallRequest, CallResult } from './BaobabwellCalls';
+export type { ActiveCall, CallAnswer, CallRequest, CallResult } from './BaobabwellCalls';
 export type { Authorization } from './BaobabwellCallsAuthorization';
 export type { CallObserver } from './BaobabwellCallsHttp';
 export type { CallServiceParts } from './BaobabwellCallsService';
--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
@@ -4,8 +4,10 @@
 import type { Kernel, Plugin, ServiceToken } from '@baobabwell/kernel';
 import type { LogFields } from '@baobabwell/logging';
 import type { OperatorReply } from '@baobabwell/operations';
+import type { TableService } from '@baobabwell/platform';
 import type { EntrySettings, Settings } from '@baobabwell/settings';
 import type { LedgerLine } from '@baobabwell/stand-ins';
+import type { WorkerClientFactory } from '@baobabwell/workers';
 import type { AnyTRPCRouter } from '@trpc/server';
 
 import {
@@ -56,6 +58,12 @@
   router: AnyTRPCRouter | null;
 };
 
+/** Changes what entries are connected to, for tests that break a part on purpose. */
+export type EmulatedDecorators = {
+  readonly decorateTables?: (tables: TableService) => TableService;
+  readonly decorateWorkers?: (workers: WorkerClientFactory) => WorkerClientFactory;
+};
+
 /** A call of an emulated caller; what is left out takes an ordinary value. */
 export type EmulatedCall = Partial<CallRequest> & { readonly queue: string };
 
@@ -85,11 +93,14 @@
 
   readonly #logLines: string[] = [];
 
+  readonly #decorators: EmulatedDecorators;
+
   #incarnations = 0;
 
   #calls = 0;
 
-  constructor(settings: Settings, seed: number) {
+  constructor(settings: Settings, seed: number, decorators: EmulatedDecorators = {}) {
+    this.#decorators = decorators;
     this.settings = settings;
     this.random = new Random(seed);
     this.tables = new StandInTableService(this.time, new Random(seed + 1));
@@ -272,14 +283,15 @@
 
   #createConnections(from: Endpoint): Plugin {
     const { network, time } = this;
+    const { decorateTables = (tables) => tables, decorateWorkers = (workers) => workers } =
+      this.#decorators;
     const to = { name: PLATFORM, clock: time };
     return {
       name: 'emulated connections',
       register: (kernel) =>
         mergeUndo(
-          kernel.registerService(
-            TABLE_SERVICE,
-            () => new EmulatedTableService({ network, from, to, service: this.tables }),
+          kernel.registerService(TABLE_SERVICE, () =>
+            decorateTables(new EmulatedTableService({ network, from, to, service: this.tables })),
           ),
           kernel.registerService(
             OBJECT_STORE,
@@ -293,9 +305,10 @@
             PEER_CONNECTOR,
             () => new EmulatedPeerConnector(network, from, (address) => this.#findPeer(address)),
           ),
-          kernel.registerService(
-            WORKER_CLIENT_FACTORY,
-            () => new EmulatedWorkerClientFactory(network, from, (a) => this.#findWorker(a)),
+          kernel.registerService(WORKER_CLIENT_FACTORY, () =>
+            decorateWorkers(
+              new EmulatedWorkerClientFactory(network, from, (a) => this.#findWorker(a)),
+            ),
           ),
         ),
     };
--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorWorkers.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorWorkers.ts
@@ -15,7 +15,7 @@
   readonly worker: StandInWorker;
 };
 
-function buildOutcome(task: Task, worker: StandInWorker, result: TaskResult): TaskOutcome {
+function buildOutcome(worker: StandInWorker, result: TaskResult): TaskOutcome {
   const { loseAnswers, cutAnswers } = worker.getFaults();
   if (result.kind === 'rejected') {
     return { kind: 'rejected', code: result.code };
@@ -26,12 +26,11 @@
   if (result.kind !== 'completed') {
     return { kind: 'failed' };
   }
-  return result.taskId === task.id
-    ? {
-        kind: 'answered',
-        answer: { status: HTTP_OK, contentType: 'application/json', body: result.body },
-      }
-    : { kind: 'lost', cause: 'the answer belongs to another task' };
+  const { taskId, body } = result;
+  return {
+    kind: 'answered',
+    answer: { taskId, status: HTTP_OK, contentType: 'application/json', body },
+  };
 }
 
 /** A worker across the emulated network. */
@@ -92,7 +91,7 @@
         const incoming = { taskId, holder, team, body: Buffer.from(body), timeoutMs };
         const ended = await worker.run(incoming);
         await endpoint.clock.wait(worker.getFaults().slowMs);
-        return buildOutcome(task, worker, ended);
+        return buildOutcome(worker, ended);
       },
     });
     switch (result.kind) {
--- a/packages/baobabwell-emulator/src/index.ts
+++ b/packages/baobabwell-emulator/src/index.ts
@@ -1,4 +1,4 @@
-export type { EmulatedCall } from './BaobabwellEmulatorFleet';
+export type { EmulatedCall, EmulatedDecorators } from './BaobabwellEmulatorFleet';
 export type { Endpoint, ExchangeResult } from './BaobabwellEmulatorNetwork';
 export type { EmulatedDeployment, EmulatedPool, EmulatedTeam } from './BaobabwellEmulatorSettings';
 
--- a/packages/baobabwell-fuzz/src/BaobabwellFuzz.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzz.ts
@@ -6,6 +6,8 @@
 export type FuzzOptions = {
   readonly seed: number;
   readonly runs: number;
+  /** Whether the first failure is reported as it is found, without the time to shrink it. */
+  readonly isUnshrunk?: boolean;
 };
 
 /** What a suite found. */
@@ -25,8 +27,12 @@
   abstract createProperty(): IAsyncProperty<unknown>;
 
   /** Tries histories and shrinks the first that breaks the property. */
-  async run({ seed, runs }: FuzzOptions): Promise<FuzzReport> {
-    const details = await check(this.createProperty(), { seed, numRuns: runs });
+  async run({ seed, runs, isUnshrunk = false }: FuzzOptions): Promise<FuzzReport> {
+    const details = await check(this.createProperty(), {
+      seed,
+      numRuns: runs,
+      endOnFailure: isUnshrunk,
+    });
     const failure = details.failed
       ? `${String(details.counterexample)}\n${String(details.errorInstance)}`
       : null;
--- /dev/null
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzCallSteps.ts
@@ -0,0 +1,148 @@
+import type { CallFuzzSystem, FuzzCall } from './BaobabwellFuzzCallSystem';
+import type { PlatformFaults, WorkerFaults } from '@baobabwell/stand-ins';
+import type { Arbitrary, AsyncCommand } from 'fast-check';
+
+import { boolean, constant, constantFrom, nat, oneof, option, record } from 'fast-check';
+
+/** The oracle reads the ledgers at the end, so that a model holds nothing meanwhile. */
+export type CallModel = Record<string, never>;
+
+/** One step of a history. */
+export type CallStep =
+  | ({ readonly kind: 'call' } & FuzzCall)
+  | {
+      readonly kind: 'worker-fault';
+      readonly worker: number;
+      readonly faults: Partial<WorkerFaults>;
+    }
+  | { readonly kind: 'worker-crash'; readonly worker: number }
+  | { readonly kind: 'platform-fault'; readonly faults: Partial<PlatformFaults> }
+  | {
+      readonly kind: 'cut';
+      readonly entry: number;
+      readonly worker: number | null;
+      readonly isTowardsEntry: boolean;
+    }
+  | { readonly kind: 'restore' }
+  | { readonly kind: 'pause-or-resume'; readonly entry: number }
+  | { readonly kind: 'kill-or-start'; readonly entry: number }
+  | { readonly kind: 'advance'; readonly durationMs: number };
+
+async function applyStep(system: CallFuzzSystem, step: CallStep): Promise<void> {
+  switch (step.kind) {
+    case 'call':
+      system.sendCall(step);
+      return;
+    case 'worker-fault':
+      system.applyWorkerFaults(step.worker, step.faults);
+      return;
+    case 'worker-crash':
+      system.crashWorker(step.worker);
+      return;
+    case 'platform-fault':
+      system.applyPlatformFaults(step.faults);
+      return;
+    case 'cut':
+      system.cut(step.entry, step.worker, step.isTowardsEntry);
+      return;
+    case 'restore':
+      system.restore();
+      return;
+    case 'pause-or-resume':
+      system.togglePause(step.entry);
+      return;
+    case 'kill-or-start':
+      system.toggleLife(step.entry);
+      return;
+    case 'advance':
+      await system.advance(step.durationMs);
+  }
+}
+
+/** A step as a command of a model run. */
+export class CallCommand implements AsyncCommand<CallModel, CallFuzzSystem> {
+  readonly #step: CallStep;
+
+  constructor(step: CallStep) {
+    this.#step = step;
+  }
+
+  check(): boolean {
+    return true;
+  }
+
+  async run(_model: CallModel, system: CallFuzzSystem): Promise<void> {
+    await applyStep(system, this.#step);
+    // Steps do not all fall into the same moment.
+    await system.advance(1);
+  }
+
+  toString(): string {
+    return JSON.stringify(this.#step);
+  }
+}
+
+const entry = nat({ max: 2 });
+const worker = nat({ max: 2 });
+
+const call = record({
+  kind: constant('call' as const),
+  entry,
+  work: option(nat({ max: 2 }), { nil: null }),
+  isRepeatable: boolean(),
+  runMs: constantFrom(1, 20, 400, 2_500),
+  timeoutMs: constantFrom(300, 2_000, 6_000),
+  cancelAfterMs: option(constantFrom(1, 50, 700), { nil: null, freq: 4 }),
+});
+
+const workerFaults: Arbitrary<Partial<WorkerFaults>> = constantFrom<Partial<WorkerFaults>[]>(
+  {},
+  { down: true },
+  { slowMs: 300 },
+  { slowMs: 3_000 },
+  { silent: true },
+  { loseAnswers: true },
+  { failAll: true },
+  { crossAnswers: true },
+  { cutAnswers: true },
+);
+
+const platformFaults: Arbitrary<Partial<PlatformFaults>> = constantFrom<Partial<PlatformFaults>[]>(
+  {},
+  { down: true },
+  { slowMs: 300 },
+  { slowMs: 5_000 },
+  { loseAnswers: 0.5 },
+  { loseAnswers: 1 },
+  { slowMs: 900, loseAnswers: 0.5 },
+);
+
+const advance = record({
+  kind: constant('advance' as const),
+  durationMs: constantFrom(5, 50, 500, 1_500, 6_000, 15_000),
+});
+
+const fault = oneof(
+  record({ kind: constant('worker-fault' as const), worker, faults: workerFaults }),
+  record({ kind: constant('worker-crash' as const), worker }),
+  record({ kind: constant('platform-fault' as const), faults: platformFaults }),
+  record({
+    kind: constant('cut' as const),
+    entry,
+    worker: option(worker, { nil: null }),
+    isTowardsEntry: boolean(),
+  }),
+  record({ kind: constant('restore' as const) }),
+  record({ kind: constant('pause-or-resume' as const), entry }),
+  record({ kind: constant('kill-or-start' as const), entry }),
+);
+
+/** Commands of which histories are made: half calls, the rest faults and time. */
+export const CALL_COMMANDS: readonly Arbitrary<CallCommand>[] = [
+  call,
+  call,
+  call,
+  advance,
+  fault,
+  fault,
+].map((step: Arbitrary<CallStep>) => step.map((value) => new CallCommand(value)));
--- /dev/null
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzCallSystem.ts
@@ -0,0 +1,216 @@
+import type { ObservedCall, Violations } from './BaobabwellFuzzCallOracle';
+import type { EmulatedDecorators } from '@baobabwell/emulator';
+import type { PlatformFaults, WorkerFaults } from '@baobabwell/stand-ins';
+
+import { buildEmulatedSettings, EmulatedFleet, getTeamSecret } from '@baobabwell/emulator';
+import { NO_PLATFORM_FAULTS, NO_WORKER_FAULTS } from '@baobabwell/stand-ins';
+
+import { findViolations } from './BaobabwellFuzzCallOracle';
+
+const ENTRIES = 3;
+const WORKERS = 3;
+const SLOTS = 3;
+const QUEUE = 'ovens';
+const TEAM = 'guilds';
+const SEED = 5;
+const RECOVERY_MS = 30_000;
+
+/** A call that a history makes. */
+export type FuzzCall = {
+  readonly entry: number;
+  /** Names the work of a call with an idempotency key; `null` for a call without. */
+  readonly work: number | null;
+  readonly isRepeatable: boolean;
+  readonly runMs: number;
+  readonly timeoutMs: number;
+  /** When the caller goes away, or `null`. */
+  readonly cancelAfterMs: number | null;
+};
+
+type SystemCall = ObservedCall & { readonly entry: string };
+
+function forgetBound(call: ObservedCall): void {
+  if (call.result === null) {
+    Object.assign(call, { lateMs: null });
+  }
+}
+
+/** The system under test: entries, workers and platform, with everything that callers saw. */
+export class CallFuzzSystem {
+  readonly #fleet: EmulatedFleet;
+
+  readonly #calls: SystemCall[] = [];
+
+  constructor(decorators: EmulatedDecorators) {
+    const settings = buildEmulatedSettings({
+      entries: ENTRIES,
+      pools: [{ id: QUEUE, workers: WORKERS, minimumServing: 1, slots: SLOTS }],
+      teams: [{ id: TEAM, share: 1, limit: 100 }],
+    });
+    this.#fleet = new EmulatedFleet(settings, SEED, decorators);
+  }
+
+  /** Starts all entries. */
+  async start(): Promise<void> {
+    await this.#fleet.startAll();
+  }
+
+  /** Makes a call and lets it run. */
+  sendCall({ entry, work, isRepeatable, runMs, timeoutMs, cancelAfterMs }: FuzzCall): void {
+    const name = this.#getEntryName(entry);
+    if (!this.#isRunning(name)) {
+      return;
+    }
+    const id = `request-${this.#calls.length}`;
+    const workName = work === null ? id : `work-${work}-${isRepeatable}`;
+    // Equal work has an equal body, as a repeat by the same caller has.
+    const body = JSON.stringify({
+      runMs: work === null ? runMs : (work + 1) * 100,
+      work: workName,
+    });
+    const call: SystemCall = {
+      id,
+      entry: name,
+      work: workName,
+      isKeyed: work !== null,
+      isRepeatable,
+      body,
+      result: null,
+      lateMs: null,
+      isOwed: true,
+    };
+    this.#calls.push(call);
+    void this.#runCall(call, { timeoutMs, cancelAfterMs, isBounded: !this.#fleet.isPaused(name) });
+  }
+
+  /** Sets the faults of one worker. */
+  applyWorkerFaults(worker: number, faults: Partial<WorkerFaults>): void {
+    this.#fleet
+      .getWorker(this.#getWorkerName(worker))
+      .applyFaults({ ...NO_WORKER_FAULTS, ...faults });
+  }
+
+  /** Ends every task of a worker. */
+  crashWorker(worker: number): void {
+    this.#fleet.getWorker(this.#getWorkerName(worker)).crash();
+  }
+
+  /** Sets the faults of the platform's services. */
+  applyPlatformFaults(faults: Partial<PlatformFaults>): void {
+    this.#fleet.tables.applyFaults({ ...NO_PLATFORM_FAULTS, ...faults });
+    this.#fleet.objects.applyDown(faults.down ?? false);
+  }
+
+  /** Cuts one direction between an entry and a worker, or the platform when `worker` is `null`. */
+  cut(entry: number, worker: number | null, isTowardsEntry: boolean): void {
+    const entryName = this.#getEntryName(entry);
+    const other = worker === null ? 'platform' : this.#getWorkerName(worker);
+    const [from, to] = isTowardsEntry ? [other, entryName] : [entryName, other];
+    this.#fleet.network.cut(from, to);
+  }
+
+  /** Ends all cuts. */
+  restore(): void {
+    this.#fleet.network.restoreAll();
+  }
+
+  /** Freezes an entry, or lets it go on. */
+  togglePause(entry: number): void {
+    const name = this.#getEntryName(entry);
+    if (!this.#isRunning(name)) {
+      return;
+    }
+    if (this.#fleet.isPaused(name)) {
+      this.#fleet.resumeEntry(name);
+    } else {
+      this.#calls.filter((call) => call.entry === name).forEach(forgetBound);
+      this.#fleet.pauseEntry(name);
+    }
+  }
+
+  /** Kills an entry, or starts it anew. */
+  toggleLife(entry: number): void {
+    const name = this.#getEntryName(entry);
+    if (this.#isRunning(name)) {
+      this.#fleet.killEntry(name);
+      this.#calls
+        .filter((call) => call.entry === name && call.result === null)
+        .forEach((call) => Object.assign(call, { isOwed: false }));
+      return;
+    }
+    void this.#fleet.createEntry(name).start();
+  }
+
+  /** Moves time forward. */
+  async advance(durationMs: number): Promise<void> {
+    await this.#fleet.advance(durationMs);
+  }
+
+  /** Ends all faults, waits for all calls, and compares what was told with what ran. */
+  async findViolations(): Promise<Violations> {
+    this.restore();
+    this.applyPlatformFaults({});
+    Array.from({ length: WORKERS }).forEach((_, worker) => this.applyWorkerFaults(worker, {}));
+    this.#fleet
+      .listEntries()
+      .filter((name) => this.#fleet.isPaused(name))
+      .forEach((name) => this.#fleet.resumeEntry(name));
+    await this.#fleet.advance(RECOVERY_MS);
+    return findViolations(this.#calls, this.#fleet.listLedger());
+  }
+
+  /** The calls made so far. */
+  listCalls(): readonly ObservedCall[] {
+    return this.#calls;
+  }
+
+  /** Ends all entries. */
+  close(): void {
+    this.#fleet.close();
+  }
+
+  async #runCall(
+    call: SystemCall,
+    options: {
+      readonly timeoutMs: number;
+      readonly cancelAfterMs: number | null;
+      readonly isBounded: boolean;
+    },
+  ): Promise<void> {
+    const { time } = this.#fleet;
+    const { timeoutMs, cancelAfterMs } = options;
+    const gone = new AbortController();
+    if (cancelAfterMs !== null) {
+      time.startTimer(cancelAfterMs, () => gone.abort());
+    }
+    const deadlineAt = time.getNow() + timeoutMs;
+    Object.assign(call, { lateMs: options.isBounded ? 0 : null });
+    const result = await this.#fleet.call(
+      call.entry,
+      {
+        id: call.id,
+        queue: QUEUE,
+        secret: getTeamSecret(TEAM),
+        idempotencyKey: call.isKeyed ? call.work : null,
+        isRepeatable: call.isRepeatable,
+        timeoutMs,
+        body: Buffer.from(call.body),
+      },
+      gone.signal,
+    );
+    const lateMs = call.lateMs === null ? null : Math.max(0, time.getNow() - deadlineAt);
+    Object.assign(call, { result, lateMs });
+  }
+
+  #isRunning(name: string): boolean {
+    return this.#fleet.listEntries().includes(name);
+  }
+
+  #getEntryName(entry: number): string {
+    return `entry-${(entry % ENTRIES) + 1}`;
+  }
+
+  #getWorkerName(worker: number): string {
+    return `${QUEUE}-${(worker % WORKERS) + 1}`;
+  }
+}
--- a/packages/baobabwell-workers/src/BaobabwellWorkersClient.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersClient.ts
@@ -36,6 +36,8 @@
 
 /** A whole answer of a worker. */
 export type WorkerAnswer = {
+  /** The task that the answer says it belongs to, or `null` when it does not say. */
+  readonly taskId: string | null;
   readonly status: number;
   readonly contentType: string;
   readonly body: Uint8Array;
--- a/packages/baobabwell-workers/src/BaobabwellWorkersExchange.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersExchange.ts
@@ -22,8 +22,7 @@
 
 /**
  * Follows one HTTP exchange from the first byte to the last. It knows whether a byte of the
- * request may have left, and accepts an answer only if it is whole and carries the task's own
- * identifier.
+ * request may have left, and accepts an answer only if it is whole.
  */
 export class TaskExchange implements Dispatcher.DispatchHandler {
   readonly #taskId: string;
@@ -110,16 +109,15 @@
   }
 
   #buildOutcome(body: Buffer): TaskOutcome {
-    if (getHeader(this.#headers, 'task-id') !== this.#taskId) {
-      return { kind: 'lost', cause: 'the answer belongs to another task' };
-    }
-    if (this.#status === HTTP_CONFLICT) {
+    const taskId = getHeader(this.#headers, 'task-id');
+    const isOwn = taskId === this.#taskId;
+    if (isOwn && this.#status === HTTP_CONFLICT) {
       return { kind: 'rejected', code: parseRejection(body) };
     }
-    if (this.#status >= HTTP_FIRST_SERVER_ERROR) {
+    if (isOwn && this.#status >= HTTP_FIRST_SERVER_ERROR) {
       return { kind: 'failed' };
     }
     const contentType = getHeader(this.#headers, 'content-type') ?? 'application/octet-stream';
-    return { kind: 'answered', answer: { status: this.#status, contentType, body } };
+    return { kind: 'answered', answer: { taskId, status: this.#status, contentType, body } };
   }
 }
--- a/packages/baobabwell-workers/src/BaobabwellWorkersSession.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersSession.ts
@@ -25,6 +25,13 @@
   readonly onChange: () => void;
 };
 
+/** An answer that does not carry the task's own identifier may be another caller's. */
+function checkAnswer(task: Task, outcome: TaskOutcome): TaskOutcome {
+  return outcome.kind === 'answered' && outcome.answer.taskId !== task.id
+    ? { kind: 'lost', cause: 'the answer belongs to another task' }
+    : outcome;
+}
+
 /** This entry's lease on one worker: how many slots it holds and how many are in use. */
 export class WorkerSession {
   readonly client: WorkerClient;
@@ -96,10 +103,11 @@
       return { kind: 'not-sent', cause: 'abandoned' };
     }
     const abandoned = this.#tasks.add(task.id);
-    const outcome = await this.client.run(
+    const received = await this.client.run(
       { ...task, canStart: () => this.#canStart() && task.canStart() },
       AbortSignal.any([signal, abandoned]),
     );
+    const outcome = checkAnswer(task, received);
     this.#tasks.remove(task.id, outcome.kind === 'lost');
     this.#recordOutcome(outcome, signal.aborted);
     return outcome;
--- a/packages/baobabwell-workers/src/__tests__/unit/BaobabwellWorkersExchange.test.ts
+++ b/packages/baobabwell-workers/src/__tests__/unit/BaobabwellWorkersExchange.test.ts
@@ -82,9 +82,10 @@
     );
   });
 
-  it('is lost when the answer belongs to another task', async () => {
+  it('names the task that its answer belongs to', async () => {
     answer = (socket) => socket.write(buildAnswer('call-2.0', 'done'));
-    expect((await runTask(createTask())).kind).toEqual('lost');
+    const outcome = await runTask(createTask());
+    expect(outcome.kind === 'answered' && outcome.answer.taskId).toEqual('call-2.0');
   });
 
   it('is lost when the answer ends before its declared length', async () => {
