calls: large answers are streamed, repeats wait without spinning, measure call

Cause: every answer was held whole in memory up to 8 MB; a slow caller had no bound of its own. A suspect or stopping worker with free slots was asked for one again and again without a pause. Change: an answer from 256 KB on is handed to the caller while it arrives, stopping the worker when the caller is behind; a cut resets the caller's connection; one that stands still for 10 s is ended. Slot and permit stay taken until its end. Repeats wait until the key is free. Keyed answers stay whole, since they are kept. Not taken: streaming bodies of requests, which stay within 1 MB.

--- a/packages/baobabwell-calls/src/BaobabwellCallsAttempts.ts
+++ b/packages/baobabwell-calls/src/BaobabwellCallsAttempts.ts
@@ -5,12 +5,17 @@
 import type { RetryBudget } from './BaobabwellCallsRetryBudget';
 import type { PoolScheduler, Turn } from '@baobabwell/scheduling';
 import type { Clock, Random } from '@baobabwell/utils';
-import type { Task, TaskOutcome } from '@baobabwell/workers';
+import type { AnswerStream, Task, TaskOutcome } from '@baobabwell/workers';
 
 import { Outcome } from '@baobabwell/model';
 
 import { CallReason } from './BaobabwellCalls';
-import { MAX_ATTEMPTS, RETRY_AFTER_MS, RETRY_WAIT_MS } from './BaobabwellCallsConstants';
+import {
+  MAX_ATTEMPTS,
+  PROGRESS_TIMEOUT_MS,
+  RETRY_AFTER_MS,
+  RETRY_WAIT_MS,
+} from './BaobabwellCallsConstants';
 import { buildAttemptResult, buildRefusal, createNotRun } from './BaobabwellCallsResults';
 
 /** A call that was admitted. */
@@ -145,9 +150,8 @@
     this.#call.host = turn.session.host;
     const signal = AbortSignal.any([this.#signal, deadline.signal]);
     const outcome = await turn.session.runTask(task, signal);
-    cancelTimer();
     this.#call.host = null;
-    this.#release(turn, task, outcome);
+    void this.#release(turn, task, outcome).then(cancelTimer);
     this.#recordWork(turn, outcome);
     const givenUp = this.#findGivenUp(deadline.signal.aborted);
     return buildAttemptResult(outcome, this.#call.request.isRepeatable, givenUp);
@@ -161,12 +165,28 @@
   }
 
   /** Slot and permit stay taken until the worker has let go of the work. */
-  #release(turn: Turn, task: Task, outcome: TaskOutcome): void {
-    if (outcome.kind === 'lost') {
-      void turn.session.waitForEnd(task.id).then(turn.release);
-    } else {
-      turn.release();
+  async #release(turn: Turn, task: Task, outcome: TaskOutcome): Promise<void> {
+    const stream = outcome.kind === 'answered' ? outcome.answer.stream : null;
+    const isLost = stream === null ? outcome.kind === 'lost' : !(await this.#followStream(stream));
+    if (isLost) {
+      await turn.session.waitForEnd(task.id);
+    }
+    turn.release();
+  }
+
+  /** Ends an answer that stands still; resolves to whether it was whole. */
+  async #followStream(stream: AnswerStream): Promise<boolean> {
+    const ended = new AbortController();
+    void stream.ended.then(() => ended.abort());
+    let receivedBytes = -1;
+    while (!ended.signal.aborted) {
+      if (stream.getReceivedBytes() === receivedBytes) {
+        stream.destroy(new Error('the answer stands still'));
+      }
+      receivedBytes = stream.getReceivedBytes();
+      await this.#parts.clock.wait(PROGRESS_TIMEOUT_MS, ended.signal);
     }
+    return stream.ended;
   }
 
   #recordWork({ session }: Turn, outcome: TaskOutcome): void {
@@ -190,6 +210,8 @@
       contentType: request.contentType,
       body: request.body,
       priority: request.priority,
+      // A keyed answer is kept for repeats, and only whole ones are.
+      isStreamable: request.idempotencyKey === null,
       timeoutMs,
       canStart: () => this.#parts.findObstacle(request) === null,
     };
--- a/packages/baobabwell-calls/src/BaobabwellCallsConstants.ts
+++ b/packages/baobabwell-calls/src/BaobabwellCallsConstants.ts
@@ -21,3 +21,6 @@
 
 /** Most pieces of failed work that are remembered. */
 export const MAX_FAILED_WORK = 1_000;
+
+/** Time for which a streamed answer may stand still, for whichever side's fault. */
+export const PROGRESS_TIMEOUT_MS = 10_000;
--- a/packages/baobabwell-calls/src/BaobabwellCallsHttp.ts
+++ b/packages/baobabwell-calls/src/BaobabwellCallsHttp.ts
@@ -61,10 +61,17 @@
     return sendWithoutAnswer(reply, result, { callId });
   }
   applyOutcomeHeaders(reply, result);
-  return reply
-    .code(answer.status)
-    .header('content-type', answer.contentType)
-    .send(Buffer.from(answer.body.buffer, answer.body.byteOffset, answer.body.byteLength));
+  reply.code(answer.status).header('content-type', answer.contentType);
+  if (answer.stream !== null) {
+    // An answer that is cut later resets the connection: the headers are out by then.
+    if (answer.stream.length !== null) {
+      reply.header('content-length', answer.stream.length);
+    }
+    return reply.send(answer.stream);
+  }
+  return reply.send(
+    Buffer.from(answer.body.buffer, answer.body.byteOffset, answer.body.byteLength),
+  );
 }
 
 /** Told about each ended call. */
--- a/packages/baobabwell-calls/src/BaobabwellCallsKeyed.ts
+++ b/packages/baobabwell-calls/src/BaobabwellCallsKeyed.ts
@@ -41,7 +41,7 @@
         reason: reason as CallReason,
         isRepeatSafe: true,
         retryAfterMs: null,
-        answer,
+        answer: answer === null ? null : { ...answer, stream: null },
       };
     }
     case 'other-request':
--- a/packages/baobabwell-calls/src/__tests__/unit/BaobabwellCallsHttp.test.ts
+++ b/packages/baobabwell-calls/src/__tests__/unit/BaobabwellCallsHttp.test.ts
@@ -1,11 +1,16 @@
 import type { CallRequest, CallResult } from '../../BaobabwellCalls';
 import type { CallService } from '../../BaobabwellCallsService';
+import type { AnswerStream } from '@baobabwell/workers';
 import type { FastifyInstance } from 'fastify';
 import type { AddressInfo } from 'node:net';
 
 import { expect } from 'earl';
 import { once } from 'node:events';
 import { connect } from 'node:net';
+import { Readable } from 'node:stream';
+import { request } from 'undici';
+
+import { Outcome } from '@baobabwell/model';
 
 import { CallReason } from '../../BaobabwellCalls';
 import { buildCallServer } from '../../BaobabwellCallsHttp';
@@ -87,6 +92,27 @@
     expect(data.toString().includes('call-outcome: not-run')).toEqual(true);
   });
 
+  it('resets the connection when an answer is cut after its headers', async () => {
+    const stream = Object.assign(new Readable({ read: () => {} }), { length: MEGABYTE });
+    stream.push(Buffer.alloc(1_000));
+    run = async () => ({
+      ...createUnknown(CallReason.Answered, false),
+      outcome: Outcome.Completed,
+      answer: {
+        status: 200,
+        contentType: 'text/plain',
+        body: Buffer.alloc(0),
+        stream: stream as unknown as AnswerStream,
+      },
+    });
+    await server.listen({ port: 0, host: '127.0.0.1' });
+    const { port } = server.server.address() as AddressInfo;
+    const url = `http://127.0.0.1:${port}${PATH}`;
+    const reply = await request(url, { method: 'POST', body: '{}' });
+    setTimeout(() => stream.destroy(new Error('cut')), 20);
+    await expect(reply.body.bytes()).toBeRejected();
+  });
+
   it('gives the call up when its caller goes away', async () => {
     const givenUp = new Promise<void>((resolve) => {
       run = async (_request, signal) =>
--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorWorkers.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorWorkers.ts
@@ -29,7 +29,7 @@
   const { taskId, body } = result;
   return {
     kind: 'answered',
-    answer: { taskId, status: HTTP_OK, contentType: 'application/json', body },
+    answer: { taskId, status: HTTP_OK, contentType: 'application/json', body, stream: null },
   };
 }
 
--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzCall.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzCall.ts
@@ -1,4 +1,5 @@
 import type { CallModel } from './BaobabwellFuzzCallSteps';
+import type { CallSystemShape } from './BaobabwellFuzzCallSystem';
 import type { EmulatedDecorators } from '@baobabwell/emulator';
 import type { IAsyncProperty } from 'fast-check';
 
@@ -12,6 +13,7 @@
 import { CallFuzzSystem } from './BaobabwellFuzzCallSystem';
 
 const MAX_STEPS = 60;
+const SHAPE: CallSystemShape = { entries: 3, workers: 3, slots: 3, seed: 5 };
 
 /**
  * Calls through several entries under every fault of workers, platform, network and entries. What
@@ -31,7 +33,7 @@
   override createProperty(): IAsyncProperty<unknown> {
     const histories = commands([...CALL_COMMANDS], { maxCommands: MAX_STEPS, size: 'max' });
     return asyncProperty(histories, async (history) => {
-      const system = new CallFuzzSystem(this.#decorators);
+      const system = new CallFuzzSystem(SHAPE, this.#decorators);
       try {
         await system.start();
         await asyncModelRun(() => ({ model: {} as CallModel, real: system }), history);
--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzCallSteps.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzCallSteps.ts
@@ -82,6 +82,8 @@
   }
 }
 
+const KEYED_RUN_MS = 150;
+
 const entry = nat({ max: 2 });
 const worker = nat({ max: 2 });
 
@@ -93,7 +95,10 @@
   runMs: constantFrom(1, 20, 400, 2_500),
   timeoutMs: constantFrom(300, 2_000, 6_000),
   cancelAfterMs: option(constantFrom(1, 50, 700), { nil: null, freq: 4 }),
-});
+}).map((step) =>
+  // A repeat sends what the first request sent.
+  step.work === null ? step : { ...step, runMs: (step.work + 1) * KEYED_RUN_MS },
+);
 
 const workerFaults: Arbitrary<Partial<WorkerFaults>> = constantFrom<Partial<WorkerFaults>[]>(
   {},
--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzCallSystem.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzCallSystem.ts
@@ -7,18 +7,27 @@
 
 import { findViolations } from './BaobabwellFuzzCallOracle';
 
-const ENTRIES = 3;
-const WORKERS = 3;
-const SLOTS = 3;
 const QUEUE = 'ovens';
 const TEAM = 'guilds';
-const SEED = 5;
+const TEAM_LIMIT = 1_000;
 const RECOVERY_MS = 30_000;
 
+/** Size of the system under test. */
+export type CallSystemShape = {
+  readonly entries: number;
+  readonly workers: number;
+  /** Slots of each worker. */
+  readonly slots: number;
+  readonly seed: number;
+};
+
 /** A call that a history makes. */
 export type FuzzCall = {
   readonly entry: number;
-  /** Names the work of a call with an idempotency key; `null` for a call without. */
+  /**
+   * Names the work of a call with an idempotency key; `null` for a call without. Calls for the
+   * same work have to be equal but for their entry and timeout.
+   */
   readonly work: number | null;
   readonly isRepeatable: boolean;
   readonly runMs: number;
@@ -37,22 +46,26 @@
 
 /** The system under test: entries, workers and platform, with everything that callers saw. */
 export class CallFuzzSystem {
-  readonly #fleet: EmulatedFleet;
+  readonly fleet: EmulatedFleet;
+
+  readonly #shape: CallSystemShape;
 
   readonly #calls: SystemCall[] = [];
 
-  constructor(decorators: EmulatedDecorators) {
+  constructor(shape: CallSystemShape, decorators: EmulatedDecorators = {}) {
+    this.#shape = shape;
+    const { entries, workers, slots, seed } = shape;
     const settings = buildEmulatedSettings({
-      entries: ENTRIES,
-      pools: [{ id: QUEUE, workers: WORKERS, minimumServing: 1, slots: SLOTS }],
-      teams: [{ id: TEAM, share: 1, limit: 100 }],
+      entries,
+      pools: [{ id: QUEUE, workers, minimumServing: 1, slots }],
+      teams: [{ id: TEAM, share: 1, limit: TEAM_LIMIT }],
     });
-    this.#fleet = new EmulatedFleet(settings, SEED, decorators);
+    this.fleet = new EmulatedFleet(settings, seed, decorators);
   }
 
   /** Starts all entries. */
   async start(): Promise<void> {
-    await this.#fleet.startAll();
+    await this.fleet.startAll();
   }
 
   /** Makes a call and lets it run. */
@@ -63,11 +76,7 @@
     }
     const id = `request-${this.#calls.length}`;
     const workName = work === null ? id : `work-${work}-${isRepeatable}`;
-    // Equal work has an equal body, as a repeat by the same caller has.
-    const body = JSON.stringify({
-      runMs: work === null ? runMs : (work + 1) * 100,
-      work: workName,
-    });
+    const body = JSON.stringify({ runMs, work: workName });
     const call: SystemCall = {
       id,
       entry: name,
@@ -80,25 +89,25 @@
       isOwed: true,
     };
     this.#calls.push(call);
-    void this.#runCall(call, { timeoutMs, cancelAfterMs, isBounded: !this.#fleet.isPaused(name) });
+    void this.#runCall(call, { timeoutMs, cancelAfterMs, isBounded: !this.fleet.isPaused(name) });
   }
 
   /** Sets the faults of one worker. */
   applyWorkerFaults(worker: number, faults: Partial<WorkerFaults>): void {
-    this.#fleet
+    this.fleet
       .getWorker(this.#getWorkerName(worker))
       .applyFaults({ ...NO_WORKER_FAULTS, ...faults });
   }
 
   /** Ends every task of a worker. */
   crashWorker(worker: number): void {
-    this.#fleet.getWorker(this.#getWorkerName(worker)).crash();
+    this.fleet.getWorker(this.#getWorkerName(worker)).crash();
   }
 
   /** Sets the faults of the platform's services. */
   applyPlatformFaults(faults: Partial<PlatformFaults>): void {
-    this.#fleet.tables.applyFaults({ ...NO_PLATFORM_FAULTS, ...faults });
-    this.#fleet.objects.applyDown(faults.down ?? false);
+    this.fleet.tables.applyFaults({ ...NO_PLATFORM_FAULTS, ...faults });
+    this.fleet.objects.applyDown(faults.down ?? false);
   }
 
   /** Cuts one direction between an entry and a worker, or the platform when `worker` is `null`. */
@@ -106,12 +115,12 @@
     const entryName = this.#getEntryName(entry);
     const other = worker === null ? 'platform' : this.#getWorkerName(worker);
     const [from, to] = isTowardsEntry ? [other, entryName] : [entryName, other];
-    this.#fleet.network.cut(from, to);
+    this.fleet.network.cut(from, to);
   }
 
   /** Ends all cuts. */
   restore(): void {
-    this.#fleet.network.restoreAll();
+    this.fleet.network.restoreAll();
   }
 
   /** Freezes an entry, or lets it go on. */
@@ -120,11 +129,11 @@
     if (!this.#isRunning(name)) {
       return;
     }
-    if (this.#fleet.isPaused(name)) {
-      this.#fleet.resumeEntry(name);
+    if (this.fleet.isPaused(name)) {
+      this.fleet.resumeEntry(name);
     } else {
       this.#calls.filter((call) => call.entry === name).forEach(forgetBound);
-      this.#fleet.pauseEntry(name);
+      this.fleet.pauseEntry(name);
     }
   }
 
@@ -132,31 +141,33 @@
   toggleLife(entry: number): void {
     const name = this.#getEntryName(entry);
     if (this.#isRunning(name)) {
-      this.#fleet.killEntry(name);
+      this.fleet.killEntry(name);
       this.#calls
         .filter((call) => call.entry === name && call.result === null)
         .forEach((call) => Object.assign(call, { isOwed: false }));
       return;
     }
-    void this.#fleet.createEntry(name).start();
+    void this.fleet.createEntry(name).start();
   }
 
   /** Moves time forward. */
   async advance(durationMs: number): Promise<void> {
-    await this.#fleet.advance(durationMs);
+    await this.fleet.advance(durationMs);
   }
 
   /** Ends all faults, waits for all calls, and compares what was told with what ran. */
-  async findViolations(): Promise<Violations> {
+  async findViolations(recoveryMs = RECOVERY_MS): Promise<Violations> {
     this.restore();
     this.applyPlatformFaults({});
-    Array.from({ length: WORKERS }).forEach((_, worker) => this.applyWorkerFaults(worker, {}));
-    this.#fleet
+    Array.from({ length: this.#shape.workers }).forEach((_, worker) =>
+      this.applyWorkerFaults(worker, {}),
+    );
+    this.fleet
       .listEntries()
-      .filter((name) => this.#fleet.isPaused(name))
-      .forEach((name) => this.#fleet.resumeEntry(name));
-    await this.#fleet.advance(RECOVERY_MS);
-    return findViolations(this.#calls, this.#fleet.listLedger());
+      .filter((name) => this.fleet.isPaused(name))
+      .forEach((name) => this.fleet.resumeEntry(name));
+    await this.fleet.advance(recoveryMs);
+    return findViolations(this.#calls, this.fleet.listLedger());
   }
 
   /** The calls made so far. */
@@ -166,7 +177,7 @@
 
   /** Ends all entries. */
   close(): void {
-    this.#fleet.close();
+    this.fleet.close();
   }
 
   async #runCall(
@@ -177,7 +188,7 @@
       readonly isBounded: boolean;
     },
   ): Promise<void> {
-    const { time } = this.#fleet;
+    const { time } = this.fleet;
     const { timeoutMs, cancelAfterMs } = options;
     const gone = new AbortController();
     if (cancelAfterMs !== null) {
@@ -185,7 +196,7 @@
     }
     const deadlineAt = time.getNow() + timeoutMs;
     Object.assign(call, { lateMs: options.isBounded ? 0 : null });
-    const result = await this.#fleet.call(
+    const result = await this.fleet.call(
       call.entry,
       {
         id: call.id,
@@ -203,14 +214,14 @@
   }
 
   #isRunning(name: string): boolean {
-    return this.#fleet.listEntries().includes(name);
+    return this.fleet.listEntries().includes(name);
   }
 
   #getEntryName(entry: number): string {
-    return `entry-${(entry % ENTRIES) + 1}`;
+    return `entry-${(entry % this.#shape.entries) + 1}`;
   }
 
   #getWorkerName(worker: number): string {
-    return `${QUEUE}-${(worker % WORKERS) + 1}`;
+    return `${QUEUE}-${(worker % this.#shape.workers) + 1}`;
   }
 }
--- a/packages/baobabwell-idempotency/src/BaobabwellIdempotencyRegistry.ts
+++ b/packages/baobabwell-idempotency/src/BaobabwellIdempotencyRegistry.ts
@@ -139,12 +139,13 @@
     try {
       const claimed = await this.#acquire(rowKey, call, signal);
       if (!('claim' in claimed)) {
-        end(null);
         return claimed;
       }
       const result = await execute();
       const isKept = result.outcome !== Outcome.NotRun;
-      end(isKept ? result : null);
+      if (isKept) {
+        end(result);
+      }
       this.#unstored += 1;
       stored = isKept ? this.#store(rowKey, claimed, result) : this.#withdraw(rowKey, claimed);
       void stored.then(() => {
@@ -152,7 +153,11 @@
       });
       return { kind: 'executed' };
     } finally {
-      void stored.then(() => this.#local.delete(rowKey));
+      void stored.then(() => {
+        this.#local.delete(rowKey);
+        // Those who wait go on only now: they would find this call again before.
+        end(null);
+      });
     }
   }
 
--- a/packages/baobabwell-idempotency/src/__tests__/unit/BaobabwellIdempotencyFleet.test.ts
+++ b/packages/baobabwell-idempotency/src/__tests__/unit/BaobabwellIdempotencyFleet.test.ts
@@ -144,6 +144,22 @@
     ]);
   });
 
+  it('lets repeats at the same entry wait until a key that was not run is free', async () => {
+    ['1', '2', '3'].forEach((host) => fleet.getWorker(`ovens-${host}`).applyStopping(true));
+    const first = send('entry-1', { timeoutMs: 500 });
+    const repeat = send('entry-1', { timeoutMs: 2_000 });
+    await fleet.advance(450);
+    applyStoreFaults({ slowMs: 300 });
+    await fleet.advance(100);
+    ['1', '2', '3'].forEach((host) => fleet.getWorker(`ovens-${host}`).applyStopping(false));
+    const results = await fleet.time.settle(Promise.all([first, repeat]), LIMIT_MS);
+    expect([...results.map(describeResult), countStarts()]).toEqual([
+      'not-run deadline safe',
+      'completed answered safe',
+      1,
+    ]);
+  });
+
   it('goes on when its caller is gone, and the repeat finds its answer', async () => {
     const gone = new AbortController();
     const request = {
--- /dev/null
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresCall.ts
@@ -0,0 +1,112 @@
+import type { Figures, MeasureFindings, MeasureOptions } from './BaobabwellMeasures';
+import type { CallLoad, CallTrial } from './BaobabwellMeasuresCallLoad';
+import type { CallSystemShape } from '@baobabwell/fuzz';
+
+import { Outcome } from '@baobabwell/model';
+
+import { Measure } from './BaobabwellMeasures';
+import {
+  buildShape,
+  countOutcome,
+  measureSilence,
+  runCallTrial,
+} from './BaobabwellMeasuresCallLoad';
+import { measureNaive } from './BaobabwellMeasuresCallNaive';
+
+const RATE_PER_SECOND = 200;
+const DURATION_MS = 10_000;
+const LONG_DURATION_MS = 60_000;
+const FAULTY_RATE_PER_SECOND = 40;
+const FAULTY_DURATION_MS = 40_000;
+const BAD_WORKER_DURATION_MS = 12_000;
+const SILENCE_TRIALS = 8;
+const WORKS = 400;
+const RUN_MS = 60;
+
+function buildFigures({ calls, violations }: CallTrial): Figures {
+  return {
+    calls: calls.length,
+    completed: countOutcome(calls, Outcome.Completed),
+    notRun: countOutcome(calls, Outcome.NotRun),
+    unknown: countOutcome(calls, Outcome.Unknown),
+    untold: calls.filter(({ result }) => result === null).length,
+    doubleRuns: violations.doubleRuns.length,
+    wrongAnswers: violations.wrongAnswers.length + violations.falseCompleted.length,
+    falseNotRun: violations.falseNotRun.length,
+    unanswered: violations.unanswered.length,
+  };
+}
+
+/** Half the calls have a key, which some share; half may be repeated. */
+function buildMixedCall(...[, random]: Parameters<CallLoad['buildCall']>) {
+  const isKeyed = random.getFraction() < 0.5;
+  return {
+    work: isKeyed ? random.getInteger(WORKS) : null,
+    isRepeatable: random.getFraction() < 0.5,
+    cancelAfterMs: random.getFraction() < 0.05 ? 40 : null,
+  };
+}
+
+async function measureWrites(shape: CallSystemShape, isLong: boolean): Promise<CallTrial> {
+  return runCallTrial(shape, {
+    ratePerSecond: RATE_PER_SECOND,
+    durationMs: isLong ? LONG_DURATION_MS : DURATION_MS,
+    buildCall: (index) => ({ work: index }),
+    hasFaults: false,
+  });
+}
+
+/** Outcomes under faults against the workers' ledgers, and what at most once costs. */
+export class CallMeasure extends Measure {
+  override readonly name = 'call';
+
+  override async measure(options: MeasureOptions): Promise<MeasureFindings> {
+    const shape = buildShape(options);
+    const quiet = await measureWrites(shape, options.isLong);
+    const faulty = await runCallTrial(shape, {
+      ratePerSecond: FAULTY_RATE_PER_SECOND,
+      durationMs: options.isLong ? 5 * FAULTY_DURATION_MS : FAULTY_DURATION_MS,
+      buildCall: buildMixedCall,
+      hasFaults: true,
+    });
+    const bad = await this.#measureBadWorker(shape);
+    const baseline = await measureNaive(shape, {
+      ratePerSecond: RATE_PER_SECOND,
+      durationMs: DURATION_MS,
+    });
+    const figures = {
+      ...buildFigures(faulty),
+      withoutFaults: buildFigures(quiet),
+      successWithBadWorker: countOutcome(bad.calls, Outcome.Completed) / bad.calls.length,
+      silentConnectionLeftMs: await measureSilence(shape, SILENCE_TRIALS),
+      writesPerCall: quiet.writes / quiet.calls.length,
+    };
+    return {
+      figures,
+      baseline,
+      targets: {
+        doubleRuns: { atMost: 0 },
+        wrongAnswers: { atMost: 0 },
+        falseNotRun: { atMost: 0 },
+        unanswered: { atMost: 0 },
+        'withoutFaults.unknown': { atMost: 0 },
+        successWithBadWorker: { atLeast: 0.999 },
+        silentConnectionLeftMs: { atMost: 3_000 },
+        writesPerCall: { atMost: 0.25 },
+      },
+    };
+  }
+
+  async #measureBadWorker(shape: CallSystemShape): Promise<CallTrial> {
+    return runCallTrial(
+      shape,
+      {
+        ratePerSecond: RATE_PER_SECOND,
+        durationMs: BAD_WORKER_DURATION_MS,
+        buildCall: () => ({ isRepeatable: true, runMs: RUN_MS }),
+        hasFaults: false,
+      },
+      (system) => system.applyWorkerFaults(0, { failAll: true }),
+    );
+  }
+}
--- a/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
@@ -1,9 +1,10 @@
 import type { Measure } from './BaobabwellMeasures';
 
+import { CallMeasure } from './BaobabwellMeasuresCall';
 import { ViewMeasure } from './BaobabwellMeasuresView';
 
 /** All measures, in the order in which `all` takes them. */
-export const MEASURES: readonly Measure[] = [new ViewMeasure()];
+export const MEASURES: readonly Measure[] = [new CallMeasure(), new ViewMeasure()];
 
 /** Finds a measure by its name. */
 export function findMeasure(name: string): Measure | null {
--- a/packages/baobabwell-workers/src/BaobabwellWorkersClient.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersClient.ts
@@ -1,3 +1,4 @@
+import type { AnswerStream } from './BaobabwellWorkersAnswerStream';
 import type { PriorityClass } from '@baobabwell/model';
 import type { Result } from '@baobabwell/utils';
 
@@ -28,19 +29,23 @@
   readonly contentType: string;
   readonly body: Uint8Array;
   readonly priority: PriorityClass;
+  /** Whether a large answer may come as a stream. */
+  readonly isStreamable: boolean;
   /** Milliseconds left until the deadline, after which the worker stops the task. */
   readonly timeoutMs: number;
   /** Asked right before the first byte is sent; `false` keeps the task from being sent. */
   readonly canStart: () => boolean;
 };
 
-/** A whole answer of a worker. */
+/** An answer of a worker: whole, or a stream that is whole only once it has ended so. */
 export type WorkerAnswer = {
   /** The task that the answer says it belongs to, or `null` when it does not say. */
   readonly taskId: string | null;
   readonly status: number;
   readonly contentType: string;
+  /** The whole answer; empty when there is a stream. */
   readonly body: Uint8Array;
+  readonly stream: AnswerStream | null;
 };
 
 /** What became of a task that was given to a worker. */
--- a/packages/baobabwell-workers/src/BaobabwellWorkersExchange.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersExchange.ts
@@ -1,10 +1,15 @@
 import type { Task, TaskOutcome } from './BaobabwellWorkersClient';
 import type { Dispatcher } from 'undici';
 
+import { AnswerStream } from './BaobabwellWorkersAnswerStream';
+
 type Headers = Record<string, string | string[] | undefined>;
 
 const HTTP_CONFLICT = 409;
 const HTTP_FIRST_SERVER_ERROR = 500;
+const MAX_WHOLE_BYTES = 8 * 1024 * 1024;
+const MAX_STREAMED_BYTES = 1024 * 1024 * 1024;
+const STREAM_FROM_BYTES = 256 * 1024;
 
 function getHeader(headers: Headers, name: string): string | null {
   const value = headers[name];
@@ -25,11 +30,7 @@
  * request may have left, and accepts an answer only if it is whole.
  */
 export class TaskExchange implements Dispatcher.DispatchHandler {
-  readonly #taskId: string;
-
-  readonly #maxBytes: number;
-
-  readonly #canStart: () => boolean;
+  readonly #task: Pick<Task, 'id' | 'canStart' | 'isStreamable'>;
 
   readonly #resolve: (outcome: TaskOutcome) => void;
 
@@ -43,16 +44,15 @@
 
   #receivedBytes = 0;
 
+  #stream: AnswerStream | null = null;
+
   #abortCause: string | null = null;
 
   constructor(
-    { id, canStart }: Pick<Task, 'id' | 'canStart'>,
-    maxBytes: number,
+    task: Pick<Task, 'id' | 'canStart' | 'isStreamable'>,
     resolve: (outcome: TaskOutcome) => void,
   ) {
-    this.#taskId = id;
-    this.#canStart = canStart;
-    this.#maxBytes = maxBytes;
+    this.#task = task;
     this.#resolve = resolve;
   }
 
@@ -71,7 +71,7 @@
     if (this.#controller !== null) {
       // A second start would send the request again.
       this.#abortCause ??= 'the connection was lost';
-    } else if (!this.#canStart()) {
+    } else if (!this.#task.canStart()) {
       this.#abortCause ??= 'the lease or the view is too old';
     }
     if (this.#abortCause !== null) {
@@ -90,27 +90,57 @@
     this.#headers = headers;
   }
 
-  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.#receivedBytes += chunk.length;
-    if (this.#receivedBytes > this.#maxBytes) {
+    const limit = this.#task.isStreamable ? MAX_STREAMED_BYTES : MAX_WHOLE_BYTES;
+    if (this.#receivedBytes > limit) {
       this.abort('the answer is too large');
-      return;
+    } else if (this.#stream !== null) {
+      this.#stream.add(chunk);
+    } else {
+      this.#chunks.push(chunk);
+      this.#startStream(controller);
     }
-    this.#chunks.push(chunk);
   }
 
   onResponseEnd(): void {
-    this.#resolve(this.#buildOutcome(Buffer.concat(this.#chunks)));
+    if (this.#stream === null) {
+      this.#resolve(this.#buildOutcome(Buffer.concat(this.#chunks)));
+    } else {
+      this.#stream.finish();
+    }
   }
 
   onResponseError(_controller: Dispatcher.DispatchController | null, error: Error): void {
     const cause = this.#abortCause ?? error.message;
-    this.#resolve({ kind: this.#controller === null ? 'not-sent' : 'lost', cause });
+    if (this.#stream === null) {
+      this.#resolve({ kind: this.#controller === null ? 'not-sent' : 'lost', cause });
+    } else {
+      this.#stream.destroy(error);
+    }
+  }
+
+  /** Hands a large answer on while it arrives, once it has shown whose it is. */
+  #startStream(controller: Dispatcher.DispatchController): void {
+    const isFit =
+      this.#task.isStreamable &&
+      this.#receivedBytes >= STREAM_FROM_BYTES &&
+      this.#status < HTTP_FIRST_SERVER_ERROR &&
+      this.#status !== HTTP_CONFLICT &&
+      getHeader(this.#headers, 'task-id') === this.#task.id;
+    if (!isFit) {
+      return;
+    }
+    const length = getHeader(this.#headers, 'content-length');
+    const stream = new AnswerStream(controller, length === null ? null : Number(length));
+    this.#stream = stream;
+    this.#chunks.splice(0).forEach((chunk) => stream.add(chunk));
+    this.#resolve(this.#buildOutcome(Buffer.alloc(0), stream));
   }
 
-  #buildOutcome(body: Buffer): TaskOutcome {
+  #buildOutcome(body: Buffer, stream: AnswerStream | null = null): TaskOutcome {
     const taskId = getHeader(this.#headers, 'task-id');
-    const isOwn = taskId === this.#taskId;
+    const isOwn = taskId === this.#task.id;
     if (isOwn && this.#status === HTTP_CONFLICT) {
       return { kind: 'rejected', code: parseRejection(body) };
     }
@@ -118,6 +148,9 @@
       return { kind: 'failed' };
     }
     const contentType = getHeader(this.#headers, 'content-type') ?? 'application/octet-stream';
-    return { kind: 'answered', answer: { taskId, status: this.#status, contentType, body } };
+    return {
+      kind: 'answered',
+      answer: { taskId, status: this.#status, contentType, body, stream },
+    };
   }
 }
--- a/packages/baobabwell-workers/src/BaobabwellWorkersHttp.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersHttp.ts
@@ -25,7 +25,6 @@
 import { TaskExchange } from './BaobabwellWorkersExchange';
 
 const HTTP_OK = 200;
-const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
 const grantSchema = z.object({
   slots: z.number().int().nonnegative(),
@@ -106,8 +105,10 @@
 
   override async run(task: Task, signal: AbortSignal): Promise<TaskOutcome> {
     return new Promise((resolve) => {
-      const exchange = new TaskExchange(task, MAX_ANSWER_BYTES, (outcome) => {
-        signal.removeEventListener('abort', onAbort);
+      const exchange = new TaskExchange(task, (outcome) => {
+        const stream = outcome.kind === 'answered' ? outcome.answer.stream : null;
+        const ended = stream === null ? Promise.resolve(true) : stream.ended;
+        void ended.then(() => signal.removeEventListener('abort', onAbort));
         resolve(outcome);
       });
       function onAbort(): void {
--- a/packages/baobabwell-workers/src/BaobabwellWorkersSession.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersSession.ts
@@ -110,6 +110,8 @@
     const outcome = checkAnswer(task, received);
     this.#tasks.remove(task.id, outcome.kind === 'lost');
     this.#recordOutcome(outcome, signal.aborted);
+    const stream = outcome.kind === 'answered' ? outcome.answer.stream : null;
+    void stream?.ended.then((isWhole) => this.#tasks.remove(task.id, !isWhole));
     return outcome;
   }
 
@@ -127,7 +129,8 @@
   /** Slots that may still be granted, as far as is known. */
   getFreeSlots(): number {
     const roomBelowCap = this.#parts.getMaxSlots() - this.#held - this.#requested;
-    if (this.health.isSuspect() && this.#held > 0) {
+    const isProbeDue = this.#held === 0 && this.health.canProbe(this.#parts.clock.getNow());
+    if (this.health.isSuspect() && !isProbeDue) {
       return 0;
     }
     return this.#isReachable ? Math.max(0, Math.min(this.#free, roomBelowCap)) : 0;
@@ -193,7 +196,8 @@
     this.#isReachable = grant.ok;
     if (grant.ok) {
       this.#held = grant.value.slots;
-      this.#free = grant.value.free;
+      // What was asked for and not granted is not there to be asked for again at once.
+      this.#free = grant.value.slots < wanted ? 0 : grant.value.free;
       this.#startableUntil = sentAt + START_TTL_MS;
     }
     const isSilent = grant.ok
--- a/packages/baobabwell-workers/src/__tests__/unit/BaobabwellWorkersExchange.test.ts
+++ b/packages/baobabwell-workers/src/__tests__/unit/BaobabwellWorkersExchange.test.ts
@@ -22,6 +22,7 @@
     contentType: 'application/json',
     body: Buffer.from('{}'),
     priority: PriorityClass.Normal,
+    isStreamable: true,
     timeoutMs: 1_000,
     canStart: () => canStart,
   };
--- a/packages/baobabwell-workers/src/index.ts
+++ b/packages/baobabwell-workers/src/index.ts
@@ -9,6 +9,7 @@
 export type { HealthComparison } from './BaobabwellWorkersHealth';
 export type { WorkerSessionParts } from './BaobabwellWorkersSession';
 
+export { AnswerStream } from './BaobabwellWorkersAnswerStream';
 export { WorkerClient, WorkerClientFactory } from './BaobabwellWorkersClient';
 export {
   CONTROL_CONNECTIONS,
