--- a/packages/baobabwell-measures/src/BaobabwellMeasuresCall.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresCall.ts
@@ -12,6 +12,7 @@
   runCallTrial,
 } from './BaobabwellMeasuresCallLoad';
 import { measureNaive } from './BaobabwellMeasuresCallNaive';
+import { measureOutage } from './BaobabwellMeasuresCallOutage';
 
 const RATE_PER_SECOND = 200;
 const DURATION_MS = 10_000;
@@ -80,6 +81,7 @@
       successWithBadWorker: countOutcome(bad.calls, Outcome.Completed) / bad.calls.length,
       silentConnectionLeftMs: await measureSilence(shape, SILENCE_TRIALS),
       writesPerCall: quiet.writes / quiet.calls.length,
+      duringOutage: await measureOutage(shape),
     };
     return {
       figures,
