--- a/packages/baobabwell-emulator/src/index.ts
+++ b/packages/baobabwell-emulator/src/index.ts
@@ -1,5 +1,9 @@
 export type { CallerPlan, EndedCall } from './BaobabwellEmulatorCallers';
-export type { EmulatedCall } from './BaobabwellEmulatorFleet';
+export type {
+  EmulatedCall,
+  EmulatedDecorators,
+  EmulatedOverrides,
+} from './BaobabwellEmulatorFleet';
 export type { Endpoint, ExchangeResult } from './BaobabwellEmulatorNetwork';
 export type { RunningStep } from './BaobabwellEmulatorRunning';
 export type { EmulatedDeployment, EmulatedPool, EmulatedTeam } from './BaobabwellEmulatorSettings';
--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzRegistry.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzRegistry.ts
@@ -1,10 +1,15 @@
 import type { FuzzSuite } from './BaobabwellFuzz';
 
+import { CallFuzzSuite } from './BaobabwellFuzzCall';
 import { FleetSuite } from './BaobabwellFuzzFleet';
 import { LimitsSuite } from './BaobabwellFuzzLimits';
 
 /** All suites. */
-export const FUZZ_SUITES: readonly FuzzSuite[] = [new LimitsSuite(), new FleetSuite()];
+export const FUZZ_SUITES: readonly FuzzSuite[] = [
+  new LimitsSuite(),
+  new FleetSuite(),
+  new CallFuzzSuite(),
+];
 
 /** Finds a suite by its name. */
 export function findFuzzSuite(name: string): FuzzSuite | null {
--- a/packages/baobabwell-fuzz/src/index.ts
+++ b/packages/baobabwell-fuzz/src/index.ts
@@ -1,6 +1,9 @@
 export type { FuzzOptions, FuzzReport } from './BaobabwellFuzz';
+export type { CallSystemShape, FuzzCall } from './BaobabwellFuzzCallSystem';
+export type { ObservedCall, Violations } from './BaobabwellFuzzCallOracle';
 export type { PrepareService } from './BaobabwellFuzzFleetHistory';
 
 export { FuzzSuite } from './BaobabwellFuzz';
+export { CallFuzzSystem } from './BaobabwellFuzzCallSystem';
 export { FleetSuite } from './BaobabwellFuzzFleet';
 export { findFuzzSuite, FUZZ_SUITES } from './BaobabwellFuzzRegistry';
--- a/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
@@ -1,5 +1,6 @@
 import type { Measure } from './BaobabwellMeasures';
 
+import { CallMeasure } from './BaobabwellMeasuresCall';
 import { LimitMeasure } from './BaobabwellMeasuresLimit';
 import { RollOutMeasure } from './BaobabwellMeasuresRollOut';
 import { ViewMeasure } from './BaobabwellMeasuresView';
@@ -9,6 +10,7 @@
   new ViewMeasure(),
   new LimitMeasure(),
   new RollOutMeasure(),
+  new CallMeasure(),
 ];
 
 /** Finds a measure by its name. */
