measures: view against entries that follow the store alone

Cause: the thin measure knew only the time until a change was everywhere. Change: in force, withdrawn keys without and with cuts and pauses (checked each millisecond at each entry, and by real calls), reads and writes of the store, answers during an outage; the baseline is the same code with peers cut off.

--- a/packages/baobabwell-measures/src/BaobabwellMeasuresView.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresView.ts
@@ -1,72 +1,132 @@
-import type { MeasureFindings, MeasureOptions } from './BaobabwellMeasures';
+import type { Figures, MeasureFindings, MeasureOptions } from './BaobabwellMeasures';
 
-import { buildEmulatedSettings, EmulatedFleet } from '@baobabwell/emulator';
-import { VIEW_STORE } from '@baobabwell/entry';
+import { Measure } from './BaobabwellMeasures';
+import { ViewExchange, ViewFleet } from './BaobabwellMeasuresViewFleet';
+import { measureWithdrawal, measureWithdrawalUnderCuts } from './BaobabwellMeasuresViewWithdrawal';
 
-import { Deployment, Measure } from './BaobabwellMeasures';
+const REST_MS = 1_000;
+const CHANGE_INTERVAL_MS = 1_000;
+const TARGET_WITHDRAWAL_MS = 1_000;
+const TARGET_WITHDRAWAL_UNDER_CUTS_MS = 4_000;
+const TARGET_ANSWERED = 0.999;
 
-const ENTRIES: Readonly<Record<Deployment, number>> = {
-  [Deployment.Braudvakt]: 9,
-  [Deployment.Agenda]: 7,
+/** How much is tried. */
+type ViewEffort = {
+  readonly changes: number;
+  readonly withdrawals: number;
+  readonly withdrawalsUnderCuts: number;
+  readonly ratesMs: number;
+  readonly outageMs: number;
+};
+
+const SHORT_EFFORT: ViewEffort = {
+  changes: 20,
+  withdrawals: 1,
+  withdrawalsUnderCuts: 2,
+  ratesMs: 10_000,
+  outageMs: 30_000,
 };
-const CHANGES = 40;
-const STEP_MS = 1;
-const LIMIT_MS = 5_000;
-const REST_MS = 137;
-const TARGET_WITHDRAWAL_MS = 1_000;
 
-function buildFleet({ deployment, seed }: MeasureOptions): EmulatedFleet {
-  const settings = buildEmulatedSettings({
-    entries: ENTRIES[deployment],
-    pools: [{ id: 'ovens', workers: 4, minimumServing: 1 }],
-    teams: [{ id: 'guilds', share: 1, limit: 8 }],
-  });
-  return new EmulatedFleet(settings, seed);
+const LONG_EFFORT: ViewEffort = {
+  changes: 100,
+  withdrawals: 10,
+  withdrawalsUnderCuts: 30,
+  ratesMs: 60_000,
+  outageMs: 600_000,
+};
+
+function getQuantile(values: readonly number[], fraction: number): number {
+  const sorted = values.toSorted((a, b) => a - b);
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * fraction))] ?? 0;
 }
 
-function isInForce(fleet: EmulatedFleet, version: number): boolean {
-  return fleet
-    .listEntries()
-    .every((entry) => fleet.getService(entry, VIEW_STORE).get().version >= version);
+async function measureInForce(view: ViewFleet, { changes }: ViewEffort): Promise<Figures> {
+  const times: number[] = [];
+  const timesFromCommand: number[] = [];
+  for (let change = 0; change < changes; change += 1) {
+    const entry = view.random.getOneOf(view.names);
+    const { askedAt, acceptedAt, inForceAt } = await view.measureChange(entry);
+    times.push(inForceAt - acceptedAt);
+    timesFromCommand.push(inForceAt - askedAt);
+    await view.fleet.advance(view.random.getInteger(REST_MS));
+  }
+  return {
+    inForceP50Ms: getQuantile(times, 0.5),
+    inForceP99Ms: getQuantile(times, 0.99),
+    commandToInForceP50Ms: getQuantile(timesFromCommand, 0.5),
+    commandToInForceP99Ms: getQuantile(timesFromCommand, 0.99),
+  };
 }
 
-/** Time from the reply to the operator until every entry has applied the change. */
-async function measureChange(fleet: EmulatedFleet, text: string): Promise<number> {
-  const reply = await fleet.settleOperation('entry-1', text);
-  const version = reply?.kind === 'changed' ? reply.version : Number.POSITIVE_INFINITY;
-  const acceptedAt = fleet.time.getNow();
-  while (!isInForce(fleet, version) && fleet.time.getNow() < acceptedAt + LIMIT_MS) {
-    await fleet.advance(STEP_MS);
+async function measureWithdrawals(view: ViewFleet, effort: ViewEffort): Promise<Figures> {
+  let worst = 0;
+  for (let round = 0; round < effort.withdrawals; round += 1) {
+    worst = Math.max(worst, await measureWithdrawal(view));
   }
-  return fleet.time.getNow() - acceptedAt;
+  let worstUnderCuts = 0;
+  let accepted = 0;
+  for (let round = 0; round < effort.withdrawalsUnderCuts; round += 1) {
+    const worked = await measureWithdrawalUnderCuts(view);
+    worstUnderCuts = Math.max(worstUnderCuts, worked ?? 0);
+    accepted += worked === null ? 0 : 1;
+  }
+  return {
+    withdrawnKeyWorkedMs: worst,
+    withdrawnKeyWorkedUnderCutsMs: worstUnderCuts,
+    withdrawalsAcceptedUnderCuts: accepted,
+  };
 }
 
-function getQuantile(sorted: readonly number[], fraction: number): number {
-  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * fraction))] ?? 0;
+async function measureRates(view: ViewFleet, { ratesMs }: ViewEffort): Promise<Figures> {
+  const idle = await view.measureRates(ratesMs, null);
+  const changing = await view.measureRates(ratesMs, CHANGE_INTERVAL_MS);
+  return {
+    idleReadsPerSecond: idle.reads,
+    idleWritesPerSecond: idle.writes,
+    readsPerSecondAtOneChange: changing.reads,
+    writesPerSecondAtOneChange: changing.writes,
+  };
+}
+
+async function measureOutage(view: ViewFleet, { outageMs }: ViewEffort): Promise<Figures> {
+  const key = await view.grantKey('entry-1');
+  await view.fleet.advance(REST_MS);
+  view.applyStoreDown(true);
+  const answeredDuringOutage = await view.measureAnswered(key, outageMs);
+  view.applyStoreDown(false);
+  return { answeredDuringOutage, outageMs };
 }
 
-/** Time until changes are in force everywhere. */
+async function measureExchange(options: MeasureOptions, exchange: ViewExchange): Promise<Figures> {
+  const effort = options.isLong ? LONG_EFFORT : SHORT_EFFORT;
+  const view = await ViewFleet.start(options, exchange);
+  const figures = {
+    ...(await measureInForce(view, effort)),
+    ...(await measureWithdrawals(view, effort)),
+    ...(await measureRates(view, effort)),
+    ...(await measureOutage(view, effort)),
+  };
+  view.close();
+  return figures;
+}
+
+/**
+ * How fast changes are in force, how long a withdrawn key still works, what the store is asked,
+ * and what is answered without it; against entries that follow the store alone.
+ */
 export class ViewMeasure extends Measure {
   override readonly name = 'view';
 
   override async measure(options: MeasureOptions): Promise<MeasureFindings> {
-    const fleet = buildFleet(options);
-    await fleet.startAll();
-    const times: number[] = [];
-    for (let change = 0; change < CHANGES; change += 1) {
-      times.push(await measureChange(fleet, 'grant key guilds'));
-      await fleet.advance(REST_MS);
-    }
-    fleet.close();
-    const sorted = times.toSorted((a, b) => a - b);
-    const figures = {
-      inForceP50Ms: getQuantile(sorted, 0.5),
-      inForceP99Ms: getQuantile(sorted, 0.99),
-    };
     return {
-      figures,
-      baseline: {},
-      targets: { inForceP99Ms: { atMost: TARGET_WITHDRAWAL_MS } },
+      figures: await measureExchange(options, ViewExchange.Full),
+      baseline: await measureExchange(options, ViewExchange.StoreOnly),
+      targets: {
+        inForceP99Ms: { atMost: TARGET_WITHDRAWAL_MS },
+        withdrawnKeyWorkedMs: { atMost: TARGET_WITHDRAWAL_MS },
+        withdrawnKeyWorkedUnderCutsMs: { atMost: TARGET_WITHDRAWAL_UNDER_CUTS_MS },
+        answeredDuringOutage: { atLeast: TARGET_ANSWERED },
+      },
     };
   }
 }
--- a/packages/baobabwell-view/src/BaobabwellViewQuorum.ts
+++ b/packages/baobabwell-view/src/BaobabwellViewQuorum.ts
@@ -78,6 +78,8 @@
 
   readonly #knownSince = new Map<string, number>();
 
+  #members: readonly Member[] = [];
+
   #membershipVersion = 0;
 
   #accepted: Acceptance[] = [];
@@ -91,6 +93,7 @@
     parts.store.registerListener(({ current, change }) => {
       if (change.mutations.some(({ kind }) => kind === EntityKind.Member)) {
         this.#membershipVersion = current.version;
+        this.#members = current.list(EntityKind.Member);
         this.#updateKnownLives();
       }
       this.#update();
@@ -144,15 +147,13 @@
 
   /** Lists the members that have not acknowledged a version. */
   listMissing(version: number): readonly string[] {
-    return this.#listMembers()
-      .filter((member) => this.#getVersion(member) < version)
-      .map(({ id }) => id);
+    return this.#members.filter((member) => this.#getVersion(member) < version).map(({ id }) => id);
   }
 
   /** Lists the members that have not answered this process for some time. */
   listUnreachable(): readonly string[] {
     const limit = this.#parts.clock.getNow() - UNREACHABLE_AFTER_MS;
-    return this.#listMembers()
+    return this.#members
       .filter((member) => !this.#isSelf(member) && this.#getHeardAt(member) < limit)
       .map(({ id }) => id);
   }
@@ -173,7 +174,7 @@
   }
 
   #updateFreshness(): void {
-    const members = this.#listMembers();
+    const members = this.#members;
     if (members.length < SMALLEST_QUORUM_FLEET) {
       return;
     }
@@ -188,7 +189,7 @@
   }
 
   #updateAcceptance(): void {
-    const members = this.#listMembers();
+    const members = this.#members;
     const ownVersion = this.#parts.store.get().version;
     const versions = members.map((member) => this.#getVersion(member));
     const held = getNthLargest(versions, getMajority(members.length));
@@ -203,7 +204,7 @@
 
   #updateKnownLives(): void {
     const now = this.#parts.clock.getNow();
-    const keys = new Set(this.#listMembers().map(({ id, incarnation }) => `${id}/${incarnation}`));
+    const keys = new Set(this.#members.map(({ id, incarnation }) => `${id}/${incarnation}`));
     keys.forEach((key) => {
       this.#knownSince.set(key, this.#knownSince.get(key) ?? now);
     });
@@ -223,11 +224,7 @@
   }
 
   #getHeldByAll(): number {
-    return Math.min(...this.#listMembers().map((member) => this.#getVersion(member)));
-  }
-
-  #listMembers(): readonly Member[] {
-    return this.#parts.store.get().list(EntityKind.Member);
+    return Math.min(...this.#members.map((member) => this.#getVersion(member)));
   }
 
   #isSelf({ id, incarnation }: MemberLife): boolean {
