--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -12,6 +12,8 @@
 
 import { callServerPlugin } from './BaobabwellEntryCallServerPlugin';
 import { callsPlugin } from './BaobabwellEntryCallsPlugin';
+import { idempotencyPlugin } from './BaobabwellEntryIdempotencyPlugin';
+import { maintenancePlugin } from './BaobabwellEntryMaintenancePlugin';
 import { joinPlugin, membershipPlugin } from './BaobabwellEntryMembershipPlugin';
 import { operatorServerPlugin } from './BaobabwellEntryOperatorServerPlugin';
 import { operatorsPlugin } from './BaobabwellEntryOperatorsPlugin';
@@ -49,7 +51,14 @@
   readonly after: readonly Plugin[];
 };
 
-const FEATURES: readonly Plugin[] = [viewPlugin, membershipPlugin, callsPlugin, operatorsPlugin];
+const FEATURES: readonly Plugin[] = [
+  viewPlugin,
+  membershipPlugin,
+  idempotencyPlugin,
+  callsPlugin,
+  maintenancePlugin,
+  operatorsPlugin,
+];
 
 /** Builds an entry with the given connections. */
 export function buildConnectedEntry(
--- a/packages/baobabwell-entry/src/index.ts
+++ b/packages/baobabwell-entry/src/index.ts
@@ -3,9 +3,14 @@
 export { buildConnectedEntry, buildEntry } from './BaobabwellEntry';
 export {
   CALL_SERVICE,
+  CHANGE_JOURNAL,
+  CLAIM_COMMITS,
   FENCE_TRACKER,
   FRESHNESS,
+  HOST_CONTROL,
+  HOST_HEALTH,
   HOST_LIST,
+  IDEMPOTENCY,
   IDENTITY,
   LIFE_STARTED,
   MEMBER_FENCED,
--- a/packages/baobabwell-membership/src/BaobabwellMembershipCommands.ts
+++ b/packages/baobabwell-membership/src/BaobabwellMembershipCommands.ts
@@ -1,7 +1,7 @@
-import type { CommandContext, Decision, Refusal } from '@baobabwell/operations';
+import type { CommandContext, CommandInput, Decision, Refusal } from '@baobabwell/operations';
 import type { Result } from '@baobabwell/utils';
 
-import { EntityKind } from '@baobabwell/model';
+import { EntityKind, OperatorRole } from '@baobabwell/model';
 import { OperatorCommand } from '@baobabwell/operations';
 import { createError, createOk } from '@baobabwell/utils';
 
@@ -11,10 +11,14 @@
 export class FenceMemberCommand extends OperatorCommand {
   override readonly name = 'fence member';
 
-  override readonly parameters = ['member'];
+  override readonly summary = 'Cuts an entry off that is gone or stopped.';
+
+  override readonly role = OperatorRole.Operator;
+
+  override readonly parameters = [{ name: 'member', kind: EntityKind.Member }];
 
   override decide(
-    [id = '']: readonly string[],
+    { values: [id = ''] }: CommandInput,
     { view, wallTime, reason }: CommandContext,
   ): Result<Decision, Refusal> {
     const member = view.get(EntityKind.Member, id);
--- a/packages/baobabwell-model/src/index.ts
+++ b/packages/baobabwell-model/src/index.ts
@@ -1,8 +1,10 @@
 export type {
+  Controller,
   Entity,
   EntityTypes,
   Fence,
   Host,
+  HostMaintenance,
   Key,
   Member,
   Mutation,
@@ -11,20 +13,28 @@
   Pool,
   Queue,
   ServiceWindow,
+  Split,
   Target,
   Team,
   ViewChange,
+  Wave,
 } from './BaobabwellModel';
 
 export { createPut, createRemoval } from './BaobabwellModel';
 export {
   EntityKind,
   HostState,
+  MaintenanceGoal,
   OperatorRole,
   Outcome,
   PriorityClass,
   QueueAccess,
   QueueMode,
+  SplitState,
+  SplitStep,
   TargetState,
+  WavePolicyName,
+  WaveScope,
+  WaveState,
 } from './BaobabwellModelConstants';
 export { FleetView } from './BaobabwellModelView';
--- a/packages/baobabwell-stand-ins/src/BaobabwellStandInsWorker.ts
+++ b/packages/baobabwell-stand-ins/src/BaobabwellStandInsWorker.ts
@@ -26,6 +26,8 @@
 export enum RejectionCode {
   NoSlot = 'no-slot',
   LeaseLapsed = 'lease-lapsed',
+  /** The holder said before that the task must not run. */
+  Withdrawn = 'withdrawn',
   Stopping = 'stopping',
 }
 
@@ -35,6 +37,8 @@
   readonly holder: string;
   readonly team: string;
   readonly body: Buffer;
+  /** Time after which the task is stopped; without it the lease alone bounds the task. */
+  readonly timeoutMs?: number;
 };
 
 /** How a task ended. */
@@ -53,6 +57,8 @@
 export type LeaseRequest = {
   readonly holder: string;
   readonly slots: number;
+  /** Tasks that must not run, or not run on. */
+  readonly stops?: readonly string[];
   readonly startTtlMs: number;
   readonly taskTtlMs: number;
 };
@@ -74,7 +80,9 @@
 };
 
 const DEFAULT_RUN_MS = 20;
+const DEFAULT_BOOT_MS = 2_000;
 const LEASE_SCAN_MS = 100;
+const WITHDRAWN_TASKS = 10_000;
 
 const workSchema = z.object({ runMs: z.number().nonnegative().default(DEFAULT_RUN_MS) });
 
@@ -98,10 +106,19 @@
 
   readonly #ledger: LedgerLine[] = [];
 
+  /** Tasks that must not start any more, oldest first. */
+  readonly #withdrawn = new Set<string>();
+
   #faults: WorkerFaults = NO_WORKER_FAULTS;
 
   #isStopping = false;
 
+  #isBooting = false;
+
+  #bootMs = DEFAULT_BOOT_MS;
+
+  #rebootToken = 0;
+
   #lastAnswer: TaskResult = { kind: 'completed', taskId: 'none', body: Buffer.from('{}') };
 
   constructor(id: string, slots: number, clock: Clock) {
@@ -135,6 +152,39 @@
     this.#isStopping = isStopping;
   }
 
+  /** Token of the last order to reboot that was obeyed, zero for none. */
+  getRebootToken(): number {
+    return this.#rebootToken;
+  }
+
+  /**
+   * Restarts the machine; it answers nothing until it is up again.
+   *
+   * @returns false for an order older than the last one; the same order again changes nothing.
+   */
+  reboot(token: number): boolean {
+    if (token <= this.#rebootToken) {
+      return token === this.#rebootToken;
+    }
+    this.#rebootToken = token;
+    this.crash();
+    this.#isBooting = true;
+    this.#clock.startTimer(this.#bootMs, () => {
+      this.#isBooting = false;
+    });
+    return true;
+  }
+
+  /** True while the machine restarts. */
+  isBooting(): boolean {
+    return this.#isBooting;
+  }
+
+  /** Sets how long a restart takes. */
+  applyBootTime(bootMs: number): void {
+    this.#bootMs = bootMs;
+  }
+
   /** Ends every task and forgets all holders, as a restart does. */
   crash(): void {
     this.#holders.forEach(({ running }) => running.forEach((task) => task.abort()));
@@ -142,9 +192,10 @@
   }
 
   /** Renews the lease of a holder and changes the number of its slots. */
-  renew({ holder: id, slots, startTtlMs, taskTtlMs }: LeaseRequest): LeaseGrant {
+  renew({ holder: id, slots, stops = [], startTtlMs, taskTtlMs }: LeaseRequest): LeaseGrant {
     const now = this.#clock.getNow();
     this.#removeLapsed(now);
+    stops.forEach((taskId) => this.stop(taskId));
     const holder = this.#holders.get(id) ?? {
       slots: 0,
       startableUntil: 0,
@@ -165,6 +216,9 @@
     if (this.#isStopping) {
       return { kind: 'rejected', code: RejectionCode.Stopping };
     }
+    if (this.#withdrawn.has(task.taskId)) {
+      return { kind: 'rejected', code: RejectionCode.Withdrawn };
+    }
     if (holder === undefined || holder.startableUntil < this.#clock.getNow()) {
       return { kind: 'rejected', code: RejectionCode.LeaseLapsed };
     }
@@ -174,13 +228,22 @@
     const abort = new AbortController();
     holder.running.set(task.taskId, abort);
     this.#record(task, LedgerEvent.Started);
+    const { timeoutMs = Number.POSITIVE_INFINITY } = task;
+    const cancelTimer = Number.isFinite(timeoutMs)
+      ? this.#clock.startTimer(timeoutMs, () => abort.abort())
+      : (): void => {};
     await this.#waitWhileLeased(holder, parseRunMs(task.body), abort);
+    cancelTimer();
     holder.running.delete(task.taskId);
     return this.#finish(task, abort.signal.aborted);
   }
 
-  /** Stops a running task; unknown ones are ignored. */
+  /** Stops a task if it runs, and keeps it from starting later. */
   stop(taskId: string): void {
+    this.#withdrawn.add(taskId);
+    if (this.#withdrawn.size > WITHDRAWN_TASKS) {
+      this.#withdrawn.delete([...this.#withdrawn.values()][0] as string);
+    }
     this.#holders.forEach(({ running }) => running.get(taskId)?.abort());
   }
 
--- a/packages/baobabwell-stand-ins/src/BaobabwellStandInsWorkerServer.ts
+++ b/packages/baobabwell-stand-ins/src/BaobabwellStandInsWorkerServer.ts
@@ -14,12 +14,18 @@
 
 const leaseBody = z.object({
   slots: z.number().int().nonnegative(),
+  stops: z.array(z.string()).default([]),
   startTtlMs: z.number().positive(),
   taskTtlMs: z.number().positive(),
 });
 const holderParameters = z.object({ holder: z.string() });
 const taskParameters = z.object({ taskId: z.string() });
-const taskHeaders = z.object({ 'lease-holder': z.string(), 'task-team': z.string() });
+const taskHeaders = z.object({
+  'lease-holder': z.string(),
+  'task-team': z.string(),
+  'task-timeout-ms': z.coerce.number().positive(),
+});
+const rebootBody = z.object({ token: z.number().int().positive() });
 const stoppingBody = z.object({ stopping: z.boolean() });
 
 function parseJson<Schema extends z.ZodType>(schema: Schema, body: unknown): z.infer<Schema> {
@@ -68,6 +74,7 @@
       taskId,
       holder: headers['lease-holder'],
       team: headers['task-team'],
+      timeoutMs: headers['task-timeout-ms'],
       body: (request.body as Buffer | undefined) ?? Buffer.alloc(0),
     });
     await clock.wait(worker.getFaults().slowMs);
@@ -89,6 +96,14 @@
     worker.applyStopping(parseJson(stoppingBody, request.body).stopping);
     return {};
   });
+  server.get('/status', async () => ({
+    running: worker.getRunningCount(),
+    rebootToken: worker.getRebootToken(),
+  }));
+  server.put('/reboot', async (request, reply) => {
+    const isObeyed = worker.reboot(parseJson(rebootBody, request.body).token);
+    return isObeyed ? {} : reply.code(HTTP_CONFLICT).send({ code: 'stale-token' });
+  });
   server.post('/crash', async () => {
     worker.crash();
     return {};
@@ -109,7 +124,7 @@
     if (isControl) {
       return undefined;
     }
-    if (down) {
+    if (down || worker.isBooting()) {
       request.raw.destroy();
       return reply.hijack();
     }
--- a/packages/baobabwell-view/src/BaobabwellViewLog.ts
+++ b/packages/baobabwell-view/src/BaobabwellViewLog.ts
@@ -56,6 +56,12 @@
   | { readonly kind: 'abandoned' }
   | { readonly kind: 'unknown'; readonly transactionId: string };
 
+/** What became of a transaction. */
+export type TransactionFate =
+  | { readonly kind: 'committed'; readonly version: number }
+  | { readonly kind: 'abandoned' }
+  | { readonly kind: 'absent' };
+
 /** What became of a transaction that was settled. */
 export type SettledTransaction =
   | { readonly kind: 'committed'; readonly position: LogPosition }
@@ -158,6 +164,22 @@
     return this.#settleChange(change);
   }
 
+  /**
+   * Finds what became of a transaction; fails while the table service cannot be read. An absent
+   * one may still be under way for as long as a request may take.
+   */
+  async findTransaction(id: string): Promise<Result<TransactionFate, string>> {
+    const row = await this.#tables.read(TRANSACTION_TABLE, id);
+    if (!row.ok) {
+      return createError('the table service could not be read');
+    }
+    if (row.value === null) {
+      return createOk({ kind: 'absent' });
+    }
+    const version = row.value.value as number;
+    return createOk(version === 0 ? { kind: 'abandoned' } : { kind: 'committed', version });
+  }
+
   /**
    * Adds a change once more after the log lost it. Nothing is settled: a request that is still
    * under way can only add this same change at this same place.
--- a/packages/baobabwell-view/src/index.ts
+++ b/packages/baobabwell-view/src/index.ts
@@ -1,6 +1,12 @@
 export type { LogFault, ViewFollowerParts } from './BaobabwellViewFollower';
 export type { HeartbeatRow, HeartbeatRowsParts } from './BaobabwellViewHeartbeats';
-export type { LogError, LogPage, LogPosition, SettledTransaction } from './BaobabwellViewLog';
+export type {
+  LogError,
+  LogPage,
+  LogPosition,
+  SettledTransaction,
+  TransactionFate,
+} from './BaobabwellViewLog';
 export type { ViewPeerParts, ViewPeerRouter } from './BaobabwellViewPeers';
 export type {
   Acknowledgement,
