fuzz: suite view, with cuts, pauses, kills, store faults and changes

Cause: the view's promises were held by focused tests alone. Change: random histories on five real entries; after every 50 ms the oracle checks that no version falls, that no version holds two changes, that no entry takes a key later than the bound after its withdrawal was accepted, that a released life does not work, and at the end that nothing accepted is lost and all are current. Not taken: store rollback as a random step, since it may lose what nobody holds any more; it has a focused test.

--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzRegistry.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzRegistry.ts
@@ -1,7 +1,9 @@
 import type { FuzzSuite } from './BaobabwellFuzz';
 
+import { ViewFuzzSuite } from './BaobabwellFuzzView';
+
 /** All suites. */
-export const FUZZ_SUITES: readonly FuzzSuite[] = [];
+export const FUZZ_SUITES: readonly FuzzSuite[] = [new ViewFuzzSuite()];
 
 /** Finds a suite by its name. */
 export function findFuzzSuite(name: string): FuzzSuite | null {
