--- a/packages/baobabwell-entry/src/BaobabwellEntryMetricsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryMetricsPlugin.ts
@@ -11,6 +11,7 @@
   LOGGER,
   METRICS,
   SETTINGS,
+  VIEW_QUORUM,
   VIEW_STORE,
   WORKER_DIRECTORY,
 } from './BaobabwellEntryTokens';
@@ -43,7 +44,11 @@
   const view = kernel.getService(VIEW_STORE).get();
   metrics.members.set(view.getCount(EntityKind.Member));
   metrics.fences.set(view.getCount(EntityKind.Fence));
+  const quorum = kernel.getService(VIEW_QUORUM);
+  metrics.unreachableMembers.set(quorum.listUnreachable().length);
   metrics.viewVersion.set(view.version);
+  metrics.viewAcceptedVersion.set(quorum.getAcceptedVersion());
+  metrics.viewInForceVersion.set(quorum.getInForceVersion());
   metrics.viewAgeSeconds.set(kernel.getService(FRESHNESS).getAge() / MS_PER_SECOND);
 }
 
--- a/packages/baobabwell-entry/src/BaobabwellEntryOperatorsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryOperatorsPlugin.ts
@@ -41,6 +41,7 @@
   PEER_ROUTERS,
   TABLE_SERVICE,
   VIEW_LOG,
+  VIEW_QUORUM,
   VIEW_STORE,
   VIEW_WRITER,
 } from './BaobabwellEntryTokens';
@@ -79,7 +80,9 @@
   service.registerSource(new HostsSource(parts));
   service.registerSource(new PoolsSource(parts));
   service.registerSource(new CallsSource(parts));
-  service.registerSource(new ChangesSource(journal));
+  service.registerSource(
+    new ChangesSource(journal, (version) => kernel.getService(VIEW_QUORUM).getProgress(version)),
+  );
   service.registerSource(new CommandsSource(journal, kernel.getService(COMMAND_RECORDS)));
   service.registerSource(
     new TransactionSource(journal, async (id) => kernel.getService(VIEW_LOG).findTransaction(id)),
@@ -104,7 +107,13 @@
   const journal = new ChangeJournal(JOURNAL_CHANGES);
   const undo = kernel
     .getService(VIEW_STORE)
-    .registerListener(({ previous, change }) => journal.record(previous, change));
+    .registerListener(({ previous, change, isSnapshot }) => {
+      if (isSnapshot) {
+        journal.clear();
+      } else {
+        journal.record(previous, change);
+      }
+    });
   return mergeUndo(
     undo,
     kernel.registerService(CHANGE_JOURNAL, () => journal),
--- a/packages/baobabwell-metrics/src/BaobabwellMetrics.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetrics.ts
@@ -96,6 +96,24 @@
     registers: [this.registry],
   });
 
+  readonly viewAcceptedVersion = new Gauge({
+    name: 'baobabwell_view_accepted_version',
+    help: 'Number of the newest change that a majority of the members holds.',
+    registers: [this.registry],
+  });
+
+  readonly viewInForceVersion = new Gauge({
+    name: 'baobabwell_view_in_force_version',
+    help: 'Number of the newest change without which no entry starts work.',
+    registers: [this.registry],
+  });
+
+  readonly unreachableMembers = new Gauge({
+    name: 'baobabwell_unreachable_members',
+    help: 'Members that have not answered this entry for some time.',
+    registers: [this.registry],
+  });
+
   readonly viewAgeSeconds = new Gauge({
     name: 'baobabwell_view_age_seconds',
     help: 'Time since the view was last confirmed to be complete.',
--- a/packages/baobabwell-operations/src/BaobabwellOperationsHistorySources.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsHistorySources.ts
@@ -3,7 +3,7 @@
 import type { CommandRecords } from './BaobabwellOperationsRecords';
 import type { ViewChange } from '@baobabwell/model';
 import type { Result } from '@baobabwell/utils';
-import type { TransactionFate } from '@baobabwell/view';
+import type { ChangeProgress, TransactionFate } from '@baobabwell/view';
 
 import { createError, createOk } from '@baobabwell/utils';
 
@@ -13,7 +13,10 @@
 /** Finds what became of a transaction; fails while the table service cannot tell. */
 export type FindTransaction = (id: string) => Promise<Result<TransactionFate, string>>;
 
-function buildChangeRow(change: ViewChange): QueryRow {
+/** Gets how far the change with a version has come. */
+export type GetProgress = (version: number) => ChangeProgress;
+
+function buildChangeRow(change: ViewChange, { stage, missing }: ChangeProgress): QueryRow {
   return {
     version: change.version,
     at: new Date(change.at).toISOString(),
@@ -22,6 +25,8 @@
     reason: change.reason,
     touched: formatTouched(change.mutations),
     transaction: change.transactionId,
+    stage,
+    missing: missing.join(','),
   };
 }
 
@@ -37,13 +42,18 @@
     'reason',
     'touched',
     'transaction',
+    'stage',
+    'missing',
   ];
 
   readonly #journal: ChangeJournal;
 
-  constructor(journal: ChangeJournal) {
+  readonly #getProgress: GetProgress;
+
+  constructor(journal: ChangeJournal, getProgress: GetProgress) {
     super();
     this.#journal = journal;
+    this.#getProgress = getProgress;
   }
 
   override async listRows({
@@ -54,7 +64,11 @@
       const message = `changes before version ${oldest} are no longer remembered here`;
       return createError({ code: 'not-found', message });
     }
-    return createOk(this.#journal.listSince(since ?? 0).map(buildChangeRow));
+    return createOk(
+      this.#journal
+        .listSince(since ?? 0)
+        .map((change) => buildChangeRow(change, this.#getProgress(change.version))),
+    );
   }
 }
 
--- a/packages/baobabwell-operations/src/BaobabwellOperationsJournal.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsJournal.ts
@@ -39,6 +39,12 @@
     this.#entries.delete(oldest);
   }
 
+  /** Forgets everything, after the view jumped past changes that are not known. */
+  clear(): void {
+    this.#entries.clear();
+    this.#lastChanges.clear();
+  }
+
   /** Finds the change that made a version, or `null` when it is no longer remembered. */
   find(version: number): JournalEntry | null {
     return this.#entries.get(version) ?? null;
--- a/packages/baobabwell-operations/src/BaobabwellOperationsUndoCommand.ts
+++ b/packages/baobabwell-operations/src/BaobabwellOperationsUndoCommand.ts
@@ -12,6 +12,7 @@
 const LIVE_KINDS: ReadonlySet<EntityKind> = new Set([
   EntityKind.Host,
   EntityKind.Member,
+  EntityKind.Fence,
   EntityKind.Controller,
   EntityKind.Wave,
   EntityKind.Split,
