membership: a new process hears a majority before it changes anything

Cause: a process that started right after a store was restored from an older copy, cut off from its peers, counted old heartbeat rows as acceptance and added other changes at versions that were taken: a withdrawn key worked again (test "lets no new process write to a restored store before it heard a majority": failed). Change: joining and taking over wait until the addresses of a majority answered and none of them holds a change that is missing here. A take-over at the same address needs no more than that, so the 5 s wait goes. Not taken: heartbeat rows as evidence, they come back with the copy. Conclusion: acknowledgements prove what a life held, not what a reader lacks.

--- a/packages/baobabwell-membership/src/BaobabwellMembershipConstants.ts
+++ b/packages/baobabwell-membership/src/BaobabwellMembershipConstants.ts
@@ -27,8 +27,5 @@
 /** Time between two attempts to join. */
 export const JOIN_RETRY_MS = 100;
 
-/** Time after which a new life no longer waits for a majority to remove its predecessor. */
-export const TAKEOVER_AFTER_MS = 5_000;
-
 /** Time for which fences are kept. */
 export const FENCE_KEPT_MS = 7 * 24 * 60 * 60 * 1_000;
--- a/packages/baobabwell-membership/src/BaobabwellMembershipService.ts
+++ b/packages/baobabwell-membership/src/BaobabwellMembershipService.ts
@@ -7,14 +7,16 @@
 import { createError, createOk } from '@baobabwell/utils';
 
 import { buildFence, buildFenceRemovals, isMember } from './BaobabwellMembershipChanges';
-import { JOIN_RETRY_MS, TAKEOVER_AFTER_MS } from './BaobabwellMembershipConstants';
+import { JOIN_RETRY_MS } from './BaobabwellMembershipConstants';
 
 /** Why a change of the membership was not made. */
 export type MembershipRefusal =
   /** Nothing is left to do. */
   | { readonly kind: 'done' }
   /** The change before this one is not accepted yet. */
-  | { readonly kind: 'membership-pending'; readonly missing: readonly string[] };
+  | { readonly kind: 'membership-pending'; readonly missing: readonly string[] }
+  /** This new process has not heard a majority of the members yet. */
+  | { readonly kind: 'majority-unheard' };
 
 /** How sure it is that a member no longer serves. */
 export enum FenceEvidence {
@@ -42,6 +44,8 @@
 
 const DONE: MembershipRefusal = { kind: 'done' };
 
+const UNHEARD: MembershipRefusal = { kind: 'majority-unheard' };
+
 function isDone(error: ChangeError<MembershipRefusal>): boolean {
   return error.kind === 'refused' && error.refusal.kind === 'done';
 }
@@ -63,8 +67,7 @@
   /** Joins the fleet; tries until it is a member or {@link stop} is called. */
   async join(): Promise<void> {
     const { clock } = this.#parts;
-    const startedAt = clock.getNow();
-    while (!this.#stopped.signal.aborted && !(await this.#tryJoin(startedAt))) {
+    while (!this.#stopped.signal.aborted && !(await this.#tryJoin())) {
       await clock.wait(JOIN_RETRY_MS, this.#stopped.signal);
       await this.#parts.writer.readHeartbeats();
     }
@@ -107,13 +110,16 @@
     });
   }
 
-  async #tryJoin(startedAt: number): Promise<boolean> {
-    const { identity } = this.#parts;
+  async #tryJoin(): Promise<boolean> {
+    const { identity, quorum } = this.#parts;
     let isLastStep = false;
     const isWritten = await this.#write('join', 'entry started', (view) => {
       const known = view.get(EntityKind.Member, identity.id);
       isLastStep = known === null || isMember(view, identity);
-      return known === null ? this.#buildJoin(view) : this.#buildTakeover(view, known, startedAt);
+      if (!quorum.isMajorityHeard()) {
+        return createError(UNHEARD);
+      }
+      return known === null ? this.#buildJoin(view) : this.#buildTakeover(view, known);
     });
     return isWritten && isLastStep;
   }
@@ -131,20 +137,16 @@
   }
 
   /** Removes the life that this entry led before, in this process or another. */
-  #buildTakeover(
-    view: FleetView,
-    known: Member,
-    startedAt: number,
-  ): Result<readonly Mutation[], MembershipRefusal> {
+  #buildTakeover(view: FleetView, known: Member): Result<readonly Mutation[], MembershipRefusal> {
     const { identity, location, clock } = this.#parts;
     if (isMember(view, identity)) {
       return createError(DONE);
     }
     const mutations = buildFence(known, 'replaced', clock.getWallTime());
-    // Peers that ask at the address of the old life are answered by this one.
-    const isOver =
-      known.peerAddress === location.peerAddress && clock.getNow() >= startedAt + TAKEOVER_AFTER_MS;
-    return isOver ? createOk(mutations) : this.#checkAccepted(mutations);
+    // Peers that ask at the address of the old life are answered by this one: it is over.
+    return known.peerAddress === location.peerAddress
+      ? createOk(mutations)
+      : this.#checkAccepted(mutations);
   }
 
   #checkAccepted(mutations: readonly Mutation[]): Result<readonly Mutation[], MembershipRefusal> {
--- a/packages/baobabwell-view/src/BaobabwellViewQuorum.ts
+++ b/packages/baobabwell-view/src/BaobabwellViewQuorum.ts
@@ -76,6 +76,9 @@
 
   readonly #answers = new Map<string, Answer>();
 
+  /** Newest answer at the address of each entry, of whichever life. */
+  readonly #heard = new Map<string, Answer>();
+
   readonly #knownSince = new Map<string, number>();
 
   #members: readonly Member[] = [];
@@ -102,6 +105,7 @@
 
   /** Records the answer to a request of this process. */
   recordAnswer(answer: Acknowledgement, sentAt: number): void {
+    this.#heard.set(answer.id, { version: answer.version, sentAt });
     this.#record(answer, sentAt);
   }
 
@@ -139,6 +143,21 @@
     return this.#acceptedVersion >= this.#membershipVersion;
   }
 
+  /**
+   * True when this process heard, at the addresses of a majority of the members, of no change that
+   * it lacks. A new process has to know this before it changes anything: the log may have been
+   * restored from an older copy, which it cannot see by itself.
+   */
+  isMajorityHeard(): boolean {
+    const ownVersion = this.#parts.store.get().version;
+    const heard = this.#members.filter(
+      ({ id }) =>
+        id === this.#parts.self.id ||
+        (this.#heard.get(id)?.version ?? Number.POSITIVE_INFINITY) <= ownVersion,
+    );
+    return heard.length >= getMajority(this.#members.length);
+  }
+
   /** Gets how far the change with a version has come. */
   getProgress(version: number): ChangeProgress {
     const stage = this.#getStage(version);
--- a/packages/baobabwell-view/src/__tests__/unit/BaobabwellViewFreshness.test.ts
+++ b/packages/baobabwell-view/src/__tests__/unit/BaobabwellViewFreshness.test.ts
@@ -171,6 +171,23 @@
     expect((await call(fleet, 'entry-3'))?.outcome).toEqual(Outcome.NotRun);
   });
 
+  it('lets no new process write to a restored store before it heard a majority', async () => {
+    await start(3);
+    const copy = fleet.tables.createCopy();
+    await fleet.settleOperation('entry-1', WITHDRAWAL);
+    fleet.killEntry('entry-3');
+    fleet.network.cutBetween(['entry-3'], ['entry-1', 'entry-2']);
+    fleet.network.cutBetween(['entry-1', 'entry-2'], ['platform']);
+    fleet.tables.restore(copy);
+    const started = fleet.createEntry('entry-3').start();
+    await fleet.advance(5 * STALE_MS);
+    fleet.network.restoreAll();
+    await fleet.time.settle(started, LIMIT_MS);
+    const diverged = fleet.getLogLines().filter((line) => line.includes('view-log-diverged'));
+    expect(diverged).toEqual([]);
+    expect((await call(fleet, 'entry-3'))?.outcome).toEqual(Outcome.NotRun);
+  });
+
   it('makes each change once when answers of the store are lost', async () => {
     await start(3);
     fleet.tables.applyFaults({ ...NO_PLATFORM_FAULTS, loseAnswers: 0.5 });
