shares: full pools are divided among teams over the whole fleet

Cause: each entry ordered its own calls only, so a team calling through every entry got up to two and a half times its share against one that calls through a single entry. Entries keep to their targets, ask workers again for slots and return idle ones while the pool is full. Way not taken: exchanging virtual times among all entries, which needs messages from everyone to everyone and still leaves slots at the wrong entry. Conclusion: counting slots in use needs no belief in declared sizes.

--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -21,6 +21,7 @@
 import { permitsPlugin, reservePlugin } from './BaobabwellEntryPermitsPlugin';
 import { platformPlugin } from './BaobabwellEntryPlatformPlugin';
 import { Readiness } from './BaobabwellEntryReadiness';
+import { sharesPlugin } from './BaobabwellEntrySharesPlugin';
 import {
   ENTRY_SETTINGS,
   FRESHNESS,
@@ -56,6 +57,7 @@
   viewPlugin,
   membershipPlugin,
   permitsPlugin,
+  sharesPlugin,
   idempotencyPlugin,
   callsPlugin,
   maintenancePlugin,
--- a/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
@@ -13,6 +13,7 @@
   IDEMPOTENCY,
   IDENTITY,
   PERMIT_POOL,
+  SLOT_SHARES,
   VIEW_STORE,
   WORKER_CLIENT_FACTORY,
   WORKER_DIRECTORY,
@@ -26,6 +27,7 @@
     clock: kernel.clock,
     view: kernel.getService(VIEW_STORE),
     permits: kernel.getService(PERMIT_POOL),
+    shares: kernel.getService(SLOT_SHARES),
     factory: new RecordedWorkerClientFactory(
       kernel.getService(WORKER_CLIENT_FACTORY),
       kernel.getService(CALL_RECORDER),
--- a/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
@@ -17,7 +17,7 @@
 import type { PeerConnector } from '@baobabwell/peers';
 import type { FenceClock, PermitPeer } from '@baobabwell/permits';
 import type { HostList, ObjectStore, TableService } from '@baobabwell/platform';
-import type { PermitPool } from '@baobabwell/scheduling';
+import type { PermitPool, SlotShares } from '@baobabwell/scheduling';
 import type { EntrySettings, Settings } from '@baobabwell/settings';
 import type {
   FreshnessTracker,
@@ -65,6 +65,7 @@
 export const WORKER_DIRECTORY = createServiceToken<WorkerDirectory>('workerDirectory');
 export const FENCE_CLOCK = createServiceToken<FenceClock>('fenceClock');
 export const PERMIT_PEERS = createServiceToken<(member: Member) => PermitPeer>('permitPeers');
+export const SLOT_SHARES = createServiceToken<SlotShares>('slotShares');
 export const PERMIT_POOL = createServiceToken<PermitPool>('permitPool');
 export const READINESS = createServiceToken<Readiness>('readiness');
 export const CLAIM_COMMITS = createServiceToken<GroupCommit>('claimCommits');
--- a/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
@@ -1,6 +1,6 @@
 import type { CallRecorder } from './BaobabwellEntryCallRecorder';
 import type { FleetView, Host } from '@baobabwell/model';
-import type { PermitPool, PoolScheduler } from '@baobabwell/scheduling';
+import type { PermitPool, PoolScheduler, SlotShares, TeamActivity } from '@baobabwell/scheduling';
 import type { Clock } from '@baobabwell/utils';
 import type { ViewStore } from '@baobabwell/view';
 import type { WorkerClientFactory } from '@baobabwell/workers';
@@ -15,6 +15,7 @@
   readonly clock: Clock;
   readonly view: ViewStore;
   readonly permits: PermitPool;
+  readonly shares: SlotShares;
   readonly factory: WorkerClientFactory;
   readonly holder: string;
   readonly recorder: CallRecorder;
@@ -65,9 +66,12 @@
     if (known !== undefined) {
       return known;
     }
+    const { clock, permits, shares } = this.#parts;
     const parts = {
-      clock: this.#parts.clock,
-      permits: this.#parts.permits,
+      pool,
+      clock,
+      permits,
+      shares,
       getWeight: (team: string) =>
         this.#parts.view.get().get(EntityKind.Team, team)?.share ?? DEFAULT_WEIGHT,
       listSessions: () => this.#listServing(pool),
@@ -77,6 +81,23 @@
     return scheduler;
   }
 
+  /** Lists what each team runs and waits for here, by pool. */
+  listActivity(): readonly { readonly pool: string; readonly teams: readonly TeamActivity[] }[] {
+    return [...this.#schedulers].map(([pool, scheduler]) => ({
+      pool,
+      teams: scheduler.listActivity(),
+    }));
+  }
+
+  /** Number of slots of the hosts of a pool that take work. */
+  getPoolSlots(pool: string): number {
+    return this.#parts.view
+      .get()
+      .listHosts(pool)
+      .filter(({ state }) => state === HostState.Serving)
+      .reduce((sum, { slots }) => sum + slots, 0);
+  }
+
   /** Lists what this entry uses of each pool. */
   listPoolUse(): readonly PoolUse[] {
     const view = this.#parts.view.get();
--- a/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
@@ -1,10 +1,11 @@
 import type { Measure } from './BaobabwellMeasures';
 
 import { LimitMeasure } from './BaobabwellMeasuresLimit';
+import { ShareMeasure } from './BaobabwellMeasuresShare';
 import { ViewMeasure } from './BaobabwellMeasuresView';
 
 /** All measures, in the order in which `all` takes them. */
-export const MEASURES: readonly Measure[] = [new ViewMeasure(), new LimitMeasure()];
+export const MEASURES: readonly Measure[] = [new ViewMeasure(), new LimitMeasure(), new ShareMeasure()];
 
 /** Finds a measure by its name. */
 export function findMeasure(name: string): Measure | null {
--- a/packages/baobabwell-scheduling/src/BaobabwellSchedulingPool.ts
+++ b/packages/baobabwell-scheduling/src/BaobabwellSchedulingPool.ts
@@ -1,4 +1,5 @@
 import type { Permit, PermitPool } from './BaobabwellSchedulingPermits';
+import type { SlotShares, TeamActivity } from './BaobabwellSchedulingShares';
 import type { Turn, TurnRefusal, TurnRequest } from './BaobabwellSchedulingTurns';
 import type { CancelTimer, Clock, Result } from '@baobabwell/utils';
 import type { WorkerSession } from '@baobabwell/workers';
@@ -9,6 +10,8 @@
 
 const MAX_WAITING = 2_000;
 const MIN_RETRY_AFTER_MS = 1_000;
+/** Age of a grant from which a worker may have free slots again. */
+const STALE_GRANT_MS = 40;
 const INITIAL_RUN_MS = 50;
 const RUN_SMOOTHING = 0.1;
 
@@ -20,19 +23,33 @@
 
 /** What the scheduler of a pool works with. */
 export type PoolSchedulerParts = {
+  readonly pool: string;
   readonly clock: Clock;
   readonly permits: PermitPool;
+  readonly shares: SlotShares;
   readonly getWeight: (team: string) => number;
   /** Sessions with the hosts of the pool that take new work. */
   readonly listSessions: () => readonly WorkerSession[];
 };
 
+/** Finds a worker whose last word on its free slots is old. */
+function findStale(sessions: readonly WorkerSession[]): WorkerSession | undefined {
+  return sessions
+    .filter(
+      (session) => session.getRequestedSlots() === 0 && session.getGrantAge() > STALE_GRANT_MS,
+    )
+    .toSorted((a, b) => b.getGrantAge() - a.getGrantAge())[0];
+}
+
 /** Gives the slots of one pool to waiting calls, by fair share and within permits. */
 export class PoolScheduler {
   readonly #parts: PoolSchedulerParts;
 
   readonly #waiting: FairQueue<Waiting>;
 
+  /** Slots in use by team. */
+  readonly #running = new Map<string, number>();
+
   #meanRunMs = INITIAL_RUN_MS;
 
   #isStopping = false;
@@ -47,6 +64,16 @@
     return this.#waiting.size;
   }
 
+  /** Lists what each team runs and waits for here. */
+  listActivity(): readonly TeamActivity[] {
+    const teams = new Set([...this.#running.keys(), ...this.#waiting.listTeams()]);
+    return [...teams].map((team) => ({
+      team,
+      running: this.#getRunning(team),
+      waiting: this.#waiting.getCount(team),
+    }));
+  }
+
   /** Waits for a slot; aborting the signal ends the wait. */
   async acquire(request: TurnRequest, signal: AbortSignal): Promise<Result<Turn, TurnRefusal>> {
     if (this.#isStopping) {
@@ -70,6 +97,7 @@
       // Each round gives out one slot.
     }
     this.#requestSlots();
+    this.#returnSlots();
   }
 
   /** Refuses every waiting call and all later ones. */
@@ -137,7 +165,9 @@
     if (sessions.length === 0) {
       return false;
     }
-    return this.#waiting.listTeams().some((team) => this.#dispatchTeam(team, sessions));
+    return this.#waiting
+      .listTeams()
+      .some((team) => this.#getRoom(team) > 0 && this.#dispatchTeam(team, sessions));
   }
 
   /** Looks for a fitting host before it takes a permit: a permit given back wakes the pools. */
@@ -163,11 +193,13 @@
     const { clock } = this.#parts;
     const startedAt = clock.getNow();
     session.acquireSlot();
+    this.#running.set(team, this.#getRunning(team) + 1);
     this.#waiting.recordUse(team, this.#meanRunMs);
     const release = (): void => {
       const runMs = clock.getNow() - startedAt;
       this.#waiting.recordUse(team, runMs - this.#meanRunMs);
       this.#meanRunMs += (runMs - this.#meanRunMs) * RUN_SMOOTHING;
+      this.#recordEnd(team);
       permit.release();
       session.releaseSlot();
     };
@@ -179,9 +211,10 @@
     const asked = sessions.reduce((sum, session) => sum + session.getRequestedSlots(), 0);
     let missing = this.#countStartable() - asked;
     while (missing > 0) {
-      const session = sessions
-        .filter((candidate) => candidate.getFreeSlots() > 0)
-        .toSorted((a, b) => b.getFreeSlots() - a.getFreeSlots())[0];
+      const session =
+        sessions
+          .filter((candidate) => candidate.getFreeSlots() > 0)
+          .toSorted((a, b) => b.getFreeSlots() - a.getFreeSlots())[0] ?? findStale(sessions);
       if (session === undefined) {
         return;
       }
@@ -190,17 +223,49 @@
     }
   }
 
+  /** In a full pool a slot that this entry may not use is one that another entry waits for. */
+  #returnSlots(): void {
+    const { shares, pool, listSessions } = this.#parts;
+    if (shares.isContended(pool) && this.#countStartable() === 0) {
+      listSessions().forEach((session) => session.returnIdleSlots());
+    }
+  }
+
   /** Calls that only lack a slot. */
   #countStartable(): number {
     return this.#waiting
       .listTeams()
       .reduce(
         (sum, team) =>
-          sum + Math.min(this.#waiting.getCount(team), this.#parts.permits.getIdle(team)),
+          sum +
+          Math.min(
+            this.#waiting.getCount(team),
+            this.#parts.permits.getIdle(team),
+            this.#getRoom(team),
+          ),
         0,
       );
   }
 
+  /** Slots that a team may use on top of those in use. */
+  #getRoom(team: string): number {
+    const { shares, pool } = this.#parts;
+    return Math.max(0, shares.getTarget(pool, team) - this.#getRunning(team));
+  }
+
+  #getRunning(team: string): number {
+    return this.#running.get(team) ?? 0;
+  }
+
+  #recordEnd(team: string): void {
+    const running = this.#getRunning(team) - 1;
+    if (running > 0) {
+      this.#running.set(team, running);
+    } else {
+      this.#running.delete(team);
+    }
+  }
+
   #getRetryAfter(): number {
     return Math.max(MIN_RETRY_AFTER_MS, this.#meanRunMs);
   }
--- a/packages/baobabwell-scheduling/src/index.ts
+++ b/packages/baobabwell-scheduling/src/index.ts
@@ -1,6 +1,7 @@
 export type { Claim } from './BaobabwellSchedulingAllocation';
 export type { Permit, StaticDivision } from './BaobabwellSchedulingPermits';
 export type { PoolSchedulerParts } from './BaobabwellSchedulingPool';
+export type { TeamActivity } from './BaobabwellSchedulingShares';
 export type { Turn, TurnRefusal, TurnRequest } from './BaobabwellSchedulingTurns';
 
 export { FairQueue } from './BaobabwellSchedulingFairQueue';
--- a/packages/baobabwell-shares/src/BaobabwellShares.ts
+++ b/packages/baobabwell-shares/src/BaobabwellShares.ts
@@ -1,9 +1,4 @@
-/** What one team does at one entry in one pool. */
-export type TeamActivity = {
-  readonly team: string;
-  readonly running: number;
-  readonly waiting: number;
-};
+import type { TeamActivity } from '@baobabwell/scheduling';
 
 /** What one entry does in one pool. */
 export type PoolActivity = {
--- a/packages/baobabwell-shares/src/BaobabwellSharesExchange.ts
+++ b/packages/baobabwell-shares/src/BaobabwellSharesExchange.ts
@@ -55,12 +55,12 @@
   }
 
   override getTarget(pool: string, team: string): number {
-    const division = this.#divisions.get(pool);
-    const isBelieved =
-      division !== undefined && this.#parts.clock.getNow() - division.at <= DIVISION_TTL_MS;
-    return isBelieved && division.targets !== null
-      ? (division.targets.get(team) ?? 0)
-      : Number.POSITIVE_INFINITY;
+    const targets = this.#findTargets(pool);
+    return targets === null ? Number.POSITIVE_INFINITY : (targets.get(team) ?? 0);
+  }
+
+  override isContended(pool: string): boolean {
+    return this.#findTargets(pool) !== null;
   }
 
   /** Answers the activity of an entry, which may be this one. */
@@ -95,6 +95,13 @@
     this.#tasks.forEach((task) => task.stopped.abort());
   }
 
+  #findTargets(pool: string): ReadonlyMap<string, number> | null {
+    const division = this.#divisions.get(pool);
+    const isBelieved =
+      division !== undefined && this.#parts.clock.getNow() - division.at <= DIVISION_TTL_MS;
+    return isBelieved ? division.targets : null;
+  }
+
   async #run({ member, stopped }: ShareTask): Promise<void> {
     const { clock, entry, createPeer } = this.#parts;
     const peer = createPeer(member.peerAddress);
--- a/packages/baobabwell-shares/src/BaobabwellSharesPoolOwner.ts
+++ b/packages/baobabwell-shares/src/BaobabwellSharesPoolOwner.ts
@@ -1,5 +1,6 @@
-import type { SlotTarget, TeamActivity, TeamShare } from './BaobabwellShares';
+import type { SlotTarget, TeamShare } from './BaobabwellShares';
 import type { TeamDemand } from './BaobabwellSharesDivision';
+import type { TeamActivity } from '@baobabwell/scheduling';
 import type { Clock } from '@baobabwell/utils';
 
 import { buildAllocation } from '@baobabwell/scheduling';
--- a/packages/baobabwell-shares/src/index.ts
+++ b/packages/baobabwell-shares/src/index.ts
@@ -1,10 +1,4 @@
-export type {
-  PoolActivity,
-  PoolDivision,
-  SlotTarget,
-  TeamActivity,
-  TeamShare,
-} from './BaobabwellShares';
+export type { PoolActivity, PoolDivision, SlotTarget, TeamShare } from './BaobabwellShares';
 export type { TeamDemand } from './BaobabwellSharesDivision';
 export type { ShareExchangeParts } from './BaobabwellSharesExchange';
 export type { HandleActivity, SharePeerRouter } from './BaobabwellSharesPeers';
--- a/packages/baobabwell-workers/src/BaobabwellWorkersSession.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersSession.ts
@@ -136,6 +136,19 @@
     this.#wake.abort();
   }
 
+  /** Milliseconds since the last grant was asked for. */
+  getGrantAge(): number {
+    return this.#parts.clock.getNow() - (this.#startableUntil - START_TTL_MS);
+  }
+
+  /** Gives slots without a task back at once rather than with a later renewal. */
+  returnIdleSlots(): void {
+    if (this.#held > Math.max(this.#inUse, 0) && this.#requested === 0) {
+      this.#peakInUse = this.#inUse;
+      this.#wake.abort();
+    }
+  }
+
   /** Takes one usable slot. */
   acquireSlot(): void {
     checkInvariant(this.getUsableSlots() > 0, `no usable slot on ${this.host}`);
