scheduling: classes of calls and admission by expected wait

Cause: surging teams filled the queue until every call waited for its deadline. The measure surge shows both policies.

--- a/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
@@ -1,7 +1,10 @@
 import type { CallService } from '@baobabwell/calls';
 import type { Kernel, Plugin } from '@baobabwell/kernel';
+import type { AdmissionControl } from '@baobabwell/scheduling';
 
 import { mergeUndo } from '@baobabwell/kernel';
+import { DeadlineAdmission, ExpectedWaitAdmission } from '@baobabwell/scheduling';
+import { AdmissionPolicy } from '@baobabwell/settings';
 import { Random } from '@baobabwell/utils';
 
 import { RecordedCallService, RecordedWorkerClientFactory } from './BaobabwellEntryRecorded';
@@ -13,6 +16,7 @@
   IDEMPOTENCY,
   IDENTITY,
   PERMIT_POOL,
+  SETTINGS,
   SLOT_SHARES,
   VIEW_STORE,
   WORKER_CLIENT_FACTORY,
@@ -20,6 +24,13 @@
 } from './BaobabwellEntryTokens';
 import { WorkerDirectory } from './BaobabwellEntryWorkers';
 
+function buildAdmission(kernel: Kernel): AdmissionControl {
+  const { admission } = kernel.getService(SETTINGS).policies;
+  return admission === AdmissionPolicy.Deadline
+    ? new DeadlineAdmission()
+    : new ExpectedWaitAdmission(kernel.clock);
+}
+
 function buildDirectory(kernel: Kernel): WorkerDirectory {
   const { id, incarnation } = kernel.getService(IDENTITY);
   const freshness = kernel.getService(FRESHNESS);
@@ -28,6 +39,7 @@
     view: kernel.getService(VIEW_STORE),
     permits: kernel.getService(PERMIT_POOL),
     shares: kernel.getService(SLOT_SHARES),
+    createAdmission: () => buildAdmission(kernel),
     factory: new RecordedWorkerClientFactory(
       kernel.getService(WORKER_CLIENT_FACTORY),
       kernel.getService(CALL_RECORDER),
--- a/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
@@ -1,6 +1,12 @@
 import type { CallRecorder } from './BaobabwellEntryCallRecorder';
 import type { FleetView, Host } from '@baobabwell/model';
-import type { PermitPool, PoolScheduler, SlotShares, TeamActivity } from '@baobabwell/scheduling';
+import type {
+  AdmissionControl,
+  PermitPool,
+  PoolScheduler,
+  SlotShares,
+  TeamActivity,
+} from '@baobabwell/scheduling';
 import type { Clock } from '@baobabwell/utils';
 import type { ViewStore } from '@baobabwell/view';
 import type { WorkerClientFactory } from '@baobabwell/workers';
@@ -16,6 +22,7 @@
   readonly view: ViewStore;
   readonly permits: PermitPool;
   readonly shares: SlotShares;
+  readonly createAdmission: () => AdmissionControl;
   readonly factory: WorkerClientFactory;
   readonly holder: string;
   readonly recorder: CallRecorder;
@@ -72,6 +79,7 @@
       clock,
       permits,
       shares,
+      admission: this.#parts.createAdmission(),
       getWeight: (team: string) =>
         this.#parts.view.get().get(EntityKind.Team, team)?.share ?? DEFAULT_WEIGHT,
       listSessions: () => this.#listServing(pool),
--- a/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
@@ -2,10 +2,16 @@
 
 import { LimitMeasure } from './BaobabwellMeasuresLimit';
 import { ShareMeasure } from './BaobabwellMeasuresShare';
+import { SurgeMeasure } from './BaobabwellMeasuresSurge';
 import { ViewMeasure } from './BaobabwellMeasuresView';
 
 /** All measures, in the order in which `all` takes them. */
-export const MEASURES: readonly Measure[] = [new ViewMeasure(), new LimitMeasure(), new ShareMeasure()];
+export const MEASURES: readonly Measure[] = [
+  new ViewMeasure(),
+  new LimitMeasure(),
+  new ShareMeasure(),
+  new SurgeMeasure(),
+];
 
 /** Finds a measure by its name. */
 export function findMeasure(name: string): Measure | null {
--- /dev/null
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresSurge.ts
@@ -0,0 +1,188 @@
+import type { Figures, MeasureFindings, MeasureOptions } from './BaobabwellMeasures';
+import type { CallResult } from '@baobabwell/calls';
+
+import { buildEmulatedSettings, EmulatedFleet, getTeamSecret } from '@baobabwell/emulator';
+import { Outcome, PriorityClass } from '@baobabwell/model';
+import { AdmissionPolicy, SharePolicy } from '@baobabwell/settings';
+
+import { Deployment, Measure } from './BaobabwellMeasures';
+
+const ENTRIES: Readonly<Record<Deployment, number>> = {
+  [Deployment.Braudvakt]: 9,
+  [Deployment.Agenda]: 7,
+};
+const POOL = 'ovens';
+const WORKERS = 4;
+const SLOTS = 32;
+const MEAN_RUN_MS = 200;
+const CAPACITY_PER_MS = SLOTS / MEAN_RUN_MS;
+const SURGE_FACTOR = 5;
+const QUIET_PART = 0.2;
+const URGENT_PART = 0.05;
+const TIMEOUT_MS = 3_000;
+const TICK_MS = 5;
+const QUIET_MS = 4_000;
+const SURGE_MS = 5_000;
+const AFTER_MS = 5_000;
+const LONG_WAIT_MS = 250;
+const P99 = 0.99;
+
+const SURGING = 'guilds';
+const NEIGHBOURS = ['schools', 'public'];
+
+type MeasuredCall = {
+  readonly team: string;
+  readonly isUrgent: boolean;
+  readonly runMs: number;
+  readonly startedAt: number;
+  readonly endedAt: number;
+  readonly outcome: Outcome | null;
+};
+
+function getQuantile(values: readonly number[], fraction: number): number {
+  const sorted = values.toSorted((a, b) => a - b);
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * fraction))] ?? 0;
+}
+
+/** Callers that do not wait for each other: calls arrive at random moments and entries. */
+class Arrivals {
+  readonly calls: MeasuredCall[] = [];
+
+  readonly #fleet: EmulatedFleet;
+
+  readonly #due = new Map<string, number>();
+
+  constructor(fleet: EmulatedFleet) {
+    this.#fleet = fleet;
+  }
+
+  /** Lets calls of each team arrive at a rate per millisecond, for a time. */
+  async run(rates: ReadonlyMap<string, number>, durationMs: number): Promise<void> {
+    const { time, random } = this.#fleet;
+    const until = time.getNow() + durationMs;
+    while (time.getNow() < until) {
+      const now = time.getNow();
+      rates.forEach((rate, team) => {
+        let dueAt = this.#due.get(team) ?? now;
+        while (dueAt <= now) {
+          void this.#call(team);
+          dueAt += random.getExponential(1 / rate);
+        }
+        this.#due.set(team, dueAt);
+      });
+      await this.#fleet.advance(TICK_MS);
+    }
+    this.#due.clear();
+  }
+
+  async #call(team: string): Promise<void> {
+    const { time, random } = this.#fleet;
+    const isUrgent = random.getFraction() < URGENT_PART;
+    const runMs = Math.min(random.getExponential(MEAN_RUN_MS), 5 * MEAN_RUN_MS);
+    const startedAt = time.getNow();
+    const result: CallResult | null = await this.#fleet.call(
+      random.getOneOf(this.#fleet.listEntries()),
+      {
+        queue: POOL,
+        secret: getTeamSecret(team),
+        timeoutMs: TIMEOUT_MS,
+        priority: isUrgent ? PriorityClass.Urgent : PriorityClass.Normal,
+        body: Buffer.from(JSON.stringify({ runMs })),
+      },
+    );
+    const endedAt = time.getNow();
+    const outcome = result?.outcome ?? null;
+    this.calls.push({ team, isUrgent, runMs, startedAt, endedAt, outcome });
+  }
+}
+
+function isCompleted({ outcome }: MeasuredCall): boolean {
+  return outcome === Outcome.Completed;
+}
+
+function getNeighbourP99(calls: readonly MeasuredCall[], from: number, until: number): number {
+  const latencies = calls
+    .filter(({ team }) => NEIGHBOURS.includes(team))
+    .filter(({ startedAt }) => startedAt >= from && startedAt < until)
+    .map((call) => (isCompleted(call) ? call.endedAt - call.startedAt : TIMEOUT_MS));
+  return getQuantile(latencies, P99);
+}
+
+function buildFigures(calls: readonly MeasuredCall[], surgeFrom: number): Figures {
+  const surgeUntil = surgeFrom + SURGE_MS;
+  const duringSurge = calls.filter(
+    (call) => call.endedAt >= surgeFrom && call.endedAt < surgeUntil,
+  );
+  const usedMs = duringSurge.filter(isCompleted).reduce((sum, { runMs }) => sum + runMs, 0);
+  const surged = calls.filter((call) => call.startedAt >= surgeFrom && call.startedAt < surgeUntil);
+  const urgent = surged.filter(({ isUrgent }) => isUrgent);
+  const lastLong = calls
+    .filter((call) => call.startedAt >= surgeUntil)
+    .filter((call) => call.endedAt - call.startedAt - call.runMs > LONG_WAIT_MS)
+    .reduce((last, { startedAt }) => Math.max(last, startedAt), surgeUntil);
+  const refused = surged.filter(({ outcome }) => outcome === Outcome.NotRun);
+  return {
+    goodput: usedMs / (SLOTS * SURGE_MS),
+    urgentWaitP99Ms: getQuantile(
+      urgent.filter(isCompleted).map((call) => call.endedAt - call.startedAt - call.runMs),
+      P99,
+    ),
+    urgentCompleted: urgent.filter(isCompleted).length / urgent.length,
+    neighbourP99Ratio:
+      getNeighbourP99(calls, surgeFrom, surgeUntil) / getNeighbourP99(calls, 0, surgeFrom),
+    refusedAfterP50Ms: getQuantile(
+      refused.map((call) => call.endedAt - call.startedAt),
+      0.5,
+    ),
+    normalAfterMs: lastLong - surgeUntil,
+  };
+}
+
+async function measurePolicy(
+  { deployment, seed }: MeasureOptions,
+  policies: { readonly admission: AdmissionPolicy; readonly shares: SharePolicy },
+): Promise<Figures> {
+  const settings = buildEmulatedSettings({
+    entries: ENTRIES[deployment],
+    pools: [{ id: POOL, workers: WORKERS, minimumServing: 1 }],
+    teams: [SURGING, ...NEIGHBOURS].map((id) => ({ id, share: 1, limit: SLOTS })),
+    policies,
+  });
+  const fleet = new EmulatedFleet(settings, seed);
+  await fleet.startAll();
+  const quiet = new Map(
+    [SURGING, ...NEIGHBOURS].map((team) => [team, CAPACITY_PER_MS * QUIET_PART]),
+  );
+  const surge = new Map([...quiet, [SURGING, CAPACITY_PER_MS * SURGE_FACTOR]]);
+  const arrivals = new Arrivals(fleet);
+  await arrivals.run(quiet, QUIET_MS);
+  const surgeFrom = fleet.time.getNow();
+  await arrivals.run(surge, SURGE_MS);
+  await arrivals.run(quiet, AFTER_MS);
+  await fleet.advance(TIMEOUT_MS);
+  fleet.close();
+  return buildFigures(arrivals.calls, surgeFrom);
+}
+
+/** What a surge of one team to five times the pool's capacity does to everybody. */
+export class SurgeMeasure extends Measure {
+  override readonly name = 'surge';
+
+  override async measure(options: MeasureOptions): Promise<MeasureFindings> {
+    return {
+      figures: await measurePolicy(options, {
+        admission: AdmissionPolicy.ExpectedWait,
+        shares: SharePolicy.Fleet,
+      }),
+      baseline: await measurePolicy(options, {
+        admission: AdmissionPolicy.Deadline,
+        shares: SharePolicy.Local,
+      }),
+      targets: {
+        goodput: { atLeast: 0.9 },
+        urgentWaitP99Ms: { atMost: 1_200 },
+        neighbourP99Ratio: { atMost: 1.5 },
+      },
+    };
+  }
+}
--- a/packages/baobabwell-scheduling/src/BaobabwellSchedulingPool.ts
+++ b/packages/baobabwell-scheduling/src/BaobabwellSchedulingPool.ts
@@ -1,3 +1,4 @@
+import type { AdmissionControl, QueueOutlook } from './BaobabwellSchedulingAdmission';
 import type { Permit, PermitPool } from './BaobabwellSchedulingPermits';
 import type { SlotShares, TeamActivity } from './BaobabwellSchedulingShares';
 import type { Turn, TurnRefusal, TurnRequest } from './BaobabwellSchedulingTurns';
@@ -12,6 +13,8 @@
 const MIN_RETRY_AFTER_MS = 1_000;
 /** Age of a grant from which a worker may have free slots again. */
 const STALE_GRANT_MS = 40;
+/** Slots that urgent work may use beyond its team's part of a full pool. */
+const URGENT_OVERDRAFT = 1;
 const INITIAL_RUN_MS = 50;
 const RUN_SMOOTHING = 0.1;
 
@@ -27,6 +30,7 @@
   readonly clock: Clock;
   readonly permits: PermitPool;
   readonly shares: SlotShares;
+  readonly admission: AdmissionControl;
   readonly getWeight: (team: string) => number;
   /** Sessions with the hosts of the pool that take new work. */
   readonly listSessions: () => readonly WorkerSession[];
@@ -50,6 +54,9 @@
   /** Slots in use by team. */
   readonly #running = new Map<string, number>();
 
+  /** Mean time of each team's work, learnt from what ended. */
+  readonly #teamRunMs = new Map<string, number>();
+
   #meanRunMs = INITIAL_RUN_MS;
 
   #isStopping = false;
@@ -85,6 +92,11 @@
     if (this.#isWithoutHost(request)) {
       return createError({ kind: 'no-host' });
     }
+    const expectedMs = this.#parts.admission.getRefusal(this.#getOutlook(request));
+    if (expectedMs !== null) {
+      const retryAfterMs = Math.max(expectedMs, this.#getRetryAfter());
+      return createError({ kind: 'queue-full', retryAfterMs });
+    }
     return new Promise((resolve) => {
       this.#add(request, signal, resolve);
       this.dispatchTurns();
@@ -100,6 +112,17 @@
     this.#returnSlots();
   }
 
+  #getOutlook({ team, priority, deadlineAt }: TurnRequest): QueueOutlook {
+    const { shares, pool, clock } = this.#parts;
+    return {
+      team,
+      ahead: this.#waiting.getCountBefore(team, priority),
+      slots: shares.getTarget(pool, team),
+      meanRunMs: this.#teamRunMs.get(team) ?? this.#meanRunMs,
+      remainingMs: deadlineAt - clock.getNow(),
+    };
+  }
+
   /** Refuses every waiting call and all later ones. */
   stop(): void {
     this.#isStopping = true;
@@ -133,7 +156,7 @@
       cancelTimer: null,
     };
     const onAbort = (): void => this.#refuse(waiting, { kind: 'cancelled' });
-    this.#waiting.add(request.team, waiting);
+    this.#waiting.add(request.team, waiting, request.priority);
     this.#parts.permits.addWaiting(request.team, 1);
     waiting.cancelTimer = clock.startTimer(request.deadlineAt - clock.getNow(), () => {
       this.#refuse(waiting, { kind: 'deadline', retryAfterMs: this.#getRetryAfter() });
@@ -193,12 +216,15 @@
     const { clock } = this.#parts;
     const startedAt = clock.getNow();
     session.acquireSlot();
+    this.#parts.admission.recordStart(team);
     this.#running.set(team, this.#getRunning(team) + 1);
     this.#waiting.recordUse(team, this.#meanRunMs);
     const release = (): void => {
       const runMs = clock.getNow() - startedAt;
       this.#waiting.recordUse(team, runMs - this.#meanRunMs);
       this.#meanRunMs += (runMs - this.#meanRunMs) * RUN_SMOOTHING;
+      const teamRunMs = this.#teamRunMs.get(team) ?? runMs;
+      this.#teamRunMs.set(team, teamRunMs + (runMs - teamRunMs) * RUN_SMOOTHING);
       this.#recordEnd(team);
       permit.release();
       session.releaseSlot();
@@ -250,7 +276,8 @@
   /** Slots that a team may use on top of those in use. */
   #getRoom(team: string): number {
     const { shares, pool } = this.#parts;
-    return Math.max(0, shares.getTarget(pool, team) - this.#getRunning(team));
+    const overdraft = this.#waiting.hasUrgent(team) ? URGENT_OVERDRAFT : 0;
+    return Math.max(0, shares.getTarget(pool, team) + overdraft - this.#getRunning(team));
   }
 
   #getRunning(team: string): number {
--- a/packages/baobabwell-scheduling/src/index.ts
+++ b/packages/baobabwell-scheduling/src/index.ts
@@ -1,3 +1,4 @@
+export type { QueueOutlook } from './BaobabwellSchedulingAdmission';
 export type { Claim } from './BaobabwellSchedulingAllocation';
 export type { Permit, StaticDivision } from './BaobabwellSchedulingPermits';
 export type { PoolSchedulerParts } from './BaobabwellSchedulingPool';
@@ -10,3 +11,8 @@
 export { findRendezvousOwner } from './BaobabwellSchedulingRendezvous';
 export { buildAllocation } from './BaobabwellSchedulingAllocation';
 export { LocalSlotShares, SlotShares } from './BaobabwellSchedulingShares';
+export {
+  AdmissionControl,
+  DeadlineAdmission,
+  ExpectedWaitAdmission,
+} from './BaobabwellSchedulingAdmission';
