--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -22,6 +22,7 @@
 import { permitsPlugin, reservePlugin } from './BaobabwellEntryPermitsPlugin';
 import { platformPlugin } from './BaobabwellEntryPlatformPlugin';
 import { Readiness } from './BaobabwellEntryReadiness';
+import { sharesPlugin } from './BaobabwellEntrySharesPlugin';
 import {
   ENTRY_SETTINGS,
   FRESHNESS,
@@ -57,6 +58,7 @@
   viewPlugin,
   membershipPlugin,
   permitsPlugin,
+  sharesPlugin,
   idempotencyPlugin,
   callsPlugin,
   maintenancePlugin,
--- a/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
@@ -3,6 +3,8 @@
 import { CallMeasure } from './BaobabwellMeasuresCall';
 import { LimitMeasure } from './BaobabwellMeasuresLimit';
 import { RollOutMeasure } from './BaobabwellMeasuresRollOut';
+import { ShareMeasure } from './BaobabwellMeasuresShare';
+import { SurgeMeasure } from './BaobabwellMeasuresSurge';
 import { ViewMeasure } from './BaobabwellMeasuresView';
 
 /** All measures, in the order in which `all` takes them. */
@@ -11,6 +13,8 @@
   new LimitMeasure(),
   new RollOutMeasure(),
   new CallMeasure(),
+  new ShareMeasure(),
+  new SurgeMeasure(),
 ];
 
 /** Finds a measure by its name. */
