entry: TLS for callers and operators, renewed without a restart

Cause: both servers spoke plain HTTP only. Change: certificate and key files in the settings; a reloader applies a changed pair that fits together; https addresses and --ca on the command line. Way not taken: watching files, which loses renamed ones. Conclusion: a faulty pair must change nothing, so it is tried before it is applied.

--- a/packages/baobabwell-calls/src/BaobabwellCallsHttp.ts
+++ b/packages/baobabwell-calls/src/BaobabwellCallsHttp.ts
@@ -70,16 +70,26 @@
 /** Told about each ended call. */
 export type CallObserver = (request: CallRequest, result: CallResult, durationMs: number) => void;
 
-function createServer(): FastifyInstance {
-  const server = Fastify({
+/** Certificate and private key of a server, in PEM. */
+export type ServerCredentials = { readonly cert: string; readonly key: string };
+
+function createServer(credentials: ServerCredentials | null): FastifyInstance {
+  const limits = { maxHeaderSize: HEADER_LIMIT_BYTES };
+  const options = {
     bodyLimit: BODY_LIMIT_BYTES,
     requestTimeout: REQUEST_TIMEOUT_MS,
     connectionTimeout: IDLE_SOCKET_MS,
-    http: { maxHeaderSize: HEADER_LIMIT_BYTES },
-    forceCloseConnections: 'idle',
+    forceCloseConnections: 'idle' as const,
     return503OnClosing: false,
     clientErrorHandler: handleClientError,
-  });
+  };
+  const server =
+    credentials === null
+      ? Fastify({ ...options, http: limits })
+      : (Fastify({
+          ...options,
+          https: { ...limits, ...credentials },
+        }) as unknown as FastifyInstance);
   server.removeAllContentTypeParsers();
   server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
     done(null, body);
@@ -89,8 +99,12 @@
 }
 
 /** Builds the HTTP server for callers; the caller of this function listens and closes. */
-export function buildCallServer(service: CallService, observe: CallObserver): FastifyInstance {
-  const server = createServer();
+export function buildCallServer(
+  service: CallService,
+  observe: CallObserver,
+  credentials: ServerCredentials | null = null,
+): FastifyInstance {
+  const server = createServer(credentials);
   server.post('/v1/queues/:queue/calls', async (request, reply) => {
     const call = parseCall(request);
     const abandoned = new AbortController();
--- a/packages/baobabwell-cli/src/BaobabwellCliReport.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCliReport.ts
@@ -20,7 +20,7 @@
 import { formatFinding, SystemClock } from '@baobabwell/utils';
 
 import { ExitCode, getMessage, writeErrorLine, writeLine } from './BaobabwellCliExit';
-import { buildUrl, openAgent } from './BaobabwellCliOperatorClient';
+import { openAgent } from './BaobabwellCliOperatorClient';
 import { CA_OPTION, createDurationOption, JSON_OPTION } from './BaobabwellCliOptions';
 import { openSettings } from './BaobabwellCliSettings';
 import { formatTable } from './BaobabwellCliTable';
@@ -58,7 +58,7 @@
   agent: Agent,
 ): Promise<Scrape | null> {
   try {
-    const { body } = await request(`${buildUrl(`${scheme}${operators}`)}/metrics.json`, {
+    const { body } = await request(`${scheme}${operators}/metrics.json`, {
       dispatcher: agent,
       signal: AbortSignal.timeout(SCRAPE_TIMEOUT_MS),
     });
@@ -75,7 +75,7 @@
 ): Promise<readonly Scrape[]> {
   const clock = new SystemClock();
   const agent = await openAgent(ca ?? null);
-  const scheme = ca === undefined ? '' : 'https://';
+  const scheme = settings.tls.operators === null ? 'http://' : 'https://';
   const endsAt = clock.getNow() + durationMs;
   const scrapes: Scrape[] = [];
   for (;;) {
--- a/packages/baobabwell-entry/src/BaobabwellEntryCallServerPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallServerPlugin.ts
@@ -3,8 +3,15 @@
 import { buildCallServer } from '@baobabwell/calls';
 
 import { parseAddress } from './BaobabwellEntryAddress';
+import { readCredentials, startReloader } from './BaobabwellEntryCertificates';
 import { registerHealthRoutes } from './BaobabwellEntryHealth';
-import { CALL_RECORDER, CALL_SERVICE, ENTRY_SETTINGS, READINESS } from './BaobabwellEntryTokens';
+import {
+  CALL_RECORDER,
+  CALL_SERVICE,
+  ENTRY_SETTINGS,
+  READINESS,
+  SETTINGS,
+} from './BaobabwellEntryTokens';
 
 const CLOSE_BOUND_MS = 30_000;
 /** Time that the platform's balancer takes to see that an entry is not ready. */
@@ -16,8 +23,12 @@
   register: () => () => {},
   async start(kernel) {
     const recorder = kernel.getService(CALL_RECORDER);
-    const server = buildCallServer(kernel.getService(CALL_SERVICE), (request, result, durationMs) =>
-      recorder.recordEnded(request, result, durationMs),
+    const files = kernel.getService(SETTINGS).tls.callers;
+    const credentials = files === null ? null : await readCredentials(files);
+    const server = buildCallServer(
+      kernel.getService(CALL_SERVICE),
+      (request, result, durationMs) => recorder.recordEnded(request, result, durationMs),
+      credentials,
     );
     const readiness = kernel.getService(READINESS);
     registerHealthRoutes(server, readiness);
@@ -27,6 +38,9 @@
       }
     });
     await server.listen(parseAddress(kernel.getService(ENTRY_SETTINGS).callers));
+    if (files !== null && credentials !== null) {
+      startReloader(kernel, server, files, credentials);
+    }
     kernel.lifecycle.add('caller server', async () => server.close(), CLOSE_BOUND_MS);
     kernel.lifecycle.add('readiness', async () => {
       readiness.stop();
--- a/packages/baobabwell-entry/src/BaobabwellEntryOperatorServerPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryOperatorServerPlugin.ts
@@ -1,3 +1,4 @@
+import type { Credentials } from './BaobabwellEntryCertificates';
 import type { Kernel, Plugin } from '@baobabwell/kernel';
 import type { FastifyInstance } from 'fastify';
 
@@ -6,16 +7,18 @@
 import { z } from 'zod';
 
 import { buildDigest } from '@baobabwell/calls';
+import { createServiceToken } from '@baobabwell/kernel';
 import { EntityKind } from '@baobabwell/model';
 
 import { parseAddress } from './BaobabwellEntryAddress';
+import { readCredentials, startReloader } from './BaobabwellEntryCertificates';
 import { registerHealthRoutes } from './BaobabwellEntryHealth';
 import {
   ENTRY_SETTINGS,
   METRICS,
-  OPERATOR_SERVER,
   OPERATOR_SERVICE,
   READINESS,
+  SETTINGS,
   VIEW_STORE,
 } from './BaobabwellEntryTokens';
 
@@ -66,20 +69,45 @@
   server.get('/metrics.json', async () => metrics.list());
 }
 
+/** The operator server, which is built once its credentials were read. */
+class OperatorServer {
+  #server: FastifyInstance | null = null;
+
+  build(credentials: Credentials | null): FastifyInstance {
+    const options = { forceCloseConnections: true };
+    this.#server =
+      credentials === null
+        ? Fastify(options)
+        : (Fastify({ ...options, https: credentials }) as unknown as FastifyInstance);
+    return this.#server;
+  }
+
+  async close(): Promise<void> {
+    await this.#server?.close();
+  }
+}
+
+const OPERATOR_SERVER = createServiceToken<OperatorServer>('operatorServer');
+
 /** Serves operators, health checks and metrics over HTTP, until all else has stopped. */
 export const operatorServerPlugin: Plugin = {
   name: 'operator server',
   register(kernel) {
-    const server = Fastify({ forceCloseConnections: true });
+    const server = new OperatorServer();
     kernel.lifecycle.add('operator server', async () => server.close());
     return kernel.registerService(OPERATOR_SERVER, () => server);
   },
   async start(kernel) {
-    const server = kernel.getService(OPERATOR_SERVER);
+    const files = kernel.getService(SETTINGS).tls.operators;
+    const credentials = files === null ? null : await readCredentials(files);
+    const server = kernel.getService(OPERATOR_SERVER).build(credentials);
     kernel.getService(METRICS).startProcessMetrics();
     registerOperatorRoutes(kernel, server);
     registerHealthRoutes(server, kernel.getService(READINESS));
     registerMetricsRoutes(kernel, server);
     await server.listen(parseAddress(kernel.getService(ENTRY_SETTINGS).operators));
+    if (files !== null && credentials !== null) {
+      startReloader(kernel, server, files, credentials);
+    }
   },
 };
--- a/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
@@ -67,7 +67,6 @@
 export const CLAIM_COMMITS = createServiceToken<GroupCommit>('claimCommits');
 export const IDEMPOTENCY = createServiceToken<IdempotencyRegistry>('idempotency');
 export const CALL_SERVICE = createServiceToken<CallService>('callService');
-export const OPERATOR_SERVER = createServiceToken<FastifyInstance>('operatorServer');
 export const HOST_CONTROL = createServiceToken<HostControl>('hostControl');
 export const HOST_HEALTH = createServiceToken<HostHealth>('hostHealth');
 export const MAINTENANCE_CONTROLLER =
--- a/packages/baobabwell-settings/src/BaobabwellSettingsParser.ts
+++ b/packages/baobabwell-settings/src/BaobabwellSettingsParser.ts
@@ -1,5 +1,6 @@
 /** Reads settings, or reports everything that is wrong with them at once. */
 import type { Settings } from './BaobabwellSettingsSchema';
+import type { CertificateFiles } from './BaobabwellSettingsTls';
 import type { Finding, Result } from '@baobabwell/utils';
 
 import { readFile } from 'node:fs/promises';
@@ -87,6 +88,12 @@
   }
 }
 
+function buildAbsolute(files: CertificateFiles | null, folder: string): CertificateFiles | null {
+  return files === null
+    ? null
+    : { certificate: resolve(folder, files.certificate), key: resolve(folder, files.key) };
+}
+
 /** Reads settings from a file, and the peers' secret from the file that they may name beside it. */
 export async function readSettings(file: string): Promise<Result<Settings, readonly Finding[]>> {
   const text = await readText(file);
@@ -94,8 +101,17 @@
     const place = { file, line: 1, column: 1, path: '' };
     return createError([{ place, problem: 'cannot be read', allowed: 'a readable file' }]);
   }
+  const folder = dirname(file);
   const secretFile = new SettingsDocument(text, file).getText(SECRET_FILE);
-  const secretText =
-    secretFile === null ? null : await readText(resolve(dirname(file), secretFile));
-  return parseSettings(text, file, secretText);
+  const secretText = secretFile === null ? null : await readText(resolve(folder, secretFile));
+  const parsed = parseSettings(text, file, secretText);
+  if (!parsed.ok) {
+    return parsed;
+  }
+  const { callers, operators } = parsed.value.tls;
+  const tls = {
+    callers: buildAbsolute(callers, folder),
+    operators: buildAbsolute(operators, folder),
+  };
+  return createOk({ ...parsed.value, tls });
 }
--- a/packages/baobabwell-settings/src/BaobabwellSettingsSchema.ts
+++ b/packages/baobabwell-settings/src/BaobabwellSettingsSchema.ts
@@ -12,6 +12,7 @@
   teamSchema,
 } from './BaobabwellSettingsTeams';
 import { identifierSchema } from './BaobabwellSettingsText';
+import { tlsSchema } from './BaobabwellSettingsTls';
 
 const fleetSchema = z.strictObject({
   organisations: z.array(organisationSchema),
@@ -29,6 +30,7 @@
   entries: z.array(entrySchema).min(1),
   platform: platformSchema,
   peers: peersSchema,
+  tls: tlsSchema.default({ callers: null, operators: null }),
   log: logSchema.default({ level: 'info' }),
   fleet: fleetSchema,
 });
--- /dev/null
+++ b/packages/baobabwell-settings/src/BaobabwellSettingsTls.ts
@@ -0,0 +1,19 @@
+/** Settings of encryption for the servers of callers and operators. */
+import { z } from 'zod';
+
+const certificateSchema = z.strictObject({
+  certificate: z.string().min(1),
+  key: z.string().min(1),
+});
+
+/** Certificate and key files for each server; a server without them speaks plain HTTP. */
+export const tlsSchema = z.strictObject({
+  callers: certificateSchema.nullable().default(null),
+  operators: certificateSchema.nullable().default(null),
+});
+
+/** Names of the PEM files of a server. */
+export type CertificateFiles = z.infer<typeof certificateSchema>;
+
+/** Certificate files of all servers. */
+export type TlsSettings = z.infer<typeof tlsSchema>;
--- a/packages/baobabwell-settings/src/index.ts
+++ b/packages/baobabwell-settings/src/index.ts
@@ -1,6 +1,8 @@
 export type { Objective } from './BaobabwellSettingsQueues';
 export type { EntrySettings, FleetSettings, Settings } from './BaobabwellSettingsSchema';
 
+export type { CertificateFiles, TlsSettings } from './BaobabwellSettingsTls';
+
 export { buildFleet } from './BaobabwellSettingsFleet';
 export { parseSettings, readSettings } from './BaobabwellSettingsParser';
 export { settingsSchema } from './BaobabwellSettingsSchema';
