--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -11,6 +11,7 @@
 
 import { callServerPlugin } from './BaobabwellEntryCallServerPlugin';
 import { callsPlugin } from './BaobabwellEntryCallsPlugin';
+import { deferredPlugin } from './BaobabwellEntryDeferredPlugin';
 import { idempotencyPlugin } from './BaobabwellEntryIdempotencyPlugin';
 import { maintenancePlugin } from './BaobabwellEntryMaintenancePlugin';
 import { joinPlugin, membershipPlugin } from './BaobabwellEntryMembershipPlugin';
@@ -18,6 +19,7 @@
 import { operatorServerPlugin } from './BaobabwellEntryOperatorServerPlugin';
 import { operatorsPlugin } from './BaobabwellEntryOperatorsPlugin';
 import { peerServerPlugin, peersPlugin } from './BaobabwellEntryPeersPlugin';
+import { permitsPlugin, reservePlugin } from './BaobabwellEntryPermitsPlugin';
 import { platformPlugin } from './BaobabwellEntryPlatformPlugin';
 import { Readiness } from './BaobabwellEntryReadiness';
 import {
@@ -54,10 +56,12 @@
   metricsPlugin,
   viewPlugin,
   membershipPlugin,
+  permitsPlugin,
   idempotencyPlugin,
   callsPlugin,
   maintenancePlugin,
   operatorsPlugin,
+  deferredPlugin,
 ];
 
 /** Builds an entry with the given connections. */
@@ -75,7 +79,9 @@
     READINESS,
     () => new Readiness(() => kernel.getService(FRESHNESS).isCurrent()),
   );
-  [...before, ...FEATURES, ...after, joinPlugin].forEach((plugin) => kernel.use(plugin));
+  [...before, ...FEATURES, ...after, joinPlugin, reservePlugin].forEach((plugin) =>
+    kernel.use(plugin),
+  );
   return kernel;
 }
 
--- a/packages/baobabwell-settings/src/index.ts
+++ b/packages/baobabwell-settings/src/index.ts
@@ -1,3 +1,4 @@
+export type { PolicySettings } from './BaobabwellSettingsPolicies';
 export type { Objective } from './BaobabwellSettingsQueues';
 export type { EntrySettings, FleetSettings, Settings } from './BaobabwellSettingsSchema';
 
@@ -5,5 +6,11 @@
 
 export { buildFleet } from './BaobabwellSettingsFleet';
 export { parseSettings, readSettings } from './BaobabwellSettingsParser';
+export {
+  AdmissionPolicy,
+  PermitPolicy,
+  policiesSchema,
+  SharePolicy,
+} from './BaobabwellSettingsPolicies';
 export { settingsSchema } from './BaobabwellSettingsSchema';
 export { parseDuration, parseMemory, parsePercentage } from './BaobabwellSettingsUnits';
