--- a/packages/baobabwell-entry/src/BaobabwellEntry.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntry.ts
@@ -19,8 +19,10 @@
 import { operatorServerPlugin } from './BaobabwellEntryOperatorServerPlugin';
 import { operatorsPlugin } from './BaobabwellEntryOperatorsPlugin';
 import { peerServerPlugin, peersPlugin } from './BaobabwellEntryPeersPlugin';
+import { permitsPlugin, reservePlugin } from './BaobabwellEntryPermitsPlugin';
 import { platformPlugin } from './BaobabwellEntryPlatformPlugin';
 import { Readiness } from './BaobabwellEntryReadiness';
+import { sharesPlugin } from './BaobabwellEntrySharesPlugin';
 import {
   ENTRY_SETTINGS,
   FRESHNESS,
@@ -55,6 +57,8 @@
   metricsPlugin,
   viewPlugin,
   membershipPlugin,
+  permitsPlugin,
+  sharesPlugin,
   idempotencyPlugin,
   callsPlugin,
   maintenancePlugin,
@@ -77,7 +81,9 @@
     READINESS,
     () => new Readiness(() => kernel.getService(FRESHNESS).isCurrent()),
   );
-  [...before, ...FEATURES, ...after, joinPlugin].forEach((plugin) => kernel.use(plugin));
+  [...before, ...FEATURES, ...after, joinPlugin, reservePlugin].forEach((plugin) =>
+    kernel.use(plugin),
+  );
   return kernel;
 }
 
--- a/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallsPlugin.ts
@@ -1,9 +1,10 @@
 import type { CallService } from '@baobabwell/calls';
 import type { Kernel, Plugin } from '@baobabwell/kernel';
+import type { AdmissionControl } from '@baobabwell/scheduling';
 
 import { mergeUndo } from '@baobabwell/kernel';
-import { EntityKind } from '@baobabwell/model';
-import { StaticPermitPool } from '@baobabwell/scheduling';
+import { DeadlineAdmission, ExpectedWaitAdmission } from '@baobabwell/scheduling';
+import { AdmissionPolicy } from '@baobabwell/settings';
 import { Random } from '@baobabwell/utils';
 
 import { RecordedCallService, RecordedWorkerClientFactory } from './BaobabwellEntryRecorded';
@@ -15,23 +16,19 @@
   IDEMPOTENCY,
   IDENTITY,
   PERMIT_POOL,
+  SETTINGS,
+  SLOT_SHARES,
   VIEW_STORE,
   WORKER_CLIENT_FACTORY,
   WORKER_DIRECTORY,
 } from './BaobabwellEntryTokens';
 import { WorkerDirectory } from './BaobabwellEntryWorkers';
 
-function buildPermitPool(kernel: Kernel): StaticPermitPool {
-  const view = kernel.getService(VIEW_STORE);
-  const { id } = kernel.getService(IDENTITY);
-  return new StaticPermitPool({
-    getLimit: (team) => view.get().get(EntityKind.Team, team)?.limit ?? Number.MAX_SAFE_INTEGER,
-    getRank: () => {
-      const members = view.get().list(EntityKind.Member);
-      const index = members.findIndex((member) => member.id === id);
-      return index < 0 ? null : { index, count: members.length };
-    },
-  });
+function buildAdmission(kernel: Kernel): AdmissionControl {
+  const { admission } = kernel.getService(SETTINGS).policies;
+  return admission === AdmissionPolicy.Deadline
+    ? new DeadlineAdmission()
+    : new ExpectedWaitAdmission(kernel.clock);
 }
 
 function buildDirectory(kernel: Kernel): WorkerDirectory {
@@ -41,6 +38,8 @@
     clock: kernel.clock,
     view: kernel.getService(VIEW_STORE),
     permits: kernel.getService(PERMIT_POOL),
+    shares: kernel.getService(SLOT_SHARES),
+    createAdmission: () => buildAdmission(kernel),
     factory: new RecordedWorkerClientFactory(
       kernel.getService(WORKER_CLIENT_FACTORY),
       kernel.getService(CALL_RECORDER),
@@ -72,7 +71,6 @@
   name: 'calls',
   register(kernel) {
     return mergeUndo(
-      kernel.registerService(PERMIT_POOL, buildPermitPool),
       kernel.registerService(WORKER_DIRECTORY, buildDirectory),
       kernel.registerService(CALL_SERVICE, buildCallService),
     );
--- a/packages/baobabwell-entry/src/BaobabwellEntryMetricsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryMetricsPlugin.ts
@@ -11,6 +11,7 @@
   LOGGER,
   METRICS,
   SETTINGS,
+  VIEW_QUORUM,
   VIEW_STORE,
   WORKER_DIRECTORY,
 } from './BaobabwellEntryTokens';
@@ -27,7 +28,7 @@
   });
 }
 
-function collectPools(kernel: Kernel, metrics: EntryMetrics): void {
+function recordPools(kernel: Kernel, metrics: EntryMetrics): void {
   [metrics.waitingCalls, metrics.leasedSlots, metrics.usedSlots].forEach((gauge) => gauge.reset());
   kernel
     .getService(WORKER_DIRECTORY)
@@ -39,19 +40,23 @@
     });
 }
 
-function collectView(kernel: Kernel, metrics: EntryMetrics): void {
+function recordView(kernel: Kernel, metrics: EntryMetrics): void {
   const view = kernel.getService(VIEW_STORE).get();
   metrics.members.set(view.getCount(EntityKind.Member));
   metrics.fences.set(view.getCount(EntityKind.Fence));
+  const quorum = kernel.getService(VIEW_QUORUM);
+  metrics.unreachableMembers.set(quorum.listUnreachable().length);
   metrics.viewVersion.set(view.version);
+  metrics.viewAcceptedVersion.set(quorum.getAcceptedVersion());
+  metrics.viewInForceVersion.set(quorum.getInForceVersion());
   metrics.viewAgeSeconds.set(kernel.getService(FRESHNESS).getAge() / MS_PER_SECOND);
 }
 
 function registerCollectors(kernel: Kernel): Undo {
   const metrics = kernel.getService(METRICS);
   return mergeUndo(
-    metrics.registerCollector(() => collectPools(kernel, metrics)),
-    metrics.registerCollector(() => collectView(kernel, metrics)),
+    metrics.registerCollector(() => recordPools(kernel, metrics)),
+    metrics.registerCollector(() => recordView(kernel, metrics)),
   );
 }
 
--- a/packages/baobabwell-metrics/src/BaobabwellMetrics.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetrics.ts
@@ -1,4 +1,6 @@
 /** The metrics of one entry. Label values come from settings and view, so their number is bounded. */
+import type { MetricObjectWithValues, MetricValue } from 'prom-client';
+
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 const SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
@@ -117,6 +119,24 @@
     registers: [this.registry],
   });
 
+  readonly viewAcceptedVersion = new Gauge({
+    name: 'baobabwell_view_accepted_version',
+    help: 'Number of the newest change that a majority of the members holds.',
+    registers: [this.registry],
+  });
+
+  readonly viewInForceVersion = new Gauge({
+    name: 'baobabwell_view_in_force_version',
+    help: 'Number of the newest change without which no entry starts work.',
+    registers: [this.registry],
+  });
+
+  readonly unreachableMembers = new Gauge({
+    name: 'baobabwell_unreachable_members',
+    help: 'Members that have not answered this entry for some time.',
+    registers: [this.registry],
+  });
+
   readonly viewAgeSeconds = new Gauge({
     name: 'baobabwell_view_age_seconds',
     help: 'Time since the view was last confirmed to be complete.',
@@ -143,4 +163,10 @@
     this.#collectors.forEach((collect) => collect());
     return this.registry.metrics();
   }
+
+  /** Lists all metrics with their values. */
+  async list(): Promise<readonly MetricObjectWithValues<MetricValue<string>>[]> {
+    this.#collectors.forEach((collect) => collect());
+    return this.registry.getMetricsAsJSON();
+  }
 }
--- a/packages/baobabwell-scheduling/src/BaobabwellSchedulingPool.ts
+++ b/packages/baobabwell-scheduling/src/BaobabwellSchedulingPool.ts
@@ -1,4 +1,6 @@
+import type { AdmissionControl, QueueOutlook } from './BaobabwellSchedulingAdmission';
 import type { Permit, PermitPool } from './BaobabwellSchedulingPermits';
+import type { SlotShares, TeamActivity } from './BaobabwellSchedulingShares';
 import type { Turn, TurnRefusal, TurnRequest } from './BaobabwellSchedulingTurns';
 import type { CancelTimer, Clock, Result } from '@baobabwell/utils';
 import type { WorkerSession } from '@baobabwell/workers';
@@ -9,6 +11,10 @@
 
 const MAX_WAITING = 2_000;
 const MIN_RETRY_AFTER_MS = 1_000;
+/** Age of a grant from which a worker may have free slots again. */
+const STALE_GRANT_MS = 40;
+/** Slots that urgent work may use beyond its team's part of a full pool. */
+const URGENT_OVERDRAFT = 1;
 const INITIAL_RUN_MS = 50;
 const RUN_SMOOTHING = 0.1;
 
@@ -20,19 +26,37 @@
 
 /** What the scheduler of a pool works with. */
 export type PoolSchedulerParts = {
+  readonly pool: string;
   readonly clock: Clock;
   readonly permits: PermitPool;
+  readonly shares: SlotShares;
+  readonly admission: AdmissionControl;
   readonly getWeight: (team: string) => number;
   /** Sessions with the hosts of the pool that take new work. */
   readonly listSessions: () => readonly WorkerSession[];
 };
 
+/** Finds a worker whose last word on its free slots is old. */
+function findStale(sessions: readonly WorkerSession[]): WorkerSession | undefined {
+  return sessions
+    .filter(
+      (session) => session.getRequestedSlots() === 0 && session.getGrantAge() > STALE_GRANT_MS,
+    )
+    .toSorted((a, b) => b.getGrantAge() - a.getGrantAge())[0];
+}
+
 /** Gives the slots of one pool to waiting calls, by fair share and within permits. */
 export class PoolScheduler {
   readonly #parts: PoolSchedulerParts;
 
   readonly #waiting: FairQueue<Waiting>;
 
+  /** Slots in use by team. */
+  readonly #running = new Map<string, number>();
+
+  /** Mean time of each team's work, learnt from what ended. */
+  readonly #teamRunMs = new Map<string, number>();
+
   #meanRunMs = INITIAL_RUN_MS;
 
   #isStopping = false;
@@ -47,6 +71,16 @@
     return this.#waiting.size;
   }
 
+  /** Lists what each team runs and waits for here. */
+  listActivity(): readonly TeamActivity[] {
+    const teams = new Set([...this.#running.keys(), ...this.#waiting.listTeams()]);
+    return [...teams].map((team) => ({
+      team,
+      running: this.#getRunning(team),
+      waiting: this.#waiting.getCount(team),
+    }));
+  }
+
   /** Waits for a slot; aborting the signal ends the wait. */
   async acquire(request: TurnRequest, signal: AbortSignal): Promise<Result<Turn, TurnRefusal>> {
     if (this.#isStopping) {
@@ -58,6 +92,11 @@
     if (this.#isWithoutHost(request)) {
       return createError({ kind: 'no-host' });
     }
+    const expectedMs = this.#parts.admission.getRefusal(this.#getOutlook(request));
+    if (expectedMs !== null) {
+      const retryAfterMs = Math.max(expectedMs, this.#getRetryAfter());
+      return createError({ kind: 'queue-full', retryAfterMs });
+    }
     return new Promise((resolve) => {
       this.#add(request, signal, resolve);
       this.dispatchTurns();
@@ -70,6 +109,18 @@
       // Each round gives out one slot.
     }
     this.#requestSlots();
+    this.#returnSlots();
+  }
+
+  #getOutlook({ team, priority, deadlineAt }: TurnRequest): QueueOutlook {
+    const { shares, pool, clock } = this.#parts;
+    return {
+      team,
+      ahead: this.#waiting.getCountBefore(team, priority),
+      slots: shares.getTarget(pool, team),
+      meanRunMs: this.#teamRunMs.get(team) ?? this.#meanRunMs,
+      remainingMs: deadlineAt - clock.getNow(),
+    };
   }
 
   /** Refuses every waiting call and all later ones. */
@@ -105,7 +156,8 @@
       cancelTimer: null,
     };
     const onAbort = (): void => this.#refuse(waiting, { kind: 'cancelled' });
-    this.#waiting.add(request.team, waiting);
+    this.#waiting.add(request.team, waiting, request.priority);
+    this.#parts.permits.addWaiting(request.team, 1);
     waiting.cancelTimer = clock.startTimer(request.deadlineAt - clock.getNow(), () => {
       this.#refuse(waiting, { kind: 'deadline', retryAfterMs: this.#getRetryAfter() });
     });
@@ -124,7 +176,11 @@
 
   #remove(waiting: Waiting): boolean {
     waiting.cancelTimer?.();
-    return this.#waiting.remove(waiting.request.team, waiting);
+    const wasThere = this.#waiting.remove(waiting.request.team, waiting);
+    if (wasThere) {
+      this.#parts.permits.addWaiting(waiting.request.team, -1);
+    }
+    return wasThere;
   }
 
   #dispatchOne(): boolean {
@@ -132,7 +188,9 @@
     if (sessions.length === 0) {
       return false;
     }
-    return this.#waiting.listTeams().some((team) => this.#dispatchTeam(team, sessions));
+    return this.#waiting
+      .listTeams()
+      .some((team) => this.#getRoom(team) > 0 && this.#dispatchTeam(team, sessions));
   }
 
   /** Looks for a fitting host before it takes a permit: a permit given back wakes the pools. */
@@ -158,11 +216,16 @@
     const { clock } = this.#parts;
     const startedAt = clock.getNow();
     session.acquireSlot();
+    this.#parts.admission.recordStart(team);
+    this.#running.set(team, this.#getRunning(team) + 1);
     this.#waiting.recordUse(team, this.#meanRunMs);
     const release = (): void => {
       const runMs = clock.getNow() - startedAt;
       this.#waiting.recordUse(team, runMs - this.#meanRunMs);
       this.#meanRunMs += (runMs - this.#meanRunMs) * RUN_SMOOTHING;
+      const teamRunMs = this.#teamRunMs.get(team) ?? runMs;
+      this.#teamRunMs.set(team, teamRunMs + (runMs - teamRunMs) * RUN_SMOOTHING);
+      this.#recordEnd(team);
       permit.release();
       session.releaseSlot();
     };
@@ -172,11 +235,12 @@
   #requestSlots(): void {
     const sessions = this.#parts.listSessions();
     const asked = sessions.reduce((sum, session) => sum + session.getRequestedSlots(), 0);
-    let missing = this.#waiting.size - asked;
+    let missing = this.#countStartable() - asked;
     while (missing > 0) {
-      const session = sessions
-        .filter((candidate) => candidate.getFreeSlots() > 0)
-        .toSorted((a, b) => b.getFreeSlots() - a.getFreeSlots())[0];
+      const session =
+        sessions
+          .filter((candidate) => candidate.getFreeSlots() > 0)
+          .toSorted((a, b) => b.getFreeSlots() - a.getFreeSlots())[0] ?? findStale(sessions);
       if (session === undefined) {
         return;
       }
@@ -185,6 +249,50 @@
     }
   }
 
+  /** In a full pool a slot that this entry may not use is one that another entry waits for. */
+  #returnSlots(): void {
+    const { shares, pool, listSessions } = this.#parts;
+    if (shares.isContended(pool) && this.#countStartable() === 0) {
+      listSessions().forEach((session) => session.returnIdleSlots());
+    }
+  }
+
+  /** Calls that only lack a slot. */
+  #countStartable(): number {
+    return this.#waiting
+      .listTeams()
+      .reduce(
+        (sum, team) =>
+          sum +
+          Math.min(
+            this.#waiting.getCount(team),
+            this.#parts.permits.getIdle(team),
+            this.#getRoom(team),
+          ),
+        0,
+      );
+  }
+
+  /** Slots that a team may use on top of those in use. */
+  #getRoom(team: string): number {
+    const { shares, pool } = this.#parts;
+    const overdraft = this.#waiting.hasUrgent(team) ? URGENT_OVERDRAFT : 0;
+    return Math.max(0, shares.getTarget(pool, team) + overdraft - this.#getRunning(team));
+  }
+
+  #getRunning(team: string): number {
+    return this.#running.get(team) ?? 0;
+  }
+
+  #recordEnd(team: string): void {
+    const running = this.#getRunning(team) - 1;
+    if (running > 0) {
+      this.#running.set(team, running);
+    } else {
+      this.#running.delete(team);
+    }
+  }
+
   #getRetryAfter(): number {
     return Math.max(MIN_RETRY_AFTER_MS, this.#meanRunMs);
   }
--- a/packages/baobabwell-scheduling/src/index.ts
+++ b/packages/baobabwell-scheduling/src/index.ts
@@ -1,8 +1,18 @@
+export type { QueueOutlook } from './BaobabwellSchedulingAdmission';
+export type { Claim } from './BaobabwellSchedulingAllocation';
 export type { Permit, StaticDivision } from './BaobabwellSchedulingPermits';
 export type { PoolSchedulerParts } from './BaobabwellSchedulingPool';
+export type { TeamActivity } from './BaobabwellSchedulingShares';
 export type { Turn, TurnRefusal, TurnRequest } from './BaobabwellSchedulingTurns';
 
 export { FairQueue } from './BaobabwellSchedulingFairQueue';
 export { PermitPool, StaticPermitPool } from './BaobabwellSchedulingPermits';
 export { PoolScheduler } from './BaobabwellSchedulingPool';
 export { findRendezvousOwner } from './BaobabwellSchedulingRendezvous';
+export { buildAllocation } from './BaobabwellSchedulingAllocation';
+export { LocalSlotShares, SlotShares } from './BaobabwellSchedulingShares';
+export {
+  AdmissionControl,
+  DeadlineAdmission,
+  ExpectedWaitAdmission,
+} from './BaobabwellSchedulingAdmission';
--- a/packages/baobabwell-settings/src/BaobabwellSettingsSchema.ts
+++ b/packages/baobabwell-settings/src/BaobabwellSettingsSchema.ts
@@ -3,6 +3,7 @@
 
 import { entrySchema, logSchema, peersSchema } from './BaobabwellSettingsEntries';
 import { platformSchema } from './BaobabwellSettingsPlatform';
+import { policiesSchema } from './BaobabwellSettingsPolicies';
 import { poolSchema, targetSchema } from './BaobabwellSettingsPools';
 import { queueSchema } from './BaobabwellSettingsQueues';
 import {
@@ -12,6 +13,7 @@
   teamSchema,
 } from './BaobabwellSettingsTeams';
 import { identifierSchema } from './BaobabwellSettingsText';
+import { tlsSchema } from './BaobabwellSettingsTls';
 
 const fleetSchema = z.strictObject({
   organisations: z.array(organisationSchema),
@@ -29,7 +31,9 @@
   entries: z.array(entrySchema).min(1),
   platform: platformSchema,
   peers: peersSchema,
+  tls: tlsSchema.default({ callers: null, operators: null }),
   log: logSchema.default({ level: 'info' }),
+  policies: policiesSchema,
   fleet: fleetSchema,
 });
 
