maintenance, split: hosts taken out by one change carry the version of that change

Cause: the second and later hosts of one split step carried versions that did not exist yet, so each waited for an unrelated change before its drain counted as in force. Change: the version of the change is given with the request, also by waves, which mended it afterwards before; a test drains a whole pool at once. Measured: none: the test failed in principle only when nothing else changed the view. Conclusion: a candidate view must not be asked for the next version.

--- a/packages/baobabwell-maintenance/src/BaobabwellMaintenanceHosts.ts
+++ b/packages/baobabwell-maintenance/src/BaobabwellMaintenanceHosts.ts
@@ -21,6 +21,8 @@
   readonly movingTo?: string | null;
   readonly wave?: string | null;
   readonly split?: string | null;
+  /** Version that the change will have, when the view is itself a candidate. */
+  readonly version?: number;
 };
 
 /** Finds a host, or the refusal that it does not exist. */
@@ -99,7 +101,7 @@
     goal: request.goal,
     wave: request.wave ?? null,
     split: request.split ?? null,
-    token: view.version + 1,
+    token: request.version ?? view.version + 1,
   };
   const state = host.state === HostState.Drained ? HostState.Drained : HostState.Draining;
   const taken = {
--- a/packages/baobabwell-maintenance/src/BaobabwellMaintenanceWavePolicy.ts
+++ b/packages/baobabwell-maintenance/src/BaobabwellMaintenanceWavePolicy.ts
@@ -35,9 +35,8 @@
       }
       const decision = this.#decide(wave, id, view, context);
       if (decision.ok) {
-        const taken = decision.value.mutations.map((one) => fixToken(one, context.view));
-        view = view.apply(buildStepChange(view, taken));
-        mutations.push(...taken);
+        view = view.apply(buildStepChange(view, decision.value.mutations));
+        mutations.push(...decision.value.mutations);
         hosts.push(id);
       } else {
         const pool = context.view.get(EntityKind.Host, id)?.pool ?? '';
@@ -52,7 +51,7 @@
     wave: Wave,
     id: string,
     view: FleetView,
-    { wallTime, getEvidence }: DutyContext,
+    { view: newest, wallTime, getEvidence }: DutyContext,
   ): Result<MaintenanceDecision, MaintenanceRefusal> {
     const host = view.get(EntityKind.Host, id);
     if (host !== null && host.state !== HostState.Serving) {
@@ -60,7 +59,9 @@
       return createError({ code: 'conflict', message });
     }
     const goal = MaintenanceGoal.Reboot;
-    const request = { host: id, goal, reason: `wave ${wave.id}`, wallTime, wave: wave.id };
+    const reason = `wave ${wave.id}`;
+    const version = newest.version + 1;
+    const request = { host: id, goal, reason, wallTime, wave: wave.id, version };
     return decideTakeOut(view, request, getEvidence);
   }
 
@@ -73,15 +74,6 @@
   }
 }
 
-/** All hosts of one change carry the version of that change. */
-function fixToken(mutation: Mutation, view: FleetView): Mutation {
-  if (mutation.kind !== EntityKind.Host || !mutation.value?.maintenance) {
-    return mutation;
-  }
-  const maintenance = { ...mutation.value.maintenance, token: view.version + 1 };
-  return { ...mutation, value: { ...mutation.value, maintenance } };
-}
-
 function buildStepChange(
   view: FleetView,
   mutations: readonly Mutation[],
--- a/packages/baobabwell-split/src/BaobabwellSplitSteps.ts
+++ b/packages/baobabwell-split/src/BaobabwellSplitSteps.ts
@@ -66,6 +66,7 @@
           reason: `split ${split.id}`,
           wallTime: context.wallTime,
           split: split.id,
+          version: context.view.version + 1,
         },
         context.getEvidence,
       );
--- a/packages/baobabwell-split/src/__tests__/unit/BaobabwellSplit.test.ts
+++ b/packages/baobabwell-split/src/__tests__/unit/BaobabwellSplit.test.ts
@@ -4,7 +4,7 @@
 
 import { buildEmulatedSettings, EmulatedFleet, getTeamSecret } from '@baobabwell/emulator';
 import { VIEW_STORE } from '@baobabwell/entry';
-import { EntityKind, Outcome, SplitState, SplitStep } from '@baobabwell/model';
+import { EntityKind, HostState, Outcome, SplitState, SplitStep } from '@baobabwell/model';
 
 const SEED = 17;
 const LIMIT_MS = 60_000;
@@ -94,6 +94,21 @@
     expect(fleet.listLedger().filter(({ event }) => event === 'stopped')).toEqual([]);
   });
 
+  it('drains all hosts that may go at once, not one after the other', async () => {
+    await operate(PLAN);
+    await operate('start split day');
+    await advanceUntil(() => getView().listHosts('ovens')[0]?.state === HostState.Draining);
+    const tokens = getView()
+      .listHosts('ovens')
+      .map(({ maintenance }) => maintenance?.token);
+    await fleet.advance(4_000);
+    const states = getView()
+      .listHosts('ovens')
+      .map(({ state }) => state);
+    expect(new Set(tokens).size).toEqual(1);
+    expect(states).toEqual([HostState.Drained, HostState.Drained, HostState.Drained]);
+  });
+
   it('leaves neither half a key, a route or a host of the other', async () => {
     await operate(PLAN);
     await operate('start split day');
