fuzz: the split among the steps of suite fleet

Cause: the suite knew no split. Change: a planned split that is started, paused, undone and finished among the other steps; each team calls one queue, so that the plan can be carried out.

--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzFleetHistory.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzFleetHistory.ts
@@ -24,6 +24,13 @@
 const RECOVERY_MS = 40_000;
 const PLATFORM = 'platform';
 
+/** Each team calls one queue, so that a split can be started. */
+const PREPARATION = [
+  'change queue ovens teams = (guilds)',
+  'change queue doors teams = (crews)',
+  'plan split day targets = (doors), pools = (doors), teams = (crews)',
+];
+
 /** Changes the operators' service of an entry; for tests that break the product on purpose. */
 export type PrepareService = (service: OperatorService) => void;
 
@@ -66,6 +73,9 @@
     this.#fleet.listWorkers().forEach((worker) => worker.applyBootTime(BOOT_MS));
     await this.#fleet.startAll();
     this.#entries.forEach((entry) => this.#prepareEntry(entry));
+    for (const text of PREPARATION) {
+      await this.#fleet.settleOperation('entry-1', text);
+    }
     await this.#fleet.advance(2_000);
   }
 
@@ -152,6 +162,18 @@
       case FleetStepKind.AbortWave:
         this.#operate(step.entry, `abort wave ${wave}`);
         break;
+      case FleetStepKind.StartSplit:
+        this.#operate(step.entry, 'start split day');
+        break;
+      case FleetStepKind.PauseSplit:
+        this.#operate(step.entry, 'pause split day');
+        break;
+      case FleetStepKind.UndoSplit:
+        this.#operate(step.entry, 'undo split day');
+        break;
+      case FleetStepKind.FinishSplit:
+        this.#operate(step.entry, 'finish split day');
+        break;
       case FleetStepKind.WithdrawKey:
         this.#operate(step.entry, `withdraw key key-${team}`, () =>
           this.#oracle.recordWithdrawal(team),
@@ -262,8 +284,9 @@
     const { random } = this.#fleet;
     const entries = this.#fleet.listEntries();
     for (let index = 0; index < CALLS_PER_STEP && entries.length > 0; index += 1) {
-      const queue = random.getOneOf(QUEUES);
-      const team = random.getOneOf(TEAMS);
+      const chosen = random.getInteger(QUEUES.length);
+      const queue = QUEUES[chosen] as string;
+      const team = TEAMS[chosen] as string;
       this.#calls += 1;
       const id = `fuzz-${this.#calls}`;
       this.#oracle.recordCall(id, { queue, team });
