--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorNetwork.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorNetwork.ts
@@ -23,12 +23,25 @@
   readonly handle: () => Promise<T>;
 };
 
+/** What was carried from one end to another. */
+export type Traffic = {
+  readonly from: string;
+  readonly to: string;
+  readonly exchanges: number;
+  /** Bytes of requests and answers, where they are counted. */
+  readonly bytes: number;
+};
+
+type CountedTraffic = { -readonly [Name in keyof Traffic]: Traffic[Name] };
+
 const DEFAULT_LATENCY_MS = 1;
 
 /** Carries requests between endpoints, with latency, cuts in one direction, and closed ends. */
 export class EmulatedNetwork {
   readonly #cuts = new Set<string>();
 
+  readonly #traffic = new Map<string, CountedTraffic>();
+
   readonly #closed = new Set<string>();
 
   readonly #repeated = new Map<string, number>();
@@ -81,9 +94,20 @@
     this.#closed.delete(name);
   }
 
+  /** Counts bytes of a message that was carried. */
+  recordBytes(from: string, to: string, bytes: number): void {
+    this.#getTraffic(from, to).bytes += bytes;
+  }
+
+  /** Lists what was carried between each two ends since the start. */
+  listTraffic(): readonly Traffic[] {
+    return [...this.#traffic.values()];
+  }
+
   /** Sends a request and waits for the answer by the sender's clock. Rejects as `handle` does. */
   async send<T>(exchange: Exchange<T>): Promise<ExchangeResult<T>> {
     const { from, to, timeoutMs, signal, handle } = exchange;
+    this.#getTraffic(from.name, to.name).exchanges += 1;
     return new Promise((resolve, reject) => {
       const finish = (result: ExchangeResult<T>): void => {
         cancelTimeout();
@@ -124,6 +148,13 @@
     });
   }
 
+  #getTraffic(from: string, to: string): CountedTraffic {
+    const name = `${from} ${to}`;
+    const known = this.#traffic.get(name) ?? { from, to, exchanges: 0, bytes: 0 };
+    this.#traffic.set(name, known);
+    return known;
+  }
+
   #isCut(from: Endpoint, to: Endpoint): boolean {
     return this.#cuts.has(`${from.name} ${to.name}`);
   }
--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorPeers.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorPeers.ts
@@ -17,8 +17,15 @@
   readonly getRouter: () => AnyTRPCRouter | null;
 };
 
-function copyAsJson(value: unknown): unknown {
-  return value === undefined ? undefined : (JSON.parse(JSON.stringify(value)) as unknown);
+/** A value as JSON carries it, and its size. */
+type CopiedValue = { readonly value: unknown; readonly bytes: number };
+
+function copyAsJson(value: unknown): CopiedValue {
+  if (value === undefined) {
+    return { value, bytes: 0 };
+  }
+  const text = JSON.stringify(value);
+  return { value: JSON.parse(text) as unknown, bytes: text.length };
 }
 
 /** Reaches peers across the emulated network; values are copied as JSON would. */
@@ -83,11 +90,14 @@
           path,
           type,
           ctx: {},
-          getRawInput: async () => sent,
+          getRawInput: async () => sent.value,
           signal: undefined,
           batchIndex: 0,
         });
-        return copyAsJson(reply);
+        const copied = copyAsJson(reply);
+        const { name } = peer.endpoint;
+        this.#network.recordBytes(this.#from.name, name, sent.bytes + copied.bytes);
+        return copied.value;
       },
     });
     if (result.kind !== 'answered') {
--- a/packages/baobabwell-emulator/src/index.ts
+++ b/packages/baobabwell-emulator/src/index.ts
@@ -4,7 +4,7 @@
   EmulatedDecorators,
   EmulatedOverrides,
 } from './BaobabwellEmulatorFleet';
-export type { Endpoint, ExchangeResult } from './BaobabwellEmulatorNetwork';
+export type { Endpoint, ExchangeResult, Traffic } from './BaobabwellEmulatorNetwork';
 export type { RunningStep } from './BaobabwellEmulatorRunning';
 export type { EmulatedDeployment, EmulatedPool, EmulatedTeam } from './BaobabwellEmulatorSettings';
 
--- a/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
@@ -4,6 +4,7 @@
 import { LimitMeasure } from './BaobabwellMeasuresLimit';
 import { RollOutMeasure } from './BaobabwellMeasuresRollOut';
 import { ShareMeasure } from './BaobabwellMeasuresShare';
+import { SlopesMeasure } from './BaobabwellMeasuresSlopes';
 import { SurgeMeasure } from './BaobabwellMeasuresSurge';
 import { ViewMeasure } from './BaobabwellMeasuresView';
 
@@ -15,6 +16,7 @@
   new CallMeasure(),
   new ShareMeasure(),
   new SurgeMeasure(),
+  new SlopesMeasure(),
 ];
 
 /** Finds a measure by its name. */
--- /dev/null
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresSlopesView.ts
@@ -0,0 +1,159 @@
+import type { Mutation } from '@baobabwell/model';
+
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+
+import {
+  createPut,
+  EntityKind,
+  FleetView,
+  HostState,
+  QueueAccess,
+  QueueMode,
+} from '@baobabwell/model';
+
+/** Entities held at once, in as many views as it takes, so that other use of the heap vanishes. */
+const MEASURED_ENTITIES = 23_000;
+const CHANGES = 300;
+const MICROSECONDS_PER_MS = 1_000;
+/** A prime, so that successive changes meet hosts all over the view. */
+const SPREAD = 7_919;
+const HOSTS_PER_RACK = 40;
+const RACKS_PER_DATA_CENTRE = 40;
+const POOLS = 31;
+const TEAMS = 410;
+
+let collectGarbage: (() => void) | null = null;
+
+function runCollection(): void {
+  if (collectGarbage === null) {
+    setFlagsFromString('--expose-gc');
+    collectGarbage = runInNewContext('gc') as () => void;
+  }
+  collectGarbage();
+}
+
+function buildHost(index: number, stateReason = 'settings'): Mutation {
+  const rack = Math.floor(index / HOSTS_PER_RACK);
+  return createPut(EntityKind.Host, {
+    id: `host-${index}`,
+    pool: `pool-${index % POOLS}`,
+    rack: `rack-${rack}`,
+    dataCentre: `data-centre-${Math.floor(rack / RACKS_PER_DATA_CENTRE)}`,
+    address: `10.${index >> 16}.${(index >> 8) & 255}.${index & 255}:8500`,
+    slots: 8,
+    cores: 64,
+    memoryGb: 128,
+    accelerators: 1,
+    state: HostState.Serving,
+    stateReason,
+    stateSince: 1_767_600_000_000 + index,
+    movingTo: null,
+  });
+}
+
+function buildTeam(index: number): Mutation {
+  return createPut(EntityKind.Team, {
+    id: `team-${index}`,
+    organisation: `organisation-${index % 40}`,
+    share: 1 + (index % 7),
+    limit: 10 + index,
+  });
+}
+
+function buildKey(index: number): Mutation {
+  return createPut(EntityKind.Key, {
+    id: `key-${index}`,
+    team: `team-${index % TEAMS}`,
+    digest: index.toString(16).padStart(64, '0'),
+    createdAt: 1_767_600_000_000 + index,
+    expiresAt: null,
+  });
+}
+
+function buildQueue(index: number): Mutation {
+  return createPut(EntityKind.Queue, {
+    id: `queue-${index}`,
+    target: `target-${index}`,
+    access: QueueAccess.Teams,
+    teams: [`team-${index % TEAMS}`, `team-${(index + 1) % TEAMS}`],
+    mode: QueueMode.Immediate,
+    deadlineMs: 2_000 + index,
+    window: null,
+  });
+}
+
+function listEntities(size: number, build: (index: number) => Mutation): readonly Mutation[] {
+  return Array.from({ length: size }, (_, index) => build(index));
+}
+
+/** Heap bytes that a snapshot of the view takes for each entity of a kind. */
+function measureBytes(size: number, build: (index: number) => Mutation): number {
+  // Values are parsed as from the log, so that no two entities share their strings.
+  const text = JSON.stringify(listEntities(size, build));
+  const copies = Math.ceil(MEASURED_ENTITIES / size);
+  const createView = (): FleetView => FleetView.create(1, JSON.parse(text) as readonly Mutation[]);
+  createView();
+  runCollection();
+  const before = process.memoryUsage().heapUsed;
+  const views = Array.from({ length: copies }, createView);
+  runCollection();
+  const bytes = process.memoryUsage().heapUsed - before;
+  return bytes / views.length / size;
+}
+
+/** Heap bytes for each host. */
+export function measureHostBytes(hosts: number): number {
+  return measureBytes(hosts, buildHost);
+}
+
+/** Heap bytes for each team. */
+export function measureTeamBytes(teams: number): number {
+  return measureBytes(teams, buildTeam);
+}
+
+/** Heap bytes for each key. */
+export function measureKeyBytes(keys: number): number {
+  return measureBytes(keys, buildKey);
+}
+
+/** Heap bytes for each queue. */
+export function measureQueueBytes(queues: number): number {
+  return measureBytes(queues, buildQueue);
+}
+
+function applyChanges(first: FleetView, hosts: number): FleetView {
+  let view = first;
+  for (let change = 0; change < CHANGES; change += 1) {
+    view = view.apply({
+      version: view.version + 1,
+      transactionId: `transaction-${change}`,
+      author: 'measure',
+      command: 'drain host',
+      reason: 'measure',
+      at: 0,
+      mutations: [buildHost((change * SPREAD) % hosts, 'measure')],
+    });
+  }
+  return view;
+}
+
+/** Microseconds to apply one change of a host to a view with so many hosts. */
+export function measureApply(hosts: number): number {
+  let view = FleetView.create(1, listEntities(hosts, buildHost));
+  view = applyChanges(view, hosts);
+  const startedAt = performance.now();
+  applyChanges(view, hosts);
+  return ((performance.now() - startedAt) * MICROSECONDS_PER_MS) / CHANGES;
+}
+
+/** Microseconds to do the same by copying a plain map of all hosts, as a baseline. */
+export function measureCopyApply(hosts: number): number {
+  let map = new Map(listEntities(hosts, buildHost).map(({ id, value }) => [id, value]));
+  const startedAt = performance.now();
+  for (let change = 0; change < CHANGES; change += 1) {
+    const { id, value } = buildHost((change * SPREAD) % hosts, 'measure');
+    map = new Map(map).set(id, value);
+  }
+  return ((performance.now() - startedAt) * MICROSECONDS_PER_MS) / CHANGES;
+}
