--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
@@ -97,11 +97,20 @@
 
   readonly #decorators: EmulatedDecorators;
 
+  readonly #plugins: readonly Plugin[];
+
   #incarnations = 0;
 
   #calls = 0;
 
-  constructor(settings: Settings, seed: number, decorators: EmulatedDecorators = {}) {
+  /** @param plugins used by every entry, before the features that they replace parts of. */
+  constructor(
+    settings: Settings,
+    seed: number,
+    plugins: readonly Plugin[] = [],
+    decorators: EmulatedDecorators = {},
+  ) {
+    this.#plugins = plugins;
     this.#decorators = decorators;
     this.settings = settings;
     this.random = new Random(seed);
@@ -164,7 +173,7 @@
         logger: this.#createLogger(id),
       },
       {
-        before: [this.#createConnections({ name: id, clock })],
+        before: [this.#createConnections({ name: id, clock }), ...this.#plugins],
         after: [this.#createPeerServer(id)],
       },
     );
@@ -239,14 +248,14 @@
       body: Buffer.from('{}'),
       ...call,
     };
-    return this.#sendFrom(entry, async (kernel) =>
+    return this.ask(entry, async (kernel) =>
       kernel.getService(CALL_SERVICE).run(request, signal ?? new AbortController().signal),
     );
   }
 
   /** Gives a statement to an entry; `null` when the entry never answered. */
   async operate(entry: string, text: string, operator = 'operator'): Promise<OperatorReply | null> {
-    return this.#sendFrom(entry, async (kernel) =>
+    return this.ask(entry, async (kernel) =>
       kernel.getService(OPERATOR_SERVICE).run(text, operator),
     );
   }
@@ -266,7 +275,8 @@
     this.listEntries().forEach((id) => this.killEntry(id));
   }
 
-  async #sendFrom<T>(entry: string, handle: (kernel: Kernel) => Promise<T>): Promise<T | null> {
+  /** Has an entry handle a request of a caller; `null` when it never answers. */
+  async ask<T>(entry: string, handle: (kernel: Kernel) => Promise<T>): Promise<T | null> {
     const { clock, kernel } = this.#getEntry(entry);
     const result = await this.network.send({
       from: { name: CALLER, clock: this.time },
--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzCallSystem.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzCallSystem.ts
@@ -60,7 +60,7 @@
       pools: [{ id: QUEUE, workers, minimumServing: 1, slots }],
       teams: [{ id: TEAM, share: 1, limit: TEAM_LIMIT }],
     });
-    this.fleet = new EmulatedFleet(settings, seed, decorators);
+    this.fleet = new EmulatedFleet(settings, seed, [], decorators);
   }
 
   /** Starts all entries. */
--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzRegistry.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzRegistry.ts
@@ -1,9 +1,10 @@
 import type { FuzzSuite } from './BaobabwellFuzz';
 
 import { CallFuzzSuite } from './BaobabwellFuzzCall';
+import { LimitsSuite } from './BaobabwellFuzzLimits';
 
 /** All suites. */
-export const FUZZ_SUITES: readonly FuzzSuite[] = [new CallFuzzSuite()];
+export const FUZZ_SUITES: readonly FuzzSuite[] = [new CallFuzzSuite(), new LimitsSuite()];
 
 /** Finds a suite by its name. */
 export function findFuzzSuite(name: string): FuzzSuite | null {
--- a/packages/baobabwell-fuzz/src/__tests__/unit/BaobabwellFuzzCall.test.ts
+++ b/packages/baobabwell-fuzz/src/__tests__/unit/BaobabwellFuzzCall.test.ts
@@ -98,7 +98,7 @@
 }
 
 async function findBroken(suite: CallFuzzSuite): Promise<readonly string[]> {
-  const { failure } = await suite.run({ seed: SEED, runs: BROKEN_RUNS, isUnshrunk: true });
+  const { failure } = await suite.run({ seed: SEED, runs: BROKEN_RUNS, endsOnFailure: true });
   const report = /InvariantError: (\{.*\})/.exec(failure ?? '')?.[1] ?? '{}';
   return Object.entries(JSON.parse(report) as Record<string, readonly string[]>)
     .filter(([, broken]) => broken.length > 0)
