workers: no task into a slot that a renewal in flight gives up; events and gauges of workers

Suspect and silent workers showed nowhere. Change: slots are given up when the renewal is sent, not when it is answered. Log events worker-suspect, worker-trusted, worker-silent; gauges of suspect workers and unstored outcomes. Conclusion: what is asked of a worker counts from the asking when it is less, from the answer when it is more.

--- a/packages/baobabwell-entry/src/BaobabwellEntryCallRecorder.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallRecorder.ts
@@ -2,9 +2,10 @@
 import type { CallRequest, CallResult } from '@baobabwell/calls';
 import type { Logger } from '@baobabwell/logging';
 import type { EntryMetrics } from '@baobabwell/metrics';
+import type { Host } from '@baobabwell/model';
 import type { TurnRequest } from '@baobabwell/scheduling';
 import type { Objective } from '@baobabwell/settings';
-import type { Task, TaskOutcome } from '@baobabwell/workers';
+import type { Task, TaskOutcome, WorkerEvent } from '@baobabwell/workers';
 
 import { CallReason } from '@baobabwell/calls';
 import { ObjectiveResult } from '@baobabwell/metrics';
@@ -50,6 +51,12 @@
     this.#parts = parts;
   }
 
+  /** Records what this entry found out about a worker. */
+  recordWorker(event: WorkerEvent, { id, pool }: Pick<Host, 'id' | 'pool'>): void {
+    this.#parts.metrics.workerEvents.inc({ pool, event });
+    this.#parts.logger.recordWarning(event, { host: id, pool });
+  }
+
   /** Records that a call came in. */
   recordAccepted({ id, queue, priority, isRepeatable }: CallRequest): void {
     this.#parts.logger.recordDebug('call-accepted', { call: id, queue, priority, isRepeatable });
--- a/packages/baobabwell-entry/src/BaobabwellEntryIdempotencyPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryIdempotencyPlugin.ts
@@ -16,6 +16,7 @@
   CLAIM_COMMITS,
   IDEMPOTENCY,
   IDENTITY,
+  METRICS,
   OBJECT_STORE,
   TABLE_SERVICE,
   VIEW_STORE,
@@ -88,6 +89,11 @@
   async start(kernel) {
     const commits = kernel.getService(CLAIM_COMMITS);
     const sweeper = buildSweeper(kernel);
+    const metrics = kernel.getService(METRICS);
+    const registry = kernel.getService(IDEMPOTENCY);
+    const undo = metrics.registerCollector(() =>
+      metrics.unstoredOutcomes.set(registry.getUnstoredCount()),
+    );
     const tasks = Promise.all([commits.run(), sweeper.run()]);
     kernel.lifecycle.add(
       'claims',
@@ -96,6 +102,7 @@
         sweeper.stop();
         commits.stop();
         await tasks;
+        undo();
       },
       2 * FLUSH_BOUND_MS,
     );
--- a/packages/baobabwell-entry/src/BaobabwellEntryMetricsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryMetricsPlugin.ts
@@ -28,14 +28,16 @@
 }
 
 function recordPools(kernel: Kernel, metrics: EntryMetrics): void {
-  [metrics.waitingCalls, metrics.leasedSlots, metrics.usedSlots].forEach((gauge) => gauge.reset());
+  const { waitingCalls, suspectWorkers: suspects, leasedSlots: leased, usedSlots: used } = metrics;
+  [waitingCalls, suspects, leased, used].forEach((gauge) => gauge.reset());
   kernel
     .getService(WORKER_DIRECTORY)
     .listPoolUse()
-    .forEach(({ pool, waiting, leasedSlots, usedSlots }) => {
-      metrics.waitingCalls.set({ pool }, waiting);
-      metrics.leasedSlots.set({ pool }, leasedSlots);
-      metrics.usedSlots.set({ pool }, usedSlots);
+    .forEach(({ pool, waiting, leasedSlots, usedSlots, suspectWorkers }) => {
+      waitingCalls.set({ pool }, waiting);
+      suspects.set({ pool }, suspectWorkers);
+      leased.set({ pool }, leasedSlots);
+      used.set({ pool }, usedSlots);
     });
 }
 
--- a/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
@@ -27,6 +27,8 @@
   readonly waiting: number;
   readonly leasedSlots: number;
   readonly usedSlots: number;
+  /** Workers that fail what they are given and get probes only. */
+  readonly suspectWorkers: number;
 };
 
 const DEFAULT_WEIGHT = 1;
@@ -87,7 +89,8 @@
       const usedSlots = used.reduce((sum, slots) => sum + slots, 0);
       const leasedSlots = usable.reduce((sum, slots) => sum + slots, usedSlots);
       const waiting = this.#schedulers.get(id)?.getWaitingCount() ?? 0;
-      return { pool: id, waiting, leasedSlots, usedSlots };
+      const suspectWorkers = sessions.filter(({ session }) => session.isSuspect()).length;
+      return { pool: id, waiting, leasedSlots, usedSlots, suspectWorkers };
     });
   }
 
@@ -127,7 +130,7 @@
   }
 
   #startSession(host: Host): WorkerSession {
-    const { clock, factory, holder, isCurrent } = this.#parts;
+    const { clock, factory, holder, recorder, isCurrent } = this.#parts;
     const session = new WorkerSession({
       host: host.id,
       holder,
@@ -141,6 +144,7 @@
       },
       isCurrent,
       onChange: () => this.dispatchTurns(),
+      onEvent: (event) => recorder.recordWorker(event, host),
     });
     void session.run();
     return session;
--- a/packages/baobabwell-metrics/src/BaobabwellMetrics.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetrics.ts
@@ -80,6 +80,26 @@
     registers: [this.registry],
   });
 
+  readonly suspectWorkers = new Gauge({
+    name: 'baobabwell_suspect_workers',
+    help: 'Workers that fail what they are given and get probes only, by pool.',
+    labelNames: ['pool'] as const,
+    registers: [this.registry],
+  });
+
+  readonly workerEvents = new Counter({
+    name: 'baobabwell_worker_events_total',
+    help: 'Workers found suspect, trusted again or silent, by pool.',
+    labelNames: ['pool', 'event'] as const,
+    registers: [this.registry],
+  });
+
+  readonly unstoredOutcomes = new Gauge({
+    name: 'baobabwell_unstored_outcomes',
+    help: 'Outcomes of calls with an idempotency key that are not stored yet.',
+    registers: [this.registry],
+  });
+
   readonly members = new Gauge({
     name: 'baobabwell_members',
     help: 'Entries that belong to the fleet.',
--- a/packages/baobabwell-workers/src/BaobabwellWorkersSession.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersSession.ts
@@ -23,8 +23,20 @@
   readonly isCurrent: () => boolean;
   /** Called when slots may have become usable. */
   readonly onChange: () => void;
+  /** Called when the judgement of the worker changes. */
+  readonly onEvent: (event: WorkerEvent) => void;
 };
 
+/** What an entry finds out about a worker. */
+export enum WorkerEvent {
+  /** It fails what it is given, and gets probes only. */
+  Suspect = 'worker-suspect',
+  /** It answered a probe, or its failures were the work's own. */
+  Trusted = 'worker-trusted',
+  /** An exchange was abandoned because nothing will come of it. */
+  Silent = 'worker-silent',
+}
+
 /** An answer that does not carry the task's own identifier may be another caller's. */
 function checkAnswer(task: Task, outcome: TaskOutcome): TaskOutcome {
   return outcome.kind === 'answered' && outcome.answer.taskId !== task.id
@@ -190,6 +202,8 @@
     const asked = this.#requested;
     const wanted = Math.min(getMaxSlots(), this.#getSlotsToKeep() + asked);
     this.#peakInUse = this.#inUse;
+    // The worker may apply this at any moment from now on: more would be rejected.
+    this.#held = Math.min(this.#held, wanted);
     const sentAt = clock.getNow();
     const grant = await client.renew({ holder, slots: wanted, stops });
     this.#requested = Math.max(0, this.#requested - asked);
@@ -204,6 +218,7 @@
       ? this.#tasks.recordGrant(sentAt, grant.value.tasks, stops)
       : this.#tasks.recordUnanswered(sentAt);
     if (isSilent) {
+      this.#parts.onEvent(WorkerEvent.Silent);
       this.#replaceConnections();
     }
     onChange();
@@ -216,6 +231,7 @@
   }
 
   #recordOutcome(outcome: TaskOutcome, wasGivenUp: boolean): void {
+    const wasSuspect = this.health.isSuspect();
     if (outcome.kind === 'answered') {
       this.health.recordSuccess();
     }
@@ -225,6 +241,9 @@
     if (outcome.kind === 'lost' && !wasGivenUp) {
       this.#replaceConnections();
     }
+    if (this.health.isSuspect() !== wasSuspect) {
+      this.#parts.onEvent(wasSuspect ? WorkerEvent.Trusted : WorkerEvent.Suspect);
+    }
   }
 
   #canStart(): boolean {
--- a/packages/baobabwell-workers/src/BaobabwellWorkersTasks.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersTasks.ts
@@ -91,15 +91,16 @@
   /**
    * Records that a renewal was not answered.
    *
-   * @returns whether the worker has been silent for so long that its exchanges were abandoned.
+   * @returns whether exchanges were abandoned because the worker has been silent for too long.
    */
   recordUnanswered(sentAt: number): boolean {
     this.#unansweredSince ??= sentAt;
     if (this.#clock.getNow() - this.#unansweredSince < SILENT_WORKER_MS) {
       return false;
     }
+    const hasRunning = this.#running.size > 0;
     this.#running.forEach(({ abandoned }) => abandoned.abort());
-    return true;
+    return hasRunning;
   }
 
   #isSilent(task: RunningTask, sentAt: number, isKnown: boolean): boolean {
--- a/packages/baobabwell-workers/src/index.ts
+++ b/packages/baobabwell-workers/src/index.ts
@@ -22,4 +22,4 @@
 } from './BaobabwellWorkersConstants';
 export { HttpWorkerClient, HttpWorkerClientFactory } from './BaobabwellWorkersHttp';
 export { WorkerHealth } from './BaobabwellWorkersHealth';
-export { WorkerSession } from './BaobabwellWorkersSession';
+export { WorkerEvent, WorkerSession } from './BaobabwellWorkersSession';
