--- a/packages/baobabwell-measures/src/BaobabwellMeasuresSlopesDecision.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresSlopesDecision.ts
@@ -65,6 +65,7 @@
         comparison: { getOthersFailureFraction: () => 0, canSpare: () => true },
         isCurrent: () => true,
         onChange: () => {},
+        onEvent: () => {},
       }),
   );
   sessions.forEach((session) => {
