--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
@@ -87,11 +87,15 @@
 
   readonly #logLines: string[] = [];
 
+  readonly #plugins: readonly Plugin[];
+
   #incarnations = 0;
 
   #calls = 0;
 
-  constructor(settings: Settings, seed: number) {
+  /** @param plugins used by every entry, before the features that they replace parts of. */
+  constructor(settings: Settings, seed: number, plugins: readonly Plugin[] = []) {
+    this.#plugins = plugins;
     this.settings = settings;
     this.random = new Random(seed);
     this.tables = new StandInTableService(this.time, new Random(seed + 1));
@@ -153,7 +157,7 @@
         logger: this.#createLogger(id),
       },
       {
-        before: [this.#createConnections({ name: id, clock })],
+        before: [this.#createConnections({ name: id, clock }), ...this.#plugins],
         after: [this.#createPeerServer(id)],
       },
     );
@@ -228,14 +232,14 @@
       body: Buffer.from('{}'),
       ...call,
     };
-    return this.#sendFrom(entry, async (kernel) =>
+    return this.ask(entry, async (kernel) =>
       kernel.getService(CALL_SERVICE).run(request, signal ?? new AbortController().signal),
     );
   }
 
   /** Gives a statement to an entry; `null` when the entry never answered. */
   async operate(entry: string, text: string, operator = 'operator'): Promise<OperatorReply | null> {
-    return this.#sendFrom(entry, async (kernel) =>
+    return this.ask(entry, async (kernel) =>
       kernel.getService(OPERATOR_SERVICE).run(text, operator),
     );
   }
@@ -255,7 +259,8 @@
     this.listEntries().forEach((id) => this.killEntry(id));
   }
 
-  async #sendFrom<T>(entry: string, handle: (kernel: Kernel) => Promise<T>): Promise<T | null> {
+  /** Has an entry handle a request of a caller; `null` when it never answers. */
+  async ask<T>(entry: string, handle: (kernel: Kernel) => Promise<T>): Promise<T | null> {
     const { clock, kernel } = this.#getEntry(entry);
     const result = await this.network.send({
       from: { name: CALLER, clock: this.time },
--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorSettings.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorSettings.ts
@@ -1,8 +1,8 @@
-import type { Settings } from '@baobabwell/settings';
+import type { PolicySettings, Settings } from '@baobabwell/settings';
 
 import { createHash } from 'node:crypto';
 
-import { OperatorRole } from '@baobabwell/model';
+import { OperatorRole, QueueMode } from '@baobabwell/model';
 import { settingsSchema } from '@baobabwell/settings';
 
 const FIRST_CALLER_PORT = 1_000;
@@ -10,6 +10,7 @@
 const FIRST_PEER_PORT = 3_000;
 const FIRST_WORKER_PORT = 4_000;
 const DATA_CENTRES = ['north', 'east', 'south'];
+const ALWAYS_OPEN = { opens: '00:00', closes: '23:59' };
 const DEFAULT_WORKERS_PER_RACK = 4;
 
 /** A pool of an emulated deployment. */
@@ -19,6 +20,7 @@
   readonly minimumServing: number;
   readonly slots?: number;
   readonly spare?: boolean;
+  readonly workersPerRack?: number;
 };
 
 /** A team of an emulated deployment; its key's secret is `secret-` followed by its name. */
@@ -28,11 +30,22 @@
   readonly limit: number;
 };
 
+/** A deferred queue of an emulated deployment. */
+export type EmulatedDeferredQueue = {
+  readonly id: string;
+  /** The pool, and so the target, that its work runs on. */
+  readonly pool: string;
+  readonly window?: { readonly opens: string; readonly closes: string };
+};
+
 /** What an emulated deployment consists of. Each pool has a target and a queue of its name. */
 export type EmulatedDeployment = {
   readonly entries: number;
   readonly pools: readonly EmulatedPool[];
   readonly teams: readonly EmulatedTeam[];
+  readonly deferred?: readonly EmulatedDeferredQueue[];
+  /** Policies other than the usual ones. */
+  readonly policies?: Partial<PolicySettings>;
 };
 
 /** The secret of the emulated operator. */
@@ -53,12 +66,12 @@
 
 function buildPools(pools: readonly EmulatedPool[]): unknown[] {
   let port = FIRST_WORKER_PORT;
-  return pools.map(({ id, workers, minimumServing, slots = 8, spare = false }) => ({
+  return pools.map(({ id, workers, minimumServing, slots = 8, spare = false, workersPerRack }) => ({
     id,
     minimumServing,
     spare,
     hosts: Array.from({ length: workers }, (_, index) => {
-      const rack = Math.floor(index / DEFAULT_WORKERS_PER_RACK);
+      const rack = Math.floor(index / (workersPerRack ?? DEFAULT_WORKERS_PER_RACK));
       port += 1;
       return {
         id: `${id}-${index + 1}`,
@@ -74,7 +87,13 @@
 }
 
 /** Builds the settings of an emulated deployment. */
-export function buildEmulatedSettings({ entries, pools, teams }: EmulatedDeployment): Settings {
+export function buildEmulatedSettings({
+  entries,
+  pools,
+  teams,
+  deferred = [],
+  policies = {},
+}: EmulatedDeployment): Settings {
   const serving = pools.filter(({ spare }) => spare !== true);
   return settingsSchema.parse({
     name: 'emulated',
@@ -88,6 +107,7 @@
     platform: { url: 'http://127.0.0.1:1' },
     peers: { secret: 'emulated-peer-secret' },
     log: { level: 'error' },
+    policies,
     fleet: {
       organisations: [{ id: 'organisation', share: 1 }],
       teams: teams.map((team) => ({ ...team, organisation: 'organisation' })),
@@ -105,12 +125,22 @@
       ],
       pools: buildPools(pools),
       targets: serving.map(({ id }) => ({ id, pool: id })),
-      queues: serving.map(({ id }) => ({
-        id,
-        target: id,
-        teams: teams.map((team) => team.id),
-        deadline: '10s',
-      })),
+      queues: [
+        ...serving.map(({ id }) => ({
+          id,
+          target: id,
+          teams: teams.map((team) => team.id),
+          deadline: '10s',
+        })),
+        ...deferred.map(({ id, pool, window = ALWAYS_OPEN }) => ({
+          id,
+          target: pool,
+          teams: teams.map((team) => team.id),
+          mode: QueueMode.Deferred,
+          deadline: '12h',
+          window,
+        })),
+      ],
     },
   });
 }
--- a/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
@@ -2,6 +2,7 @@
 import type { Readiness } from './BaobabwellEntryReadiness';
 import type { WorkerDirectory } from './BaobabwellEntryWorkers';
 import type { CallService } from '@baobabwell/calls';
+import type { DeferredGate, DeferredService, WorkIndex } from '@baobabwell/deferred';
 import type { GroupCommit, IdempotencyRegistry } from '@baobabwell/idempotency';
 import type { Logger } from '@baobabwell/logging';
 import type { HostControl, HostHealth, MaintenanceController } from '@baobabwell/maintenance';
@@ -12,9 +13,10 @@
   MembershipService,
 } from '@baobabwell/membership';
 import type { EntryMetrics } from '@baobabwell/metrics';
-import type { ViewChange } from '@baobabwell/model';
+import type { Member, ViewChange } from '@baobabwell/model';
 import type { ChangeJournal, CommandRecords, OperatorService } from '@baobabwell/operations';
 import type { PeerConnector } from '@baobabwell/peers';
+import type { FenceClock, PermitPeer } from '@baobabwell/permits';
 import type { HostList, ObjectStore, TableService } from '@baobabwell/platform';
 import type { PermitPool } from '@baobabwell/scheduling';
 import type { EntrySettings, Settings } from '@baobabwell/settings';
@@ -62,18 +64,23 @@
 export const PEER_SERVERS = createServiceToken<FastifyInstance[]>('peerServers');
 export const WORKER_CLIENT_FACTORY = createServiceToken<WorkerClientFactory>('workerClientFactory');
 export const WORKER_DIRECTORY = createServiceToken<WorkerDirectory>('workerDirectory');
+export const FENCE_CLOCK = createServiceToken<FenceClock>('fenceClock');
+export const PERMIT_PEERS = createServiceToken<(member: Member) => PermitPeer>('permitPeers');
 export const PERMIT_POOL = createServiceToken<PermitPool>('permitPool');
 export const READINESS = createServiceToken<Readiness>('readiness');
 export const CLAIM_COMMITS = createServiceToken<GroupCommit>('claimCommits');
 export const IDEMPOTENCY = createServiceToken<IdempotencyRegistry>('idempotency');
 export const CALL_SERVICE = createServiceToken<CallService>('callService');
-export const OPERATOR_SERVER = createServiceToken<FastifyInstance>('operatorServer');
 export const HOST_CONTROL = createServiceToken<HostControl>('hostControl');
 export const HOST_HEALTH = createServiceToken<HostHealth>('hostHealth');
 export const MAINTENANCE_CONTROLLER =
   createServiceToken<MaintenanceController>('maintenanceController');
 export const CHANGE_JOURNAL = createServiceToken<ChangeJournal>('changeJournal');
 export const COMMAND_RECORDS = createServiceToken<CommandRecords>('commandRecords');
+export const OPERATOR_SERVER = createServiceToken<FastifyInstance>('operatorServer');
+export const WORK_INDEX = createServiceToken<WorkIndex>('workIndex');
+export const DEFERRED_SERVICE = createServiceToken<DeferredService>('deferredService');
+export const DEFERRED_GATE = createServiceToken<DeferredGate>('deferredGate');
 export const OPERATOR_SERVICE = createServiceToken<OperatorService>('operatorService');
 
 /** A change that this entry committed. */
--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzRegistry.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzRegistry.ts
@@ -1,9 +1,15 @@
 import type { FuzzSuite } from './BaobabwellFuzz';
 
+import { FleetSuite } from './BaobabwellFuzzFleet';
+import { LimitsSuite } from './BaobabwellFuzzLimits';
 import { ViewFuzzSuite } from './BaobabwellFuzzView';
 
 /** All suites. */
-export const FUZZ_SUITES: readonly FuzzSuite[] = [new ViewFuzzSuite()];
+export const FUZZ_SUITES: readonly FuzzSuite[] = [
+  new ViewFuzzSuite(),
+  new LimitsSuite(),
+  new FleetSuite(),
+];
 
 /** Finds a suite by its name. */
 export function findFuzzSuite(name: string): FuzzSuite | null {
--- a/packages/baobabwell-scheduling/src/BaobabwellSchedulingTurns.ts
+++ b/packages/baobabwell-scheduling/src/BaobabwellSchedulingTurns.ts
@@ -16,7 +16,7 @@
 /** A slot on a worker together with the team's permit. */
 export type Turn = {
   readonly session: WorkerSession;
-  /** Gives slot and permit back; must be called exactly once. */
+  /** Gives slot and permit back, once the work has certainly ended; called exactly once. */
   readonly release: () => void;
 };
 
--- a/packages/baobabwell-settings/src/BaobabwellSettingsSchema.ts
+++ b/packages/baobabwell-settings/src/BaobabwellSettingsSchema.ts
@@ -3,6 +3,7 @@
 
 import { entrySchema, logSchema, peersSchema } from './BaobabwellSettingsEntries';
 import { platformSchema } from './BaobabwellSettingsPlatform';
+import { policiesSchema } from './BaobabwellSettingsPolicies';
 import { poolSchema, targetSchema } from './BaobabwellSettingsPools';
 import { queueSchema } from './BaobabwellSettingsQueues';
 import {
@@ -30,6 +31,7 @@
   platform: platformSchema,
   peers: peersSchema,
   log: logSchema.default({ level: 'info' }),
+  policies: policiesSchema,
   fleet: fleetSchema,
 });
 
