--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorFleet.ts
@@ -66,6 +66,12 @@
   readonly decorateWorkers?: (workers: WorkerClientFactory) => WorkerClientFactory;
 };
 
+/** What an emulated deployment does differently from an ordinary one. */
+export type EmulatedOverrides = EmulatedDecorators & {
+  /** Used by every entry, before the features that they replace parts of. */
+  readonly plugins?: readonly Plugin[];
+};
+
 /** A call of an emulated caller; what is left out takes an ordinary value. */
 export type EmulatedCall = Partial<CallRequest> & { readonly queue: string };
 
@@ -95,23 +101,17 @@
 
   readonly #logLines: string[] = [];
 
-  readonly #decorators: EmulatedDecorators;
-
   readonly #plugins: readonly Plugin[];
 
+  readonly #decorators: EmulatedDecorators;
+
   #incarnations = 0;
 
   #calls = 0;
 
-  /** @param plugins used by every entry, before the features that they replace parts of. */
-  constructor(
-    settings: Settings,
-    seed: number,
-    plugins: readonly Plugin[] = [],
-    decorators: EmulatedDecorators = {},
-  ) {
-    this.#plugins = plugins;
-    this.#decorators = decorators;
+  constructor(settings: Settings, seed: number, overrides: EmulatedOverrides = {}) {
+    this.#plugins = overrides.plugins ?? [];
+    this.#decorators = overrides;
     this.settings = settings;
     this.random = new Random(seed);
     this.tables = new StandInTableService(this.time, new Random(seed + 1));
--- a/packages/baobabwell-entry/src/BaobabwellEntryCallServerPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryCallServerPlugin.ts
@@ -4,6 +4,7 @@
 import { registerDeferredCalls, registerWorkRoutes } from '@baobabwell/deferred';
 
 import { parseAddress } from './BaobabwellEntryAddress';
+import { readCredentials, startReloader } from './BaobabwellEntryCertificates';
 import { registerHealthRoutes } from './BaobabwellEntryHealth';
 import {
   CALL_RECORDER,
@@ -12,6 +13,7 @@
   DEFERRED_SERVICE,
   ENTRY_SETTINGS,
   READINESS,
+  SETTINGS,
   VIEW_STORE,
 } from './BaobabwellEntryTokens';
 
@@ -30,8 +32,12 @@
   register: () => () => {},
   async start(kernel) {
     const recorder = kernel.getService(CALL_RECORDER);
-    const server = buildCallServer(kernel.getService(CALL_SERVICE), (request, result, durationMs) =>
-      recorder.recordEnded(request, result, durationMs),
+    const files = kernel.getService(SETTINGS).tls.callers;
+    const credentials = files === null ? null : await readCredentials(files);
+    const server = buildCallServer(
+      kernel.getService(CALL_SERVICE),
+      (request, result, durationMs) => recorder.recordEnded(request, result, durationMs),
+      credentials,
     );
     const readiness = kernel.getService(READINESS);
     registerHealthRoutes(server, readiness);
@@ -45,6 +51,9 @@
       }
     });
     await server.listen(parseAddress(kernel.getService(ENTRY_SETTINGS).callers));
+    if (files !== null && credentials !== null) {
+      startReloader(kernel, server, files, credentials);
+    }
     kernel.lifecycle.add('caller server', async () => server.close(), CLOSE_BOUND_MS);
     kernel.lifecycle.add('readiness', async () => {
       readiness.stop();
--- a/packages/baobabwell-entry/src/BaobabwellEntryMaintenancePlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryMaintenancePlugin.ts
@@ -1,7 +1,10 @@
 import type { Kernel, Plugin } from '@baobabwell/kernel';
+import type { ControllerReport } from '@baobabwell/maintenance';
 
 import { mergeUndo } from '@baobabwell/kernel';
 import { HostHealth, MaintenanceController, WaveDuty } from '@baobabwell/maintenance';
+import { RepairDuty } from '@baobabwell/repair';
+import { SplitDuty } from '@baobabwell/split';
 
 import {
   FRESHNESS,
@@ -11,6 +14,8 @@
   IDENTITY,
   LOGGER,
   MAINTENANCE_CONTROLLER,
+  OBJECT_STORE,
+  VIEW_QUORUM,
   VIEW_STORE,
   VIEW_WRITER,
 } from './BaobabwellEntryTokens';
@@ -26,6 +31,7 @@
 
 function buildController(kernel: Kernel): MaintenanceController {
   const logger = kernel.getService(LOGGER);
+  const report: ControllerReport = (event, fields) => logger.recordInfo(event, fields);
   return new MaintenanceController({
     identity: kernel.getService(IDENTITY),
     store: kernel.getService(VIEW_STORE),
@@ -34,8 +40,13 @@
     control: kernel.getService(HOST_CONTROL),
     clock: kernel.clock,
     isCurrent: () => kernel.getService(FRESHNESS).isCurrent(),
-    duties: [new WaveDuty()],
-    report: (event, fields) => logger.recordInfo(event, fields),
+    isInForce: (version) => kernel.getService(VIEW_QUORUM).getInForceVersion() >= version,
+    duties: [
+      new WaveDuty(),
+      new SplitDuty(kernel.getService(OBJECT_STORE)),
+      new RepairDuty(() => null, report),
+    ],
+    report,
   });
 }
 
--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzRegistry.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzRegistry.ts
@@ -1,10 +1,17 @@
 import type { FuzzSuite } from './BaobabwellFuzz';
 
 import { CallFuzzSuite } from './BaobabwellFuzzCall';
+import { FleetSuite } from './BaobabwellFuzzFleet';
 import { LimitsSuite } from './BaobabwellFuzzLimits';
+import { ViewFuzzSuite } from './BaobabwellFuzzView';
 
 /** All suites. */
-export const FUZZ_SUITES: readonly FuzzSuite[] = [new CallFuzzSuite(), new LimitsSuite()];
+export const FUZZ_SUITES: readonly FuzzSuite[] = [
+  new LimitsSuite(),
+  new FleetSuite(),
+  new CallFuzzSuite(),
+  new ViewFuzzSuite(),
+];
 
 /** Finds a suite by its name. */
 export function findFuzzSuite(name: string): FuzzSuite | null {
--- a/packages/baobabwell-idempotency/src/__tests__/unit/BaobabwellIdempotencyFleet.test.ts
+++ b/packages/baobabwell-idempotency/src/__tests__/unit/BaobabwellIdempotencyFleet.test.ts
@@ -192,6 +192,31 @@
     expect(countStarts()).toEqual(1);
   });
 
+  it('is settled long before its deadline once its owner is no member any more', async () => {
+    const body = Buffer.from('{"runMs":2000}');
+    void send('entry-1', { timeoutMs: 120_000, body });
+    await fleet.advance(WAIT_MS);
+    fleet.killEntry('entry-1');
+    await fleet.advance(20_000);
+    const early = await call('entry-2', { body, timeoutMs: 1_000 });
+    await fleet.advance(10_000);
+    const late = await call('entry-2', { body, timeoutMs: 1_000 });
+    expect([describeResult(early), describeResult(late), countStarts()]).toEqual([
+      'unknown in-progress safe',
+      'unknown owner-lost safe',
+      1,
+    ]);
+  });
+
+  it('is taken over when its owner died and it may run again', async () => {
+    const options = { timeoutMs: 5_000, isRepeatable: true, body: Buffer.from('{"runMs":900}') };
+    void send('entry-1', options);
+    await fleet.advance(500);
+    fleet.killEntry('entry-1');
+    await fleet.advance(20_000);
+    expect(describeResult(await call('entry-2', options))).toEqual('completed answered safe');
+  });
+
   it('never runs again when its owner died with the answer not stored', async () => {
     const first = send('entry-1', { timeoutMs: 3_000, body: Buffer.from('{"runMs":800}') });
     await fleet.advance(600);
--- a/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
@@ -2,13 +2,19 @@
 
 import { CallMeasure } from './BaobabwellMeasuresCall';
 import { LimitMeasure } from './BaobabwellMeasuresLimit';
+import { RollOutMeasure } from './BaobabwellMeasuresRollOut';
+import { ShareMeasure } from './BaobabwellMeasuresShare';
+import { SurgeMeasure } from './BaobabwellMeasuresSurge';
 import { ViewMeasure } from './BaobabwellMeasuresView';
 
 /** All measures, in the order in which `all` takes them. */
 export const MEASURES: readonly Measure[] = [
-  new CallMeasure(),
   new ViewMeasure(),
   new LimitMeasure(),
+  new RollOutMeasure(),
+  new CallMeasure(),
+  new ShareMeasure(),
+  new SurgeMeasure(),
 ];
 
 /** Finds a measure by its name. */
--- a/packages/baobabwell-settings/src/BaobabwellSettingsSchema.ts
+++ b/packages/baobabwell-settings/src/BaobabwellSettingsSchema.ts
@@ -13,6 +13,7 @@
   teamSchema,
 } from './BaobabwellSettingsTeams';
 import { identifierSchema } from './BaobabwellSettingsText';
+import { tlsSchema } from './BaobabwellSettingsTls';
 
 const fleetSchema = z.strictObject({
   organisations: z.array(organisationSchema),
@@ -30,6 +31,7 @@
   entries: z.array(entrySchema).min(1),
   platform: platformSchema,
   peers: peersSchema,
+  tls: tlsSchema.default({ callers: null, operators: null }),
   log: logSchema.default({ level: 'info' }),
   policies: policiesSchema,
   fleet: fleetSchema,
