measures: overhead of an entry against a bare pass-through

Cause: nothing told what the decisions of an entry cost. Change: `stand-in pass-through` and the measure, each server a process with workers of its own, in turns under the same load; events below the log level cost nothing; a call that was answered aborts nothing. Way not taken: both in one process, where the load client hides the difference.

--- a/packages/baobabwell-calls/src/BaobabwellCallsHttp.ts
+++ b/packages/baobabwell-calls/src/BaobabwellCallsHttp.ts
@@ -114,7 +114,12 @@
     const call = parseCall(request);
     const abandoned = new AbortController();
     const startedAt = performance.now();
-    reply.raw.once('close', () => abandoned.abort());
+    reply.raw.once('close', () => {
+      // Aborting is costly, and of no use once the answer was sent.
+      if (!reply.raw.writableFinished) {
+        abandoned.abort();
+      }
+    });
     const result = await service.run(call, abandoned.signal);
     observe(call, result, performance.now() - startedAt);
     return sendResult(reply, call.id, result);
--- a/packages/baobabwell-cli/src/BaobabwellCliStandIns.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCliStandIns.ts
@@ -66,6 +66,16 @@
   await runServers(servers, port, 'worker stand-ins', json);
 }
 
+async function runPassThrough(
+  port: number,
+  workers: readonly string[],
+  slots: number,
+  json: boolean,
+): Promise<void> {
+  const { buildPassThroughServer } = await import('@baobabwell/stand-ins');
+  await runServers([await buildPassThroughServer(workers, slots)], port, 'pass-through', json);
+}
+
 function addPlatform(cli: Argv): Argv {
   return cli.command(
     'platform',
@@ -102,9 +112,35 @@
   );
 }
 
+function addPassThrough(cli: Argv): Argv {
+  return cli.command(
+    'pass-through',
+    'Pass calls to workers without any decision, to compare with',
+    (command) =>
+      command
+        .option('port', { ...createPortOption('Port on loopback'), demandOption: true })
+        .option('worker', {
+          type: 'string',
+          array: true,
+          demandOption: true,
+          describe: 'Addresses of workers',
+        })
+        .option('slots', {
+          ...createNumberOption('slots', 'Slots of each worker', { isWhole: true, atLeast: 1 }),
+          default: DEFAULT_SLOTS,
+        })
+        .option('json', JSON_OPTION)
+        .example('$0 stand-in pass-through --port 8000 --worker 127.0.0.1:8500', 'To one worker'),
+    async ({ port, worker, slots, json }) => runPassThrough(port, worker, slots, json),
+  );
+}
+
 /** Adds the command `stand-in`. */
 export function addStandIns(cli: Argv): Argv {
   return cli.command('stand-in', 'Run stand-ins for tests and demonstrations', (command) =>
-    addWorker(addPlatform(command)).demandCommand(1, 'name a stand-in: platform or worker'),
+    addPassThrough(addWorker(addPlatform(command))).demandCommand(
+      1,
+      'name a stand-in: platform, worker or pass-through',
+    ),
   );
 }
--- a/packages/baobabwell-logging/src/BaobabwellLogging.ts
+++ b/packages/baobabwell-logging/src/BaobabwellLogging.ts
@@ -48,6 +48,8 @@
 
   readonly #fields: LogFields;
 
+  readonly #level: number;
+
   /** @param fields values that every line of this logger carries. */
   constructor(
     level: LogLevel,
@@ -60,6 +62,7 @@
       throttle: 0,
     });
     this.#fields = fields;
+    this.#level = CONSOLA_LEVELS[level];
   }
 
   /** Records that something failed and needs attention. */
@@ -74,11 +77,15 @@
 
   /** Records an ordinary event. */
   recordInfo(event: string, fields: LogFields = {}): void {
-    this.#consola.info(event, { ...this.#fields, ...fields });
+    if (this.#level >= CONSOLA_LEVELS[LogLevel.Info]) {
+      this.#consola.info(event, { ...this.#fields, ...fields });
+    }
   }
 
   /** Records a detail. */
   recordDebug(event: string, fields: LogFields = {}): void {
-    this.#consola.debug(event, { ...this.#fields, ...fields });
+    if (this.#level >= CONSOLA_LEVELS[LogLevel.Debug]) {
+      this.#consola.debug(event, { ...this.#fields, ...fields });
+    }
   }
 }
--- a/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
@@ -1,10 +1,15 @@
 import type { Measure } from './BaobabwellMeasures';
 
 import { LimitMeasure } from './BaobabwellMeasuresLimit';
+import { OverheadMeasure } from './BaobabwellMeasuresOverhead';
 import { ViewMeasure } from './BaobabwellMeasuresView';
 
 /** All measures, in the order in which `all` takes them. */
-export const MEASURES: readonly Measure[] = [new ViewMeasure(), new LimitMeasure()];
+export const MEASURES: readonly Measure[] = [
+  new OverheadMeasure(),
+  new ViewMeasure(),
+  new LimitMeasure(),
+];
 
 /** Finds a measure by its name. */
 export function findMeasure(name: string): Measure | null {
--- a/packages/baobabwell-stand-ins/src/index.ts
+++ b/packages/baobabwell-stand-ins/src/index.ts
@@ -12,6 +12,7 @@
 
 export { NO_PLATFORM_FAULTS, NO_WORKER_FAULTS } from './BaobabwellStandInsFaults';
 export { StandInHostControl } from './BaobabwellStandInsHostControl';
+export { buildPassThroughServer } from './BaobabwellStandInsPassThrough';
 export { StandInHostList, StandInObjectStore } from './BaobabwellStandInsPlatform';
 export { buildPlatformServer } from './BaobabwellStandInsPlatformServer';
 export { StandInTableService } from './BaobabwellStandInsTable';
