--- a/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
@@ -1,6 +1,12 @@
 import type { CallRecorder } from './BaobabwellEntryCallRecorder';
 import type { FleetView, Host } from '@baobabwell/model';
-import type { PermitPool, PoolScheduler } from '@baobabwell/scheduling';
+import type {
+  AdmissionControl,
+  PermitPool,
+  PoolScheduler,
+  SlotShares,
+  TeamActivity,
+} from '@baobabwell/scheduling';
 import type { Clock } from '@baobabwell/utils';
 import type { ViewStore } from '@baobabwell/view';
 import type { WorkerClientFactory } from '@baobabwell/workers';
@@ -15,6 +21,8 @@
   readonly clock: Clock;
   readonly view: ViewStore;
   readonly permits: PermitPool;
+  readonly shares: SlotShares;
+  readonly createAdmission: () => AdmissionControl;
   readonly factory: WorkerClientFactory;
   readonly holder: string;
   readonly recorder: CallRecorder;
@@ -39,6 +47,10 @@
 
   readonly #schedulers = new Map<string, PoolScheduler>();
 
+  readonly #serving = new Map<string, readonly WorkerSession[]>();
+
+  #servingView: FleetView | null = null;
+
   constructor(parts: WorkerDirectoryParts) {
     this.#parts = parts;
   }
@@ -56,6 +68,7 @@
       const session = this.#sessions.get(id)?.session ?? this.#startSession(host);
       this.#sessions.set(id, { host, session });
     });
+    this.#serving.clear();
     this.#schedulers.forEach((scheduler) => scheduler.dispatchTurns());
   }
 
@@ -65,9 +78,13 @@
     if (known !== undefined) {
       return known;
     }
+    const { clock, permits, shares } = this.#parts;
     const parts = {
-      clock: this.#parts.clock,
-      permits: this.#parts.permits,
+      pool,
+      clock,
+      permits,
+      shares,
+      admission: this.#parts.createAdmission(),
       getWeight: (team: string) =>
         this.#parts.view.get().get(EntityKind.Team, team)?.share ?? DEFAULT_WEIGHT,
       listSessions: () => this.#listServing(pool),
@@ -77,6 +94,23 @@
     return scheduler;
   }
 
+  /** Lists what each team runs and waits for here, by pool. */
+  listActivity(): readonly { readonly pool: string; readonly teams: readonly TeamActivity[] }[] {
+    return [...this.#schedulers].map(([pool, scheduler]) => ({
+      pool,
+      teams: scheduler.listActivity(),
+    }));
+  }
+
+  /** Number of slots of the hosts of a pool that take work. */
+  getPoolSlots(pool: string): number {
+    return this.#parts.view
+      .get()
+      .listHosts(pool)
+      .filter(({ state }) => state === HostState.Serving)
+      .reduce((sum, { slots }) => sum + slots, 0);
+  }
+
   /** Lists what this entry uses of each pool. */
   listPoolUse(): readonly PoolUse[] {
     const view = this.#parts.view.get();
@@ -101,14 +135,26 @@
     this.#schedulers.forEach((scheduler) => scheduler.stop());
     this.#sessions.forEach(({ session }) => session.stop());
     this.#sessions.clear();
+    this.#serving.clear();
   }
 
+  /** The sessions with the serving hosts of a pool, looked up once for each view. */
   #listServing(pool: string): readonly WorkerSession[] {
-    return this.#parts.view
-      .get()
+    const view = this.#parts.view.get();
+    if (view !== this.#servingView) {
+      this.#servingView = view;
+      this.#serving.clear();
+    }
+    const known = this.#serving.get(pool);
+    if (known !== undefined) {
+      return known;
+    }
+    const sessions = view
       .listHosts(pool)
       .filter(({ state }) => state === HostState.Serving)
       .flatMap(({ id }) => this.#sessions.get(id)?.session ?? []);
+    this.#serving.set(pool, sessions);
+    return sessions;
   }
 
   /** The pool can spare a worker while enough others are trusted. */
--- a/packages/baobabwell-scheduling/src/index.ts
+++ b/packages/baobabwell-scheduling/src/index.ts
@@ -1,6 +1,8 @@
+export type { QueueOutlook } from './BaobabwellSchedulingAdmission';
 export type { Claim } from './BaobabwellSchedulingAllocation';
 export type { Permit, StaticDivision } from './BaobabwellSchedulingPermits';
 export type { PoolSchedulerParts } from './BaobabwellSchedulingPool';
+export type { TeamActivity } from './BaobabwellSchedulingShares';
 export type { Turn, TurnRefusal, TurnRequest } from './BaobabwellSchedulingTurns';
 
 export { FairQueue } from './BaobabwellSchedulingFairQueue';
@@ -9,3 +11,8 @@
 export { findRendezvousOwner } from './BaobabwellSchedulingRendezvous';
 export { buildAllocation } from './BaobabwellSchedulingAllocation';
 export { LocalSlotShares, SlotShares } from './BaobabwellSchedulingShares';
+export {
+  AdmissionControl,
+  DeadlineAdmission,
+  ExpectedWaitAdmission,
+} from './BaobabwellSchedulingAdmission';
--- a/packages/baobabwell-workers/src/BaobabwellWorkersSession.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersSession.ts
@@ -25,6 +25,13 @@
   readonly onChange: () => void;
 };
 
+/** An answer that does not carry the task's own identifier may be another caller's. */
+function checkAnswer(task: Task, outcome: TaskOutcome): TaskOutcome {
+  return outcome.kind === 'answered' && outcome.answer.taskId !== task.id
+    ? { kind: 'lost', cause: 'the answer belongs to another task' }
+    : outcome;
+}
+
 /** This entry's lease on one worker: how many slots it holds and how many are in use. */
 export class WorkerSession {
   readonly client: WorkerClient;
@@ -96,12 +103,15 @@
       return { kind: 'not-sent', cause: 'abandoned' };
     }
     const abandoned = this.#tasks.add(task.id);
-    const outcome = await this.client.run(
+    const received = await this.client.run(
       { ...task, canStart: () => this.#canStart() && task.canStart() },
       AbortSignal.any([signal, abandoned]),
     );
+    const outcome = checkAnswer(task, received);
     this.#tasks.remove(task.id, outcome.kind === 'lost');
     this.#recordOutcome(outcome, signal.aborted);
+    const stream = outcome.kind === 'answered' ? outcome.answer.stream : null;
+    void stream?.ended.then((isWhole) => this.#tasks.remove(task.id, !isWhole));
     return outcome;
   }
 
@@ -119,7 +129,8 @@
   /** Slots that may still be granted, as far as is known. */
   getFreeSlots(): number {
     const roomBelowCap = this.#parts.getMaxSlots() - this.#held - this.#requested;
-    if (this.health.isSuspect() && this.#held > 0) {
+    const isProbeDue = this.#held === 0 && this.health.canProbe(this.#parts.clock.getNow());
+    if (this.health.isSuspect() && !isProbeDue) {
       return 0;
     }
     return this.#isReachable ? Math.max(0, Math.min(this.#free, roomBelowCap)) : 0;
@@ -136,6 +147,19 @@
     this.#wake.abort();
   }
 
+  /** Milliseconds since the last grant was asked for. */
+  getGrantAge(): number {
+    return this.#parts.clock.getNow() - (this.#startableUntil - START_TTL_MS);
+  }
+
+  /** Gives slots without a task back at once rather than with a later renewal. */
+  returnIdleSlots(): void {
+    if (this.#held > Math.max(this.#inUse, 0) && this.#requested === 0) {
+      this.#peakInUse = this.#inUse;
+      this.#wake.abort();
+    }
+  }
+
   /** Takes one usable slot. */
   acquireSlot(): void {
     checkInvariant(this.getUsableSlots() > 0, `no usable slot on ${this.host}`);
@@ -185,7 +209,8 @@
     this.#isReachable = grant.ok;
     if (grant.ok) {
       this.#held = grant.value.slots;
-      this.#free = grant.value.free;
+      // What was asked for and not granted is not there to be asked for again at once.
+      this.#free = grant.value.slots < wanted ? 0 : grant.value.free;
       this.#startableUntil = sentAt + START_TTL_MS;
     }
     const isSilent = grant.ok
