--- a/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
@@ -35,6 +35,8 @@
   readonly waiting: number;
   readonly leasedSlots: number;
   readonly usedSlots: number;
+  /** Workers that fail what they are given and get probes only. */
+  readonly suspectWorkers: number;
 };
 
 const DEFAULT_WEIGHT = 1;
@@ -121,10 +123,16 @@
       const usedSlots = used.reduce((sum, slots) => sum + slots, 0);
       const leasedSlots = usable.reduce((sum, slots) => sum + slots, usedSlots);
       const waiting = this.#schedulers.get(id)?.getWaitingCount() ?? 0;
-      return { pool: id, waiting, leasedSlots, usedSlots };
+      const suspectWorkers = sessions.filter(({ session }) => session.isSuspect()).length;
+      return { pool: id, waiting, leasedSlots, usedSlots, suspectWorkers };
     });
   }
 
+  /** Whether the tasks of a host all fail here, or `null` when nothing is known of it. */
+  hasBadResults(host: string): boolean | null {
+    return this.#sessions.get(host)?.session.isSuspect() ?? null;
+  }
+
   /** Gives out slots of every pool, for example after permits came free. */
   dispatchTurns(): void {
     this.#schedulers.forEach((scheduler) => scheduler.dispatchTurns());
@@ -173,7 +181,7 @@
   }
 
   #startSession(host: Host): WorkerSession {
-    const { clock, factory, holder, isCurrent } = this.#parts;
+    const { clock, factory, holder, recorder, isCurrent } = this.#parts;
     const session = new WorkerSession({
       host: host.id,
       holder,
@@ -187,6 +195,7 @@
       },
       isCurrent,
       onChange: () => this.dispatchTurns(),
+      onEvent: (event) => recorder.recordWorker(event, host),
     });
     void session.run();
     return session;
--- a/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
@@ -5,6 +5,7 @@
 import { OverheadMeasure } from './BaobabwellMeasuresOverhead';
 import { RollOutMeasure } from './BaobabwellMeasuresRollOut';
 import { ShareMeasure } from './BaobabwellMeasuresShare';
+import { SlopesMeasure } from './BaobabwellMeasuresSlopes';
 import { SurgeMeasure } from './BaobabwellMeasuresSurge';
 import { ViewMeasure } from './BaobabwellMeasuresView';
 
@@ -17,6 +18,7 @@
   new CallMeasure(),
   new ShareMeasure(),
   new SurgeMeasure(),
+  new SlopesMeasure(),
 ];
 
 /** Finds a measure by its name. */
