--- a/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
@@ -2,6 +2,7 @@
 
 import { CallMeasure } from './BaobabwellMeasuresCall';
 import { LimitMeasure } from './BaobabwellMeasuresLimit';
+import { OverheadMeasure } from './BaobabwellMeasuresOverhead';
 import { RollOutMeasure } from './BaobabwellMeasuresRollOut';
 import { ShareMeasure } from './BaobabwellMeasuresShare';
 import { SlopesMeasure } from './BaobabwellMeasuresSlopes';
@@ -10,6 +11,7 @@
 
 /** All measures, in the order in which `all` takes them. */
 export const MEASURES: readonly Measure[] = [
+  new OverheadMeasure(),
   new ViewMeasure(),
   new LimitMeasure(),
   new RollOutMeasure(),
