scheduling, shares: surges leave neighbours and urgent calls alone

Cause: a surge kept slots empty, since targets followed activity late; the expected wait of a team within its share was overestimated; and a session gave a slot back to its worker while it still counted it as usable, so the worker rejected the next task.

--- a/packages/baobabwell-scheduling/src/BaobabwellSchedulingAdmission.ts
+++ b/packages/baobabwell-scheduling/src/BaobabwellSchedulingAdmission.ts
@@ -34,7 +34,7 @@
 }
 
 const WINDOW_MS = 1_000;
-const WAIT_PART = 0.5;
+const WAIT_PART = 0.25;
 
 type StartCount = {
   since: number;
@@ -45,7 +45,7 @@
 
 /**
  * Refuses a call on arrival when the wait that is expected from the queue before it and from the
- * team's recent starts takes more than half of the time left: the other half covers the work
+ * team's recent starts takes more than a quarter of the time left: a short queue is soon gone, and the rest covers the work
  * itself and the error of the estimate.
  */
 export class ExpectedWaitAdmission extends AdmissionControl {
@@ -62,8 +62,7 @@
     if (!Number.isFinite(slots) || ahead === 0) {
       return null;
     }
-    const rate = Math.max(this.#getStartRate(team), slots / meanRunMs, 1 / WINDOW_MS);
-    const expectedMs = ahead / rate;
+    const expectedMs = ahead / this.#getRate(team, Math.max(1, slots) / meanRunMs);
     return expectedMs > remainingMs * WAIT_PART ? expectedMs : null;
   }
 
@@ -71,6 +70,11 @@
     this.#getCount(team).count += 1;
   }
 
+  /** What was started says little of a team that had nothing waiting. */
+  #getRate(team: string, expectedRate: number): number {
+    return Math.max(this.#getStartRate(team), expectedRate);
+  }
+
   /** Starts a millisecond over the last one to two windows. */
   #getStartRate(team: string): number {
     const { since, count, previous } = this.#getCount(team);
--- a/packages/baobabwell-scheduling/src/BaobabwellSchedulingPool.ts
+++ b/packages/baobabwell-scheduling/src/BaobabwellSchedulingPool.ts
@@ -13,6 +13,8 @@
 const MIN_RETRY_AFTER_MS = 1_000;
 /** Age of a grant from which a worker may have free slots again. */
 const STALE_GRANT_MS = 40;
+/** Largest part of a call's time that is kept for the work itself. */
+const MAX_RUN_PART = 0.5;
 /** Slots that urgent work may use beyond its team's part of a full pool. */
 const URGENT_OVERDRAFT = 1;
 const INITIAL_RUN_MS = 50;
@@ -118,7 +120,7 @@
       team,
       ahead: this.#waiting.getCountBefore(team, priority),
       slots: shares.getTarget(pool, team),
-      meanRunMs: this.#teamRunMs.get(team) ?? this.#meanRunMs,
+      meanRunMs: this.#getRunMs(team),
       remainingMs: deadlineAt - clock.getNow(),
     };
   }
@@ -158,7 +160,10 @@
     const onAbort = (): void => this.#refuse(waiting, { kind: 'cancelled' });
     this.#waiting.add(request.team, waiting, request.priority);
     this.#parts.permits.addWaiting(request.team, 1);
-    waiting.cancelTimer = clock.startTimer(request.deadlineAt - clock.getNow(), () => {
+    const waitMs = request.deadlineAt - clock.getNow();
+    // Work that cannot end in time would only take a slot from work that can.
+    const runMs = Math.min(this.#getRunMs(request.team), waitMs * MAX_RUN_PART);
+    waiting.cancelTimer = clock.startTimer(waitMs - runMs, () => {
       this.#refuse(waiting, { kind: 'deadline', retryAfterMs: this.#getRetryAfter() });
     });
     if (signal.aborted) {
@@ -273,6 +278,10 @@
       );
   }
 
+  #getRunMs(team: string): number {
+    return this.#teamRunMs.get(team) ?? this.#meanRunMs;
+  }
+
   /** Slots that a team may use on top of those in use. */
   #getRoom(team: string): number {
     const { shares, pool } = this.#parts;
--- a/packages/baobabwell-shares/src/BaobabwellSharesPoolOwner.ts
+++ b/packages/baobabwell-shares/src/BaobabwellSharesPoolOwner.ts
@@ -10,6 +10,7 @@
   CORRECTION_MS,
   DIVISION_PACE_MS,
   DIVISION_TTL_MS,
+  OVERCOMMIT,
 } from './BaobabwellSharesConstants';
 import { buildTeamDivision, buildWholeDivision } from './BaobabwellSharesDivision';
 
@@ -76,7 +77,8 @@
     }
     const ideal = buildTeamDivision(slots, demands);
     this.#recordDeficits(ideal, demands, elapsedMs);
-    this.#targets = this.#buildTargets(slots, ideal, now);
+    // A little more than there is: an entry whose calls ended leaves no slot empty meanwhile.
+    this.#targets = this.#buildTargets(Math.ceil(slots * OVERCOMMIT), ideal, now);
   }
 
   #listDemands(): readonly TeamDemand[] {
--- a/packages/baobabwell-workers/src/BaobabwellWorkersSession.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersSession.ts
@@ -192,6 +192,8 @@
     const asked = this.#requested;
     const wanted = Math.min(getMaxSlots(), this.#getSlotsToKeep() + asked);
     this.#peakInUse = this.#inUse;
+    // A slot is let go before the worker gives it to another entry.
+    this.#held = Math.min(this.#held, wanted);
     const sentAt = clock.getNow();
     const grant = await client.renew({ holder, slots: wanted, stops });
     this.#requested = Math.max(0, this.#requested - asked);
