--- a/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryTokens.ts
@@ -72,13 +72,13 @@
 export const CLAIM_COMMITS = createServiceToken<GroupCommit>('claimCommits');
 export const IDEMPOTENCY = createServiceToken<IdempotencyRegistry>('idempotency');
 export const CALL_SERVICE = createServiceToken<CallService>('callService');
-export const OPERATOR_SERVER = createServiceToken<FastifyInstance>('operatorServer');
 export const HOST_CONTROL = createServiceToken<HostControl>('hostControl');
 export const HOST_HEALTH = createServiceToken<HostHealth>('hostHealth');
 export const MAINTENANCE_CONTROLLER =
   createServiceToken<MaintenanceController>('maintenanceController');
 export const CHANGE_JOURNAL = createServiceToken<ChangeJournal>('changeJournal');
 export const COMMAND_RECORDS = createServiceToken<CommandRecords>('commandRecords');
+export const OPERATOR_SERVER = createServiceToken<FastifyInstance>('operatorServer');
 export const WORK_INDEX = createServiceToken<WorkIndex>('workIndex');
 export const DEFERRED_SERVICE = createServiceToken<DeferredService>('deferredService');
 export const DEFERRED_GATE = createServiceToken<DeferredGate>('deferredGate');
--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzLimitsHistory.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzLimitsHistory.ts
@@ -53,7 +53,7 @@
       pools: [{ id: POOL, workers: 3, minimumServing: 1 }],
       teams: [{ id: TEAM, share: 1, limit: FIRST_LIMIT }],
     });
-    this.#fleet = new EmulatedFleet(settings, seed, plugins);
+    this.#fleet = new EmulatedFleet(settings, seed, { plugins });
     this.#entries = settings.entries.map(({ id }) => id);
   }
 
--- a/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
@@ -1,6 +1,8 @@
 import type { Measure } from './BaobabwellMeasures';
 
+import { CallMeasure } from './BaobabwellMeasuresCall';
 import { LimitMeasure } from './BaobabwellMeasuresLimit';
+import { RollOutMeasure } from './BaobabwellMeasuresRollOut';
 import { ShareMeasure } from './BaobabwellMeasuresShare';
 import { SurgeMeasure } from './BaobabwellMeasuresSurge';
 import { ViewMeasure } from './BaobabwellMeasuresView';
@@ -9,6 +11,8 @@
 export const MEASURES: readonly Measure[] = [
   new ViewMeasure(),
   new LimitMeasure(),
+  new RollOutMeasure(),
+  new CallMeasure(),
   new ShareMeasure(),
   new SurgeMeasure(),
 ];
