--- a/packages/baobabwell-entry/src/BaobabwellEntryMetricsPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryMetricsPlugin.ts
@@ -10,7 +10,9 @@
   FRESHNESS,
   LOGGER,
   METRICS,
+  PERMIT_POOL,
   SETTINGS,
+  SLOT_SHARES,
   VIEW_QUORUM,
   VIEW_STORE,
   WORKER_DIRECTORY,
@@ -40,6 +42,28 @@
     });
 }
 
+/** Teams that have permits or calls here. */
+function recordTeams(kernel: Kernel, metrics: EntryMetrics): void {
+  const { heldPermits, usedPermits, waitingForPermit, slotTargets } = metrics;
+  [heldPermits, usedPermits, waitingForPermit, slotTargets].forEach((gauge) => gauge.reset());
+  kernel
+    .getService(PERMIT_POOL)
+    .listUse()
+    .forEach(({ team, held, inUse, waiting }) => {
+      heldPermits.set({ team }, held);
+      usedPermits.set({ team }, inUse);
+      waitingForPermit.set({ team }, waiting);
+    });
+  const shares = kernel.getService(SLOT_SHARES);
+  kernel
+    .getService(WORKER_DIRECTORY)
+    .listActivity()
+    .filter(({ pool }) => shares.isContended(pool))
+    .forEach(({ pool, teams }) =>
+      teams.forEach(({ team }) => slotTargets.set({ pool, team }, shares.getTarget(pool, team))),
+    );
+}
+
 function recordView(kernel: Kernel, metrics: EntryMetrics): void {
   const view = kernel.getService(VIEW_STORE).get();
   metrics.members.set(view.getCount(EntityKind.Member));
@@ -56,6 +80,7 @@
   const metrics = kernel.getService(METRICS);
   return mergeUndo(
     metrics.registerCollector(() => recordPools(kernel, metrics)),
+    metrics.registerCollector(() => recordTeams(kernel, metrics)),
     metrics.registerCollector(() => recordView(kernel, metrics)),
   );
 }
--- a/packages/baobabwell-metrics/src/BaobabwellMetrics.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetrics.ts
@@ -80,6 +80,34 @@
     registers: [this.registry],
   });
 
+  readonly heldPermits = new Gauge({
+    name: 'baobabwell_held_permits',
+    help: 'Permits of a team that this entry holds within the upper limit, by team.',
+    labelNames: ['team'] as const,
+    registers: [this.registry],
+  });
+
+  readonly usedPermits = new Gauge({
+    name: 'baobabwell_used_permits',
+    help: 'Permits with which work of this entry runs, by team.',
+    labelNames: ['team'] as const,
+    registers: [this.registry],
+  });
+
+  readonly waitingForPermit = new Gauge({
+    name: 'baobabwell_team_waiting_calls',
+    help: 'Calls that wait for their turn at this entry, by team.',
+    labelNames: ['team'] as const,
+    registers: [this.registry],
+  });
+
+  readonly slotTargets = new Gauge({
+    name: 'baobabwell_slot_target',
+    help: 'Slots that a team may use at this entry while the pool is full, by pool and team.',
+    labelNames: ['pool', 'team'] as const,
+    registers: [this.registry],
+  });
+
   readonly members = new Gauge({
     name: 'baobabwell_members',
     help: 'Entries that belong to the fleet.',
--- a/packages/baobabwell-permits/src/BaobabwellPermitsHoldings.ts
+++ b/packages/baobabwell-permits/src/BaobabwellPermitsHoldings.ts
@@ -1,4 +1,5 @@
 import type { HoldingReport, Loan } from './BaobabwellPermits';
+import type { PermitUse } from '@baobabwell/scheduling';
 import type { Clock } from '@baobabwell/utils';
 
 import { RESERVE_MS } from './BaobabwellPermitsConstants';
@@ -38,6 +39,16 @@
     return this.#holdings.get(team)?.held ?? 0;
   }
 
+  /** Lists the teams of which permits are held or wanted. */
+  listUse(): readonly PermitUse[] {
+    return [...this.#holdings].map(([team, { held, inUse, waiting }]) => ({
+      team,
+      held,
+      inUse,
+      waiting,
+    }));
+  }
+
   /** Whether work of any team runs. */
   hasInUse(): boolean {
     return [...this.#holdings.values()].some(({ inUse }) => inUse > 0);
--- a/packages/baobabwell-permits/src/BaobabwellPermitsPool.ts
+++ b/packages/baobabwell-permits/src/BaobabwellPermitsPool.ts
@@ -3,7 +3,7 @@
 import type { PermitPeer, PermitPeerService } from './BaobabwellPermitsPeers';
 import type { Undo } from '@baobabwell/kernel';
 import type { FleetView, Member } from '@baobabwell/model';
-import type { Permit } from '@baobabwell/scheduling';
+import type { Permit, PermitUse } from '@baobabwell/scheduling';
 import type { Clock } from '@baobabwell/utils';
 import type { ViewUpdate } from '@baobabwell/view';
 
@@ -100,6 +100,10 @@
     }
   }
 
+  override listUse(): readonly PermitUse[] {
+    return this.#holdings.listUse();
+  }
+
   override registerListener(listener: (team: string) => void): Undo {
     this.#listeners.add(listener);
     return () => {
--- a/packages/baobabwell-scheduling/src/BaobabwellSchedulingPermits.ts
+++ b/packages/baobabwell-scheduling/src/BaobabwellSchedulingPermits.ts
@@ -6,6 +6,14 @@
   readonly release: () => void;
 };
 
+/** What this entry holds and uses of one team's limit. */
+export type PermitUse = {
+  readonly team: string;
+  readonly held: number;
+  readonly inUse: number;
+  readonly waiting: number;
+};
+
 /** Decides how much of each team's upper limit this entry may use. */
 export abstract class PermitPool {
   /** Takes a permit of a team, or `null` when this entry has none left. */
@@ -17,6 +25,9 @@
   /** Counts a call that begins to wait, or with -1 one that no longer does. */
   abstract addWaiting(team: string, count: number): void;
 
+  /** Lists the teams of which permits are held or wanted. */
+  abstract listUse(): readonly PermitUse[];
+
   /** Calls `listener` when permits of a team may have become available. */
   abstract registerListener(listener: (team: string) => void): Undo;
 }
@@ -65,6 +76,15 @@
     return Math.max(0, this.#getQuota(team) - (this.#inUse.get(team) ?? 0));
   }
 
+  override listUse(): readonly PermitUse[] {
+    return [...this.#inUse].map(([team, inUse]) => ({
+      team,
+      held: this.#getQuota(team),
+      inUse,
+      waiting: 0,
+    }));
+  }
+
   override addWaiting(): void {
     // The division does not follow demand.
   }
--- a/packages/baobabwell-scheduling/src/index.ts
+++ b/packages/baobabwell-scheduling/src/index.ts
@@ -1,6 +1,6 @@
 export type { QueueOutlook } from './BaobabwellSchedulingAdmission';
 export type { Claim } from './BaobabwellSchedulingAllocation';
-export type { Permit, StaticDivision } from './BaobabwellSchedulingPermits';
+export type { Permit, PermitUse, StaticDivision } from './BaobabwellSchedulingPermits';
 export type { PoolSchedulerParts } from './BaobabwellSchedulingPool';
 export type { TeamActivity } from './BaobabwellSchedulingShares';
 export type { Turn, TurnRefusal, TurnRequest } from './BaobabwellSchedulingTurns';
