--- a/packages/baobabwell-measures/src/index.ts
+++ b/packages/baobabwell-measures/src/index.ts
@@ -9,3 +9,5 @@
 
 export { Deployment, findFigure, isMet, Measure } from './BaobabwellMeasures';
 export { findMeasure, MEASURES } from './BaobabwellMeasuresRegistry';
+export type { DecisionSizes } from './BaobabwellMeasuresDecision';
+export { measureDecision } from './BaobabwellMeasuresDecision';
