--- a/packages/baobabwell-measures/src/BaobabwellMeasuresDecision.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresDecision.ts
@@ -18,6 +18,8 @@
 const DEADLINE_MS = 3_600_000;
 const GRANT_MS = 50;
 const DECISIONS = 200;
+/** Calls that fill the pool come in such groups: the scheduler lets only so many wait. */
+const CALLS_AT_ONCE = 500;
 
 /** Sizes that a decision may depend on. */
 export type DecisionSizes = {
@@ -104,11 +106,15 @@
   };
   const runs = sessions.map(async (session) => session.run());
   await time.advance(GRANT_MS);
-  for (let call = 0; call < sizes.workers * SLOTS + sizes.queuedCalls; call += 1) {
+  const slots = sizes.workers * SLOTS;
+  for (let call = 0; call < slots + sizes.queuedCalls; call += 1) {
     acquire(call);
+    if (call < slots && call % CALLS_AT_ONCE === 0) {
+      await time.advance(GRANT_MS);
+    }
   }
   await time.advance(GRANT_MS);
-  checkInvariant(turns.length === sizes.workers * SLOTS, 'the pool is not full');
+  checkInvariant(turns.length === slots, 'the pool is not full');
   const clock = new SystemClock();
   const startedAt = clock.getNow();
   turns.slice(0, DECISIONS).forEach((turn) => {
