--- a/packages/baobabwell-measures/src/BaobabwellMeasuresDecision.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresDecision.ts
@@ -60,6 +60,7 @@
     comparison: { getOthersFailureFraction: () => 0, canSpare: () => false },
     isCurrent: () => true,
     onChange,
+    onEvent: () => {},
   });
 }
 
