--- a/packages/baobabwell-measures/src/BaobabwellMeasuresDecision.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresDecision.ts
@@ -17,7 +17,7 @@
 const SLOTS = 2;
 const DEADLINE_MS = 3_600_000;
 const GRANT_MS = 50;
-const DECISIONS = 32;
+const DECISIONS = 200;
 
 /** Sizes that a decision may depend on. */
 export type DecisionSizes = {
--- a/packages/baobabwell-measures/src/BaobabwellMeasuresSlopes.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresSlopes.ts
@@ -1,10 +1,11 @@
 import type { MeasureFindings, MeasureOptions } from './BaobabwellMeasures';
+import type { DecisionSizes } from './BaobabwellMeasuresDecision';
 import type { Slope } from './BaobabwellMeasuresSlope';
 import type { ControlCost } from './BaobabwellMeasuresSlopesFleet';
 
 import { Measure } from './BaobabwellMeasures';
+import { measureDecision } from './BaobabwellMeasuresDecision';
 import { buildExponent, measureSlope } from './BaobabwellMeasuresSlope';
-import { measureDecision } from './BaobabwellMeasuresSlopesDecision';
 import { measureControl, measurePermitExchanges } from './BaobabwellMeasuresSlopesFleet';
 import {
   measureApply,
@@ -23,7 +24,8 @@
 const QUEUED_SIZES = [100, 300, 900, 1_800];
 const ENTRY_SIZES = [3, 5, 7, 9];
 const CONCURRENCY_SIZES = [1, 2, 4, 8];
-const USUAL_SHAPE = { workers: 35, teams: 12, queued: 200 };
+const USUAL_SIZES = { workers: 35, teams: 12, queuedCalls: 200 };
+const MICROSECONDS_PER_MS = 1_000;
 
 /** A logarithm over these ranges grows like a power below this exponent. */
 const LOGARITHMIC_EXPONENT = 0.2;
@@ -33,18 +35,22 @@
   return { sizes: ENTRY_SIZES, values, exponent: buildExponent(ENTRY_SIZES, values) };
 }
 
+async function measureMicros(sizes: DecisionSizes): Promise<number> {
+  return (await measureDecision(sizes)) * MICROSECONDS_PER_MS;
+}
+
 async function measureDecisions(): Promise<Record<string, Slope>> {
   // The first run warms the code up.
-  await measureDecision(USUAL_SHAPE);
+  await measureDecision(USUAL_SIZES);
   return {
     decisionMicrosByWorkers: await measureSlope(WORKER_SIZES, async (workers) =>
-      measureDecision({ ...USUAL_SHAPE, workers }),
+      measureMicros({ ...USUAL_SIZES, workers }),
     ),
     decisionMicrosByTeams: await measureSlope(TEAM_SIZES, async (teams) =>
-      measureDecision({ ...USUAL_SHAPE, teams, queued: 2 * teams }),
+      measureMicros({ ...USUAL_SIZES, teams, queuedCalls: 2 * teams }),
     ),
-    decisionMicrosByQueued: await measureSlope(QUEUED_SIZES, async (queued) =>
-      measureDecision({ ...USUAL_SHAPE, queued }),
+    decisionMicrosByQueued: await measureSlope(QUEUED_SIZES, async (queuedCalls) =>
+      measureMicros({ ...USUAL_SIZES, queuedCalls }),
     ),
   };
 }
