entry: claims of calls name the life that the entry leads now

Cause: the owner of claims was taken once, at the start. An entry that went on in a new life after a fence claimed in the name of the fenced one, which others may take over while its work still runs. Change: the owner is read at each claim. Not taken: a registry for each life, its waiting repeats would be lost. Measured: none: the test "claims keyed calls in the new life, not in the fenced one" failed before (owner entry-2.incarnation-2) and passes. Conclusion: what belongs to a life is read when it is used.

--- a/packages/baobabwell-entry/src/BaobabwellEntryIdempotencyPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryIdempotencyPlugin.ts
@@ -47,7 +47,10 @@
     tables: kernel.getService(TABLE_SERVICE),
     answers: new AnswerStore(kernel.getService(OBJECT_STORE)),
     commits: kernel.getService(CLAIM_COMMITS),
-    owner,
+    // A fenced process goes on in a new life, and its claims must name that one.
+    get owner() {
+      return getOwner(kernel);
+    },
     isMember: (other) =>
       view
         .get()
--- a/packages/baobabwell-membership/src/__tests__/unit/BaobabwellMembership.test.ts
+++ b/packages/baobabwell-membership/src/__tests__/unit/BaobabwellMembership.test.ts
@@ -2,6 +2,7 @@
 
 import { buildEmulatedSettings, EmulatedFleet, getTeamSecret } from '@baobabwell/emulator';
 import { FENCE_TRACKER, FRESHNESS, IDENTITY, VIEW_STORE } from '@baobabwell/entry';
+import { CLAIM_TABLE } from '@baobabwell/idempotency';
 import { EntityKind, Outcome } from '@baobabwell/model';
 import { ListedHostState } from '@baobabwell/platform';
 import { NO_PLATFORM_FAULTS } from '@baobabwell/stand-ins';
@@ -119,6 +120,20 @@
     expect(await getOutcome('entry-2')).toEqual(Outcome.Completed);
   });
 
+  it('claims keyed calls in the new life, not in the fenced one', async () => {
+    await start(5);
+    fleet.pauseEntry('entry-2');
+    await fleet.advance(30_000);
+    fleet.resumeEntry('entry-2');
+    await fleet.advance(FRESHNESS_BOUND_MS + FENCE_LEASE_MS + 3_000);
+    const { id, incarnation } = fleet.getService('entry-2', IDENTITY);
+    const call = { queue: 'ovens', secret: getTeamSecret('guilds'), idempotencyKey: 'booking-1' };
+    await fleet.time.settle(fleet.call('entry-2', call), LIMIT_MS);
+    const page = await fleet.tables.readSince(CLAIM_TABLE, 0, 10);
+    const owners = page.ok ? page.value.rows.map(({ value }) => value) : [];
+    expect(owners).toEqual([expect.subset({ owner: `${id}.${incarnation}` })]);
+  });
+
   it('lets a restarted entry join at once, with its former life fenced', async () => {
     await start(5);
     const { id, incarnation } = fleet.getService('entry-2', IDENTITY);
