--- a/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryWorkers.ts
@@ -49,6 +49,10 @@
 
   readonly #schedulers = new Map<string, PoolScheduler>();
 
+  readonly #serving = new Map<string, readonly WorkerSession[]>();
+
+  #servingView: FleetView | null = null;
+
   constructor(parts: WorkerDirectoryParts) {
     this.#parts = parts;
   }
@@ -66,6 +70,7 @@
       const session = this.#sessions.get(id)?.session ?? this.#startSession(host);
       this.#sessions.set(id, { host, session });
     });
+    this.#serving.clear();
     this.#schedulers.forEach((scheduler) => scheduler.dispatchTurns());
   }
 
@@ -123,6 +128,11 @@
     });
   }
 
+  /** Whether the tasks of a host all fail here, or `null` when nothing is known of it. */
+  hasBadResults(host: string): boolean | null {
+    return this.#sessions.get(host)?.session.isSuspect() ?? null;
+  }
+
   /** Gives out slots of every pool, for example after permits came free. */
   dispatchTurns(): void {
     this.#schedulers.forEach((scheduler) => scheduler.dispatchTurns());
@@ -133,14 +143,26 @@
     this.#schedulers.forEach((scheduler) => scheduler.stop());
     this.#sessions.forEach(({ session }) => session.stop());
     this.#sessions.clear();
+    this.#serving.clear();
   }
 
+  /** The sessions with the serving hosts of a pool, looked up once for each view. */
   #listServing(pool: string): readonly WorkerSession[] {
-    return this.#parts.view
-      .get()
+    const view = this.#parts.view.get();
+    if (view !== this.#servingView) {
+      this.#servingView = view;
+      this.#serving.clear();
+    }
+    const known = this.#serving.get(pool);
+    if (known !== undefined) {
+      return known;
+    }
+    const sessions = view
       .listHosts(pool)
       .filter(({ state }) => state === HostState.Serving)
       .flatMap(({ id }) => this.#sessions.get(id)?.session ?? []);
+    this.#serving.set(pool, sessions);
+    return sessions;
   }
 
   /** The pool can spare a worker while enough others are trusted. */
--- a/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
@@ -2,19 +2,23 @@
 
 import { CallMeasure } from './BaobabwellMeasuresCall';
 import { LimitMeasure } from './BaobabwellMeasuresLimit';
+import { OverheadMeasure } from './BaobabwellMeasuresOverhead';
 import { RollOutMeasure } from './BaobabwellMeasuresRollOut';
 import { ShareMeasure } from './BaobabwellMeasuresShare';
+import { SlopesMeasure } from './BaobabwellMeasuresSlopes';
 import { SurgeMeasure } from './BaobabwellMeasuresSurge';
 import { ViewMeasure } from './BaobabwellMeasuresView';
 
 /** All measures, in the order in which `all` takes them. */
 export const MEASURES: readonly Measure[] = [
+  new OverheadMeasure(),
   new ViewMeasure(),
   new LimitMeasure(),
   new RollOutMeasure(),
   new CallMeasure(),
   new ShareMeasure(),
   new SurgeMeasure(),
+  new SlopesMeasure(),
 ];
 
 /** Finds a measure by its name. */
