membership, permits: a life that left with nothing in use needs no fence

Queries during a trial showed every entry waiting for permits: a restarted keeper did not know that its own last life had left in good order (the others knew it from a report, in memory only) and lent nothing until the fence was over. Ruled out: slots, freshness (in force at all three), a stop that was not clean (exit 0). Change: the fence row says whether the life held nothing when it left, and the fence clock passes over such lives. Not taken: telling the restarted process by its peers, who may be replaced too. New test: red without the line in the fence clock, green with it. Conclusion: what a successor must know belongs into the view, not into peers.

--- a/packages/baobabwell-entry/src/BaobabwellEntryMembershipPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryMembershipPlugin.ts
@@ -7,6 +7,7 @@
   MembershipMonitor,
   MembershipService,
 } from '@baobabwell/membership';
+import { KeeperPermitPool } from '@baobabwell/permits';
 import { buildFleet } from '@baobabwell/settings';
 
 import {
@@ -22,6 +23,7 @@
   MEMBERSHIP_MONITOR,
   MEMBERSHIP_SERVICE,
   OPERATOR_SERVICE,
+  PERMIT_POOL,
   SETTINGS,
   VIEW_QUORUM,
   VIEW_STORE,
@@ -38,6 +40,10 @@
     identity: kernel.getService(IDENTITY),
     location: { dataCentre, peerAddress },
     buildInitialFleet: (wallTime) => buildFleet(kernel.getService(SETTINGS).fleet, wallTime),
+    holdsNothing: () => {
+      const pool = kernel.getService(PERMIT_POOL);
+      return pool instanceof KeeperPermitPool && pool.holdsNothing();
+    },
     onFailure: (command, error) =>
       logger.recordDebug('membership-change-failed', { command, cause: JSON.stringify(error) }),
   });
--- a/packages/baobabwell-membership/src/BaobabwellMembershipChanges.ts
+++ b/packages/baobabwell-membership/src/BaobabwellMembershipChanges.ts
@@ -20,9 +20,10 @@
   { id: member, incarnation }: Member,
   reason: string,
   wallTime: number,
+  holdsNothing = false,
 ): readonly Mutation[] {
   const id = getFenceId({ id: member, incarnation });
-  const fence: Fence = { id, member, incarnation, reason, at: wallTime };
+  const fence: Fence = { id, member, incarnation, reason, at: wallTime, holdsNothing };
   return [createRemoval(EntityKind.Member, member), createPut(EntityKind.Fence, fence)];
 }
 
--- a/packages/baobabwell-membership/src/BaobabwellMembershipFences.ts
+++ b/packages/baobabwell-membership/src/BaobabwellMembershipFences.ts
@@ -28,6 +28,8 @@
    * the fence is not yet in force.
    */
   readonly releasedAt: number | null;
+  /** True when the life gave back all its permits before it left. */
+  readonly holdsNothing: boolean;
 };
 
 /** What the tracker works with. */
@@ -45,6 +47,7 @@
   readonly life: MemberLife;
   /** Version of the change that fenced the life. */
   readonly version: number;
+  readonly holdsNothing: boolean;
   releasedAt: number | null;
   isReported: boolean;
 };
@@ -72,10 +75,11 @@
 
   /** Lists all fenced lives. */
   listFenced(): readonly FencedLife[] {
-    return [...this.#fences.values()].map(({ life, releasedAt }) => ({
+    return [...this.#fences.values()].map(({ life, releasedAt, holdsNothing }) => ({
       member: life.id,
       incarnation: life.incarnation,
       releasedAt,
+      holdsNothing,
     }));
   }
 
@@ -113,7 +117,8 @@
       return;
     }
     const life = { id: fence.member, incarnation: fence.incarnation };
-    this.#fences.set(id, { life, version, releasedAt: null, isReported: false });
+    const { holdsNothing } = fence;
+    this.#fences.set(id, { life, version, holdsNothing, releasedAt: null, isReported: false });
     this.#parts.onFenced(life);
   }
 }
--- a/packages/baobabwell-membership/src/BaobabwellMembershipService.ts
+++ b/packages/baobabwell-membership/src/BaobabwellMembershipService.ts
@@ -36,6 +36,8 @@
   readonly location: Pick<Member, 'dataCentre' | 'peerAddress'>;
   /** Builds what the log of a new fleet begins with. */
   readonly buildInitialFleet: (wallTime: number) => readonly Mutation[];
+  /** Whether this entry has given back all its permits, asked when it leaves. */
+  readonly holdsNothing: () => boolean;
   /** Told why a change was not made, whenever that is not a matter of course. */
   readonly onFailure: (command: string, error: ChangeError<MembershipRefusal>) => void;
 };
@@ -81,7 +83,7 @@
       const member = view.get(EntityKind.Member, identity.id);
       return member === null || !isMember(view, identity)
         ? createError(DONE)
-        : createOk(buildFence(member, 'left', clock.getWallTime()));
+        : createOk(buildFence(member, 'left', clock.getWallTime(), this.#parts.holdsNothing()));
     });
   }
 
--- a/packages/baobabwell-model/src/BaobabwellModel.ts
+++ b/packages/baobabwell-model/src/BaobabwellModel.ts
@@ -132,6 +132,8 @@
   readonly reason: string;
   /** Wall-clock milliseconds. */
   readonly at: number;
+  /** True when the life gave back all its permits before it left. */
+  readonly holdsNothing: boolean;
 };
 
 /** A person or program that may give commands. */
--- a/packages/baobabwell-permits/src/BaobabwellPermitsFence.ts
+++ b/packages/baobabwell-permits/src/BaobabwellPermitsFence.ts
@@ -39,6 +39,7 @@
     const now = this.#clock.getNow();
     return this.#tracker
       .listFenced()
+      .filter(({ holdsNothing }) => !holdsNothing)
       .filter(({ releasedAt }) => releasedAt === null || releasedAt > now)
       .map(({ member, incarnation }) => getMemberKey({ id: member, incarnation }))
       .filter((member) => !this.#left.has(member));
--- a/packages/baobabwell-permits/src/BaobabwellPermitsPool.ts
+++ b/packages/baobabwell-permits/src/BaobabwellPermitsPool.ts
@@ -168,6 +168,11 @@
     this.#tasks.forEach((task) => task.stop());
   }
 
+  /** True once this entry takes no permits any more and none is in use. */
+  holdsNothing(): boolean {
+    return this.#stopped.signal.aborted && !this.#holdings.hasInUse();
+  }
+
   #release(team: string): void {
     if (this.#holdings.release(team)) {
       this.#updateKeeper(team);
@@ -239,7 +244,7 @@
       member: this.#parts.getMember(),
       membership: this.#membership.digest,
       sequence,
-      isLeaving: this.#stopped.signal.aborted && !this.#holdings.hasInUse(),
+      isLeaving: this.holdsNothing(),
       holdings: teams.map((team) => this.#holdings.report(team)),
     };
   }
