fuzz: stops in good order among the steps of the limits suite

Cause: no history stopped an entry in good order, so the new rule for lives that hold nothing was not under attack. Change: a step that stops an entry, and kills it when it does not end.

--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzLimitsHistory.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzLimitsHistory.ts
@@ -116,6 +116,9 @@
       case LimitStepKind.Limit:
         await this.#changeLimit(entry, limit);
         break;
+      case LimitStepKind.Stop:
+        await this.#stopEntry(entry);
+        break;
       case LimitStepKind.Kill:
       case LimitStepKind.Start:
       case LimitStepKind.Pause:
@@ -177,6 +180,17 @@
       .catch(() => {});
   }
 
+  /** An entry that does not end in time is killed, as the platform would. */
+  async #stopEntry(entry: string): Promise<void> {
+    if (this.#canAct(entry)) {
+      try {
+        await this.#fleet.stopEntry(entry);
+      } catch {
+        this.#fleet.killEntry(entry);
+      }
+    }
+  }
+
   #replace(entry: string): void {
     if (this.#fleet.listEntries().includes(entry)) {
       this.#fleet.killEntry(entry);
--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzLimitsSteps.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzLimitsSteps.ts
@@ -5,6 +5,8 @@
 /** What a step does to the fleet. */
 export enum LimitStepKind {
   Kill = 'kill',
+  /** A stop in good order. */
+  Stop = 'stop',
   Start = 'start',
   Pause = 'pause',
   Resume = 'resume',
