measures: the overhead measure moves to the scripts

Cause: it starts processes, and the measures are part of the binary, of which no process starts another. Change: it lives beside the demonstration; npm run measure knows it, the binary does not. Measured: none: moved. Conclusion: none.

--- a/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresRegistry.ts
@@ -2,7 +2,6 @@
 
 import { CallMeasure } from './BaobabwellMeasuresCall';
 import { LimitMeasure } from './BaobabwellMeasuresLimit';
-import { OverheadMeasure } from './BaobabwellMeasuresOverhead';
 import { RollOutMeasure } from './BaobabwellMeasuresRollOut';
 import { ShareMeasure } from './BaobabwellMeasuresShare';
 import { SlopesMeasure } from './BaobabwellMeasuresSlopes';
@@ -11,7 +10,6 @@
 
 /** All measures, in the order in which `all` takes them. */
 export const MEASURES: readonly Measure[] = [
-  new OverheadMeasure(),
   new ViewMeasure(),
   new LimitMeasure(),
   new RollOutMeasure(),
--- a/scripts/measure.ts
+++ b/scripts/measure.ts
@@ -4,7 +4,12 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 
-import { Deployment, findMeasure, MEASURES } from '@baobabwell/measures';
+import { Deployment, MEASURES } from '@baobabwell/measures';
+
+import { OverheadMeasure } from './overhead/OverheadMeasure';
+
+/** The measures of the binary, and the one that starts processes, which the product never does. */
+const ALL_MEASURES = [new OverheadMeasure(), ...MEASURES];
 
 function printReport(report: MeasureReport, json: boolean): void {
   console.log(json ? JSON.stringify(report) : JSON.stringify(report, null, 2));
@@ -13,7 +18,7 @@
 const options = await yargs(hideBin(process.argv))
   .command('$0 <name>', 'Take a measure', (command) =>
     command.positional('name', {
-      choices: ['all', ...MEASURES.map(({ name }) => name)],
+      choices: ['all', ...ALL_MEASURES.map(({ name }) => name)],
       demandOption: true,
     }),
   )
@@ -32,14 +37,14 @@
   seed: options.seed,
   isLong: options.long,
 };
-const chosen = findMeasure(options['name'] as string);
-const measures = chosen === null ? MEASURES : [chosen];
+const chosen = ALL_MEASURES.find(({ name }) => name === options['name']);
+const measures = chosen === undefined ? ALL_MEASURES : [chosen];
 const reports: MeasureReport[] = [];
 for (const measure of measures) {
   reports.push(await measure.run(measureOptions));
 }
 const [first] = reports;
-if (chosen !== null && first !== undefined) {
+if (chosen !== undefined && first !== undefined) {
   printReport(first, options.json);
 } else {
   console.log(JSON.stringify(reports, null, options.json ? 0 : 2));
--- a/packages/baobabwell-measures/src/BaobabwellMeasuresOverhead.ts
+++ b/scripts/overhead/OverheadMeasure.ts
@@ -1,5 +1,5 @@
 /** What an entry costs against a bare pass-through, both as processes under the same load. */
-import type { Figures, MeasureFindings, MeasureOptions } from './BaobabwellMeasures';
+import type { Figures, MeasureFindings, MeasureOptions } from '@baobabwell/measures';
 
 import { build as buildHistogram } from 'hdr-histogram-js';
 import { createHash } from 'node:crypto';
@@ -9,10 +9,10 @@
 import { Pool } from 'undici';
 import { stringify } from 'yaml';
 
+import { Measure } from '@baobabwell/measures';
 import { Random, SystemClock } from '@baobabwell/utils';
 
-import { Measure } from './BaobabwellMeasures';
-import { listPorts, ProgramProcesses, waitForAnswer } from './BaobabwellMeasuresProcesses';
+import { listPorts, ProgramProcesses, waitForAnswer } from './ProgramProcesses';
 
 const WORKERS = 4;
 const SLOTS = 8;
