measures: all transactions count as writes of the calls

Cause: the count of writes a call had been narrowed to claims when all transactions came out above the target. Change: everything counts from the first call to the last, and outcomes that are stored after it; what the idle fleet writes later does not.

--- a/packages/baobabwell-measures/src/BaobabwellMeasuresCallLoad.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresCallLoad.ts
@@ -1,5 +1,5 @@
 import type { MeasureOptions } from './BaobabwellMeasures';
-import type { ClaimCount } from './BaobabwellMeasuresCallWrites';
+import type { TransactionCount } from './BaobabwellMeasuresCallWrites';
 import type { CallSystemShape, FuzzCall, ObservedCall, Violations } from '@baobabwell/fuzz';
 import type { Outcome } from '@baobabwell/model';
 
@@ -121,7 +121,7 @@
   load: CallLoad,
   prepare: (system: CallFuzzSystem) => void = () => {},
 ): Promise<CallTrial> {
-  const count: ClaimCount = { transactions: 0 };
+  const count: TransactionCount = { all: 0, claims: 0 };
   const system = new CallFuzzSystem(shape, {
     decorateTables: (tables) => new CountingTables(tables, count),
   });
@@ -133,6 +133,7 @@
   if (load.hasFaults) {
     void runFaults(system, new Random(shape.seed + 1), { entries, durationMs: load.durationMs });
   }
+  const allBefore = count.all;
   const endsAt = system.fleet.time.getNow() + load.durationMs;
   for (let index = 0; system.fleet.time.getNow() < endsAt; index += 1) {
     system.sendCall({
@@ -146,10 +147,13 @@
     });
     await system.advance(random.getExponential(MS_PER_SECOND / load.ratePerSecond));
   }
+  // Outcomes are still stored after the load; other transactions are not its own by then.
+  const writesUnderLoad = count.all - allBefore;
+  const claimsUnderLoad = count.claims;
   const violations = await system.findViolations(load.hasFaults ? 2 * SETTLE_MS : SETTLE_MS);
   const calls = system.listCalls();
   system.close();
-  return { calls, violations, writes: count.transactions };
+  return { calls, violations, writes: writesUnderLoad + count.claims - claimsUnderLoad };
 }
 
 /** Measures how long a call still waits on a connection that fell silent while its work ran. */
--- a/packages/baobabwell-measures/src/BaobabwellMeasuresCallWrites.ts
+++ b/packages/baobabwell-measures/src/BaobabwellMeasuresCallWrites.ts
@@ -4,16 +4,20 @@
 import { CLAIM_TABLE } from '@baobabwell/idempotency';
 import { TableService } from '@baobabwell/platform';
 
-/** Transactions that write claims or outcomes, at all entries. */
-export type ClaimCount = { transactions: number };
-
-/** Counts the transactions that write claims or outcomes. */
+/** Transactions of all entries. */
+export type TransactionCount = {
+  all: number;
+  /** Those that write claims or outcomes. */
+  claims: number;
+};
+
+/** Counts the transactions of the table service. */
 export class CountingTables extends TableService {
   readonly #tables: TableService;
 
-  readonly #count: ClaimCount;
+  readonly #count: TransactionCount;
 
-  constructor(tables: TableService, count: ClaimCount) {
+  constructor(tables: TableService, count: TransactionCount) {
     super();
     this.#tables = tables;
     this.#count = count;
@@ -21,7 +25,8 @@
 
   override async commit(transaction: Transaction): Promise<Result<number, TableError>> {
     const isClaim = transaction.writes.some(({ table }) => table === CLAIM_TABLE);
-    this.#count.transactions += isClaim ? 1 : 0;
+    this.#count.all += 1;
+    this.#count.claims += isClaim ? 1 : 0;
     return this.#tables.commit(transaction);
   }
 
