reports: the covered part of a window as a percentage

Change: a percentage of the window. Measured: none: wording; the page was looked at in a browser. Conclusion: none.

--- a/packages/baobabwell-reports/src/BaobabwellReportsHtml.ts
+++ b/packages/baobabwell-reports/src/BaobabwellReportsHtml.ts
@@ -120,7 +120,8 @@
 }
 
 function formatQueue(burn: QueueBurn): string {
-  const covered = `${formatDuration(burn.coveredMs)} of ${formatDuration(burn.windowMs)} are known.`;
+  const known = formatPercentage(burn.coveredMs / burn.windowMs, 1);
+  const covered = `${known} of the ${formatDuration(burn.windowMs)} are known.`;
   const plots = `${formatBurnPlot(burn)}${formatBudgetPlot(burn)}`;
   return `<section><h2>${formatText(burn.queue)}</h2><p>${covered}</p><div class="plots">${plots}</div></section>`;
 }
