--- a/packages/baobabwell-calls/src/index.ts
+++ b/packages/baobabwell-calls/src/index.ts
@@ -12,6 +12,6 @@
 } from './BaobabwellCallsAuthorization';
 export { buildCallServer, parseCall } from './BaobabwellCallsHttp';
 export { sendWithoutAnswer } from './BaobabwellCallsHttpErrors';
-export { createNotRun } from './BaobabwellCallsResults';
 export { STATUS_BY_REASON } from './BaobabwellCallsHttpStatus';
+export { createNotRun } from './BaobabwellCallsResults';
 export { CallService } from './BaobabwellCallsService';
--- a/packages/baobabwell-deferred/src/BaobabwellDeferredHttp.ts
+++ b/packages/baobabwell-deferred/src/BaobabwellDeferredHttp.ts
@@ -27,9 +27,17 @@
 const lookupQuery = z.object({
   waitMs: z.coerce.number().int().min(0).max(MAX_LOOKUP_WAIT_MS).default(0),
 });
-const cancellationBody = z.object({
-  ids: z.array(z.string().min(1)).min(1).max(MAX_CANCELLATIONS),
+const jsonText = z.string().transform((text, context): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch {
+    context.addIssue({ code: 'custom', message: 'is not JSON', path: ['body'] });
+    return z.NEVER;
+  }
 });
+const cancellationBody = jsonText.pipe(
+  z.object({ ids: z.array(z.string().min(1)).min(1).max(MAX_CANCELLATIONS) }),
+);
 
 /** Finds the team whose key came with a request, or `null`. */
 export type FindTeam = (secret: string | null) => string | null;
@@ -161,7 +169,7 @@
     if (team === null) {
       return reply;
     }
-    const { ids } = cancellationBody.parse(JSON.parse(String(request.body)));
+    const { ids } = cancellationBody.parse(String(request.body));
     return { results: Object.fromEntries(await service.cancel(ids, team)) };
   });
 }
--- a/packages/baobabwell-emulator/src/index.ts
+++ b/packages/baobabwell-emulator/src/index.ts
@@ -11,10 +11,10 @@
 export { EmulatedCallers } from './BaobabwellEmulatorCallers';
 export { EmulatedFleet } from './BaobabwellEmulatorFleet';
 export { EmulatedNetwork } from './BaobabwellEmulatorNetwork';
+export { listRunning, measureMeanRunning } from './BaobabwellEmulatorRunning';
 export {
   buildEmulatedSettings,
   getTeamSecret,
   OPERATOR_SECRET,
 } from './BaobabwellEmulatorSettings';
-export { listRunning, measureMeanRunning } from './BaobabwellEmulatorRunning';
 export { EmulatedTime, NotSettledError, ProcessClock } from './BaobabwellEmulatorTime';
--- a/packages/baobabwell-fuzz/src/index.ts
+++ b/packages/baobabwell-fuzz/src/index.ts
@@ -1,6 +1,6 @@
-export type { CallSystemShape, FuzzCall } from './BaobabwellFuzzCallSystem';
 export type { FuzzOptions, FuzzReport } from './BaobabwellFuzz';
 export type { ObservedCall, Violations } from './BaobabwellFuzzCallOracle';
+export type { CallSystemShape, FuzzCall } from './BaobabwellFuzzCallSystem';
 export type { PrepareService } from './BaobabwellFuzzFleetHistory';
 export type { Sabotage } from './BaobabwellFuzzView';
 
--- a/packages/baobabwell-measures/src/index.ts
+++ b/packages/baobabwell-measures/src/index.ts
@@ -6,8 +6,8 @@
   MeasureReport,
   Target,
 } from './BaobabwellMeasures';
+export type { DecisionSizes } from './BaobabwellMeasuresDecision';
 
 export { Deployment, findFigure, isMet, Measure } from './BaobabwellMeasures';
-export { findMeasure, MEASURES } from './BaobabwellMeasuresRegistry';
-export type { DecisionSizes } from './BaobabwellMeasuresDecision';
 export { measureDecision } from './BaobabwellMeasuresDecision';
+export { findMeasure, MEASURES } from './BaobabwellMeasuresRegistry';
--- a/packages/baobabwell-scheduling/src/index.ts
+++ b/packages/baobabwell-scheduling/src/index.ts
@@ -5,14 +5,14 @@
 export type { TeamActivity } from './BaobabwellSchedulingShares';
 export type { Turn, TurnRefusal, TurnRequest } from './BaobabwellSchedulingTurns';
 
-export { FairQueue } from './BaobabwellSchedulingFairQueue';
-export { PermitPool, StaticPermitPool } from './BaobabwellSchedulingPermits';
-export { PoolScheduler } from './BaobabwellSchedulingPool';
-export { findRendezvousOwner } from './BaobabwellSchedulingRendezvous';
-export { buildAllocation } from './BaobabwellSchedulingAllocation';
-export { LocalSlotShares, SlotShares } from './BaobabwellSchedulingShares';
 export {
   AdmissionControl,
   DeadlineAdmission,
   ExpectedWaitAdmission,
 } from './BaobabwellSchedulingAdmission';
+export { buildAllocation } from './BaobabwellSchedulingAllocation';
+export { FairQueue } from './BaobabwellSchedulingFairQueue';
+export { PermitPool, StaticPermitPool } from './BaobabwellSchedulingPermits';
+export { PoolScheduler } from './BaobabwellSchedulingPool';
+export { findRendezvousOwner } from './BaobabwellSchedulingRendezvous';
+export { LocalSlotShares, SlotShares } from './BaobabwellSchedulingShares';
--- a/packages/baobabwell-settings/src/index.ts
+++ b/packages/baobabwell-settings/src/index.ts
@@ -1,7 +1,6 @@
 export type { PolicySettings } from './BaobabwellSettingsPolicies';
 export type { Objective } from './BaobabwellSettingsQueues';
 export type { EntrySettings, FleetSettings, Settings } from './BaobabwellSettingsSchema';
-
 export type { CertificateFiles, TlsSettings } from './BaobabwellSettingsTls';
 
 export { buildFleet } from './BaobabwellSettingsFleet';
--- a/packages/baobabwell-workers/src/index.ts
+++ b/packages/baobabwell-workers/src/index.ts
@@ -20,6 +20,6 @@
   TASK_TTL_MS,
   WORKER_CONNECTIONS,
 } from './BaobabwellWorkersConstants';
-export { HttpWorkerClient, HttpWorkerClientFactory } from './BaobabwellWorkersHttp';
 export { WorkerHealth } from './BaobabwellWorkersHealth';
+export { HttpWorkerClient, HttpWorkerClientFactory } from './BaobabwellWorkersHttp';
 export { WorkerEvent, WorkerSession } from './BaobabwellWorkersSession';
