fleet, daemon: work comes before standby; relays and retries rest while the store refuses

Ruled out: a shortage of machines (35 up, 13 idle); a slow cloud interface (moves answered in 13 ms). Change: a pool whose work has no room takes idle machines that others keep or that stand by; needy pools come level by share; standby ends when no pool had a turn for 9 s. Relays of one process: 8 at once, none for 400 ms after no peer could help. Retries double from 100 to 400 ms (RetryDelay).

--- a/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
@@ -6,7 +6,7 @@
 import { PROGRESS_TABLE } from '@baobabwell/ingress';
 import { createJobProgress, parseJobProgress } from '@baobabwell/jobs';
 import { TableErrorKind } from '@baobabwell/platform';
-import { Waker } from '@baobabwell/utils';
+import { RetryDelay, Waker } from '@baobabwell/utils';
 
 import {
   COMMIT_ENTRIES,
@@ -15,6 +15,7 @@
   COMMIT_IDLE_MS,
   COMMIT_RETRY_MS,
   HOSTS_TABLE,
+  MAX_COMMIT_RETRY_MS,
 } from './BaobabwellControllerConstants';
 
 type Batch = {
@@ -37,6 +38,8 @@
 
   readonly #waker: Waker;
 
+  readonly #retry = new RetryDelay(COMMIT_RETRY_MS, MAX_COMMIT_RETRY_MS);
+
   #isRequested = false;
 
   constructor(context: TermContext, requestHold: (hostId: string) => void) {
@@ -81,6 +84,7 @@
     }
     const reply = await this.#context.ownership.commit(batch.conditions, batch.writes);
     if (reply.ok) {
+      this.#retry.settle();
       this.#recordStored(batch, reply.value);
       return;
     }
@@ -96,7 +100,7 @@
     if (reply.error.kind === TableErrorKind.Conflict && !this.#context.signal.aborted) {
       await this.#adoptVersions(batch);
     }
-    await this.#context.clock.wait(COMMIT_RETRY_MS, this.#context.signal);
+    await this.#context.clock.wait(this.#retry.advance(), this.#context.signal);
   }
 
   #createBatch(): Batch {
--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -64,12 +64,18 @@
 /** Pause before a failed transaction is sent again, in ms. */
 export const COMMIT_RETRY_MS = 100;
 
+/** Longest pause before a transaction that keeps failing is sent again, in ms. */
+export const MAX_COMMIT_RETRY_MS = 400;
+
 /** Longest wait of a watch on the store's tables, in ms. */
 export const WATCH_WAIT_MS = 1_500;
 
 /** Pause after a failed watch, in ms. */
 export const WATCH_RETRY_MS = 100;
 
+/** Longest pause after a watch that keeps failing, in ms. */
+export const MAX_WATCH_RETRY_MS = 400;
+
 /** Time for which an ended job stays known, in ms; callers ask for two minutes. */
 export const ENDED_JOB_MS = 180_000;
 
@@ -112,6 +118,15 @@
  */
 export const KEEP_MS = 1_800;
 
+/**
+ * Time for which a pool counts as needing the most that its work needed, in ms: about half a task, so
+ * that hosts between two tasks are not taken away.
+ */
+export const NEEDED_MS = 400;
+
+/** Time without a turn of any pool after which no machines stand by, in ms: about two turns. */
+export const TURNS_ENDED_MS = 9_000;
+
 /** Least pause between two log lines on the load of one pool, in ms. */
 export const LOAD_PAUSE_MS = 1_000;
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
@@ -4,7 +4,7 @@
 import type { MovableMachine, PoolLoad, PoolNeed } from '@baobabwell/fleet';
 import type { CloudHost } from '@baobabwell/platform';
 
-import { decideMoves, divideStandby, getWantedHosts } from '@baobabwell/fleet';
+import { decideMoves, divideStandby, getWantedHosts, RecentPeaks } from '@baobabwell/fleet';
 import { RunPhase } from '@baobabwell/jobs';
 import { CloudHostState } from '@baobabwell/platform';
 import { Waker } from '@baobabwell/utils';
@@ -17,7 +17,9 @@
   LOAD_PAUSE_MS,
   REFUSED_DEMAND_MS,
   STANDBY_SHARE,
+  NEEDED_MS,
   TURN_HOSTS,
+  TURNS_ENDED_MS,
 } from './BaobabwellControllerConstants';
 import { getLastingCpu, listLasting, stopLasting } from './BaobabwellControllerLasting';
 import { getPoolLoads } from './BaobabwellControllerLoad';
@@ -38,11 +40,9 @@
 
   readonly #waves: WaveKeeper;
 
-  /** What each pool wanted lately, with the monotonic time in ms; oldest first. */
-  readonly #wanted = new Map<
-    string,
-    readonly { readonly atMs: number; readonly hosts: number }[]
-  >();
+  readonly #wanted = new RecentPeaks(KEEP_MS);
+
+  readonly #needed = new RecentPeaks(NEEDED_MS);
 
   /** Monotonic time at which draining hosts were first seen so, in ms. */
   readonly #drainSeenMs = new Map<string, number>();
@@ -253,6 +253,7 @@
       if (neededHosts >= LEAST_HOSTS + TURN_HOSTS) {
         this.#turnAtMs.set(name, nowMs);
       }
+      const lately = this.#needed.record(name, neededHosts, nowMs);
       const wantedHosts = Math.max(neededHosts, LEAST_HOSTS + (standby.get(name) ?? 0));
       const arrivingCount = this.#machines.countArriving(name);
       return {
@@ -260,6 +261,7 @@
         isSpare,
         machines: present.map((machine) => this.#createMovable(machine, reserved)),
         arrivingCount,
+        neededHosts: isSpare ? 0 : lately,
         wantedHosts: isSpare ? 0 : wantedHosts,
         keptHosts: isSpare ? 0 : this.#recordWanted(name, wantedHosts, nowMs),
       };
@@ -275,11 +277,13 @@
 
   #divideStandby(machineCount: number, nowMs: number): ReadonlyMap<string, number> {
     const pools = this.#context.getConfiguration()?.pools ?? [];
+    const lastTurnAtMs = Math.max(...this.#turnAtMs.values());
+    const haveTurnsEnded = this.#turnAtMs.size > 0 && nowMs - lastTurnAtMs > TURNS_ENDED_MS;
     return divideStandby(
       pools
         .filter(({ isSpare }) => !isSpare)
         .map(({ name }) => ({ name, restedMs: nowMs - (this.#turnAtMs.get(name) ?? -Infinity) })),
-      Math.floor(machineCount * STANDBY_SHARE),
+      haveTurnsEnded ? 0 : Math.floor(machineCount * STANDBY_SHARE),
     );
   }
 
@@ -305,18 +309,11 @@
 
   /** Records what a pool wants, and gives the most that it wanted lately. */
   #recordWanted(pool: string, hosts: number, nowMs: number): number {
-    const before = this.#wanted.get(pool) ?? [];
-    if (before.at(-1)?.hosts !== hosts) {
-      this.#context.logger.recordInfo('pool-wants', {
-        pool,
-        hosts,
-        before: before.at(-1)?.hosts ?? null,
-      });
+    const before = this.#wanted.findLast(pool);
+    if (before !== hosts) {
+      this.#context.logger.recordInfo('pool-wants', { pool, hosts, before });
     }
-    const recent = before.filter(({ atMs }) => nowMs - atMs < KEEP_MS);
-    const wanted = [...recent, { atMs: nowMs, hosts }];
-    this.#wanted.set(pool, wanted);
-    return Math.max(...wanted.map((entry) => entry.hosts));
+    return this.#wanted.record(pool, hosts, nowMs);
   }
 
   #createMovable(machine: CloudHost, reserved: ReadonlyMap<string, string>): MovableMachine {
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -11,12 +11,14 @@
 import { JobLedger, parseJobProgress } from '@baobabwell/jobs';
 import { getWidestStepCpu } from '@baobabwell/placement';
 import { WatchErrorKind } from '@baobabwell/platform';
+import { RetryDelay } from '@baobabwell/utils';
 
 import { AdviceDesk } from './BaobabwellControllerAdvice';
 import { Committer } from './BaobabwellControllerCommitter';
 import {
   ENDED_JOB_MS,
   HOSTS_TABLE,
+  MAX_WATCH_RETRY_MS,
   PRUNE_PAUSE_MS,
   WATCH_RETRY_MS,
   WATCH_WAIT_MS,
@@ -140,13 +142,14 @@
   /** Reads rows until the store answers or the term ends. */
   async #read(range: RowRange): Promise<ChangePage | null> {
     const { store, clock, signal, logger } = this.context;
+    const retry = new RetryDelay(WATCH_RETRY_MS, MAX_WATCH_RETRY_MS);
     while (!signal.aborted) {
       const page = await store.list(range);
       if (page.ok) {
         return page.value;
       }
       logger.recordWarning('store-read-failed', { table: range.table, reason: page.error.kind });
-      await clock.wait(WATCH_RETRY_MS, signal);
+      await clock.wait(retry.advance(), signal);
     }
     return null;
   }
@@ -154,18 +157,20 @@
   /** Follows a table; where the history is gone, the whole table is read anew. */
   async #watch(table: string, from: number, apply: (row: Row) => void): Promise<void> {
     const { store, clock, signal, logger } = this.context;
+    const retry = new RetryDelay(WATCH_RETRY_MS, MAX_WATCH_RETRY_MS);
     let version = from;
     while (!signal.aborted) {
       const page = await store.waitForChanges(table, version, WATCH_WAIT_MS, signal);
       if (page.ok) {
         page.value.rows.forEach(apply);
         version = page.value.version;
+        retry.settle();
       } else if (page.error.kind === WatchErrorKind.HistoryGone) {
         logger.recordWarning('store-history-gone', { table, version });
         version = (await this.#readAgain(table, apply)) ?? version;
       } else if (!signal.aborted) {
         logger.recordWarning('store-watch-failed', { table, cause: page.error.cause });
-        await clock.wait(WATCH_RETRY_MS, signal);
+        await clock.wait(retry.advance(), signal);
       }
     }
   }
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonConfiguration.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonConfiguration.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '@baobabwell/utils';
 
 import { WatchErrorKind } from '@baobabwell/platform';
+import { RetryDelay } from '@baobabwell/utils';
 
 /**
  * Longest wait of a watch, in ms: with the time after which its connection counts as lost, less than
@@ -15,6 +16,9 @@
 /** Pause after a failure, in ms. */
 const RETRY_MS = 100;
 
+/** Longest pause before the store is asked again, in ms: every process asks, and its rates are shared. */
+const MAX_RETRY_MS = 400;
+
 /** Asks another process for its configuration; `null` when none answers. */
 export type AskPeer = () => Promise<FleetConfiguration | null>;
 
@@ -63,15 +67,17 @@
   /** Follows the configuration until stopped. */
   async run(): Promise<void> {
     const { signal } = this.#stopped;
+    const retry = new RetryDelay(RETRY_MS, MAX_RETRY_MS);
     let version: number | null = null;
     while (!signal.aborted) {
       const sentAtMs = this.#clock.getNow();
       version = version === null ? await this.#readAll() : await this.#watch(version);
       if (version !== null) {
         this.#confirmedAtMs = sentAtMs;
+        retry.settle();
       } else if (!signal.aborted) {
         await this.#applyFromPeer();
-        await this.#clock.wait(RETRY_MS, signal);
+        await this.#clock.wait(retry.advance(), signal);
       }
     }
   }
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonRelayedStore.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonRelayedStore.ts
@@ -20,6 +20,15 @@
 /** Peers that are asked one after the other. */
 const RELAY_ATTEMPTS = 2;
 
+/** Transactions of one process that wait for peers at once; the store's rates are shared by all. */
+const RELAYS_AT_ONCE = 8;
+
+/**
+ * Time for which no peer is asked after none of them could help, in ms: the store turns everybody
+ * away, and calls of peers would only keep it at its limit.
+ */
+const RELAY_REST_MS = 400;
+
 /** Time for which peers are asked first after the store did not answer here, in ms. */
 const DISTRUST_MS = 1_000;
 
@@ -76,6 +85,10 @@
 
   #turn = 0;
 
+  #relayCount = 0;
+
+  #restUntilMs = 0;
+
   constructor(options: {
     readonly direct: WatchableTableService;
     readonly relay: StoreRelay;
@@ -161,6 +174,23 @@
 
   async #askPeers<Value>(
     askPeer: (address: string) => Promise<Result<Value, TableError> | null>,
+  ): Promise<RelayOutcome<Value>> {
+    const isResting = this.#clock.getNow() < this.#restUntilMs;
+    if (isResting || this.#relayCount >= RELAYS_AT_ONCE) {
+      return { reply: null, isUnclear: false };
+    }
+    this.#relayCount += 1;
+    const outcome = await this.#askInTurn(askPeer);
+    this.#relayCount -= 1;
+    if (outcome.reply === null) {
+      this.#restUntilMs = this.#clock.getNow() + RELAY_REST_MS;
+      this.#logger.recordWarning('store-not-relayed', { restMs: RELAY_REST_MS });
+    }
+    return outcome;
+  }
+
+  async #askInTurn<Value>(
+    askPeer: (address: string) => Promise<Result<Value, TableError> | null>,
   ): Promise<RelayOutcome<Value>> {
     const peers = this.#listPeers();
     let wasUnclear = false;
--- a/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonRelayedStore.test.ts
+++ b/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonRelayedStore.test.ts
@@ -12,6 +12,7 @@
 import { RelayedStore } from '../../BaobabwellDaemonRelayedStore';
 
 const VERSION = 7;
+const CALLS_IN_A_SECOND = 50;
 const TRANSACTION = { conditions: [], writes: [{ table: 'jobs', key: 'a', value: 1 }] };
 
 function createRefusal(mayHaveCommitted: boolean): Result<never, TableError> {
@@ -87,6 +88,29 @@
     expect(await commit(createRefusal(false), createRefusal(false))).toEqual(createRefusal(false));
   });
 
+  it('does not multiply calls while the store turns every process away', async () => {
+    const time = new EmulatedTime();
+    const asked: string[] = [];
+    const store = new RelayedStore({
+      direct: new ScriptedStore(time, createRefusal(false)),
+      relay: {
+        commit: async (address) => {
+          asked.push(address);
+          return createRefusal(false);
+        },
+        list: async () => null,
+      },
+      listPeers: () => ['peer-1', 'peer-2', 'peer-3'],
+      clock: time,
+      logger,
+    });
+    for (let sent = 0; sent < CALLS_IN_A_SECOND; sent += 1) {
+      await time.settle(store.commit(TRANSACTION), 10_000);
+      await time.advance(1_000 / CALLS_IN_A_SECOND);
+    }
+    expect(asked.length <= CALLS_IN_A_SECOND / 5).toEqual(true);
+  });
+
   it('stays unclear when a peer did not answer, although the store refused here', async () => {
     expect(await commit(createRefusal(false), null)).toEqual(createRefusal(true));
   });
--- a/packages/baobabwell-fleet/src/BaobabwellFleetMoves.ts
+++ b/packages/baobabwell-fleet/src/BaobabwellFleetMoves.ts
@@ -1,7 +1,8 @@
 /**
- * Load pattern: one pool needs more hosts than it has while others have more than they need. Machines
- * that are off come first, then idle ones of pools that need them less; a busy one is drained only
- * when nothing else is left. Machines that nobody needs are switched off after a while.
+ * Load pattern: one pool's work needs more hosts than it has while others have more than they need.
+ * Machines that are off come first, then idle ones that no pool keeps, then idle ones that stand by
+ * elsewhere; a busy one is drained only when nothing else is left. Several needy pools come level by
+ * share of what they need. Machines that nobody needs are switched off after a while.
  */
 
 /** A machine that could be moved. */
@@ -23,6 +24,9 @@
   readonly machines: readonly MovableMachine[];
   /** Machines on their way to it. */
   readonly arrivingCount: number;
+  /** Hosts that its work needs now. */
+  readonly neededHosts: number;
+  /** Hosts that it would like to have, with those that stand by. */
   readonly wantedHosts: number;
   /** Most hosts that it wanted within the last second or two. */
   readonly keptHosts: number;
@@ -38,59 +42,144 @@
   readonly drains: readonly string[];
 };
 
-type Supply = { readonly pool: PoolNeed; readonly machine: MovableMachine };
+type Supplied = { readonly pool: PoolNeed; readonly machine: MovableMachine };
 
-function countMissing({ wantedHosts, machines, arrivingCount }: PoolNeed): number {
-  return wantedHosts - machines.length - arrivingCount;
+function countHosts({ machines, arrivingCount }: PoolNeed): number {
+  return machines.length + arrivingCount;
 }
 
-/** Machines that a pool can do without, also when its need goes up again as it went down. */
-function countExtra({ isSpare, keptHosts, machines, arrivingCount }: PoolNeed): number {
-  return isSpare ? machines.length : Math.max(0, machines.length + arrivingCount - keptHosts);
+/** Gives the machines that pools can do without, one by one. */
+class Supply {
+  readonly #pools: readonly PoolNeed[];
+
+  readonly #taken = new Set<string>();
+
+  readonly #hosts = new Map<string, number>();
+
+  constructor(pools: readonly PoolNeed[]) {
+    // Machines that are off cost nothing.
+    this.#pools = pools.toSorted((a, b) => Number(b.isSpare) - Number(a.isSpare));
+    pools.forEach((pool) => this.#hosts.set(pool.name, countHosts(pool)));
+  }
+
+  /** Finds an idle machine in a pool that has more hosts than a floor. */
+  findIdle(getFloor: (pool: PoolNeed) => number): Supplied | null {
+    return this.#find(getFloor, ({ isIdle }) => isIdle);
+  }
+
+  /** Finds a busy machine that may be emptied, with the least on it first. */
+  findBusy(getFloor: (pool: PoolNeed) => number): Supplied | null {
+    return this.#find(getFloor, ({ isIdle, canBeDrained }) => !isIdle && canBeDrained);
+  }
+
+  /** Finds an idle machine in one pool if that has more hosts than a floor. */
+  findIdleIn(pool: PoolNeed, floor: number): Supplied | null {
+    return this.#findIn(pool, floor, ({ isIdle }) => isIdle);
+  }
+
+  /** Takes a machine out of its pool. */
+  take({ pool, machine }: Supplied): void {
+    this.#taken.add(machine.machine);
+    this.#hosts.set(pool.name, this.#countLeft(pool) - 1);
+  }
+
+  #countLeft({ name }: PoolNeed): number {
+    return this.#hosts.get(name) ?? 0;
+  }
+
+  #find(
+    getFloor: (pool: PoolNeed) => number,
+    matches: (machine: MovableMachine) => boolean,
+  ): Supplied | null {
+    for (const pool of this.#pools) {
+      const found = this.#findIn(pool, pool.isSpare ? 0 : getFloor(pool), matches);
+      if (found !== null) {
+        return found;
+      }
+    }
+    return null;
+  }
+
+  #findIn(
+    pool: PoolNeed,
+    floor: number,
+    matches: (machine: MovableMachine) => boolean,
+  ): Supplied | null {
+    if (this.#countLeft(pool) <= floor) {
+      return null;
+    }
+    const machine = pool.machines
+      .filter((listed) => !this.#taken.has(listed.machine) && matches(listed))
+      .toSorted((a, b) => a.usedCpuMillis - b.usedCpuMillis)[0];
+    return machine === undefined ? null : { pool, machine };
+  }
 }
 
-/** Machines that pools can give, cheapest first. */
-function listSupply(pools: readonly PoolNeed[]): { idle: Supply[]; busy: Supply[] } {
-  const idle: Supply[] = [];
-  const busy: Supply[] = [];
-  const ordered = pools.toSorted((a, b) => Number(b.isSpare) - Number(a.isSpare));
-  ordered.forEach((pool) => {
-    const byUse = pool.machines.toSorted((a, b) => a.usedCpuMillis - b.usedCpuMillis);
-    byUse
-      .filter((machine) => machine.isIdle || machine.canBeDrained)
-      .slice(0, countExtra(pool))
-      .forEach((machine) => (machine.isIdle ? idle : busy).push({ pool, machine }));
-  });
-  return { idle, busy };
+type Asking = { readonly pool: PoolNeed; readonly asked: number; hosts: number };
+
+/** Finds the pool that has the least of what it asks for, among those that lack hosts. */
+function findNeediest(pools: readonly Asking[]): Asking | null {
+  const lacking = pools.filter(({ hosts, asked }) => hosts < asked);
+  return lacking.toSorted((a, b) => a.hosts / a.asked - b.hosts / b.asked)[0] ?? null;
+}
+
+/** Hosts that a pool keeps while no other pool's work needs them. */
+function getKept({ keptHosts }: PoolNeed): number {
+  return keptHosts;
+}
+
+/** Hosts that a pool keeps while another pool's work has no room. */
+function getNeeded({ neededHosts }: PoolNeed): number {
+  return neededHosts;
 }
 
 /** Decides which machines change their pool. */
 export function decideMoves(pools: readonly PoolNeed[]): MoveDecision {
-  const { idle, busy } = listSupply(pools);
+  const supply = new Supply(pools);
   const moves: MachineMove[] = [];
   const drains: string[] = [];
-  const needy = pools
-    .filter((pool) => !pool.isSpare && countMissing(pool) > 0)
-    .toSorted((a, b) => countMissing(b) - countMissing(a));
-  needy.forEach((pool) => {
-    for (let missing = countMissing(pool); missing > 0; missing -= 1) {
-      const supply = idle.shift();
-      const toDrain = supply === undefined ? busy.shift() : undefined;
-      if (supply !== undefined) {
-        const { machine } = supply.machine;
-        moves.push({ machine, from: supply.pool.name, to: pool.name });
-      } else if (toDrain !== undefined) {
-        drains.push(toDrain.machine.machine);
-      }
+  const served = pools.filter(({ isSpare }) => !isSpare);
+  const bringUp = (
+    getAsked: (pool: PoolNeed) => number,
+    find: () => Supplied | null,
+    order: (supplied: Supplied, to: PoolNeed) => void,
+  ): void => {
+    const asking = served.map((pool) => ({
+      pool,
+      asked: getAsked(pool),
+      hosts: countHosts(pool) + moves.filter(({ to }) => to === pool.name).length,
+    }));
+    let needy = findNeediest(asking);
+    let supplied = needy && find();
+    while (needy !== null && supplied !== null) {
+      supply.take(supplied);
+      order(supplied, needy.pool);
+      needy.hosts += 1;
+      needy = findNeediest(asking);
+      supplied = needy && find();
     }
-  });
+  };
+  const move = ({ pool, machine }: Supplied, to: PoolNeed): void => {
+    moves.push({ machine: machine.machine, from: pool.name, to: to.name });
+  };
+  const drain = ({ machine }: Supplied): void => {
+    drains.push(machine.machine);
+  };
+  bringUp(getNeeded, () => supply.findIdle(getKept) ?? supply.findIdle(getNeeded), move);
+  bringUp(getNeeded, () => supply.findBusy(getKept), drain);
+  bringUp(
+    ({ wantedHosts }) => wantedHosts,
+    () => supply.findIdle(getKept),
+    move,
+  );
   const spare = pools.find(({ isSpare }) => isSpare);
-  if (spare !== undefined) {
-    idle
-      .filter(({ pool }) => !pool.isSpare)
-      .forEach(({ pool, machine }) =>
-        moves.push({ machine: machine.machine, from: pool.name, to: spare.name }),
-      );
-  }
+  served.forEach((pool) => {
+    let extra = spare === undefined ? null : supply.findIdleIn(pool, getKept(pool));
+    while (spare !== undefined && extra !== null) {
+      supply.take(extra);
+      move(extra, spare);
+      extra = supply.findIdleIn(pool, getKept(pool));
+    }
+  });
   return { moves, drains };
 }
--- a/packages/baobabwell-fleet/src/__tests__/unit/BaobabwellFleetTurns.test.ts
+++ b/packages/baobabwell-fleet/src/__tests__/unit/BaobabwellFleetTurns.test.ts
@@ -80,6 +80,7 @@
           usedCpuMillis: position >= busyCount ? 0 : MACHINE_CPU,
         })),
         arrivingCount: here.length - present.length,
+        neededHosts: name === SPARE ? 0 : getWantedHosts(load, MACHINE_CPU, BASE_HOSTS),
         wantedHosts: wanted,
         keptHosts: Math.max(...lately),
       };
--- a/packages/baobabwell-fleet/src/index.ts
+++ b/packages/baobabwell-fleet/src/index.ts
@@ -14,5 +14,6 @@
 export { getWantedCpu, getWantedHosts } from './BaobabwellFleetDemand';
 export { WaveState } from './BaobabwellFleetModel';
 export { decideMoves } from './BaobabwellFleetMoves';
+export { RecentPeaks } from './BaobabwellFleetPeaks';
 export { divideStandby } from './BaobabwellFleetStandby';
 export { decideUpkeeps } from './BaobabwellFleetWaves';
--- a/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
@@ -6,9 +6,11 @@
 import { z } from 'zod';
 
 import { TableErrorKind } from '@baobabwell/platform';
+import { RetryDelay } from '@baobabwell/utils';
 
 import {
   CANDIDATE_DELAY_MS,
+  MAX_RETRY_MS,
   OWNER_KEY,
   OWNER_LEASE_MS,
   OWNERSHIP_TABLE,
@@ -121,14 +123,18 @@
   /** Watches the owner's rows and takes over when there is no owner, until stopped. */
   async run(): Promise<void> {
     const { signal } = this.#stopped;
+    const retry = new RetryDelay(RETRY_MS, MAX_RETRY_MS);
     let version: number | null = null;
     while (!signal.aborted) {
       version = version === null ? await this.#readRows() : await this.#watchRows(version);
       if (version === null) {
         this.#renewalSeenAtMs = this.#clock.getNow();
-        await this.#clock.wait(RETRY_MS, signal);
-      } else if (this.#term === null && this.#isVacant()) {
-        await this.#acquire();
+        await this.#clock.wait(retry.advance(), signal);
+      } else {
+        retry.settle();
+        if (this.#term === null && this.#isVacant()) {
+          await this.#acquire();
+        }
       }
     }
   }
--- a/packages/baobabwell-ownership/src/BaobabwellOwnershipConstants.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnershipConstants.ts
@@ -25,5 +25,8 @@
 /** Longest wait for a change of the owner's rows, in ms; longer than a renewal takes. */
 export const OWNERSHIP_WAIT_MS = 1_000;
 
-/** Pause before the store is asked again after a failure, in ms. */
+/** Pause before the store is asked again after a first failure, in ms. */
 export const RETRY_MS = 100;
+
+/** Longest pause before the store is asked again, in ms: every process asks, and its rates are shared. */
+export const MAX_RETRY_MS = 400;
--- a/packages/baobabwell-utils/src/index.ts
+++ b/packages/baobabwell-utils/src/index.ts
@@ -7,4 +7,5 @@
 export { checkInvariant, InvariantError } from './BaobabwellInvariant';
 export { Random } from './BaobabwellRandom';
 export { createError, createOk } from './BaobabwellResult';
+export { RetryDelay } from './BaobabwellRetryDelay';
 export { Waker } from './BaobabwellWaker';
