--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -7,6 +7,7 @@
 } from '@baobabwell/fleet';
 import type { JobLedger, Run } from '@baobabwell/jobs';
 import type { Logger } from '@baobabwell/logging';
+import type { OwnerMetrics } from '@baobabwell/metrics';
 import type { Ownership, Term } from '@baobabwell/ownership';
 import type {
   CloudControl,
@@ -42,6 +43,7 @@
   readonly holder: string;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: OwnerMetrics;
   readonly bounds: FleetBounds;
   readonly codec: FleetCodec;
   readonly store: WatchableTableService;
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -15,6 +15,8 @@
 } from './BaobabwellControllerConstants';
 import { listLasting } from './BaobabwellControllerLasting';
 
+const SECOND_MS = 1_000;
+
 /** A step that may start tasks, with its queue. */
 export type ReadyStep = {
   readonly step: Step;
@@ -194,7 +196,7 @@
   }
 
   #startRun(run: Run, ticket: string | null): void {
-    const { hosts, logger, term } = this.#context;
+    const { hosts, logger, metrics, term } = this.#context;
     const { task, hostId, number } = run;
     const host = hosts.get(hostId);
     const session = this.#getSession(hostId);
@@ -204,7 +206,11 @@
     }
     host.addRun(run);
     const { job } = task.step;
-    job.hasStarted = true;
+    if (!job.hasStarted) {
+      job.hasStarted = true;
+      const ageMs = this.#context.clock.getWallTime() - job.record.acceptedAtMs;
+      metrics.firstStartSeconds.observe({ queue: job.record.queue }, ageMs / SECOND_MS);
+    }
     logger.recordInfo('start-ordered', {
       job: job.record.id,
       task: task.name,
--- a/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
@@ -26,6 +26,8 @@
 import { MachineBook } from './BaobabwellControllerMachines';
 import { WaveKeeper } from './BaobabwellControllerWaves';
 
+const CORE_MILLIS = 1_000;
+
 type RefusedDemand = {
   readonly pool: string;
   readonly cpuMillis: number;
@@ -295,6 +297,7 @@
     }
     this.#loadToldMs.set(pool, nowMs);
     const { cpuMillis } = this.getRoom(pool);
+    this.#recordPool(pool, load, upCount);
     this.#context.logger.recordInfo('pool-load', {
       pool,
       up: upCount,
@@ -307,6 +310,16 @@
     });
   }
 
+  #recordPool(pool: string, load: PoolLoad, upCount: number): void {
+    const { poolHosts, poolCores } = this.#context.metrics;
+    poolHosts.set({ pool, state: 'up' }, upCount);
+    poolHosts.set({ pool, state: 'arriving' }, this.#machines.countArriving(pool));
+    poolHosts.set({ pool, state: 'wanted' }, this.#wanted.findLast(pool) ?? 0);
+    poolCores.set({ pool, use: 'free' }, this.getRoom(pool).cpuMillis / CORE_MILLIS);
+    poolCores.set({ pool, use: 'running' }, load.runningCpuMillis / CORE_MILLIS);
+    poolCores.set({ pool, use: 'waiting' }, load.waitingCpuMillis / CORE_MILLIS);
+  }
+
   /** Records what a pool wants, and gives the most that it wanted lately. */
   #recordWanted(pool: string, hosts: number, nowMs: number): number {
     const before = this.#wanted.findLast(pool);
--- a/packages/baobabwell-controller/src/BaobabwellControllerMachines.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerMachines.ts
@@ -102,13 +102,14 @@
       readonly epoch: number;
     }) => Promise<Result<null, CloudError> | undefined>,
   ): Promise<boolean> {
-    const { clock, logger, holder, term } = this.#context;
+    const { clock, logger, metrics, holder, term } = this.#context;
     const name = machine.machine;
     const sentAtMs = clock.getNow();
     this.#pending.set(name, { pool, sentAtMs, isAnswered: false });
     const reply = await send({ machine: name, holder, epoch: term.epoch });
     const isDone = reply?.ok === true;
     const refusal = reply?.ok === false ? reply.error.kind : null;
+    metrics.machineOrders.inc({ order: what, answer: refusal ?? 'carried-out' });
     logger.recordInfo('machine-ordered', {
       machine: name,
       order: what,
--- a/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
@@ -44,7 +44,7 @@
 
   /** Starts a run that was placed here; retries while no answer comes. */
   async startRun(run: Run, ticket: string | null): Promise<void> {
-    const { clock, orders, term, ownership, logger } = this.#context;
+    const { clock, orders, term, ownership, logger, metrics } = this.#context;
     const started = run;
     let mayHaveStarted = false;
     for (let attempt = 0; attempt < START_ATTEMPTS; attempt += 1) {
@@ -62,6 +62,10 @@
         checkpoint: task.checkpoint,
         ticket,
       });
+      metrics.starts.inc({
+        pool: this.#host.pool,
+        answer: reply.ok ? 'started' : reply.error.kind,
+      });
       if (reply.ok) {
         this.#host.recordClock(reply.value, clock.getNow());
         started.answeredAtMs = clock.getNow();
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -21,6 +21,7 @@
   PACED_HOLD_WAIT_MS,
   STORE_PATIENCE_MS,
 } from './BaobabwellControllerConstants';
+import { recordJobEnd } from './BaobabwellControllerJobEnds';
 import { describeRun, RunOrders } from './BaobabwellControllerOrders';
 import { PaceKeeper } from './BaobabwellControllerPace';
 
@@ -301,7 +302,7 @@
   }
 
   #applyEnd(name: string, number: number, end: RunEnd, checkpoint: string): void {
-    const { ledger, logger, clock } = this.#context;
+    const { ledger, logger, metrics, clock } = this.#context;
     const { host } = this;
     const run = host.runs.get(`${name}#${number}`) ?? this.#findFormerRun(name, number);
     if (run === null) {
@@ -310,15 +311,18 @@
     }
     host.removeRun(run);
     const effect = ledger.applyEnd(run, end, checkpoint, clock.getNow());
+    metrics.runs.inc({ pool: host.pool, end });
     logger.recordInfo('run-ended', { ...describeRun(run), end, effect });
     const { job } = run.task.step;
     if (effect === EndEffect.TaskDone || effect === EndEffect.JobFailed) {
       [...run.task.runs].forEach((copy) => this.#context.stopRun(copy, 'another copy ended'));
     }
     if (job.state === JobState.Failed && effect === EndEffect.JobFailed) {
+      recordJobEnd(this.#context, job);
       logger.recordWarning('job-failed', { job: job.record.id, task: name, run: number });
       ledger.listRuns(job).forEach((other) => this.#context.stopRun(other, 'the job failed'));
     } else if (job.state === JobState.Completed) {
+      recordJobEnd(this.#context, job);
       logger.recordInfo('job-completed', { job: job.record.id, queue: job.record.queue });
     }
   }
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -30,6 +30,8 @@
 import { parseHostRow, parseJobRecord } from './BaobabwellControllerRows';
 import { HostSession } from './BaobabwellControllerSession';
 
+const SECOND_MS = 1_000;
+
 /** One term of an owner: everything it knows begins and ends with it. */
 export class OwnerTerm {
   readonly context: TermContext;
@@ -80,16 +82,23 @@
 
   /** Decides whether a job is wanted; one that is known is. */
   offer(record: JobRecord): Offer {
-    const { ledger, logger, getConfiguration } = this.context;
+    const { ledger, logger, metrics, getConfiguration } = this.context;
     const queue = getConfiguration()?.queues.find(({ name }) => name === record.queue);
     if (ledger.findJob(record.id) !== null || queue === undefined) {
       return { isWanted: true };
     }
     const decision = decideOffer(this.context, record, queue, this.#duties.getRoom(queue.pool));
     if (!decision.isWanted) {
-      const { reason, retryAfterMs } = decision;
+      const { cause, reason, retryAfterMs } = decision;
       this.#duties.recordRefusal(queue.pool, getWidestStepCpu(record.spec));
-      logger.recordInfo('job-refused', { job: record.id, queue: queue.name, reason, retryAfterMs });
+      metrics.refusedJobs.inc({ queue: queue.name, reason: cause });
+      logger.recordInfo('job-refused', {
+        job: record.id,
+        queue: queue.name,
+        cause,
+        reason,
+        retryAfterMs,
+      });
     }
     return decision;
   }
@@ -97,11 +106,12 @@
   /** Ends the term: nothing more is ordered. */
   end(): void {
     this.#aborter.abort();
+    this.context.metrics.clearGauges();
   }
 
   /** Reads what lasts, then works until the term ends. */
   async run(): Promise<void> {
-    const { clock, logger, term, codec, signal } = this.context;
+    const { clock, logger, metrics, term, codec, signal } = this.context;
     const startedAtMs = clock.getNow();
     const [hosts, workers, progress, waves, ...jobs] = await Promise.all([
       this.#read({ table: HOSTS_TABLE }),
@@ -120,6 +130,8 @@
     waves?.rows.forEach((row) => this.#applyWaveRow(row));
     this.#isLoaded = true;
     this.#cancelAgain(jobs);
+    metrics.terms.inc({ start: term.isHandover ? 'handover' : 'takeover' });
+    metrics.termLoadSeconds.observe((clock.getNow() - startedAtMs) / SECOND_MS);
     logger.recordInfo('term-loaded', {
       epoch: term.epoch,
       tookMs: Math.round(clock.getNow() - startedAtMs),
@@ -274,7 +286,7 @@
   }
 
   #applyJobRow({ key, value, version }: Row): void {
-    const { ledger, clock, logger, requestDispatch } = this.context;
+    const { ledger, clock, logger, metrics, requestDispatch } = this.context;
     if (key.endsWith(CANCELLED_SUFFIX)) {
       this.#cancel(key.slice(0, -CANCELLED_SUFFIX.length));
       return;
@@ -291,6 +303,7 @@
       return;
     }
     ledger.addJob(record, version, clock.getNow());
+    metrics.jobs.inc({ queue: record.queue, event: 'accepted' });
     logger.recordInfo('job-seen', {
       job: key,
       queue: record.queue,
@@ -313,12 +326,13 @@
   }
 
   #cancel(jobId: string): void {
-    const { ledger, clock, logger, requestCommit } = this.context;
+    const { ledger, clock, logger, metrics, requestCommit } = this.context;
     const job = ledger.findJob(jobId);
     if (job === null || !this.#isLoaded || job.isEnded) {
       return;
     }
     const runs = ledger.cancelJob(job, clock.getNow());
+    metrics.jobs.inc({ queue: job.record.queue, event: 'cancelled' });
     logger.recordInfo('job-cancelled', { job: jobId, runs: runs.length });
     runs.forEach((run) => this.#stopRun(run, 'the job was cancelled'));
     requestCommit();
--- a/packages/baobabwell-controller/src/BaobabwellControllerWaves.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerWaves.ts
@@ -225,7 +225,7 @@
     row: WaveRow,
     state: WaveState | null,
   ): Promise<boolean> {
-    const { ownership, codec, logger } = this.#context;
+    const { ownership, codec, logger, metrics } = this.#context;
     const done = machines.filter((name) => row.done.has(name) || row.down.get(name) === true);
     const isReported = state === WaveState.Completed;
     const reply = await ownership.commit(
@@ -247,6 +247,8 @@
             ]),
       ],
     );
+    metrics.waveMachines.set({ wave: number, state: 'done' }, done.length);
+    metrics.waveMachines.set({ wave: number, state: 'all' }, machines.length);
     logger.recordInfo('wave-progress', {
       wave: number,
       state,
--- a/packages/baobabwell-daemon/src/BaobabwellDaemon.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemon.ts
@@ -8,6 +8,7 @@
 
 import { dutiesPlugin } from './BaobabwellDaemonDutiesPlugin';
 import { ingressPlugin } from './BaobabwellDaemonIngressPlugin';
+import { MeasuredStore } from './BaobabwellDaemonMeasuredStore';
 import { metricsPlugin } from './BaobabwellDaemonMetricsPlugin';
 import { ADAPTERS, LOGGER, METRICS, SETTINGS, STATE } from './BaobabwellDaemonTokens';
 
@@ -20,15 +21,19 @@
   readonly state: DaemonState;
 }): Kernel {
   const kernel = new Kernel(options.clock);
+  const metrics = new DaemonMetrics();
   kernel.use({
     name: 'process',
     register: () => {
       kernel.lifecycle.add('platform', options.adapters.close);
       return mergeUndo(
         kernel.registerService(SETTINGS, () => options.settings),
-        kernel.registerService(ADAPTERS, () => options.adapters),
+        kernel.registerService(ADAPTERS, () => ({
+          ...options.adapters,
+          store: new MeasuredStore(options.adapters.store, metrics, options.clock),
+        })),
         kernel.registerService(LOGGER, () => options.logger),
-        kernel.registerService(METRICS, () => new DaemonMetrics()),
+        kernel.registerService(METRICS, () => metrics),
         kernel.registerService(STATE, () => options.state),
       );
     },
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonDutiesPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonDutiesPlugin.ts
@@ -60,6 +60,7 @@
     holder: name,
     clock: kernel.clock,
     logger: kernel.getService(LOGGER),
+    metrics: kernel.getService(METRICS).owner,
     bounds,
     codec,
     store,
--- /dev/null
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonMeasuredStore.ts
@@ -0,0 +1,87 @@
+import type { DaemonMetrics } from '@baobabwell/metrics';
+import type {
+  ChangePage,
+  Row,
+  RowRange,
+  TableError,
+  Transaction,
+  WatchError,
+} from '@baobabwell/platform';
+import type { Clock, Result } from '@baobabwell/utils';
+
+import { TableErrorKind, WatchableTableService, WatchErrorKind } from '@baobabwell/platform';
+
+const SECOND_MS = 1_000;
+
+const ANSWERED = 'answered';
+
+/** Counts this process's calls to the store and how they were answered. */
+export class MeasuredStore extends WatchableTableService {
+  readonly #store: WatchableTableService;
+
+  readonly #metrics: DaemonMetrics;
+
+  readonly #clock: Clock;
+
+  constructor(store: WatchableTableService, metrics: DaemonMetrics, clock: Clock) {
+    super();
+    this.#store = store;
+    this.#metrics = metrics;
+    this.#clock = clock;
+  }
+
+  override async commit(transaction: Transaction): Promise<Result<number, TableError>> {
+    return this.#measure('commit', async () => this.#store.commit(transaction));
+  }
+
+  override async list(range: RowRange): Promise<Result<ChangePage, TableError>> {
+    return this.#measure('list', async () => this.#store.list(range));
+  }
+
+  override async read(table: string, key: string): Promise<Result<Row | null, TableError>> {
+    return this.#measure('read', async () => this.#store.read(table, key));
+  }
+
+  override async readSince(
+    table: string,
+    version: number,
+    limit: number,
+  ): ReturnType<WatchableTableService['readSince']> {
+    return this.#store.readSince(table, version, limit);
+  }
+
+  override async waitForChanges(
+    table: string,
+    version: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<ChangePage, WatchError>> {
+    const reply = await this.#store.waitForChanges(table, version, waitMs, signal);
+    const failure = reply.ok ? null : reply.error.kind;
+    const isGone = failure === WatchErrorKind.HistoryGone;
+    if (!signal.aborted) {
+      const answer = failure ?? ANSWERED;
+      this.#metrics.storeCalls.inc({ call: 'watch', answer: isGone ? 'history-gone' : answer });
+    }
+    return reply;
+  }
+
+  async #measure<Value>(
+    call: string,
+    send: () => Promise<Result<Value, TableError>>,
+  ): Promise<Result<Value, TableError>> {
+    const sentAtMs = this.#clock.getNow();
+    const reply = await send();
+    const tookMs = this.#clock.getNow() - sentAtMs;
+    this.#metrics.storeCallSeconds.observe({ call }, tookMs / SECOND_MS);
+    this.#metrics.storeCalls.inc({ call, answer: reply.ok ? ANSWERED : formatError(reply.error) });
+    return reply;
+  }
+}
+
+function formatError(error: TableError): string {
+  if (error.kind === TableErrorKind.Conflict) {
+    return 'conflict';
+  }
+  return error.mayHaveCommitted ? 'unanswered' : 'refused';
+}
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonMetricsPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonMetricsPlugin.ts
@@ -1,13 +1,38 @@
-import type { Plugin } from '@baobabwell/kernel';
+import type { Kernel, Plugin } from '@baobabwell/kernel';
 
 import Fastify from 'fastify';
 
-import { CONFIGURATION, METRICS, SETTINGS } from './BaobabwellDaemonTokens';
+import { CONFIGURATION, CONTROLLER, METRICS, SETTINGS } from './BaobabwellDaemonTokens';
 
 const METRICS_PATH = '/metrics';
+
+/** The same as objects; the burn report reads it. */
+const JSON_PATH = '/metrics.json';
+
 const TEXT = 'text/plain; version=0.0.4';
 
-/** Serves the metrics of this process as text. */
+const SECOND_MS = 1_000;
+
+/** Age told while no configuration was ever read. */
+const NO_AGE = -1;
+
+/** Brings gauges up to date that nobody keeps. */
+function updateGauges(kernel: Kernel): void {
+  const metrics = kernel.getService(METRICS);
+  const configuration = kernel.getService(CONFIGURATION);
+  const settings = configuration.getConfiguration();
+  const ageMs = configuration.getAgeMs();
+  metrics.configurationVersion.set(settings?.version ?? 0);
+  metrics.configurationAgeSeconds.set(ageMs === null ? NO_AGE : ageMs / SECOND_MS);
+  const term = kernel.getService(CONTROLLER).getLoadedTerm();
+  settings?.queues.forEach(({ name }) => {
+    if (term !== null) {
+      metrics.owner.waitingJobs.set({ queue: name }, term.context.ledger.countWaiting(name));
+    }
+  });
+}
+
+/** Serves the metrics of this process, as text and as objects. */
 export const metricsPlugin: Plugin = {
   name: 'metrics server',
   register() {
@@ -15,12 +40,16 @@
   },
   async start(kernel) {
     const metrics = kernel.getService(METRICS);
+    metrics.startTime.set(kernel.clock.getWallTime() / SECOND_MS);
     const server = Fastify();
     server.get(METRICS_PATH, async (_request, reply) => {
-      const version = kernel.getService(CONFIGURATION).getConfiguration()?.version ?? 0;
-      metrics.configurationVersion.set(version);
+      updateGauges(kernel);
       return reply.type(TEXT).send(await metrics.formatText());
     });
+    server.get(JSON_PATH, async () => {
+      updateGauges(kernel);
+      return metrics.readMetrics();
+    });
     kernel.lifecycle.add('metrics server', async () => server.close());
     await server.listen(kernel.getService(SETTINGS).metrics);
   },
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -8,6 +8,7 @@
 import { EmulatedTime, ProcessClock } from '@baobabwell/emulator';
 import { CANCELLED_SUFFIX, getJobPart, JOBS_TABLE } from '@baobabwell/ingress';
 import { Logger, LogLevel } from '@baobabwell/logging';
+import { DaemonMetrics } from '@baobabwell/metrics';
 import { Ownership } from '@baobabwell/ownership';
 import { Random } from '@baobabwell/utils';
 
@@ -177,6 +178,7 @@
       holder: name,
       clock,
       logger,
+      metrics: new DaemonMetrics().owner,
       bounds: {
         maxHostLeaseMs: 6_000,
         machineOrderPauseMs: 3_000,
--- a/packages/baobabwell-metrics/src/BaobabwellMetricsDaemon.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetricsDaemon.ts
@@ -1,12 +1,18 @@
 /** The metrics of one process of the fleet. Label values come from the configuration and enums. */
+import type { MetricObjectWithValues, MetricValue } from 'prom-client';
+
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
+import { OwnerMetrics } from './BaobabwellMetricsOwner';
+
 const SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
 
 /** Holds and renders the metrics of one process. */
 export class DaemonMetrics {
   readonly registry = new Registry();
 
+  readonly owner = new OwnerMetrics(this.registry);
+
   readonly clientCalls = new Counter({
     name: 'baobabwell_client_calls_total',
     help: 'Answered calls of callers by queue, request and answer.',
@@ -34,6 +40,39 @@
     registers: [this.registry],
   });
 
+  /** Named as prom-client names it, so that reports read both alike. */
+  readonly startTime = new Gauge({
+    name: 'process_start_time_seconds',
+    help: 'Start of the process, in seconds since 1970.',
+    registers: [this.registry],
+  });
+
+  readonly configurationAgeSeconds = new Gauge({
+    name: 'baobabwell_configuration_age_seconds',
+    help: 'Time since the store confirmed the configuration in force here; -1 before the first.',
+    registers: [this.registry],
+  });
+
+  readonly storeCalls = new Counter({
+    name: 'baobabwell_store_calls_total',
+    help: 'Calls of this process to the store, by call and answer.',
+    labelNames: ['call', 'answer'] as const,
+    registers: [this.registry],
+  });
+
+  readonly storeCallSeconds = new Histogram({
+    name: 'baobabwell_store_call_seconds',
+    help: 'Time from sending to answer of a call to the store, by call; watches are left out.',
+    labelNames: ['call'] as const,
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+
+  /** Reads all metrics as objects, as reports take them. */
+  async readMetrics(): Promise<readonly MetricObjectWithValues<MetricValue<string>>[]> {
+    return this.registry.getMetricsAsJSON();
+  }
+
   /** Renders all metrics as text. */
   async formatText(): Promise<string> {
     return this.registry.metrics();
--- a/packages/baobabwell-placement/src/BaobabwellPlacementAdmission.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacementAdmission.ts
@@ -29,10 +29,23 @@
   readonly fitsNowhere: boolean;
 };
 
+/** Why a job is not wanted. */
+export enum RefusalCause {
+  /** A task is larger than any host. */
+  TooLarge = 'too-large',
+  /** It could not be done in time. */
+  TooLate = 'too-late',
+}
+
 /** Whether a job is wanted. */
 export type AdmissionDecision =
   | { readonly isWanted: true }
-  | { readonly isWanted: false; readonly reason: string; readonly retryAfterMs: number };
+  | {
+      readonly isWanted: false;
+      readonly cause: RefusalCause;
+      readonly reason: string;
+      readonly retryAfterMs: number;
+    };
 
 /** Time until a machine that is on its way, or called in now, takes work, in ms. */
 const ARRIVING_MS = 900;
@@ -80,7 +93,12 @@
   const { nowMs, dueMs, chainMs, stepCount, accepted, fitsNowhere } = snapshot;
   if (fitsNowhere) {
     const reason = 'a task is larger than any host';
-    return { isWanted: false, reason, retryAfterMs: MISFIT_RETRY_MS };
+    return {
+      isWanted: false,
+      cause: RefusalCause.TooLarge,
+      reason,
+      retryAfterMs: MISFIT_RETRY_MS,
+    };
   }
   const ahead = accepted
     .filter((work) => work.dueMs <= dueMs && work.dueMs > nowMs)
@@ -93,7 +111,8 @@
   const excessMs = waitMs - laxityMs;
   return {
     isWanted: false,
+    cause: RefusalCause.TooLate,
     reason: `the work ahead takes ${Math.round(Math.min(waitMs, MISFIT_RETRY_MS))} ms, ${Math.round(laxityMs)} ms are left`,
-    retryAfterMs: Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, excessMs)),
+    retryAfterMs: Math.round(Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, excessMs))),
   };
 }
--- a/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacementAdmission.test.ts
+++ b/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacementAdmission.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'earl';
 
-import { compareUrgency, decideAdmission } from '../../index';
+import { compareUrgency, decideAdmission, RefusalCause } from '../../index';
 
 /**
  * Replays a turn that asks for twice what the machines hold, on a simple model: jobs are served by the
@@ -72,6 +72,7 @@
     });
     expect(decision).toEqual({
       isWanted: false,
+      cause: RefusalCause.TooLate,
       reason: 'the work ahead takes 5000 ms, 1000 ms are left',
       retryAfterMs: 4_000,
     });
@@ -91,6 +92,7 @@
     });
     expect(decision).toEqual({
       isWanted: false,
+      cause: RefusalCause.TooLarge,
       reason: 'a task is larger than any host',
       retryAfterMs: 60_000,
     });
--- a/packages/baobabwell-placement/src/index.ts
+++ b/packages/baobabwell-placement/src/index.ts
@@ -7,7 +7,7 @@
 export type { StepUrgency } from './BaobabwellPlacementObjective';
 
 export { decidePlacements } from './BaobabwellPlacement';
-export { decideAdmission } from './BaobabwellPlacementAdmission';
+export { decideAdmission, RefusalCause } from './BaobabwellPlacementAdmission';
 export {
   getChainMs,
   getObjectiveMs,
