ownership, controller: owners go on through a slow or silent store and order machines sooner

Ruled out: lack of hosts (room was free while jobs were refused); processor time (0.2 cores at most). Change: jobs lie in 16 parts; a renewal goes with a commit, and alone only when nothing is under way; past its lease an owner starts for 3.5 s what was accepted before its last renewal, and the next owner waits that long for hosts that it cannot ask; a machine that follows itself as the owner orders at once; machines are ordered under a lease younger than 700 ms only, so another owner's pause is 2.3 s; machines that other pools keep go only to a pool that lacks a quarter of its need.

--- a/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
@@ -115,8 +115,8 @@
     const removedHosts = [...this.#removedHosts]
       .filter((hostId) => !kept.has(hostId))
       .slice(0, COMMIT_HOSTS - registered.length);
-    // The fence takes one entry, a host one, a job one for its condition and one for its row.
-    const hostEntries = 1 + registered.length + removedHosts.length;
+    // A host takes one entry, a job one for its condition and one for its row.
+    const hostEntries = registered.length + removedHosts.length;
     const jobCount = Math.floor((COMMIT_ENTRIES - hostEntries) / 2);
     const changed = [...ledger.listChanged()].slice(0, jobCount);
     const isWhole = changed.length === ledger.listChanged().size;
--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -19,12 +19,6 @@
  */
 export const KEEP_ALIVE_MS = 9_000;
 
-/**
- * Time after a takeover within which a former owner notices it at a host that both reach, in ms: the
- * longest wait of a hold and its retries.
- */
-export const FORMER_OWNER_MS = 1_500;
-
 /** Longest wait of a hold, in ms: the lease is renewed several times before it ends. */
 export const HOLD_WAIT_MS = 600;
 
@@ -55,8 +49,11 @@
 /** Time for which changes gather before they are stored together, in ms. */
 export const COMMIT_GATHER_MS = 12;
 
-/** Entries of one transaction, conditions and writes together: the most that the store takes. */
-export const COMMIT_ENTRIES = 100;
+/**
+ * Entries of one transaction, conditions and writes together: the most that the store takes, less the
+ * owner's fence and its renewal.
+ */
+export const COMMIT_ENTRIES = 98;
 
 /** Rows of hosts in one transaction; the rest is left for jobs. */
 export const COMMIT_HOSTS = 40;
@@ -85,6 +82,12 @@
 /** Run numbers set aside for each term, so that a later owner's are higher. */
 export const RUNS_PER_TERM = 1_000;
 
+/**
+ * Age of the lease up to which machines are ordered, in ms: with a renewal every 350 ms it is younger
+ * unless the store fails, and the next owner's pause begins that much earlier.
+ */
+export const ORDER_LEASE_MS = 700;
+
 /** Pause between two rounds of duties, in ms. */
 export const DUTIES_PAUSE_MS = 80;
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -68,16 +68,17 @@
         await this.#waker.wait(DISPATCH_IDLE_MS, signal);
       }
       this.#isRequested = false;
-      if (!signal.aborted && this.#context.ownership.canAct()) {
-        this.placeOnce();
+      const bound = this.#context.ownership.findStartBound();
+      if (!signal.aborted && bound !== null) {
+        this.placeOnce(bound);
       }
     }
   }
 
-  /** Places what can start now. */
-  placeOnce(): void {
+  /** Places what can start now, of jobs accepted up to a version of the store. */
+  placeOnce(bound: number): void {
     const nowMs = this.#context.clock.getNow();
-    const steps = this.listReadySteps();
+    const steps = this.listReadySteps().filter(({ step }) => step.job.acceptedVersion <= bound);
     if (steps.every(({ step }) => step.waitingCount === 0)) {
       return;
     }
--- a/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
@@ -6,6 +6,7 @@
 
 import { decideMoves, divideStandby, getWantedHosts, RecentPeaks } from '@baobabwell/fleet';
 import { RunPhase } from '@baobabwell/jobs';
+import { LEAST_TAKEOVER_MS } from '@baobabwell/ownership';
 import { CloudHostState } from '@baobabwell/platform';
 import { Waker } from '@baobabwell/utils';
 
@@ -18,6 +19,7 @@
   REFUSED_DEMAND_MS,
   STANDBY_SHARE,
   NEEDED_MS,
+  ORDER_LEASE_MS,
   TURN_HOSTS,
   TURNS_ENDED_MS,
 } from './BaobabwellControllerConstants';
@@ -26,6 +28,9 @@
 import { MachineBook } from './BaobabwellControllerMachines';
 import { WaveKeeper } from './BaobabwellControllerWaves';
 
+/** Time that an order takes to its machine, and a round to its orders, in ms. */
+const ORDER_DELAY_MS = 300;
+
 const CORE_MILLIS = 1_000;
 
 type RefusedDemand = {
@@ -159,11 +164,18 @@
     });
   }
 
+  /** Time for which a new owner orders no machine, in ms: the former one last did so before its takeover. */
+  #getOrderPauseMs(): number {
+    const { bounds } = this.#context;
+    return bounds.machineOrderPauseMs - (LEAST_TAKEOVER_MS - ORDER_LEASE_MS) + ORDER_DELAY_MS;
+  }
+
   async #runRound(): Promise<void> {
-    const { clock, term, bounds, cloud, getConfiguration } = this.#context;
+    const { clock, term, cloud, ownership, getConfiguration } = this.#context;
     const isTooEarly =
-      !term.isHandover && clock.getNow() - this.#startedAtMs < bounds.machineOrderPauseMs;
-    if (cloud === null || isTooEarly || getConfiguration() === null) {
+      !term.isHandover && clock.getNow() - this.#startedAtMs < this.#getOrderPauseMs();
+    const isTooLate = ownership.getLeaseAgeMs() > ORDER_LEASE_MS;
+    if (cloud === null || isTooEarly || isTooLate || getConfiguration() === null) {
       return;
     }
     if (this.#machines.isKnown) {
--- a/packages/baobabwell-controller/src/BaobabwellControllerMachines.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerMachines.ts
@@ -5,7 +5,7 @@
 
 import { CloudHostState, CloudRefusal } from '@baobabwell/platform';
 
-import { MACHINE_SETTLE_MS, MACHINES_PAUSE_MS } from './BaobabwellControllerConstants';
+import { MACHINE_SETTLE_MS, MACHINES_PAUSE_MS, ORDER_LEASE_MS } from './BaobabwellControllerConstants';
 
 /** An order for a machine whose effect has not shown in the list yet. */
 type PendingOrder = {
@@ -102,8 +102,12 @@
       readonly epoch: number;
     }) => Promise<Result<null, CloudError> | undefined>,
   ): Promise<boolean> {
-    const { clock, logger, metrics, holder, term } = this.#context;
+    const { clock, logger, metrics, holder, term, ownership } = this.#context;
     const name = machine.machine;
+    // The next owner counts on it that nothing is ordered later; the next round decides anew.
+    if (ownership.getLeaseAgeMs() > ORDER_LEASE_MS) {
+      return false;
+    }
     const sentAtMs = clock.getNow();
     this.#pending.set(name, { pool, sentAtMs, isAnswered: false });
     const reply = await send({ machine: name, holder, epoch: term.epoch });
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -4,13 +4,12 @@
 import type { HostReport, OrderError } from '@baobabwell/platform';
 
 import { EndEffect, JobState, Run, RunPhase, TaskPhase } from '@baobabwell/jobs';
-import { OWNER_LEASE_MS } from '@baobabwell/ownership';
+import { FORMER_OWNER_MS, OWNER_LEASE_MS } from '@baobabwell/ownership';
 import { OrderRefusal } from '@baobabwell/platform';
 import { Waker } from '@baobabwell/utils';
 
 import {
   CLOCK_DRIFT,
-  FORMER_OWNER_MS,
   HOLD_WAIT_MS,
   HOST_LEASE_MS,
   HOST_RETRY_MS,
--- a/packages/baobabwell-fleet/src/BaobabwellFleetMoves.ts
+++ b/packages/baobabwell-fleet/src/BaobabwellFleetMoves.ts
@@ -48,6 +48,18 @@
   return machines.length + arrivingCount;
 }
 
+/** Hosts lacking, at least, before a pool takes machines that others keep: a move costs two seconds of one. */
+const MIN_LACK = 2;
+
+/** The same as a share of what the pool needs: smaller lacks come and go within a move. */
+const MIN_LACK_SHARE = 0.25;
+
+/** Says whether a pool's work lacks so much that others give up machines that they keep. */
+function isStarved(pool: PoolNeed): boolean {
+  const lack = pool.neededHosts - countHosts(pool);
+  return lack >= Math.max(MIN_LACK, MIN_LACK_SHARE * pool.neededHosts);
+}
+
 /** Gives the machines that pools can do without, one by one. */
 class Supply {
   readonly #pools: readonly PoolNeed[];
@@ -165,7 +177,13 @@
   const drain = ({ machine }: Supplied): void => {
     drains.push(machine.machine);
   };
-  bringUp(getNeeded, () => supply.findIdle(getKept) ?? supply.findIdle(getNeeded), move);
+  const starved = new Set(served.filter(isStarved));
+  bringUp(getNeeded, () => supply.findIdle(getKept), move);
+  bringUp(
+    (pool) => (starved.has(pool) ? pool.neededHosts : 0),
+    () => supply.findIdle(getNeeded),
+    move,
+  );
   bringUp(getNeeded, () => supply.findBusy(getKept), drain);
   bringUp(
     ({ wantedHosts }) => wantedHosts,
--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzJobs.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzJobs.ts
@@ -2,7 +2,7 @@
 
 import { array, asyncProperty, constantFrom, integer, oneof, record } from 'fast-check';
 
-import { EmulatedJobFleet, NO_STORE_FAULTS } from '@baobabwell/job-emulator';
+import { EmulatedJobFleet, formatWay, NO_STORE_FAULTS } from '@baobabwell/job-emulator';
 import { isEnded } from '@baobabwell/jobs';
 import { checkInvariant } from '@baobabwell/utils';
 
@@ -33,6 +33,7 @@
   ResumeDaemon = 'resume-daemon',
   CutDaemon = 'cut-daemon',
   CutHost = 'cut-host',
+  CutWay = 'cut-way',
   HealHosts = 'heal-hosts',
   RestartHost = 'restart-host',
   LateOrders = 'late-orders',
@@ -80,7 +81,12 @@
   [JobStepKind.ResumeDaemon]: (fleet, value) => fleet.resumeDaemon(getDaemon(value)),
   [JobStepKind.CutDaemon]: (fleet, value) => fleet.cutDaemon(getDaemon(value), value % 2 === 0),
   [JobStepKind.CutHost]: (fleet, value) => fleet.faults.cutHosts.add(`host-${value % HOSTS}`),
-  [JobStepKind.HealHosts]: (fleet) => fleet.faults.cutHosts.clear(),
+  [JobStepKind.CutWay]: (fleet, value) =>
+    fleet.faults.cutWays.add(formatWay(getDaemon(value), `host-${value % HOSTS}`)),
+  [JobStepKind.HealHosts]: ({ faults }) => {
+    faults.cutHosts.clear();
+    faults.cutWays.clear();
+  },
   [JobStepKind.RestartHost]: (fleet, value) => fleet.startHost(`host-${value % HOSTS}`),
   [JobStepKind.LateOrders]: (fleet, value) => {
     const { faults } = fleet;
@@ -109,6 +115,7 @@
   rows.faults = NO_STORE_FAULTS;
   faults.lateShare = 0;
   faults.cutHosts.clear();
+  faults.cutWays.clear();
   DAEMONS.forEach((name) => {
     fleet.killDaemon(name);
     fleet.startDaemon(name);
--- a/packages/baobabwell-ingress/src/BaobabwellIngressTables.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressTables.ts
@@ -7,8 +7,11 @@
 /** Ends the key of a row that says a job was cancelled. */
 export const CANCELLED_SUFFIX = '!cancelled';
 
-/** Parts of the table of jobs: each takes some 150 writes a second, a large fleet accepts 200. */
-export const JOB_PARTS = 4;
+/**
+ * Parts of the table of jobs. Each takes some 150 writes a second, and a fiftieth of that while the
+ * store is slow: all of them together then still take what a fleet accepts in a second.
+ */
+export const JOB_PARTS = 16;
 
 const HEX = 16;
 
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorCloud.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorCloud.ts
@@ -31,6 +31,8 @@
   /** Most machines that were down for upkeep at once. */
   mostDown = 0;
 
+  readonly #orders: { readonly holder: string; readonly atMs: number }[] = [];
+
   readonly #clock: Clock;
 
   readonly #effects: CloudEffects;
@@ -62,6 +64,21 @@
     return [...this.#machines.values()].filter((machine) => machine.pool === pool).length;
   }
 
+  countOrders(): number {
+    return this.#orders.length;
+  }
+
+  /** Finds the shortest time between orders of two holders that followed each other, in ms. */
+  findHolderPause(): number | null {
+    const pauses = this.#orders.flatMap((order, index) => {
+      const before = this.#orders[index - 1];
+      return before === undefined || before.holder === order.holder
+        ? []
+        : [order.atMs - before.atMs];
+    });
+    return pauses.length === 0 ? null : Math.min(...pauses);
+  }
+
   override async list(): Promise<Result<readonly CloudHost[], CloudError>> {
     await this.#clock.wait(CALL_MS);
     return createOk(
@@ -79,6 +96,7 @@
 
   override async move(order: CloudOrder, pool: string): Promise<Result<null, CloudError>> {
     await this.#clock.wait(CALL_MS);
+    this.#recordOrder(order);
     const machine = this.#machines.get(order.machine);
     if (machine?.state !== CloudHostState.Up) {
       return createError({ kind: CloudRefusal.Busy, cause: 'busy' });
@@ -92,6 +110,7 @@
 
   override async startUpkeep(order: CloudOrder, wave: number): Promise<Result<null, CloudError>> {
     await this.#clock.wait(CALL_MS);
+    this.#recordOrder(order);
     const machine = this.#machines.get(order.machine);
     if (machine?.state !== CloudHostState.Up) {
       return createError({ kind: CloudRefusal.Busy, cause: 'busy' });
@@ -107,6 +126,10 @@
     return createOk(null);
   }
 
+  #recordOrder({ holder }: CloudOrder): void {
+    this.#orders.push({ holder, atMs: this.#clock.getNow() });
+  }
+
   #takeAway(taken: Machine, state: CloudHostState): void {
     const machine = taken;
     if (machine.hostId !== null) {
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -103,7 +103,7 @@
 
   readonly rows = new EmulatedRows();
 
-  readonly faults: HostFaults = { lateShare: 0, cutHosts: new Set() };
+  readonly faults: HostFaults = { lateShare: 0, cutHosts: new Set(), cutWays: new Set() };
 
   readonly lines: string[] = [];
 
@@ -195,6 +195,7 @@
       },
       store,
       orders: new EmulatedHostOrders({
+        process: name,
         clock,
         world: this.time,
         random: this.#random,
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
@@ -29,10 +29,19 @@
   lateShare: number;
   /** Hosts that no process reaches, though they run on. */
   readonly cutHosts: Set<string>;
+  /** Single ways that are cut, as names of process and host. */
+  readonly cutWays: Set<string>;
 };
 
+/** Names the way from a process to a host. */
+export function formatWay(process: string, hostId: string): string {
+  return `${process} ${hostId}`;
+}
+
 /** Orders of one process to the emulated hosts. */
 export class EmulatedHostOrders extends HostOrders {
+  readonly #process: string;
+
   readonly #clock: Clock;
 
   readonly #world: Clock;
@@ -44,6 +53,7 @@
   readonly #findHost: (id: string) => EmulatedHost | null;
 
   constructor(options: {
+    readonly process: string;
     readonly clock: Clock;
     readonly world: Clock;
     readonly random: Random;
@@ -51,6 +61,7 @@
     readonly findHost: (id: string) => EmulatedHost | null;
   }) {
     super();
+    this.#process = options.process;
     this.#clock = options.clock;
     this.#world = options.world;
     this.#random = options.random;
@@ -80,14 +91,14 @@
   ): Promise<Result<Value, OrderError>> {
     await this.#clock.wait(WAY_MS);
     const host = this.#findHost(id);
-    if (host === null || !host.isAlive || this.#faults.cutHosts.has(id)) {
+    if (host === null || !host.isAlive || this.#isCut(id)) {
       return this.#giveUp();
     }
     if (this.#random.getFraction() < this.#faults.lateShare) {
       const delayMs = LATE_FROM_MS + this.#random.getInteger(LATE_TO_MS - LATE_FROM_MS);
       this.#world.startTimer(delayMs, () => {
         // An order that waits in a host's life ends with that life; see docs/QUESTIONS.md.
-        if (host.isAlive && !this.#faults.cutHosts.has(id)) {
+        if (host.isAlive && !this.#isCut(id)) {
           void run(host);
         }
       });
@@ -95,7 +106,12 @@
     }
     const reply = await run(host);
     await this.#clock.wait(WAY_MS);
-    return this.#faults.cutHosts.has(id) || !host.isAlive ? this.#giveUp() : reply;
+    return this.#isCut(id) || !host.isAlive ? this.#giveUp() : reply;
+  }
+
+  #isCut(hostId: string): boolean {
+    const { cutHosts, cutWays } = this.#faults;
+    return cutHosts.has(hostId) || cutWays.has(formatWay(this.#process, hostId));
   }
 
   async #giveUp(): Promise<Result<never, OrderError>> {
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
@@ -2,7 +2,7 @@
 
 import { JobState } from '@baobabwell/jobs';
 
-import { EmulatedJobFleet, NO_STORE_FAULTS } from '../../index';
+import { EmulatedJobFleet, formatWay, NO_STORE_FAULTS } from '../../index';
 
 const SEED = 7;
 const START_MS = 1_500;
@@ -120,6 +120,58 @@
     await expectCompleted(jobs);
   });
 
+  it('goes on with the steps that it knew while the store is silent for all', async () => {
+    await start(3);
+    const job = fleet.submit([
+      { taskCount: 1, estimateMs: 2_900 },
+      { after: [0], taskCount: 4 },
+    ]);
+    await fleet.time.advance(600);
+    fleet.rows.faults = { ...NO_STORE_FAULTS, isDown: true };
+    await fleet.time.advance(3_500);
+    expect(fleet.oracle.starts).toEqual(5);
+    fleet.rows.faults = NO_STORE_FAULTS;
+    await fleet.time.advance(1_500);
+    await expectCompleted([job]);
+  });
+
+  it('starts nothing that was accepted after its last renewal, nor anything for long', async () => {
+    await start(3);
+    const owner = fleet.findOwner() as string;
+    const known = fleet.submit([{ taskCount: 1, estimateMs: 6_800 }, { after: [0] }]);
+    await fleet.time.advance(1_000);
+    fleet.rows.faults = { ...NO_STORE_FAULTS, isDown: true };
+    const unknown = fleet.submit([{ taskCount: 1 }]);
+    await fleet.time.advance(6_500);
+    expect(fleet.oracle.starts).toEqual(1);
+    fleet.rows.faults = NO_STORE_FAULTS;
+    await fleet.time.advance(6_000);
+    expect(fleet.findOwner()).toEqual(owner);
+    await expectCompleted([known, unknown]);
+  });
+
+  it('runs nothing twice when only the owner loses the store and the next one a host', async () => {
+    await start(3);
+    const owner = fleet.findOwner() as string;
+    const jobs = Array.from({ length: 6 }, () =>
+      fleet.submit([
+        { taskCount: 2, estimateMs: 900 },
+        { after: [0], taskCount: 2 },
+        { after: [1] },
+      ]),
+    );
+    await fleet.time.advance(300);
+    fleet.cutDaemon(owner, true);
+    ['a', 'b', 'c']
+      .filter((name) => name !== owner)
+      .forEach((name) => fleet.faults.cutWays.add(formatWay(name, 'host-0')));
+    await fleet.time.advance(9_000);
+    fleet.faults.cutWays.clear();
+    fleet.cutDaemon(owner, false);
+    await fleet.time.advance(12_000);
+    await expectCompleted(jobs);
+  });
+
   it('stores every end although the store loses answers and writes late', async () => {
     await start(3);
     fleet.rows.faults = { ...NO_STORE_FAULTS, lostShare: 0.3 };
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorMachines.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorMachines.test.ts
@@ -7,6 +7,10 @@
 
 const SEED = 11;
 const START_MS = 2_000;
+
+/** Pause between orders of two owners for one machine, as the emulated fleet bounds it. */
+const ORDER_PAUSE_MS = 3_000;
+
 const WAVE = { number: 1, durationMs: 25_000, maxDown: 2 };
 
 describe('machines of the emulated fleet', () => {
@@ -16,6 +20,13 @@
     ['a', 'b'].forEach((name) => fleet.startDaemon(name));
   }
 
+  /** Asks for more than the hosts that stand by hold. */
+  function submitWide(): readonly string[] {
+    return Array.from({ length: 15 }, () =>
+      fleet.submit([{ taskCount: 8, need: { cpuMillis: 800, memoryMb: 100, gpus: 0 } }]),
+    );
+  }
+
   afterEach(() => fleet.close());
 
   it('calls machines in when more is asked than the pool holds', async () => {
@@ -23,9 +34,7 @@
     const cloud = fleet.openCloud(6);
     startDaemons();
     await fleet.time.advance(START_MS);
-    const jobs = Array.from({ length: 5 }, () =>
-      fleet.submit([{ taskCount: 8, need: { cpuMillis: 800, memoryMb: 100, gpus: 0 } }]),
-    );
+    const jobs = submitWide();
     await fleet.time.advance(500);
     expect(cloud.countInPool('ovens') > 2).toEqual(true);
     await fleet.time.advance(6_000);
@@ -34,6 +43,39 @@
     expect(fleet.oracle.broken).toEqual([]);
   });
 
+  it('calls machines in at once when the owner comes back after a loss of power', async () => {
+    fleet = new EmulatedJobFleet(SEED, 2);
+    const cloud = fleet.openCloud(6);
+    startDaemons();
+    await fleet.time.advance(START_MS);
+    const owner = fleet.findOwner() as string;
+    ['a', 'b'].forEach((name) => fleet.killDaemon(name));
+    fleet.startDaemon(owner);
+    await fleet.time.advance(200);
+    const before = cloud.countOrders();
+    submitWide();
+    await fleet.time.advance(1_000);
+    expect(cloud.countOrders() > before).toEqual(true);
+  });
+
+  it('lets two owners order a machine only well after each other', async () => {
+    fleet = new EmulatedJobFleet(SEED, 2);
+    const cloud = fleet.openCloud(40);
+    startDaemons();
+    await fleet.time.advance(START_MS);
+    const owner = fleet.findOwner() as string;
+    [1, 2, 3, 4].forEach(() => submitWide());
+    await fleet.time.advance(150);
+    fleet.cutDaemon(owner, true);
+    for (let round = 0; round < 20; round += 1) {
+      submitWide();
+      await fleet.time.advance(400);
+    }
+    const pauseMs = cloud.findHolderPause() ?? 0;
+    expect(pauseMs >= ORDER_PAUSE_MS).toEqual(true);
+    expect(pauseMs < 1.5 * ORDER_PAUSE_MS).toEqual(true);
+  });
+
   it('carries a wave out in time, around tasks that last, within its bound', async () => {
     fleet = new EmulatedJobFleet(SEED, 4);
     const cloud = fleet.openCloud(2);
--- a/packages/baobabwell-job-emulator/src/index.ts
+++ b/packages/baobabwell-job-emulator/src/index.ts
@@ -6,4 +6,5 @@
 export { CAP_CPU_MILLIS, EmulatedJobFleet, MAX_ATTEMPTS } from './BaobabwellJobEmulatorFleet';
 export { EmulatedHost } from './BaobabwellJobEmulatorHost';
 export { JobOracle, JobPromise } from './BaobabwellJobEmulatorOracle';
+export { formatWay } from './BaobabwellJobEmulatorOrders';
 export { EmulatedJobStore, EmulatedRows, NO_STORE_FAULTS } from './BaobabwellJobEmulatorStore';
--- a/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
@@ -10,15 +10,17 @@
 
 import {
   CANDIDATE_DELAY_MS,
+  LEAST_TAKEOVER_MS,
   MAX_RETRY_MS,
+  OWNER_GRACE_MS,
   OWNER_KEY,
   OWNER_LEASE_MS,
   OWNERSHIP_TABLE,
   OWNERSHIP_WAIT_MS,
   RENEW_MS,
   RENEWAL_KEY,
+  RENEWAL_PATIENCE_MS,
   RETRY_MS,
-  TAKEOVER_MARGIN_MS,
 } from './BaobabwellOwnershipConstants';
 
 const ownerRow = z.object({
@@ -47,7 +49,7 @@
   readonly epoch: number;
   /** Version of the store at which the term began; rows written later are news to all before. */
   readonly startVersion: number;
-  /** The owner before this one let go in good order, or there was none. */
+  /** No other daemon may have acted just before: it let go in good order, or there was none. */
   readonly isHandover: boolean;
 };
 
@@ -85,6 +87,14 @@
   /** Sending times of the last successful renewal by both clocks, in ms. */
   #renewedAt = { steadyMs: 0, wallMs: 0 };
 
+  #renewedVersion = 0;
+
+  /** Monotonic time at which the last renewal was sent, in ms. */
+  #renewalSentAtMs = 0;
+
+  /** Monotonic times at which the transactions that are not answered were sent, in ms. */
+  readonly #openSinceMs = new Set<{ readonly sentAtMs: number }>();
+
   constructor(options: {
     readonly store: WatchableTableService;
     readonly clock: Clock;
@@ -114,6 +124,19 @@
     return this.#term !== null && this.getLeaseAgeMs() < OWNER_LEASE_MS;
   }
 
+  /**
+   * Finds the version of the store up to which accepted work may be started now; `null` when none may.
+   * Past its lease an owner goes on with what it knew while it was the owner for certain: the next one
+   * starts none of that before it has asked every host, and hosts that it asked obey nobody before it.
+   */
+  findStartBound(): number | null {
+    if (this.canAct()) {
+      return Infinity;
+    }
+    const isInGrace = this.#term !== null && this.getLeaseAgeMs() < OWNER_GRACE_MS;
+    return isInGrace ? this.#renewedVersion : null;
+  }
+
   /** Time since the last successful renewal was sent, in ms, by the clock that ran further. */
   getLeaseAgeMs(): number {
     const { steadyMs, wallMs } = this.#renewedAt;
@@ -144,9 +167,9 @@
     const { signal } = this.#stopped;
     while (!signal.aborted) {
       await this.#clock.wait(RENEW_MS, signal);
-      if (this.#term !== null && !signal.aborted) {
-        // Not awaited: a slow store must not stretch the pause between two renewals.
-        void this.#renew();
+      if (this.#term !== null && !signal.aborted && this.#isRenewalDue() && !this.#isBusy()) {
+        // Not awaited: a silent store must not hold up the next renewal.
+        void this.commit([], []);
       }
     }
   }
@@ -156,13 +179,24 @@
     return { table: OWNERSHIP_TABLE, key: OWNER_KEY, version: this.#ownerVersion };
   }
 
-  /** Commits writes that fail once another daemon is the owner. */
+  /**
+   * Commits writes that fail once another daemon is the owner. Where a renewal is due, it goes with
+   * them: all rows of the owner share one part of the store, which takes transactions one by one.
+   */
   async commit(
     conditions: readonly RowCondition[],
     writes: readonly RowWrite[],
   ): Promise<Result<number, TableError>> {
     const fence = this.createFence();
-    const reply = await this.#store.commit({ conditions: [fence, ...conditions], writes });
+    const renewal = this.#isRenewalDue() ? this.#createRenewal() : null;
+    const open = { sentAtMs: this.#clock.getNow() };
+    this.#openSinceMs.add(open);
+    const reply = await this.#store.commit({
+      conditions: [fence, ...conditions],
+      writes: [...writes, ...(renewal?.writes ?? [])],
+    });
+    this.#openSinceMs.delete(open);
+    renewal?.settle(reply);
     if (!reply.ok && reply.error.kind === TableErrorKind.Conflict) {
       const fenced = reply.error.conflicts.find(
         ({ table, key, version }) =>
@@ -254,9 +288,7 @@
   #getPatienceMs(): number {
     const delayMs = CANDIDATE_DELAY_MS * (1 - this.#candidate.fitness);
     const waitMs =
-      this.#owner === null || this.#owner.isReleased || this.#isOwnRow()
-        ? 0
-        : OWNER_LEASE_MS + TAKEOVER_MARGIN_MS;
+      this.#owner === null || this.#owner.isReleased || this.#isOwnRow() ? 0 : LEAST_TAKEOVER_MS;
     const seenForMs = this.#clock.getNow() - this.#renewalSeenAtMs;
     return Math.min(OWNERSHIP_WAIT_MS, Math.max(0, waitMs + delayMs - seenForMs));
   }
@@ -291,7 +323,10 @@
     this.#ownerVersion = reply.value;
     this.#renewalVersion = reply.value;
     this.#renewedAt = sentAt;
-    const isHandover = before === null || before.isReleased;
+    this.#renewedVersion = reply.value;
+    this.#renewalSentAtMs = sentAt.steadyMs;
+    // A machine that owned the fleet before it restarted follows on itself.
+    const isHandover = before === null || before.isReleased || before.name === name;
     this.#term = { epoch, startVersion: reply.value, isHandover };
     this.#logger.recordInfo('ownership-acquired', {
       epoch,
@@ -302,26 +337,53 @@
     this.#listener.startTerm(this.#term);
   }
 
-  async #renew(): Promise<void> {
-    const sentAt = { steadyMs: this.#clock.getNow(), wallMs: this.#clock.getWallTime() };
+  #isRenewalDue(): boolean {
+    return this.#clock.getNow() - this.#renewalSentAtMs >= RENEW_MS;
+  }
+
+  /** A transaction is under way that the store may still answer. */
+  #isBusy(): boolean {
+    const nowMs = this.#clock.getNow();
+    return [...this.#openSinceMs].some(({ sentAtMs }) => nowMs - sentAtMs < RENEWAL_PATIENCE_MS);
+  }
+
+  /** Creates the write that renews the lease, and what to do with the answer. */
+  #createRenewal(): {
+    readonly writes: readonly RowWrite[];
+    readonly settle: (reply: Result<number, TableError>) => void;
+  } {
+    const steadyMs = this.#clock.getNow();
+    const sentAt = { steadyMs, wallMs: this.#clock.getWallTime() };
+    const term = this.#term;
+    this.#renewalSentAtMs = steadyMs;
+    return {
+      writes: [{ table: OWNERSHIP_TABLE, key: RENEWAL_KEY, value: term?.epoch ?? 0 }],
+      settle: (reply) => {
+        if (this.#term === term && term !== null) {
+          this.#recordRenewal(sentAt, reply);
+        }
+      },
+    };
+  }
+
+  #recordRenewal(
+    sentAt: { readonly steadyMs: number; readonly wallMs: number },
+    reply: Result<number, TableError>,
+  ): void {
     const wasExpired = !this.canAct();
-    const reply = await this.commit(
-      [],
-      [{ table: OWNERSHIP_TABLE, key: RENEWAL_KEY, value: this.#term?.epoch ?? 0 }],
-    );
-    if (reply.ok) {
-      if (sentAt.steadyMs > this.#renewedAt.steadyMs) {
-        this.#renewedAt = sentAt;
-      }
-      if (wasExpired) {
-        this.#logger.recordInfo('ownership-resumed', { epoch: this.#term?.epoch ?? null });
-      }
-    } else if (this.#term !== null) {
-      const leaseAgeMs = Math.round(this.getLeaseAgeMs());
+    if (!reply.ok) {
       this.#logger.recordWarning('ownership-not-renewed', {
-        leaseAgeMs,
+        leaseAgeMs: Math.round(this.getLeaseAgeMs()),
         reason: reply.error.kind === TableErrorKind.Conflict ? 'conflict' : reply.error.cause,
       });
+      return;
+    }
+    if (sentAt.steadyMs > this.#renewedAt.steadyMs) {
+      this.#renewedAt = sentAt;
+      this.#renewedVersion = Math.max(this.#renewedVersion, reply.value);
+    }
+    if (wasExpired) {
+      this.#logger.recordInfo('ownership-resumed', { epoch: this.#term?.epoch ?? null });
     }
   }
 }
--- /dev/null
+++ b/packages/baobabwell-ownership/src/__tests__/unit/BaobabwellOwnership.test.ts
@@ -0,0 +1,95 @@
+import type { TableError, Transaction } from '@baobabwell/platform';
+import type { Result } from '@baobabwell/utils';
+
+import { expect } from 'earl';
+
+import { EmulatedTime } from '@baobabwell/emulator';
+import { EmulatedJobStore, EmulatedRows, NO_STORE_FAULTS } from '@baobabwell/job-emulator';
+import { Logger, LogLevel } from '@baobabwell/logging';
+import { Random } from '@baobabwell/utils';
+
+import { Ownership } from '../../index';
+
+const SEED = 3;
+const START_MS = 400;
+
+/** Counts transactions and how many of them are open at once. */
+class CountingStore extends EmulatedJobStore {
+  sentCount = 0;
+
+  mostOpen = 0;
+
+  #openCount = 0;
+
+  override async commit(transaction: Transaction): Promise<Result<number, TableError>> {
+    this.sentCount += 1;
+    this.#openCount += 1;
+    this.mostOpen = Math.max(this.mostOpen, this.#openCount);
+    const reply = await super.commit(transaction);
+    this.#openCount -= 1;
+    return reply;
+  }
+}
+
+describe('ownership', () => {
+  let time: EmulatedTime;
+  let rows: EmulatedRows;
+  let store: CountingStore;
+  let ownership: Ownership;
+
+  beforeEach(async () => {
+    time = new EmulatedTime();
+    rows = new EmulatedRows();
+    store = new CountingStore(time, time, new Random(SEED), rows);
+    ownership = new Ownership({
+      store,
+      clock: time,
+      logger: new Logger(LogLevel.Error, {}, () => undefined),
+      candidate: { name: 'a', life: '1', address: 'a', fitness: 1 },
+      listener: { startTerm: () => undefined, endTerm: () => undefined },
+    });
+    void ownership.run();
+    void ownership.runRenewals();
+    await time.advance(START_MS);
+  });
+
+  afterEach(async () => {
+    await time.settle(ownership.stop(), 5_000);
+  });
+
+  it('lets work start that was accepted before the last renewal for some time after the lease', async () => {
+    expect(ownership.findStartBound()).toEqual(Infinity);
+    store.isCut = true;
+    const { version } = rows;
+    rows.apply({ conditions: [], writes: [{ table: 'jobs', key: 'later', value: 1 }] });
+    await time.advance(2_000);
+    expect(ownership.canAct()).toEqual(false);
+    expect(ownership.findStartBound()).toEqual(version);
+    await time.advance(3_500);
+    expect(ownership.findStartBound()).toEqual(null);
+    store.isCut = false;
+    await time.advance(1_500);
+    expect(ownership.findStartBound()).toEqual(Infinity);
+  });
+
+  it('renews with what it commits anyway, and sends no renewal beside it', async () => {
+    const before = store.sentCount;
+    for (let sent = 0; sent < 50; sent += 1) {
+      await time.settle(ownership.commit([], []), 1_000);
+      await time.advance(40);
+    }
+    expect(ownership.canAct()).toEqual(true);
+    expect(store.sentCount - before).toEqual(50);
+  });
+
+  it('keeps its lease in a slow store with at most one renewal beside a transaction', async () => {
+    rows.faults = { ...NO_STORE_FAULTS, slowMs: 450 };
+    store.mostOpen = 0;
+    for (let round = 0; round < 10; round += 1) {
+      await time.settle(ownership.commit([], []), 1_000);
+      await time.advance(300);
+      expect(ownership.canAct()).toEqual(true);
+    }
+    expect(store.mostOpen <= 2).toEqual(true);
+  });
+});
--- a/packages/baobabwell-ownership/src/index.ts
+++ b/packages/baobabwell-ownership/src/index.ts
@@ -1,4 +1,9 @@
 export type { Candidate, Owner, Term, TermListener } from './BaobabwellOwnership';
 
 export { Ownership } from './BaobabwellOwnership';
-export { OWNER_LEASE_MS, OWNERSHIP_TABLE } from './BaobabwellOwnershipConstants';
+export {
+  FORMER_OWNER_MS,
+  LEAST_TAKEOVER_MS,
+  OWNER_LEASE_MS,
+  OWNERSHIP_TABLE,
+} from './BaobabwellOwnershipConstants';
