--- a/packages/baobabwell-cli/src/BaobabwellCli.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCli.ts
@@ -3,6 +3,7 @@
 import { hideBin } from 'yargs/helpers';
 
 import { ExitCode, getMessage, writeErrorLine } from './BaobabwellCliExit';
+import { addExplain } from './BaobabwellCliExplain';
 import { addLoad } from './BaobabwellCliLoad';
 import { addMeasure } from './BaobabwellCliMeasure';
 import { addPrompt } from './BaobabwellCliPrompt';
@@ -22,6 +23,7 @@
   addLoad,
   addStandIns,
   addReport,
+  addExplain,
   addMeasure,
   addVersion,
 ];
--- /dev/null
+++ b/packages/baobabwell-cli/src/BaobabwellCliExplain.ts
@@ -0,0 +1,80 @@
+/** The command `explain-request`. */
+import type { LoggedEvent } from '@baobabwell/logging';
+import type { Argv } from 'yargs';
+
+import { createReadStream } from 'node:fs';
+import { createInterface } from 'node:readline';
+
+import { buildStory, formatStory, RequestOutcome } from '@baobabwell/explain';
+import { parseEvent } from '@baobabwell/logging';
+
+import { ExitCode, getMessage, writeErrorLine, writeLine } from './BaobabwellCliExit';
+import { JSON_OPTION } from './BaobabwellCliOptions';
+
+/** Name of a file that stands for standard input. */
+const STANDARD_INPUT = '-';
+
+async function readEvents(file: string): Promise<readonly LoggedEvent[]> {
+  const input = file === STANDARD_INPUT ? process.stdin : createReadStream(file);
+  const events: LoggedEvent[] = [];
+  for await (const line of createInterface({ input })) {
+    const event = parseEvent(line);
+    if (event !== null) {
+      events.push(event);
+    }
+  }
+  return events;
+}
+
+/** Reads all files; one that cannot be read is reported, and nothing is told without it. */
+async function readLogs(files: readonly string[]): Promise<readonly LoggedEvent[] | null> {
+  const read = await Promise.allSettled(files.map(async (file) => readEvents(file)));
+  const failed = read.flatMap((result, index) =>
+    result.status === 'rejected' ? [`${files[index]}: ${getMessage(result.reason)}`] : [],
+  );
+  failed.forEach(writeErrorLine);
+  if (failed.length > 0) {
+    process.exitCode = ExitCode.BadInput;
+    return null;
+  }
+  return read.flatMap((result) => (result.status === 'fulfilled' ? result.value : []));
+}
+
+async function runExplain(id: string, files: readonly string[], json: boolean): Promise<void> {
+  const events = await readLogs(files);
+  if (events === null) {
+    return;
+  }
+  const story = buildStory(id, events);
+  const shown = {
+    ...story,
+    lines: story.lines.map(({ fields, ...line }) => ({
+      ...line,
+      fields: Object.fromEntries(fields),
+    })),
+    pauses: story.pauses.map(({ fromMs, tookMs }) => ({ fromMs, tookMs })),
+  };
+  writeLine(json ? JSON.stringify(shown) : formatStory(story));
+  process.exitCode =
+    story.outcome === RequestOutcome.NotFound ? ExitCode.Failure : ExitCode.Success;
+}
+
+/** Adds the command `explain-request`. */
+export function addExplain(cli: Argv): Argv {
+  return cli.command(
+    'explain-request <id> <logs..>',
+    'Follow a request through the logs of all processes to its cause',
+    (command) =>
+      command
+        .positional('id', { type: 'string', demandOption: true, describe: 'Id of the request' })
+        .positional('logs', {
+          type: 'string',
+          array: true,
+          demandOption: true,
+          describe: 'Files with the output of processes; - reads standard input',
+        })
+        .option('json', JSON_OPTION)
+        .example('$0 explain-request 5c0e7a21d94b36f8 logs/*.log', 'Its lines, pauses and end'),
+    async ({ id, logs, json }) => runExplain(id, logs, json),
+  );
+}
--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -127,8 +127,8 @@
  */
 export const NEEDED_MS = 400;
 
-/** Time without a turn of any pool after which no machines stand by, in ms: about two turns. */
-export const TURNS_ENDED_MS = 9_000;
+/** Time without a turn of any pool after which no machines stand by, in ms: longer than a turn. */
+export const TURNS_ENDED_MS = 6_000;
 
 /** Least pause between two log lines on the load of one pool, in ms. */
 export const LOAD_PAUSE_MS = 1_000;
--- a/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
@@ -4,7 +4,13 @@
 import type { MovableMachine, PoolLoad, PoolNeed } from '@baobabwell/fleet';
 import type { CloudHost } from '@baobabwell/platform';
 
-import { decideMoves, divideStandby, getWantedHosts, RecentPeaks } from '@baobabwell/fleet';
+import {
+  decideMoves,
+  divideStandby,
+  getNeededHosts,
+  getWantedHosts,
+  RecentPeaks,
+} from '@baobabwell/fleet';
 import { RunPhase } from '@baobabwell/jobs';
 import { LEAST_TAKEOVER_MS } from '@baobabwell/ownership';
 import { CloudHostState } from '@baobabwell/platform';
@@ -262,13 +268,14 @@
       const load = this.#addRefused(name, loads.get(name), nowMs);
       this.#recordLoad(name, load, present.length);
       const hostCpu = present[0]?.capacity.cpuMillis ?? machines[0]?.capacity.cpuMillis ?? 0;
-      const neededHosts =
-        load === undefined ? LEAST_HOSTS : getWantedHosts(load, hostCpu, LEAST_HOSTS);
-      if (neededHosts >= LEAST_HOSTS + TURN_HOSTS) {
+      const size = { cpuMillis: hostCpu, leastHosts: LEAST_HOSTS };
+      const askedHosts = load === undefined ? LEAST_HOSTS : getWantedHosts(load, size);
+      const neededHosts = load === undefined ? LEAST_HOSTS : getNeededHosts(load, size);
+      if (askedHosts >= LEAST_HOSTS + TURN_HOSTS) {
         this.#turnAtMs.set(name, nowMs);
       }
       const lately = this.#needed.record(name, neededHosts, nowMs);
-      const wantedHosts = Math.max(neededHosts, LEAST_HOSTS + (standby.get(name) ?? 0));
+      const wantedHosts = Math.max(askedHosts, LEAST_HOSTS + (standby.get(name) ?? 0));
       const arrivingCount = this.#machines.countArriving(name);
       return {
         name,
--- a/packages/baobabwell-controller/src/BaobabwellControllerJobEnds.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerJobEnds.ts
@@ -1,5 +1,5 @@
 import type { TermContext } from './BaobabwellControllerContext';
-import type { Job } from '@baobabwell/jobs';
+import type { Job, Run } from '@baobabwell/jobs';
 
 import { JobState } from '@baobabwell/jobs';
 import { ObjectiveResult } from '@baobabwell/metrics';
@@ -7,20 +7,29 @@
 
 const SECOND_MS = 1_000;
 
-/** Counts a job that completed or failed, against the objective of its queue. */
-export function recordJobEnd(context: TermContext, { record, state }: Job): void {
-  const { clock, metrics, getConfiguration } = context;
-  const { spec, queue, acceptedAtMs } = record;
-  const tookMs = clock.getWallTime() - acceptedAtMs;
-  metrics.jobs.inc({ queue, event: state });
+/** Counts and logs a job that completed or failed, against the objective of its queue. */
+export function recordJobEnd(context: TermContext, { record, state }: Job, lastRun: Run): void {
+  const { clock, logger, metrics, getConfiguration } = context;
+  const { id, spec, queue, acceptedAtMs } = record;
+  const tookMs = Math.round(clock.getWallTime() - acceptedAtMs);
   const settings = getConfiguration()?.queues.find(({ name }) => name === queue);
   // A job with due times of its own has no duration that an objective could bound.
-  if (settings === undefined || spec.repeat !== null) {
+  const objectiveMs =
+    settings === undefined || spec.repeat !== null
+      ? null
+      : Math.round(getObjectiveMs(spec, settings));
+  const hasCompleted = state === JobState.Completed;
+  const facts = { job: id, queue, task: lastRun.task.name, run: lastRun.number };
+  if (hasCompleted) {
+    logger.recordInfo('job-completed', { ...facts, tookMs, objectiveMs });
+  } else {
+    logger.recordWarning('job-failed', { ...facts, tookMs, objectiveMs });
+  }
+  metrics.jobs.inc({ queue, event: state });
+  if (objectiveMs === null) {
     return;
   }
   metrics.jobSeconds.observe({ queue }, tookMs / SECOND_MS);
-  const isInTime = tookMs <= getObjectiveMs(spec, settings);
-  const met = isInTime ? ObjectiveResult.Met : ObjectiveResult.Slow;
-  const result = state === JobState.Completed ? met : ObjectiveResult.Failed;
-  metrics.objectiveCalls.inc({ queue, result });
+  const met = tookMs <= objectiveMs ? ObjectiveResult.Met : ObjectiveResult.Slow;
+  metrics.objectiveCalls.inc({ queue, result: hasCompleted ? met : ObjectiveResult.Failed });
 }
--- a/packages/baobabwell-controller/src/BaobabwellControllerMachines.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerMachines.ts
@@ -5,7 +5,11 @@
 
 import { CloudHostState, CloudRefusal } from '@baobabwell/platform';
 
-import { MACHINE_SETTLE_MS, MACHINES_PAUSE_MS, ORDER_LEASE_MS } from './BaobabwellControllerConstants';
+import {
+  MACHINE_SETTLE_MS,
+  MACHINES_PAUSE_MS,
+  ORDER_LEASE_MS,
+} from './BaobabwellControllerConstants';
 
 /** An order for a machine whose effect has not shown in the list yet. */
 type PendingOrder = {
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -317,12 +317,10 @@
       [...run.task.runs].forEach((copy) => this.#context.stopRun(copy, 'another copy ended'));
     }
     if (job.state === JobState.Failed && effect === EndEffect.JobFailed) {
-      recordJobEnd(this.#context, job);
-      logger.recordWarning('job-failed', { job: job.record.id, task: name, run: number });
+      recordJobEnd(this.#context, job, run);
       ledger.listRuns(job).forEach((other) => this.#context.stopRun(other, 'the job failed'));
     } else if (job.state === JobState.Completed) {
-      recordJobEnd(this.#context, job);
-      logger.recordInfo('job-completed', { job: job.record.id, queue: job.record.queue });
+      recordJobEnd(this.#context, job, run);
     }
   }
 
--- /dev/null
+++ b/packages/baobabwell-explain/src/__tests__/unit/BaobabwellExplain.test.ts
@@ -0,0 +1,71 @@
+import type { LogFields, LoggedEvent } from '@baobabwell/logging';
+
+import { expect } from 'earl';
+
+import { formatEvent, parseEvent } from '@baobabwell/logging';
+
+import { buildStory, formatStory, RequestOutcome } from '../../index';
+
+const START_MS = Date.parse('2026-03-01T10:00:00.000Z');
+
+function createEvent(atMs: number, daemon: string, event: string, fields: LogFields): LoggedEvent {
+  const line = formatEvent(new Date(START_MS + atMs), 'info', event, { daemon, ...fields });
+  return parseEvent(line) as LoggedEvent;
+}
+
+const SEEN = createEvent(20, 'b', 'job-seen', { job: 'j1', queue: 'bake', ageMs: 20 });
+const STARTED = createEvent(60, 'b', 'start-ordered', {
+  job: 'j1',
+  task: 'j1.0.0.0',
+  run: 1,
+  host: 'oven-1',
+  pool: 'ovens',
+});
+
+describe('the story of a request', () => {
+  it('tells of a refusal what the owner knew', () => {
+    const story = buildStory('j1', [
+      createEvent(30, 'a', 'call-answered', {
+        job: 'j1',
+        request: 'submit',
+        answer: 'refused',
+        reason: 'the work ahead takes 4000 ms, 700 ms are left',
+        retryAfterMs: 3_300,
+      }),
+      createEvent(28, 'b', 'job-refused', { job: 'j1', queue: 'bake', cause: 'too-late' }),
+      createEvent(25, 'b', 'job-refused', { job: 'j2', queue: 'bake', cause: 'too-late' }),
+    ]);
+    expect(story.outcome).toEqual(RequestOutcome.Refused);
+    expect(story.cause).toEqual('a: the work ahead takes 4000 ms, 700 ms are left');
+    expect(story.lines.map(({ event }) => event)).toEqual(['job-refused', 'call-answered']);
+  });
+
+  it('tells of a late job where the time went, with what happened meanwhile', function tellsLateJob() {
+    const story = buildStory('j1', [
+      createEvent(4_900, 'c', 'job-completed', { job: 'j1', tookMs: 4_900, objectiveMs: 1_600 }),
+      SEEN,
+      STARTED,
+      createEvent(700, 'b', 'host-in-doubt', { host: 'oven-1' }),
+      createEvent(710, 'b', 'host-in-doubt', { host: 'oven-2' }),
+      createEvent(2_400, 'c', 'ownership-acquired', { epoch: 2 }),
+      createEvent(4_200, 'c', 'start-ordered', { job: 'j1', task: 'j1.0.0.0', run: 1001 }),
+    ]);
+    expect(story.outcome).toEqual(RequestOutcome.Late);
+    expect(formatStory(story)).toMatchSnapshot(this);
+  });
+
+  it('says that nothing is known rather than guess', () => {
+    expect(buildStory('j9', [SEEN, STARTED]).outcome).toEqual(RequestOutcome.NotFound);
+    expect(buildStory('j1', [SEEN, STARTED]).outcome).toEqual(RequestOutcome.Unfinished);
+  });
+
+  it('takes a job that was stored after an unclear answer for accepted', () => {
+    const unclear = createEvent(10, 'a', 'call-answered', {
+      job: 'j1',
+      answer: 'unclear',
+      reason: 'store: no answer',
+    });
+    expect(buildStory('j1', [unclear]).outcome).toEqual(RequestOutcome.Unclear);
+    expect(buildStory('j1', [unclear, SEEN]).outcome).toEqual(RequestOutcome.Unfinished);
+  });
+});
--- a/packages/baobabwell-fleet/src/BaobabwellFleetDemand.ts
+++ b/packages/baobabwell-fleet/src/BaobabwellFleetDemand.ts
@@ -36,8 +36,21 @@
   return load.lastingCpuMillis + HEADROOM * Math.max(present, Math.min(forecast, 2 * present));
 }
 
-/** Number of hosts of one size that a pool needs. */
-export function getWantedHosts(load: PoolLoad, hostCpuMillis: number, leastHosts: number): number {
-  const byCpu = hostCpuMillis <= 0 ? 0 : getWantedCpu(load) / (hostCpuMillis * USABLE_SHARE);
-  return Math.max(leastHosts, load.lastingHosts, Math.ceil(byCpu));
+/** What hosts of one size hold, and how many of them a pool has at least. */
+export type HostSize = { readonly cpuMillis: number; readonly leastHosts: number };
+
+function countHosts(cpuMillis: number, { lastingHosts }: PoolLoad, size: HostSize): number {
+  const byCpu = size.cpuMillis <= 0 ? 0 : cpuMillis / (size.cpuMillis * USABLE_SHARE);
+  return Math.max(size.leastHosts, lastingHosts, Math.ceil(byCpu));
+}
+
+/** Number of hosts that a pool would need in about the time that a machine takes to join it. */
+export function getWantedHosts(load: PoolLoad, size: HostSize): number {
+  return countHosts(getWantedCpu(load), load, size);
+}
+
+/** Number of hosts that hold what a pool runs and what waits for room there now. */
+export function getNeededHosts(load: PoolLoad, size: HostSize): number {
+  const { lastingCpuMillis, runningCpuMillis, waitingCpuMillis } = load;
+  return countHosts(lastingCpuMillis + runningCpuMillis + waitingCpuMillis, load, size);
 }
--- a/packages/baobabwell-fleet/src/__tests__/unit/BaobabwellFleetTurns.test.ts
+++ b/packages/baobabwell-fleet/src/__tests__/unit/BaobabwellFleetTurns.test.ts
@@ -2,7 +2,7 @@
 
 import { expect } from 'earl';
 
-import { decideMoves, divideStandby, getWantedHosts } from '../../index';
+import { decideMoves, divideStandby, getNeededHosts, getWantedHosts } from '../../index';
 
 /**
  * Replays turns: four pools, each asking in its turn for five times its mean, on a simple model in
@@ -66,7 +66,8 @@
         arrivedBeforeCpuMillis: cpu,
       };
       const least = BASE_HOSTS + (standby.get(name) ?? 0);
-      const wanted = name === SPARE ? 0 : getWantedHosts(load, MACHINE_CPU, least);
+      const wanted =
+        name === SPARE ? 0 : getWantedHosts(load, { cpuMillis: MACHINE_CPU, leastHosts: least });
       const lately = [...(wantedLately.get(name) ?? []), wanted].slice(-KEEP_STEPS);
       wantedLately.set(name, lately);
       const busyCount = Math.ceil(used / MACHINE_CPU);
@@ -80,7 +81,10 @@
           usedCpuMillis: position >= busyCount ? 0 : MACHINE_CPU,
         })),
         arrivingCount: here.length - present.length,
-        neededHosts: name === SPARE ? 0 : getWantedHosts(load, MACHINE_CPU, BASE_HOSTS),
+        neededHosts:
+          name === SPARE
+            ? 0
+            : getNeededHosts(load, { cpuMillis: MACHINE_CPU, leastHosts: BASE_HOSTS }),
         wantedHosts: wanted,
         keptHosts: Math.max(...lately),
       };
--- a/packages/baobabwell-fleet/src/index.ts
+++ b/packages/baobabwell-fleet/src/index.ts
@@ -1,4 +1,4 @@
-export type { PoolLoad } from './BaobabwellFleetDemand';
+export type { HostSize, PoolLoad } from './BaobabwellFleetDemand';
 export type {
   FleetConfiguration,
   ListedWorker,
@@ -11,7 +11,7 @@
 export type { PoolRest } from './BaobabwellFleetStandby';
 export type { DueMachine, WaveDecision, WaveProgress } from './BaobabwellFleetWaves';
 
-export { getWantedCpu, getWantedHosts } from './BaobabwellFleetDemand';
+export { getNeededHosts, getWantedCpu, getWantedHosts } from './BaobabwellFleetDemand';
 export { WaveState } from './BaobabwellFleetModel';
 export { decideMoves } from './BaobabwellFleetMoves';
 export { RecentPeaks } from './BaobabwellFleetPeaks';
