--- a/packages/baobabwell-explain/src/BaobabwellExplainStory.ts
+++ b/packages/baobabwell-explain/src/BaobabwellExplainStory.ts
@@ -91,10 +91,15 @@
   'store-relayed',
 ]);
 
-function isOwn({ fields }: LoggedEvent, requestId: string): boolean {
-  return (
-    fields.get('job') === requestId || fields.get('task')?.startsWith(`${requestId}.`) === true
-  );
+/** Jobs that an id names: a job of that id, and those that calls with that id were about. */
+function collectJobs(events: readonly LoggedEvent[], id: string): ReadonlySet<string> {
+  const named = events.filter(({ fields }) => fields.get('requestId') === id);
+  return new Set([id, ...named.map(({ fields }) => fields.get('job') ?? id)]);
+}
+
+function isOwn({ fields }: LoggedEvent, jobs: ReadonlySet<string>): boolean {
+  const [taskJob = ''] = (fields.get('task') ?? '').split('.');
+  return jobs.has(fields.get('job') ?? '') || jobs.has(taskJob);
 }
 
 function collectValues(events: readonly LoggedEvent[], field: string): ReadonlySet<string> {
@@ -203,13 +208,18 @@
   return { outcome, cause: `${getField(last, 'daemon')}: ${getField(last, 'reason')}` };
 }
 
-/** Builds the story of a request from the lines of all processes, in any order. */
+/**
+ * Builds the story of a request from the lines of all processes, in any order.
+ *
+ * @param requestId id of a job, or the id that a caller gave a call about one.
+ */
 export function buildStory(requestId: string, events: readonly LoggedEvent[]): RequestStory {
   const ordered = events.toSorted((left, right) => left.atMs - right.atMs);
-  const own = ordered.filter((event) => isOwn(event, requestId));
+  const jobs = collectJobs(ordered, requestId);
+  const own = ordered.filter((event) => isOwn(event, jobs));
   const matches = createFilter(own);
   const lines = ordered.flatMap((event) => {
-    const names = isOwn(event, requestId);
+    const names = isOwn(event, jobs);
     return names || (own.length > 0 && matches(event)) ? [{ ...event, isOwn: names }] : [];
   });
   return { requestId, ...findEnding(own), lines, pauses: listPauses(lines) };
--- a/packages/baobabwell-explain/src/__tests__/unit/BaobabwellExplain.test.ts
+++ b/packages/baobabwell-explain/src/__tests__/unit/BaobabwellExplain.test.ts
@@ -54,6 +54,20 @@
     expect(formatStory(story)).toMatchSnapshot(this);
   });
 
+  it('finds the job by the id that a caller gave one of its calls', () => {
+    const call = createEvent(10, 'a', 'call-answered', {
+      requestId: 'r7',
+      job: 'j1',
+      answer: 'accepted',
+    });
+    const story = buildStory('r7', [call, SEEN, STARTED]);
+    expect(story.lines.map(({ event }) => event)).toEqual([
+      'call-answered',
+      'job-seen',
+      'start-ordered',
+    ]);
+  });
+
   it('says that nothing is known rather than guess', () => {
     expect(buildStory('j9', [SEEN, STARTED]).outcome).toEqual(RequestOutcome.NotFound);
     expect(buildStory('j1', [SEEN, STARTED]).outcome).toEqual(RequestOutcome.Unfinished);
--- a/packages/baobabwell-ingress/src/BaobabwellIngressModel.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressModel.ts
@@ -8,6 +8,8 @@
   readonly path: string;
   /** Key shown by the caller; `null` when there is none. */
   readonly key: string | null;
+  /** Id that the caller gave the call; `null` when it gave none. */
+  readonly requestId: string | null;
   readonly body: Buffer;
 };
 
@@ -86,6 +88,9 @@
   /** Finds the key in the headers of a call. */
   abstract findKey(headers: Readonly<Record<string, unknown>>): string | null;
 
+  /** Finds the id that the caller gave the call. */
+  abstract findRequestId(headers: Readonly<Record<string, unknown>>): string | null;
+
   /** Parses a call to a queue; `rest` is the path after the queue's prefix. */
   abstract parseRequest(call: RawCall, queue: QueueSettings, rest: string): ClientRequest;
 
--- a/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
@@ -84,11 +84,12 @@
       httpHost: (request.headers.host ?? '').replace(/:\d+$/, ''),
       path,
       key: protocol.findKey(request.headers),
+      requestId: protocol.findRequestId(request.headers),
       body: Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0),
     };
     const { answer, queue, kind, jobId } = await this.#answer(call);
     const { status, headers, body } = protocol.formatAnswer(answer);
-    this.#record(answer, { queue, kind, jobId, startedAtMs });
+    this.#record(answer, { queue, kind, jobId, requestId: call.requestId, startedAtMs });
     if (this.#context.isStopping()) {
       void reply.header('connection', 'close');
     }
@@ -101,6 +102,7 @@
       readonly queue: QueueSettings | null;
       readonly kind: ClientRequestKind | null;
       readonly jobId: string | null;
+      readonly requestId: string | null;
       readonly startedAtMs: number;
     },
   ): void {
@@ -110,6 +112,7 @@
     const isRead = answer.kind === AnswerKind.State || answer.kind === AnswerKind.WaitingCount;
     if (!isRead) {
       this.#context.logger.recordInfo('call-answered', {
+        requestId: call.requestId,
         job: call.jobId,
         queue,
         request: call.kind,
