placement, jobs, controller: less work a round for an owner of hundreds of hosts

Ruled out: lack of hosts (182 idle ones in one pool while 363 and 413 cores waited in two others). Change: a task that asks for no less than one that found no room is not tried in that pass; rounds look at jobs that have not ended; placements rest twice as long as they take; holds wait 900 ms; a turn is measured against what tasks that last need and as a share of all machines; arrivals go by the time of acceptance.

--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -19,8 +19,8 @@
  */
 export const KEEP_ALIVE_MS = 9_000;
 
-/** Longest wait of a hold, in ms: the lease is renewed several times before it ends. */
-export const HOLD_WAIT_MS = 600;
+/** Longest wait of a hold, in ms: the lease is renewed three times before it ends. */
+export const HOLD_WAIT_MS = 900;
 
 /** Wait of a hold where serving and filling tasks share a host, in ms: their pace follows. */
 export const PACED_HOLD_WAIT_MS = 400;
@@ -43,6 +43,9 @@
 /** Least pause between two rounds of placements, in ms. */
 export const DISPATCH_PAUSE_MS = 5;
 
+/** Pause after a round of placements as a multiple of its duration: orders and answers go first. */
+export const DISPATCH_REST = 2;
+
 /** Longest pause between two rounds of placements, in ms: due times and pauses pass unannounced. */
 export const DISPATCH_IDLE_MS = 100;
 
@@ -100,9 +103,12 @@
 /** Hosts that every pool keeps while nothing is asked of it: its first tasks run there. */
 export const LEAST_HOSTS = 2;
 
-/** Hosts beyond that which a pool needs while it has its turn. */
+/** Hosts beyond its base that a pool needs, at least, while it has its turn. */
 export const TURN_HOSTS = 3;
 
+/** The same as a share of all machines: a turn asks for several times the mean of a quarter of them. */
+export const TURN_SHARE = 0.08;
+
 /** Share of all machines that stand by in the pools that rest. */
 export const STANDBY_SHARE = 0.33;
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -11,6 +11,7 @@
 import {
   DISPATCH_IDLE_MS,
   DISPATCH_PAUSE_MS,
+  DISPATCH_REST,
   RUNS_PER_TERM,
 } from './BaobabwellControllerConstants';
 import { listLasting } from './BaobabwellControllerLasting';
@@ -62,15 +63,18 @@
   /** Places work whenever that is due, until the term ends. */
   async run(): Promise<void> {
     const { signal, clock } = this.#context;
+    let pauseMs = DISPATCH_PAUSE_MS;
     while (!signal.aborted) {
-      await clock.wait(DISPATCH_PAUSE_MS, signal);
+      await clock.wait(pauseMs, signal);
       if (!this.#isRequested) {
         await this.#waker.wait(DISPATCH_IDLE_MS, signal);
       }
       this.#isRequested = false;
       const bound = this.#context.ownership.findStartBound();
       if (!signal.aborted && bound !== null) {
+        const startedAtMs = clock.getNow();
         this.placeOnce(bound);
+        pauseMs = Math.max(DISPATCH_PAUSE_MS, DISPATCH_REST * (clock.getNow() - startedAtMs));
       }
     }
   }
@@ -107,11 +111,11 @@
       [...hosts.values()].filter(({ isSettled }) => !isSettled).map(({ pool }) => pool),
     );
     const ready: (ReadyStep & { readonly urgency: ReturnType<typeof getUrgency> })[] = [];
-    for (const job of ledger.listJobs()) {
+    for (const job of ledger.listOpenJobs()) {
       const queue = queues.get(job.record.queue) ?? null;
       // What an earlier owner may have started is unknown until every host of the pool was asked.
       const isBlocked = job.acceptedVersion <= term.startVersion && unsettled.size > 0;
-      if (queue !== null && !job.isEnded && !(isBlocked && unsettled.has(queue.pool))) {
+      if (queue !== null && !(isBlocked && unsettled.has(queue.pool))) {
         ledger
           .listReadySteps(job, wallMs, nowMs)
           .filter(({ waitingCount }) => waitingCount > 0)
--- a/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
@@ -7,6 +7,7 @@
 import {
   decideMoves,
   divideStandby,
+  getBaseHosts,
   getNeededHosts,
   getWantedHosts,
   RecentPeaks,
@@ -27,6 +28,7 @@
   NEEDED_MS,
   ORDER_LEASE_MS,
   TURN_HOSTS,
+  TURN_SHARE,
   TURNS_ENDED_MS,
 } from './BaobabwellControllerConstants';
 import { getLastingCpu, listLasting, stopLasting } from './BaobabwellControllerLasting';
@@ -271,7 +273,7 @@
       const size = { cpuMillis: hostCpu, leastHosts: LEAST_HOSTS };
       const askedHosts = load === undefined ? LEAST_HOSTS : getWantedHosts(load, size);
       const neededHosts = load === undefined ? LEAST_HOSTS : getNeededHosts(load, size);
-      if (askedHosts >= LEAST_HOSTS + TURN_HOSTS) {
+      if (askedHosts - getBaseHosts(load, size) >= this.#getTurnHosts()) {
         this.#turnAtMs.set(name, nowMs);
       }
       const lately = this.#needed.record(name, neededHosts, nowMs);
@@ -296,6 +298,11 @@
     return load && { ...load, waitingCpuMillis: load.waitingCpuMillis + refusedCpu };
   }
 
+  /** Hosts beyond its base that a pool needs while it has its turn. */
+  #getTurnHosts(): number {
+    return Math.max(TURN_HOSTS, Math.ceil(TURN_SHARE * this.#machines.list().length));
+  }
+
   #divideStandby(machineCount: number, nowMs: number): ReadonlyMap<string, number> {
     const pools = this.#context.getConfiguration()?.pools ?? [];
     const lastTurnAtMs = Math.max(...this.#turnAtMs.values());
--- a/packages/baobabwell-controller/src/BaobabwellControllerLoad.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerLoad.ts
@@ -61,7 +61,7 @@
       loads.set(pool, load);
       const isLasting = job.record.spec.steps.some((step) => step.isLasting);
       if (!isLasting) {
-        addArrival(load, job, nowMs - job.seenAtMs);
+        addArrival(load, job, wallMs - job.record.acceptedAtMs);
       }
       ledger.listReadySteps(job, wallMs, nowMs).forEach((step) => addStep(load, step));
     }
--- a/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
@@ -41,9 +41,9 @@
   const wallMs = clock.getWallTime();
   const queues = new Map(getConfiguration()?.queues.map((queue) => [queue.name, queue]));
   const accepted: AcceptedWork[] = [];
-  for (const job of ledger.listJobs()) {
+  for (const job of ledger.listOpenJobs()) {
     const queue = queues.get(job.record.queue);
-    if (!job.isEnded && queue?.pool === pool && job.record.spec.repeat === null) {
+    if (queue?.pool === pool && job.record.spec.repeat === null) {
       const ageMs = wallMs - job.record.acceptedAtMs;
       const dueMs = nowMs - ageMs + getObjectiveMs(job.record.spec, queue);
       accepted.push({ dueMs, workLeft: getWorkLeft(job, nowMs) });
--- a/packages/baobabwell-fleet/src/BaobabwellFleetDemand.ts
+++ b/packages/baobabwell-fleet/src/BaobabwellFleetDemand.ts
@@ -49,6 +49,11 @@
   return countHosts(getWantedCpu(load), load, size);
 }
 
+/** Number of hosts that a pool needs while nothing but tasks that last is asked of it. */
+export function getBaseHosts(load: PoolLoad | undefined, size: HostSize): number {
+  return load === undefined ? size.leastHosts : countHosts(load.lastingCpuMillis, load, size);
+}
+
 /** Number of hosts that hold what a pool runs and what waits for room there now. */
 export function getNeededHosts(load: PoolLoad, size: HostSize): number {
   const { lastingCpuMillis, runningCpuMillis, waitingCpuMillis } = load;
--- a/packages/baobabwell-fleet/src/index.ts
+++ b/packages/baobabwell-fleet/src/index.ts
@@ -11,7 +11,12 @@
 export type { PoolRest } from './BaobabwellFleetStandby';
 export type { DueMachine, WaveDecision, WaveProgress } from './BaobabwellFleetWaves';
 
-export { getNeededHosts, getWantedCpu, getWantedHosts } from './BaobabwellFleetDemand';
+export {
+  getBaseHosts,
+  getNeededHosts,
+  getWantedCpu,
+  getWantedHosts,
+} from './BaobabwellFleetDemand';
 export { WaveState } from './BaobabwellFleetModel';
 export { decideMoves } from './BaobabwellFleetMoves';
 export { RecentPeaks } from './BaobabwellFleetPeaks';
--- a/packages/baobabwell-jobs/src/BaobabwellJobsLedger.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsLedger.ts
@@ -34,6 +34,9 @@
 export class JobLedger {
   readonly #jobs = new Map<string, Job>();
 
+  /** Jobs that had not ended when last looked at: most of those that are known have. */
+  readonly #open = new Set<Job>();
+
   readonly #changed = new Set<Job>();
 
   readonly #getRules: (queue: string) => QueueRules | null;
@@ -50,6 +53,7 @@
     }
     const job = new Job(record, version, nowMs);
     this.#jobs.set(record.id, job);
+    this.#open.add(job);
     return job;
   }
 
@@ -80,8 +84,19 @@
     return this.#jobs.values();
   }
 
+  /** Lists the jobs that have not ended, in the order in which this process learnt of them. */
+  listOpenJobs(): readonly Job[] {
+    this.#open.forEach((job) => {
+      if (job.isEnded) {
+        this.#open.delete(job);
+      }
+    });
+    return [...this.#open];
+  }
+
   /** Removes a job that nobody asks for any more. */
   removeJob(job: Job): void {
+    this.#open.delete(job);
     this.#jobs.delete(job.record.id);
   }
 
@@ -218,8 +233,8 @@
   /** Jobs of a queue that were accepted and of which nothing was started. */
   countWaiting(queue: string): number {
     let count = 0;
-    this.#jobs.forEach((job) => {
-      if (job.record.queue === queue && !job.hasStarted && !job.isEnded) {
+    this.listOpenJobs().forEach((job) => {
+      if (job.record.queue === queue && !job.hasStarted) {
         count += 1;
       }
     });
--- a/packages/baobabwell-placement/src/BaobabwellPlacement.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacement.ts
@@ -95,6 +95,12 @@
     return best;
   }
 
+  /** True when a step may run on some hosts only: its lack of room says nothing of the others. */
+  isBound(step: Step): boolean {
+    const { hostLabel, maxPerHost } = step.spec;
+    return hostLabel !== null || maxPerHost > 0 || this.#snapshot.findAllowedHosts(step) !== null;
+  }
+
   isAllowed(step: Step): boolean {
     const { organisation } = step.job.record;
     const allowance = organisation === null ? undefined : this.#allowances.get(organisation);
@@ -158,6 +164,27 @@
   }
 }
 
+/** Needs that found no room in a pass, by pool: a task that asks for no less finds none either. */
+class FailedNeeds {
+  readonly #byPool = new Map<string, Resources[]>();
+
+  /** Records that a task found no room anywhere in its pool. */
+  add({ spec }: Step, pool: string): void {
+    const needs = this.#byPool.get(pool) ?? [];
+    needs.push(spec.need);
+    this.#byPool.set(pool, needs);
+  }
+
+  /** True when a task that asks for no more than this one found no room. */
+  matches({ spec }: Step, pool: string): boolean {
+    const { need, isFilling } = spec;
+    return (this.#byPool.get(pool) ?? []).some(
+      ({ cpuMillis, memoryMb, gpus }) =>
+        !isFilling && cpuMillis <= need.cpuMillis && memoryMb <= need.memoryMb && gpus <= need.gpus,
+    );
+  }
+}
+
 function placeGang(step: Step, tasks: readonly Task[], pool: string, book: RoomBook): Placement[] {
   const taken: { readonly room: Room; readonly placement: Placement }[] = [];
   for (const task of tasks) {
@@ -172,11 +199,26 @@
   return taken.map(({ placement }) => placement);
 }
 
-function placeTasks(step: Step, tasks: readonly Task[], pool: string, book: RoomBook): Placement[] {
+function placeTasks(
+  step: Step,
+  tasks: readonly Task[],
+  pool: string,
+  book: RoomBook,
+  failed: FailedNeeds,
+): Placement[] {
   const placements: Placement[] = [];
+  if (failed.matches(step, pool)) {
+    return placements;
+  }
   for (const task of tasks) {
-    const room = book.isAllowed(step) ? book.findRoom(task, pool) : null;
+    if (!book.isAllowed(step)) {
+      break;
+    }
+    const room = book.findRoom(task, pool);
     if (room === null) {
+      if (!book.isBound(step)) {
+        failed.add(step, pool);
+      }
       break;
     }
     book.take(step, room, 1);
@@ -188,6 +230,7 @@
 /** Decides which waiting tasks start now, and where. */
 export function decidePlacements(snapshot: PlacementSnapshot): readonly Placement[] {
   const book = new RoomBook(snapshot);
+  const failed = new FailedNeeds();
   return snapshot.steps.flatMap(({ step, pool }) => {
     const waiting = step.tasks.filter(
       ({ phase, notBeforeMs }) => phase === TaskPhase.Waiting && notBeforeMs <= snapshot.nowMs,
@@ -196,6 +239,6 @@
       const isWhole = waiting.length === step.spec.taskCount;
       return isWhole ? placeGang(step, waiting, pool, book) : [];
     }
-    return placeTasks(step, waiting, pool, book);
+    return placeTasks(step, waiting, pool, book, failed);
   });
 }
