logging: lines beyond the bound are dropped before they are formatted

Cause: in a profile of an emulated fleet of 240 hosts and 15,210 starts, formatting of lines took a sixth of the owner's own work, also of lines that the bound of 400 a second and event then dropped. Change: the logger asks the writer before it formats. The writer's tests hand lines over the same way; one more shows that nothing is formatted while the reader is behind.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemonProcess.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonProcess.ts
@@ -35,7 +35,7 @@
   const clock = new SystemClock();
   const writer = new LineWriter(clock, openOutput());
   const { name, zone, fitness } = settings;
-  const logger = new Logger(LogLevel.Info, { daemon: name }, writer.write);
+  const logger = new Logger(LogLevel.Info, { daemon: name }, writer.write, writer.admit);
   const state = new DaemonState();
   const adapters = createAdapters(clock);
   const kernel = buildDaemon({ settings, adapters, clock, logger, state });
--- a/packages/baobabwell-logging/src/BaobabwellLogging.ts
+++ b/packages/baobabwell-logging/src/BaobabwellLogging.ts
@@ -8,6 +8,9 @@
 /** Takes one formatted line and the event that it tells of. */
 export type WriteLine = (line: string, event: string) => void;
 
+/** Says whether a line of an event may be written now; asked before the line is formatted. */
+export type AdmitLine = (event: string) => boolean;
+
 /** Least severe event that is written. */
 export enum LogLevel {
   Error = 'error',
@@ -53,11 +56,14 @@
 
   readonly #level: number;
 
+  readonly #admit: AdmitLine;
+
   /** @param fields values that every line of this logger carries. */
   constructor(
     level: LogLevel,
     fields: LogFields,
     write: WriteLine = (line) => process.stderr.write(`${line}\n`),
+    admit: AdmitLine = () => true,
   ) {
     this.#consola = createConsola({
       level: CONSOLA_LEVELS[level],
@@ -66,28 +72,33 @@
     });
     this.#fields = fields;
     this.#level = CONSOLA_LEVELS[level];
+    this.#admit = admit;
   }
 
   /** Records that something failed and needs attention. */
   recordError(event: string, fields: LogFields = {}): void {
-    this.#consola.error(event, { ...this.#fields, ...fields });
+    if (this.#admit(event)) {
+      this.#consola.error(event, { ...this.#fields, ...fields });
+    }
   }
 
   /** Records something unusual that the system deals with. */
   recordWarning(event: string, fields: LogFields = {}): void {
-    this.#consola.warn(event, { ...this.#fields, ...fields });
+    if (this.#admit(event)) {
+      this.#consola.warn(event, { ...this.#fields, ...fields });
+    }
   }
 
   /** Records an ordinary event. */
   recordInfo(event: string, fields: LogFields = {}): void {
-    if (this.#level >= CONSOLA_LEVELS[LogLevel.Info]) {
+    if (this.#level >= CONSOLA_LEVELS[LogLevel.Info] && this.#admit(event)) {
       this.#consola.info(event, { ...this.#fields, ...fields });
     }
   }
 
   /** Records a detail. */
   recordDebug(event: string, fields: LogFields = {}): void {
-    if (this.#level >= CONSOLA_LEVELS[LogLevel.Debug]) {
+    if (this.#level >= CONSOLA_LEVELS[LogLevel.Debug] && this.#admit(event)) {
       this.#consola.debug(event, { ...this.#fields, ...fields });
     }
   }
--- a/packages/baobabwell-logging/src/BaobabwellLoggingLineWriter.ts
+++ b/packages/baobabwell-logging/src/BaobabwellLoggingLineWriter.ts
@@ -41,16 +41,21 @@
     this.#output = output;
   }
 
-  /** Takes a line; it is written soon, or counted as dropped. */
-  readonly write = (line: string, event: string): void => {
+  /** Says whether a line of an event fits the bound of this second, or counts it as dropped. */
+  readonly admit = (event: string): boolean => {
     this.#startSecond();
     const count = (this.#counts.get(event) ?? 0) + 1;
     this.#counts.set(event, count);
     const isFull = this.#output.writableLength + this.#pending.length > MAX_PENDING_BYTES;
     if (count > LINES_PER_SECOND || isFull) {
       this.#dropped.set(event, (this.#dropped.get(event) ?? 0) + 1);
-      return;
+      return false;
     }
+    return true;
+  };
+
+  /** Takes a line that was admitted; it is written soon. */
+  readonly write = (line: string): void => {
     this.#pending += `${line}\n`;
     if (!this.#isFlushDue) {
       this.#isFlushDue = true;
--- a/packages/baobabwell-logging/src/__tests__/unit/BaobabwellLoggingLineWriter.test.ts
+++ b/packages/baobabwell-logging/src/__tests__/unit/BaobabwellLoggingLineWriter.test.ts
@@ -2,7 +2,7 @@
 
 import { EmulatedTime } from '@baobabwell/emulator';
 
-import { LineWriter } from '../../index';
+import { LineWriter, Logger, LogLevel } from '../../index';
 
 const SECOND_MS = 1_000;
 
@@ -17,10 +17,17 @@
     return { time, written, writer: new LineWriter(time, output) };
   }
 
+  /** Hands a line over as a logger does: only when it was admitted. */
+  function record(writer: LineWriter, line: string, event: string): void {
+    if (writer.admit(event)) {
+      writer.write(line);
+    }
+  }
+
   it('writes lines together, soon after the first', async () => {
     const { time, written, writer } = createWriter(0);
-    writer.write('one', 'event');
-    writer.write('two', 'event');
+    record(writer, 'one', 'event');
+    record(writer, 'two', 'event');
     expect(written).toEqual([]);
     await time.advance(SECOND_MS);
     expect(written).toEqual(['one\ntwo\n']);
@@ -29,11 +36,11 @@
   it('drops what goes beyond the budget of an event and says how much', async () => {
     const { time, written, writer } = createWriter(0);
     for (let line = 0; line < 450; line += 1) {
-      writer.write(String(line), 'noisy');
+      record(writer, String(line), 'noisy');
     }
-    writer.write('other', 'quiet');
+    record(writer, 'other', 'quiet');
     await time.advance(2 * SECOND_MS);
-    writer.write('later', 'quiet');
+    record(writer, 'later', 'quiet');
     await time.advance(SECOND_MS);
     const lines = written.join('').trimEnd().split('\n');
     expect(lines.length).toEqual(400 + 3);
@@ -42,8 +49,20 @@
 
   it('writes nothing while the reader is too far behind', async () => {
     const { time, written, writer } = createWriter(300_000);
-    writer.write('lost', 'event');
+    record(writer, 'lost', 'event');
     await time.advance(SECOND_MS);
     expect(written).toEqual([]);
   });
+
+  it('lets no line be formatted that it would drop', () => {
+    const { writer } = createWriter(300_000);
+    let formattedCount = 0;
+    const write = (): void => {
+      formattedCount += 1;
+    };
+    const logger = new Logger(LogLevel.Info, {}, write, writer.admit);
+    logger.recordInfo('event');
+    logger.recordError('event');
+    expect(formattedCount).toEqual(0);
+  });
 });
--- a/packages/baobabwell-logging/src/index.ts
+++ b/packages/baobabwell-logging/src/index.ts
@@ -1,5 +1,5 @@
 export type { LoggedEvent } from './BaobabwellLoggingParse';
-export type { LogFields, WriteLine } from './BaobabwellLogging';
+export type { AdmitLine, LogFields, WriteLine } from './BaobabwellLogging';
 export type { LineOutput } from './BaobabwellLoggingLineWriter';
 
 export { formatEvent, Logger, LogLevel } from './BaobabwellLogging';
