--- a/packages/baobabwell-cli/src/BaobabwellCli.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCli.ts
@@ -4,6 +4,7 @@
 
 import { ExitCode, getMessage, writeErrorLine } from './BaobabwellCliExit';
 import { addExplain } from './BaobabwellCliExplain';
+import { addFleet } from './BaobabwellCliFleet';
 import { addLoad } from './BaobabwellCliLoad';
 import { addMeasure } from './BaobabwellCliMeasure';
 import { addPrompt } from './BaobabwellCliPrompt';
@@ -24,6 +25,7 @@
   addStandIns,
   addReport,
   addExplain,
+  addFleet,
   addMeasure,
   addVersion,
 ];
--- /dev/null
+++ b/packages/baobabwell-cli/src/BaobabwellCliFleet.ts
@@ -0,0 +1,129 @@
+/** The commands `fleet owner`, `fleet pools`, `fleet jobs` and `fleet job ID`. */
+import type { Cell } from './BaobabwellCliTable';
+import type { Argv } from 'yargs';
+
+import { request } from 'undici';
+import { z } from 'zod';
+
+import { ExitCode, getMessage, writeErrorLine, writeLine } from './BaobabwellCliExit';
+import { JSON_OPTION } from './BaobabwellCliOptions';
+import { formatTable } from './BaobabwellCliTable';
+
+/** Longest wait for an answer, in ms: an owner at its worst load answers within a second or two. */
+const ANSWER_TIMEOUT_MS = 5_000;
+
+const HTTP_OK = 200;
+const HTTP_NOT_FOUND = 404;
+const HTTP_CONFLICT = 409;
+
+const METRICS_ADDRESS_OPTION = {
+  type: 'string',
+  default: '127.0.0.1:7001',
+  describe: 'Metrics address of a process of the fleet',
+} as const;
+
+type FleetOptions = { readonly address: string; readonly json: boolean };
+
+const rowSchema = z.record(z.string(), z.union([z.string(), z.number(), z.boolean(), z.null()]));
+const ownerSchema = z.object({ owner: rowSchema.nullable() });
+
+type Row = Readonly<Record<string, Cell>>;
+
+function formatRows(rows: readonly Row[], empty: string): string {
+  return rows.length === 0 ? empty : formatTable(Object.keys(rows[0] ?? {}), rows);
+}
+
+function describeFailure(address: string, status: number, body: unknown): string {
+  if (status === HTTP_CONFLICT) {
+    const owner = ownerSchema.safeParse(body).data?.owner ?? null;
+    return owner === null
+      ? `${address}: there is no owner at the moment`
+      : `${address} is not the owner; ask ${owner['name']}`;
+  }
+  return status === HTTP_NOT_FOUND ? `${address}: no such job` : `${address}: status ${status}`;
+}
+
+/** Asks a process and prints its answer; says why when there is none. */
+async function runQuestion(
+  { address, json }: FleetOptions,
+  path: string,
+  formatBody: (body: unknown) => string,
+): Promise<void> {
+  try {
+    const reply = await request(`http://${address}${path}`, {
+      signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
+    });
+    const body: unknown = await reply.body.json();
+    if (reply.statusCode === HTTP_OK) {
+      writeLine(json ? JSON.stringify(body) : formatBody(body));
+      return;
+    }
+    writeErrorLine(describeFailure(address, reply.statusCode, body));
+    process.exitCode = reply.statusCode === HTTP_CONFLICT ? ExitCode.Refused : ExitCode.Failure;
+  } catch (error) {
+    writeErrorLine(`${address}: ${getMessage(error)}`);
+    process.exitCode = ExitCode.Failure;
+  }
+}
+
+function formatOwner(body: unknown): string {
+  const { owner } = ownerSchema.parse(body);
+  return formatRows(owner === null ? [] : [owner], 'there is no owner at the moment');
+}
+
+function formatPools(body: unknown): string {
+  return formatRows(z.object({ pools: z.array(rowSchema) }).parse(body).pools, 'no pools');
+}
+
+function formatJobs(body: unknown): string {
+  const { jobs, openCount } = z
+    .object({ jobs: z.array(rowSchema), openCount: z.number() })
+    .parse(body);
+  const more = openCount > jobs.length ? `\nand ${openCount - jobs.length} more` : '';
+  return `${formatRows(jobs, 'no open jobs')}${more}`;
+}
+
+function formatJob(body: unknown): string {
+  const { job, runs } = z.object({ job: rowSchema, runs: z.array(rowSchema) }).parse(body);
+  return `${formatRows([job], '')}\n\n${formatRows(runs, 'no runs')}`;
+}
+
+function addQuestions(cli: Argv): Argv {
+  const build = (command: Argv) =>
+    command.option('address', METRICS_ADDRESS_OPTION).option('json', JSON_OPTION);
+  return cli
+    .command('owner', 'Show which process is the owner', build, async (options) =>
+      runQuestion(options as unknown as FleetOptions, '/owner', formatOwner),
+    )
+    .command('pools', 'Show hosts, runs and room of each pool', build, async (options) =>
+      runQuestion(options as unknown as FleetOptions, '/pools', formatPools),
+    )
+    .command('jobs', 'Show the jobs that have not ended, oldest first', build, async (options) =>
+      runQuestion(options as unknown as FleetOptions, '/jobs', formatJobs),
+    )
+    .command(
+      'job <id>',
+      'Show one job and its runs',
+      (command) =>
+        build(command).positional('id', {
+          type: 'string',
+          demandOption: true,
+          describe: 'Id of the job',
+        }),
+      async (options) =>
+        runQuestion(
+          options as unknown as FleetOptions,
+          `/jobs/${encodeURIComponent(String(options['id']))}`,
+          formatJob,
+        ),
+    );
+}
+
+/** Adds the command `fleet`. */
+export function addFleet(cli: Argv): Argv {
+  return cli.command('fleet', 'Ask the owner about pools, jobs and runs', (command) =>
+    addQuestions(command)
+      .example('$0 fleet jobs --address 10.1.0.23:7001', 'The jobs that have not ended')
+      .demandCommand(1, 'name a question: owner, pools, jobs, job'),
+  );
+}
--- a/packages/baobabwell-cli/src/__tests__/unit/BaobabwellCli.test.ts
+++ b/packages/baobabwell-cli/src/__tests__/unit/BaobabwellCli.test.ts
@@ -1,5 +1,8 @@
+import type { AddressInfo } from 'node:net';
+
 import { expect } from 'earl';
 import { execFile } from 'node:child_process';
+import { createServer } from 'node:http';
 
 import { ExitCode } from '../../BaobabwellCliExit';
 import { formatReply, getExitCode } from '../../BaobabwellCliStatements';
@@ -57,6 +60,41 @@
   });
 });
 
+describe('questions about the fleet', () => {
+  const answers: Readonly<Record<string, readonly [number, string]>> = {
+    '/jobs': [409, '{"error":"not-the-owner","owner":{"name":"oven-2","address":"x","epoch":2}}'],
+    '/jobs/none': [404, '{"error":"unknown-job"}'],
+    '/pools': [200, '{"pools":[{"pool":"ovens","hosts":3}]}'],
+  };
+
+  it('show a table, or say who knows, and set the exit code', async () => {
+    const server = createServer((request, response) => {
+      const [status, body] = answers[request.url ?? ''] ?? [500, '{}'];
+      response.writeHead(status).end(body);
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const runs = await Promise.all(
+      ['fleet pools', 'fleet jobs', 'fleet job none', 'fleet owner'].map(async (line) =>
+        runProgram(`${line} --address ${address}`),
+      ),
+    );
+    server.close();
+    expect(runs).toEqual([
+      { exit: ExitCode.Success, output: 'pool   hosts\novens  3\n', errors: '' },
+      {
+        exit: ExitCode.Refused,
+        output: '',
+        errors: `${address} is not the owner; ask oven-2\n`,
+      },
+      { exit: ExitCode.Failure, output: '', errors: `${address}: no such job\n` },
+      { exit: ExitCode.Failure, output: '', errors: `${address}: status 500\n` },
+    ]);
+  });
+});
+
 describe('formatReply', () => {
   it('aligns columns and marks missing values', () => {
     const rows = [
--- a/packages/baobabwell-controller/src/index.ts
+++ b/packages/baobabwell-controller/src/index.ts
@@ -1,3 +1,8 @@
-export type { FleetBounds, FleetCodec, TermOptions } from './BaobabwellControllerContext';
+export type {
+  FleetBounds,
+  FleetCodec,
+  TermContext,
+  TermOptions,
+} from './BaobabwellControllerContext';
 
 export { Controller } from './BaobabwellController';
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonMetricsPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonMetricsPlugin.ts
@@ -2,7 +2,8 @@
 
 import Fastify from 'fastify';
 
-import { CONFIGURATION, CONTROLLER, METRICS, SETTINGS } from './BaobabwellDaemonTokens';
+import { registerStatusRoutes } from './BaobabwellDaemonStatus';
+import { CONFIGURATION, CONTROLLER, METRICS, OWNERSHIP, SETTINGS } from './BaobabwellDaemonTokens';
 
 const METRICS_PATH = '/metrics';
 
@@ -32,7 +33,7 @@
   });
 }
 
-/** Serves the metrics of this process, as text and as objects. */
+/** Serves the metrics of this process, as text and as objects, and operators' questions. */
 export const metricsPlugin: Plugin = {
   name: 'metrics server',
   register() {
@@ -50,6 +51,10 @@
       updateGauges(kernel);
       return metrics.readMetrics();
     });
+    registerStatusRoutes(server, {
+      getOwner: () => kernel.getService(OWNERSHIP).getOwner(),
+      getContext: () => kernel.getService(CONTROLLER).getLoadedTerm()?.context ?? null,
+    });
     kernel.lifecycle.add('metrics server', async () => server.close());
     await server.listen(kernel.getService(SETTINGS).metrics);
   },
--- /dev/null
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonStatus.ts
@@ -0,0 +1,151 @@
+import type { TermContext } from '@baobabwell/controller';
+import type { Job, JobState, RunPhase, Step } from '@baobabwell/jobs';
+import type { Owner } from '@baobabwell/ownership';
+import type { FastifyInstance } from 'fastify';
+
+import { TaskPhase } from '@baobabwell/jobs';
+
+const HTTP_NOT_FOUND = 404;
+const HTTP_CONFLICT = 409;
+
+/** Jobs that one answer holds, oldest first. */
+const MOST_JOBS = 500;
+
+/** A job as operators see it. */
+export type JobStatus = {
+  readonly id: string;
+  readonly queue: string;
+  readonly organisation: string | null;
+  readonly state: JobState;
+  /** Time since it was accepted, in ms. */
+  readonly ageMs: number;
+  readonly taskCount: number;
+  readonly doneCount: number;
+  readonly waitingCount: number;
+  readonly runCount: number;
+};
+
+/** A run as operators see it. */
+export type RunStatus = {
+  readonly task: string;
+  readonly run: number;
+  readonly host: string;
+  readonly phase: RunPhase;
+  /** Time since its start was ordered, in ms. */
+  readonly ageMs: number;
+  readonly progressPercent: number;
+};
+
+/** A pool as operators see it; processor in thousandths of a core. */
+export type PoolStatus = {
+  readonly pool: string;
+  readonly hosts: number;
+  /** Hosts that take new work. */
+  readonly usableHosts: number;
+  readonly runs: number;
+  readonly capacityCpuMillis: number;
+  readonly freeCpuMillis: number;
+};
+
+/** Why a question was not answered. */
+export enum StatusError {
+  /** Only the owner knows; it is named beside this. */
+  NotTheOwner = 'not-the-owner',
+  UnknownJob = 'unknown-job',
+}
+
+/** What the answers are made from. */
+export type StatusSource = {
+  readonly getOwner: () => Owner | null;
+  /** What this process knows as the owner; `null` while it is not. */
+  readonly getContext: () => TermContext | null;
+};
+
+function countTasks(steps: readonly Step[], phase: TaskPhase): number {
+  return steps.reduce(
+    (sum, { tasks }) => sum + tasks.filter((task) => task.phase === phase).length,
+    0,
+  );
+}
+
+function buildJobStatus({ ledger, clock }: TermContext, job: Job): JobStatus {
+  const { id, queue, organisation, acceptedAtMs, spec } = job.record;
+  const steps = job.listSteps();
+  const tasksOfOne = spec.steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
+  return {
+    id,
+    queue,
+    organisation,
+    state: job.getShownState(),
+    ageMs: Math.round(clock.getWallTime() - acceptedAtMs),
+    taskCount: tasksOfOne * job.countOccurrences(),
+    doneCount: countTasks(steps, TaskPhase.Done),
+    waitingCount: countTasks(steps, TaskPhase.Waiting),
+    runCount: ledger.listRuns(job).length,
+  };
+}
+
+function listRunStatus({ ledger, clock }: TermContext, job: Job): readonly RunStatus[] {
+  const nowMs = clock.getNow();
+  return ledger
+    .listRuns(job)
+    .map(({ task, number, hostId, phase, askedAtMs, progressPercent }) => ({
+      task: task.name,
+      run: number,
+      host: hostId,
+      phase,
+      ageMs: Math.round(nowMs - askedAtMs),
+      progressPercent,
+    }));
+}
+
+function listPoolStatus({ hosts, clock, getConfiguration }: TermContext): readonly PoolStatus[] {
+  const nowMs = clock.getNow();
+  return (getConfiguration()?.pools ?? []).map(({ name }) => {
+    const members = [...hosts.values()].filter(({ pool }) => pool === name);
+    const usable = members.filter((host) => host.canTakeWork(nowMs));
+    return {
+      pool: name,
+      hosts: members.length,
+      usableHosts: usable.length,
+      runs: members.reduce((sum, { runs }) => sum + runs.size, 0),
+      capacityCpuMillis: members.reduce((sum, host) => sum + host.getCapacity().cpuMillis, 0),
+      freeCpuMillis: usable.reduce((sum, host) => sum + host.getFree().cpuMillis, 0),
+    };
+  });
+}
+
+/** Lets a server answer operators' questions about owner, pools, jobs and runs. */
+export function registerStatusRoutes(server: FastifyInstance, source: StatusSource): void {
+  const describeOwner = () => {
+    const owner = source.getOwner();
+    return owner && { name: owner.name, address: owner.address, epoch: owner.epoch };
+  };
+  const addOwnerRoute = (
+    path: string,
+    answer: (context: TermContext, id: string) => unknown,
+  ): void => {
+    server.get<{ Params: { id?: string } }>(path, async (request, reply) => {
+      const context = source.getContext();
+      if (context === null) {
+        const error = StatusError.NotTheOwner;
+        return reply.code(HTTP_CONFLICT).send({ error, owner: describeOwner() });
+      }
+      const body = answer(context, request.params.id ?? '');
+      return body === null
+        ? reply.code(HTTP_NOT_FOUND).send({ error: StatusError.UnknownJob })
+        : reply.send(body);
+    });
+  };
+  server.get('/owner', async () => ({ owner: describeOwner() }));
+  addOwnerRoute('/pools', (context) => ({ pools: listPoolStatus(context) }));
+  addOwnerRoute('/jobs', (context) => {
+    const open = context.ledger.listOpenJobs();
+    const jobs = open.slice(0, MOST_JOBS).map((job) => buildJobStatus(context, job));
+    return { jobs, openCount: open.length };
+  });
+  addOwnerRoute('/jobs/:id', (context, id) => {
+    const job = context.ledger.findJob(id);
+    return job && { job: buildJobStatus(context, job), runs: listRunStatus(context, job) };
+  });
+}
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -1,4 +1,5 @@
 import type { HostFaults } from './BaobabwellJobEmulatorOrders';
+import type { TermContext } from '@baobabwell/controller';
 import type { FleetConfiguration, ListedWorker, MaintenanceWave } from '@baobabwell/fleet';
 import type { WaveState } from '@baobabwell/fleet';
 import type { JobRecord, JobState, StepSpec } from '@baobabwell/jobs';
@@ -306,6 +307,13 @@
       : ((await this.#daemons.get(owner)?.controller.findState(jobId)) ?? null);
   }
 
+  /** What the owner knows; `null` while there is none. */
+  findOwnerContext(): TermContext | null {
+    const owner = this.findOwner();
+    const term = owner === null ? null : this.#daemons.get(owner)?.controller.getLoadedTerm();
+    return term?.context ?? null;
+  }
+
   /** Ends all processes. */
   close(): void {
     this.#daemons.forEach(({ clock, controller }) => {
