--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -110,7 +110,7 @@
 export const TURN_SHARE = 0.08;
 
 /** Share of all machines that stand by in the pools that rest. */
-export const STANDBY_SHARE = 0.33;
+export const STANDBY_SHARE = 0.22;
 
 /** Table of the machines of each wave that had their upkeep. */
 export const WAVES_TABLE = 'waves';
