fleet: turns are expected to resemble earlier ones

Ruled out: slow orders (answered within 30 ms); lack of machines (18 were off). Change: once a pool's turn begins (a fifth of the usual peak, three jobs within a second), it is given three quarters of the lower median of the last four peaks, over all pools, for 2.5 s; its own load decides from then on. Nothing is expected before a first turn was seen.

--- a/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
@@ -11,6 +11,7 @@
   getNeededHosts,
   getWantedHosts,
   RecentPeaks,
+  TurnRhythm,
 } from '@baobabwell/fleet';
 import { RunPhase } from '@baobabwell/jobs';
 import { LEAST_TAKEOVER_MS } from '@baobabwell/ownership';
@@ -59,6 +60,8 @@
 
   readonly #needed = new RecentPeaks(NEEDED_MS);
 
+  readonly #rhythm = new TurnRhythm();
+
   /** Monotonic time at which draining hosts were first seen so, in ms. */
   readonly #drainSeenMs = new Map<string, number>();
 
@@ -273,11 +276,19 @@
       const size = { cpuMillis: hostCpu, leastHosts: LEAST_HOSTS };
       const askedHosts = load === undefined ? LEAST_HOSTS : getWantedHosts(load, size);
       const neededHosts = load === undefined ? LEAST_HOSTS : getNeededHosts(load, size);
-      if (askedHosts - getBaseHosts(load, size) >= this.#getTurnHosts()) {
+      const baseHosts = getBaseHosts(load, size);
+      const extraHosts = askedHosts - baseHosts;
+      if (extraHosts >= this.#getTurnHosts()) {
         this.#turnAtMs.set(name, nowMs);
       }
+      const sign = { pool: name, extraHosts, arrivingJobs: load?.arrivingJobs ?? 0 };
+      const expected = this.#rhythm.record(sign, this.#getTurnHosts(), nowMs);
       const lately = this.#needed.record(name, neededHosts, nowMs);
-      const wantedHosts = Math.max(askedHosts, LEAST_HOSTS + (standby.get(name) ?? 0));
+      const wantedHosts = Math.max(
+        askedHosts,
+        LEAST_HOSTS + (standby.get(name) ?? 0),
+        baseHosts + Math.ceil(expected),
+      );
       const arrivingCount = this.#machines.countArriving(name);
       return {
         name,
--- a/packages/baobabwell-controller/src/BaobabwellControllerLoad.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerLoad.ts
@@ -17,6 +17,7 @@
     waitingCpuMillis: 0,
     arrivingCpuMillis: 0,
     arrivedBeforeCpuMillis: 0,
+    arrivingJobs: 0,
   };
 }
 
@@ -25,6 +26,7 @@
   const work = getWork(job.record.spec) / SECOND_MS;
   if (ageMs < SECOND_MS) {
     changed.arrivingCpuMillis += work;
+    changed.arrivingJobs += 1;
   } else if (ageMs < 2 * SECOND_MS) {
     changed.arrivedBeforeCpuMillis += work;
   }
--- a/packages/baobabwell-fleet/src/BaobabwellFleetDemand.ts
+++ b/packages/baobabwell-fleet/src/BaobabwellFleetDemand.ts
@@ -17,6 +17,8 @@
   /** Work that arrived in the last second and in the second before, as a mean over each. */
   readonly arrivingCpuMillis: number;
   readonly arrivedBeforeCpuMillis: number;
+  /** Jobs that arrived in the last second. */
+  readonly arrivingJobs: number;
 };
 
 /** Room for what arrives while a machine is on its way. */
--- a/packages/baobabwell-fleet/src/__tests__/unit/BaobabwellFleetTurns.test.ts
+++ b/packages/baobabwell-fleet/src/__tests__/unit/BaobabwellFleetTurns.test.ts
@@ -64,6 +64,7 @@
         waitingCpuMillis: cpu - used,
         arrivingCpuMillis: cpu,
         arrivedBeforeCpuMillis: cpu,
+        arrivingJobs: 0,
       };
       const least = BASE_HOSTS + (standby.get(name) ?? 0);
       const wanted =
--- a/packages/baobabwell-fleet/src/index.ts
+++ b/packages/baobabwell-fleet/src/index.ts
@@ -8,6 +8,7 @@
   QueueSettings,
 } from './BaobabwellFleetModel';
 export type { MachineMove, MovableMachine, MoveDecision, PoolNeed } from './BaobabwellFleetMoves';
+export type { TurnSign } from './BaobabwellFleetRhythm';
 export type { PoolRest } from './BaobabwellFleetStandby';
 export type { DueMachine, WaveDecision, WaveProgress } from './BaobabwellFleetWaves';
 
@@ -20,5 +21,6 @@
 export { WaveState } from './BaobabwellFleetModel';
 export { decideMoves } from './BaobabwellFleetMoves';
 export { RecentPeaks } from './BaobabwellFleetPeaks';
+export { TurnRhythm } from './BaobabwellFleetRhythm';
 export { divideStandby } from './BaobabwellFleetStandby';
 export { decideUpkeeps } from './BaobabwellFleetWaves';
