daemon, ingress, controller: a slow store gets each call once, and stops no machines

Answers came after more than the 550 ms after which peers are asked too, so the slow store got calls twice; 16 parts take 48 submissions a second then, 75 came. No machine was ordered from 10 to 15 s, as renewals that take 400 ms leave the lease older than 700 ms.

--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -86,10 +86,10 @@
 export const RUNS_PER_TERM = 1_000;
 
 /**
- * Age of the lease up to which machines are ordered, in ms: with a renewal every 350 ms it is younger
- * unless the store fails, and the next owner's pause begins that much earlier.
+ * Age of the lease up to which machines are ordered, in ms: it is younger unless the store fails, also
+ * while a slow store takes 400 ms for a renewal; the next owner's pause begins that much earlier.
  */
-export const ORDER_LEASE_MS = 700;
+export const ORDER_LEASE_MS = 1_000;
 
 /** Pause between two rounds of duties, in ms. */
 export const DUTIES_PAUSE_MS = 80;
--- a/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
@@ -38,7 +38,7 @@
 import { WaveKeeper } from './BaobabwellControllerWaves';
 
 /** Time that an order takes to its machine, and a round to its orders, in ms. */
-const ORDER_DELAY_MS = 300;
+const ORDER_DELAY_MS = 200;
 
 const CORE_MILLIS = 1_000;
 
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonRelayedStore.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonRelayedStore.ts
@@ -11,12 +11,15 @@
 
 import { TableErrorKind, WatchableTableService } from '@baobabwell/platform';
 
-/**
- * Time without an answer after which a peer is asked too, in ms: beyond an ordinary answer of some
- * 12 ms and a slow one of some 500.
- */
+/** Time without an answer after which a peer is asked too, in ms: far beyond an answer of some 12 ms. */
 const RELAY_AFTER_MS = 550;
 
+/** The same as a multiple of the store's last answer: a slow store must not get each call twice. */
+const RELAY_PATIENCE = 2.5;
+
+/** Longest time after which a peer is asked, in ms: the call itself is given up a little later. */
+const MAX_RELAY_AFTER_MS = 1_250;
+
 /** Peers that are asked one after the other. */
 const RELAY_ATTEMPTS = 2;
 
@@ -89,6 +92,9 @@
 
   #restUntilMs = 0;
 
+  /** Duration of the store's last answer to this process, in ms. */
+  #answeredInMs = 0;
+
   constructor(options: {
     readonly direct: WatchableTableService;
     readonly relay: StoreRelay;
@@ -151,11 +157,11 @@
     if (first.reply !== null) {
       return first.reply;
     }
-    const direct = askDirect();
+    const direct = this.#measure(askDirect);
     const patience = new AbortController();
     const early = await Promise.race([
       direct,
-      this.#clock.wait(RELAY_AFTER_MS, patience.signal).then(() => null),
+      this.#clock.wait(this.#getPatienceMs(), patience.signal).then(() => null),
     ]);
     patience.abort();
     if (isAnswer(early)) {
@@ -172,6 +178,22 @@
     return { ok: false, error: { ...last.error, mayHaveCommitted } };
   }
 
+  async #measure<Value>(
+    askDirect: () => Promise<Result<Value, TableError>>,
+  ): Promise<Result<Value, TableError>> {
+    const sentAtMs = this.#clock.getNow();
+    const reply = await askDirect();
+    if (isAnswer(reply)) {
+      this.#answeredInMs = this.#clock.getNow() - sentAtMs;
+    }
+    return reply;
+  }
+
+  #getPatienceMs(): number {
+    const patienceMs = RELAY_PATIENCE * this.#answeredInMs;
+    return Math.min(MAX_RELAY_AFTER_MS, Math.max(RELAY_AFTER_MS, patienceMs));
+  }
+
   async #askPeers<Value>(
     askPeer: (address: string) => Promise<Result<Value, TableError> | null>,
   ): Promise<RelayOutcome<Value>> {
--- a/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonRelayedStore.test.ts
+++ b/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonRelayedStore.test.ts
@@ -13,6 +13,12 @@
 
 const VERSION = 7;
 const CALLS_IN_A_SECOND = 50;
+
+/** An answer of a store that takes fifty times as long, with some waiting before it. */
+const SLOW_MS = 700;
+
+/** Longer than peers are asked first after an answer that was late. */
+const DISTRUST_MS = 1_100;
 const TRANSACTION = { conditions: [], writes: [{ table: 'jobs', key: 'a', value: 1 }] };
 
 function createRefusal(mayHaveCommitted: boolean): Result<never, TableError> {
@@ -111,6 +117,30 @@
     expect(asked.length <= CALLS_IN_A_SECOND / 5).toEqual(true);
   });
 
+  it('asks no peer while the store answers slowly', async () => {
+    const time = new EmulatedTime();
+    let askedCount = 0;
+    const store = new RelayedStore({
+      direct: new ScriptedStore(time, createOk(VERSION), SLOW_MS),
+      relay: {
+        commit: async () => {
+          askedCount += 1;
+          return createOk(VERSION);
+        },
+        list: async () => null,
+      },
+      listPeers: () => ['peer-1', 'peer-2'],
+      clock: time,
+      logger,
+    });
+    for (let sent = 0; sent < 5; sent += 1) {
+      await time.settle(store.commit(TRANSACTION), 10_000);
+      await time.advance(DISTRUST_MS);
+    }
+    // The first slow answer is not expected.
+    expect(askedCount).toEqual(1);
+  });
+
   it('stays unclear when a peer did not answer, although the store refused here', async () => {
     expect(await commit(createRefusal(false), null)).toEqual(createRefusal(true));
   });
--- a/packages/baobabwell-ingress/src/BaobabwellIngressTables.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressTables.ts
@@ -11,14 +11,14 @@
  * Parts of the table of jobs. Each takes some 150 writes a second, and a fiftieth of that while the
  * store is slow: all of them together then still take what a fleet accepts in a second.
  */
-export const JOB_PARTS = 16;
+export const JOB_PARTS = 32;
 
 const HEX = 16;
 
 /** Part of the table that holds a job. */
 export function getJobPart(jobId: string): string {
-  const digit = parseInt(jobId.slice(-1), HEX);
-  return `p${Number.isNaN(digit) ? 0 : digit % JOB_PARTS}`;
+  const digits = parseInt(jobId.slice(-2), HEX);
+  return `p${Number.isNaN(digits) ? 0 : digits % JOB_PARTS}`;
 }
 
 /** All parts of the table of jobs. */
