workers: a worker that refuses at once is not asked without end

Traced with an inspector from a second thread. Ruled out: timers without delay (fewer than 3,000 at any one time). Change: the age of a grant counts from the last time it was asked for.

--- a/packages/baobabwell-fuzz/src/__tests__/unit/BaobabwellFuzzCall.test.ts
+++ b/packages/baobabwell-fuzz/src/__tests__/unit/BaobabwellFuzzCall.test.ts
@@ -12,6 +12,10 @@
 const SEED = 3;
 const RUNS = 8;
 const BROKEN_RUNS = 200;
+
+/** Never ended before incident 0009: its eleventh history. */
+const HUNG_SEED = 908_172;
+const HUNG_RUNS = 12;
 const CLAIM_TABLE = 'call-claims';
 
 /** Takes every claim, whoever holds the key. */
@@ -112,6 +116,11 @@
     expect((await new CallFuzzSuite().run({ seed: SEED, runs: RUNS })).failure).toEqual(null);
   });
 
+  it('ends where a worker refuses connections while a call waits', async () => {
+    const report = await new CallFuzzSuite().run({ seed: HUNG_SEED, runs: HUNG_RUNS });
+    expect(report.failure).toEqual(null);
+  });
+
   it('catches claims that exclude nobody', async () => {
     const suite = new CallFuzzSuite({
       decorateTables: (tables) => new UnconditionalTables(tables),
--- a/packages/baobabwell-workers/src/BaobabwellWorkersSession.ts
+++ b/packages/baobabwell-workers/src/BaobabwellWorkersSession.ts
@@ -78,6 +78,8 @@
 
   #startableUntil = Number.NEGATIVE_INFINITY;
 
+  #askedAt = Number.NEGATIVE_INFINITY;
+
   constructor(parts: WorkerSessionParts) {
     this.#parts = parts;
     this.client = parts.client;
@@ -159,9 +161,9 @@
     this.#wake.abort();
   }
 
-  /** Milliseconds since the last grant was asked for. */
+  /** Milliseconds since a grant was last asked for, also one that was refused or lost. */
   getGrantAge(): number {
-    return this.#parts.clock.getNow() - (this.#startableUntil - START_TTL_MS);
+    return this.#parts.clock.getNow() - this.#askedAt;
   }
 
   /** Gives slots without a task back at once rather than with a later renewal. */
@@ -218,6 +220,7 @@
     // The worker may apply this at any moment from now on: more would be rejected.
     this.#held = Math.min(this.#held, wanted);
     const sentAt = clock.getNow();
+    this.#askedAt = sentAt;
     const grant = await client.renew({ holder, slots: wanted, stops });
     this.#requested = Math.max(0, this.#requested - asked);
     this.#isReachable = grant.ok;
