--- a/packages/baobabwell-calls/src/__tests__/unit/BaobabwellCallsHttp.test.ts
+++ b/packages/baobabwell-calls/src/__tests__/unit/BaobabwellCallsHttp.test.ts
@@ -92,6 +92,22 @@
     expect(data.toString().includes('call-outcome: not-run')).toEqual(true);
   });
 
+  it('closes connections that send half a head and no more', async function () {
+    this.timeout(20_000);
+    await server.listen({ port: 0, host: '127.0.0.1' });
+    const { port } = server.server.address() as AddressInfo;
+    const sockets = Array.from({ length: 50 }, () => connect(port, '127.0.0.1'));
+    const startedAt = performance.now();
+    await Promise.all(
+      sockets.map(async (socket) => {
+        socket.write(`POST ${PATH} HTTP/1.1\r\nhost: a\r\nx-half`);
+        socket.resume();
+        await once(socket, 'close');
+      }),
+    );
+    expect(performance.now() - startedAt < 10_000).toEqual(true);
+  });
+
   it('resets the connection when an answer is cut after its headers', async () => {
     const stream = Object.assign(new Readable({ read: () => {} }), { length: MEGABYTE });
     stream.push(Buffer.alloc(1_000));
