ingress, platform: half heads are closed, one class passes store calls on

Half request heads to the front stayed open for up to half a minute, as in the entry program; calls now have 5 s for a head and 10 s in all, looked at every second (test: 50 sockets). Twins removed: measured and relayed store share ForwardedTableService; the search for spare machines stands once, in the book of machines; tests share one plain step. No decision changed.

--- a/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
@@ -105,7 +105,7 @@
 
   /** Room of a pool for tasks that end: now, on its way, and what could be called in. */
   getRoom(pool: string): PoolRoom {
-    const { hosts, clock, getConfiguration } = this.#context;
+    const { hosts, clock } = this.#context;
     const nowMs = clock.getNow();
     let cpuMillis = 0;
     hosts.forEach((host) => {
@@ -114,14 +114,9 @@
     });
     const machines = this.#machines.list();
     const hostCpu = machines[0]?.capacity.cpuMillis ?? 0;
-    const spares = new Set(
-      getConfiguration()
-        ?.pools.filter(({ isSpare }) => isSpare)
-        .map(({ name }) => name),
-    );
     const callable = machines.filter(
       (machine) =>
-        spares.has(machine.pool) &&
+        this.#machines.isSpare(machine) &&
         machine.state === CloudHostState.Up &&
         !this.#machines.isPending(machine.machine),
     );
--- a/packages/baobabwell-controller/src/BaobabwellControllerMachines.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerMachines.ts
@@ -57,6 +57,12 @@
     return this.#machines.filter((machine) => this.#isArriving(machine, pool)).length;
   }
 
+  /** True for a machine in a spare pool, where it is off and runs nothing. */
+  isSpare({ pool }: CloudHost): boolean {
+    const pools = this.#context.getConfiguration()?.pools ?? [];
+    return pools.some(({ name, isSpare }) => name === pool && isSpare);
+  }
+
   /** The worker on a machine, if this owner knows it. */
   findHost({ hostId }: CloudHost): Host | null {
     return hostId === null ? null : (this.#context.hosts.get(hostId) ?? null);
--- a/packages/baobabwell-controller/src/BaobabwellControllerWaves.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerWaves.ts
@@ -167,7 +167,7 @@
 
   #createDue(machine: CloudHost): DueMachine {
     const host = this.#machines.findHost(machine);
-    const isSpare = this.#isSpare(machine.pool);
+    const isSpare = this.#machines.isSpare(machine);
     return {
       machine: machine.machine,
       isSpare,
@@ -181,11 +181,6 @@
     };
   }
 
-  #isSpare(pool: string): boolean {
-    const pools = this.#context.getConfiguration()?.pools ?? [];
-    return pools.some(({ name, isSpare }) => name === pool && isSpare);
-  }
-
   #drain({ number }: MaintenanceWave, machine: CloudHost, cordons: Map<string, string>): void {
     const host = this.#machines.findHost(machine);
     if (host !== null) {
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonMeasuredStore.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonMeasuredStore.ts
@@ -5,49 +5,39 @@
   RowRange,
   TableError,
   Transaction,
+  WatchableTableService,
   WatchError,
 } from '@baobabwell/platform';
 import type { Clock, Result } from '@baobabwell/utils';
 
-import { TableErrorKind, WatchableTableService, WatchErrorKind } from '@baobabwell/platform';
+import { ForwardedTableService, TableErrorKind, WatchErrorKind } from '@baobabwell/platform';
 
 const SECOND_MS = 1_000;
 
 const ANSWERED = 'answered';
 
 /** Counts this process's calls to the store and how they were answered. */
-export class MeasuredStore extends WatchableTableService {
-  readonly #store: WatchableTableService;
-
+export class MeasuredStore extends ForwardedTableService {
   readonly #metrics: DaemonMetrics;
 
   readonly #clock: Clock;
 
   constructor(store: WatchableTableService, metrics: DaemonMetrics, clock: Clock) {
-    super();
-    this.#store = store;
+    super(store);
     this.#metrics = metrics;
     this.#clock = clock;
   }
 
   override async commit(transaction: Transaction): Promise<Result<number, TableError>> {
-    return this.#measure('commit', async () => this.#store.commit(transaction));
+    return this.#measure('commit', async () => this.tables.commit(transaction));
   }
 
   override async list(range: RowRange): Promise<Result<ChangePage, TableError>> {
-    return this.#measure('list', async () => this.#store.list(range));
+    return this.#measure('list', async () => this.tables.list(range));
   }
 
   override async read(table: string, key: string): Promise<Result<Row | null, TableError>> {
-    return this.#measure('read', async () => this.#store.read(table, key));
-  }
-
-  override async readSince(
-    table: string,
-    version: number,
-    limit: number,
-  ): ReturnType<WatchableTableService['readSince']> {
-    return this.#store.readSince(table, version, limit);
+    return this.#measure('read', async () => this.tables.read(table, key));
   }
 
   override async waitForChanges(
@@ -56,7 +46,7 @@
     waitMs: number,
     signal: AbortSignal,
   ): Promise<Result<ChangePage, WatchError>> {
-    const reply = await this.#store.waitForChanges(table, version, waitMs, signal);
+    const reply = await this.tables.waitForChanges(table, version, waitMs, signal);
     const failure = reply.ok ? null : reply.error.kind;
     const isGone = failure === WatchErrorKind.HistoryGone;
     if (!signal.aborted) {
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonRelayedStore.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonRelayedStore.ts
@@ -5,11 +5,11 @@
   RowRange,
   TableError,
   Transaction,
-  WatchError,
+  WatchableTableService,
 } from '@baobabwell/platform';
 import type { Clock, Result } from '@baobabwell/utils';
 
-import { TableErrorKind, WatchableTableService } from '@baobabwell/platform';
+import { ForwardedTableService, TableErrorKind } from '@baobabwell/platform';
 
 /** Time without an answer after which a peer is asked too, in ms: far beyond an answer of some 12 ms. */
 const RELAY_AFTER_MS = 550;
@@ -73,9 +73,7 @@
  * The store as callers' work needs it: a process that the store turns away asks through its peers.
  * Only for transactions that may be sent twice, such as those that create a row.
  */
-export class RelayedStore extends WatchableTableService {
-  readonly #direct: WatchableTableService;
-
+export class RelayedStore extends ForwardedTableService {
   readonly #relay: StoreRelay;
 
   readonly #listPeers: () => readonly string[];
@@ -102,8 +100,7 @@
     readonly clock: Clock;
     readonly logger: Logger;
   }) {
-    super();
-    this.#direct = options.direct;
+    super(options.direct);
     this.#relay = options.relay;
     this.#listPeers = options.listPeers;
     this.#clock = options.clock;
@@ -112,14 +109,14 @@
 
   override async commit(transaction: Transaction): Promise<Result<number, TableError>> {
     return this.#reach(
-      async () => this.#direct.commit(transaction),
+      async () => this.tables.commit(transaction),
       async (address) => this.#relay.commit(address, transaction),
     );
   }
 
   override async list(range: RowRange): Promise<Result<ChangePage, TableError>> {
     return this.#reach(
-      async () => this.#direct.list(range),
+      async () => this.tables.list(range),
       async (address) => this.#relay.list(address, range),
     );
   }
@@ -131,23 +128,6 @@
       : page;
   }
 
-  override async readSince(
-    table: string,
-    version: number,
-    limit: number,
-  ): ReturnType<WatchableTableService['readSince']> {
-    return this.#direct.readSince(table, version, limit);
-  }
-
-  override async waitForChanges(
-    table: string,
-    version: number,
-    waitMs: number,
-    signal: AbortSignal,
-  ): Promise<Result<ChangePage, WatchError>> {
-    return this.#direct.waitForChanges(table, version, waitMs, signal);
-  }
-
   async #reach<Value>(
     askDirect: () => Promise<Result<Value, TableError>>,
     askPeer: (address: string) => Promise<Result<Value, TableError> | null>,
--- a/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
@@ -22,6 +22,13 @@
 /** Idle time after which a caller's connection is closed, in ms: beyond a caller's pause. */
 const KEEP_ALIVE_MS = 15_000;
 
+/** Time for a call's head, and for the whole call, in ms: callers wait three seconds for an answer. */
+const HEAD_TIMEOUT_MS = 5_000;
+const REQUEST_TIMEOUT_MS = 10_000;
+
+/** Pause between two searches for calls beyond these times, in ms; the default is half a minute. */
+const TIMEOUT_CHECK_MS = 1_000;
+
 /** A call that was answered. */
 export type AnsweredCall = {
   readonly queue: string | null;
@@ -55,6 +62,8 @@
     const server = Fastify({
       bodyLimit: MAX_BODY_BYTES,
       keepAliveTimeout: KEEP_ALIVE_MS,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      http: { headersTimeout: HEAD_TIMEOUT_MS, connectionsCheckingInterval: TIMEOUT_CHECK_MS },
       exposeHeadRoutes: false,
       return503OnClosing: false,
     });
--- /dev/null
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
@@ -0,0 +1,132 @@
+import type { AnsweredCall, WireAnswer } from '../../index';
+import type { FleetConfiguration } from '@baobabwell/fleet';
+import type { FastifyInstance } from 'fastify';
+import type { AddressInfo } from 'node:net';
+
+import { expect } from 'earl';
+import { once } from 'node:events';
+import { connect } from 'node:net';
+
+import { EmulatedTime } from '@baobabwell/emulator';
+import { EmulatedJobStore, EmulatedRows } from '@baobabwell/job-emulator';
+import { Logger, LogLevel } from '@baobabwell/logging';
+import { Random } from '@baobabwell/utils';
+
+import {
+  AnswerKind,
+  ClientProtocol,
+  ClientRequestKind,
+  IngressServer,
+  JobDesk,
+  OwnerClient,
+} from '../../index';
+
+const REQUEST_ID = 'r-17';
+
+/** Answers with the kind of the answer; every call asks for the count. */
+class PlainProtocol extends ClientProtocol {
+  override readonly readyPath = '/ready';
+
+  override findKey(): string | null {
+    return null;
+  }
+
+  override findRequestId(): string | null {
+    return REQUEST_ID;
+  }
+
+  override parseRequest(): { readonly kind: ClientRequestKind.CountWaiting } {
+    return { kind: ClientRequestKind.CountWaiting };
+  }
+
+  override formatAnswer({ kind }: { readonly kind: AnswerKind }): WireAnswer {
+    return { status: 200, headers: {}, body: { kind } };
+  }
+}
+
+class SilentOwner extends OwnerClient {
+  override async offer(): Promise<null> {
+    return null;
+  }
+
+  override async findState(): Promise<null> {
+    return null;
+  }
+
+  override async countWaiting(): Promise<null> {
+    return null;
+  }
+}
+
+const CONFIGURATION = {
+  version: 4,
+  queues: [{ name: 'bakes', httpHost: 'bakery.example', pathPrefix: '/bakes/', isOpen: true }],
+  pools: [],
+  organisations: [],
+} as unknown as FleetConfiguration;
+
+describe('the server for callers', () => {
+  let configuration: FleetConfiguration | null;
+  let server: FastifyInstance;
+  let calls: AnsweredCall[];
+  let lines: string[];
+
+  beforeEach(() => {
+    const time = new EmulatedTime();
+    configuration = CONFIGURATION;
+    calls = [];
+    lines = [];
+    const logger = new Logger(LogLevel.Info, {}, (line) => lines.push(line));
+    const store = new EmulatedJobStore(time, time, new Random(1), new EmulatedRows());
+    const ingress = new IngressServer({
+      protocol: new PlainProtocol(),
+      desk: new JobDesk({ store, owner: new SilentOwner(), clock: time, logger }),
+      clock: time,
+      logger,
+      getConfiguration: () => configuration,
+      isReady: () => true,
+      isStopping: () => false,
+      recordCall: (call) => calls.push(call),
+    });
+    server = ingress.buildFrontServer();
+  });
+
+  afterEach(async () => server.close());
+
+  async function ask(url: string): Promise<AnswerKind> {
+    const reply = await server.inject({ url, headers: { host: 'bakery.example:80' } });
+    return reply.json<{ kind: AnswerKind }>().kind;
+  }
+
+  it('tells a queue that does not exist from a process that cannot serve', async () => {
+    expect(await ask('/cakes/')).toEqual(AnswerKind.UnknownQueue);
+    expect(await ask('/bakes/')).toEqual(AnswerKind.Unavailable);
+    configuration = null;
+    expect(await ask('/cakes/')).toEqual(AnswerKind.Unavailable);
+    expect(calls.map(({ queue }) => queue)).toEqual([null, 'bakes', null]);
+  });
+
+  it('logs every answer that failed with the id that the caller gave', async () => {
+    await ask('/bakes/');
+    const [line = ''] = lines;
+    expect(line.includes(`event=call-answered requestId=${REQUEST_ID} `)).toEqual(true);
+    expect(line.includes('answer=unavailable reason="neither the owner')).toEqual(true);
+    expect(line.includes(' configuration=4 ')).toEqual(true);
+  });
+
+  it('closes connections that send half a head and no more', async function () {
+    this.timeout(20_000);
+    await server.listen({ port: 0, host: '127.0.0.1' });
+    const { port } = server.server.address() as AddressInfo;
+    const startedAt = performance.now();
+    await Promise.all(
+      Array.from({ length: 50 }, async () => {
+        const socket = connect(port, '127.0.0.1');
+        socket.write('GET /bakes/ HTTP/1.1\r\nhost: a\r\nx-half');
+        socket.resume();
+        await once(socket, 'close');
+      }),
+    );
+    expect(performance.now() - startedAt < 10_000).toEqual(true);
+  });
+});
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -37,7 +37,8 @@
 
 const CAPACITY = { cpuMillis: 16_000, memoryMb: 65_536, gpus: 0 };
 
-const PLAIN_STEP: StepSpec = {
+/** A step of four short tasks without any wish; tests change what they need. */
+export const PLAIN_STEP: StepSpec = {
   taskCount: 4,
   need: { cpuMillis: 2_000, memoryMb: 1_000, gpus: 0 },
   estimateMs: 500,
--- a/packages/baobabwell-job-emulator/src/index.ts
+++ b/packages/baobabwell-job-emulator/src/index.ts
@@ -3,7 +3,12 @@
 export type { StoreFaults } from './BaobabwellJobEmulatorStore';
 
 export { EmulatedCloud } from './BaobabwellJobEmulatorCloud';
-export { CAP_CPU_MILLIS, EmulatedJobFleet, MAX_ATTEMPTS } from './BaobabwellJobEmulatorFleet';
+export {
+  CAP_CPU_MILLIS,
+  EmulatedJobFleet,
+  MAX_ATTEMPTS,
+  PLAIN_STEP,
+} from './BaobabwellJobEmulatorFleet';
 export { EmulatedHost } from './BaobabwellJobEmulatorHost';
 export { JobOracle, JobPromise } from './BaobabwellJobEmulatorOracle';
 export { formatWay } from './BaobabwellJobEmulatorOrders';
--- a/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsLedger.test.ts
+++ b/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsLedger.test.ts
@@ -2,6 +2,8 @@
 
 import { expect } from 'earl';
 
+import { PLAIN_STEP } from '@baobabwell/job-emulator';
+
 import {
   createJobProgress,
   EndEffect,
@@ -13,22 +15,11 @@
 } from '../../index';
 
 const STEP: StepSpec = {
+  ...PLAIN_STEP,
   taskCount: 2,
   need: { cpuMillis: 500, memoryMb: 100, gpus: 0 },
   estimateMs: 300,
-  after: [],
   keepsCheckpoints: true,
-  isGang: false,
-  prefersOneRack: false,
-  hostLabel: null,
-  dataRack: null,
-  maxPerHost: 0,
-  isSpeculative: false,
-  isLasting: false,
-  image: '',
-  tailTargetMs: 0,
-  isFilling: false,
-  maxAway: 0,
 };
 
 function createRecord(
--- a/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacement.test.ts
+++ b/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacement.test.ts
@@ -3,27 +3,15 @@
 
 import { expect } from 'earl';
 
+import { PLAIN_STEP } from '@baobabwell/job-emulator';
 import { JobLedger } from '@baobabwell/jobs';
 
 import { decidePlacements } from '../../index';
 
 const PLAIN: StepSpec = {
+  ...PLAIN_STEP,
   taskCount: 1,
   need: { cpuMillis: 1_000, memoryMb: 100, gpus: 0 },
-  estimateMs: 500,
-  after: [],
-  keepsCheckpoints: false,
-  isGang: false,
-  prefersOneRack: false,
-  hostLabel: null,
-  dataRack: null,
-  maxPerHost: 0,
-  isSpeculative: false,
-  isLasting: false,
-  image: '',
-  tailTargetMs: 0,
-  isFilling: false,
-  maxAway: 0,
 };
 
 const HOST: PlacementHost = {
--- /dev/null
+++ b/packages/baobabwell-platform/src/BaobabwellPlatformForwarded.ts
@@ -0,0 +1,44 @@
+import type { Row, TableError, Transaction } from './BaobabwellPlatformTable';
+import type { ChangePage, RowRange, WatchError } from './BaobabwellPlatformWatch';
+import type { Result } from '@baobabwell/utils';
+
+import { WatchableTableService } from './BaobabwellPlatformWatch';
+
+/** Passes every call on; whoever extends it changes some of them. */
+export abstract class ForwardedTableService extends WatchableTableService {
+  protected readonly tables: WatchableTableService;
+
+  constructor(tables: WatchableTableService) {
+    super();
+    this.tables = tables;
+  }
+
+  override async commit(transaction: Transaction): Promise<Result<number, TableError>> {
+    return this.tables.commit(transaction);
+  }
+
+  override async list(range: RowRange): Promise<Result<ChangePage, TableError>> {
+    return this.tables.list(range);
+  }
+
+  override async read(table: string, key: string): Promise<Result<Row | null, TableError>> {
+    return this.tables.read(table, key);
+  }
+
+  override async readSince(
+    table: string,
+    version: number,
+    limit: number,
+  ): ReturnType<WatchableTableService['readSince']> {
+    return this.tables.readSince(table, version, limit);
+  }
+
+  override async waitForChanges(
+    table: string,
+    version: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<ChangePage, WatchError>> {
+    return this.tables.waitForChanges(table, version, waitMs, signal);
+  }
+}
--- a/packages/baobabwell-platform/src/index.ts
+++ b/packages/baobabwell-platform/src/index.ts
@@ -26,6 +26,7 @@
 
 export { PlacementAdvisor } from './BaobabwellPlatformAdvisor';
 export { CloudControl, CloudHostState, CloudRefusal } from './BaobabwellPlatformCloud';
+export { ForwardedTableService } from './BaobabwellPlatformForwarded';
 export { HostOrders, OrderRefusal } from './BaobabwellPlatformHosts';
 export {
   HttpHostList,
