ownership: a renewal that shared a failed transaction goes alone

Cause, found in reading the diff: a renewal goes with a commit; while commits conflict over other rows, every renewal failed with them, and the lease of an owner that is well ran out. Test: 60 conflicting commits in a row (lease lost before, held now).

--- a/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
@@ -278,7 +278,7 @@
       }
       const sign = { pool: name, extraHosts, arrivingJobs: load?.arrivingJobs ?? 0 };
       const expected = this.#rhythm.record(sign, this.#getTurnHosts(), nowMs);
-      const lately = this.#needed.record(name, neededHosts, nowMs);
+      const neededLately = this.#needed.record(name, neededHosts, nowMs);
       const wantedHosts = Math.max(
         askedHosts,
         LEAST_HOSTS + (standby.get(name) ?? 0),
@@ -290,7 +290,7 @@
         isSpare,
         machines: present.map((machine) => this.#createMovable(machine, reserved)),
         arrivingCount,
-        neededHosts: isSpare ? 0 : lately,
+        neededHosts: isSpare ? 0 : neededLately,
         wantedHosts: isSpare ? 0 : wantedHosts,
         keptHosts: isSpare ? 0 : this.#recordWanted(name, wantedHosts, nowMs),
       };
--- a/packages/baobabwell-fleet/src/BaobabwellFleetMoves.ts
+++ b/packages/baobabwell-fleet/src/BaobabwellFleetMoves.ts
@@ -151,7 +151,7 @@
   const moves: MachineMove[] = [];
   const drains: string[] = [];
   const served = pools.filter(({ isSpare }) => !isSpare);
-  const bringUp = (
+  const grantMachines = (
     getAsked: (pool: PoolNeed) => number,
     find: () => Supplied | null,
     order: (supplied: Supplied, to: PoolNeed) => void,
@@ -178,14 +178,14 @@
     drains.push(machine.machine);
   };
   const starved = new Set(served.filter(isStarved));
-  bringUp(getNeeded, () => supply.findIdle(getKept), move);
-  bringUp(
+  grantMachines(getNeeded, () => supply.findIdle(getKept), move);
+  grantMachines(
     (pool) => (starved.has(pool) ? pool.neededHosts : 0),
     () => supply.findIdle(getNeeded),
     move,
   );
-  bringUp(getNeeded, () => supply.findBusy(getKept), drain);
-  bringUp(
+  grantMachines(getNeeded, () => supply.findBusy(getKept), drain);
+  grantMachines(
     ({ wantedHosts }) => wantedHosts,
     () => supply.findIdle(getKept),
     move,
--- a/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
@@ -204,6 +204,10 @@
       );
       if (fenced !== undefined && fence.version === this.#ownerVersion) {
         this.endTerm('another daemon is the owner');
+      } else if (fenced === undefined && renewal !== null) {
+        // What else was in the transaction failed, not the ownership: the renewal goes alone.
+        this.#renewalSentAtMs = -Infinity;
+        void this.commit([], []);
       }
     }
     return reply;
--- a/packages/baobabwell-ownership/src/__tests__/unit/BaobabwellOwnership.test.ts
+++ b/packages/baobabwell-ownership/src/__tests__/unit/BaobabwellOwnership.test.ts
@@ -82,6 +82,15 @@
     expect(store.sentCount - before).toEqual(50);
   });
 
+  it('keeps its lease while what it commits conflicts with other rows', async () => {
+    const stale = [{ table: 'progress', key: 'job', version: 99 }];
+    for (let sent = 0; sent < 60; sent += 1) {
+      await time.settle(ownership.commit(stale, []), 1_000);
+      await time.advance(40);
+    }
+    expect(ownership.canAct()).toEqual(true);
+  });
+
   it('keeps its lease in a slow store with at most one renewal beside a transaction', async () => {
     rows.faults = { ...NO_STORE_FAULTS, slowMs: 450 };
     store.mostOpen = 0;
