emulator: an end that a host reported counts for the order of steps, also when the host is lost

Traced: the host listed a task's end as done at 2,183 ms, the owner applied it, and the host began a new life before the end was stored and acknowledged; the oracle then took the task for not done, and the next step's starts at 3,802 ms, after all tasks had ended as done, for too early. By the users' rule a start is early only before all tasks of the steps before it have ended as done; whether an end was taken note of matters for starting the task itself again, which stays as it was. Change: the oracle keeps apart that a task ever ended as done and that it counts as done now. Test: replays the case; fails with the oracle before.

--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOracle.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOracle.ts
@@ -1,6 +1,6 @@
 import type { JobRecord, StepSpec } from '@baobabwell/jobs';
 
-import { parseTaskName, RunEnd } from '@baobabwell/jobs';
+import { formatTaskName, parseTaskName, RunEnd } from '@baobabwell/jobs';
 
 /** Promises that the oracle checks on what hosts saw. */
 export enum JobPromise {
@@ -29,6 +29,8 @@
 type TaskTrace = {
   readonly running: Set<string>;
   isDone: boolean;
+  /** A run ended as done, also when that end was lost with its host before it was acknowledged. */
+  hasEndedDone: boolean;
   failures: number;
 };
 
@@ -88,10 +90,8 @@
     if (trace.failures >= this.maxAttempts) {
       this.#add(JobPromise.KeepsAttempts, task, atMs, `${trace.failures} failures`);
     }
-    const before = step.after.some((position) =>
-      this.listOpenTasks(name.jobId).some((open) => parseTaskName(open)?.step === position),
-    );
-    if (before) {
+    const isEarly = step.after.some((position) => this.#hasUnendedTask(name.jobId, position));
+    if (isEarly) {
       this.#add(JobPromise.KeepsOrder, task, atMs, host);
     }
     if (freeCpuMillis < step.need.cpuMillis) {
@@ -105,6 +105,7 @@
     const trace = this.#getTrace(task);
     trace.running.delete(host);
     trace.isDone ||= end === RunEnd.Done;
+    trace.hasEndedDone ||= end === RunEnd.Done;
     trace.failures += end === RunEnd.Failed ? 1 : 0;
     const name = parseTaskName(task);
     const step = this.findStep(task);
@@ -118,6 +119,14 @@
     this.#getTrace(task).isDone = false;
   }
 
+  /** True while a task of a step has never ended as done; an end that was forgotten did happen. */
+  #hasUnendedTask(jobId: string, position: number): boolean {
+    const taskCount = this.jobs.get(jobId)?.spec.steps[position]?.taskCount ?? 0;
+    return Array.from({ length: taskCount }, (_, index) =>
+      formatTaskName({ jobId, occurrence: 0, step: position, index }),
+    ).some((task) => this.#tasks.get(task)?.hasEndedDone !== true);
+  }
+
   #use(jobId: string, cpuMillis: number, task: string, atMs: number): void {
     const organisation = this.jobs.get(jobId)?.organisation ?? null;
     if (organisation === null) {
@@ -135,7 +144,12 @@
     if (known !== undefined) {
       return known;
     }
-    const trace: TaskTrace = { running: new Set(), isDone: false, failures: 0 };
+    const trace: TaskTrace = {
+      running: new Set(),
+      isDone: false,
+      hasEndedDone: false,
+      failures: 0,
+    };
     this.#tasks.set(task, trace);
     return trace;
   }
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
@@ -76,6 +76,17 @@
     await expectCompleted(jobs);
   });
 
+  it('goes on from an end that a host reported just before it was lost', async () => {
+    await start(1);
+    const job = fleet.submit([{ taskCount: 3, estimateMs: 673 }, { after: [0] }]);
+    // The first end was answered, and the host is replaced before it learns that the end is stored.
+    await fleet.time.advance(683);
+    fleet.startHost('host-0');
+    await fleet.time.advance(6_000);
+    expect(fleet.oracle.starts > 7).toEqual(true);
+    await expectCompleted([job]);
+  });
+
   it('hands running work to the next owner when the owner is killed', async () => {
     await start(3);
     const jobs = Array.from({ length: 5 }, () => fleet.submit([{ estimateMs: 4_000 }]));
