ownership: a commit belongs to a term, and is refused once that is over

Cause, found in reading the change: the fence of a commit was the version of the owner's row as last seen. A former owner that had seen its successor's row committed under the successor's fence; a wave's progress whose machine order was under way when the term ended did so, and renewed the successor's lease. Ruled out: the committer and the renewals, which end with the term. Change: commit takes the term; its fence is the version at which that term began, and a term that is not the current one is refused without a call. Machine orders look at the end of the term as well. Test: a commit after another owner was seen was stored before, is refused now. Dead: getTerm, createFence.

--- a/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
@@ -82,7 +82,8 @@
       this.#recordStored(batch, 0);
       return;
     }
-    const reply = await this.#context.ownership.commit(batch.conditions, batch.writes);
+    const { ownership, term } = this.#context;
+    const reply = await ownership.commit(term, batch.conditions, batch.writes);
     if (reply.ok) {
       this.#retry.settle();
       this.#recordStored(batch, reply.value);
--- a/packages/baobabwell-controller/src/BaobabwellControllerMachines.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerMachines.ts
@@ -112,10 +112,10 @@
       readonly epoch: number;
     }) => Promise<Result<null, CloudError> | undefined>,
   ): Promise<boolean> {
-    const { clock, logger, metrics, holder, term, ownership } = this.#context;
+    const { clock, logger, metrics, holder, term, ownership, signal } = this.#context;
     const name = machine.machine;
     // The next owner counts on it that nothing is ordered later; the next round decides anew.
-    if (ownership.getLeaseAgeMs() > ORDER_LEASE_MS) {
+    if (signal.aborted || ownership.getLeaseAgeMs() > ORDER_LEASE_MS) {
       return false;
     }
     const sentAtMs = clock.getNow();
--- a/packages/baobabwell-controller/src/BaobabwellControllerWaves.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerWaves.ts
@@ -220,10 +220,11 @@
     row: WaveRow,
     state: WaveState | null,
   ): Promise<boolean> {
-    const { ownership, codec, logger, metrics } = this.#context;
+    const { ownership, term, codec, logger, metrics } = this.#context;
     const done = machines.filter((name) => row.done.has(name) || row.down.get(name) === true);
     const isReported = state === WaveState.Completed;
     const reply = await ownership.commit(
+      term,
       [],
       [
         {
--- a/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
@@ -6,7 +6,7 @@
 import { z } from 'zod';
 
 import { TableErrorKind } from '@baobabwell/platform';
-import { RetryDelay } from '@baobabwell/utils';
+import { createError, RetryDelay } from '@baobabwell/utils';
 
 import {
   CANDIDATE_DELAY_MS,
@@ -92,8 +92,8 @@
   /** Monotonic time at which the last renewal was sent, in ms. */
   #renewalSentAtMs = 0;
 
-  /** Monotonic times at which the transactions that are not answered were sent, in ms. */
-  readonly #openSinceMs = new Set<{ readonly sentAtMs: number }>();
+  /** Transactions that are not answered, with the monotonic time at which each was sent, in ms. */
+  readonly #open = new Set<{ readonly sentAtMs: number }>();
 
   constructor(options: {
     readonly store: WatchableTableService;
@@ -114,11 +114,6 @@
     return this.#owner?.isReleased === true ? null : this.#owner;
   }
 
-  /** The current term of this daemon, or `null` when it is not the owner. */
-  getTerm(): Term | null {
-    return this.#term;
-  }
-
   /** True while this daemon may act as the owner; looked at before each act. */
   canAct(): boolean {
     return this.#term !== null && this.getLeaseAgeMs() < OWNER_LEASE_MS;
@@ -169,45 +164,46 @@
       await this.#clock.wait(RENEW_MS, signal);
       if (this.#term !== null && !signal.aborted && this.#isRenewalDue() && !this.#isBusy()) {
         // Not awaited: a silent store must not hold up the next renewal.
-        void this.commit([], []);
+        void this.commit(this.#term, [], []);
       }
     }
   }
 
-  /** Condition that holds only while this daemon is the owner. */
-  createFence(): RowCondition {
-    return { table: OWNERSHIP_TABLE, key: OWNER_KEY, version: this.#ownerVersion };
-  }
-
   /**
-   * Commits writes that fail once another daemon is the owner. Where a renewal is due, it goes with
-   * them: all rows of the owner share one part of the store, which takes transactions one by one.
+   * Commits writes of a term that fail once it is over. Where a renewal is due, it goes with them: all
+   * rows of the owner share one part of the store, which takes transactions one by one.
    */
   async commit(
+    term: Term,
     conditions: readonly RowCondition[],
     writes: readonly RowWrite[],
   ): Promise<Result<number, TableError>> {
-    const fence = this.createFence();
-    const renewal = this.#isRenewalDue() ? this.#createRenewal() : null;
+    if (term !== this.#term) {
+      const cause = 'the term is over';
+      return createError({ kind: TableErrorKind.Unavailable, mayHaveCommitted: false, cause });
+    }
+    // The owner's row does not change while a term lasts.
+    const fence = { table: OWNERSHIP_TABLE, key: OWNER_KEY, version: term.startVersion };
+    const renewal = this.#isRenewalDue() ? this.#createRenewal(term) : null;
     const open = { sentAtMs: this.#clock.getNow() };
-    this.#openSinceMs.add(open);
+    this.#open.add(open);
     const reply = await this.#store.commit({
       conditions: [fence, ...conditions],
       writes: [...writes, ...(renewal?.writes ?? [])],
     });
-    this.#openSinceMs.delete(open);
+    this.#open.delete(open);
     renewal?.settle(reply);
     if (!reply.ok && reply.error.kind === TableErrorKind.Conflict) {
       const fenced = reply.error.conflicts.find(
         ({ table, key, version }) =>
           table === fence.table && key === fence.key && version !== fence.version,
       );
-      if (fenced !== undefined && fence.version === this.#ownerVersion) {
+      if (fenced !== undefined && term === this.#term) {
         this.endTerm('another daemon is the owner');
       } else if (fenced === undefined && renewal !== null) {
         // What else was in the transaction failed, not the ownership: the renewal goes alone.
         this.#renewalSentAtMs = -Infinity;
-        void this.commit([], []);
+        void this.commit(term, [], []);
       }
     }
     return reply;
@@ -231,6 +227,7 @@
       return;
     }
     const released = await this.commit(
+      term,
       [],
       [{ table: OWNERSHIP_TABLE, key: OWNER_KEY, value: { ...this.#owner, isReleased: true } }],
     );
@@ -348,22 +345,21 @@
   /** A transaction is under way that the store may still answer. */
   #isBusy(): boolean {
     const nowMs = this.#clock.getNow();
-    return [...this.#openSinceMs].some(({ sentAtMs }) => nowMs - sentAtMs < RENEWAL_PATIENCE_MS);
+    return [...this.#open].some(({ sentAtMs }) => nowMs - sentAtMs < RENEWAL_PATIENCE_MS);
   }
 
   /** Creates the write that renews the lease, and what to do with the answer. */
-  #createRenewal(): {
+  #createRenewal(term: Term): {
     readonly writes: readonly RowWrite[];
     readonly settle: (reply: Result<number, TableError>) => void;
   } {
     const steadyMs = this.#clock.getNow();
     const sentAt = { steadyMs, wallMs: this.#clock.getWallTime() };
-    const term = this.#term;
     this.#renewalSentAtMs = steadyMs;
     return {
-      writes: [{ table: OWNERSHIP_TABLE, key: RENEWAL_KEY, value: term?.epoch ?? 0 }],
+      writes: [{ table: OWNERSHIP_TABLE, key: RENEWAL_KEY, value: term.epoch }],
       settle: (reply) => {
-        if (this.#term === term && term !== null) {
+        if (this.#term === term) {
           this.#recordRenewal(sentAt, reply);
         }
       },
--- a/packages/baobabwell-ownership/src/__tests__/unit/BaobabwellOwnership.test.ts
+++ b/packages/baobabwell-ownership/src/__tests__/unit/BaobabwellOwnership.test.ts
@@ -1,3 +1,4 @@
+import type { Term } from '../../index';
 import type { TableError, Transaction } from '@baobabwell/platform';
 import type { Result } from '@baobabwell/utils';
 
@@ -8,7 +9,7 @@
 import { Logger, LogLevel } from '@baobabwell/logging';
 import { Random } from '@baobabwell/utils';
 
-import { Ownership } from '../../index';
+import { Ownership, OWNERSHIP_TABLE } from '../../index';
 
 const SEED = 3;
 const START_MS = 400;
@@ -36,6 +37,7 @@
   let rows: EmulatedRows;
   let store: CountingStore;
   let ownership: Ownership;
+  let term: Term;
 
   beforeEach(async () => {
     time = new EmulatedTime();
@@ -46,7 +48,12 @@
       clock: time,
       logger: new Logger(LogLevel.Error, {}, () => undefined),
       candidate: { name: 'a', life: '1', address: 'a', fitness: 1 },
-      listener: { startTerm: () => undefined, endTerm: () => undefined },
+      listener: {
+        startTerm: (started) => {
+          term = started;
+        },
+        endTerm: () => undefined,
+      },
     });
     void ownership.run();
     void ownership.runRenewals();
@@ -75,7 +82,7 @@
   it('renews with what it commits anyway, and sends no renewal beside it', async () => {
     const before = store.sentCount;
     for (let sent = 0; sent < 50; sent += 1) {
-      await time.settle(ownership.commit([], []), 1_000);
+      await time.settle(ownership.commit(term, [], []), 1_000);
       await time.advance(40);
     }
     expect(ownership.canAct()).toEqual(true);
@@ -85,17 +92,31 @@
   it('keeps its lease while what it commits conflicts with other rows', async () => {
     const stale = [{ table: 'progress', key: 'job', version: 99 }];
     for (let sent = 0; sent < 60; sent += 1) {
-      await time.settle(ownership.commit(stale, []), 1_000);
+      await time.settle(ownership.commit(term, stale, []), 1_000);
       await time.advance(40);
     }
     expect(ownership.canAct()).toEqual(true);
   });
 
+  it('commits nothing more once another owner was seen', async () => {
+    const successor = { name: 'b', life: '2', address: 'b', epoch: 2, isReleased: false };
+    rows.apply({
+      conditions: [],
+      writes: [{ table: OWNERSHIP_TABLE, key: 'owner', value: successor }],
+    });
+    await time.advance(500);
+    expect(ownership.getOwner()).toEqual(successor);
+    const before = rows.version;
+    const write = { table: 'waves', key: '1', value: 1 };
+    const reply = await time.settle(ownership.commit(term, [], [write]), 1_000);
+    expect([reply.ok, rows.version]).toEqual([false, before]);
+  });
+
   it('keeps its lease in a slow store with at most one renewal beside a transaction', async () => {
     rows.faults = { ...NO_STORE_FAULTS, slowMs: 450 };
     store.mostOpen = 0;
     for (let round = 0; round < 10; round += 1) {
-      await time.settle(ownership.commit([], []), 1_000);
+      await time.settle(ownership.commit(term, [], []), 1_000);
       await time.advance(300);
       expect(ownership.canAct()).toEqual(true);
     }
