--- a/packages/baobabwell-calls/src/BaobabwellCallsHttp.ts
+++ b/packages/baobabwell-calls/src/BaobabwellCallsHttp.ts
@@ -6,6 +6,7 @@
 import { randomUUID } from 'node:crypto';
 import { z } from 'zod';
 
+import { HEAD_LIMITS, registerRawBodies } from '@baobabwell/http';
 import { Outcome, PriorityClass } from '@baobabwell/model';
 
 import {
@@ -19,12 +20,6 @@
 const HEADER_LIMIT_BYTES = 16 * 1024;
 const REQUEST_TIMEOUT_MS = 30_000;
 
-/** Time for a request's head, in ms: heads come in a packet or two, also from far away. */
-const HEAD_TIMEOUT_MS = 5_000;
-
-/** Pause between two searches for requests beyond these times, in ms; the default is half a minute. */
-const TIMEOUT_CHECK_MS = 1_000;
-
 const IDLE_SOCKET_MS = 120_000;
 const MAX_TIMEOUT_MS = 24 * 60 * 60 * 1_000;
 const MAX_KEY_LENGTH = 255;
@@ -95,8 +90,7 @@
 function createServer(credentials: ServerCredentials | null): FastifyInstance {
   const limits = {
     maxHeaderSize: HEADER_LIMIT_BYTES,
-    headersTimeout: HEAD_TIMEOUT_MS,
-    connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+    ...HEAD_LIMITS,
   };
   const options = {
     bodyLimit: BODY_LIMIT_BYTES,
@@ -113,10 +107,7 @@
           ...options,
           https: { ...limits, ...credentials },
         }) as unknown as FastifyInstance);
-  server.removeAllContentTypeParsers();
-  server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
-    done(null, body);
-  });
+  registerRawBodies(server);
   registerErrorReplies(server);
   return server;
 }
--- a/packages/baobabwell-controller/src/BaobabwellControllerAdvice.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerAdvice.ts
@@ -17,8 +17,7 @@
 type StepAdvice = {
   /** Ticket and last use of each host that may run the step, in ms of the steady clock. */
   readonly tickets: Map<string, { readonly ticket: string; readonly untilMs: number }>;
-  /** Hosts that were asked about; the policy of a step does not change. */
-  readonly asked: Set<string>;
+  /** Hosts that may not run the step, which does not change. */
   readonly refused: Set<string>;
   isAsking: boolean;
   notBeforeMs: number;
@@ -65,7 +64,6 @@
     }
     const advice: StepAdvice = {
       tickets: new Map(),
-      asked: new Set(),
       refused: new Set(),
       isAsking: false,
       notBeforeMs: 0,
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -83,7 +83,7 @@
   placeOnce(bound: number): void {
     const nowMs = this.#context.clock.getNow();
     const steps = this.listReadySteps().filter(({ step }) => step.job.acceptedVersion <= bound);
-    if (steps.every(({ step }) => step.waitingCount === 0)) {
+    if (steps.length === 0) {
       return;
     }
     const tickets = new Map<Step, ReadonlyMap<string, string> | null>();
@@ -93,10 +93,7 @@
       steps,
       hosts: this.#listHosts(nowMs),
       allowances: this.#listAllowances(),
-      findAllowedHosts: (step) => {
-        const allowed = tickets.get(step) ?? null;
-        return allowed === null ? null : new Set(allowed.keys());
-      },
+      findAllowedHosts: (step) => tickets.get(step) ?? null,
     });
     this.#start(placements, tickets);
   }
@@ -117,7 +114,7 @@
       const isBlocked = job.acceptedVersion <= term.startVersion && unsettled.size > 0;
       if (queue !== null && !(isBlocked && unsettled.has(queue.pool))) {
         ledger
-          .listReadySteps(job, wallMs, nowMs)
+          .listReadySteps(job, wallMs)
           .filter(({ waitingCount }) => waitingCount > 0)
           .forEach((step) => {
             const urgency = getUrgency(step, queue, nowMs, wallMs);
@@ -146,7 +143,6 @@
       pool: host.pool,
       labels: host.listed?.labels ?? [],
       free: host.getFree(),
-      slowness: host.slowness,
       servingCount: host.countServing(),
       fillingCount: host.countFilling(),
       hasLasting: listLasting(host).length > 0,
--- a/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDuties.ts
@@ -199,10 +199,11 @@
 
   #applyCordons(cordons: ReadonlyMap<string, string>): void {
     const { hosts, logger, requestDispatch } = this.#context;
+    const ordered = this.#machines.listOrderedHosts();
     hosts.forEach((known, id) => {
       const host = known;
       // A host whose move or upkeep was ordered takes no work until that has shown.
-      const reason = cordons.get(id) ?? (this.#isOrdered(id) ? 'its machine was ordered' : null);
+      const reason = cordons.get(id) ?? (ordered.has(id) ? 'its machine was ordered' : null);
       if (host.isCordoned !== (reason !== null)) {
         host.isCordoned = reason !== null;
         logger.recordInfo('host-cordon', { host: id, reason, runs: host.runs.size });
@@ -211,11 +212,6 @@
     });
   }
 
-  #isOrdered(hostId: string): boolean {
-    const machine = this.#machines.list().find((listed) => listed.hostId === hostId);
-    return machine !== undefined && this.#machines.isPending(machine.machine);
-  }
-
   #moveMachines(reserved: ReadonlyMap<string, string>): ReadonlyMap<string, string> {
     const needs = this.#listNeeds(reserved);
     const { moves, drains } = decideMoves(needs);
@@ -328,13 +324,20 @@
       return;
     }
     this.#loadToldMs.set(pool, nowMs);
-    const { cpuMillis } = this.getRoom(pool);
-    this.#recordPool(pool, load, upCount);
+    const arrivingCount = this.#machines.countArriving(pool);
+    const { cpuMillis: roomCpu } = this.getRoom(pool);
+    const { poolHosts, poolCores } = this.#context.metrics;
+    poolHosts.set({ pool, state: 'up' }, upCount);
+    poolHosts.set({ pool, state: 'arriving' }, arrivingCount);
+    poolHosts.set({ pool, state: 'wanted' }, this.#wanted.findLast(pool) ?? 0);
+    poolCores.set({ pool, use: 'room' }, roomCpu / CORE_MILLIS);
+    poolCores.set({ pool, use: 'running' }, load.runningCpuMillis / CORE_MILLIS);
+    poolCores.set({ pool, use: 'waiting' }, load.waitingCpuMillis / CORE_MILLIS);
     this.#context.logger.recordInfo('pool-load', {
       pool,
       up: upCount,
-      arriving: this.#machines.countArriving(pool),
-      roomCpu: cpuMillis,
+      arriving: arrivingCount,
+      roomCpu,
       lastingCpu: load.lastingCpuMillis,
       runningCpu: load.runningCpuMillis,
       waitingCpu: load.waitingCpuMillis,
@@ -342,16 +345,6 @@
     });
   }
 
-  #recordPool(pool: string, load: PoolLoad, upCount: number): void {
-    const { poolHosts, poolCores } = this.#context.metrics;
-    poolHosts.set({ pool, state: 'up' }, upCount);
-    poolHosts.set({ pool, state: 'arriving' }, this.#machines.countArriving(pool));
-    poolHosts.set({ pool, state: 'wanted' }, this.#wanted.findLast(pool) ?? 0);
-    poolCores.set({ pool, use: 'free' }, this.getRoom(pool).cpuMillis / CORE_MILLIS);
-    poolCores.set({ pool, use: 'running' }, load.runningCpuMillis / CORE_MILLIS);
-    poolCores.set({ pool, use: 'waiting' }, load.waitingCpuMillis / CORE_MILLIS);
-  }
-
   /** Records what a pool wants, and gives the most that it wanted lately. */
   #recordWanted(pool: string, hosts: number, nowMs: number): number {
     const before = this.#wanted.findLast(pool);
--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -52,9 +52,6 @@
   /** Gets no new work because it is about to leave the pool or go down. */
   isCordoned = false;
 
-  /** Work takes this many times as long as estimated, against the others of its pool. */
-  slowness = 1;
-
   /** Monotonic time since which all that ran there may have been unknown, in ms. */
   readonly knownSinceMs: number;
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerLoad.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerLoad.ts
@@ -54,18 +54,20 @@
 }: TermContext): ReadonlyMap<string, PoolLoad> {
   const loads = new Map<string, MutableLoad>();
   const pools = new Map(getConfiguration()?.queues.map(({ name, pool }) => [name, pool]));
-  const nowMs = clock.getNow();
   const wallMs = clock.getWallTime();
   for (const job of ledger.listJobs()) {
     const pool = pools.get(job.record.queue);
     if (pool !== undefined) {
       const load = loads.get(pool) ?? createLoad();
       loads.set(pool, load);
-      const isLasting = job.record.spec.steps.some((step) => step.isLasting);
-      if (!isLasting) {
-        addArrival(load, job, wallMs - job.record.acceptedAtMs);
+      const ageMs = wallMs - job.record.acceptedAtMs;
+      // What ended counts as an arrival for two seconds, and no longer for anything.
+      if (!job.isEnded || ageMs < 2 * SECOND_MS) {
+        if (!job.record.spec.steps.some((step) => step.isLasting)) {
+          addArrival(load, job, ageMs);
+        }
+        ledger.listReadySteps(job, wallMs).forEach((step) => addStep(load, step));
       }
-      ledger.listReadySteps(job, wallMs, nowMs).forEach((step) => addStep(load, step));
     }
   }
   return loads;
--- a/packages/baobabwell-controller/src/BaobabwellControllerMachines.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerMachines.ts
@@ -44,10 +44,6 @@
     return this.#machines;
   }
 
-  hasPending(): boolean {
-    return this.#pending.size > 0;
-  }
-
   isPending(machine: string): boolean {
     return this.#pending.has(machine);
   }
@@ -57,6 +53,15 @@
     return this.#machines.filter((machine) => this.#isArriving(machine, pool)).length;
   }
 
+  /** Hosts whose machine was ordered to move or to have its upkeep. */
+  listOrderedHosts(): ReadonlySet<string> {
+    return new Set(
+      this.#machines
+        .filter(({ machine }) => this.isPending(machine))
+        .flatMap(({ hostId }) => hostId ?? []),
+    );
+  }
+
   /** True for a machine in a spare pool, where it is off and runs nothing. */
   isSpare({ pool }: CloudHost): boolean {
     const pools = this.#context.getConfiguration()?.pools ?? [];
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -302,7 +302,7 @@
     if (ledger.findJob(key) !== null) {
       return;
     }
-    ledger.addJob(record, version, clock.getNow());
+    ledger.addJob(record, version);
     metrics.jobs.inc({ queue: record.queue, event: 'accepted' });
     logger.recordInfo('job-seen', {
       job: key,
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonConfiguration.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonConfiguration.ts
@@ -4,7 +4,7 @@
 import type { Row } from '@baobabwell/platform';
 import type { Clock } from '@baobabwell/utils';
 
-import { WatchErrorKind } from '@baobabwell/platform';
+import { getKeyRange, WatchErrorKind } from '@baobabwell/platform';
 import { RetryDelay } from '@baobabwell/utils';
 
 /**
@@ -100,11 +100,7 @@
 
   async #readAll(): Promise<number | null> {
     const { store, codec, configurationKey } = this.#adapters;
-    const page = await store.list({
-      table: codec.operatorTable,
-      from: configurationKey,
-      to: `${configurationKey}\u0001`,
-    });
+    const page = await store.list(getKeyRange(codec.operatorTable, configurationKey));
     if (!page.ok) {
       this.#logger.recordWarning('configuration-not-read', { reason: page.error.kind });
       return null;
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonMetricsPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonMetricsPlugin.ts
@@ -2,16 +2,11 @@
 
 import Fastify from 'fastify';
 
+import { registerMetricsRoutes } from '@baobabwell/metrics';
+
 import { registerStatusRoutes } from './BaobabwellDaemonStatus';
 import { CONFIGURATION, CONTROLLER, METRICS, OWNERSHIP, SETTINGS } from './BaobabwellDaemonTokens';
 
-const METRICS_PATH = '/metrics';
-
-/** The same as objects; the burn report reads it. */
-const JSON_PATH = '/metrics.json';
-
-const TEXT = 'text/plain; version=0.0.4';
-
 const SECOND_MS = 1_000;
 
 /** Age told while no configuration was ever read. */
@@ -36,21 +31,14 @@
 /** Serves the metrics of this process, as text and as objects, and operators' questions. */
 export const metricsPlugin: Plugin = {
   name: 'metrics server',
-  register() {
-    return () => undefined;
+  register(kernel) {
+    return kernel.getService(METRICS).registerCollector(() => updateGauges(kernel));
   },
   async start(kernel) {
     const metrics = kernel.getService(METRICS);
     metrics.startTime.set(kernel.clock.getWallTime() / SECOND_MS);
     const server = Fastify();
-    server.get(METRICS_PATH, async (_request, reply) => {
-      updateGauges(kernel);
-      return reply.type(TEXT).send(await metrics.formatText());
-    });
-    server.get(JSON_PATH, async () => {
-      updateGauges(kernel);
-      return metrics.readMetrics();
-    });
+    registerMetricsRoutes(server, metrics);
     registerStatusRoutes(server, {
       getOwner: () => kernel.getService(OWNERSHIP).getOwner(),
       getContext: () => kernel.getService(CONTROLLER).getLoadedTerm()?.context ?? null,
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonRelayedStore.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonRelayedStore.ts
@@ -1,7 +1,6 @@
 import type { Logger } from '@baobabwell/logging';
 import type {
   ChangePage,
-  Row,
   RowRange,
   TableError,
   Transaction,
@@ -121,13 +120,6 @@
     );
   }
 
-  override async read(table: string, key: string): Promise<Result<Row | null, TableError>> {
-    const page = await this.list({ table, from: key, to: `${key}\u0001` });
-    return page.ok
-      ? { ok: true, value: page.value.rows.find((row) => row.key === key) ?? null }
-      : page;
-  }
-
   async #reach<Value>(
     askDirect: () => Promise<Result<Value, TableError>>,
     askPeer: (address: string) => Promise<Result<Value, TableError> | null>,
--- a/packages/baobabwell-entry/src/BaobabwellEntryOperatorServerPlugin.ts
+++ b/packages/baobabwell-entry/src/BaobabwellEntryOperatorServerPlugin.ts
@@ -8,6 +8,7 @@
 
 import { buildDigest } from '@baobabwell/calls';
 import { createServiceToken } from '@baobabwell/kernel';
+import { registerMetricsRoutes } from '@baobabwell/metrics';
 import { EntityKind } from '@baobabwell/model';
 
 import { parseAddress } from './BaobabwellEntryAddress';
@@ -61,14 +62,6 @@
   });
 }
 
-function registerMetricsRoutes(kernel: Kernel, server: FastifyInstance): void {
-  const metrics = kernel.getService(METRICS);
-  server.get('/metrics', async (_request, reply) => {
-    return reply.type(metrics.registry.contentType).send(await metrics.format());
-  });
-  server.get('/metrics.json', async () => metrics.list());
-}
-
 /** The operator server, which is built once its credentials were read. */
 class OperatorServer {
   #server: FastifyInstance | null = null;
@@ -104,7 +97,7 @@
     kernel.getService(METRICS).startProcessMetrics();
     registerOperatorRoutes(kernel, server);
     registerHealthRoutes(server, kernel.getService(READINESS));
-    registerMetricsRoutes(kernel, server);
+    registerMetricsRoutes(server, kernel.getService(METRICS));
     await server.listen(parseAddress(kernel.getService(ENTRY_SETTINGS).operators));
     if (files !== null && credentials !== null) {
       startReloader(kernel, server, files, credentials);
--- a/packages/baobabwell-fleet/src/BaobabwellFleetMoves.ts
+++ b/packages/baobabwell-fleet/src/BaobabwellFleetMoves.ts
@@ -191,13 +191,15 @@
     move,
   );
   const spare = pools.find(({ isSpare }) => isSpare);
-  served.forEach((pool) => {
-    let extra = spare === undefined ? null : supply.findIdleIn(pool, getKept(pool));
-    while (spare !== undefined && extra !== null) {
-      supply.take(extra);
-      move(extra, spare);
-      extra = supply.findIdleIn(pool, getKept(pool));
-    }
-  });
+  if (spare !== undefined) {
+    served.forEach((pool) => {
+      let extra = supply.findIdleIn(pool, pool.keptHosts);
+      while (extra !== null) {
+        supply.take(extra);
+        move(extra, spare);
+        extra = supply.findIdleIn(pool, pool.keptHosts);
+      }
+    });
+  }
   return { moves, drains };
 }
--- /dev/null
+++ b/packages/baobabwell-http/src/index.ts
@@ -0,0 +1,1 @@
+export { HEAD_LIMITS, registerRawBodies } from './BaobabwellHttp';
--- a/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
@@ -7,6 +7,8 @@
 
 import Fastify from 'fastify';
 
+import { HEAD_LIMITS, registerRawBodies } from '@baobabwell/http';
+
 import { AnswerKind, ClientRequestKind } from './BaobabwellIngressModel';
 import { findOrganisation, findQueue } from './BaobabwellIngressRouting';
 
@@ -22,13 +24,9 @@
 /** Idle time after which a caller's connection is closed, in ms: beyond a caller's pause. */
 const KEEP_ALIVE_MS = 15_000;
 
-/** Time for a call's head, and for the whole call, in ms: callers wait three seconds for an answer. */
-const HEAD_TIMEOUT_MS = 5_000;
+/** Time for a whole call to arrive, in ms: callers wait three seconds for an answer. */
 const REQUEST_TIMEOUT_MS = 10_000;
 
-/** Pause between two searches for calls beyond these times, in ms; the default is half a minute. */
-const TIMEOUT_CHECK_MS = 1_000;
-
 /** A call that was answered. */
 export type AnsweredCall = {
   readonly queue: string | null;
@@ -63,14 +61,11 @@
       bodyLimit: MAX_BODY_BYTES,
       keepAliveTimeout: KEEP_ALIVE_MS,
       requestTimeout: REQUEST_TIMEOUT_MS,
-      http: { headersTimeout: HEAD_TIMEOUT_MS, connectionsCheckingInterval: TIMEOUT_CHECK_MS },
+      http: HEAD_LIMITS,
       exposeHeadRoutes: false,
       return503OnClosing: false,
     });
-    server.removeAllContentTypeParsers();
-    server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) =>
-      done(null, body),
-    );
+    registerRawBodies(server);
     server.all('*', async (request, reply) => this.#handle(request, reply));
     return server;
   }
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOracle.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOracle.ts
@@ -61,20 +61,6 @@
     return (name && this.jobs.get(name.jobId)?.spec.steps[name.step]) ?? null;
   }
 
-  isTaskDone(task: string): boolean {
-    return this.#tasks.get(task)?.isDone ?? false;
-  }
-
-  /** Tasks of a job that are not done. */
-  listOpenTasks(jobId: string): readonly string[] {
-    const steps = this.jobs.get(jobId)?.spec.steps ?? [];
-    return steps
-      .flatMap(({ taskCount }, step) =>
-        Array.from({ length: taskCount }, (_, index) => `${jobId}.0.${step}.${index}`),
-      )
-      .filter((task) => !this.isTaskDone(task));
-  }
-
   recordStart(task: string, host: string, atMs: number, freeCpuMillis: number): void {
     this.starts += 1;
     const step = this.findStep(task);
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorStore.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorStore.ts
@@ -137,19 +137,6 @@
     return createOk({ rows: this.#rows.list(range), version: this.#rows.version });
   }
 
-  override async read(table: string, key: string): Promise<Result<Row | null, TableError>> {
-    const page = await this.list({ table, from: key, to: `${key}\u0001` });
-    return page.ok ? createOk(page.value.rows[0] ?? null) : page;
-  }
-
-  override async readSince(
-    table: string,
-    version: number,
-  ): ReturnType<WatchableTableService['readSince']> {
-    const rows = this.#rows.listSince(table, version);
-    return createOk({ rows, serviceVersion: this.#rows.version });
-  }
-
   override async waitForChanges(
     table: string,
     version: number,
--- a/packages/baobabwell-jobs/src/BaobabwellJobsEntries.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsEntries.ts
@@ -158,9 +158,6 @@
 
   waitingCount: number;
 
-  /** Monotonic time at which all steps before this one were done, in ms. */
-  readyAtMs: number | null = null;
-
   readonly #runsByHost = new Map<string, number>();
 
   constructor(
@@ -181,11 +178,6 @@
     return this.#runsByHost.get(hostId) ?? 0;
   }
 
-  /** Hosts that hold runs of the step. */
-  listHosts(): readonly string[] {
-    return [...this.#runsByHost.keys()];
-  }
-
   addOnHost(hostId: string, change: number): void {
     const count = this.countOnHost(hostId) + change;
     if (count === 0) {
@@ -220,14 +212,10 @@
   /** Monotonic time at which the job ended, in ms. */
   endedAtMs: number | null = null;
 
-  /**
-   * @param acceptedVersion place of the job in the store's order of writes.
-   * @param seenAtMs monotonic time at which this process learnt of the job, in ms.
-   */
+  /** @param acceptedVersion place of the job in the store's order of writes. */
   constructor(
     readonly record: JobRecord,
     readonly acceptedVersion: number,
-    readonly seenAtMs: number,
   ) {}
 
   get isEnded(): boolean {
--- a/packages/baobabwell-jobs/src/BaobabwellJobsLedger.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsLedger.ts
@@ -46,12 +46,12 @@
   }
 
   /** Adds an accepted job; one that is known stays as it is. */
-  addJob(record: JobRecord, version: number, nowMs: number): Job {
+  addJob(record: JobRecord, version: number): Job {
     const known = this.#jobs.get(record.id);
     if (known !== undefined) {
       return known;
     }
-    const job = new Job(record, version, nowMs);
+    const job = new Job(record, version);
     this.#jobs.set(record.id, job);
     this.#open.add(job);
     return job;
@@ -121,7 +121,7 @@
   }
 
   /** Lists the steps of an occurrence that may run now. */
-  listReadySteps(job: Job, wallTimeMs: number, nowMs: number): readonly Step[] {
+  listReadySteps(job: Job, wallTimeMs: number): readonly Step[] {
     if (job.isEnded) {
       return [];
     }
@@ -132,21 +132,16 @@
         break;
       }
       if (!job.doneOccurrences.has(occurrence)) {
-        ready.push(...this.#listReadyStepsOf(job.getOccurrence(occurrence), nowMs));
+        ready.push(...this.#listReadyStepsOf(job.getOccurrence(occurrence)));
       }
     }
     return ready;
   }
 
-  #listReadyStepsOf(steps: readonly Step[], nowMs: number): readonly Step[] {
-    return steps.filter((step) => {
-      if (step.isDone() || !step.spec.after.every((before) => steps[before]?.isDone())) {
-        return false;
-      }
-      const ready = step;
-      ready.readyAtMs ??= nowMs;
-      return true;
-    });
+  #listReadyStepsOf(steps: readonly Step[]): readonly Step[] {
+    return steps.filter(
+      (step) => !step.isDone() && step.spec.after.every((before) => steps[before]?.isDone()),
+    );
   }
 
   /** Records that a caller cancelled a job; gives the runs that have to be stopped. */
--- a/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsLedger.test.ts
+++ b/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsLedger.test.ts
@@ -47,7 +47,7 @@
 
   it('brings a job back from its row with done tasks, failed runs and checkpoints', () => {
     const ledger = createLedger();
-    const job = ledger.addJob(createRecord([{}, { after: [0] }]), 1, 0);
+    const job = ledger.addJob(createRecord([{}, { after: [0] }]), 1);
     const [first, second] = job.getOccurrence(0)[0]?.tasks ?? [];
     const done = first?.addRun('host', 1, 0);
     const failed = second?.addRun('host', 1, 0);
@@ -55,7 +55,7 @@
     expect(failed && ledger.applyEnd(failed, RunEnd.Failed, 'half', 0)).toEqual(EndEffect.Requeued);
     const row = parseJobProgress(JSON.parse(JSON.stringify(createJobProgress(job))));
     const later = createLedger();
-    const again = later.addJob(createRecord([{}, { after: [0] }]), 1, 0);
+    const again = later.addJob(createRecord([{}, { after: [0] }]), 1);
     if (row !== null) {
       later.applyProgress(again, row, 2);
     }
@@ -75,7 +75,7 @@
 
   it('counts one failed run once, whoever reports it', () => {
     const ledger = createLedger();
-    const job = ledger.addJob(createRecord([{ taskCount: 1 }]), 1, 0);
+    const job = ledger.addJob(createRecord([{ taskCount: 1 }]), 1);
     const task = job.getOccurrence(0)[0]?.tasks[0];
     const run = task?.addRun('host', 1, 0);
     const same = task?.addRun('host', 1, 0);
@@ -89,16 +89,16 @@
   it('starts an occurrence at its time and no sooner', () => {
     const ledger = createLedger();
     const repeat = { count: 2, firstDueMs: 1_000, intervalMs: 500 };
-    const job = ledger.addJob(createRecord([{}], { repeat }), 1, 0);
+    const job = ledger.addJob(createRecord([{}], { repeat }), 1);
     const counts = [999, 1_000, 1_499, 1_500].map(
-      (wallMs) => ledger.listReadySteps(job, wallMs, 0).length,
+      (wallMs) => ledger.listReadySteps(job, wallMs).length,
     );
     expect(counts).toEqual([0, 1, 1, 2]);
   });
 
   it('tells callers of an end only once it is stored', () => {
     const ledger = createLedger();
-    const job = ledger.addJob(createRecord([{ taskCount: 1 }]), 1, 0);
+    const job = ledger.addJob(createRecord([{ taskCount: 1 }]), 1);
     const run = job.getOccurrence(0)[0]?.tasks[0]?.addRun('host', 1, 0);
     job.hasStarted = true;
     if (run !== undefined) {
--- a/packages/baobabwell-metrics/src/BaobabwellMetrics.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetrics.ts
@@ -1,9 +1,7 @@
 /** The metrics of one entry. Label values come from settings and view, so their number is bounded. */
-import type { MetricObjectWithValues, MetricValue } from 'prom-client';
+import { collectDefaultMetrics, Counter, Gauge, Histogram } from 'prom-client';
 
-import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
-
-const SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
+import { ProcessMetrics, SECONDS_BUCKETS } from './BaobabwellMetricsProcess';
 
 /** How a call counts against the service-level objective of its queue. */
 export enum ObjectiveResult {
@@ -15,13 +13,8 @@
   Failed = 'failed',
 }
 
-/** Brings gauges up to date before they are read. */
-export type CollectGauges = () => void;
-
 /** Holds and renders the metrics of one entry. */
-export class EntryMetrics {
-  readonly registry = new Registry();
-
+export class EntryMetrics extends ProcessMetrics {
   readonly calls = new Counter({
     name: 'baobabwell_calls_total',
     help: 'Ended calls by queue, outcome and reason.',
@@ -191,30 +184,8 @@
     registers: [this.registry],
   });
 
-  readonly #collectors = new Set<CollectGauges>();
-
   /** Adds the metrics of the process: memory, processor time, event loop, garbage collection. */
   startProcessMetrics(): void {
     collectDefaultMetrics({ register: this.registry });
   }
-
-  /** Calls `collect` before each rendering; returns the undo. */
-  registerCollector(collect: CollectGauges): () => void {
-    this.#collectors.add(collect);
-    return () => {
-      this.#collectors.delete(collect);
-    };
-  }
-
-  /** Renders all metrics in the text format of Prometheus. */
-  async format(): Promise<string> {
-    this.#collectors.forEach((collect) => collect());
-    return this.registry.metrics();
-  }
-
-  /** Lists all metrics with their values. */
-  async list(): Promise<readonly MetricObjectWithValues<MetricValue<string>>[]> {
-    this.#collectors.forEach((collect) => collect());
-    return this.registry.getMetricsAsJSON();
-  }
 }
--- a/packages/baobabwell-metrics/src/BaobabwellMetricsDaemon.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetricsDaemon.ts
@@ -1,16 +1,11 @@
 /** The metrics of one process of the fleet. Label values come from the configuration and enums. */
-import type { MetricObjectWithValues, MetricValue } from 'prom-client';
-
-import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { Counter, Gauge, Histogram } from 'prom-client';
 
 import { OwnerMetrics } from './BaobabwellMetricsOwner';
-
-const SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
+import { ProcessMetrics, SECONDS_BUCKETS } from './BaobabwellMetricsProcess';
 
 /** Holds and renders the metrics of one process. */
-export class DaemonMetrics {
-  readonly registry = new Registry();
-
+export class DaemonMetrics extends ProcessMetrics {
   readonly owner = new OwnerMetrics(this.registry);
 
   readonly clientCalls = new Counter({
@@ -67,14 +62,4 @@
     buckets: SECONDS_BUCKETS,
     registers: [this.registry],
   });
-
-  /** Reads all metrics as objects, as reports take them. */
-  async readMetrics(): Promise<readonly MetricObjectWithValues<MetricValue<string>>[]> {
-    return this.registry.getMetricsAsJSON();
-  }
-
-  /** Renders all metrics as text. */
-  async formatText(): Promise<string> {
-    return this.registry.metrics();
-  }
 }
--- a/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
@@ -85,7 +85,7 @@
     );
     this.poolCores = this.#createGauge(
       'baobabwell_pool_cores',
-      'Cores of a pool: free room, in use, and asked for by waiting tasks.',
+      'Cores of a pool: room for tasks that end, in use by them, and asked for by those that wait.',
       ['pool', 'use'],
     );
     this.machineOrders = this.#createCounter(
--- a/packages/baobabwell-metrics/src/index.ts
+++ b/packages/baobabwell-metrics/src/index.ts
@@ -1,5 +1,6 @@
-export type { CollectGauges } from './BaobabwellMetrics';
+export type { CollectGauges } from './BaobabwellMetricsProcess';
 
 export { EntryMetrics, ObjectiveResult } from './BaobabwellMetrics';
 export { DaemonMetrics } from './BaobabwellMetricsDaemon';
 export { OwnerMetrics } from './BaobabwellMetricsOwner';
+export { ProcessMetrics, registerMetricsRoutes } from './BaobabwellMetricsProcess';
--- a/packages/baobabwell-placement/src/BaobabwellPlacement.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacement.ts
@@ -14,8 +14,6 @@
   readonly labels: readonly string[];
   /** Room that is not promised to any run. */
   readonly free: Resources;
-  /** Work takes this many times as long as on a sound host. */
-  readonly slowness: number;
   /** Tasks that serve run there; tasks that fill go elsewhere first. */
   readonly servingCount: number;
   readonly fillingCount: number;
@@ -30,6 +28,9 @@
   gpus: number;
 };
 
+/** Says of a host whether a step may run there. */
+export type AllowedHosts = { readonly has: (hostId: string) => boolean };
+
 /** What placements are decided from. */
 export type PlacementSnapshot = {
   readonly nowMs: number;
@@ -40,7 +41,7 @@
   /** What each organisation may still start; those left out have no limit. */
   readonly allowances: ReadonlyMap<string, Allowance>;
   /** Finds the hosts that the advisor allows for a step; `null` where none is asked. */
-  readonly findAllowedHosts: (step: Step) => ReadonlySet<string> | null;
+  readonly findAllowedHosts: (step: Step) => AllowedHosts | null;
 };
 
 /** A task that is to start on a host. */
@@ -150,7 +151,6 @@
     const { spec } = step;
     let score = 0;
     score += avoidedHosts.has(host.id) ? 1_000_000 : 0;
-    score += (host.slowness - 1) * 100_000;
     score += spec.dataRack !== null && !host.labels.includes(spec.dataRack) ? 50_000 : 0;
     const onHost = step.countOnHost(host.id) + (room.stepCounts.get(step) ?? 0);
     if (spec.isFilling) {
--- a/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacement.test.ts
+++ b/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacement.test.ts
@@ -19,7 +19,6 @@
   pool: 'ovens',
   labels: ['a'],
   free: { cpuMillis: 4_000, memoryMb: 1_000, gpus: 0 },
-  slowness: 1,
   servingCount: 0,
   fillingCount: 0,
   hasLasting: false,
@@ -37,9 +36,8 @@
         spec: { payload: '', steps: [{ ...PLAIN, ...spec }], repeat: null },
       },
       1,
-      0,
     );
-    const [step] = ledger.listReadySteps(job, 0, 0);
+    const [step] = ledger.listReadySteps(job, 0);
     if (step === undefined) {
       throw new Error('a job without a ready step');
     }
--- a/packages/baobabwell-placement/src/index.ts
+++ b/packages/baobabwell-placement/src/index.ts
@@ -1,4 +1,10 @@
-export type { Allowance, Placement, PlacementHost, PlacementSnapshot } from './BaobabwellPlacement';
+export type {
+  AllowedHosts,
+  Allowance,
+  Placement,
+  PlacementHost,
+  PlacementSnapshot,
+} from './BaobabwellPlacement';
 export type {
   AcceptedWork,
   AdmissionDecision,
--- a/packages/baobabwell-platform/src/BaobabwellPlatformForwarded.ts
+++ b/packages/baobabwell-platform/src/BaobabwellPlatformForwarded.ts
@@ -1,4 +1,4 @@
-import type { Row, TableError, Transaction } from './BaobabwellPlatformTable';
+import type { TableError, Transaction } from './BaobabwellPlatformTable';
 import type { ChangePage, RowRange, WatchError } from './BaobabwellPlatformWatch';
 import type { Result } from '@baobabwell/utils';
 
@@ -21,18 +21,6 @@
     return this.tables.list(range);
   }
 
-  override async read(table: string, key: string): Promise<Result<Row | null, TableError>> {
-    return this.tables.read(table, key);
-  }
-
-  override async readSince(
-    table: string,
-    version: number,
-    limit: number,
-  ): ReturnType<WatchableTableService['readSince']> {
-    return this.tables.readSince(table, version, limit);
-  }
-
   override async waitForChanges(
     table: string,
     version: number,
--- a/packages/baobabwell-platform/src/index.ts
+++ b/packages/baobabwell-platform/src/index.ts
@@ -37,4 +37,4 @@
 export { transactionSchema } from './BaobabwellPlatformSchemas';
 export { HostList, ListedHostState, ObjectStore } from './BaobabwellPlatformServices';
 export { TableErrorKind, TableService } from './BaobabwellPlatformTable';
-export { WatchableTableService, WatchErrorKind } from './BaobabwellPlatformWatch';
+export { getKeyRange, WatchableTableService, WatchErrorKind } from './BaobabwellPlatformWatch';
--- a/packages/baobabwell-stand-ins/src/BaobabwellStandInsPassThrough.ts
+++ b/packages/baobabwell-stand-ins/src/BaobabwellStandInsPassThrough.ts
@@ -4,6 +4,8 @@
 import Fastify from 'fastify';
 import { Pool } from 'undici';
 
+import { registerRawBodies } from '@baobabwell/http';
+
 const HOLDER = 'pass-through';
 const LEASE_TTL_MS = 3_600_000;
 const TASK_TIMEOUT_MS = 10_000;
@@ -30,10 +32,7 @@
   const pools = addresses.map((address) => new Pool(`http://${address}`, { connections: slots }));
   await Promise.all(pools.map(async (pool) => acquireLease(pool, slots)));
   const server = Fastify({ forceCloseConnections: true });
-  server.removeAllContentTypeParsers();
-  server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
-    done(null, body);
-  });
+  registerRawBodies(server);
   let count = 0;
   server.post('/v1/queues/:queue/calls', async (request, reply) => {
     count += 1;
