controller: jobs that were forgotten stay forgotten when the store drops its history

Ruled out: the load of a term, which reads progress beside the jobs. Change: rows of jobs applied before the history went are not applied again. Jobs that ended before a takeover have a time of their end, so they are forgotten too; before they were kept for the whole term. Tests: both fail on the code before.

--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -179,7 +179,7 @@
         retry.settle();
       } else if (page.error.kind === WatchErrorKind.HistoryGone) {
         logger.recordWarning('store-history-gone', { table, version });
-        version = (await this.#readAgain(table, apply)) ?? version;
+        version = (await this.#readAgain(table, apply, version)) ?? version;
       } else if (!signal.aborted) {
         logger.recordWarning('store-watch-failed', { table, cause: page.error.cause });
         await clock.wait(retry.advance(), signal);
@@ -187,11 +187,16 @@
     }
   }
 
-  async #readAgain(table: string, apply: (row: Row) => void): Promise<number | null> {
+  async #readAgain(
+    table: string,
+    apply: (row: Row) => void,
+    appliedVersion: number,
+  ): Promise<number | null> {
     const parts = table === JOBS_TABLE ? listJobParts() : [''];
     const pages = await Promise.all(parts.map(async (part) => this.#read({ table, part })));
     const rows = pages.flatMap((page) => page?.rows ?? []);
-    rows.forEach(apply);
+    // A job whose row was applied before and that is not known any more has ended and was forgotten.
+    rows.filter(({ version }) => table !== JOBS_TABLE || version > appliedVersion).forEach(apply);
     if (table === this.context.codec.workersTable) {
       const present = new Set(rows.map(({ key }) => key));
       this.context.hosts.forEach((host, id) => {
@@ -315,14 +320,14 @@
   }
 
   #applyProgressRow({ key, value, version }: Row): void {
-    const { ledger, logger } = this.context;
+    const { ledger, logger, clock } = this.context;
     const job = ledger.findJob(key);
     const progress = value === null ? null : parseJobProgress(value);
     if (job === null || progress === null) {
       logger.recordWarning('progress-row-ignored', { key });
       return;
     }
-    ledger.applyProgress(job, progress, version);
+    ledger.applyProgress(job, progress, version, clock.getNow());
   }
 
   #cancel(jobId: string): void {
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorStore.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorStore.ts
@@ -46,6 +46,9 @@
 
   readonly #rows = new Map<string, StoredRow>();
 
+  /** Version up to which changes are no longer told. */
+  #forgottenVersion = 0;
+
   get version(): number {
     return this.#version;
   }
@@ -67,6 +70,16 @@
     return null;
   }
 
+  /** Drops the history of all changes so far; the rows stay. */
+  forgetHistory(): void {
+    this.#forgottenVersion = this.#version;
+  }
+
+  /** True when changes since a version can still be told. */
+  hasHistorySince(version: number): boolean {
+    return version >= this.#forgottenVersion;
+  }
+
   list({ table, part = '', from = '', to }: RowRange): readonly Row[] {
     return [...this.#rows.values()]
       .filter((row) => row.table === table && row.part === part && row.value !== null)
@@ -148,6 +161,9 @@
       if (!(await this.#reach())) {
         return createError({ kind: WatchErrorKind.Unavailable, cause: 'store down' });
       }
+      if (!this.#rows.hasHistorySince(version)) {
+        return createError({ kind: WatchErrorKind.HistoryGone, cause: 'history dropped' });
+      }
       const rows = this.#rows.listSince(table, version);
       if (rows.length > 0) {
         return createOk({ rows, version: this.#rows.version });
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
@@ -8,6 +8,9 @@
 const START_MS = 1_500;
 const TASK_MS = 500;
 
+/** Time after which an owner has forgotten a job that ended, in ms. */
+const FORGOTTEN_MS = 220_000;
+
 describe('jobs on the emulated fleet', () => {
   let fleet: EmulatedJobFleet;
 
@@ -205,6 +208,32 @@
     await expectCompleted(jobs);
   });
 
+  it('starts no ended job again when the store forgets its history long afterwards', async () => {
+    await start(2);
+    const jobs = [fleet.submit([{}]), fleet.submit([{}, { after: [0] }])];
+    await fleet.time.advance(3_000);
+    await expectCompleted(jobs);
+    const { starts } = fleet.oracle;
+    await fleet.time.advance(FORGOTTEN_MS);
+    expect(await fleet.findState(jobs[0] as string)).toEqual(null);
+    fleet.rows.forgetHistory();
+    await fleet.time.advance(5_000);
+    expect(fleet.oracle.starts).toEqual(starts);
+    expect(fleet.oracle.broken).toEqual([]);
+  });
+
+  it('forgets jobs that had ended before its term as well', async () => {
+    await start(2);
+    const job = fleet.submit([{}]);
+    await fleet.time.advance(2_000);
+    await expectCompleted([job]);
+    fleet.killDaemon(fleet.findOwner() as string);
+    await fleet.time.advance(4_000);
+    await expectCompleted([job]);
+    await fleet.time.advance(FORGOTTEN_MS);
+    expect(await fleet.findState(job)).toEqual(null);
+  });
+
   it('fails a job whose task failed as often as it may, and starts it no more', async () => {
     await start(3);
     fleet.listHosts().forEach((host) => {
--- a/packages/baobabwell-jobs/src/BaobabwellJobsLedger.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsLedger.ts
@@ -2,7 +2,7 @@
 import type { JobRecord } from './BaobabwellJobsModel';
 import type { JobProgress } from './BaobabwellJobsRows';
 
-import { Job, TaskPhase } from './BaobabwellJobsEntries';
+import { isEnded, Job, TaskPhase } from './BaobabwellJobsEntries';
 import { JobState, parseTaskName, RunEnd } from './BaobabwellJobsModel';
 import { applyJobProgress } from './BaobabwellJobsRows';
 
@@ -57,11 +57,15 @@
     return job;
   }
 
-  /** Brings back what the store holds of a job's progress. */
-  applyProgress(job: Job, progress: JobProgress, version: number): void {
+  /** Brings back what the store holds of a job's progress; a job that had ended ends anew for its removal. */
+  applyProgress(job: Job, progress: JobProgress, version: number, nowMs: number): void {
     const known = job;
     known.progressVersion = version;
-    known.state = progress.state;
+    if (isEnded(progress.state)) {
+      known.end(progress.state, nowMs);
+    } else {
+      known.state = progress.state;
+    }
     known.storedState = progress.state;
     known.hasStarted = true;
     applyJobProgress(known, progress);
--- a/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsLedger.test.ts
+++ b/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsLedger.test.ts
@@ -57,7 +57,7 @@
     const later = createLedger();
     const again = later.addJob(createRecord([{}, { after: [0] }]), 1);
     if (row !== null) {
-      later.applyProgress(again, row, 2);
+      later.applyProgress(again, row, 2, 0);
     }
     const tasks = again
       .getOccurrence(0)[0]
