--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzJobs.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzJobs.ts
@@ -41,6 +41,7 @@
   StoreLossy = 'store-lossy',
   StoreSlow = 'store-slow',
   StoreSound = 'store-sound',
+  ForgetHistory = 'forget-history',
 }
 
 type JobStep = { readonly kind: JobStepKind; readonly value: number };
@@ -104,6 +105,7 @@
     const stored = rows;
     stored.faults = { ...NO_STORE_FAULTS, slowMs: SLOW_MS };
   },
+  [JobStepKind.ForgetHistory]: ({ rows }) => rows.forgetHistory(),
   [JobStepKind.StoreSound]: ({ rows }) => {
     const stored = rows;
     stored.faults = NO_STORE_FAULTS;
