--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorCloud.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorCloud.ts
@@ -22,7 +22,8 @@
 /** Callbacks through which the cloud interface affects hosts. */
 export type CloudCallbacks = {
   readonly findHost: (id: string) => EmulatedHost | null;
-  readonly killHost: (id: string) => void;
+  /** Ends the worker of a machine that was ordered to move or go down. */
+  readonly endHost: (id: string) => void;
   /** Starts a worker on a machine and returns the worker's id. */
   readonly startWorker: (machine: string, pool: string) => string;
   readonly isSparePool: (pool: string) => boolean;
@@ -142,7 +143,7 @@
   #takeDown(target: Machine, state: CloudHostState): void {
     const machine = target;
     if (machine.hostId !== null) {
-      this.#callbacks.killHost(machine.hostId);
+      this.#callbacks.endHost(machine.hostId);
     }
     machine.state = state;
     machine.hostId = null;
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -14,7 +14,7 @@
 import { Random } from '@baobabwell/utils';
 
 import { EmulatedCloud } from './BaobabwellJobEmulatorCloud';
-import { EmulatedHost } from './BaobabwellJobEmulatorHost';
+import { EmulatedHost, MAX_LEASE_MS } from './BaobabwellJobEmulatorHost';
 import { JobOracle } from './BaobabwellJobEmulatorOracle';
 import { EmulatedHostOrders } from './BaobabwellJobEmulatorOrders';
 import { EmulatedJobStore, EmulatedRows } from './BaobabwellJobEmulatorStore';
@@ -28,6 +28,9 @@
 /** Time after which the row of a dead host is removed, in ms. */
 const HOST_ROW_LAG_MS = 4_500;
 
+/** Longest time in which a process releases its ownership, in ms. */
+const STOP_LIMIT_MS = 2_000;
+
 const HEX = 16;
 const ID_LENGTH = 16;
 
@@ -111,6 +114,7 @@
     delayedFraction: 0,
     partitionedHosts: new Set(),
     partitionedRoutes: new Set(),
+    lateAnswersMs: new Map(),
   };
 
   readonly logLines: string[] = [];
@@ -141,7 +145,10 @@
   createCloud(spareCount: number): EmulatedCloud {
     const cloud = new EmulatedCloud(this.time, {
       findHost: (id) => this.#hosts.get(id) ?? null,
-      killHost: (id) => this.killHost(id),
+      endHost: (id) => {
+        this.#hosts.get(id)?.endForOrder();
+        this.killHost(id);
+      },
       startWorker: (machine) => {
         this.#incarnationCount += 1;
         return this.startHost(`${machine}-${this.#incarnationCount}`).id;
@@ -191,7 +198,7 @@
       logger,
       metrics: new DaemonMetrics().owner,
       bounds: {
-        maxHostLeaseMs: 6_000,
+        maxHostLeaseMs: MAX_LEASE_MS,
         machineOrderDelayMs: 3_000,
         maintenanceMs: 2_000,
       },
@@ -223,6 +230,16 @@
     void ownership.runRenewals();
   }
 
+  /** Ends a process in good order: it releases its ownership first. */
+  async stopDaemon(name: string): Promise<void> {
+    const daemon = this.#daemons.get(name);
+    if (daemon !== undefined) {
+      daemon.controller.endTerm();
+      await this.time.settle(daemon.ownership.stop(), STOP_LIMIT_MS);
+      daemon.clock.kill();
+    }
+  }
+
   killDaemon(name: string): void {
     this.#daemons.get(name)?.clock.kill();
   }
@@ -306,6 +323,7 @@
   }
 
   cancel(jobId: string): void {
+    this.oracle.availability.recordCancel(jobId);
     this.#put(JOBS_TABLE, `${jobId}${CANCELLED_SUFFIX}`, 1, getJobPartition(jobId));
   }
 
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
@@ -14,6 +14,15 @@
 import { OrderRefusal } from '@baobabwell/platform';
 import { createError, createOk } from '@baobabwell/utils';
 
+/** Longest lease that a host grants, in ms. */
+export const MAX_LEASE_MS = 6_000;
+
+/** Time from the start of a long running task until it is at work, in ms. */
+const STARTUP_MS = 200;
+
+/** Maximum number of ends in one report. */
+const MAX_REPORTED_ENDS = 500;
+
 /** Time until a stopped run has ended, in ms. */
 const STOP_MS = 150;
 
@@ -23,6 +32,7 @@
   readonly task: string;
   readonly run: number;
   readonly cancel: CancelTimer;
+  readonly startedAtMs: number;
   isStopping: boolean;
 };
 
@@ -37,6 +47,9 @@
   /** Injected defect: reports omit all active runs. */
   shouldHideRuns = false;
 
+  /** True when the host also forgets later ends up to the highest position acknowledged to it. */
+  shouldKeepAcknowledgedPosition = false;
+
   /** Decides whether a run of a task fails. */
   shouldFailTask: (task: string) => boolean = () => false;
 
@@ -61,6 +74,11 @@
 
   #endCount = 0;
 
+  #acknowledgedPosition = 0;
+
+  /** Positions of the ends that a process has received. */
+  readonly #deliveredEnds = new Set<number>();
+
   #epoch = 0;
 
   #leaseEndMs = 0;
@@ -85,10 +103,13 @@
 
   /** Ends this incarnation; its active runs and its unacknowledged ends are lost. */
   kill(): void {
+    if (!this.#isAlive) {
+      return;
+    }
     this.#isAlive = false;
     this.#runs.forEach(({ task, cancel }) => {
       cancel();
-      this.#oracle.recordEnd(task, this.id, RunEnd.LeaseExpired);
+      this.#oracle.recordEnd(task, this.id, RunEnd.LeaseExpired, this.#clock.getNow());
     });
     this.#runs.clear();
     this.#ended
@@ -96,6 +117,19 @@
       .forEach(({ task }) => this.#oracle.recordLostEnd(task));
   }
 
+  /** Ends this incarnation on an order of the system, which takes long running tasks away. */
+  endForOrder(): void {
+    this.#runs.forEach(({ task }) => {
+      this.#oracle.availability.recordOrderedEnd(task, this.#clock.getNow());
+    });
+    this.kill();
+  }
+
+  /** Records that a process received a report. */
+  recordDelivery({ ended }: HostReport): void {
+    ended.forEach(({ position }) => this.#deliveredEnds.add(position));
+  }
+
   start(order: StartOrder): Result<number, OrderError> {
     const refusal = this.#checkOrder(order.epoch);
     if (refusal !== null) {
@@ -125,7 +159,16 @@
         : this.#clock.startTimer(durationMs, () =>
             this.#endRun(order.task, this.shouldFailTask(order.task) ? RunEnd.Failed : RunEnd.Done),
           );
-    this.#runs.set(order.task, { task: order.task, run: order.run, cancel, isStopping: false });
+    this.#runs.set(order.task, {
+      task: order.task,
+      run: order.run,
+      cancel,
+      startedAtMs: this.#clock.getNow(),
+      isStopping: false,
+    });
+    if (step?.isLasting === true) {
+      this.#clock.startTimer(STARTUP_MS, () => this.#recordAtWork(order.task, order.run));
+    }
     return createOk(this.#getClock());
   }
 
@@ -140,6 +183,7 @@
     if (run !== undefined && run.run <= order.run && !run.isStopping) {
       run.isStopping = true;
       run.cancel();
+      this.#oracle.availability.recordOrderedEnd(order.task, this.#clock.getNow());
       this.#clock.startTimer(STOP_MS, () => this.#endRun(order.task, RunEnd.Stopped));
     }
     return createOk(this.#getClock());
@@ -153,24 +197,45 @@
     if (order.leaseEndMs !== null) {
       this.#extendLease(order.leaseEndMs);
     }
-    this.#ended = this.#ended.filter(({ position }) => position > order.acknowledgedPosition);
+    this.#forgetEnds(order.acknowledgedPosition);
     if (order.waitMs > 0 && this.#ended.length === 0) {
       await this.#waitForEnd(order.waitMs);
     }
     return createOk({
       clockMs: this.#getClock(),
       bornMs: this.bornMs,
-      ended: [...this.#ended],
-      active: (this.shouldHideRuns ? [] : [...this.#runs.values()]).map(({ task, run }) => ({
-        task,
-        run,
-        checkpoint: '',
-        progressPercent: FULL_PERCENT,
-        reading: null,
-      })),
+      ended: this.#ended.slice(0, MAX_REPORTED_ENDS),
+      active: (this.shouldHideRuns ? [] : [...this.#runs.values()]).map(
+        ({ task, run, startedAtMs }) => ({
+          task,
+          run,
+          checkpoint: '',
+          progressPercent: this.#clock.getNow() - startedAtMs >= STARTUP_MS ? FULL_PERCENT : 0,
+          reading: null,
+        }),
+      ),
     });
   }
 
+  #forgetEnds(acknowledgedPosition: number): void {
+    this.#acknowledgedPosition = Math.max(this.#acknowledgedPosition, acknowledgedPosition);
+    const position = this.shouldKeepAcknowledgedPosition
+      ? this.#acknowledgedPosition
+      : acknowledgedPosition;
+    this.#ended
+      .filter((end) => end.position <= position && !this.#deliveredEnds.has(end.position))
+      .forEach(({ task, end }) =>
+        this.#oracle.recordUnseenEnd(task, this.id, end, this.#clock.getNow()),
+      );
+    this.#ended = this.#ended.filter((end) => end.position > position);
+  }
+
+  #recordAtWork(task: string, run: number): void {
+    if (this.#isAlive && this.#runs.get(task)?.run === run) {
+      this.#oracle.availability.recordAtWork(task);
+    }
+  }
+
   #getClock(): number {
     return this.#clock.getWallTime() - this.bornMs;
   }
@@ -198,7 +263,8 @@
     return createError({ kind, clockMs: this.#getClock(), cause: kind });
   }
 
-  #extendLease(leaseEndMs: number): void {
+  #extendLease(requestedEndMs: number): void {
+    const leaseEndMs = Math.min(requestedEndMs, this.#getClock() + MAX_LEASE_MS);
     if (leaseEndMs <= this.#leaseEndMs) {
       return;
     }
@@ -226,7 +292,10 @@
     this.#highestEndedRuns.set(task, Math.max(run.run, this.#highestEndedRuns.get(task) ?? 0));
     this.#endCount += 1;
     this.#ended.push({ position: this.#endCount, task, run: run.run, end, checkpoint: '' });
-    this.#oracle.recordEnd(task, this.id, end);
+    this.#oracle.recordEnd(task, this.id, end, this.#clock.getNow());
+    if (this.shouldKeepAcknowledgedPosition) {
+      this.#forgetEnds(this.#acknowledgedPosition);
+    }
     [...this.#waiters].forEach((notify) => notify());
   }
 
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOracle.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOracle.ts
@@ -2,6 +2,8 @@
 
 import { formatTaskName, parseTaskName, RunEnd } from '@baobabwell/jobs';
 
+import { AvailabilityTracker } from './BaobabwellJobEmulatorAvailability';
+
 /** Invariants that the oracle checks against the starts and ends on the hosts. */
 export enum JobInvariant {
   /** No task has two concurrent runs, nor a run after an acknowledged completion. */
@@ -14,6 +16,10 @@
   KeepsOrganisationCap = 'keeps-cap',
   /** No task starts again after its last attempt failed. */
   KeepsAttemptLimit = 'keeps-attempts',
+  /** No process acknowledges an end that none has received. */
+  AcknowledgesSeenEnds = 'acknowledges-what-was-seen',
+  /** No order ends a long running task while as many others of its step are away as it may miss. */
+  KeepsAvailability = 'keeps-available',
   /** Only tasks of submitted jobs start. */
   RunsOnlySubmitted = 'runs-what-was-asked',
 }
@@ -41,6 +47,12 @@
 
   readonly violations: InvariantViolation[] = [];
 
+  /** Long running tasks that are away. */
+  readonly availability = new AvailabilityTracker(
+    (task) => this.findStep(task),
+    (task, atMs, detail) => this.#addViolation(JobInvariant.KeepsAvailability, task, atMs, detail),
+  );
+
   startCount = 0;
 
   /** Maximum attempts of each task. */
@@ -104,9 +116,10 @@
     this.#addUsage(name.jobId, step.need.cpuMillis, task, atMs);
   }
 
-  recordEnd(task: string, host: string, end: RunEnd): void {
+  recordEnd(task: string, host: string, end: RunEnd, atMs: number): void {
     const trace = this.#getTrace(task);
     trace.running.delete(host);
+    this.availability.recordEnd(task, atMs);
     trace.isDone ||= end === RunEnd.Done;
     trace.hasEverCompleted ||= end === RunEnd.Done;
     trace.failures += end === RunEnd.Failed ? 1 : 0;
@@ -117,6 +130,11 @@
     }
   }
 
+  /** Records the acknowledgement of an end that no process has received. */
+  recordUnseenEnd(task: string, host: string, end: RunEnd, atMs: number): void {
+    this.#addViolation(JobInvariant.AcknowledgesSeenEnds, task, atMs, `${end} on ${host}`);
+  }
+
   /** Records that an unacknowledged completion was lost, so that the task may run again. */
   recordLostEnd(task: string): void {
     this.#getTrace(task).isDone = false;
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
@@ -23,6 +23,13 @@
 const MIN_DELAY_MS = 500;
 const MAX_DELAY_MS = 6_000;
 
+/** Orders whose answers can be late. */
+export enum OrderKind {
+  Start = 'start',
+  Stop = 'stop',
+  Hold = 'hold',
+}
+
 /** Injected faults between the processes and the hosts. */
 export type HostFaults = {
   /** Fraction of the orders that get no answer and are carried out late. */
@@ -31,6 +38,11 @@
   readonly partitionedHosts: Set<string>;
   /** Partitioned routes between one process and one host, formatted by {@link formatRoute}. */
   readonly partitionedRoutes: Set<string>;
+  /**
+   * Time by which answers of a host are late, in ms, by {@link formatAnswer}. An answer that was sent is
+   * delivered even when the host's incarnation has ended by then.
+   */
+  readonly lateAnswersMs: Map<string, number>;
 };
 
 /** Formats the route from a process to a host. */
@@ -38,6 +50,11 @@
   return `${process} ${hostId}`;
 }
 
+/** Formats the answers of a host to one kind of order. */
+export function formatAnswer(kind: OrderKind, hostId: string): string {
+  return `${kind} ${hostId}`;
+}
+
 /** Sends the orders of one process to the emulated hosts. */
 export class EmulatedHostOrders extends HostOrders {
   readonly #process: string;
@@ -73,14 +90,14 @@
     host: HostIncarnation,
     order: StartOrder,
   ): Promise<Result<number, OrderError>> {
-    return this.#send(host.id, async (target) => target.start(order));
+    return this.#send(host.id, OrderKind.Start, async (target) => target.start(order));
   }
 
   override async stop(
     host: HostIncarnation,
     order: StopOrder,
   ): Promise<Result<number, OrderError>> {
-    return this.#send(host.id, async (target) => target.stop(order));
+    return this.#send(host.id, OrderKind.Stop, async (target) => target.stop(order));
   }
 
   override async setCpuLimit(
@@ -94,11 +111,20 @@
     host: HostIncarnation,
     order: HoldOrder,
   ): Promise<Result<HostReport, OrderError>> {
-    return this.#send(host.id, async (target) => target.hold(order));
+    let holder: EmulatedHost | null = null;
+    const reply = await this.#send(host.id, OrderKind.Hold, async (target) => {
+      holder = target;
+      return target.hold(order);
+    });
+    if (reply.ok) {
+      (holder as EmulatedHost | null)?.recordDelivery(reply.value);
+    }
+    return reply;
   }
 
   async #send<Value>(
     id: string,
+    kind: OrderKind,
     run: (host: EmulatedHost) => Promise<Result<Value, OrderError>>,
   ): Promise<Result<Value, OrderError>> {
     await this.#clock.wait(LATENCY_MS);
@@ -117,6 +143,11 @@
       return this.#waitForTimeout();
     }
     const reply = await run(host);
+    const lateMs = this.#faults.lateAnswersMs.get(formatAnswer(kind, id)) ?? 0;
+    if (lateMs > 0 && host.isAlive) {
+      await this.#clock.wait(lateMs);
+      return this.#isPartitioned(id) ? this.#waitForTimeout() : reply;
+    }
     await this.#clock.wait(LATENCY_MS);
     return this.#isPartitioned(id) || !host.isAlive ? this.#waitForTimeout() : reply;
   }
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorStore.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorStore.ts
@@ -18,9 +18,16 @@
   /** Fraction of the writes that get no answer and are applied at once or late. */
   readonly lostFraction: number;
   readonly slowMs: number;
+  /** Time by which the answers to applied transactions are late, in ms. */
+  readonly commitAnswerMs: number;
 };
 
-export const NO_STORE_FAULTS: StoreFaults = { isDown: false, lostFraction: 0, slowMs: 0 };
+export const NO_STORE_FAULTS: StoreFaults = {
+  isDown: false,
+  lostFraction: 0,
+  slowMs: 0,
+  commitAnswerMs: 0,
+};
 
 /** Maximum number of conditions and writes of one transaction. */
 const MAX_TRANSACTION_SIZE = 100;
@@ -143,7 +150,7 @@
     }
     const conflicts = this.#rows.apply(transaction);
     const { version } = this.#rows;
-    await this.#clock.wait(LATENCY_MS);
+    await this.#clock.wait(LATENCY_MS + this.#rows.faults.commitAnswerMs);
     return conflicts === null
       ? createOk(version)
       : createError({ kind: TableErrorKind.Conflict, conflicts });
--- a/packages/baobabwell-job-emulator/src/index.ts
+++ b/packages/baobabwell-job-emulator/src/index.ts
@@ -11,5 +11,5 @@
 } from './BaobabwellJobEmulatorFleet';
 export { EmulatedHost } from './BaobabwellJobEmulatorHost';
 export { JobOracle, JobInvariant } from './BaobabwellJobEmulatorOracle';
-export { formatRoute } from './BaobabwellJobEmulatorOrders';
+export { formatAnswer, formatRoute, OrderKind } from './BaobabwellJobEmulatorOrders';
 export { EmulatedJobStore, EmulatedRows, NO_STORE_FAULTS } from './BaobabwellJobEmulatorStore';
