--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorMachines.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorMachines.test.ts
@@ -3,7 +3,7 @@
 import { WaveState } from '@baobabwell/fleet';
 import { JobState } from '@baobabwell/jobs';
 
-import { EmulatedJobFleet } from '../../index';
+import { EmulatedJobFleet, formatAnswer, OrderKind } from '../../index';
 
 const SEED = 11;
 const START_MS = 2_000;
@@ -111,4 +111,29 @@
     const states = await Promise.all(jobs.map(async (id) => fleet.findState(id)));
     expect(states).toEqual(jobs.map(() => JobState.Completed));
   });
+
+  [0, 300].forEach((lateMs) => {
+    it(`orders no maintenance of a machine that has not reported to a new owner (answers ${lateMs} ms late)`, async () => {
+      fleet = new EmulatedJobFleet(SEED, 4);
+      const cloud = fleet.createCloud(0);
+      const machines = fleet.listHosts().map(({ id }) => `m-${id}`);
+      fleet.submit([{ isLasting: true, estimateMs: 0, maxPerHost: 1, maxAway: 1, taskCount: 4 }]);
+      startDaemons();
+      await fleet.time.advance(START_MS);
+      fleet.requestWave({ ...WAVE, machines });
+      await fleet.time.advance(600);
+      expect(cloud.countMaintained(WAVE.number)).toEqual(1);
+      fleet
+        .listHosts()
+        .forEach(({ id }) =>
+          fleet.faults.lateAnswersMs.set(formatAnswer(OrderKind.Hold, id), lateMs),
+        );
+      await fleet.stopDaemon(fleet.findOwner() as string);
+      await fleet.time.advance(2_000);
+      fleet.faults.lateAnswersMs.clear();
+      await fleet.time.advance(WAVE.durationMs);
+      expect(fleet.oracle.violations).toEqual([]);
+      expect(cloud.countMaintained(WAVE.number)).toEqual(machines.length);
+    });
+  });
 });
