--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorMachines.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorMachines.test.ts
@@ -3,7 +3,7 @@
 import { WaveState } from '@baobabwell/fleet';
 import { JobState } from '@baobabwell/jobs';
 
-import { EmulatedJobFleet, formatAnswer, OrderKind } from '../../index';
+import { EmulatedJobFleet, formatAnswer, formatRoute, OrderKind } from '../../index';
 
 const SEED = 11;
 const START_MS = 2_000;
@@ -136,4 +136,26 @@
       expect(cloud.countMaintained(WAVE.number)).toEqual(machines.length);
     });
   });
+
+  it('orders no maintenance of machines whose long running tasks a former owner keeps at work', async () => {
+    fleet = new EmulatedJobFleet(SEED, 4);
+    const cloud = fleet.createCloud(0);
+    const hostIds = fleet.listHosts().map(({ id }) => id);
+    const machines = hostIds.map((id) => `m-${id}`);
+    fleet.submit([{ isLasting: true, estimateMs: 0, maxPerHost: 1, maxAway: 1, taskCount: 4 }]);
+    startDaemons();
+    await fleet.time.advance(START_MS);
+    fleet.requestWave({ ...WAVE, machines });
+    await fleet.time.advance(600);
+    const owner = fleet.findOwner() as string;
+    const next = owner === 'a' ? 'b' : 'a';
+    fleet.partitionDaemon(owner, true);
+    hostIds.forEach((id) => fleet.faults.partitionedRoutes.add(formatRoute(next, id)));
+    await fleet.time.advance(7_000);
+    fleet.partitionDaemon(owner, false);
+    fleet.faults.partitionedRoutes.clear();
+    await fleet.time.advance(WAVE.durationMs);
+    expect(fleet.oracle.violations).toEqual([]);
+    expect(cloud.countMaintained(WAVE.number)).toEqual(machines.length);
+  });
 });
