--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorRestarts.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorRestarts.test.ts
@@ -2,7 +2,7 @@
 
 import { JobState } from '@baobabwell/jobs';
 
-import { EmulatedJobFleet, NO_STORE_FAULTS } from '../../index';
+import { EmulatedJobFleet, formatAnswer, NO_STORE_FAULTS, OrderKind } from '../../index';
 
 const SEED = 5;
 const START_MS = 1_500;
@@ -57,4 +57,43 @@
       await expectCompleted([former, last, next]);
     });
   });
+
+  it('acknowledges no end of a new life after a late report of the former one', async () => {
+    await start(1);
+    const former = fleet.submit([{ taskCount: 8, estimateMs: 500 }]);
+    await fleet.time.advance(515);
+    // The first end has been reported; the report of the others arrives after the row of the new life.
+    fleet.faults.lateAnswersMs.set(formatAnswer(OrderKind.Hold, 'host-0'), 400);
+    await fleet.time.advance(35);
+    fleet.startHost('host-0');
+    fleet.faults.lateAnswersMs.clear();
+    fleet.rows.faults = { ...NO_STORE_FAULTS, commitAnswerMs: 250 };
+    const next = submitStaggered(6, 120);
+    await fleet.time.advance(800);
+    fleet.rows.faults = NO_STORE_FAULTS;
+    await fleet.time.advance(RECOVERY_MS);
+    await expectCompleted([former, next]);
+  });
+
+  it('runs no task twice after a start answer of a former life', async () => {
+    await start(2);
+    await fleet.time.advance(5_000);
+    const spread = { taskCount: 2, estimateMs: 9_000, maxPerHost: 1 };
+    const former = fleet.submit([spread]);
+    await fleet.time.advance(100);
+    // The answer arrives after the row of the new life and sets its clock to that of the former one.
+    fleet.faults.lateAnswersMs.set(formatAnswer(OrderKind.Start, 'host-0'), 300);
+    const answeredLate = fleet.submit([spread]);
+    await fleet.time.advance(50);
+    fleet.startHost('host-0');
+    await fleet.time.advance(900);
+    const next = fleet.submit([{ taskCount: 4, estimateMs: 8_000 }]);
+    await fleet.time.advance(100);
+    fleet.faults.partitionedHosts.add('host-0');
+    await fleet.time.advance(8_000);
+    fleet.faults.partitionedHosts.clear();
+    fleet.faults.lateAnswersMs.clear();
+    await fleet.time.advance(2 * RECOVERY_MS);
+    await expectCompleted([former, answeredLate, next]);
+  });
 });
