controller: one line, with the ground, for each run given up without a reported end

Only runs missing from a report had a line of their own; runs lost by a lapsed lease, by the end of an incarnation or by a start that was never carried out left none with the task. Change: run-vanished keeps its fields and gets ground, bornMs, positions of ends, ages of answer, report and restart; run-lost has the same fields for lease-lapsed, incarnation-ended and not-started. Counter baobabwell_runs_lost_total{pool,ground}. What is kept for this is in HostHistory, which no decision reads. Not taken: one event for all grounds, since run-vanished is an outer name. Conclusion: the ground of a repeated start can be read from the lines of its task.

--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -5,6 +5,7 @@
 import { RunPhase } from '@baobabwell/jobs';
 
 import { EXPIRY_MARGIN_MS, HOST_LEASE_MS, MAX_CLOCK_DRIFT } from './BaobabwellControllerConstants';
+import { HostHistory } from './BaobabwellControllerHostHistory';
 
 /** An order to start a run that was not answered and may still be carried out. */
 export type UnansweredStart = {
@@ -59,6 +60,8 @@
   /** Monotonic time at which this owner began to track the host, in ms; earlier runs may be unknown. */
   readonly trackedSinceMs: number;
 
+  readonly history = new HostHistory();
+
   #used: Resources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
 
   #clock: { readonly hostMs: number; readonly receivedAtMs: number } | null = null;
--- /dev/null
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostHistory.ts
@@ -0,0 +1,30 @@
+import type { HostReport } from '@baobabwell/platform';
+
+/** What a report contained and when it came. */
+export type ReportSummary = {
+  readonly receivedAtMs: number;
+  /** Time from the hold call to its answer, in ms. */
+  readonly tookMs: number;
+  /** First and last position of the run ends in the report; `null` when it contained none. */
+  readonly firstPosition: number | null;
+  readonly lastPosition: number | null;
+  readonly endCount: number;
+};
+
+/** Events on a host that log lines refer to later. No decision depends on them. */
+export class HostHistory {
+  lastReport: ReportSummary | null = null;
+
+  /** Monotonic time at which this owner learned of the latest restart, in ms. */
+  restartedAtMs: number | null = null;
+
+  recordReport({ ended }: HostReport, sentAtMs: number, receivedAtMs: number): void {
+    this.lastReport = {
+      receivedAtMs,
+      tookMs: receivedAtMs - sentAtMs,
+      firstPosition: ended[0]?.position ?? null,
+      lastPosition: ended.at(-1)?.position ?? null,
+      endCount: ended.length,
+    };
+  }
+}
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -21,6 +21,7 @@
   MAX_START_DELAY_MS,
   THROTTLED_HOLD_WAIT_MS,
 } from './BaobabwellControllerConstants';
+import { recordLostRun, RunLossGround } from './BaobabwellControllerHostLog';
 import { recordJobEnd } from './BaobabwellControllerJobEnds';
 import { describeRun, RunOrders } from './BaobabwellControllerOrders';
 
@@ -57,7 +58,7 @@
     this.#orders = new RunOrders(context, host, {
       requestHold: () => this.requestHold(),
       recordUnansweredOrder: () => this.#recordUnansweredOrder(),
-      loseRun: (run) => this.#loseRun(run),
+      loseRun: (run) => this.#loseRun(run, RunLossGround.NotStarted),
       recordIncarnationEnd: (reason) => this.recordIncarnationEnd(reason),
       hasEnded: () => this.#hasEnded,
     });
@@ -96,7 +97,7 @@
   recordIncarnationEnd(reason: string): void {
     this.#context.logger.recordInfo('host-life-ended', { host: this.host.incarnation.id, reason });
     this.#hasEnded = true;
-    this.#abandonRuns();
+    this.#abandonRuns(RunLossGround.IncarnationEnded);
     this.requestHold();
   }
 
@@ -107,7 +108,9 @@
   recordRestart(bornMs: number | null): void {
     const { logger, clock, bounds } = this.#context;
     logger.recordWarning('host-reborn', { host: this.host.incarnation.id, bornMs });
-    this.host.recordRestart(bornMs, clock.getNow() + bounds.maxHostLeaseMs / (1 - MAX_CLOCK_DRIFT));
+    const nowMs = clock.getNow();
+    this.host.recordRestart(bornMs, nowMs + bounds.maxHostLeaseMs / (1 - MAX_CLOCK_DRIFT));
+    this.host.history.restartedAtMs = nowMs;
     // An unanswered order may still reach the new incarnation, so these runs are stopped there.
     [...this.host.runs.values()]
       .filter(({ key }) => this.host.unansweredStarts.has(key))
@@ -234,7 +237,7 @@
         });
       }
       host.isReconciled = true;
-      this.#abandonRuns();
+      this.#abandonRuns(RunLossGround.LeaseExpired);
       if (host.listedWorker === null) {
         this.#hasEnded = true;
       }
@@ -261,8 +264,8 @@
     this.requestHold();
   }
 
-  #abandonRuns(): void {
-    [...this.host.runs.values()].forEach((run) => this.#loseRun(run));
+  #abandonRuns(ground: RunLossGround): void {
+    [...this.host.runs.values()].forEach((run) => this.#loseRun(run, ground));
     this.#context.requestDispatch();
   }
 
@@ -274,6 +277,7 @@
     }
     host.bornMs ??= report.bornMs;
     host.recordClock(report.clockMs, nowMs);
+    host.history.recordReport(report, sentAtMs, nowMs);
     if (!host.isRegistered) {
       this.#context.requestCommit();
     }
@@ -382,12 +386,10 @@
    * missing from that report.
    */
   #loseMissingRuns(reportedRuns: ReadonlySet<string>, sentAtMs: number): void {
-    const { logger } = this.#context;
     [...this.host.runs.values()].forEach((run) => {
       const isOlderThanReport = run.answeredAtMs !== null && run.answeredAtMs < sentAtMs;
       if (isOlderThanReport && !reportedRuns.has(run.key)) {
-        logger.recordWarning('run-vanished', { ...describeRun(run), phase: run.phase });
-        this.#loseRun(run);
+        this.#loseRun(run, RunLossGround.Vanished);
       }
     });
   }
@@ -403,7 +405,11 @@
     }
   }
 
-  #loseRun(run: Run): void {
+  #loseRun(run: Run, ground: RunLossGround): void {
+    // An order can outlive its run, which was then recorded as lost before.
+    if (this.host.runs.has(run.key)) {
+      recordLostRun(this.#context, this.host, run, ground);
+    }
     this.host.removeRun(run);
     this.#context.jobRegistry.removeLostRun(run);
     this.#context.requestDispatch();
--- /dev/null
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorLog.test.ts
@@ -0,0 +1,95 @@
+import { expect } from 'earl';
+
+import { OrderRefusal } from '@baobabwell/platform';
+import { createError } from '@baobabwell/utils';
+
+import { EmulatedJobFleet } from '../../index';
+
+const SEED = 7;
+const START_MS = 1_500;
+const TASK = { taskCount: 1, estimateMs: 2_500 };
+
+/** The logger takes this time from the real clock. */
+const REAL_TIME = / at=\S+/;
+
+describe('log lines on tasks that are started again', () => {
+  let fleet: EmulatedJobFleet;
+
+  async function start(hostCount: number): Promise<void> {
+    fleet = new EmulatedJobFleet(SEED, hostCount);
+    fleet.startDaemon('a');
+    await fleet.time.advance(START_MS);
+  }
+
+  /** Lists the lines of some events, each with its emulated time. */
+  function listLines(...events: readonly string[]): readonly string[] {
+    return fleet.logLines
+      .filter((line) => events.some((event) => line.includes(` event=${event} `)))
+      .map((line) => line.replace(REAL_TIME, ''));
+  }
+
+  /** Replaces members of the first host. */
+  function replaceOnHost(replaced: Partial<ReturnType<EmulatedJobFleet['startHost']>>): void {
+    Object.assign(fleet.listHosts()[0] as object, replaced);
+  }
+
+  afterEach(() => fleet.close());
+
+  it('name the positions of the report from which a run was missing', async function () {
+    await start(1);
+    fleet.submit([{ taskCount: 1, estimateMs: 100 }]);
+    fleet.submit([TASK]);
+    await fleet.time.advance(1_000);
+    replaceOnHost({ shouldHideRuns: true });
+    await fleet.time.advance(1_000);
+    replaceOnHost({ shouldHideRuns: false });
+    expect(listLines('run-vanished', 'run-lost').slice(0, 1)).toMatchSnapshot(this);
+  });
+
+  it('name the restart after which runs are missing', async function () {
+    await start(1);
+    fleet.submit([TASK]);
+    await fleet.time.advance(400);
+    fleet.startHost('host-0');
+    await fleet.time.advance(1_000);
+    expect(listLines('run-vanished', 'run-lost')).toMatchSnapshot(this);
+  });
+
+  it('name each run of a host whose lease lapsed', async function () {
+    await start(2);
+    fleet.submit([{ ...TASK, taskCount: 4 }]);
+    await fleet.time.advance(400);
+    fleet.faults.partitionedHosts.add('host-0');
+    await fleet.time.advance(5_000);
+    expect(listLines('run-vanished', 'run-lost')).toMatchSnapshot(this);
+  });
+
+  it('name a run once when another incarnation answers its start', async function () {
+    await start(1);
+    const refusal = { kind: OrderRefusal.OtherIncarnation, clockMs: null, cause: 'another' };
+    replaceOnHost({ start: () => createError(refusal) });
+    fleet.submit([TASK]);
+    await fleet.time.advance(500);
+    expect(listLines('run-vanished', 'run-lost')).toMatchSnapshot(this);
+  });
+
+  it('name a run that was refused', async function () {
+    await start(1);
+    const refusal = { kind: OrderRefusal.NoCapacity, clockMs: null, cause: 'full' };
+    replaceOnHost({ start: () => createError(refusal) });
+    fleet.submit([TASK]);
+    await fleet.time.advance(20);
+    expect(listLines('run-vanished', 'run-lost')).toMatchSnapshot(this);
+  });
+
+  it('count lost runs by ground', async () => {
+    await start(1);
+    fleet.submit([TASK]);
+    await fleet.time.advance(400);
+    const metrics = fleet.findOwnerContext()?.metrics;
+    fleet.startHost('host-0');
+    await fleet.time.advance(1_000);
+    const { values } = (await metrics?.lostRuns.get()) ?? { values: [] };
+    expect(values).toEqual([{ value: 1, labels: { pool: 'ovens', ground: 'vanished' } }]);
+  });
+});
--- a/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
@@ -23,6 +23,8 @@
 
   readonly runs: Counter<'pool' | 'end'>;
 
+  readonly lostRuns: Counter<'pool' | 'ground'>;
+
   readonly waitingJobs: Gauge<'queue'>;
 
   readonly poolHosts: Gauge<'pool' | 'state'>;
@@ -73,6 +75,11 @@
       'pool',
       'end',
     ]);
+    this.lostRuns = this.#createCounter(
+      'baobabwell_runs_lost_total',
+      'Runs given up without a reported end, by pool and ground.',
+      ['pool', 'ground'],
+    );
     this.waitingJobs = this.#createGauge(
       'baobabwell_waiting_jobs',
       'Accepted jobs without a started task, by queue.',
