controller: lines on restarts, lapsed leases and acknowledged ends tell their positions

Change: host-reborn gets the former bornMs, the positions before the reset and the position in a transaction under way; host-lease-lapsed the age of the last answer, lease end and time by the host's clock, and whether a former owner's leases were meant. New warnings: ends-skipped (a report begins above the applied position plus one) and ends-acknowledged-unseen (a hold call acknowledges above the applied position of the incarnation; once a position). Not taken: ends-skipped right after a takeover, where the owner cannot know what former owners acknowledged.

--- a/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
@@ -83,7 +83,9 @@
       return;
     }
     const { ownership, term } = this.#context;
+    batch.ends.forEach(({ host, position }) => host.history.recordCommit(position));
     const reply = await ownership.commit(term, batch.conditions, batch.writes);
+    batch.ends.forEach(({ host }) => host.history.recordCommit(null));
     if (reply.ok) {
       this.#retry.reset();
       this.#recordStored(batch, reply.value);
--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -136,6 +136,13 @@
   /** Records the reading of the host's clock in an answer. */
   recordClock(hostMs: number, receivedAtMs: number): void {
     this.#clock = { hostMs, receivedAtMs };
+    this.history.answeredAtMs = receivedAtMs;
+  }
+
+  /** Returns the end of the lease and the present time, both by the host's clock, as far as known. */
+  getLease(nowMs: number): { readonly endMs: number | null; readonly clockMs: number | null } {
+    const clockMs = this.#clock && this.#clock.hostMs + nowMs - this.#clock.receivedAtMs;
+    return { endMs: this.#leaseEndMs || null, clockMs: clockMs && Math.round(clockMs) };
   }
 
   /** Computes the end of a lease granted now, by the host's clock, and records it as granted. */
--- a/packages/baobabwell-controller/src/BaobabwellControllerHostHistory.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostHistory.ts
@@ -15,9 +15,35 @@
 export class HostHistory {
   lastReport: ReportSummary | null = null;
 
+  /** Monotonic time of the latest answer with a clock reading, in ms. */
+  answeredAtMs: number | null = null;
+
   /** Monotonic time at which this owner learned of the latest restart, in ms. */
   restartedAtMs: number | null = null;
 
+  /** Position of run ends in the transaction under way; `null` when none stores ends of this host. */
+  committingPosition: number | null = null;
+
+  /**
+   * True once this owner can tell at which position the next report has to begin. After a takeover it
+   * cannot until a report contains ends: former owners acknowledged ends that it never sees.
+   */
+  hasKnownPositions = false;
+
+  /** Highest position logged as acknowledged above the applied one in this incarnation. */
+  unseenPosition = 0;
+
+  recordRestart(nowMs: number): void {
+    this.restartedAtMs = nowMs;
+    this.unseenPosition = 0;
+    // All ends of an incarnation that began during this term are listed to this owner.
+    this.hasKnownPositions ||= this.lastReport !== null;
+  }
+
+  recordCommit(position: number | null): void {
+    this.committingPosition = position;
+  }
+
   recordReport({ ended }: HostReport, sentAtMs: number, receivedAtMs: number): void {
     this.lastReport = {
       receivedAtMs,
@@ -26,5 +52,6 @@
       lastPosition: ended.at(-1)?.position ?? null,
       endCount: ended.length,
     };
+    this.hasKnownPositions ||= ended.length > 0;
   }
 }
--- a/packages/baobabwell-controller/src/BaobabwellControllerHostLog.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostLog.ts
@@ -3,6 +3,7 @@
 import type { Host } from './BaobabwellControllerHost';
 import type { Run } from '@baobabwell/jobs';
 import type { LogFields } from '@baobabwell/logging';
+import type { HostReport } from '@baobabwell/platform';
 
 import { describeRun } from './BaobabwellControllerOrders';
 
@@ -58,3 +59,86 @@
     restartAgeMs: getAgeMs(nowMs, restartedAtMs),
   });
 }
+
+/** Records that the host restarted under its id, before the state of its former incarnation is reset. */
+export function recordHostRestart(
+  { logger }: TermContext,
+  host: Host,
+  bornMs: number | null,
+): void {
+  logger.recordWarning('host-reborn', {
+    host: host.incarnation.id,
+    ...describePositions(host),
+    bornMs,
+    formerBornMs: host.bornMs,
+    committing: host.history.committingPosition,
+    runs: host.runs.size,
+  });
+}
+
+/** Records that all leases on a host are taken for expired, before its runs are given up. */
+export function recordLeaseExpiry({ logger, clock }: TermContext, host: Host): void {
+  const nowMs = clock.getNow();
+  const { answeredAtMs, restartedAtMs } = host.history;
+  const lease = host.getLease(nowMs);
+  logger.recordWarning('host-lease-lapsed', {
+    host: host.incarnation.id,
+    runs: host.runs.size,
+    bornMs: host.bornMs,
+    isFormerLease: !host.isReconciled,
+    answerAgeMs: getAgeMs(nowMs, answeredAtMs),
+    trackedMs: Math.round(nowMs - host.trackedSinceMs),
+    leaseEndMs: lease.endMs,
+    hostClockMs: lease.clockMs,
+    restartAgeMs: getAgeMs(nowMs, restartedAtMs),
+  });
+}
+
+/**
+ * Records that a hold call acknowledges run ends of the present incarnation that no report contained.
+ * Each position is recorded once.
+ */
+export function recordUnseenAcknowledgement(
+  { logger }: TermContext,
+  host: Host,
+  sentPosition: number,
+  isAnswered: boolean,
+): void {
+  const { history } = host;
+  if (sentPosition <= Math.max(host.appliedEndPosition, history.unseenPosition)) {
+    return;
+  }
+  history.unseenPosition = sentPosition;
+  logger.recordWarning('ends-acknowledged-unseen', {
+    host: host.incarnation.id,
+    ...describePositions(host),
+    sent: sentPosition,
+    isAnswered,
+    committing: history.committingPosition,
+  });
+}
+
+/** Records the positions in a report of the present incarnation, before its ends are applied. */
+export function recordReportPositions(
+  context: TermContext,
+  host: Host,
+  report: HostReport,
+  hold: { readonly sentAtMs: number; readonly acknowledgedPosition: number },
+): void {
+  const { logger, clock } = context;
+  const { history } = host;
+  const nowMs = clock.getNow();
+  recordUnseenAcknowledgement(context, host, hold.acknowledgedPosition, true);
+  const firstPosition = report.ended[0]?.position ?? 0;
+  if (history.hasKnownPositions && firstPosition > host.appliedEndPosition + 1) {
+    logger.recordWarning('ends-skipped', {
+      host: host.incarnation.id,
+      ...describePositions(host),
+      sent: hold.acknowledgedPosition,
+      firstPosition,
+      ends: report.ended.length,
+      restartAgeMs: getAgeMs(nowMs, history.restartedAtMs),
+    });
+  }
+  history.recordReport(report, hold.sentAtMs, nowMs);
+}
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -21,7 +21,14 @@
   MAX_START_DELAY_MS,
   THROTTLED_HOLD_WAIT_MS,
 } from './BaobabwellControllerConstants';
-import { recordLostRun, RunLossGround } from './BaobabwellControllerHostLog';
+import {
+  recordHostRestart,
+  recordLeaseExpiry,
+  recordLostRun,
+  recordReportPositions,
+  recordUnseenAcknowledgement,
+  RunLossGround,
+} from './BaobabwellControllerHostLog';
 import { recordJobEnd } from './BaobabwellControllerJobEnds';
 import { describeRun, RunOrders } from './BaobabwellControllerOrders';
 
@@ -106,11 +113,11 @@
    * has reported: a start may have reached it before this process observed the restart.
    */
   recordRestart(bornMs: number | null): void {
-    const { logger, clock, bounds } = this.#context;
-    logger.recordWarning('host-reborn', { host: this.host.incarnation.id, bornMs });
+    const { clock, bounds } = this.#context;
+    recordHostRestart(this.#context, this.host, bornMs);
     const nowMs = clock.getNow();
     this.host.recordRestart(bornMs, nowMs + bounds.maxHostLeaseMs / (1 - MAX_CLOCK_DRIFT));
-    this.host.history.restartedAtMs = nowMs;
+    this.host.history.recordRestart(nowMs);
     // An unanswered order may still reach the new incarnation, so these runs are stopped there.
     [...this.host.runs.values()]
       .filter(({ key }) => this.host.unansweredStarts.has(key))
@@ -164,6 +171,7 @@
     const sentAtMs = clock.getNow();
     const isResync = !host.isReconciled || !host.hasClock || !host.isReachable;
     const acknowledgedPosition = host.storedEndPosition;
+    recordUnseenAcknowledgement(this.#context, host, acknowledgedPosition, false);
     // A run end that is not acknowledged before the lease expires does not count.
     const shouldRenewLease =
       host.runs.size > 0 || host.appliedEndPosition > host.acknowledgedEndPosition;
@@ -187,7 +195,7 @@
       this.#context.logger.recordInfo('host-reachable', { host: host.incarnation.id });
       host.failedAttempts = 0;
     }
-    this.#applyReport(reply.value, sentAtMs);
+    this.#applyReport(reply.value, { sentAtMs, acknowledgedPosition });
     this.#context.requestDispatch();
     await this.#resolveUnknownOutcomes();
     this.#throttle.apply();
@@ -231,10 +239,7 @@
     }
     if (clock.getNow() > host.getExpiredAtMs(MAX_FORMER_LEASE_MS)) {
       if (host.runs.size > 0 || !host.isReconciled) {
-        logger.recordWarning('host-lease-lapsed', {
-          host: host.incarnation.id,
-          runs: host.runs.size,
-        });
+        recordLeaseExpiry(this.#context, host);
       }
       host.isReconciled = true;
       this.#abandonRuns(RunLossGround.LeaseExpired);
@@ -269,7 +274,10 @@
     this.#context.requestDispatch();
   }
 
-  #applyReport(report: HostReport, sentAtMs: number): void {
+  #applyReport(
+    report: HostReport,
+    hold: { readonly sentAtMs: number; readonly acknowledgedPosition: number },
+  ): void {
     const { host } = this;
     const nowMs = this.#context.clock.getNow();
     if (report.bornMs !== null && host.bornMs !== null && report.bornMs !== host.bornMs) {
@@ -277,7 +285,7 @@
     }
     host.bornMs ??= report.bornMs;
     host.recordClock(report.clockMs, nowMs);
-    host.history.recordReport(report, sentAtMs, nowMs);
+    recordReportPositions(this.#context, host, report, hold);
     if (!host.isRegistered) {
       this.#context.requestCommit();
     }
@@ -300,7 +308,7 @@
         }
       }
     });
-    this.#loseMissingRuns(reportedRuns, sentAtMs);
+    this.#loseMissingRuns(reportedRuns, hold.sentAtMs);
     if (!host.isReconciled) {
       host.isReconciled = true;
       this.#context.logger.recordInfo('host-settled', {
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -255,6 +255,7 @@
       );
       this.#addHost(host, { bornMs: worker.bornMs, isRegistered: false });
       host.isReconciled = true;
+      host.history.hasKnownPositions = true;
       logger.recordInfo('host-listed', { host: key, pool: worker.pool, address: worker.address });
       requestCommit();
       return;
--- a/packages/baobabwell-explain/src/BaobabwellExplainTimeline.ts
+++ b/packages/baobabwell-explain/src/BaobabwellExplainTimeline.ts
@@ -56,6 +56,8 @@
 
 /** Host events that can delay the work on the host. */
 const HOST_EVENTS = new Set([
+  'ends-acknowledged-unseen',
+  'ends-skipped',
   'host-cordon',
   'host-departed',
   'host-draining',
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorLog.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorLog.test.ts
@@ -1,9 +1,9 @@
 import { expect } from 'earl';
 
 import { OrderRefusal } from '@baobabwell/platform';
-import { createError } from '@baobabwell/utils';
+import { createError, createOk } from '@baobabwell/utils';
 
-import { EmulatedJobFleet } from '../../index';
+import { EmulatedJobFleet, NO_STORE_FAULTS } from '../../index';
 
 const SEED = 7;
 const START_MS = 1_500;
@@ -82,6 +82,66 @@
     expect(listLines('run-vanished', 'run-lost')).toMatchSnapshot(this);
   });
 
+  it('name the transaction under way at a restart, and a position acknowledged unseen', async function () {
+    await start(1);
+    fleet.submit([{ taskCount: 1, estimateMs: 300 }]);
+    fleet.submit([TASK]);
+    await fleet.time.advance(150);
+    fleet.rows.faults = { ...NO_STORE_FAULTS, slowMs: 500 };
+    await fleet.time.advance(200);
+    fleet.startHost('host-0');
+    await fleet.time.advance(2_500);
+    expect(listLines('host-reborn', 'ends-acknowledged-unseen')).toMatchSnapshot(this);
+  });
+
+  it('name the first position of a report that skips ends', async function () {
+    await start(1);
+    const [host] = fleet.listHosts();
+    const hold = host?.hold.bind(host) as NonNullable<typeof host>['hold'];
+    // Injected defect: the host does not list its first end.
+    replaceOnHost({
+      hold: async (order) => {
+        const reply = await hold(order);
+        return reply.ok
+          ? createOk({
+              ...reply.value,
+              ended: reply.value.ended.filter(({ position }) => position > 1),
+            })
+          : createError(reply.error);
+      },
+    });
+    fleet.submit([{ taskCount: 1, estimateMs: 300 }]);
+    fleet.submit([{ taskCount: 1, estimateMs: 600 }]);
+    await fleet.time.advance(1_000);
+    expect(listLines('ends-skipped', 'ends-acknowledged-unseen')).toMatchSnapshot(this);
+  });
+
+  it('take no ends for skipped that a former owner acknowledged', async () => {
+    await start(1);
+    fleet.submit([{ taskCount: 3, estimateMs: 300 }]);
+    await fleet.time.advance(1_000);
+    fleet.killDaemon('a');
+    fleet.startDaemon('b');
+    await fleet.time.advance(5_000);
+    fleet.submit([{ taskCount: 3, estimateMs: 300 }]);
+    await fleet.time.advance(1_000);
+    expect(listLines('run-ended').length).toEqual(6);
+    expect(listLines('ends-skipped', 'ends-acknowledged-unseen')).toEqual([]);
+  });
+
+  it('name whose leases a host was silent for', async function () {
+    await start(2);
+    fleet.submit([{ ...TASK, taskCount: 1 }]);
+    await fleet.time.advance(400);
+    fleet.startDaemon('b');
+    await fleet.time.advance(100);
+    fleet.faults.partitionedHosts.add('host-0');
+    await fleet.time.advance(5_000);
+    fleet.killDaemon('a');
+    await fleet.time.advance(20_000);
+    expect(listLines('host-lease-lapsed')).toMatchSnapshot(this);
+  });
+
   it('count lost runs by ground', async () => {
     await start(1);
     fleet.submit([TASK]);
