--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -21,6 +21,14 @@
   MAX_START_DELAY_MS,
   THROTTLED_HOLD_WAIT_MS,
 } from './BaobabwellControllerConstants';
+import {
+  recordHostRestart,
+  recordLeaseExpiry,
+  recordLostRun,
+  recordReportPositions,
+  recordUnseenAcknowledgement,
+  RunLossGround,
+} from './BaobabwellControllerHostLog';
 import { recordJobEnd } from './BaobabwellControllerJobEnds';
 import { describeRun, RunOrders } from './BaobabwellControllerOrders';
 
@@ -57,7 +65,7 @@
     this.#orders = new RunOrders(context, host, {
       requestHold: () => this.requestHold(),
       recordUnansweredOrder: () => this.#recordUnansweredOrder(),
-      loseRun: (run) => this.#loseRun(run),
+      loseRun: (run) => this.#loseRun(run, RunLossGround.NotStarted),
       recordIncarnationEnd: (reason) => this.recordIncarnationEnd(reason),
       hasEnded: () => this.#hasEnded,
     });
@@ -96,7 +104,7 @@
   recordIncarnationEnd(reason: string): void {
     this.#context.logger.recordInfo('host-life-ended', { host: this.host.incarnation.id, reason });
     this.#hasEnded = true;
-    this.#abandonRuns();
+    this.#abandonRuns(RunLossGround.IncarnationEnded);
     this.requestHold();
   }
 
@@ -105,9 +113,11 @@
    * has reported: a start may have reached it before this process observed the restart.
    */
   recordRestart(bornMs: number | null): void {
-    const { logger, clock, bounds } = this.#context;
-    logger.recordWarning('host-reborn', { host: this.host.incarnation.id, bornMs });
-    this.host.recordRestart(bornMs, clock.getNow() + bounds.maxHostLeaseMs / (1 - MAX_CLOCK_DRIFT));
+    const { clock, bounds } = this.#context;
+    recordHostRestart(this.#context, this.host, bornMs);
+    const nowMs = clock.getNow();
+    this.host.recordRestart(bornMs, nowMs + bounds.maxHostLeaseMs / (1 - MAX_CLOCK_DRIFT));
+    this.host.history.recordRestart(nowMs);
     // An unanswered order may still reach the new incarnation, so these runs are stopped there.
     [...this.host.runs.values()]
       .filter(({ key }) => this.host.unansweredStarts.has(key))
@@ -161,6 +171,7 @@
     const sentAtMs = clock.getNow();
     const isResync = !host.isReconciled || !host.hasClock || !host.isReachable;
     const acknowledgedPosition = host.storedEndPosition;
+    recordUnseenAcknowledgement(this.#context, host, acknowledgedPosition, false);
     // A run end that is not acknowledged before the lease expires does not count.
     const shouldRenewLease =
       host.runs.size > 0 || host.appliedEndPosition > host.acknowledgedEndPosition;
@@ -184,7 +195,7 @@
       this.#context.logger.recordInfo('host-reachable', { host: host.incarnation.id });
       host.failedAttempts = 0;
     }
-    this.#applyReport(reply.value, sentAtMs);
+    this.#applyReport(reply.value, { sentAtMs, acknowledgedPosition });
     this.#context.requestDispatch();
     await this.#resolveUnknownOutcomes();
     this.#throttle.apply();
@@ -228,13 +239,10 @@
     }
     if (clock.getNow() > host.getExpiredAtMs(MAX_FORMER_LEASE_MS)) {
       if (host.runs.size > 0 || !host.isReconciled) {
-        logger.recordWarning('host-lease-lapsed', {
-          host: host.incarnation.id,
-          runs: host.runs.size,
-        });
+        recordLeaseExpiry(this.#context, host);
       }
       host.isReconciled = true;
-      this.#abandonRuns();
+      this.#abandonRuns(RunLossGround.LeaseExpired);
       if (host.listedWorker === null) {
         this.#hasEnded = true;
       }
@@ -261,12 +269,15 @@
     this.requestHold();
   }
 
-  #abandonRuns(): void {
-    [...this.host.runs.values()].forEach((run) => this.#loseRun(run));
+  #abandonRuns(ground: RunLossGround): void {
+    [...this.host.runs.values()].forEach((run) => this.#loseRun(run, ground));
     this.#context.requestDispatch();
   }
 
-  #applyReport(report: HostReport, sentAtMs: number): void {
+  #applyReport(
+    report: HostReport,
+    hold: { readonly sentAtMs: number; readonly acknowledgedPosition: number },
+  ): void {
     const { host } = this;
     const nowMs = this.#context.clock.getNow();
     if (report.bornMs !== null && host.bornMs !== null && report.bornMs !== host.bornMs) {
@@ -274,6 +285,7 @@
     }
     host.bornMs ??= report.bornMs;
     host.recordClock(report.clockMs, nowMs);
+    recordReportPositions(this.#context, host, report, hold);
     if (!host.isRegistered) {
       this.#context.requestCommit();
     }
@@ -296,7 +308,7 @@
         }
       }
     });
-    this.#loseMissingRuns(reportedRuns, sentAtMs);
+    this.#loseMissingRuns(reportedRuns, hold.sentAtMs);
     if (!host.isReconciled) {
       host.isReconciled = true;
       this.#context.logger.recordInfo('host-settled', {
@@ -382,12 +394,10 @@
    * missing from that report.
    */
   #loseMissingRuns(reportedRuns: ReadonlySet<string>, sentAtMs: number): void {
-    const { logger } = this.#context;
     [...this.host.runs.values()].forEach((run) => {
       const isOlderThanReport = run.answeredAtMs !== null && run.answeredAtMs < sentAtMs;
       if (isOlderThanReport && !reportedRuns.has(run.key)) {
-        logger.recordWarning('run-vanished', { ...describeRun(run), phase: run.phase });
-        this.#loseRun(run);
+        this.#loseRun(run, RunLossGround.Vanished);
       }
     });
   }
@@ -403,7 +413,11 @@
     }
   }
 
-  #loseRun(run: Run): void {
+  #loseRun(run: Run, ground: RunLossGround): void {
+    // An order can outlive its run, which was then recorded as lost before.
+    if (this.host.runs.has(run.key)) {
+      recordLostRun(this.#context, this.host, run, ground);
+    }
     this.host.removeRun(run);
     this.#context.jobRegistry.removeLostRun(run);
     this.#context.requestDispatch();
