--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -272,8 +272,8 @@
     return [...this.#hosts.values()];
   }
 
-  /** Starts a new incarnation of a host; kills the one before. */
-  startHost(id: string): EmulatedHost {
+  /** Starts a new incarnation of a host, whose row is written after a lag; kills the one before. */
+  startHost(id: string, rowLagMs = 0): EmulatedHost {
     this.#hosts.get(id)?.kill();
     const host = new EmulatedHost(id, this.time, this.oracle, CAPACITY);
     this.#hosts.set(id, host);
@@ -288,7 +288,12 @@
       leavesInMs: null,
       bornMs: host.bornMs,
     };
-    this.#put(WORKERS_TABLE, id, worker as unknown as JsonValue);
+    const putRow = (): void => this.#put(WORKERS_TABLE, id, worker as unknown as JsonValue);
+    if (rowLagMs === 0) {
+      putRow();
+    } else {
+      this.time.startTimer(rowLagMs, putRow);
+    }
     return host;
   }
 
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorRestarts.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorRestarts.test.ts
@@ -56,6 +56,19 @@
       await fleet.time.advance(RECOVERY_MS);
       await expectCompleted([former, last, next]);
     });
+
+    it(`acknowledges no end of a new life before its row is read (host forgets ${forgets})`, async () => {
+      await start(1);
+      const former = fleet.submit([{ taskCount: 6, estimateMs: 200 }]);
+      const running = fleet.submit([{ taskCount: 1, estimateMs: 9_000 }]);
+      await fleet.time.advance(1_000);
+      await expectCompleted([former]);
+      fleet.startHost('host-0', 2_000).shouldKeepAcknowledgedPosition =
+        shouldKeepAcknowledgedPosition;
+      const next = submitStaggered(4, 100);
+      await fleet.time.advance(2 * RECOVERY_MS);
+      await expectCompleted([running, next]);
+    });
   });
 
   it('acknowledges no end of a new life after a late report of the former one', async () => {
