--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
@@ -186,6 +186,24 @@
     await expectCompleted(jobs);
   });
 
+  it('runs no task twice when a former owner keeps a host that the next cannot reach', async () => {
+    await start(3);
+    const owner = fleet.findOwner() as string;
+    const job = fleet.submit([{ taskCount: 12, estimateMs: 25_000 }]);
+    await fleet.time.advance(1_000);
+    fleet.partitionDaemon(owner, true);
+    ['a', 'b', 'c'].forEach((name) =>
+      (name === owner ? ['host-1', 'host-2'] : ['host-0']).forEach((host) =>
+        fleet.faults.partitionedRoutes.add(formatRoute(name, host)),
+      ),
+    );
+    await fleet.time.advance(12_000);
+    fleet.faults.partitionedRoutes.clear();
+    fleet.partitionDaemon(owner, false);
+    await fleet.time.advance(40_000);
+    await expectCompleted([job]);
+  });
+
   it('persists every end although the store loses answers and applies writes late', async () => {
     await start(3);
     fleet.rows.faults = { ...NO_STORE_FAULTS, lostFraction: 0.3 };
