--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
@@ -214,6 +214,15 @@
     await expectCompleted(jobs);
   });
 
+  it('starts no task again whose end does not fit into the report of its host', async () => {
+    await start(1);
+    const need = { cpuMillis: 10, memoryMb: 1, gpus: 0 };
+    const job = fleet.submit([{ taskCount: 600, need }]);
+    await fleet.time.advance(6_000);
+    expect(fleet.oracle.startCount).toEqual(600);
+    await expectCompleted([job]);
+  });
+
   it('persists simultaneous changes of many hosts and jobs within the transaction size limit', async () => {
     await start(120);
     const jobs = Array.from({ length: 40 }, () =>
