controller: end-ignored, stop-ordered and machine-ordered tell what the owner knew

Change: end-ignored gets position, bornMs, the state of the task and the age of the host's restart; machine-ordered and, for long running tasks, stop-ordered get isReconciled, runs and reportAgeMs, stop-ordered also othersAway and maxAway. A task is looked up without creating the steps of its occurrence, as findTask would. Not taken: counting the others of an ended job, whose tasks all stop. Conclusion: orders for machines that were taken for idle can be told from those for idle machines.

--- a/packages/baobabwell-controller/src/BaobabwellControllerHostLog.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostLog.ts
@@ -1,11 +1,13 @@
 /** Log lines on a host from which it can be told later why a task was started again. */
 import type { TermContext } from './BaobabwellControllerContext';
 import type { Host } from './BaobabwellControllerHost';
-import type { Run } from '@baobabwell/jobs';
+import type { Run, Task } from '@baobabwell/jobs';
 import type { LogFields } from '@baobabwell/logging';
-import type { HostReport } from '@baobabwell/platform';
+import type { EndedRun, HostReport } from '@baobabwell/platform';
 
-import { describeRun } from './BaobabwellControllerOrders';
+import { parseTaskName } from '@baobabwell/jobs';
+
+import { countOthersUnavailable } from './BaobabwellControllerLongRunning';
 
 /** Ground on which a run is given up although its host reported no end of it. */
 export enum RunLossGround {
@@ -24,6 +26,66 @@
   return atMs === null ? null : Math.round(nowMs - atMs);
 }
 
+/** Returns the log fields that identify a run. */
+export function describeRun({ task, number, hostId }: Run): Record<string, string | number> {
+  return { job: task.step.job.record.id, task: task.name, run: number, host: hostId };
+}
+
+/** Returns the log fields with what this owner knows of a host; `null` for one that it does not track. */
+export function describeKnowledge(nowMs: number, host: Host | null): LogFields {
+  return {
+    isReconciled: host?.isReconciled ?? null,
+    runs: host?.runs.size ?? null,
+    reportAgeMs: getAgeMs(nowMs, host?.history.lastReport?.receivedAtMs ?? null),
+  };
+}
+
+/** Returns further log fields of an order to stop a run, if its task is long running. */
+export function describeLongRunningStop(
+  context: TermContext,
+  host: Host,
+  { task }: Run,
+): LogFields {
+  const { step } = task;
+  if (!step.spec.isLasting) {
+    return {};
+  }
+  return {
+    ...describeKnowledge(context.clock.getNow(), host),
+    // All tasks of an ended job are stopped, whatever the others do.
+    othersAway: step.job.isEnded ? null : countOthersUnavailable(context, step, task),
+    maxAway: step.spec.maxAway,
+  };
+}
+
+/** Finds a task that this owner tracks, without creating the steps of its occurrence. */
+function findTrackedTask({ jobRegistry }: TermContext, name: string): Task | null {
+  const parsed = parseTaskName(name);
+  const steps = parsed && jobRegistry.findJob(parsed.jobId)?.occurrences.get(parsed.occurrence);
+  return (parsed && steps?.[parsed.step]?.tasks[parsed.index]) ?? null;
+}
+
+/** Records an end that has no effect because its run is not tracked. */
+export function recordIgnoredEnd(
+  context: TermContext,
+  host: Host,
+  { task: name, run, end, position }: EndedRun,
+): void {
+  const task = findTrackedTask(context, name);
+  context.logger.recordInfo('end-ignored', {
+    host: host.incarnation.id,
+    task: name,
+    run,
+    end,
+    position,
+    bornMs: host.bornMs,
+    isTaskKnown: task !== null,
+    taskPhase: task?.phase ?? null,
+    lastRun: task?.lastRun ?? null,
+    restartAgeMs: getAgeMs(context.clock.getNow(), host.history.restartedAtMs),
+  });
+}
+
 /** Returns the log fields with the incarnation of a host and its positions of run ends. */
 export function describePositions(host: Host): LogFields {
   return {
--- a/packages/baobabwell-controller/src/BaobabwellControllerLongRunning.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerLongRunning.ts
@@ -16,12 +16,18 @@
   );
 }
 
+/** Counts the other tasks of a step that are not available. */
+export function countOthersUnavailable(
+  context: TermContext,
+  { tasks }: Step,
+  stopped: Task,
+): number {
+  return tasks.filter((task) => task !== stopped && !isAvailable(context, task)).length;
+}
+
 /** Returns true when enough other tasks of a step stay available after one is stopped. */
-function canStopLongRunning(context: TermContext, { tasks, spec }: Step, stopped: Task): boolean {
-  const unavailableCount = tasks.filter(
-    (task) => task !== stopped && !isAvailable(context, task),
-  ).length;
-  return unavailableCount < Math.max(1, spec.maxAway);
+function canStopLongRunning(context: TermContext, step: Step, stopped: Task): boolean {
+  return countOthersUnavailable(context, step, stopped) < Math.max(1, step.spec.maxAway);
 }
 
 /** Lists the runs of long running tasks on a host. */
--- a/packages/baobabwell-controller/src/BaobabwellControllerMachineInventory.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerMachineInventory.ts
@@ -10,6 +10,7 @@
   MAX_MACHINE_LIST_AGE_MS,
   MAX_ORDER_LEASE_AGE_MS,
 } from './BaobabwellControllerConstants';
+import { describeKnowledge } from './BaobabwellControllerHostLog';
 
 /** An order for a machine whose effect has not shown in the list yet. */
 type PendingOrder = {
@@ -124,6 +125,7 @@
       return false;
     }
     const sentAtMs = clock.getNow();
+    const known = describeKnowledge(sentAtMs, this.findHost(machine));
     this.#pendingOrders.set(name, { pool, sentAtMs, isAnswered: false });
     const reply = await send({ machine: name, holder, epoch: term.epoch });
     const isDone = reply?.ok === true;
@@ -138,6 +140,7 @@
       epoch: term.epoch,
       refusal,
       tookMs: Math.round(clock.getNow() - sentAtMs),
+      ...known,
     });
     if (refusal !== null && refusal !== CloudRefusal.Unanswered) {
       this.#pendingOrders.delete(name);
--- a/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
@@ -11,6 +11,7 @@
   REFUSAL_DELAY_MS,
   UNHEALTHY_BACKOFF_MS,
 } from './BaobabwellControllerConstants';
+import { describeLongRunningStop, describeRun } from './BaobabwellControllerHostLog';
 
 /** Callbacks from orders to the session of their host. */
 export type OrderListener = {
@@ -23,11 +24,6 @@
   readonly hasEnded: () => boolean;
 };
 
-/** Returns the log fields that identify a run. */
-export function describeRun({ task, number, hostId }: Run): Record<string, string | number> {
-  return { job: task.step.job.record.id, task: task.name, run: number, host: hostId };
-}
-
 /** Starts and stops runs on one host. */
 export class RunOrders {
   readonly #context: TermContext;
@@ -106,9 +102,11 @@
     if (run.phase === RunPhase.Stopping) {
       return;
     }
+    // Before the phase changes, so that the fields show on what the order was decided.
+    const known = describeLongRunningStop(this.#context, this.#host, run);
     stopped.phase = RunPhase.Stopping;
     stopped.answeredAtMs = null;
-    this.#context.logger.recordInfo('stop-ordered', { ...describeRun(run), reason });
+    this.#context.logger.recordInfo('stop-ordered', { ...describeRun(run), reason, ...known });
     await this.sendStop(run);
     this.#listener.requestHold();
   }
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -1,7 +1,6 @@
 import type { TermContext } from './BaobabwellControllerContext';
 import type { Host } from './BaobabwellControllerHost';
-import type { RunEnd } from '@baobabwell/jobs';
-import type { HostReport, OrderError } from '@baobabwell/platform';
+import type { EndedRun, HostReport, OrderError } from '@baobabwell/platform';
 
 import { JobState, Run, RunEndEffect, RunPhase, TaskPhase } from '@baobabwell/jobs';
 import { FORMER_OWNER_GRACE_MS, OWNER_LEASE_MS } from '@baobabwell/ownership';
@@ -22,7 +21,9 @@
   THROTTLED_HOLD_WAIT_MS,
 } from './BaobabwellControllerConstants';
 import {
+  describeRun,
   recordHostRestart,
+  recordIgnoredEnd,
   recordLeaseExpiry,
   recordLostRun,
   recordReportPositions,
@@ -30,7 +31,7 @@
   RunLossGround,
 } from './BaobabwellControllerHostLog';
 import { recordJobEnd } from './BaobabwellControllerJobEnds';
-import { describeRun, RunOrders } from './BaobabwellControllerOrders';
+import { RunOrders } from './BaobabwellControllerOrders';
 
 /** Longest time for which leases granted by a former owner last after a takeover, in ms. */
 const MAX_FORMER_LEASE_MS =
@@ -290,11 +291,12 @@
       this.#context.requestCommit();
     }
     const reportedRuns = new Set<string>();
-    report.ended.forEach(({ position, task, run, end, checkpoint }) => {
+    report.ended.forEach((endedRun) => {
+      const { position, task, run } = endedRun;
       reportedRuns.add(`${task}#${run}`);
       if (position > host.appliedEndPosition) {
         host.appliedEndPosition = position;
-        this.#applyEnd(task, run, end, checkpoint);
+        this.#applyEnd(endedRun);
       }
     });
     report.active.forEach(({ task, run, checkpoint, progressPercent, reading }) => {
@@ -323,12 +325,13 @@
     }
   }
 
-  #applyEnd(name: string, number: number, end: RunEnd, checkpoint: string): void {
+  #applyEnd(endedRun: EndedRun): void {
+    const { task: name, run: number, end, checkpoint } = endedRun;
     const { jobRegistry, logger, metrics, clock } = this.#context;
     const { host } = this;
     const run = host.runs.get(`${name}#${number}`) ?? this.#findFormerRun(name, number);
     if (run === null) {
-      logger.recordInfo('end-ignored', { host: host.incarnation.id, task: name, run: number, end });
+      recordIgnoredEnd(this.#context, host, endedRun);
       return;
     }
     host.removeRun(run);
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorLog.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorLog.test.ts
@@ -9,6 +9,8 @@
 const START_MS = 1_500;
 const TASK = { taskCount: 1, estimateMs: 2_500 };
 
+const LONG_RUNNING_STEP = { isLasting: true, estimateMs: 0, maxPerHost: 1, maxAway: 1 };
+
 /** The logger takes this time from the real clock. */
 const REAL_TIME = / at=\S+/;
 
@@ -142,6 +144,39 @@
     expect(listLines('host-lease-lapsed')).toMatchSnapshot(this);
   });
 
+  it('name what is known of the task of an ignored end, and the position', async function () {
+    await start(1);
+    fleet.submit([TASK]);
+    await fleet.time.advance(400);
+    replaceOnHost({ shouldHideRuns: true });
+    await fleet.time.advance(2_000);
+    replaceOnHost({ shouldHideRuns: false });
+    await fleet.time.advance(4_000);
+    expect(listLines('end-ignored').slice(0, 1)).toMatchSnapshot(this);
+  });
+
+  it('name what is known of a host when its machine is ordered or a long running task stopped', async function () {
+    fleet = new EmulatedJobFleet(SEED, 3);
+    fleet.createCloud(0);
+    fleet.startDaemon('a');
+    await fleet.time.advance(START_MS);
+    fleet.submit([{ ...LONG_RUNNING_STEP, taskCount: 2 }]);
+    await fleet.time.advance(1_000);
+    const machines = ['m-host-0', 'm-host-1', 'm-host-2'];
+    fleet.requestWave({ number: 1, durationMs: 20_000, maxDown: 1, machines });
+    await fleet.time.advance(10_000);
+    expect(listLines('stop-ordered', 'machine-ordered').slice(0, 3)).toMatchSnapshot(this);
+  });
+
+  it('count no others of a step whose job was cancelled', async function () {
+    await start(1);
+    const job = fleet.submit([{ ...LONG_RUNNING_STEP, taskCount: 1 }]);
+    await fleet.time.advance(1_000);
+    fleet.cancel(job);
+    await fleet.time.advance(500);
+    expect(listLines('stop-ordered')).toMatchSnapshot(this);
+  });
+
   it('count lost runs by ground', async () => {
     await start(1);
     fleet.submit([TASK]);
