daemon: measure how late the timers of the process are

Change: a monitor with a timer each 100 ms fills baobabwell_event_loop_delay_seconds and writes event-loop-late, at most once a second, when a timer was late by more than 500 ms. Not taken: prom-client's nodejs_eventloop_lag_seconds, which measures only when it is scraped.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemon.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemon.ts
@@ -7,6 +7,7 @@
 import { DaemonMetrics } from '@baobabwell/metrics';
 
 import { controllerPlugin } from './BaobabwellDaemonControllerPlugin';
+import { eventLoopPlugin } from './BaobabwellDaemonEventLoop';
 import { ingressPlugin } from './BaobabwellDaemonIngressPlugin';
 import { MeasuredStore } from './BaobabwellDaemonMeasuredStore';
 import { metricsPlugin } from './BaobabwellDaemonMetricsPlugin';
@@ -38,6 +39,7 @@
       );
     },
   });
+  kernel.use(eventLoopPlugin);
   // Plugins close in reverse order: ownership is handed over first, while callers are still served.
   kernel.use(ingressPlugin);
   kernel.use(metricsPlugin);
--- /dev/null
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonEventLoop.ts
@@ -0,0 +1,64 @@
+import type { Plugin, Undo } from '@baobabwell/kernel';
+import type { Logger } from '@baobabwell/logging';
+import type { DaemonMetrics } from '@baobabwell/metrics';
+import type { CancelTimer, Clock } from '@baobabwell/utils';
+
+import { mergeUndo } from '@baobabwell/kernel';
+
+import { LOGGER, METRICS } from './BaobabwellDaemonTokens';
+
+const SECOND_MS = 1_000;
+
+/** Time between two timers whose delay is measured, in ms. */
+const SAMPLE_INTERVAL_MS = 100;
+
+/** Delay of a timer above which it is logged, in ms. */
+const MIN_LOGGED_DELAY_MS = 500;
+
+/** Shortest time between two log lines, in ms. */
+const LOG_INTERVAL_MS = 1_000;
+
+/** Measures how late the timers of the process are; returns a function that stops this. */
+export function startEventLoopMonitor(options: {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: DaemonMetrics;
+}): Undo {
+  const { clock, logger, metrics } = options;
+  let cancelTimer: CancelTimer = () => undefined;
+  let loggedAtMs = -Infinity;
+
+  function recordDelay(delayMs: number): void {
+    metrics.eventLoopDelaySeconds.observe(delayMs / SECOND_MS);
+    const nowMs = clock.getNow();
+    if (delayMs > MIN_LOGGED_DELAY_MS && nowMs - loggedAtMs >= LOG_INTERVAL_MS) {
+      loggedAtMs = nowMs;
+      logger.recordWarning('event-loop-late', { delayMs: Math.round(delayMs) });
+    }
+  }
+
+  function startTimer(): void {
+    const dueAtMs = clock.getNow() + SAMPLE_INTERVAL_MS;
+    cancelTimer = clock.startTimer(SAMPLE_INTERVAL_MS, () => {
+      recordDelay(Math.max(0, clock.getNow() - dueAtMs));
+      startTimer();
+    });
+  }
+
+  startTimer();
+  return () => cancelTimer();
+}
+
+/** Measures the delay of the event loop until the process closes. */
+export const eventLoopPlugin: Plugin = {
+  name: 'event loop monitor',
+  register: () => mergeUndo(),
+  async start(kernel) {
+    const stop = startEventLoopMonitor({
+      clock: kernel.clock,
+      logger: kernel.getService(LOGGER),
+      metrics: kernel.getService(METRICS),
+    });
+    kernel.lifecycle.add('event loop monitor', stop);
+  },
+};
--- /dev/null
+++ b/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonEventLoop.test.ts
@@ -0,0 +1,74 @@
+import type { Undo } from '@baobabwell/kernel';
+
+import { expect } from 'earl';
+
+import { EmulatedTime, ProcessClock } from '@baobabwell/emulator';
+import { Logger, LogLevel } from '@baobabwell/logging';
+import { DaemonMetrics } from '@baobabwell/metrics';
+
+import { startEventLoopMonitor } from '../../BaobabwellDaemonEventLoop';
+
+const REAL_TIME = /at=\S+ /;
+
+describe('event loop monitor', () => {
+  let time: EmulatedTime;
+  let clock: ProcessClock;
+  let metrics: DaemonMetrics;
+  let lines: string[];
+  let stop: Undo;
+
+  beforeEach(() => {
+    time = new EmulatedTime();
+    clock = new ProcessClock(time);
+    metrics = new DaemonMetrics();
+    lines = [];
+    const logger = new Logger(LogLevel.Info, {}, (line) => lines.push(line.replace(REAL_TIME, '')));
+    stop = startEventLoopMonitor({ clock, logger, metrics });
+  });
+
+  afterEach(() => stop());
+
+  /** Pauses the process, so that its next timer is late. */
+  async function pause(durationMs: number): Promise<void> {
+    clock.pause();
+    await time.advance(durationMs);
+    clock.resume();
+    await time.advance(0);
+  }
+
+  async function countSamples(maxSeconds: string): Promise<number> {
+    const { values } = await metrics.eventLoopDelaySeconds.get();
+    return values.find(({ labels }) => String(labels.le) === maxSeconds)?.value ?? 0;
+  }
+
+  it('measures the delay of ten timers a second', async () => {
+    await time.advance(1_000);
+    expect(await countSamples('0.005')).toEqual(10);
+    await pause(800);
+    expect(await countSamples('0.5')).toEqual(10);
+    expect(await countSamples('1')).toEqual(11);
+  });
+
+  it('logs a timer that is late by more than 500 ms, and no other', async () => {
+    await time.advance(1_000);
+    await pause(600);
+    expect(lines).toEqual([]);
+    await pause(601);
+    expect(lines).toEqual(['level=warn event=event-loop-late delayMs=501']);
+  });
+
+  it('logs at most one line a second', async () => {
+    await pause(700);
+    await pause(700);
+    expect(lines.length).toEqual(1);
+    await pause(700);
+    expect(lines.length).toEqual(2);
+  });
+
+  it('measures no more after it was stopped', async () => {
+    await time.advance(500);
+    stop();
+    await time.advance(5_000);
+    expect(await countSamples('+Inf')).toEqual(5);
+  });
+});
--- a/packages/baobabwell-metrics/src/BaobabwellMetricsDaemon.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetricsDaemon.ts
@@ -62,4 +62,11 @@
     buckets: SECONDS_BUCKETS,
     registers: [this.registry],
   });
+
+  readonly eventLoopDelaySeconds = new Histogram({
+    name: 'baobabwell_event_loop_delay_seconds',
+    help: 'Time by which timers of this process were late, measured ten times a second.',
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
 }
