logging: lines that explain a repeated start are dropped last

Change: reserved events may use 128 KiB above the 256 KiB of the others and 1,000 lines a second in place of 400; which they are is decided in the daemon. Still bounded and never blocking: counts of dropped lines wait for room too, which before were appended each second even behind a reader that had stopped. Not taken: a second buffer, which would change the order of lines; 2,000 lines a second, since an admitted line of this length costs about 45 us.

--- /dev/null
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonLogReserve.ts
@@ -0,0 +1,18 @@
+/** Events that explain why a task was started again; they are rare unless something goes wrong. */
+const RESERVED_EVENTS = new Set([
+  'end-ignored',
+  'ends-acknowledged-unseen',
+  'ends-skipped',
+  'event-loop-late',
+  'host-lease-lapsed',
+  'host-reborn',
+  'run-lost',
+  'run-vanished',
+]);
+
+const OWNERSHIP_PREFIX = 'ownership-';
+
+/** Returns true for an event whose lines may use the reserve of the line writer. */
+export function isReservedEvent(event: string): boolean {
+  return RESERVED_EVENTS.has(event) || event.startsWith(OWNERSHIP_PREFIX);
+}
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonProcess.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonProcess.ts
@@ -5,6 +5,7 @@
 import { SystemClock } from '@baobabwell/utils';
 
 import { buildDaemon } from './BaobabwellDaemon';
+import { isReservedEvent } from './BaobabwellDaemonLogReserve';
 import { DaemonState } from './BaobabwellDaemonState';
 
 /** Time before the end of the grace period at which the process exits in any case, in ms. */
@@ -36,7 +37,7 @@
   createAdapters: (clock: Clock) => DaemonAdapters,
 ): Promise<void> {
   const clock = new SystemClock();
-  const writer = new LineWriter(clock, openOutput());
+  const writer = new LineWriter(clock, openOutput(), isReservedEvent);
   const { name, zone, fitness } = settings;
   const logger = new Logger(LogLevel.Info, { daemon: name }, writer.write, writer.admit);
   const state = new DaemonState();
--- a/packages/baobabwell-logging/src/BaobabwellLoggingLineWriter.ts
+++ b/packages/baobabwell-logging/src/BaobabwellLoggingLineWriter.ts
@@ -8,6 +8,10 @@
 /** Maximum number of bytes that wait for a slow reader; further lines are dropped. */
 const MAX_PENDING_BYTES = 262_144;
 
+/** The same limits for reserved events: ordinary lines cannot use what is above theirs. */
+const MAX_RESERVED_LINES_PER_EVENT_PER_SECOND = 1_000;
+const MAX_RESERVED_PENDING_BYTES = MAX_PENDING_BYTES + 131_072;
+
 /** Time for which lines are buffered before they are written together, in ms. */
 const FLUSH_DELAY_MS = 100;
 
@@ -26,6 +30,8 @@
 
   readonly #output: LineOutput;
 
+  readonly #isReserved: (event: string) => boolean;
+
   readonly #countByEvent = new Map<string, number>();
 
   readonly #droppedByEvent = new Map<string, number>();
@@ -36,9 +42,15 @@
 
   #isFlushScheduled = false;
 
-  constructor(clock: Clock, output: LineOutput) {
+  /** @param isReserved decides whether lines of an event may use the reserve. */
+  constructor(
+    clock: Clock,
+    output: LineOutput,
+    isReserved: (event: string) => boolean = () => false,
+  ) {
     this.#clock = clock;
     this.#output = output;
+    this.#isReserved = isReserved;
   }
 
   /** Returns whether a line of an event is within the limits; otherwise counts it as dropped. */
@@ -46,12 +58,11 @@
     this.#startWindow();
     const count = (this.#countByEvent.get(event) ?? 0) + 1;
     this.#countByEvent.set(event, count);
-    const isFull = this.#output.writableLength + this.#buffer.length > MAX_PENDING_BYTES;
-    if (count > MAX_LINES_PER_EVENT_PER_SECOND || isFull) {
-      this.#droppedByEvent.set(event, (this.#droppedByEvent.get(event) ?? 0) + 1);
-      return false;
+    if (this.#isWithinLimits(event, count)) {
+      return true;
     }
-    return true;
+    this.#droppedByEvent.set(event, (this.#droppedByEvent.get(event) ?? 0) + 1);
+    return false;
   };
 
   /** Buffers an admitted line and schedules a flush. */
@@ -72,6 +83,22 @@
     }
   }
 
+  #isWithinLimits(event: string, count: number): boolean {
+    const pendingBytes = this.#countPendingBytes();
+    if (count <= MAX_LINES_PER_EVENT_PER_SECOND && pendingBytes <= MAX_PENDING_BYTES) {
+      return true;
+    }
+    return (
+      count <= MAX_RESERVED_LINES_PER_EVENT_PER_SECOND &&
+      pendingBytes <= MAX_RESERVED_PENDING_BYTES &&
+      this.#isReserved(event)
+    );
+  }
+
+  #countPendingBytes(): number {
+    return this.#output.writableLength + this.#buffer.length;
+  }
+
   #startWindow(): void {
     const nowMs = this.#clock.getNow();
     if (nowMs - this.#windowStartMs < RATE_WINDOW_MS) {
@@ -79,6 +106,10 @@
     }
     this.#windowStartMs = nowMs;
     this.#countByEvent.clear();
+    if (this.#countPendingBytes() > MAX_RESERVED_PENDING_BYTES) {
+      // The counts go on until there is room for their lines.
+      return;
+    }
     const at = new Date(this.#clock.getWallTime());
     this.#droppedByEvent.forEach((count, event) => {
       this.#buffer += `${formatEvent(at, 'warn', 'log-lines-dropped', { dropped: event, count })}\n`;
--- a/packages/baobabwell-logging/src/__tests__/unit/BaobabwellLoggingLineWriter.test.ts
+++ b/packages/baobabwell-logging/src/__tests__/unit/BaobabwellLoggingLineWriter.test.ts
@@ -14,7 +14,8 @@
       writableLength: pendingBytes,
       write: (text: string) => written.push(text),
     };
-    return { time, written, writer: new LineWriter(time, output) };
+    const isReserved = (event: string): boolean => event === 'reserved';
+    return { time, written, output, writer: new LineWriter(time, output, isReserved) };
   }
 
   /** Writes a line if it is admitted, as a logger does. */
@@ -54,6 +55,47 @@
     expect(written).toEqual([]);
   });
 
+  it('keeps a reserve for reserved events while ordinary lines are dropped', async () => {
+    const { time, written, writer } = createWriter(262_145);
+    record(writer, 'lost', 'event');
+    record(writer, 'kept', 'reserved');
+    await time.advance(SECOND_MS);
+    expect(written).toEqual(['kept\n']);
+  });
+
+  it('drops reserved events too when the reserve is used up', async () => {
+    const { time, written, writer } = createWriter(262_145);
+    const line = 'x'.repeat(1_023);
+    for (let count = 0; count < 200; count += 1) {
+      record(writer, line, 'reserved');
+    }
+    await time.advance(SECOND_MS);
+    expect(written.join('').length).toEqual(131_072);
+  });
+
+  it('admits more lines of a reserved event a second, up to a limit of their own', async () => {
+    const { time, written, writer } = createWriter(0);
+    for (let count = 0; count < 1_500; count += 1) {
+      record(writer, 'x', 'reserved');
+    }
+    await time.advance(SECOND_MS);
+    expect(written.join('').length).toEqual(2 * 1_000);
+  });
+
+  it('writes no counts of dropped lines while the reserve is used up, and all of them later', async () => {
+    const { time, written, output, writer } = createWriter(500_000);
+    for (let second = 0; second < 3; second += 1) {
+      record(writer, 'lost', 'event');
+      await time.advance(SECOND_MS);
+    }
+    expect(written).toEqual([]);
+    output.writableLength = 0;
+    record(writer, 'later', 'event');
+    await time.advance(SECOND_MS);
+    const [line] = written.join('').split('\n');
+    expect(line?.endsWith('event=log-lines-dropped dropped=event count=3')).toEqual(true);
+  });
+
   it('prevents the formatting of lines that are dropped', () => {
     const { writer } = createWriter(300_000);
     let formattedCount = 0;
