controller: state of a host's incarnation is never carried to the next one

Cause: positions of run ends, the clock and the leases belonged to the host, which outlives a restart of its worker under the same id. A transaction under way, a late report, a late answer to a start and a hold sent before the restart was known changed the state of the new incarnation: its ends were acknowledged though no report had contained them, its runs were missing and their tasks started again after they had ended as done. Evidence: emulator, six tests; e.g. 'acknowledges no end of a new life after storing ends of the former one': done on host-0 acknowledged unseen at 3,664 ms, started again at 3,669 ms. Change: IncarnationState holds all of it and is replaced at a restart; calls and transactions keep the object with which they began. A report of a former incarnation is ignored (report-outdated). Positions are only acknowledged when they move on, and not to a host that did not answer before. The log test of a position acknowledged unseen covers the one way that is left, the answer of another incarnation to such a hold. Conclusion: class: state that outlives the thing it describes.

--- a/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
@@ -1,5 +1,6 @@
 import type { TermContext } from './BaobabwellControllerContext';
 import type { Host } from './BaobabwellControllerHost';
+import type { IncarnationState } from './BaobabwellControllerIncarnationState';
 import type { Job, JobState } from '@baobabwell/jobs';
 import type { JsonValue, RowCondition, RowWrite } from '@baobabwell/platform';
 
@@ -23,7 +24,11 @@
   readonly addedHosts: readonly Host[];
   readonly removedHosts: readonly string[];
   /** Positions of the run ends whose effects this batch makes durable. */
-  readonly ends: readonly { readonly host: Host; readonly position: number }[];
+  readonly ends: readonly {
+    readonly host: Host;
+    readonly state: IncarnationState;
+    readonly position: number;
+  }[];
   readonly conditions: readonly RowCondition[];
   readonly writes: readonly RowWrite[];
 };
@@ -135,10 +140,12 @@
       removedHosts,
       ends: hasAllChanges
         ? [...hosts.values()]
-            .filter(
-              ({ appliedEndPosition, storedEndPosition }) => appliedEndPosition > storedEndPosition,
-            )
-            .map((host) => ({ host, position: host.appliedEndPosition }))
+            .filter(({ state }) => state.hasUnstoredEnds())
+            .map((host) => ({
+              host,
+              state: host.state,
+              position: host.state.appliedEndPosition,
+            }))
         : [],
       conditions: changed.map(({ record, progressVersion }) => ({
         table: PROGRESS_TABLE,
@@ -169,9 +176,9 @@
       storedHost.isRegistered = true;
       requestDispatch();
     });
-    batch.ends.forEach(({ host, position }) => {
-      const storedHost = host;
-      storedHost.storedEndPosition = Math.max(storedHost.storedEndPosition, position);
+    batch.ends.forEach(({ host, state, position }) => {
+      const storedState = state;
+      storedState.storedEndPosition = Math.max(storedState.storedEndPosition, position);
       this.#requestHold(host.incarnation.id);
     });
   }
--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -4,8 +4,8 @@
 
 import { RunPhase } from '@baobabwell/jobs';
 
-import { EXPIRY_MARGIN_MS, HOST_LEASE_MS, MAX_CLOCK_DRIFT } from './BaobabwellControllerConstants';
 import { HostHistory } from './BaobabwellControllerHostHistory';
+import { IncarnationState } from './BaobabwellControllerIncarnationState';
 
 /** An order to start a run that was not answered and may still be carried out. */
 export type UnansweredStart = {
@@ -45,15 +45,6 @@
 
   unhealthyUntilMs = 0;
 
-  /** Last applied position in the host's list of run ends. */
-  appliedEndPosition = 0;
-
-  /** Last position in that list whose effect is stored. */
-  storedEndPosition = 0;
-
-  /** Last position acknowledged to the host, which may then discard the ends up to it. */
-  acknowledgedEndPosition = 0;
-
   /** True while the host receives no new work because it is about to leave the pool or go down. */
   isCordoned = false;
 
@@ -62,14 +53,9 @@
 
   readonly history = new HostHistory();
 
-  #used: Resources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
-
-  #clock: { readonly hostMs: number; readonly receivedAtMs: number } | null = null;
+  #state: IncarnationState;
 
-  #leaseEndMs = 0;
-
-  /** Monotonic time by which leases unknown to this process have expired, in ms. */
-  #unknownLeasesUntilMs = 0;
+  #used: Resources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
 
   constructor(
     readonly incarnation: HostIncarnation,
@@ -80,6 +66,12 @@
     this.listedWorker = listedWorker;
     this.bornMs = listedWorker?.bornMs ?? null;
     this.trackedSinceMs = trackedSinceMs;
+    this.#state = new IncarnationState(trackedSinceMs);
+  }
+
+  /** State of the present incarnation; a restart replaces it. */
+  get state(): IncarnationState {
+    return this.#state;
   }
 
   get isReachable(): boolean {
@@ -87,7 +79,7 @@
   }
 
   get hasClock(): boolean {
-    return this.#clock !== null;
+    return this.#state.hasClock;
   }
 
   /** Returns true when new work may be placed on the host. */
@@ -133,29 +125,6 @@
     }
   }
 
-  /** Records the reading of the host's clock in an answer. */
-  recordClock(hostMs: number, receivedAtMs: number): void {
-    this.#clock = { hostMs, receivedAtMs };
-    this.history.answeredAtMs = receivedAtMs;
-  }
-
-  /** Returns the end of the lease and the present time, both by the host's clock, as far as known. */
-  getLease(nowMs: number): { readonly endMs: number | null; readonly clockMs: number | null } {
-    const clockMs = this.#clock && this.#clock.hostMs + nowMs - this.#clock.receivedAtMs;
-    return { endMs: this.#leaseEndMs || null, clockMs: clockMs && Math.round(clockMs) };
-  }
-
-  /** Computes the end of a lease granted now, by the host's clock, and records it as granted. */
-  extendLease(nowMs: number): number {
-    if (this.#clock === null) {
-      return 0;
-    }
-    const { hostMs, receivedAtMs } = this.#clock;
-    const endMs = Math.floor(hostMs + (nowMs - receivedAtMs) + HOST_LEASE_MS);
-    this.#leaseEndMs = Math.max(this.#leaseEndMs, endMs);
-    return endMs;
-  }
-
   /**
    * Returns the monotonic time from which no run that was started on the host can still be running, in
    * ms.
@@ -163,15 +132,7 @@
    * @param formerLeaseMs longest time for which leases of a former owner last after the takeover, in ms.
    */
   getExpiredAtMs(formerLeaseMs: number): number {
-    if (!this.isReconciled) {
-      return this.trackedSinceMs + formerLeaseMs;
-    }
-    if (this.#clock === null || this.#leaseEndMs === 0) {
-      return Math.max(this.trackedSinceMs, this.#unknownLeasesUntilMs);
-    }
-    const { hostMs, receivedAtMs } = this.#clock;
-    const leftMs = Math.max(0, this.#leaseEndMs - hostMs) / (1 - MAX_CLOCK_DRIFT);
-    return Math.max(this.#unknownLeasesUntilMs, receivedAtMs + leftMs + EXPIRY_MARGIN_MS);
+    return this.isReconciled ? this.#state.getExpiredAtMs() : this.trackedSinceMs + formerLeaseMs;
   }
 
   /**
@@ -181,13 +142,8 @@
    * keep runs of the new one alive, in ms.
    */
   recordRestart(bornMs: number | null, unknownLeasesUntilMs: number): void {
-    this.#unknownLeasesUntilMs = unknownLeasesUntilMs;
+    this.#state = new IncarnationState(unknownLeasesUntilMs);
     this.bornMs = bornMs;
-    this.appliedEndPosition = 0;
-    this.storedEndPosition = 0;
-    this.acknowledgedEndPosition = 0;
-    this.#clock = null;
-    this.#leaseEndMs = 0;
   }
 
   countServing(): number {
--- a/packages/baobabwell-controller/src/BaobabwellControllerHostLog.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostLog.ts
@@ -90,9 +90,9 @@
 export function describePositions(host: Host): LogFields {
   return {
     bornMs: host.bornMs,
-    applied: host.appliedEndPosition,
-    stored: host.storedEndPosition,
-    acknowledged: host.acknowledgedEndPosition,
+    applied: host.state.appliedEndPosition,
+    stored: host.state.storedEndPosition,
+    acknowledged: host.state.acknowledgedEndPosition,
   };
 }
 
@@ -141,14 +141,14 @@
 /** Records that all leases on a host are taken for expired, before its runs are given up. */
 export function recordLeaseExpiry({ logger, clock }: TermContext, host: Host): void {
   const nowMs = clock.getNow();
-  const { answeredAtMs, restartedAtMs } = host.history;
-  const lease = host.getLease(nowMs);
+  const { restartedAtMs } = host.history;
+  const lease = host.state.getLease(nowMs);
   logger.recordWarning('host-lease-lapsed', {
     host: host.incarnation.id,
     runs: host.runs.size,
     bornMs: host.bornMs,
     isFormerLease: !host.isReconciled,
-    answerAgeMs: getAgeMs(nowMs, answeredAtMs),
+    answerAgeMs: getAgeMs(nowMs, lease.answeredAtMs),
     trackedMs: Math.round(nowMs - host.trackedSinceMs),
     leaseEndMs: lease.endMs,
     hostClockMs: lease.clockMs,
@@ -157,25 +157,22 @@
 }
 
 /**
- * Records that a hold call acknowledges run ends of the present incarnation that no report contained.
- * Each position is recorded once.
+ * Records that a hold call acknowledged run ends of the present incarnation that no report contained: it
+ * was sent for the former one.
  */
-export function recordUnseenAcknowledgement(
+function recordUnseenAcknowledgement(
   { logger }: TermContext,
   host: Host,
   sentPosition: number,
-  isAnswered: boolean,
 ): void {
   const { history } = host;
-  if (sentPosition <= Math.max(host.appliedEndPosition, history.unseenPosition)) {
+  if (sentPosition <= host.state.appliedEndPosition) {
     return;
   }
-  history.unseenPosition = sentPosition;
   logger.recordWarning('ends-acknowledged-unseen', {
     host: host.incarnation.id,
     ...describePositions(host),
     sent: sentPosition,
-    isAnswered,
     committing: history.committingPosition,
   });
 }
@@ -190,9 +187,9 @@
   const { logger, clock } = context;
   const { history } = host;
   const nowMs = clock.getNow();
-  recordUnseenAcknowledgement(context, host, hold.acknowledgedPosition, true);
+  recordUnseenAcknowledgement(context, host, hold.acknowledgedPosition);
   const firstPosition = report.ended[0]?.position ?? 0;
-  if (history.hasKnownPositions && firstPosition > host.appliedEndPosition + 1) {
+  if (history.hasKnownPositions && firstPosition > host.state.appliedEndPosition + 1) {
     logger.recordWarning('ends-skipped', {
       host: host.incarnation.id,
       ...describePositions(host),
--- a/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
@@ -51,11 +51,12 @@
         break;
       }
       const { task, number } = run;
+      const { state } = this.#host;
       const reply = await orders.start(this.#host.incarnation, {
         task: task.name,
         run: number,
         payload: task.step.job.record.spec.payload,
-        leaseEndMs: this.#host.extendLease(clock.getNow()),
+        leaseEndMs: state.extendLease(clock.getNow()),
         epoch: term.epoch,
         checkpoint: task.checkpoint,
         ticket,
@@ -65,7 +66,7 @@
         answer: reply.ok ? 'started' : reply.error.kind,
       });
       if (reply.ok) {
-        this.#host.recordClock(reply.value, clock.getNow());
+        state.recordClock(reply.value, clock.getNow());
         started.answeredAtMs = clock.getNow();
         if (run.phase === RunPhase.StartSent) {
           started.phase = RunPhase.Running;
@@ -79,6 +80,9 @@
         refusal: reply.error.kind,
         cause: reply.error.cause,
       });
+      if (reply.error.clockMs !== null) {
+        state.recordClock(reply.error.clockMs, clock.getNow());
+      }
       if (reply.error.kind !== OrderRefusal.Unanswered) {
         this.#applyRefusal(run, reply.error, mayHaveStarted);
         return;
@@ -141,9 +145,6 @@
   #applyRefusal(run: Run, error: OrderError, mayHaveStarted: boolean): void {
     const { clock, ownership } = this.#context;
     const { task } = run;
-    if (error.clockMs !== null) {
-      this.#host.recordClock(error.clockMs, clock.getNow());
-    }
     task.notBeforeMs = Math.max(task.notBeforeMs, clock.getNow() + REFUSAL_DELAY_MS);
     switch (error.kind) {
       case OrderRefusal.Fenced:
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -1,5 +1,6 @@
 import type { TermContext } from './BaobabwellControllerContext';
 import type { Host } from './BaobabwellControllerHost';
+import type { IncarnationState } from './BaobabwellControllerIncarnationState';
 import type { EndedRun, HostReport, OrderError } from '@baobabwell/platform';
 
 import { JobState, Run, RunEndEffect, RunPhase, TaskPhase } from '@baobabwell/jobs';
@@ -27,7 +28,6 @@
   recordLeaseExpiry,
   recordLostRun,
   recordReportPositions,
-  recordUnseenAcknowledgement,
   RunLossGround,
 } from './BaobabwellControllerHostLog';
 import { recordJobEnd } from './BaobabwellControllerJobEnds';
@@ -158,7 +158,7 @@
       !host.isReconciled ||
       !host.hasClock ||
       !host.isReachable ||
-      host.appliedEndPosition > host.acknowledgedEndPosition
+      host.state.hasUnacknowledgedEnds()
     );
   }
 
@@ -171,16 +171,16 @@
     }
     const sentAtMs = clock.getNow();
     const isResync = !host.isReconciled || !host.hasClock || !host.isReachable;
-    const acknowledgedPosition = host.storedEndPosition;
-    recordUnseenAcknowledgement(this.#context, host, acknowledgedPosition, false);
+    const { state } = host;
+    // A host that did not answer may have restarted; its ends are acknowledged once it has reported.
+    const acknowledgedPosition = isResync ? 0 : state.getPendingAcknowledgement();
     // A run end that is not acknowledged before the lease expires does not count.
-    const shouldRenewLease =
-      host.runs.size > 0 || host.appliedEndPosition > host.acknowledgedEndPosition;
+    const shouldRenewLease = host.runs.size > 0 || state.hasUnacknowledgedEnds();
     const reply = await orders.hold(host.incarnation, {
       epoch: term.epoch,
       acknowledgedPosition,
       // The lease of an unresponsive host is not extended, so that its runs expire eventually.
-      leaseEndMs: isResync || !shouldRenewLease ? null : host.extendLease(sentAtMs),
+      leaseEndMs: isResync || !shouldRenewLease ? null : state.extendLease(sentAtMs),
       waitMs: isResync || host.runs.size === 0 ? 0 : this.#getWaitMs(),
       signal: this.#createHoldSignal(),
     });
@@ -191,7 +191,17 @@
       await this.#handleHoldFailure(reply.error);
       return;
     }
-    host.acknowledgedEndPosition = Math.max(host.acknowledgedEndPosition, acknowledgedPosition);
+    state.acknowledgedEndPosition = Math.max(state.acknowledgedEndPosition, acknowledgedPosition);
+    if (this.#isOutdated(reply.value, state)) {
+      const { bornMs } = reply.value;
+      this.#context.logger.recordWarning('report-outdated', {
+        host: host.incarnation.id,
+        bornMs: host.bornMs,
+        reportBornMs: bornMs,
+        tookMs: Math.round(clock.getNow() - sentAtMs),
+      });
+      return;
+    }
     if (!host.isReachable) {
       this.#context.logger.recordInfo('host-reachable', { host: host.incarnation.id });
       host.failedAttempts = 0;
@@ -200,11 +210,18 @@
     this.#context.requestDispatch();
     await this.#resolveUnknownOutcomes();
     this.#throttle.apply();
-    if (host.appliedEndPosition > host.storedEndPosition) {
+    if (host.state.hasUnstoredEnds()) {
       await this.#wait(END_STORE_TIMEOUT_MS);
     }
   }
 
+  /** Returns true for a report of an incarnation that has ended by now. */
+  #isOutdated({ bornMs }: HostReport, stateAtSending: IncarnationState): boolean {
+    return bornMs !== null && this.host.bornMs !== null
+      ? bornMs < this.host.bornMs
+      : this.host.state !== stateAtSending;
+  }
+
   /** Creates the signal of a hold call, which an unanswered order to the host aborts. */
   #createHoldSignal(): AbortSignal {
     const abortController = new AbortController();
@@ -285,7 +302,8 @@
       this.recordRestart(report.bornMs);
     }
     host.bornMs ??= report.bornMs;
-    host.recordClock(report.clockMs, nowMs);
+    const { state } = host;
+    state.recordClock(report.clockMs, nowMs);
     recordReportPositions(this.#context, host, report, hold);
     if (!host.isRegistered) {
       this.#context.requestCommit();
@@ -294,8 +312,8 @@
     report.ended.forEach((endedRun) => {
       const { position, task, run } = endedRun;
       reportedRuns.add(`${task}#${run}`);
-      if (position > host.appliedEndPosition) {
-        host.appliedEndPosition = position;
+      if (position > state.appliedEndPosition) {
+        state.appliedEndPosition = position;
         this.#applyEnd(endedRun);
       }
     });
@@ -320,7 +338,7 @@
         ends: report.ended.length,
       });
     }
-    if (host.appliedEndPosition > host.storedEndPosition) {
+    if (state.hasUnstoredEnds()) {
       this.#context.requestCommit();
     }
   }
