daemon: test that the event loop monitor starts and closes with the kernel

Cause: only the monitor itself was tested, not its plug-in. Change: a test that registers the plug-in in a kernel, starts and closes it. Conclusion: none.

--- a/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonEventLoop.test.ts
+++ b/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonEventLoop.test.ts
@@ -3,10 +3,12 @@
 import { expect } from 'earl';
 
 import { EmulatedTime, ProcessClock } from '@baobabwell/emulator';
+import { Kernel } from '@baobabwell/kernel';
 import { Logger, LogLevel } from '@baobabwell/logging';
 import { DaemonMetrics } from '@baobabwell/metrics';
 
-import { startEventLoopMonitor } from '../../BaobabwellDaemonEventLoop';
+import { eventLoopPlugin, startEventLoopMonitor } from '../../BaobabwellDaemonEventLoop';
+import { LOGGER, METRICS } from '../../BaobabwellDaemonTokens';
 
 const REAL_TIME = /at=\S+ /;
 
@@ -71,4 +73,18 @@
     await time.advance(5_000);
     expect(await countSamples('+Inf')).toEqual(5);
   });
+
+  it('runs from the start to the close of the kernel', async () => {
+    stop();
+    const kernel = new Kernel(clock);
+    kernel.registerService(METRICS, () => metrics);
+    kernel.registerService(LOGGER, () => new Logger(LogLevel.Info, {}, () => undefined));
+    kernel.use(eventLoopPlugin);
+    await time.advance(300);
+    await kernel.start();
+    await time.advance(500);
+    expect(await kernel.close()).toEqual([]);
+    await time.advance(5_000);
+    expect(await countSamples('+Inf')).toEqual(5);
+  });
 });
