--- a/packages/baobabwell-utils/src/index.ts
+++ b/packages/baobabwell-utils/src/index.ts
@@ -7,5 +7,6 @@
 export { checkInvariant, InvariantError } from './BaobabwellInvariant';
 export { Random } from './BaobabwellRandom';
 export { createError, createOk } from './BaobabwellResult';
+export { startResponseTimer } from './BaobabwellResponseTimer';
 export { RetryDelay } from './BaobabwellRetryDelay';
 export { WakeSignal } from './BaobabwellWakeSignal';
