controller: no maintenance or move of a host that has not reported to the owner

Cause: waves and moves took a host on which no run is tracked for idle. After a takeover nothing is tracked until the first report, so a successor that may order at once, or whose predecessor still kept the tasks at work, ended the tasks of several machines in one round: lasting tasks were away beyond what they may miss (AVAIL), and work was thrown away. Evidence: emulator; 'orders no maintenance of a machine that has not reported to a new owner (answers 300 ms late)': task 1 ended at 2,824 ms while task 0 was away; '... whose long running tasks a former owner keeps at work': 3 violations, at 6,836 and 8,436 ms. Both failed before and pass now. Change: Host.isIdle is false until the host is reconciled; waves, moves and drains use it. Measured: npx tsx scripts/test.ts packages/baobabwell-job-emulator packages/baobabwell-controller: 48 passed.

--- a/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
@@ -247,7 +247,7 @@
 
   async #moveMachine(machine: CloudHost, pool: string): Promise<void> {
     const host = this.#machines.findHost(machine);
-    if (host !== null && host.runs.size > 0) {
+    if (host !== null && !host.isIdle) {
       return;
     }
     if (host !== null) {
@@ -380,13 +380,15 @@
   #createMovableMachine(machine: CloudHost, reserved: ReadonlyMap<string, string>): MovableMachine {
     const host = this.#machines.findHost(machine);
     const isReserved = machine.hostId !== null && reserved.has(machine.hostId);
-    const isIdle =
-      host === null || (host.runs.size === 0 && host.listedWorker?.isDraining !== true);
+    const isIdle = host === null || (host.isIdle && host.listedWorker?.isDraining !== true);
     return {
       machine: machine.machine,
       isIdle: isIdle && !isReserved,
       canBeDrained:
-        host !== null && !isReserved && host.isReachable && listLongRunning(host).length === 0,
+        host?.isReconciled === true &&
+        !isReserved &&
+        host.isReachable &&
+        listLongRunning(host).length === 0,
       usedCpuMillis: host?.getUsedResources().cpuMillis ?? 0,
     };
   }
--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -78,6 +78,11 @@
     return this.failedAttempts === 0;
   }
 
+  /** True when nothing runs on the host; false until it has reported to this owner. */
+  get isIdle(): boolean {
+    return this.isReconciled && this.runs.size === 0;
+  }
+
   get hasClock(): boolean {
     return this.#state.hasClock;
   }
--- a/packages/baobabwell-controller/src/BaobabwellControllerWaveControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerWaveControlLoop.ts
@@ -174,8 +174,8 @@
       isUp:
         machine.state === CloudHostState.Up &&
         !this.#machines.isPending(machine.machine) &&
-        (isSpare || host !== null),
-      isIdle: host !== null && host.runs.size === 0,
+        (isSpare || host?.isReconciled === true),
+      isIdle: host?.isIdle === true,
       hasLongRunning: host !== null && listLongRunning(host).length > 0,
       usedCpuMillis: host?.getUsedResources().cpuMillis ?? 0,
     };
@@ -194,7 +194,7 @@
   async #startMaintenance(wave: MaintenanceWave, row: WaveRow, machine: CloudHost): Promise<void> {
     const host = this.#machines.findHost(machine);
     if (host !== null) {
-      if (host.runs.size > 0) {
+      if (!host.isIdle) {
         return;
       }
       host.isCordoned = true;
