controller: runs that do not fit into a report are not taken for missing

Cause: a host lists at most 500 ends at a time. Where more are not acknowledged, a run that ended after them is in neither list; the owner took it for lost and started its task again, or, as a new owner, took the host for reconciled and ignored the ends that followed. Ends are acknowledged to a reachable host that has reported, reconciled or not. Conclusion: class: what is not listed taken for what is not there.

--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -173,7 +173,8 @@
     const isResync = !host.isReconciled || !host.hasClock || !host.isReachable;
     const { state } = host;
     // A host that did not answer may have restarted; its ends are acknowledged once it has reported.
-    const acknowledgedPosition = isResync ? 0 : state.getPendingAcknowledgement();
+    const acknowledgedPosition =
+      host.isReachable && host.hasClock ? state.getPendingAcknowledgement() : 0;
     // A run end that is not acknowledged before the lease expires does not count.
     const shouldRenewLease = host.runs.size > 0 || state.hasUnacknowledgedEnds();
     const reply = await orders.hold(host.incarnation, {
@@ -328,8 +329,10 @@
         }
       }
     });
-    this.#loseMissingRuns(reportedRuns, hold.sentAtMs);
-    if (!host.isReconciled) {
+    if (!report.isPartial) {
+      this.#loseMissingRuns(reportedRuns, hold.sentAtMs);
+    }
+    if (!host.isReconciled && !report.isPartial) {
       host.isReconciled = true;
       this.#context.logger.recordInfo('host-settled', {
         host: host.incarnation.id,
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
@@ -205,6 +205,7 @@
       clockMs: this.#getClock(),
       bornMs: this.bornMs,
       ended: this.#ended.slice(0, MAX_REPORTED_ENDS),
+      isPartial: this.#ended.length >= MAX_REPORTED_ENDS,
       active: (this.shouldHideRuns ? [] : [...this.#runs.values()]).map(
         ({ task, run, startedAtMs }) => ({
           task,
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
@@ -214,6 +214,20 @@
     await expectCompleted(jobs);
   });
 
+  it('starts no task again whose end does not fit into the first report to a new owner', async () => {
+    await start(1);
+    const need = { cpuMillis: 10, memoryMb: 1, gpus: 0 };
+    const job = fleet.submit([{ taskCount: 600, need }]);
+    await fleet.time.advance(400);
+    fleet.rows.faults = { ...NO_STORE_FAULTS, isDown: true };
+    await fleet.time.advance(600);
+    fleet.killDaemon(fleet.findOwner() as string);
+    fleet.rows.faults = NO_STORE_FAULTS;
+    await fleet.time.advance(10_000);
+    expect(fleet.oracle.startCount).toEqual(600);
+    await expectCompleted([job]);
+  });
+
   it('starts no task again whose end does not fit into the report of its host', async () => {
     await start(1);
     const need = { cpuMillis: 10, memoryMb: 1, gpus: 0 };
--- a/packages/baobabwell-platform/src/BaobabwellPlatformHosts.ts
+++ b/packages/baobabwell-platform/src/BaobabwellPlatformHosts.ts
@@ -68,7 +68,10 @@
   /** Start of this incarnation, in ms since 1970; `null` if the host does not report it. */
   readonly bornMs: number | null;
   readonly active: readonly ActiveRun[];
+  /** Ends that were not acknowledged, in the order of their positions. */
   readonly ended: readonly EndedRun[];
+  /** True when the report has no room for further ends; a later report contains them. */
+  readonly isPartial: boolean;
 };
 
 /** Reason why a host did not confirm an order. */
