controller: an order to start a run is not repeated after the run was given up

Cause: an order without an answer is repeated up to two times. If the leases of the host expired meanwhile, the run was given up and its task started elsewhere; the repeated order then started it a second time. Evidence: emulator, 'does not repeat the order to start a run that was given up meanwhile': given up at 5,117 ms and started on host-1, started on host-0 at 5,831 ms (runs-once). Failed before, passes now. Change: startRun ends when its run is no longer tracked on the host. Conclusion: class: a decision of before an await acted on after it.

--- a/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
@@ -44,6 +44,10 @@
     const started = run;
     let mayHaveStarted = false;
     for (let attempt = 0; attempt < MAX_START_ATTEMPTS; attempt += 1) {
+      // The run was given up while an order was under way; its task may run elsewhere by now.
+      if (!this.#host.runs.has(run.key)) {
+        return;
+      }
       const isFutile = mayHaveStarted && !this.#host.isReachable;
       const maxVersion = ownership.findMaxStartableVersion() ?? 0;
       const isAllowed = run.task.step.job.acceptedVersion <= maxVersion;
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
@@ -1,6 +1,10 @@
+import type { EmulatedHost } from '../../index';
+
 import { expect } from 'earl';
 
 import { JobState } from '@baobabwell/jobs';
+import { OrderRefusal } from '@baobabwell/platform';
+import { createError } from '@baobabwell/utils';
 
 import { EmulatedJobFleet, formatRoute, NO_STORE_FAULTS } from '../../index';
 
@@ -214,6 +218,29 @@
     await expectCompleted(jobs);
   });
 
+  it('does not repeat the order to start a run that was given up meanwhile', async () => {
+    await start(1);
+    const running = fleet.submit([{ taskCount: 1, estimateMs: 9_000 }]);
+    await fleet.time.advance(300);
+    const host = fleet.listHosts()[0] as EmulatedHost;
+    const accept = host.start.bind(host);
+    const lost = createError({ kind: OrderRefusal.Unanswered, clockMs: null, cause: 'lost' });
+    // The first order is lost, and its sender learns of it after the lease has expired.
+    host.start = (async () => {
+      host.start = accept;
+      await fleet.time.wait(4_000);
+      return lost;
+    }) as unknown as typeof host.start;
+    const job = fleet.submit([{ taskCount: 1, estimateMs: 5_000 }]);
+    await fleet.time.advance(100);
+    fleet.startHost('host-1');
+    fleet.faults.partitionedHosts.add('host-0');
+    await fleet.time.advance(3_500);
+    fleet.faults.partitionedHosts.clear();
+    await fleet.time.advance(25_000);
+    await expectCompleted([running, job]);
+  });
+
   it('starts no task again whose end does not fit into the first report to a new owner', async () => {
     await start(1);
     const need = { cpuMillis: 10, memoryMb: 1, gpus: 0 };
