controller: a new owner does not wait for hosts whose workers are on no machine any more

Cause: a machine that is moved or goes down loses its worker, but the row of the host stays if the owner ends before it removes it. Every later owner took that host for one that may hold runs, and started nothing that had been accepted before its term in the pool for 6.5 s, again after each takeover. Emulator: 'does not wait for a host whose machine went down just before a handover': running after 2.5 s. Change: the list of machines names the worker of each; hosts that have not reported and that a list requested in this term does not name are ended. The list is also read while no machine may be ordered yet. Conclusion: class: state that outlives the thing it describes.

--- a/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
@@ -84,12 +84,19 @@
 
   readonly #recordDeparture: (hostId: string, reason: string) => void;
 
-  constructor(context: TermContext, recordDeparture: (hostId: string, reason: string) => void) {
+  readonly #endIncarnation: (hostId: string, reason: string) => void;
+
+  constructor(
+    context: TermContext,
+    recordDeparture: (hostId: string, reason: string) => void,
+    endIncarnation: (hostId: string, reason: string) => void,
+  ) {
     this.#context = context;
     this.#wakeSignal = new WakeSignal(context.clock);
     this.#machines = new MachineInventory(context);
     this.#waves = new WaveControlLoop(context, this.#machines, recordDeparture);
     this.#recordDeparture = recordDeparture;
+    this.#endIncarnation = endIncarnation;
     this.#startedAtMs = context.clock.getNow();
   }
 
@@ -188,10 +195,7 @@
 
   async #runRound(): Promise<void> {
     const { clock, term, cloud, ownership, getConfiguration } = this.#context;
-    const isTooEarly =
-      !term.isHandover && clock.getNow() - this.#startedAtMs < this.#getOrderDelayMs();
-    const isTooLate = ownership.getLeaseAgeMs() > MAX_ORDER_LEASE_AGE_MS;
-    if (cloud === null || isTooEarly || isTooLate || getConfiguration() === null) {
+    if (cloud === null || getConfiguration() === null) {
       return;
     }
     if (this.#machines.isLoaded) {
@@ -202,11 +206,35 @@
     if (!this.#machines.isLoaded || this.#context.signal.aborted) {
       return;
     }
+    this.#endReplacedHosts();
+    const isTooEarly =
+      !term.isHandover && clock.getNow() - this.#startedAtMs < this.#getOrderDelayMs();
+    const isTooLate = ownership.getLeaseAgeMs() > MAX_ORDER_LEASE_AGE_MS;
+    if (isTooEarly || isTooLate) {
+      return;
+    }
     const waveCordons = await this.#waves.runRound();
     const moveCordons = this.#moveMachines(waveCordons);
     this.#applyCordons(new Map([...moveCordons, ...waveCordons]));
   }
 
+  /**
+   * Ends the hosts of former owners whose workers are on no machine of the list, which was requested in
+   * this term. Work that waits for their reports can start at once.
+   */
+  #endReplacedHosts(): void {
+    const unreconciledIds = [...this.#context.hosts.values()]
+      .filter(({ isReconciled }) => !isReconciled)
+      .map(({ incarnation }) => incarnation.id);
+    if (unreconciledIds.length === 0) {
+      return;
+    }
+    const presentIds = new Set(this.#machines.list().map(({ hostId }) => hostId));
+    unreconciledIds
+      .filter((id) => !presentIds.has(id))
+      .forEach((id) => this.#endIncarnation(id, 'its worker is on no machine any more'));
+  }
+
   #applyCordons(cordons: ReadonlyMap<string, string>): void {
     const { hosts, logger, requestDispatch } = this.#context;
     const ordered = this.#machines.listOrderedHosts();
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -77,8 +77,10 @@
     );
     // Every host session and every watch listens on this signal for the end of the term.
     setMaxListeners(0, this.#abortController.signal);
-    this.#fleetControlLoop = new FleetControlLoop(this.context, (id, reason) =>
-      this.#recordDeparture(id, reason),
+    this.#fleetControlLoop = new FleetControlLoop(
+      this.context,
+      (id, reason) => this.#recordDeparture(id, reason),
+      (id, reason) => this.#sessions.get(id)?.recordIncarnationEnd(reason),
     );
   }
 
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorMachines.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorMachines.test.ts
@@ -112,6 +112,24 @@
     expect(states).toEqual(jobs.map(() => JobState.Completed));
   });
 
+  it('does not wait for a host whose machine went down just before a handover', async () => {
+    fleet = new EmulatedJobFleet(SEED, 3);
+    const cloud = fleet.createCloud(0);
+    startDaemons();
+    await fleet.time.advance(START_MS);
+    const job = fleet.submit([{}, { after: [0] }]);
+    await fleet.time.advance(100);
+    fleet.requestWave({ ...WAVE, machines: ['m-host-0', 'm-host-1', 'm-host-2'] });
+    while (cloud.countMaintained(WAVE.number) === 0) {
+      await fleet.time.advance(1);
+    }
+    // The owner ends before it removes the row of the host.
+    await fleet.stopDaemon(fleet.findOwner() as string);
+    await fleet.time.advance(2_500);
+    expect(fleet.oracle.violations).toEqual([]);
+    expect(await fleet.findState(job)).toEqual(JobState.Completed);
+  });
+
   [0, 300].forEach((lateMs) => {
     it(`orders no maintenance of a machine that has not reported to a new owner (answers ${lateMs} ms late)`, async () => {
       fleet = new EmulatedJobFleet(SEED, 4);
