controller: leases of a former owner count as lapsed only once it cannot renew them

Cause: an owner that cannot renew its own lease renewed those on hosts for 10.5 s, so that they last until about 13.3 s after its last renewal; a successor waited 6.5 s for hosts that did not answer it. Evidence: emulator, 'runs no task twice when a former owner keeps a host that the next cannot reach': tasks ran on two hosts from 10,727 ms on; 'let a former owner keep the runs of hosts none of which its successor can reach'. Both failed before, as did 'end the term of a former owner ...' and '... with 3 of 6 hosts dark'; all pass now. Change: past its grace an owner renews leases on hosts only while two thirds of the hosts that may be stored answer it; idle hosts are held too from a lease age of 2.6 s, otherwise their answers never count. A successor waits 6.5 s if more than half of the stored hosts answered, or until 5.5 s after that majority, or 11.8 s without one. An answer counts from the sending of its hold, and not from an incarnation that began since the last renewal. Not taken: always 11.8 s, for which a rack dark at a takeover blocks its pool. With 2 of 6 hosts dark at a takeover the tasks start again within 7 s, before and now; a store down for 8 s ends no run, before and now (without the holds of idle hosts it does). While half or more of the hosts are dark at a takeover, their work waits 5.3 s longer than before.

--- a/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
@@ -119,6 +119,10 @@
           !isRegistered && isReachable && listedWorker !== null && hasClock,
       )
       .slice(0, MAX_COMMIT_HOSTS);
+    addedHosts.forEach((host) => {
+      const stored = host;
+      stored.mayBeStored = true;
+    });
     const addedHostIds = new Set(addedHosts.map(({ incarnation }) => incarnation.id));
     const removedHosts = [...this.#removedHosts]
       .filter((hostId) => !addedHostIds.has(hostId))
--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -15,7 +15,8 @@
 
 /**
  * Time after the expiry of its own lease for which an owner that cannot reach the store keeps renewing
- * the leases on hosts, in ms. Outages of the store are shorter. Meanwhile the owner starts no runs
+ * the leases on hosts, in ms: past its grace only while two thirds of them answer it. Outages of the
+ * store are shorter. Meanwhile the owner starts no runs
  * except of jobs accepted before its last renewal, and these only for the first part of this time.
  */
 export const KEEP_ALIVE_MS = 9_000;
@@ -23,6 +24,18 @@
 /** Longest wait of a hold call, in ms: the lease is renewed three times before it expires. */
 export const HOLD_WAIT_MS = 900;
 
+/**
+ * Age, counted from its sending, up to which an answered hold call counts when an owner that cannot renew
+ * counts the hosts that answer it, in ms: two calls with their waits and transmission.
+ */
+export const MAX_ANSWER_AGE_MS = 2 * HOLD_WAIT_MS + 600;
+
+/** Shortest interval between two counts of the hosts that answer, in ms. */
+export const ANSWER_COUNT_INTERVAL_MS = 100;
+
+/** Interval between checks whether the owner's lease has expired, in ms. */
+export const LEASE_CHECK_INTERVAL_MS = 250;
+
 /**
  * Longest wait of a hold call where serving and best-effort tasks share a host, in ms: shorter, since
  * the CPU throttle follows the reported latencies.
--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -1,4 +1,5 @@
 import type { Host } from './BaobabwellControllerHost';
+import type { HostMajority } from './BaobabwellControllerHostMajority';
 import type {
   FleetConfiguration,
   ListedWorker,
@@ -59,6 +60,7 @@
   readonly term: Term;
   readonly jobRegistry: JobRegistry;
   readonly hosts: Map<string, Host>;
+  readonly hostMajority: HostMajority;
   /** Waves requested by the operator, by number. */
   readonly waves: Map<number, MaintenanceWave>;
   /** Aborted when the term ends. */
--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -37,6 +37,12 @@
   /** True once the incarnation is stored, so that a later owner calls it. */
   isRegistered = false;
 
+  /** True from the first attempt to store the incarnation, so that a later owner may call it. */
+  mayBeStored = false;
+
+  /** Monotonic time at which the last answered hold call was sent, in ms. */
+  answeredHoldSentAtMs = -Infinity;
+
   /** True once all runs that earlier owners started there are tracked or have expired. */
   isReconciled = false;
 
@@ -134,10 +140,10 @@
    * Returns the monotonic time from which no run that was started on the host can still be running, in
    * ms.
    *
-   * @param formerLeaseMs longest time for which leases of a former owner last after the takeover, in ms.
+   * @param formerLeasesEndMs monotonic time by which leases of former owners have expired, in ms.
    */
-  getExpiredAtMs(formerLeaseMs: number): number {
-    return this.isReconciled ? this.#state.getExpiredAtMs() : this.trackedSinceMs + formerLeaseMs;
+  getExpiredAtMs(formerLeasesEndMs: number): number {
+    return this.isReconciled ? this.#state.getExpiredAtMs() : formerLeasesEndMs;
   }
 
   /**
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -4,16 +4,14 @@
 import type { EndedRun, HostReport, OrderError } from '@baobabwell/platform';
 
 import { JobState, Run, RunEndEffect, RunPhase, TaskPhase } from '@baobabwell/jobs';
-import { FORMER_OWNER_GRACE_MS, OWNER_LEASE_MS } from '@baobabwell/ownership';
+import { OWNER_LEASE_MS } from '@baobabwell/ownership';
 import { OrderRefusal } from '@baobabwell/platform';
 import { WakeSignal } from '@baobabwell/utils';
 
 import { BestEffortThrottle } from './BaobabwellControllerBestEffortThrottle';
 import {
   END_STORE_TIMEOUT_MS,
-  EXPIRY_MARGIN_MS,
   HOLD_WAIT_MS,
-  HOST_LEASE_MS,
   HOST_RETRY_MS,
   KEEP_ALIVE_MS,
   MAX_CLOCK_DRIFT,
@@ -33,10 +31,6 @@
 import { recordJobEnd } from './BaobabwellControllerJobEnds';
 import { RunOrders } from './BaobabwellControllerOrders';
 
-/** Longest time for which leases granted by a former owner last after a takeover, in ms. */
-const MAX_FORMER_LEASE_MS =
-  FORMER_OWNER_GRACE_MS + HOST_LEASE_MS / (1 - MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_MS;
-
 /** Longest wait of a session that has nothing to send, in ms. */
 const MAX_IDLE_WAIT_MS = 10_000;
 
@@ -158,12 +152,13 @@
       !host.isReconciled ||
       !host.hasClock ||
       !host.isReachable ||
-      host.state.hasUnacknowledgedEnds()
+      host.state.hasUnacknowledgedEnds() ||
+      (host.mayBeStored && this.#context.hostMajority.shouldHoldAll())
     );
   }
 
   async #holdOnce(): Promise<void> {
-    const { clock, orders, term, ownership } = this.#context;
+    const { clock, orders, term, ownership, hostMajority } = this.#context;
     const { host } = this;
     if (ownership.getLeaseAgeMs() > OWNER_LEASE_MS + KEEP_ALIVE_MS) {
       await this.#wait(HOST_RETRY_MS);
@@ -176,13 +171,14 @@
     const acknowledgedPosition =
       host.isReachable && host.hasClock ? state.getPendingAcknowledgement() : 0;
     // A run end that is not acknowledged before the lease expires does not count.
-    const shouldRenewLease = host.runs.size > 0 || state.hasUnacknowledgedEnds();
+    const shouldRenewLease =
+      (host.runs.size > 0 || state.hasUnacknowledgedEnds()) && hostMajority.canRenewLeases();
     const reply = await orders.hold(host.incarnation, {
       epoch: term.epoch,
       acknowledgedPosition,
       // The lease of an unresponsive host is not extended, so that its runs expire eventually.
       leaseEndMs: isResync || !shouldRenewLease ? null : state.extendLease(sentAtMs),
-      waitMs: isResync || host.runs.size === 0 ? 0 : this.#getWaitMs(),
+      waitMs: isResync ? 0 : this.#getWaitMs(),
       signal: this.#createHoldSignal(),
     });
     if (this.#context.signal.aborted || this.#hasEnded) {
@@ -203,6 +199,7 @@
       });
       return;
     }
+    hostMajority.recordAnswer(host, sentAtMs);
     if (!host.isReachable) {
       this.#context.logger.recordInfo('host-reachable', { host: host.incarnation.id });
       host.failedAttempts = 0;
@@ -232,7 +229,8 @@
 
   #getWaitMs(): number {
     const { host } = this;
-    if (host.hasUnknownOutcome()) {
+    const hasOnlyEnds = host.runs.size === 0 && host.state.hasUnacknowledgedEnds();
+    if (hasOnlyEnds || host.hasUnknownOutcome()) {
       return 0;
     }
     return host.countServing() > 0 && host.countBestEffort() > 0
@@ -241,7 +239,7 @@
   }
 
   async #handleHoldFailure(error: OrderError): Promise<void> {
-    const { clock, logger, ownership } = this.#context;
+    const { clock, logger, ownership, hostMajority } = this.#context;
     const { host } = this;
     if (error.kind === OrderRefusal.Fenced) {
       ownership.endTerm(`host ${host.incarnation.id} accepts orders only from a later owner`);
@@ -256,7 +254,7 @@
       const { kind, cause } = error;
       logger.recordWarning('host-unreachable', { host: host.incarnation.id, refusal: kind, cause });
     }
-    if (clock.getNow() > host.getExpiredAtMs(MAX_FORMER_LEASE_MS)) {
+    if (clock.getNow() > host.getExpiredAtMs(hostMajority.getFormerLeasesEndMs(host))) {
       if (host.runs.size > 0 || !host.isReconciled) {
         recordLeaseExpiry(this.#context, host);
       }
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -22,6 +22,7 @@
 import {
   ENDED_JOB_RETENTION_MS,
   HOSTS_TABLE,
+  LEASE_CHECK_INTERVAL_MS,
   MAX_WATCH_RETRY_MS,
   PRUNE_INTERVAL_MS,
   WATCH_RETRY_MS,
@@ -30,6 +31,7 @@
 import { Dispatcher } from './BaobabwellControllerDispatcher';
 import { FleetControlLoop } from './BaobabwellControllerFleetControlLoop';
 import { Host } from './BaobabwellControllerHost';
+import { HostMajority } from './BaobabwellControllerHostMajority';
 import { decideOffer } from './BaobabwellControllerOffers';
 import { PlacementAdviceCache } from './BaobabwellControllerPlacementAdvice';
 import { parseHostRow, parseJobRecord } from './BaobabwellControllerRows';
@@ -57,11 +59,13 @@
     const jobRegistry = new JobRegistry(
       (name) => options.getConfiguration()?.queues.find((queue) => queue.name === name) ?? null,
     );
+    const hosts = new Map<string, Host>();
     this.context = {
       ...options,
       term,
       jobRegistry,
-      hosts: new Map(),
+      hosts,
+      hostMajority: new HostMajority(options.clock, options.ownership, hosts),
       waves: new Map(),
       signal: this.#abortController.signal,
       requestDispatch: () => this.#dispatcher.request(),
@@ -157,6 +161,7 @@
       this.#dispatcher.run(),
       this.#fleetControlLoop.run(),
       this.#pruneEndedJobs(),
+      this.#watchLease(),
       this.#watch(JOBS_TABLE, jobsVersion, (row) => this.#applyJobRow(row)),
       this.#watch(codec.workersTable, workers?.version ?? 0, (row) => this.#applyWorkerRow(row)),
       this.#watch(codec.operatorTable, waves?.version ?? 0, (row) => this.#applyWaveRow(row)),
@@ -224,10 +229,9 @@
   #applyHostRow({ key, value }: Row): void {
     const row = parseHostRow(value);
     if (row !== null) {
-      this.#addHost(new Host({ id: key, address: row.address }, row.pool, null, this.#getNow()), {
-        bornMs: row.bornMs,
-        isRegistered: true,
-      });
+      const host = new Host({ id: key, address: row.address }, row.pool, null, this.#getNow());
+      this.context.hostMajority.addFormerHost(host);
+      this.#addHost(host, { bornMs: row.bornMs, isRegistered: true });
     }
   }
 
@@ -295,6 +299,7 @@
     const host = added;
     host.bornMs = state.bornMs ?? host.bornMs;
     host.isRegistered = state.isRegistered;
+    host.mayBeStored = state.isRegistered;
     hosts.set(host.incarnation.id, host);
     const session = new HostSession(this.context, host);
     this.#sessions.set(host.incarnation.id, session);
@@ -414,6 +419,21 @@
     }
   }
 
+  /** Has idle hosts held as well once the owner's lease has expired for some time. */
+  async #watchLease(): Promise<void> {
+    const { clock, signal, hostMajority } = this.context;
+    let shouldHoldAll = false;
+    while (!signal.aborted) {
+      await clock.wait(LEASE_CHECK_INTERVAL_MS, signal);
+      hostMajority.updateCounts();
+      const hadToHoldAll = shouldHoldAll;
+      shouldHoldAll = hostMajority.shouldHoldAll();
+      if (shouldHoldAll && !hadToHoldAll) {
+        this.#sessions.forEach((session) => session.requestHold());
+      }
+    }
+  }
+
   #getNow(): number {
     return this.context.clock.getNow();
   }
