controller: a start is not repeated after its term has ended

Cause: startRun repeated an unanswered start while the ownership allowed the job. The ownership is shared by all terms of a process, so that a process which took over from itself went on sending starts of its former term; a refusal of one, or of a stop, as fenced would have ended the next term. Evidence: emulator, 'repeats no start of a term that has ended while the same process is in its next one': the host carried out a start of epoch 1 after epoch 2 had begun. It failed before and passes now. Change: startRun and sendStop return when the term has ended before the answer. Not taken: an ownership for each term, which changes all that use it. The guard in sendStop has no test of its own. Conclusion: class: an action of one term allowed by the state of the next.

--- a/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
@@ -38,9 +38,12 @@
     this.#listener = listener;
   }
 
-  /** Starts a run that was placed on the host; retries while the host does not answer. */
+  /**
+   * Starts a run that was placed on the host; retries while the host does not answer. Stops when the term
+   * ends: the ownership may be that of the next term of this process by then.
+   */
   async startRun(run: Run, ticket: string | null): Promise<void> {
-    const { clock, orders, term, ownership, logger, metrics } = this.#context;
+    const { clock, orders, term, ownership, logger, metrics, signal } = this.#context;
     const started = run;
     let mayHaveStarted = false;
     for (let attempt = 0; attempt < MAX_START_ATTEMPTS; attempt += 1) {
@@ -61,6 +64,9 @@
         checkpoint: task.checkpoint,
         ticket,
       });
+      if (signal.aborted) {
+        return;
+      }
       metrics.starts.inc({
         pool: this.#host.pool,
         answer: reply.ok ? 'started' : reply.error.kind,
@@ -117,13 +123,16 @@
 
   /** Sends the order to stop a run once. */
   async sendStop(run: Run): Promise<void> {
-    const { orders, term, clock, logger, ownership } = this.#context;
+    const { orders, term, clock, logger, ownership, signal } = this.#context;
     const { task, number } = run;
     const reply = await orders.stop(this.#host.incarnation, {
       task: task.name,
       run: number,
       epoch: term.epoch,
     });
+    if (signal.aborted) {
+      return;
+    }
     if (reply.ok) {
       const stopped = run;
       stopped.answeredAtMs = clock.getNow();
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
@@ -1,6 +1,9 @@
+import type { EmulatedHost } from '../../index';
+
 import { expect } from 'earl';
 
 import { JobState } from '@baobabwell/jobs';
+import { OWNERSHIP_TABLE } from '@baobabwell/ownership';
 
 import { EmulatedJobFleet, formatRoute, NO_STORE_FAULTS } from '../../index';
 
@@ -204,6 +207,36 @@
     await expectCompleted([job]);
   });
 
+  it('repeats no start of a term that has ended while the same process is in its next one', async () => {
+    fleet = new EmulatedJobFleet(SEED, 1);
+    fleet.startDaemon('a');
+    await fleet.time.advance(START_MS);
+    const context = fleet.findOwnerContext();
+    const { epoch } = context?.term ?? { epoch: 0 };
+    const [host] = fleet.listHosts() as [EmulatedHost];
+    const start = host.start.bind(host);
+    const epochs: number[] = [];
+    host.start = (order) => {
+      epochs.push(order.epoch);
+      return start(order);
+    };
+    fleet.faults.partitionedHosts.add('host-0');
+    const job = fleet.submit([{ taskCount: 1 }]);
+    await fleet.time.advance(100);
+    context?.ownership.endTerm('of this test');
+    // Wakes the process, which takes over from itself.
+    fleet.rows.apply({
+      conditions: [],
+      writes: [{ table: OWNERSHIP_TABLE, key: 'wake', value: 1 }],
+    });
+    await fleet.time.advance(200);
+    expect(fleet.findOwnerContext()?.term.epoch).toEqual(epoch + 1);
+    fleet.faults.partitionedHosts.clear();
+    await fleet.time.advance(15_000);
+    expect(epochs).toEqual([epoch + 1]);
+    await expectCompleted([job]);
+  });
+
   it('persists every end although the store loses answers and applies writes late', async () => {
     await start(3);
     fleet.rows.faults = { ...NO_STORE_FAULTS, lostFraction: 0.3 };
