--- a/packages/baobabwell-controller/src/BaobabwellControllerHostHistory.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostHistory.ts
@@ -11,7 +11,9 @@
   readonly endCount: number;
 };
 
-/** Events on a host that log lines refer to later. No decision depends on them. */
+/**
+ * Events on a host that log lines refer to later. Of these, decisions only use the time of a restart.
+ */
 export class HostHistory {
   lastReport: ReportSummary | null = null;
 
