--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -115,6 +115,7 @@
     partitionedHosts: new Set(),
     partitionedRoutes: new Set(),
     lateAnswersMs: new Map(),
+    lostOrders: new Set(),
   };
 
   readonly logLines: string[] = [];
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
@@ -43,6 +43,8 @@
    * delivered even when the host's incarnation has ended by then.
    */
   readonly lateAnswersMs: Map<string, number>;
+  /** Orders that do not reach a host, by {@link formatAnswer}; other orders to it do. */
+  readonly lostOrders: Set<string>;
 };
 
 /** Formats the route from a process to a host. */
@@ -129,7 +131,8 @@
   ): Promise<Result<Value, OrderError>> {
     await this.#clock.wait(LATENCY_MS);
     const host = this.#findHost(id);
-    if (host === null || !host.isAlive || this.#isPartitioned(id)) {
+    const isLost = this.#faults.lostOrders.has(formatAnswer(kind, id));
+    if (host === null || !host.isAlive || this.#isPartitioned(id) || isLost) {
       return this.#waitForTimeout();
     }
     if (this.#random.getFraction() < this.#faults.delayedFraction) {
