controller: an answer that was read late does not shorten later leases

Cause: the reading of a host's clock was dated with the time at which the answer was processed, so that one read late by L put the host's clock back by L, and each later lease lasted 2,800 ms - L. From about 950 ms on the lease ended before the next hold, on every host at once. Evidence: emulator, 'keeps lasting tasks at work although the owner reads answers 1100 ms late': 4 lasting runs lapsed in 12 s. Failed before, passes now. Change: a reading that is behind what the one before allows with the clock's drift is not taken. Measured: npx tsx scripts/test.ts packages/baobabwell-job-emulator packages/baobabwell-controller platform: 84 passed, 5 known red. Conclusion: class: a process's own lateness taken for a fault of the other side.

--- a/packages/baobabwell-controller/src/BaobabwellControllerHostLog.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostLog.ts
@@ -148,7 +148,7 @@
     runs: host.runs.size,
     bornMs: host.bornMs,
     isFormerLease: !host.isReconciled,
-    answerAgeMs: getAgeMs(nowMs, lease.answeredAtMs),
+    answerAgeMs: getAgeMs(nowMs, host.state.answeredAtMs),
     trackedMs: Math.round(nowMs - host.trackedSinceMs),
     leaseEndMs: lease.endMs,
     hostClockMs: lease.clockMs,
--- a/packages/baobabwell-controller/src/BaobabwellControllerIncarnationState.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerIncarnationState.ts
@@ -17,6 +17,8 @@
 
   #clock: { readonly hostMs: number; readonly receivedAtMs: number } | null = null;
 
+  #answeredAtMs: number | null = null;
+
   #leaseEndMs = 0;
 
   /** Monotonic time by which leases unknown to this process have expired, in ms. */
@@ -43,26 +45,29 @@
     return this.storedEndPosition > this.acknowledgedEndPosition ? this.storedEndPosition : 0;
   }
 
-  /** Records the reading of the host's clock in an answer. */
+  /**
+   * Records the reading of the host's clock in an answer. An answer that was read late shows a time that
+   * has passed since; the reading before is kept where it is the more exact one.
+   */
   recordClock(hostMs: number, receivedAtMs: number): void {
-    this.#clock = { hostMs, receivedAtMs };
+    this.#answeredAtMs = receivedAtMs;
+    const leastMs =
+      this.#clock &&
+      this.#clock.hostMs + (receivedAtMs - this.#clock.receivedAtMs) * (1 - MAX_CLOCK_DRIFT);
+    if (leastMs === null || hostMs >= leastMs) {
+      this.#clock = { hostMs, receivedAtMs };
+    }
   }
 
-  /**
-   * Returns the end of the lease and the present time, both by the host's clock, and the monotonic time
-   * of the latest answer, as far as known.
-   */
-  getLease(nowMs: number): {
-    readonly endMs: number | null;
-    readonly clockMs: number | null;
-    readonly answeredAtMs: number | null;
-  } {
+  /** Returns the monotonic time of the latest answer, in ms, or `null` before the first. */
+  get answeredAtMs(): number | null {
+    return this.#answeredAtMs;
+  }
+
+  /** Returns the end of the lease and the present time, both by the host's clock, as far as known. */
+  getLease(nowMs: number): { readonly endMs: number | null; readonly clockMs: number | null } {
     const clockMs = this.#clock && this.#clock.hostMs + nowMs - this.#clock.receivedAtMs;
-    return {
-      endMs: this.#leaseEndMs || null,
-      clockMs: clockMs && Math.round(clockMs),
-      answeredAtMs: this.#clock && this.#clock.receivedAtMs,
-    };
+    return { endMs: this.#leaseEndMs || null, clockMs: clockMs && Math.round(clockMs) };
   }
 
   /** Computes the end of a lease granted now, by the host's clock, and records it as granted. */
