controller: a host that answers holds keeps its lease while other orders to it get lost

Cause: an order without an answer makes a host doubtful, and a hold to a doubtful host renewed no lease. Where an order was repeated without an answer, as the stop of a run is, every hold was followed by a lost order, and no lease was renewed although every hold was answered. Evidence: emulator, 'keeps lasting tasks at work on a host that answers every hold but no order to stop': both runs lapsed 3.2 s after the stops began to be lost. Failed before, passes now. Change: a hold to a reconciled host that answered less than a second before renews its lease. Ends are not acknowledged on it, as before. Conclusion: doubt about one order is no doubt about the host.

--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -10,6 +10,12 @@
 /** Largest fraction by which a host's clock may run slower than the owner's. */
 export const MAX_CLOCK_DRIFT = 0.02;
 
+/**
+ * Age of the latest answer up to which a host that left an order unanswered still gets its lease renewed, in
+ * ms: shorter than a hold call that is not answered.
+ */
+export const RECENT_ANSWER_AGE_MS = 1_000;
+
 /** Margin for delayed lease expiry on the host and delayed timers in this process, in ms. */
 export const EXPIRY_MARGIN_MS = 100;
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -17,6 +17,7 @@
   MAX_CLOCK_DRIFT,
   MAX_HOST_RETRY_MS,
   MAX_START_DELAY_MS,
+  RECENT_ANSWER_AGE_MS,
   THROTTLED_HOLD_WAIT_MS,
 } from './BaobabwellControllerConstants';
 import {
@@ -177,7 +178,10 @@
       epoch: term.epoch,
       acknowledgedPosition,
       // The lease of an unresponsive host is not extended, so that its runs expire eventually.
-      leaseEndMs: isResync || !shouldRenewLease ? null : state.extendLease(sentAtMs),
+      leaseEndMs:
+        shouldRenewLease && (!isResync || this.#hasAnsweredRecently(sentAtMs))
+          ? state.extendLease(sentAtMs)
+          : null,
       waitMs: isResync ? 0 : this.#getWaitMs(),
       signal: this.#createHoldSignal(),
     });
@@ -213,6 +217,16 @@
     }
   }
 
+  /** Returns true for a reconciled host that left an order unanswered but answered another just before. */
+  #hasAnsweredRecently(nowMs: number): boolean {
+    const { isReconciled, state } = this.host;
+    return (
+      isReconciled &&
+      state.answeredAtMs !== null &&
+      nowMs - state.answeredAtMs < RECENT_ANSWER_AGE_MS
+    );
+  }
+
   /** Returns true for a report of an incarnation that has ended by now. */
   #isOutdated({ bornMs }: HostReport, stateAtSending: IncarnationState): boolean {
     return bornMs !== null && this.host.bornMs !== null
