controller: a host whose row is to be removed does not count as stored

Cause: a host may depart while the transaction that stores its row is under way; the answer then marked it as stored although the removal of the row was waiting. It took work, and the next owner, which did not find the row, took it for a host on which nothing runs and started its tasks elsewhere. Evidence: emulator, 'runs no task twice after a host departed while its row was being stored' (runs-once, host-3 and host-0). Failed before, passes now. Change: the answer marks a host as stored only while no removal of its row is waiting. Measured: npx tsx scripts/test.ts packages/baobabwell-job-emulator packages/baobabwell-controller. Conclusion: class: a decision of before an await acted on after it.

--- a/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
@@ -177,7 +177,8 @@
     batch.jobs.forEach(({ job, state }) => jobRegistry.recordStored(job, state, version));
     batch.addedHosts.forEach((host) => {
       const storedHost = host;
-      storedHost.isRegistered = true;
+      // A removal that was requested meanwhile follows with the next batch.
+      storedHost.isRegistered = !this.#removedHosts.has(host.incarnation.id);
       requestDispatch();
     });
     batch.ends.forEach(({ host, state, position }) => {
