ownership: a takeover that was not answered is no handover

Cause: a takeover that the store carried out without an answer is found by its row, and the second takeover took that row for one of an earlier incarnation on the same machine. As an owner by handover it sent machine orders at once, while the owner before both may have just sent one. Evidence: emulator, 'keeps a minimum delay between machine orders when the takeover was not answered': 2,688 ms between orders of two holders, 3,000 are due. Failed before, passes now. Change: only a row of another incarnation of this daemon counts as its own restart. Measured: npx tsx scripts/test.ts packages/baobabwell-job-emulator packages/baobabwell-ownership. Conclusion: class: state that outlives the thing it describes.

--- a/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
@@ -350,7 +350,8 @@
     this.#confirmedRenewalVersion = reply.value;
     this.#renewalSentAtMs = sentAt.monotonicMs;
     // An owner that restarted on the same machine succeeds itself: no other daemon was the owner.
-    const isHandover = before === null || before.isReleased || before.name === name;
+    const isOwnRestart = before?.name === name && before.life !== incarnation;
+    const isHandover = before === null || before.isReleased || isOwnRestart;
     this.#term = { epoch, startVersion: reply.value, isHandover };
     this.#logger.recordInfo('ownership-acquired', {
       epoch,
