controller: a host row is removed only in the version that was decided on

Cause: a removal had only the owner's fence as its condition. One that the store carried out late deleted the row of a host that had come back and was stored again; the next owner did not call that host and started its tasks a second time. Change: the removal names the version of the row. The owner also watches its host rows and writes again the row of a stored host that is missing, so that a removal with only the fence (an older program beside this one during a roll) leaves the gap open for one round of the store. Ruled out: a new fence version after each unanswered transaction, which costs a write and conflicts with everything under way. Conclusion: every write that undoes something needs the version that it undoes.

--- a/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
@@ -2,7 +2,7 @@
 import type { Host } from './BaobabwellControllerHost';
 import type { IncarnationState } from './BaobabwellControllerIncarnationState';
 import type { Job, JobState } from '@baobabwell/jobs';
-import type { JsonValue, RowCondition, RowWrite } from '@baobabwell/platform';
+import type { JsonValue, Row, RowCondition, RowWrite, TableError } from '@baobabwell/platform';
 
 import { PROGRESS_TABLE } from '@baobabwell/ingress';
 import { createJobProgress, parseJobProgress } from '@baobabwell/jobs';
@@ -41,6 +41,9 @@
 
   readonly #removedHosts = new Set<string>();
 
+  /** Versions of the stored host rows, as far as known. */
+  readonly #hostRowVersions = new Map<string, number>();
+
   readonly #wakeSignal: WakeSignal;
 
   readonly #retry = new RetryDelay(COMMIT_RETRY_MS, MAX_COMMIT_RETRY_MS);
@@ -65,6 +68,27 @@
     this.request();
   }
 
+  /**
+   * Records the version of a host row as read from the store. The row of a host that counts as stored is
+   * written again when it is missing: a transaction that was carried out late removed it.
+   */
+  recordHostRow({ key, value, version }: Row): void {
+    if (version <= (this.#hostRowVersions.get(key) ?? 0)) {
+      return;
+    }
+    if (value !== null) {
+      this.#hostRowVersions.set(key, version);
+      return;
+    }
+    this.#hostRowVersions.delete(key);
+    const host = this.#context.hosts.get(key);
+    if (host?.isRegistered === true && !this.#removedHosts.has(key)) {
+      this.#context.logger.recordWarning('host-row-missing', { host: key, version });
+      host.isRegistered = false;
+      this.request();
+    }
+  }
+
   /** Stores pending changes on request until the term ends. */
   async run(): Promise<void> {
     const { signal, clock } = this.#context;
@@ -106,6 +130,7 @@
       cause: reply.error.kind === TableErrorKind.Unavailable ? reply.error.cause : null,
     });
     if (reply.error.kind === TableErrorKind.Conflict && !this.#context.signal.aborted) {
+      this.#adoptHostRowVersions(batch, reply.error);
       await this.#adoptVersions(batch);
     }
     await this.#context.clock.wait(this.#retry.advance(), this.#context.signal);
@@ -126,9 +151,9 @@
     const addedHostIds = new Set(addedHosts.map(({ incarnation }) => incarnation.id));
     const removedHosts = [...this.#removedHosts]
       .filter((hostId) => !addedHostIds.has(hostId))
-      .slice(0, MAX_COMMIT_HOSTS - addedHosts.length);
-    // A host takes one entry; a job takes two, for its condition and its row.
-    const hostEntries = addedHosts.length + removedHosts.length;
+      .slice(0, Math.floor((MAX_COMMIT_HOSTS - addedHosts.length) / 2));
+    // An added host takes one entry; a removed host and a job take two, for their condition and their row.
+    const hostEntries = addedHosts.length + 2 * removedHosts.length;
     const jobCount = Math.floor((MAX_COMMIT_ENTRIES - hostEntries) / 2);
     const changed = [...jobRegistry.listUnsavedJobs()].slice(0, jobCount);
     const hasAllChanges = changed.length === jobRegistry.listUnsavedJobs().size;
@@ -151,11 +176,19 @@
               position: host.state.appliedEndPosition,
             }))
         : [],
-      conditions: changed.map(({ record, progressVersion }) => ({
-        table: PROGRESS_TABLE,
-        key: record.id,
-        version: progressVersion,
-      })),
+      conditions: [
+        ...changed.map(({ record, progressVersion }) => ({
+          table: PROGRESS_TABLE,
+          key: record.id,
+          version: progressVersion,
+        })),
+        // A removal that is carried out late must not remove the row of a host that has come back.
+        ...removedHosts.map((key) => ({
+          table: HOSTS_TABLE,
+          key,
+          version: this.#hostRowVersions.get(key) ?? 0,
+        })),
+      ],
       writes: [
         ...changed.map((job) => ({
           table: PROGRESS_TABLE,
@@ -175,8 +208,10 @@
   #recordStored(batch: Batch, version: number): void {
     const { jobRegistry, requestDispatch } = this.#context;
     batch.jobs.forEach(({ job, state }) => jobRegistry.recordStored(job, state, version));
+    batch.removedHosts.forEach((hostId) => this.#hostRowVersions.delete(hostId));
     batch.addedHosts.forEach((host) => {
       const storedHost = host;
+      this.#hostRowVersions.set(host.incarnation.id, version);
       // A removal that was requested meanwhile follows with the next batch.
       storedHost.isRegistered = !this.#removedHosts.has(host.incarnation.id);
       requestDispatch();
@@ -188,6 +223,17 @@
     });
   }
 
+  /** Adopts the present versions of the rows to remove; a row that is not named is gone. */
+  #adoptHostRowVersions(
+    { removedHosts }: Batch,
+    { conflicts }: TableError & { readonly kind: TableErrorKind.Conflict },
+  ): void {
+    removedHosts.forEach((hostId) => {
+      const row = conflicts.find(({ table, key }) => table === HOSTS_TABLE && key === hostId);
+      this.#hostRowVersions.set(hostId, row?.version ?? 0);
+    });
+  }
+
   /**
    * Adopts the stored versions of the jobs after a conflict: an earlier transaction whose answer was
    * lost may have been applied.
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -166,6 +166,7 @@
       this.#watchLease(),
       this.#watch(JOBS_TABLE, jobsVersion, (row) => this.#applyJobRow(row)),
       this.#watch(codec.workersTable, workers?.version ?? 0, (row) => this.#applyWorkerRow(row)),
+      this.#watch(HOSTS_TABLE, hosts?.version ?? 0, (row) => this.#committer.recordHostRow(row)),
       this.#watch(codec.operatorTable, waves?.version ?? 0, (row) => this.#applyWaveRow(row)),
     ]);
   }
@@ -228,7 +229,9 @@
     return versions.includes(null) ? null : Math.min(...versions.map((version) => version ?? 0));
   }
 
-  #applyHostRow({ key, value }: Row): void {
+  #applyHostRow(stored: Row): void {
+    const { key, value } = stored;
+    this.#committer.recordHostRow(stored);
     const row = parseHostRow(value);
     if (row !== null) {
       const host = new Host({ id: key, address: row.address }, row.pool, null, this.#getNow());
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorStore.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorStore.ts
@@ -49,6 +49,9 @@
 export class EmulatedRows {
   faults: StoreFaults = NO_STORE_FAULTS;
 
+  /** Transactions that got no answer; each may be applied late. */
+  readonly unanswered: Transaction[] = [];
+
   #version = 0;
 
   readonly #rows = new Map<string, StoredRow>();
@@ -143,6 +146,7 @@
     }
     const { lostFraction } = this.#rows.faults;
     if (lostFraction > 0 && this.#random.getFraction() < lostFraction) {
+      this.#rows.unanswered.push(transaction);
       const delayMs = this.#random.getFraction() < 0.5 ? 0 : this.#random.getInteger(MAX_DELAY_MS);
       this.#sharedClock.startTimer(delayMs, () => this.#rows.apply(transaction));
       await this.#clock.wait(TIMEOUT_MS);
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorLateness.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorLateness.test.ts
@@ -115,6 +115,29 @@
     await expectSafeTakeover();
   });
 
+  it('keeps the row of a host that came back although the unanswered removal is applied again', async () => {
+    fleet = new EmulatedJobFleet(SEED, 3);
+    ['a', 'b'].forEach((name) => fleet.startDaemon(name));
+    await fleet.time.advance(START_MS);
+    fleet.killHost('host-0');
+    await fleet.time.advance(4_450);
+    fleet.rows.faults = { ...NO_STORE_FAULTS, lostFraction: 1 };
+    await fleet.time.advance(300);
+    fleet.startHost('host-0');
+    await fleet.time.advance(300);
+    fleet.rows.faults = NO_STORE_FAULTS;
+    await fleet.time.advance(1_000);
+    const removals = fleet.rows.unanswered.filter(({ writes }) =>
+      writes.some(({ table, key, value }) => table === 'hosts' && key === 'host-0' && !value),
+    );
+    const outcomes = removals.map((removal) => fleet.rows.apply(removal));
+    const stored = fleet.rows.list({ table: 'hosts' }).map(({ key }) => key);
+    expect(removals.length > 0).toEqual(true);
+    expect(outcomes.includes(null)).toEqual(false);
+    expect(stored).toEqual(['host-0', 'host-1', 'host-2']);
+    await expectSafeTakeover();
+  });
+
   it('keeps a minimum delay between machine orders when the takeover was not answered', async () => {
     fleet = new EmulatedJobFleet(SEED, 2);
     const cloud = fleet.createCloud(40);
