http: timeouts of answers and of connections count only time for which the process was idle

Cause: the timeout of a response ran on while the process was busy and had not written the call yet; only lateness at the due time was waited again. undici's connect timeout and the timeout of requests to peers counted all time. On slow machines calls failed against sound peers and stores. Ruled out: sampling timers, which wake an idle process 20 times a second.

--- a/packages/baobabwell-http/src/index.ts
+++ b/packages/baobabwell-http/src/index.ts
@@ -1,1 +1,2 @@
 export { REQUEST_HEADER_TIMEOUTS, registerRawBodyParser } from './BaobabwellHttp';
+export { createConnector } from './BaobabwellHttpConnector';
--- a/packages/baobabwell-peers/src/BaobabwellPeersConnector.ts
+++ b/packages/baobabwell-peers/src/BaobabwellPeersConnector.ts
@@ -2,7 +2,10 @@
 import type { AnyTRPCRouter } from '@trpc/server';
 
 import { httpLink } from '@trpc/client';
-import { Agent, fetch } from 'undici';
+import { Agent, fetch, Response } from 'undici';
+
+import { createConnector } from '@baobabwell/http';
+import { startResponseTimer } from '@baobabwell/utils';
 
 import {
   PEER_CONNECT_TIMEOUT_MS,
@@ -26,7 +29,7 @@
   readonly #secret: string;
 
   readonly #agent = new Agent({
-    connect: { timeout: PEER_CONNECT_TIMEOUT_MS },
+    connect: createConnector(PEER_CONNECT_TIMEOUT_MS),
     keepAliveTimeout: PEER_IDLE_TIMEOUT_MS,
     keepAliveMaxTimeout: PEER_IDLE_TIMEOUT_MS,
   });
@@ -49,12 +52,21 @@
     await this.#agent.destroy();
   }
 
+  /** Creates a fetch whose timeout covers the whole response and counts only time for which this process was idle. */
   #createFetch(): typeof fetch {
-    return async (input, init) =>
-      fetch(input, {
-        ...init,
-        dispatcher: this.#agent,
-        signal: AbortSignal.timeout(PEER_REQUEST_TIMEOUT_MS),
-      });
+    return async (input, init) => {
+      const timedOut = new AbortController();
+      const cancelTimer = startResponseTimer(PEER_REQUEST_TIMEOUT_MS, () =>
+        timedOut.abort(new Error(`no response within ${PEER_REQUEST_TIMEOUT_MS} ms`)),
+      );
+      try {
+        const { signal } = timedOut;
+        const response = await fetch(input, { ...init, dispatcher: this.#agent, signal });
+        const body = await response.text();
+        return new Response(body, { status: response.status, headers: response.headers });
+      } finally {
+        cancelTimer();
+      }
+    };
   }
 }
