ownership: takeovers of slow machines end, and few candidates attempt the same one

All candidates on equal machines attempted each takeover in the same moment. Change: a renewal says whether its term is loaded, the owner's row counts the terms before it that never were; the wait before the takeover of an unloaded term doubles with each, up to three times. Candidates are spread over 250 ms by name and takeover, after 200 ms by processor. Ruled out: a longer lease, which every takeover and every order of a successor would wait for. Conclusion: no lease or grace changed; a candidate only waits longer than it has to.

--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -129,7 +129,7 @@
 
   /** Reads the persisted state, then runs the control loops until the term ends. */
   async run(): Promise<void> {
-    const { clock, logger, metrics, term, codec, signal } = this.context;
+    const { clock, logger, metrics, term, codec, ownership, signal } = this.context;
     const startedAtMs = clock.getNow();
     const [hosts, workers, progress, waves, ...jobs] = await Promise.all([
       this.#read({ table: HOSTS_TABLE }),
@@ -147,6 +147,7 @@
     progress?.rows.forEach((row) => this.#applyProgressRow(row));
     waves?.rows.forEach((row) => this.#applyWaveRow(row));
     this.#isLoaded = true;
+    ownership.recordLoaded(term);
     this.#applyCancellations(jobs);
     metrics.terms.inc({ start: term.isHandover ? 'handover' : 'takeover' });
     metrics.termLoadSeconds.observe((clock.getNow() - startedAtMs) / SECOND_MS);
--- a/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonStatus.test.ts
+++ b/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonStatus.test.ts
@@ -10,7 +10,14 @@
 
 const SEED = 5;
 const START_MS = 1_500;
-const OWNER = { name: 'a', life: '1', address: '10.0.0.1:7000', epoch: 3, isReleased: false };
+const OWNER = {
+  name: 'a',
+  life: '1',
+  address: '10.0.0.1:7000',
+  epoch: 3,
+  isReleased: false,
+  unloadedTerms: 0,
+};
 
 describe('status routes', () => {
   let fleet: EmulatedJobFleet;
--- a/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
@@ -3,14 +3,17 @@
 import type { WatchableTableService } from '@baobabwell/platform';
 import type { Clock, Result } from '@baobabwell/utils';
 
+import { createHash } from 'node:crypto';
 import { z } from 'zod';
 
 import { TableErrorKind } from '@baobabwell/platform';
 import { createError, RetryDelay } from '@baobabwell/utils';
 
 import {
-  MAX_CANDIDATE_DELAY_MS,
+  MAX_FITNESS_DELAY_MS,
   MAX_RETRY_DELAY_MS,
+  MAX_SPREAD_DELAY_MS,
+  MAX_WAIT_DOUBLINGS,
   MAX_WATCH_MS,
   MIN_RETRY_DELAY_MS,
   MIN_TAKEOVER_MS,
@@ -30,8 +33,21 @@
   address: z.string(),
   epoch: z.number().int(),
   isReleased: z.boolean(),
+  /** Number of terms in a row before this one that ended before their state was loaded. */
+  unloadedTerms: z.number().int().default(0),
 });
 
+const renewalRow = z.object({ epoch: z.number().int(), isLoaded: z.boolean() });
+
+const UINT32_RANGE = 2 ** 32;
+
+/** Returns a fraction from 0 to 1 that differs between candidates and from takeover to takeover. */
+function getSpread(name: string, ownerVersion: number): number {
+  return (
+    createHash('sha256').update(`${name} ${ownerVersion}`).digest().readUInt32BE() / UINT32_RANGE
+  );
+}
+
 /** The daemon that runs the control loops of the fleet, as its row names it. */
 export type Owner = z.infer<typeof ownerRow>;
 
@@ -91,6 +107,9 @@
    */
   #renewalSeenAtMs = 0;
 
+  /** Epoch of the latest term whose owner reported that it had loaded the stored state. */
+  #loadedEpoch = 0;
+
   #term: Term | null = null;
 
   /** Times at which the last successful renewal was sent, on both clocks, in ms. */
@@ -231,6 +250,11 @@
     return reply;
   }
 
+  /** Records that the owner of a term has loaded the stored state; the next renewal reports it. */
+  recordLoaded({ epoch }: Term): void {
+    this.#loadedEpoch = Math.max(this.#loadedEpoch, epoch);
+  }
+
   /** Ends the term at once, without a release: another daemon is the owner. */
   endTerm(reason: string): void {
     const term = this.#term;
@@ -282,6 +306,10 @@
     if (key === RENEWAL_KEY && version > this.#renewalVersion) {
       this.#renewalVersion = version;
       this.#renewalSeenAtMs = this.#clock.getNow();
+      const { data } = renewalRow.safeParse(value);
+      if (data?.isLoaded === true) {
+        this.#loadedEpoch = Math.max(this.#loadedEpoch, data.epoch);
+      }
     }
     if (key !== OWNER_KEY || version <= this.#ownerVersion) {
       return;
@@ -308,11 +336,29 @@
     return this.#owner?.name === this.#candidate.name;
   }
 
+  /**
+   * Returns the age of the last renewal at which this daemon takes over, in ms. The wait doubles with each
+   * term in a row that was never loaded: where processors are short, a loading owner renews late, and a
+   * takeover would only make the next owner start to load anew.
+   */
+  #getMinTakeoverAgeMs(): number {
+    const owner = this.#owner;
+    if (owner === null || owner.isReleased || this.#isOwnRow()) {
+      return 0;
+    }
+    const isLoaded = owner.epoch <= this.#loadedEpoch;
+    return (
+      MIN_TAKEOVER_MS * 2 ** (isLoaded ? 0 : Math.min(MAX_WAIT_DOUBLINGS, owner.unloadedTerms))
+    );
+  }
+
   /** Returns the time until this daemon may take over, in ms. */
   #getTakeoverDelayMs(): number {
-    const delayMs = MAX_CANDIDATE_DELAY_MS * (1 - this.#candidate.fitness);
-    const waitMs =
-      this.#owner === null || this.#owner.isReleased || this.#isOwnRow() ? 0 : MIN_TAKEOVER_MS;
+    const { name, fitness } = this.#candidate;
+    const delayMs =
+      MAX_FITNESS_DELAY_MS * (1 - fitness) +
+      MAX_SPREAD_DELAY_MS * getSpread(name, this.#ownerVersion);
+    const waitMs = this.#getMinTakeoverAgeMs();
     const sinceRenewalMs = this.#clock.getNow() - this.#renewalSeenAtMs;
     return Math.min(MAX_WATCH_MS, Math.max(0, waitMs + delayMs - sinceRenewalMs));
   }
@@ -325,7 +371,16 @@
     const { name, incarnation, address } = this.#candidate;
     const before = this.#owner;
     const epoch = (before?.epoch ?? 0) + 1;
-    const owner: Owner = { name, life: incarnation, address, epoch, isReleased: false };
+    const wasLoaded = before === null || before.isReleased || before.epoch <= this.#loadedEpoch;
+    const unloadedTerms = wasLoaded ? 0 : before.unloadedTerms + 1;
+    const owner: Owner = {
+      name,
+      life: incarnation,
+      address,
+      epoch,
+      isReleased: false,
+      unloadedTerms,
+    };
     const sentAt = { monotonicMs: this.#clock.getNow(), wallMs: this.#clock.getWallTime() };
     const reply = await this.#store.commit({
       conditions: [
@@ -334,7 +389,7 @@
       ],
       writes: [
         { table: OWNERSHIP_TABLE, key: OWNER_KEY, value: owner },
-        { table: OWNERSHIP_TABLE, key: RENEWAL_KEY, value: epoch },
+        { table: OWNERSHIP_TABLE, key: RENEWAL_KEY, value: { epoch, isLoaded: false } },
       ],
     });
     if (!reply.ok) {
@@ -357,6 +412,7 @@
       epoch,
       isHandover,
       before: before?.name ?? null,
+      unloadedTerms,
       version: reply.value,
     });
     this.#listener.startTerm(this.#term);
@@ -382,8 +438,9 @@
     const monotonicMs = this.#clock.getNow();
     const sentAt = { monotonicMs, wallMs: this.#clock.getWallTime() };
     this.#renewalSentAtMs = monotonicMs;
+    const value = { epoch: term.epoch, isLoaded: term.epoch <= this.#loadedEpoch };
     return {
-      writes: [{ table: OWNERSHIP_TABLE, key: RENEWAL_KEY, value: term.epoch }],
+      writes: [{ table: OWNERSHIP_TABLE, key: RENEWAL_KEY, value }],
       handleReply: (reply) => {
         if (this.#term === term) {
           this.#recordRenewal(sentAt, reply);
--- a/packages/baobabwell-ownership/src/BaobabwellOwnershipConstants.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnershipConstants.ts
@@ -40,8 +40,20 @@
  */
 export const RENEWAL_TIMEOUT_MS = 700;
 
-/** Maximum delay of a candidate, in ms: daemons on larger machines take over first. */
-export const MAX_CANDIDATE_DELAY_MS = 150;
+/** Maximum delay of a candidate for its processor, in ms: daemons on larger machines take over first. */
+export const MAX_FITNESS_DELAY_MS = 200;
+
+/**
+ * Maximum delay that spreads candidates on equal machines, in ms. A candidate that is a few round-trip
+ * times ahead of the others completes its takeover before they attempt theirs.
+ */
+export const MAX_SPREAD_DELAY_MS = 250;
+
+/**
+ * Maximum number of times that the wait before a takeover doubles, once for each term in a row that ended
+ * before its owner had loaded the stored state.
+ */
+export const MAX_WAIT_DOUBLINGS = 3;
 
 /** Minimum age of a lease at which another daemon takes over, in ms. */
 export const MIN_TAKEOVER_MS = OWNER_LEASE_MS + TAKEOVER_MARGIN_MS;
--- a/packages/baobabwell-ownership/src/__tests__/unit/BaobabwellOwnership.test.ts
+++ b/packages/baobabwell-ownership/src/__tests__/unit/BaobabwellOwnership.test.ts
@@ -99,7 +99,14 @@
   });
 
   it('commits nothing after it observed another owner', async () => {
-    const successor = { name: 'b', life: '2', address: 'b', epoch: 2, isReleased: false };
+    const successor = {
+      name: 'b',
+      life: '2',
+      address: 'b',
+      epoch: 2,
+      isReleased: false,
+      unloadedTerms: 0,
+    };
     rows.apply({
       conditions: [],
       writes: [{ table: OWNERSHIP_TABLE, key: 'owner', value: successor }],
