--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -180,3 +180,9 @@
 
 /** Time for which a refused job counts as demand when machines are allocated, in ms. */
 export const REFUSED_DEMAND_WINDOW_MS = 1_000;
+
+/** Maximum number of ranges that a term reads at once while it loads the stored state. */
+export const MAX_CONCURRENT_READS = 8;
+
+/** Number of rows applied without a pause while a term loads the stored state. */
+export const ROWS_PER_SLICE = 50;
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -3,7 +3,7 @@
 import type { OfferReply } from '@baobabwell/ingress';
 import type { JobRecord, Run } from '@baobabwell/jobs';
 import type { Term } from '@baobabwell/ownership';
-import type { ChangePage, Row, RowRange } from '@baobabwell/platform';
+import type { ChangePage, Row } from '@baobabwell/platform';
 
 import { setMaxListeners } from 'node:events';
 
@@ -15,18 +15,13 @@
 } from '@baobabwell/ingress';
 import { JobRegistry, parseJobProgress } from '@baobabwell/jobs';
 import { getWidestStepCpu } from '@baobabwell/placement';
-import { WatchErrorKind } from '@baobabwell/platform';
-import { RetryDelay } from '@baobabwell/utils';
 
 import { Committer } from './BaobabwellControllerCommitter';
 import {
   ENDED_JOB_RETENTION_MS,
   HOSTS_TABLE,
   LEASE_CHECK_INTERVAL_MS,
-  MAX_WATCH_RETRY_MS,
   PRUNE_INTERVAL_MS,
-  WATCH_RETRY_MS,
-  WATCH_WAIT_MS,
 } from './BaobabwellControllerConstants';
 import { Dispatcher } from './BaobabwellControllerDispatcher';
 import { FleetControlLoop } from './BaobabwellControllerFleetControlLoop';
@@ -36,6 +31,7 @@
 import { PlacementAdviceCache } from './BaobabwellControllerPlacementAdvice';
 import { parseHostRow, parseJobRecord } from './BaobabwellControllerRows';
 import { HostSession } from './BaobabwellControllerSession';
+import { TermTables } from './BaobabwellControllerTermTables';
 
 const SECOND_MS = 1_000;
 
@@ -53,6 +49,8 @@
 
   readonly #fleetControlLoop: FleetControlLoop;
 
+  readonly #tables: TermTables;
+
   #isLoaded = false;
 
   constructor(options: TermOptions, term: Term) {
@@ -72,6 +70,7 @@
       requestCommit: () => this.#committer.request(),
       stopRun: (run, reason) => this.#stopRun(run, reason),
     };
+    this.#tables = new TermTables(this.context);
     this.#committer = new Committer(this.context, (id) => this.#sessions.get(id)?.requestHold());
     const advice = new PlacementAdviceCache(this.context);
     this.#dispatcher = new Dispatcher(
@@ -131,20 +130,21 @@
   async run(): Promise<void> {
     const { clock, logger, metrics, term, codec, ownership, signal } = this.context;
     const startedAtMs = clock.getNow();
-    const [hosts, workers, progress, waves, ...jobs] = await Promise.all([
-      this.#read({ table: HOSTS_TABLE }),
-      this.#read({ table: codec.workersTable }),
-      this.#read({ table: PROGRESS_TABLE }),
-      this.#read({ table: codec.operatorTable }),
-      ...listJobPartitions().map(async (part) => this.#read({ table: JOBS_TABLE, part })),
+    const [hosts, workers, progress, waves, ...jobs] = await this.#tables.readAll([
+      { table: HOSTS_TABLE },
+      { table: codec.workersTable },
+      { table: PROGRESS_TABLE },
+      { table: codec.operatorTable },
+      ...listJobPartitions().map((part) => ({ table: JOBS_TABLE, part })),
     ]);
+    await this.#tables.applyInSlices(jobs, (row) => this.#applyJobRow(row));
+    await this.#tables.applyInSlices([progress], (row) => this.#applyProgressRow(row));
     if (signal.aborted) {
       return;
     }
+    // Without a pause: the first answers of hosts are counted against all hosts of former owners.
     hosts?.rows.forEach((row) => this.#applyHostRow(row));
     workers?.rows.forEach((row) => this.#applyWorkerRow(row));
-    jobs.forEach((page) => page?.rows.forEach((row) => this.#applyJobRow(row)));
-    progress?.rows.forEach((row) => this.#applyProgressRow(row));
     waves?.rows.forEach((row) => this.#applyWaveRow(row));
     this.#isLoaded = true;
     ownership.recordLoaded(term);
@@ -172,40 +172,10 @@
     ]);
   }
 
-  /** Reads rows until the store answers or the term ends. */
-  async #read(range: RowRange): Promise<ChangePage | null> {
-    const { store, clock, signal, logger } = this.context;
-    const retry = new RetryDelay(WATCH_RETRY_MS, MAX_WATCH_RETRY_MS);
-    while (!signal.aborted) {
-      const page = await store.list(range);
-      if (page.ok) {
-        return page.value;
-      }
-      logger.recordWarning('store-read-failed', { table: range.table, reason: page.error.kind });
-      await clock.wait(retry.advance(), signal);
-    }
-    return null;
-  }
-
-  /** Watches a table for changes; reads the whole table again when the history was compacted. */
   async #watch(table: string, from: number, apply: (row: Row) => void): Promise<void> {
-    const { store, clock, signal, logger } = this.context;
-    const retry = new RetryDelay(WATCH_RETRY_MS, MAX_WATCH_RETRY_MS);
-    let version = from;
-    while (!signal.aborted) {
-      const page = await store.waitForChanges(table, version, WATCH_WAIT_MS, signal);
-      if (page.ok) {
-        page.value.rows.forEach(apply);
-        version = page.value.version;
-        retry.reset();
-      } else if (page.error.kind === WatchErrorKind.HistoryCompacted) {
-        logger.recordWarning('store-history-gone', { table, version });
-        version = (await this.#rereadTable(table, apply, version)) ?? version;
-      } else if (!signal.aborted) {
-        logger.recordWarning('store-watch-failed', { table, cause: page.error.cause });
-        await clock.wait(retry.advance(), signal);
-      }
-    }
+    await this.#tables.watch(table, from, apply, async (version) =>
+      this.#rereadTable(table, apply, version),
+    );
   }
 
   async #rereadTable(
@@ -214,7 +184,9 @@
     appliedVersion: number,
   ): Promise<number | null> {
     const partitions = table === JOBS_TABLE ? listJobPartitions() : [''];
-    const pages = await Promise.all(partitions.map(async (part) => this.#read({ table, part })));
+    const pages = await Promise.all(
+      partitions.map(async (part) => this.#tables.read({ table, part })),
+    );
     const rows = pages.flatMap((page) => page?.rows ?? []);
     // A job whose row was applied before but that is no longer in memory has ended and was removed.
     rows.filter(({ version }) => table !== JOBS_TABLE || version > appliedVersion).forEach(apply);
--- /dev/null
+++ b/packages/baobabwell-controller/src/__tests__/unit/BaobabwellControllerTermTables.test.ts
@@ -0,0 +1,61 @@
+import type { ChangePage, RowRange, TableError } from '@baobabwell/platform';
+import type { Result } from '@baobabwell/utils';
+
+import { expect } from 'earl';
+
+import { EmulatedTime } from '@baobabwell/emulator';
+import { EmulatedJobStore, EmulatedRows } from '@baobabwell/job-emulator';
+import { Logger, LogLevel } from '@baobabwell/logging';
+import { createError, Random } from '@baobabwell/utils';
+
+import { TermTables } from '../../BaobabwellControllerTermTables';
+
+const SEED = 1;
+
+/** Bytes of one answer, of the link in a millisecond, and time limit of a call, as on a slow link. */
+const ANSWER_BYTES = 40_000;
+const LINK_BYTES_PER_MS = 250;
+const TIMEOUT_MS = 1_500;
+
+const RANGES: readonly RowRange[] = Array.from({ length: 36 }, (_, index) => ({
+  table: 'jobs',
+  part: `p${index}`,
+}));
+
+/** A store whose open answers share one link. */
+class SlowLinkStore extends EmulatedJobStore {
+  requestCount = 0;
+
+  readonly #time: EmulatedTime;
+
+  #openCount = 0;
+
+  constructor(time: EmulatedTime) {
+    super(time, time, new Random(SEED), new EmulatedRows());
+    this.#time = time;
+  }
+
+  override async list(range: RowRange): Promise<Result<ChangePage, TableError>> {
+    this.requestCount += 1;
+    this.#openCount += 1;
+    const tookMs = (this.#openCount * ANSWER_BYTES) / LINK_BYTES_PER_MS;
+    await this.#time.wait(Math.min(tookMs, TIMEOUT_MS));
+    this.#openCount -= 1;
+    const page = await super.list(range);
+    return tookMs <= TIMEOUT_MS || !page.ok
+      ? page
+      : createError({ kind: 'unavailable', mayHaveCommitted: false, cause: 'late' } as TableError);
+  }
+}
+
+describe('TermTables', () => {
+  it('reads all ranges over a slow link without requesting one of them twice', async () => {
+    const time = new EmulatedTime();
+    const store = new SlowLinkStore(time);
+    const { signal } = new AbortController();
+    const logger = new Logger(LogLevel.Error, {}, () => undefined);
+    const tables = new TermTables({ store, clock: time, signal, logger });
+    const pages = await time.settle(tables.readAll(RANGES), 30_000);
+    expect([pages.length, store.requestCount]).toEqual([RANGES.length, RANGES.length]);
+  });
+});
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorStore.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorStore.ts
@@ -190,11 +190,11 @@
     return createOk({ rows: [], version });
   }
 
-  /** Waits for the store; returns false when it does not answer. */
+  /** Waits for the store; returns false when it does not answer, also if it goes down meanwhile. */
   async #waitForStore(): Promise<boolean> {
     const { isDown, slowMs } = this.#rows.faults;
     await this.#clock.wait(isDown || this.isPartitioned ? TIMEOUT_MS : LATENCY_MS + slowMs);
-    return !isDown && !this.isPartitioned;
+    return !isDown && !this.#rows.faults.isDown && !this.isPartitioned;
   }
 
   #createUnavailable(mayHaveCommitted: boolean) {
