controller: a lasting task counts as at work only by a recent report of its host

Measured: emulated fleet, holds of two of three hosts answered 4 s late: the third task is ordered to stop before -> is left until the others report.

--- a/packages/baobabwell-controller/src/BaobabwellControllerLongRunning.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerLongRunning.ts
@@ -4,15 +4,24 @@
 
 import { RunPhase } from '@baobabwell/jobs';
 
+import { MAX_ANSWER_AGE_MS } from './BaobabwellControllerConstants';
+
 const FULL_PERCENT = 100;
 
-/** Returns true while a task is available, by the latest report of its host. */
-function isAvailable({ hosts }: TermContext, { runs }: Task): boolean {
+/** Returns true while the latest report of a host counts: the leases renewed with it have not expired. */
+function hasRecentReport({ clock }: TermContext, host: Host | undefined): boolean {
+  return (
+    host?.isReachable === true && clock.getNow() - host.answeredHoldSentAtMs < MAX_ANSWER_AGE_MS
+  );
+}
+
+/** Returns true while a task is available, by a recent report of its host. */
+function isAvailable(context: TermContext, { runs }: Task): boolean {
   return [...runs].some(
     ({ phase, progressPercent, hostId }) =>
       phase === RunPhase.Running &&
       progressPercent >= FULL_PERCENT &&
-      hosts.get(hostId)?.isReachable === true,
+      hasRecentReport(context, context.hosts.get(hostId)),
   );
 }
 
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorLateness.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorLateness.test.ts
@@ -71,6 +71,25 @@
     expect(listLapsedRuns()).toEqual([]);
   });
 
+  it('moves no lasting task away while the reports on the others are too old to tell', async () => {
+    fleet = new EmulatedJobFleet(SEED, 4);
+    fleet.createCloud(0);
+    fleet.startDaemon('a');
+    await fleet.time.advance(START_MS);
+    fleet.submit([{ ...LASTING, taskCount: 3 }]);
+    await fleet.time.advance(3_000);
+    const busy = fleet.listHosts().filter((host) => host.countRuns() > 0);
+    busy
+      .slice(1)
+      .forEach(({ id }) => fleet.faults.lateAnswersMs.set(formatAnswer(OrderKind.Hold, id), 4_000));
+    await fleet.time.advance(3_300);
+    const machines = [`m-${busy[0]?.id}`];
+    fleet.requestWave({ number: 1, durationMs: 25_000, maxDown: 1, machines });
+    await fleet.time.advance(600);
+    const stops = fleet.logLines.filter((line) => line.includes('stop-ordered'));
+    expect([busy.length, stops]).toEqual([3, []]);
+  });
+
   it('runs no task twice after a host departed while its row was being stored', async () => {
     fleet = new EmulatedJobFleet(SEED, 2);
     const cloud = fleet.createCloud(0);
