placement, ingress: an overloaded owner admits a share of new jobs, the others are refused on arrival

Ruled out: refusing while the owner does not answer: a process cut off from it still serves by the store.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
@@ -2,6 +2,7 @@
 import type { FastifyInstance } from 'fastify';
 
 import { IngressServer, JobSubmissionService } from '@baobabwell/ingress';
+import { Random } from '@baobabwell/utils';
 
 import { RelayedStore } from './BaobabwellDaemonRelayedStore';
 import {
@@ -11,6 +12,7 @@
   MEMBERS,
   METRICS,
   OWNER_CLIENT,
+  OWNERSHIP,
   PEERS,
   SETTINGS,
   STATE,
@@ -48,7 +50,14 @@
   });
   return new IngressServer({
     protocol,
-    submissions: new JobSubmissionService({ store, owner, clock, logger }),
+    submissions: new JobSubmissionService({
+      store,
+      owner,
+      clock,
+      logger,
+      getAdmittedShare: () => kernel.getService(OWNERSHIP).getAdmittedShare(),
+      random: new Random(process.pid),
+    }),
     clock,
     logger,
     getConfiguration: () => configuration.getConfiguration(),
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
@@ -85,6 +85,8 @@
         owner: new UnresponsiveOwner(),
         clock: time,
         logger,
+        getAdmittedShare: () => 1,
+        random: new Random(1),
       }),
       clock: time,
       logger,
