platform: an order for a machine is not sent once its permission has run out

Cause: the lease was checked when the order was made. The call may wait for one of four connections, or for a new one, and be written seconds later, after the process was suspended or while the cloud interface is slow. Change: the lease is checked once more at the moment at which the call is written; a call that is no longer allowed is not sent and counts as without effect. Conclusion: every order that no fence guards needs its permission at the write, not at the decision.

--- a/packages/baobabwell-controller/src/BaobabwellControllerMachineInventory.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerMachineInventory.ts
@@ -1,6 +1,6 @@
 import type { TermContext } from './BaobabwellControllerContext';
 import type { Host } from './BaobabwellControllerHost';
-import type { CloudError, CloudHost } from '@baobabwell/platform';
+import type { CloudError, CloudHost, CloudOrder } from '@baobabwell/platform';
 import type { Result } from '@baobabwell/utils';
 
 import { CloudHostState, CloudRefusal } from '@baobabwell/platform';
@@ -112,22 +112,20 @@
     machine: CloudHost,
     pool: string,
     orderName: string,
-    send: (order: {
-      readonly machine: string;
-      readonly holder: string;
-      readonly epoch: number;
-    }) => Promise<Result<null, CloudError> | undefined>,
+    send: (order: CloudOrder) => Promise<Result<null, CloudError> | undefined>,
   ): Promise<boolean> {
     const { clock, logger, metrics, holder, term, ownership, signal } = this.#context;
     const name = machine.machine;
     // The next owner relies on this owner sending no later orders; the next round decides again.
-    if (signal.aborted || ownership.getLeaseAgeMs() > MAX_ORDER_LEASE_AGE_MS) {
+    const isAllowed = (): boolean =>
+      !signal.aborted && ownership.getLeaseAgeMs() <= MAX_ORDER_LEASE_AGE_MS;
+    if (!isAllowed()) {
       return false;
     }
     const sentAtMs = clock.getNow();
     const known = describeKnowledge(sentAtMs, this.findHost(machine));
     this.#pendingOrders.set(name, { pool, sentAtMs, isAnswered: false });
-    const reply = await send({ machine: name, holder, epoch: term.epoch });
+    const reply = await send({ machine: name, holder, epoch: term.epoch, isAllowed });
     const isDone = reply?.ok === true;
     const refusal = reply?.ok === false ? reply.error.kind : null;
     metrics.machineOrders.inc({ order: orderName, answer: refusal ?? 'carried-out' });
--- a/packages/baobabwell-platform/src/BaobabwellPlatformCloud.ts
+++ b/packages/baobabwell-platform/src/BaobabwellPlatformCloud.ts
@@ -26,6 +26,8 @@
   readonly machine: string;
   readonly holder: string;
   readonly epoch: number;
+  /** Returns false once the lease no longer allows the order; asked at the moment at which it is sent. */
+  readonly isAllowed: () => boolean;
 };
 
 /** Reason why the cloud interface did not confirm a call. */
