--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorLateness.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorLateness.test.ts
@@ -39,6 +39,21 @@
     expect(fleet.oracle.violations).toEqual([]);
   }
 
+  /** Has a host come back while the removal of its row gets no answer. */
+  async function returnHostAfterUnansweredRemoval(): Promise<void> {
+    fleet = new EmulatedJobFleet(SEED, 3);
+    ['a', 'b'].forEach((name) => fleet.startDaemon(name));
+    await fleet.time.advance(START_MS);
+    fleet.killHost('host-0');
+    await fleet.time.advance(4_450);
+    fleet.rows.faults = { ...NO_STORE_FAULTS, lostFraction: 1 };
+    await fleet.time.advance(300);
+    fleet.startHost('host-0');
+    await fleet.time.advance(300);
+    fleet.rows.faults = NO_STORE_FAULTS;
+    await fleet.time.advance(1_000);
+  }
+
   afterEach(() => fleet.close());
 
   [0, 500, 1_100].forEach((lateMs) => {
@@ -115,17 +130,7 @@
   });
 
   it('runs no task twice after a removal of a host row was applied late', async () => {
-    fleet = new EmulatedJobFleet(SEED, 3);
-    ['a', 'b'].forEach((name) => fleet.startDaemon(name));
-    await fleet.time.advance(START_MS);
-    fleet.killHost('host-0');
-    await fleet.time.advance(4_450);
-    fleet.rows.faults = { ...NO_STORE_FAULTS, lostFraction: 1 };
-    await fleet.time.advance(300);
-    fleet.startHost('host-0');
-    await fleet.time.advance(300);
-    fleet.rows.faults = NO_STORE_FAULTS;
-    await fleet.time.advance(1_000);
+    await returnHostAfterUnansweredRemoval();
     // The store applies the transaction that got no answer: its condition, the fence, still holds.
     const [fence] = fleet.rows.list({ table: 'ownership', from: 'owner', to: 'owner~' });
     const condition = { table: 'ownership', key: 'owner', version: fence?.version ?? 0 };
@@ -135,17 +140,7 @@
   });
 
   it('keeps the row of a host that came back although the unanswered removal is applied again', async () => {
-    fleet = new EmulatedJobFleet(SEED, 3);
-    ['a', 'b'].forEach((name) => fleet.startDaemon(name));
-    await fleet.time.advance(START_MS);
-    fleet.killHost('host-0');
-    await fleet.time.advance(4_450);
-    fleet.rows.faults = { ...NO_STORE_FAULTS, lostFraction: 1 };
-    await fleet.time.advance(300);
-    fleet.startHost('host-0');
-    await fleet.time.advance(300);
-    fleet.rows.faults = NO_STORE_FAULTS;
-    await fleet.time.advance(1_000);
+    await returnHostAfterUnansweredRemoval();
     const removals = fleet.rows.unanswered.filter(({ writes }) =>
       writes.some(({ table, key, value }) => table === 'hosts' && key === 'host-0' && !value),
     );
