controller: partitions are read anew through the same bounded read as at the start of a term

Cause: after the store forgot its history, all 32 partitions were requested at once, a second copy of the read that readAll replaced: on a slow link all answers are late and are requested again. Change: rereadTable calls readAll; read is private to TermTables. What is read and applied is the same.

--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -184,9 +184,7 @@
     appliedVersion: number,
   ): Promise<number | null> {
     const partitions = table === JOBS_TABLE ? listJobPartitions() : [''];
-    const pages = await Promise.all(
-      partitions.map(async (part) => this.#tables.read({ table, part })),
-    );
+    const pages = await this.#tables.readAll(partitions.map((part) => ({ table, part })));
     const rows = pages.flatMap((page) => page?.rows ?? []);
     // A job whose row was applied before but that is no longer in memory has ended and was removed.
     rows.filter(({ version }) => table !== JOBS_TABLE || version > appliedVersion).forEach(apply);
--- a/packages/baobabwell-controller/src/BaobabwellControllerTermTables.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTermTables.ts
@@ -31,7 +31,7 @@
     const remaining = ranges.entries();
     const readRemaining = async (): Promise<void> => {
       for (const [index, range] of remaining) {
-        pages[index] = await this.read(range);
+        pages[index] = await this.#read(range);
       }
     };
     await Promise.all(Array.from({ length: MAX_CONCURRENT_READS }, readRemaining));
@@ -39,7 +39,7 @@
   }
 
   /** Reads rows until the store answers or the term ends. */
-  async read(range: RowRange): Promise<ChangePage | null> {
+  async #read(range: RowRange): Promise<ChangePage | null> {
     const { store, clock, signal, logger } = this.#context;
     const retry = new RetryDelay(WATCH_RETRY_MS, MAX_WATCH_RETRY_MS);
     while (!signal.aborted) {
