controller: log the age of what the owner knows of jobs, and rows that its watch never showed

Change: TermTables keeps, for each table, when the latest call was sent whose answer showed all changes; a page as long as the store allows does not count. start-ordered has jobsAgeMs, job-cancelled has ageMs, store-reread has the count of unseen rows. Measured: none: no logic changed.

--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -71,4 +71,6 @@
   readonly requestCommit: () => void;
   /** Orders a run to stop. */
   readonly stopRun: (run: Run, reason: string) => void;
+  /** Returns the time in ms since all stored jobs and cancellations were known to be applied. */
+  readonly getJobsAgeMs: () => number;
 };
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -240,6 +240,7 @@
       pool: host.pool,
       epoch: term.epoch,
       freeCpuMillis: host.getFreeResources().cpuMillis,
+      jobsAgeMs: Math.round(this.#context.getJobsAgeMs()),
     });
     void session.startRun(run, ticket);
   }
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -1,9 +1,10 @@
 import type { TermContext, TermOptions } from './BaobabwellControllerContext';
+import type { TablePosition } from './BaobabwellControllerTermTables';
 import type { ListedWorker } from '@baobabwell/fleet';
 import type { OfferReply } from '@baobabwell/ingress';
 import type { JobRecord, Run } from '@baobabwell/jobs';
 import type { Term } from '@baobabwell/ownership';
-import type { ChangePage, Row } from '@baobabwell/platform';
+import type { ChangePage, JsonValue, Row } from '@baobabwell/platform';
 
 import { setMaxListeners } from 'node:events';
 
@@ -31,7 +32,7 @@
 import { PlacementAdviceCache } from './BaobabwellControllerPlacementAdvice';
 import { parseHostRow, parseJobRecord } from './BaobabwellControllerRows';
 import { HostSession } from './BaobabwellControllerSession';
-import { TermTables } from './BaobabwellControllerTermTables';
+import { findCommonPosition, TermTables } from './BaobabwellControllerTermTables';
 
 const SECOND_MS = 1_000;
 
@@ -69,6 +70,7 @@
       requestDispatch: () => this.#dispatcher.request(),
       requestCommit: () => this.#committer.request(),
       stopRun: (run, reason) => this.#stopRun(run, reason),
+      getJobsAgeMs: () => this.#tables.getAgeMs(JOBS_TABLE),
     };
     this.#tables = new TermTables(this.context);
     this.#committer = new Committer(this.context, (id) => this.#sessions.get(id)?.requestHold());
@@ -158,21 +160,23 @@
       hosts: this.context.hosts.size,
     });
     this.#committer.request();
-    const jobsVersion = Math.min(...jobs.map((page) => page?.version ?? 0));
+    const startPosition = { version: 0, requestedAtMs: startedAtMs };
     await Promise.all([
       this.#committer.run(),
       this.#dispatcher.run(),
       this.#fleetControlLoop.run(),
       this.#pruneEndedJobs(),
       this.#watchLease(),
-      this.#watch(JOBS_TABLE, jobsVersion, (row) => this.#applyJobRow(row)),
-      this.#watch(codec.workersTable, workers?.version ?? 0, (row) => this.#applyWorkerRow(row)),
-      this.#watch(HOSTS_TABLE, hosts?.version ?? 0, (row) => this.#committer.recordHostRow(row)),
-      this.#watch(codec.operatorTable, waves?.version ?? 0, (row) => this.#applyWaveRow(row)),
+      this.#watch(JOBS_TABLE, findCommonPosition(jobs) ?? startPosition, (row) =>
+        this.#applyJobRow(row),
+      ),
+      this.#watch(codec.workersTable, workers ?? startPosition, (row) => this.#applyWorkerRow(row)),
+      this.#watch(HOSTS_TABLE, hosts ?? startPosition, (row) => this.#committer.recordHostRow(row)),
+      this.#watch(codec.operatorTable, waves ?? startPosition, (row) => this.#applyWaveRow(row)),
     ]);
   }
 
-  async #watch(table: string, from: number, apply: (row: Row) => void): Promise<void> {
+  async #watch(table: string, from: TablePosition, apply: (row: Row) => void): Promise<void> {
     await this.#tables.watch(table, from, apply, async (version) =>
       this.#rereadTable(table, apply, version),
     );
@@ -182,10 +186,19 @@
     table: string,
     apply: (row: Row) => void,
     appliedVersion: number,
-  ): Promise<number | null> {
+  ): Promise<TablePosition | null> {
     const partitions = table === JOBS_TABLE ? listJobPartitions() : [''];
     const pages = await this.#tables.readAll(partitions.map((part) => ({ table, part })));
     const rows = pages.flatMap((page) => page?.rows ?? []);
+    if (table === JOBS_TABLE) {
+      const olderRows = rows.filter(({ version }) => version <= appliedVersion);
+      this.context.logger.recordInfo('store-reread', {
+        table,
+        version: appliedVersion,
+        rows: rows.length,
+        unseen: olderRows.filter((row) => this.#isUnseen(row)).length,
+      });
+    }
     // A job whose row was applied before but that is no longer in memory has ended and was removed.
     rows.filter(({ version }) => table !== JOBS_TABLE || version > appliedVersion).forEach(apply);
     if (table === this.context.codec.workersTable) {
@@ -196,8 +209,15 @@
         }
       });
     }
-    const versions = pages.map((page) => page?.version ?? null);
-    return versions.includes(null) ? null : Math.min(...versions.map((version) => version ?? 0));
+    return findCommonPosition(pages);
+  }
+
+  /** Returns true for the row of a job, or of its cancellation, that has not been applied. */
+  #isUnseen({ key }: Row): boolean {
+    const { jobRegistry } = this.context;
+    return key.endsWith(CANCELLED_SUFFIX)
+      ? jobRegistry.findJob(key.slice(0, -CANCELLED_SUFFIX.length))?.isEnded === false
+      : jobRegistry.findJob(key) === null;
   }
 
   #applyHostRow(stored: Row): void {
@@ -292,7 +312,7 @@
   #applyJobRow({ key, value, version }: Row): void {
     const { jobRegistry, clock, logger, metrics, requestDispatch } = this.context;
     if (key.endsWith(CANCELLED_SUFFIX)) {
-      this.#cancel(key.slice(0, -CANCELLED_SUFFIX.length));
+      this.#cancel(key.slice(0, -CANCELLED_SUFFIX.length), value);
       return;
     }
     if (value === null) {
@@ -329,7 +349,8 @@
     jobRegistry.restoreProgress(job, progress, version, clock.getNow());
   }
 
-  #cancel(jobId: string): void {
+  /** @param cancelledAtMs wall-clock time at which the cancellation was requested, in ms, as stored. */
+  #cancel(jobId: string, cancelledAtMs: JsonValue): void {
     const { jobRegistry, clock, logger, metrics, requestCommit } = this.context;
     const job = jobRegistry.findJob(jobId);
     if (job === null || !this.#isLoaded || job.isEnded) {
@@ -337,7 +358,12 @@
     }
     const runs = jobRegistry.cancelJob(job, clock.getNow());
     metrics.jobs.inc({ queue: job.record.queue, event: 'cancelled' });
-    logger.recordInfo('job-cancelled', { job: jobId, runs: runs.length });
+    logger.recordInfo('job-cancelled', {
+      job: jobId,
+      runs: runs.length,
+      ageMs:
+        typeof cancelledAtMs === 'number' ? Math.round(clock.getWallTime() - cancelledAtMs) : null,
+    });
     runs.forEach((run) => this.#stopRun(run, 'the job was cancelled'));
     requestCommit();
   }
--- a/packages/baobabwell-controller/src/BaobabwellControllerTermTables.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTermTables.ts
@@ -14,20 +14,53 @@
 
 type TableContext = Pick<TermContext, 'store' | 'clock' | 'signal' | 'logger'>;
 
+/** The stored rows of a range. */
+export type ReadPage = ChangePage & {
+  /** Monotonic time at which the rows were requested, in ms; they may have changed since. */
+  readonly requestedAtMs: number;
+};
+
+/** Position from which a table is watched. */
+export type TablePosition = Pick<ReadPage, 'version' | 'requestedAtMs'>;
+
+/** Returns the position up to which all the given pages show the changes; `null` if one is missing. */
+export function findCommonPosition(pages: readonly (ReadPage | null)[]): TablePosition | null {
+  const complete = pages.filter((page) => page !== null);
+  return complete.length < pages.length
+    ? null
+    : {
+        version: Math.min(...complete.map(({ version }) => version)),
+        requestedAtMs: Math.min(...complete.map(({ requestedAtMs }) => requestedAtMs)),
+      };
+}
+
 /** Reads and watches the store's tables until the term ends. */
 export class TermTables {
   readonly #context: TableContext;
 
+  /**
+   * Monotonic time at which the latest answered call was sent that showed all changes of a table, in ms:
+   * what was stored by then is applied.
+   */
+  readonly #currentAtMs = new Map<string, number>();
+
   constructor(context: TableContext) {
     this.#context = context;
   }
 
+  /**
+   * Returns the time in ms since a table was known to be applied as stored; `Infinity` before it was read.
+   */
+  getAgeMs(table: string): number {
+    return this.#context.clock.getNow() - (this.#currentAtMs.get(table) ?? -Infinity);
+  }
+
   /**
    * Reads several ranges, a few at a time: on a slow link, many answers at once would all be late, and
    * each would be requested again from the start.
    */
-  async readAll(ranges: readonly RowRange[]): Promise<readonly (ChangePage | null)[]> {
-    const pages: (ChangePage | null)[] = [];
+  async readAll(ranges: readonly RowRange[]): Promise<readonly (ReadPage | null)[]> {
+    const pages: (ReadPage | null)[] = [];
     const remaining = ranges.entries();
     const readRemaining = async (): Promise<void> => {
       for (const [index, range] of remaining) {
@@ -39,13 +72,14 @@
   }
 
   /** Reads rows until the store answers or the term ends. */
-  async #read(range: RowRange): Promise<ChangePage | null> {
+  async #read(range: RowRange): Promise<ReadPage | null> {
     const { store, clock, signal, logger } = this.#context;
     const retry = new RetryDelay(WATCH_RETRY_MS, MAX_WATCH_RETRY_MS);
     while (!signal.aborted) {
+      const requestedAtMs = clock.getNow();
       const page = await store.list(range);
       if (page.ok) {
-        return page.value;
+        return { ...page.value, requestedAtMs };
       }
       logger.recordWarning('store-read-failed', { table: range.table, reason: page.error.kind });
       await clock.wait(retry.advance(), signal);
@@ -73,22 +107,31 @@
    */
   async watch(
     table: string,
-    from: number,
+    from: TablePosition,
     apply: (row: Row) => void,
-    reread: (version: number) => Promise<number | null>,
+    reread: (version: number) => Promise<TablePosition | null>,
   ): Promise<void> {
     const { store, clock, signal, logger } = this.#context;
     const retry = new RetryDelay(WATCH_RETRY_MS, MAX_WATCH_RETRY_MS);
-    let version = from;
+    let { version } = from;
+    this.#currentAtMs.set(table, from.requestedAtMs);
     while (!signal.aborted) {
+      const requestedAtMs = clock.getNow();
       const page = await store.waitForChanges(table, version, WATCH_WAIT_MS, signal);
       if (page.ok) {
         page.value.rows.forEach(apply);
         version = page.value.version;
+        if (page.value.isPartial !== true) {
+          this.#currentAtMs.set(table, requestedAtMs);
+        }
         retry.reset();
       } else if (page.error.kind === WatchErrorKind.HistoryCompacted) {
         logger.recordWarning('store-history-gone', { table, version });
-        version = (await reread(version)) ?? version;
+        const position = await reread(version);
+        if (position !== null) {
+          version = position.version;
+          this.#currentAtMs.set(table, position.requestedAtMs);
+        }
       } else if (!signal.aborted) {
         logger.recordWarning('store-watch-failed', { table, cause: page.error.cause });
         await clock.wait(retry.advance(), signal);
--- a/packages/baobabwell-platform/src/BaobabwellPlatformWatch.ts
+++ b/packages/baobabwell-platform/src/BaobabwellPlatformWatch.ts
@@ -18,6 +18,8 @@
   readonly rows: readonly Row[];
   /** Version after which to read the next changes. */
   readonly version: number;
+  /** True when the page is as long as the store allows, so that later changes may be missing from it. */
+  readonly isPartial?: boolean;
 };
 
 /** Kinds of failure of a watch. */
