utils: one reading of both clocks for leases and for the age of what was read

Cause: the age of a table's view counted by the monotonic clock alone, which stands still while a process is suspended. Change: ClockReading, readClocks and getElapsedMs in utils; the ownership's lease and TermTables use them. Measured: none: leases are computed as before.

--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -16,6 +16,7 @@
 } from '@baobabwell/ingress';
 import { JobRegistry, parseJobProgress } from '@baobabwell/jobs';
 import { getWidestStepCpu } from '@baobabwell/placement';
+import { readClocks } from '@baobabwell/utils';
 
 import { Committer } from './BaobabwellControllerCommitter';
 import {
@@ -131,7 +132,7 @@
   /** Reads the persisted state, then runs the control loops until the term ends. */
   async run(): Promise<void> {
     const { clock, logger, metrics, term, codec, ownership, signal } = this.context;
-    const startedAtMs = clock.getNow();
+    const startedAt = readClocks(clock);
     const [hosts, workers, progress, waves, ...jobs] = await this.#tables.readAll([
       { table: HOSTS_TABLE },
       { table: codec.workersTable },
@@ -152,15 +153,15 @@
     ownership.recordLoaded(term);
     this.#applyCancellations(jobs);
     metrics.terms.inc({ start: term.isHandover ? 'handover' : 'takeover' });
-    metrics.termLoadSeconds.observe((clock.getNow() - startedAtMs) / SECOND_MS);
+    metrics.termLoadSeconds.observe((clock.getNow() - startedAt.monotonicMs) / SECOND_MS);
     logger.recordInfo('term-loaded', {
       epoch: term.epoch,
-      tookMs: Math.round(clock.getNow() - startedAtMs),
+      tookMs: Math.round(clock.getNow() - startedAt.monotonicMs),
       jobs: [...this.context.jobRegistry.listJobs()].length,
       hosts: this.context.hosts.size,
     });
     this.#committer.request();
-    const startPosition = { version: 0, requestedAtMs: startedAtMs };
+    const startPosition = { version: 0, requestedAt: startedAt };
     await Promise.all([
       this.#committer.run(),
       this.#dispatcher.run(),
--- a/packages/baobabwell-controller/src/BaobabwellControllerTermTables.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTermTables.ts
@@ -1,8 +1,9 @@
 import type { TermContext } from './BaobabwellControllerContext';
 import type { ChangePage, Row, RowRange } from '@baobabwell/platform';
+import type { ClockReading } from '@baobabwell/utils';
 
 import { WatchErrorKind } from '@baobabwell/platform';
-import { RetryDelay } from '@baobabwell/utils';
+import { getElapsedMs, readClocks, RetryDelay } from '@baobabwell/utils';
 
 import {
   MAX_CONCURRENT_READS,
@@ -16,21 +17,24 @@
 
 /** The stored rows of a range. */
 export type ReadPage = ChangePage & {
-  /** Monotonic time at which the rows were requested, in ms; they may have changed since. */
-  readonly requestedAtMs: number;
+  /** Time at which the rows were requested; they may have changed since. */
+  readonly requestedAt: ClockReading;
 };
 
 /** Position from which a table is watched. */
-export type TablePosition = Pick<ReadPage, 'version' | 'requestedAtMs'>;
+export type TablePosition = Pick<ReadPage, 'version' | 'requestedAt'>;
 
 /** Returns the position up to which all the given pages show the changes; `null` if one is missing. */
 export function findCommonPosition(pages: readonly (ReadPage | null)[]): TablePosition | null {
   const complete = pages.filter((page) => page !== null);
-  return complete.length < pages.length
+  const [first] = complete.toSorted(
+    (left, right) => left.requestedAt.monotonicMs - right.requestedAt.monotonicMs,
+  );
+  return first === undefined || complete.length < pages.length
     ? null
     : {
         version: Math.min(...complete.map(({ version }) => version)),
-        requestedAtMs: Math.min(...complete.map(({ requestedAtMs }) => requestedAtMs)),
+        requestedAt: first.requestedAt,
       };
 }
 
@@ -39,10 +43,10 @@
   readonly #context: TableContext;
 
   /**
-   * Monotonic time at which the latest answered call was sent that showed all changes of a table, in ms:
-   * what was stored by then is applied.
+   * Time at which the latest answered call was sent that showed all changes of a table: what was stored by
+   * then is applied.
    */
-  readonly #currentAtMs = new Map<string, number>();
+  readonly #currentAt = new Map<string, ClockReading>();
 
   constructor(context: TableContext) {
     this.#context = context;
@@ -52,7 +56,8 @@
    * Returns the time in ms since a table was known to be applied as stored; `Infinity` before it was read.
    */
   getAgeMs(table: string): number {
-    return this.#context.clock.getNow() - (this.#currentAtMs.get(table) ?? -Infinity);
+    const currentAt = this.#currentAt.get(table);
+    return currentAt === undefined ? Infinity : getElapsedMs(this.#context.clock, currentAt);
   }
 
   /**
@@ -76,10 +81,10 @@
     const { store, clock, signal, logger } = this.#context;
     const retry = new RetryDelay(WATCH_RETRY_MS, MAX_WATCH_RETRY_MS);
     while (!signal.aborted) {
-      const requestedAtMs = clock.getNow();
+      const requestedAt = readClocks(clock);
       const page = await store.list(range);
       if (page.ok) {
-        return { ...page.value, requestedAtMs };
+        return { ...page.value, requestedAt };
       }
       logger.recordWarning('store-read-failed', { table: range.table, reason: page.error.kind });
       await clock.wait(retry.advance(), signal);
@@ -114,15 +119,15 @@
     const { store, clock, signal, logger } = this.#context;
     const retry = new RetryDelay(WATCH_RETRY_MS, MAX_WATCH_RETRY_MS);
     let { version } = from;
-    this.#currentAtMs.set(table, from.requestedAtMs);
+    this.#currentAt.set(table, from.requestedAt);
     while (!signal.aborted) {
-      const requestedAtMs = clock.getNow();
+      const requestedAt = readClocks(clock);
       const page = await store.waitForChanges(table, version, WATCH_WAIT_MS, signal);
       if (page.ok) {
         page.value.rows.forEach(apply);
         version = page.value.version;
         if (page.value.isPartial !== true) {
-          this.#currentAtMs.set(table, requestedAtMs);
+          this.#currentAt.set(table, requestedAt);
         }
         retry.reset();
       } else if (page.error.kind === WatchErrorKind.HistoryCompacted) {
@@ -130,7 +135,7 @@
         const position = await reread(version);
         if (position !== null) {
           version = position.version;
-          this.#currentAtMs.set(table, position.requestedAtMs);
+          this.#currentAt.set(table, position.requestedAt);
         }
       } else if (!signal.aborted) {
         logger.recordWarning('store-watch-failed', { table, cause: page.error.cause });
--- a/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
@@ -1,13 +1,13 @@
 import type { Logger } from '@baobabwell/logging';
 import type { ChangePage, Row, RowCondition, RowWrite, TableError } from '@baobabwell/platform';
 import type { WatchableTableService } from '@baobabwell/platform';
-import type { Clock, Result } from '@baobabwell/utils';
+import type { Clock, ClockReading, Result } from '@baobabwell/utils';
 
 import { createHash } from 'node:crypto';
 import { z } from 'zod';
 
 import { TableErrorKind } from '@baobabwell/platform';
-import { createError, RetryDelay } from '@baobabwell/utils';
+import { createError, getElapsedMs, readClocks, RetryDelay } from '@baobabwell/utils';
 
 import {
   MAX_FITNESS_DELAY_MS,
@@ -113,7 +113,7 @@
   #term: Term | null = null;
 
   /** Times at which the last successful renewal was sent, on both clocks, in ms. */
-  #confirmedRenewalSentAt = { monotonicMs: 0, wallMs: 0 };
+  #confirmedRenewalSentAt: ClockReading = { monotonicMs: 0, wallMs: 0 };
 
   #confirmedRenewalVersion = 0;
 
@@ -169,8 +169,7 @@
    * further.
    */
   getLeaseAgeMs(): number {
-    const { monotonicMs, wallMs } = this.#confirmedRenewalSentAt;
-    return Math.max(this.#clock.getNow() - monotonicMs, this.#clock.getWallTime() - wallMs);
+    return getElapsedMs(this.#clock, this.#confirmedRenewalSentAt);
   }
 
   /** Watches the owner's rows and takes over if there is no owner, until {@link stop} is called. */
@@ -381,7 +380,7 @@
       isReleased: false,
       unloadedTerms,
     };
-    const sentAt = { monotonicMs: this.#clock.getNow(), wallMs: this.#clock.getWallTime() };
+    const sentAt = readClocks(this.#clock);
     const reply = await this.#store.commit({
       conditions: [
         { table: OWNERSHIP_TABLE, key: OWNER_KEY, version: this.#ownerVersion },
--- a/packages/baobabwell-utils/src/BaobabwellClock.ts
+++ b/packages/baobabwell-utils/src/BaobabwellClock.ts
@@ -50,3 +50,18 @@
     return () => clearTimeout(timer);
   }
 }
+
+/** One moment on both clocks of a process, in ms. */
+export type ClockReading = { readonly monotonicMs: number; readonly wallMs: number };
+
+export function readClocks(clock: Clock): ClockReading {
+  return { monotonicMs: clock.getNow(), wallMs: clock.getWallTime() };
+}
+
+/**
+ * Returns the time since a moment, in ms, by the clock that ran further: the monotonic clock stands still
+ * while a process is suspended.
+ */
+export function getElapsedMs(clock: Clock, { monotonicMs, wallMs }: ClockReading): number {
+  return Math.max(clock.getNow() - monotonicMs, clock.getWallTime() - wallMs);
+}
--- a/packages/baobabwell-utils/src/index.ts
+++ b/packages/baobabwell-utils/src/index.ts
@@ -1,8 +1,8 @@
-export type { CancelTimer } from './BaobabwellClock';
+export type { CancelTimer, ClockReading } from './BaobabwellClock';
 export type { Finding, SourceLocation } from './BaobabwellFindings';
 export type { Result } from './BaobabwellResult';
 
-export { Clock, SystemClock } from './BaobabwellClock';
+export { Clock, getElapsedMs, readClocks, SystemClock } from './BaobabwellClock';
 export { FindingList, formatFinding } from './BaobabwellFindings';
 export { checkInvariant, InvariantError } from './BaobabwellInvariant';
 export { Random } from './BaobabwellRandom';
