logging: buffered lines are written in parts that a pipe takes whole

Cause: all lines of 100 ms went out in one write. Absence of a line proved nothing. Change: LineWriter writes whole lines, 4 KiB at most at a time. The test failed before.

--- a/packages/baobabwell-logging/src/BaobabwellLoggingLineWriter.ts
+++ b/packages/baobabwell-logging/src/BaobabwellLoggingLineWriter.ts
@@ -15,6 +15,9 @@
 /** Time for which lines are buffered before they are written together, in ms. */
 const FLUSH_DELAY_MS = 100;
 
+/** Maximum size of one write, in bytes; a longer one may reach the reader of a pipe in part. */
+const MAX_WRITE_BYTES = 4_096;
+
 const RATE_WINDOW_MS = 1_000;
 
 /** Destination of log lines; `write` must not block. */
@@ -77,9 +80,18 @@
   /** Writes the buffered lines. */
   flush(): void {
     this.#isFlushScheduled = false;
-    if (this.#buffer !== '') {
-      this.#output.write(this.#buffer);
-      this.#buffer = '';
+    const lines = this.#buffer.split('\n').slice(0, -1);
+    this.#buffer = '';
+    let part = '';
+    lines.forEach((line) => {
+      if (part !== '' && Buffer.byteLength(part) + Buffer.byteLength(line) >= MAX_WRITE_BYTES) {
+        this.#output.write(part);
+        part = '';
+      }
+      part += `${line}\n`;
+    });
+    if (part !== '') {
+      this.#output.write(part);
     }
   }
 
--- a/packages/baobabwell-logging/src/__tests__/unit/BaobabwellLoggingLineWriter.test.ts
+++ b/packages/baobabwell-logging/src/__tests__/unit/BaobabwellLoggingLineWriter.test.ts
@@ -34,6 +34,15 @@
     expect(written).toEqual(['one\ntwo\n']);
   });
 
+  it('writes lines in parts that a pipe takes whole', async () => {
+    const { time, written, writer } = createWriter(0);
+    const lines = Array.from({ length: 100 }, (_, index) => `${index} ${'x'.repeat(150)}`);
+    lines.forEach((line) => record(writer, line, 'event'));
+    await time.advance(SECOND_MS);
+    expect(written.every((text) => text.length <= 4_096 && text.endsWith('\n'))).toEqual(true);
+    expect(written.join('')).toEqual(`${lines.join('\n')}\n`);
+  });
+
   it('drops lines above the rate limit of an event and reports their number', async () => {
     const { time, written, writer } = createWriter(0);
     for (let line = 0; line < 450; line += 1) {
