controller: the answer to a start does not end the repetition of an order to stop the run

Cause: a run has one time of the latest answer. An attempt to start it that was under way when its job was cancelled set this time although the run was to be stopped by then. A stop is repeated only while that time is unset, so an unanswered stop was never sent again, and the run stayed tracked and held. Change: while a run is to be stopped, only the answer to that order counts. Measured: the test added here failed before (one run left after 3 s, none now).

--- a/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
@@ -77,7 +77,10 @@
       });
       if (reply.ok) {
         state.recordClock(reply.value, clock.getNow());
-        started.answeredAtMs = clock.getNow();
+        // While the run is to be stopped, only the answer to that order counts.
+        if (run.phase !== RunPhase.Stopping) {
+          started.answeredAtMs = clock.getNow();
+        }
         if (run.phase === RunPhase.StartSent) {
           started.phase = RunPhase.Running;
         }
--- /dev/null
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorStops.test.ts
@@ -0,0 +1,39 @@
+import { expect } from 'earl';
+
+import { EmulatedJobFleet, formatAnswer, OrderKind } from '../../index';
+
+const SEED = 7;
+const START_MS = 2_000;
+const HOST = 'host-0';
+
+const LASTING = { isLasting: true, estimateMs: 0, taskCount: 1 };
+
+describe('stops on the emulated fleet', () => {
+  let fleet: EmulatedJobFleet;
+
+  function countRuns(): number {
+    return fleet.listHosts().reduce((count, host) => count + host.countRuns(), 0);
+  }
+
+  beforeEach(async () => {
+    fleet = new EmulatedJobFleet(SEED, 1);
+    fleet.startDaemon('a');
+    await fleet.time.advance(START_MS);
+  });
+
+  afterEach(() => fleet.close());
+
+  it('repeats an unanswered order to stop a run whose start is answered after it', async () => {
+    fleet.faults.lateAnswersMs.set(formatAnswer(OrderKind.Start, HOST), 600);
+    fleet.faults.lostOrders.add(formatAnswer(OrderKind.Stop, HOST));
+    const job = fleet.submit([LASTING]);
+    await fleet.time.advance(100);
+    fleet.cancel(job);
+    await fleet.time.advance(300);
+    // Two attempts to stop are lost, and the start is answered between them.
+    await fleet.time.advance(400);
+    fleet.faults.lostOrders.clear();
+    await fleet.time.advance(3_000);
+    expect(countRuns()).toEqual(0);
+  });
+});
