job-emulator: faults of one table's calls, late orders to a later incarnation, jobs stored late

Cause: the emulated store failed for all calls of a process at once, and late orders ended with the incarnation they were sent to, so no test could have an owner renew its lease by an old view, or a new incarnation start an old run. Change: for one process and table, lists are answered late, watches are silent, or an answer without rows names the newest version; orders of one kind to a host are carried out late by the incarnation of that time; the row of a submitted job is stored after a lag. All are off unless a test sets them.

--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -1,4 +1,5 @@
 import type { HostFaults } from './BaobabwellJobEmulatorOrders';
+import type { TableFaults } from './BaobabwellJobEmulatorStore';
 import type { TermContext } from '@baobabwell/controller';
 import type { FleetConfiguration, ListedWorker, MaintenanceWave } from '@baobabwell/fleet';
 import type { WaveState } from '@baobabwell/fleet';
@@ -116,6 +117,7 @@
     partitionedRoutes: new Set(),
     lateAnswersMs: new Map(),
     lostOrders: new Set(),
+    lateOrdersMs: new Map(),
   };
 
   readonly logLines: string[] = [];
@@ -261,6 +263,11 @@
     }
   }
 
+  /** Sets the faults of one process's calls to the store that concern one table. */
+  setTableFaults(name: string, table: string, faults: TableFaults): void {
+    this.#daemons.get(name)?.store.tableFaults.set(table, faults);
+  }
+
   /** Returns true while the store fails, or a process is paused or partitioned from it. */
   hasStoreOrProcessFault(): boolean {
     return (
@@ -318,8 +325,8 @@
     });
   }
 
-  /** Submits a job: stores it as any process of the fleet does. */
-  submit(steps: readonly Partial<StepSpec>[]): string {
+  /** Submits a job: stores it as any process of the fleet does, or after a lag. */
+  submit(steps: readonly Partial<StepSpec>[], rowLagMs = 0): string {
     this.#jobCount += 1;
     const id = this.#jobCount.toString(HEX).padStart(ID_LENGTH, '0');
     const record: JobRecord = {
@@ -334,7 +341,13 @@
       },
     };
     this.oracle.jobs.set(id, record);
-    this.#put(JOBS_TABLE, id, record as unknown as JsonValue, getJobPartition(id));
+    const putRow = (): void =>
+      this.#put(JOBS_TABLE, id, record as unknown as JsonValue, getJobPartition(id));
+    if (rowLagMs === 0) {
+      putRow();
+    } else {
+      this.time.startTimer(rowLagMs, putRow);
+    }
     return id;
   }
 
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
@@ -45,6 +45,11 @@
   readonly lateAnswersMs: Map<string, number>;
   /** Orders that do not reach a host, by {@link formatAnswer}; other orders to it do. */
   readonly lostOrders: Set<string>;
+  /**
+   * Delay of orders that get no answer, in ms, by {@link formatAnswer}; each is carried out by the
+   * incarnation of the host at that time.
+   */
+  readonly lateOrdersMs: Map<string, number>;
 };
 
 /** Formats the route from a process to a host. */
@@ -147,6 +152,16 @@
       });
       return this.#waitForTimeout();
     }
+    const delayMs = this.#faults.lateOrdersMs.get(formatAnswer(kind, id));
+    if (delayMs !== undefined) {
+      this.#sharedClock.startTimer(delayMs, () => {
+        const incarnation = this.#findHost(id);
+        if (incarnation?.isAlive && !this.#isPartitioned(id)) {
+          void run(incarnation, true);
+        }
+      });
+      return this.#waitForTimeout();
+    }
     const reply = await run(host, false);
     const lateMs = this.#faults.lateAnswersMs.get(formatAnswer(kind, id)) ?? 0;
     if (lateMs > 0 && host.isAlive) {
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorStore.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorStore.ts
@@ -29,6 +29,22 @@
   commitAnswerMs: 0,
 };
 
+/** Injected faults of the calls of one process that concern one table; its other calls are answered. */
+export type TableFaults = {
+  /** Time by which the answers to lists of rows are late, in ms. */
+  readonly listAnswerMs: number;
+  /** True while watches get no answer. */
+  readonly hasSilentWatches: boolean;
+  /** True while the answer to a watch names the newest version but contains no rows. */
+  readonly hasEmptyChanges: boolean;
+};
+
+export const NO_TABLE_FAULTS: TableFaults = {
+  listAnswerMs: 0,
+  hasSilentWatches: false,
+  hasEmptyChanges: false,
+};
+
 /** Maximum number of conditions and writes of one transaction. */
 const MAX_TRANSACTION_SIZE = 100;
 
@@ -117,6 +133,9 @@
   /** True while this process cannot reach the store. */
   isPartitioned = false;
 
+  /** Faults of this process's calls, by table. */
+  readonly tableFaults = new Map<string, TableFaults>();
+
   readonly #clock: Clock;
 
   readonly #sharedClock: Clock;
@@ -164,7 +183,12 @@
     if (!(await this.#waitForStore())) {
       return createError(this.#createUnavailable(false));
     }
-    return createOk({ rows: this.#rows.list(range), version: this.#rows.version });
+    const page = { rows: this.#rows.list(range), version: this.#rows.version };
+    const { listAnswerMs } = this.#getTableFaults(range.table);
+    if (listAnswerMs > 0) {
+      await this.#clock.wait(listAnswerMs);
+    }
+    return createOk(page);
   }
 
   override async waitForChanges(
@@ -182,14 +206,23 @@
         return createError({ kind: WatchErrorKind.HistoryCompacted, cause: 'history compacted' });
       }
       const rows = this.#rows.listSince(table, version);
-      if (rows.length > 0) {
-        return createOk({ rows, version: this.#rows.version });
+      const { hasSilentWatches, hasEmptyChanges } = this.#getTableFaults(table);
+      if (rows.length > 0 && !hasSilentWatches) {
+        return createOk({ rows: hasEmptyChanges ? [] : rows, version: this.#rows.version });
       }
       await this.#clock.wait(POLL_INTERVAL_MS, signal);
     } while (this.#clock.getNow() < endsAtMs && !signal.aborted);
+    if (this.#getTableFaults(table).hasSilentWatches) {
+      await this.#clock.wait(TIMEOUT_MS, signal);
+      return createError({ kind: WatchErrorKind.Unavailable, cause: 'no answer' });
+    }
     return createOk({ rows: [], version });
   }
 
+  #getTableFaults(table: string): TableFaults {
+    return this.tableFaults.get(table) ?? NO_TABLE_FAULTS;
+  }
+
   /** Waits for the store; returns false when it does not answer, also if it goes down meanwhile. */
   async #waitForStore(): Promise<boolean> {
     const { isDown, slowMs } = this.#rows.faults;
--- a/packages/baobabwell-job-emulator/src/index.ts
+++ b/packages/baobabwell-job-emulator/src/index.ts
@@ -1,6 +1,6 @@
 export type { InvariantViolation } from './BaobabwellJobEmulatorOracle';
 export type { HostFaults } from './BaobabwellJobEmulatorOrders';
-export type { StoreFaults } from './BaobabwellJobEmulatorStore';
+export type { StoreFaults, TableFaults } from './BaobabwellJobEmulatorStore';
 
 export { CANCEL_MS, CANCELLED_RUN_MS } from './BaobabwellJobEmulatorCancellations';
 export { EmulatedCloud } from './BaobabwellJobEmulatorCloud';
@@ -13,4 +13,9 @@
 export { EmulatedHost } from './BaobabwellJobEmulatorHost';
 export { JobOracle, JobInvariant } from './BaobabwellJobEmulatorOracle';
 export { formatAnswer, formatRoute, OrderKind } from './BaobabwellJobEmulatorOrders';
-export { EmulatedJobStore, EmulatedRows, NO_STORE_FAULTS } from './BaobabwellJobEmulatorStore';
+export {
+  EmulatedJobStore,
+  EmulatedRows,
+  NO_STORE_FAULTS,
+  NO_TABLE_FAULTS,
+} from './BaobabwellJobEmulatorStore';
