job-emulator: failing tests of starts by an old view of the store

Cause: an owner starts work of a job that was cancelled seconds ago, when its term took long to load or while its watch of the jobs table gets no answer (UNASKED).

--- /dev/null
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCancellations.test.ts
@@ -0,0 +1,82 @@
+import type { TableFaults } from '../../index';
+
+import { expect } from 'earl';
+
+import { JOBS_TABLE } from '@baobabwell/ingress';
+import { JobState } from '@baobabwell/jobs';
+
+import { CANCEL_MS, EmulatedJobFleet, NO_TABLE_FAULTS } from '../../index';
+
+const SEED = 11;
+const START_MS = 1_500;
+
+/** Time after a fault within which all jobs have ended, in ms. */
+const RECOVERY_MS = 15_000;
+
+/** A task that fills a host. */
+const WIDE = { taskCount: 1, need: { cpuMillis: 16_000, memoryMb: 1_000, gpus: 0 } };
+
+describe('cancellations on the emulated fleet', () => {
+  let fleet: EmulatedJobFleet;
+
+  async function start(hostCount: number): Promise<void> {
+    fleet = new EmulatedJobFleet(SEED, hostCount);
+    fleet.startDaemon('a');
+    await fleet.time.advance(START_MS);
+  }
+
+  function setJobFaults(faults: Partial<TableFaults>): void {
+    fleet.setTableFaults('a', JOBS_TABLE, { ...NO_TABLE_FAULTS, ...faults });
+  }
+
+  function listLogLines(event: string, text: string): readonly string[] {
+    return fleet.logLines.filter((line) => line.includes(event) && line.includes(text));
+  }
+
+  async function expectCompleted(jobId: string): Promise<void> {
+    expect(fleet.oracle.violations).toEqual([]);
+    expect(await fleet.findState(jobId)).toEqual(JobState.Completed);
+  }
+
+  afterEach(() => fleet.close());
+
+  it('starts no task of a job that was cancelled while a slow owner loaded its term', async () => {
+    fleet = new EmulatedJobFleet(SEED, 1);
+    const cancelled = fleet.submit([{}]);
+    const other = fleet.submit([{}]);
+    fleet.startDaemon('a');
+    // The owner reads 32 partitions, eight at a time, in 5.2 s, and those of both jobs first.
+    setJobFaults({ listAnswerMs: 1_300, hasSilentWatches: true });
+    await fleet.time.advance(1_000);
+    fleet.cancel(cancelled);
+    await fleet.time.advance(CANCEL_MS);
+    expect(listLogLines('term-loaded', '')).toEqual([]);
+    await fleet.time.advance(5_000);
+    expect(listLogLines('term-loaded', '').length).toEqual(1);
+    setJobFaults({});
+    await fleet.time.advance(RECOVERY_MS);
+    await expectCompleted(other);
+    expect(listLogLines('start-ordered', cancelled)).toEqual([]);
+  });
+
+  it('starts no task by a view of the store that is seconds old', async () => {
+    await start(1);
+    const running = fleet.submit([{ ...WIDE, estimateMs: 5_000 }]);
+    await fleet.time.advance(200);
+    const waiting = fleet.submit([WIDE]);
+    await fleet.time.advance(800);
+    setJobFaults({ hasSilentWatches: true });
+    await fleet.time.advance(500);
+    fleet.cancel(waiting);
+    await fleet.time.advance(CANCEL_MS + 500);
+    expect(fleet.oracle.startCount).toEqual(1);
+    // The running task ends, and its end is stored, 3.5 s after the cancellation.
+    await fleet.time.advance(2_000);
+    expect(await fleet.findState(running)).toEqual(JobState.Completed);
+    setJobFaults({});
+    const next = fleet.submit([WIDE]);
+    await fleet.time.advance(RECOVERY_MS);
+    await expectCompleted(next);
+    expect(fleet.oracle.startCount).toEqual(2);
+  });
+});
