job-emulator: failing test of a start that is repeated after the cancellation

Cause: an unanswered start is sent again although the owner knows that the job was cancelled. Measured: one start reaches the host after job-cancelled.

--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCancellations.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCancellations.test.ts
@@ -1,11 +1,11 @@
-import type { TableFaults } from '../../index';
+import type { EmulatedHost, TableFaults } from '../../index';
 
 import { expect } from 'earl';
 
 import { JOBS_TABLE } from '@baobabwell/ingress';
 import { JobState } from '@baobabwell/jobs';
 
-import { CANCEL_MS, EmulatedJobFleet, NO_TABLE_FAULTS } from '../../index';
+import { CANCEL_MS, EmulatedJobFleet, formatAnswer, NO_TABLE_FAULTS, OrderKind } from '../../index';
 
 const SEED = 11;
 const START_MS = 1_500;
@@ -33,6 +33,18 @@
     return fleet.logLines.filter((line) => line.includes(event) && line.includes(text));
   }
 
+  /** Records the tasks of the orders to start a run that reach a host from now on. */
+  function recordStartOrders(host: EmulatedHost): readonly string[] {
+    const recorded = host;
+    const accept = host.start.bind(host);
+    const tasks: string[] = [];
+    recorded.start = (order, isLate) => {
+      tasks.push(order.task);
+      return accept(order, isLate);
+    };
+    return tasks;
+  }
+
   async function expectCompleted(jobId: string): Promise<void> {
     expect(fleet.oracle.violations).toEqual([]);
     expect(await fleet.findState(jobId)).toEqual(JobState.Completed);
@@ -79,4 +91,23 @@
     await expectCompleted(next);
     expect(fleet.oracle.startCount).toEqual(2);
   });
+
+  it('sends no further start of a run whose job was cancelled', async () => {
+    await start(1);
+    const startOrders = recordStartOrders(fleet.listHosts()[0] as EmulatedHost);
+    fleet.faults.lostOrders.add(formatAnswer(OrderKind.Start, 'host-0'));
+    fleet.faults.lostOrders.add(formatAnswer(OrderKind.Stop, 'host-0'));
+    const job = fleet.submit([{ taskCount: 1, estimateMs: 9_000 }]);
+    await fleet.time.advance(200);
+    expect(listLogLines('start-ordered', job).length).toEqual(1);
+    fleet.cancel(job);
+    await fleet.time.advance(50);
+    expect(listLogLines('job-cancelled', job).length).toEqual(1);
+    fleet.faults.lostOrders.delete(formatAnswer(OrderKind.Start, 'host-0'));
+    await fleet.time.advance(2_000);
+    fleet.faults.lostOrders.clear();
+    await fleet.time.advance(RECOVERY_MS);
+    expect(startOrders).toEqual([]);
+    expect(fleet.oracle.violations).toEqual([]);
+  });
 });
