job-emulator, ingress: failing tests of a job that is stored after its cancellation

Cause: a cancel that finds no row of the job is answered as unknown, which counts as acknowledged, and leaves nothing behind; the transaction that stores the job may be applied later. The owner ignores a cancellation that it reads before the job.

--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressJobSubmissionService.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressJobSubmissionService.test.ts
@@ -1,10 +1,12 @@
 import type { OfferReply } from '../../index';
-import type { JobRecord, JobState } from '@baobabwell/jobs';
+import type { JobRecord } from '@baobabwell/jobs';
+import type { Transaction } from '@baobabwell/platform';
 
 import { expect } from 'earl';
 
 import { EmulatedTime } from '@baobabwell/emulator';
 import { EmulatedJobStore, EmulatedRows, NO_STORE_FAULTS } from '@baobabwell/job-emulator';
+import { JobState } from '@baobabwell/jobs';
 import { Logger, LogLevel } from '@baobabwell/logging';
 import { Random } from '@baobabwell/utils';
 
@@ -113,6 +115,26 @@
     expect(unknown.kind).toEqual(AnswerKind.UnknownJob);
   });
 
+  it('reports a job as cancelled that was stored after its cancellation was answered', async () => {
+    const id = '00000000000000a1';
+    rows.faults = { ...NO_STORE_FAULTS, lostFraction: 1 };
+    await submit(createService(), id);
+    const [submission] = rows.unanswered as [Transaction];
+    // The store has not applied the submission when the caller cancels it.
+    rows = new EmulatedRows();
+    const cancelled = await time.settle(createService().cancel(id), 20_000);
+    expect(cancelled.kind).toEqual(AnswerKind.UnknownJob);
+    expect(rows.apply(submission)).toEqual(null);
+    const answer = await time.settle(createService().readState(id), 20_000);
+    expect(answer).toEqual({ kind: AnswerKind.State, state: JobState.Cancelled });
+  });
+
+  it('acknowledges no cancellation of an unknown job that may not have been stored', async () => {
+    rows.faults = { ...NO_STORE_FAULTS, lostFraction: 1 };
+    const answer = await time.settle(createService().cancel('00000000000000a1'), 20_000);
+    expect(answer.kind).toEqual(AnswerKind.UnknownOutcome);
+  });
+
   it('finds the queue with the longest matching prefix on the host', () => {
     const inner = { ...QUEUE, name: 'inner', pathPrefix: '/bakes/rye/' };
     const other = { ...QUEUE, name: 'other', httpHost: 'elsewhere.example' };
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCancellations.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCancellations.test.ts
@@ -5,7 +5,14 @@
 import { JOBS_TABLE } from '@baobabwell/ingress';
 import { JobState } from '@baobabwell/jobs';
 
-import { CANCEL_MS, EmulatedJobFleet, formatAnswer, NO_TABLE_FAULTS, OrderKind } from '../../index';
+import {
+  CANCEL_MS,
+  CANCELLED_RUN_MS,
+  EmulatedJobFleet,
+  formatAnswer,
+  NO_TABLE_FAULTS,
+  OrderKind,
+} from '../../index';
 
 const SEED = 11;
 const START_MS = 1_500;
@@ -45,6 +52,10 @@
     return tasks;
   }
 
+  function listOverdueRuns(): readonly string[] {
+    return fleet.oracle.cancellations.listOverdueRuns(fleet.time.getNow());
+  }
+
   async function expectCompleted(jobId: string): Promise<void> {
     expect(fleet.oracle.violations).toEqual([]);
     expect(await fleet.findState(jobId)).toEqual(JobState.Completed);
@@ -110,4 +121,42 @@
     expect(startOrders).toEqual([]);
     expect(fleet.oracle.violations).toEqual([]);
   });
+
+  it('stops a run of a job that was cancelled before it was stored', async () => {
+    await start(1);
+    const job = fleet.submit([{ taskCount: 1, estimateMs: 20_000 }], 1_000);
+    fleet.cancel(job);
+    await fleet.time.advance(1_000 + CANCEL_MS + CANCELLED_RUN_MS);
+    expect(listOverdueRuns()).toEqual([]);
+    expect(await fleet.findState(job)).toEqual(JobState.Cancelled);
+    expect(fleet.oracle.violations).toEqual([]);
+  });
+
+  it('stops a run of a job that was cancelled in an earlier term and stored in this one', async () => {
+    fleet = new EmulatedJobFleet(SEED, 1);
+    const job = fleet.submit([{ taskCount: 1, estimateMs: 20_000 }], 2_000);
+    fleet.cancel(job);
+    fleet.startDaemon('a');
+    await fleet.time.advance(1_500);
+    expect(listLogLines('term-loaded', '').length).toEqual(1);
+    await fleet.time.advance(500 + CANCEL_MS + CANCELLED_RUN_MS);
+    expect(listOverdueRuns()).toEqual([]);
+    expect(await fleet.findState(job)).toEqual(JobState.Cancelled);
+    expect(fleet.oracle.violations).toEqual([]);
+  });
+
+  it('runs no task of a cancelled job that was stored after its cancellation, under the next owner', async () => {
+    await start(1);
+    const running = fleet.submit([{ ...WIDE, estimateMs: 8_000 }]);
+    await fleet.time.advance(500);
+    const job = fleet.submit([WIDE], 500);
+    fleet.cancel(job);
+    await fleet.time.advance(1_000);
+    fleet.startDaemon('b');
+    fleet.killDaemon('a');
+    await fleet.time.advance(RECOVERY_MS);
+    await expectCompleted(running);
+    expect(await fleet.findState(job)).toEqual(JobState.Cancelled);
+    expect(listLogLines('start-ordered', job)).toEqual([]);
+  });
 });
