--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
@@ -45,6 +45,11 @@
   readonly lateAnswersMs: Map<string, number>;
   /** Orders that do not reach a host, by {@link formatAnswer}; other orders to it do. */
   readonly lostOrders: Set<string>;
+  /**
+   * Delay of orders that get no answer, in ms, by {@link formatAnswer}; each is carried out by the
+   * incarnation of the host at that time.
+   */
+  readonly lateOrdersMs: Map<string, number>;
 };
 
 /** Formats the route from a process to a host. */
@@ -92,7 +97,9 @@
     host: HostIncarnation,
     order: StartOrder,
   ): Promise<Result<number, OrderError>> {
-    return this.#send(host.id, OrderKind.Start, async (target) => target.start(order));
+    return this.#send(host.id, OrderKind.Start, async (target, isLate) =>
+      target.start(order, isLate),
+    );
   }
 
   override async stop(
@@ -127,7 +134,7 @@
   async #send<Value>(
     id: string,
     kind: OrderKind,
-    run: (host: EmulatedHost) => Promise<Result<Value, OrderError>>,
+    run: (host: EmulatedHost, isLate: boolean) => Promise<Result<Value, OrderError>>,
   ): Promise<Result<Value, OrderError>> {
     await this.#clock.wait(LATENCY_MS);
     const host = this.#findHost(id);
@@ -140,12 +147,22 @@
       this.#sharedClock.startTimer(delayMs, () => {
         // A delayed order is dropped when the host's incarnation ends; see docs/QUESTIONS.md.
         if (host.isAlive && !this.#isPartitioned(id)) {
-          void run(host);
+          void run(host, true);
+        }
+      });
+      return this.#waitForTimeout();
+    }
+    const delayMs = this.#faults.lateOrdersMs.get(formatAnswer(kind, id));
+    if (delayMs !== undefined) {
+      this.#sharedClock.startTimer(delayMs, () => {
+        const incarnation = this.#findHost(id);
+        if (incarnation?.isAlive && !this.#isPartitioned(id)) {
+          void run(incarnation, true);
         }
       });
       return this.#waitForTimeout();
     }
-    const reply = await run(host);
+    const reply = await run(host, false);
     const lateMs = this.#faults.lateAnswersMs.get(formatAnswer(kind, id)) ?? 0;
     if (lateMs > 0 && host.isAlive) {
       await this.#clock.wait(lateMs);
