controller: starts wait while what the owner knows of cancellations is too old

Cause: nothing related a start to the age of the owner's view. A new owner started by pages that it had read up to 14 s before, beside the watch that had yet to catch up; an owner in office did so while its watch of the jobs got no answer and its renewals did. Change: StartGate. The view is as old as the sending of the latest call whose answer showed all changes, by the clock that ran further. While the lease is valid, no start is decided or repeated by a view older than the time allowed after a cancellation (now a setting of the platform), less the time for which an order may be under way. Watches wait 800 ms in place of 1,500, so that a calm view is 1.6 s old at most. Past its lease the owner keeps its former bound: no cancellation is acknowledged while the store answers nobody. Conclusion: class: a decision by a view whose age nobody asks. Views of hosts and of the configuration are to be looked at.

--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -54,6 +54,9 @@
 /** Longest wait for run ends to be stored before the next hold call to their host, in ms. */
 export const END_STORE_TIMEOUT_MS = 400;
 
+/** Longest time from an order until its host has received it, or it counts as unanswered, in ms. */
+export const MAX_ORDER_DELAY_MS = 700;
+
 /** Number of attempts to start a run while the host does not answer. */
 export const MAX_START_ATTEMPTS = 3;
 
@@ -99,8 +102,11 @@
 /** Longest backoff before a transaction that keeps failing is sent again, in ms. */
 export const MAX_COMMIT_RETRY_MS = 400;
 
-/** Longest wait of one watch call on the store's tables, in ms. */
-export const WATCH_WAIT_MS = 1_500;
+/**
+ * Longest wait of one watch call on the store's tables, in ms. What a table shows counts as known from the
+ * sending of the latest answered call, so it is up to two waits old.
+ */
+export const WATCH_WAIT_MS = 800;
 
 /** Initial backoff after a failed watch or read, in ms. */
 export const WATCH_RETRY_MS = 100;
--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -1,5 +1,6 @@
 import type { Host } from './BaobabwellControllerHost';
 import type { HostMajority } from './BaobabwellControllerHostMajority';
+import type { StartGate } from './BaobabwellControllerStartGate';
 import type {
   FleetConfiguration,
   ListedWorker,
@@ -26,6 +27,8 @@
   /** Shortest delay between orders of successive owners for the same machine. */
   readonly machineOrderDelayMs: number;
   readonly maintenanceMs: number;
+  /** Longest time after the acknowledgement of a cancellation for which tasks of the job may start. */
+  readonly cancellationMs: number;
 };
 
 /** Tables in which the platform describes the fleet, and the encoding of their rows. */
@@ -73,4 +76,5 @@
   readonly stopRun: (run: Run, reason: string) => void;
   /** Returns the time in ms since all stored jobs and cancellations were known to be applied. */
   readonly getJobsAgeMs: () => number;
+  readonly startGate: StartGate;
 };
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -69,7 +69,7 @@
         await this.#wakeSignal.wait(MAX_DISPATCH_WAIT_MS, signal);
       }
       this.#isRequested = false;
-      const maxVersion = this.#context.ownership.findMaxStartableVersion();
+      const maxVersion = this.#context.startGate.findMaxStartableVersion();
       if (!signal.aborted && maxVersion !== null) {
         const startedAtMs = clock.getNow();
         this.placeOnce(maxVersion);
--- a/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
@@ -43,7 +43,7 @@
    * ends: the ownership may be that of the next term of this process by then.
    */
   async startRun(run: Run, ticket: string | null): Promise<void> {
-    const { clock, orders, term, ownership, logger, metrics, signal } = this.#context;
+    const { clock, orders, term, startGate, logger, metrics, signal } = this.#context;
     const started = run;
     let mayHaveStarted = false;
     for (let attempt = 0; attempt < MAX_START_ATTEMPTS; attempt += 1) {
@@ -52,7 +52,7 @@
         return;
       }
       const isFutile = mayHaveStarted && !this.#host.isReachable;
-      const maxVersion = ownership.findMaxStartableVersion() ?? 0;
+      const maxVersion = startGate.findMaxStartableVersion() ?? 0;
       const isAllowed = run.task.step.job.acceptedVersion <= maxVersion;
       if (!isAllowed || this.#listener.hasEnded() || (isFutile && attempt > 1)) {
         break;
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -33,6 +33,7 @@
 import { PlacementAdviceCache } from './BaobabwellControllerPlacementAdvice';
 import { parseHostRow, parseJobRecord } from './BaobabwellControllerRows';
 import { HostSession } from './BaobabwellControllerSession';
+import { StartGate } from './BaobabwellControllerStartGate';
 import { findCommonPosition, TermTables } from './BaobabwellControllerTermTables';
 
 const SECOND_MS = 1_000;
@@ -60,6 +61,7 @@
       (name) => options.getConfiguration()?.queues.find((queue) => queue.name === name) ?? null,
     );
     const hosts = new Map<string, Host>();
+    const getJobsAgeMs = (): number => this.#tables.getAgeMs(JOBS_TABLE);
     this.context = {
       ...options,
       term,
@@ -71,7 +73,8 @@
       requestDispatch: () => this.#dispatcher.request(),
       requestCommit: () => this.#committer.request(),
       stopRun: (run, reason) => this.#stopRun(run, reason),
-      getJobsAgeMs: () => this.#tables.getAgeMs(JOBS_TABLE),
+      getJobsAgeMs,
+      startGate: new StartGate({ ...options, getJobsAgeMs }),
     };
     this.#tables = new TermTables(this.context);
     this.#committer = new Committer(this.context, (id) => this.#sessions.get(id)?.requestHold());
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -204,6 +204,7 @@
         maxHostLeaseMs: MAX_LEASE_MS,
         machineOrderDelayMs: 3_000,
         maintenanceMs: 2_000,
+        cancellationMs: 3_000,
       },
       codec: {
         workersTable: WORKERS_TABLE,
--- a/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
@@ -434,9 +434,8 @@
     readonly writes: readonly RowWrite[];
     readonly handleReply: (reply: Result<number, TableError>) => void;
   } {
-    const monotonicMs = this.#clock.getNow();
-    const sentAt = { monotonicMs, wallMs: this.#clock.getWallTime() };
-    this.#renewalSentAtMs = monotonicMs;
+    const sentAt = readClocks(this.#clock);
+    this.#renewalSentAtMs = sentAt.monotonicMs;
     const value = { epoch: term.epoch, isLoaded: term.epoch <= this.#loadedEpoch };
     return {
       writes: [{ table: OWNERSHIP_TABLE, key: RENEWAL_KEY, value }],
@@ -448,10 +447,7 @@
     };
   }
 
-  #recordRenewal(
-    sentAt: { readonly monotonicMs: number; readonly wallMs: number },
-    reply: Result<number, TableError>,
-  ): void {
+  #recordRenewal(sentAt: ClockReading, reply: Result<number, TableError>): void {
     const wasExpired = !this.canAct();
     if (!reply.ok) {
       this.#logger.recordWarning('ownership-not-renewed', {
