controller: no start is sent after its run was withdrawn

Cause: RunOrders went on with its attempts whatever the run's phase, also when its host had begun to drain. Besides, an order that waits for a connection is written long after it was decided: an answer awaited for 350 ms is given up after 1.4 s on a busy process. Change: one condition, asked before each attempt and again when the order is written: the run is tracked and not to be stopped, its job may start now, the host is listed and does not drain. An order that was not sent has a refusal of its own.

--- a/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
@@ -43,7 +43,7 @@
    * ends: the ownership may be that of the next term of this process by then.
    */
   async startRun(run: Run, ticket: string | null): Promise<void> {
-    const { clock, orders, term, startGate, logger, metrics, signal } = this.#context;
+    const { clock, orders, term, logger, metrics, signal } = this.#context;
     const started = run;
     let mayHaveStarted = false;
     for (let attempt = 0; attempt < MAX_START_ATTEMPTS; attempt += 1) {
@@ -52,9 +52,7 @@
         return;
       }
       const isFutile = mayHaveStarted && !this.#host.isReachable;
-      const maxVersion = startGate.findMaxStartableVersion() ?? 0;
-      const isAllowed = run.task.step.job.acceptedVersion <= maxVersion;
-      if (!isAllowed || this.#listener.hasEnded() || (isFutile && attempt > 1)) {
+      if (!this.#canStart(run) || (isFutile && attempt > 1)) {
         break;
       }
       const { task, number } = run;
@@ -67,6 +65,7 @@
         epoch: term.epoch,
         checkpoint: task.checkpoint,
         ticket,
+        isAllowed: () => this.#canStart(run),
       });
       if (signal.aborted) {
         return;
@@ -96,6 +95,9 @@
       if (reply.error.clockMs !== null) {
         state.recordClock(reply.error.clockMs, clock.getNow());
       }
+      if (reply.error.kind === OrderRefusal.NotSent) {
+        break;
+      }
       if (reply.error.kind !== OrderRefusal.Unanswered) {
         this.#applyRefusal(run, reply.error, mayHaveStarted);
         return;
@@ -113,6 +115,22 @@
     this.#listener.requestHold();
   }
 
+  /**
+   * Returns true while a run may start on the host. It may not once its order to stop was sent, its job must
+   * not start by the owner's lease or by the age of what the owner knows, or the host drains or left.
+   */
+  #canStart({ key, phase, task }: Run): boolean {
+    const { runs, listedWorker } = this.#host;
+    const maxVersion = this.#context.startGate.findMaxStartableVersion() ?? 0;
+    return (
+      runs.has(key) &&
+      phase !== RunPhase.Stopping &&
+      task.step.job.acceptedVersion <= maxVersion &&
+      listedWorker?.isDraining === false &&
+      !this.#listener.hasEnded()
+    );
+  }
+
   /** Orders a run to stop; the session repeats the order until the host answers it. */
   async stopRun(run: Run, reason: string): Promise<void> {
     const stopped = run;
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
@@ -97,6 +97,9 @@
     host: HostIncarnation,
     order: StartOrder,
   ): Promise<Result<number, OrderError>> {
+    if (!order.isAllowed()) {
+      return createError({ kind: OrderRefusal.NotSent, clockMs: null, cause: 'not allowed' });
+    }
     return this.#send(host.id, OrderKind.Start, async (target, isLate) =>
       target.start(order, isLate),
     );
--- a/packages/baobabwell-platform/src/BaobabwellPlatformHosts.ts
+++ b/packages/baobabwell-platform/src/BaobabwellPlatformHosts.ts
@@ -20,6 +20,8 @@
   readonly checkpoint: string;
   /** Ticket of the placement advisor; `null` if the queue does not require one. */
   readonly ticket: string | null;
+  /** Asked when the order is about to be written, which may be long after it was given. */
+  readonly isAllowed: () => boolean;
 };
 
 /** Order to stop a run. The host refuses that run and lower ones of the task from then on. */
@@ -90,6 +92,8 @@
   Unhealthy = 'unhealthy',
   /** Another incarnation answers at the address. */
   OtherIncarnation = 'other-life',
+  /** The order was not sent, because it was no longer allowed. */
+  NotSent = 'not-sent',
   /** No answer arrived: the order may have been executed, or may be executed later. */
   Unanswered = 'unanswered',
 }
