controller: an order to stop a run is repeated whether or not its host answers hold calls

Callers saw: a task of a cancelled job ran on while its host left some orders unanswered. Cause: an unanswered stop was sent again only after a hold call that was answered. Change: pending stops are sent beside each hold call, not after it. Measured: the test added here failed before: the run was active when the lease of the host was about to expire.

--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -74,10 +74,13 @@
 
   /** Sends hold calls while the host requires them, and resolves unknown outcomes. */
   async run(): Promise<void> {
-    const { signal } = this.#context;
+    const { signal, ownership } = this.#context;
     while (!signal.aborted && !this.#hasEnded) {
-      if (this.#shouldHold()) {
-        await this.#holdOnce();
+      if (ownership.getLeaseAgeMs() > OWNER_LEASE_MS + KEEP_ALIVE_MS) {
+        await this.#wait(HOST_RETRY_MS);
+      } else if (this.#shouldHold()) {
+        // A stop is repeated whether or not the host answers the hold call.
+        await Promise.all([this.#holdOnce(), this.#resolveUnknownOutcomes()]);
       } else if (this.host.listedWorker === null) {
         this.#hasEnded = true;
       } else {
@@ -159,12 +162,8 @@
   }
 
   async #holdOnce(): Promise<void> {
-    const { clock, orders, term, ownership, hostMajority } = this.#context;
+    const { clock, orders, term, hostMajority } = this.#context;
     const { host } = this;
-    if (ownership.getLeaseAgeMs() > OWNER_LEASE_MS + KEEP_ALIVE_MS) {
-      await this.#wait(HOST_RETRY_MS);
-      return;
-    }
     const sentAtMs = clock.getNow();
     const isResync = !host.isReconciled || !host.hasClock || !host.isReachable;
     const { state } = host;
@@ -210,7 +209,6 @@
     }
     this.#applyReport(reply.value, { sentAtMs, acknowledgedPosition });
     this.#context.requestDispatch();
-    await this.#resolveUnknownOutcomes();
     this.#throttle.apply();
     if (host.state.hasUnstoredEnds()) {
       await this.#wait(END_STORE_TIMEOUT_MS);
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorStops.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorStops.test.ts
@@ -36,4 +36,18 @@
     await fleet.time.advance(3_000);
     expect(countRuns()).toEqual(0);
   });
+
+  it('repeats an unanswered order to stop a run while orders to renew leases get lost', async () => {
+    const job = fleet.submit([LASTING]);
+    await fleet.time.advance(500);
+    fleet.faults.lostOrders.add(formatAnswer(OrderKind.Hold, HOST));
+    await fleet.time.advance(1_000);
+    fleet.faults.lostOrders.add(formatAnswer(OrderKind.Stop, HOST));
+    fleet.cancel(job);
+    await fleet.time.advance(300);
+    fleet.faults.lostOrders.delete(formatAnswer(OrderKind.Stop, HOST));
+    // The lease of the host has not expired yet.
+    await fleet.time.advance(800);
+    expect(countRuns()).toEqual(0);
+  });
 });
