job-emulator: failing test of a run that a new incarnation of a host started late

Cause: an unanswered start is carried out by the next incarnation of a host. The owner had given the run up, sends one stop at the restart and calls the host no more while it has nothing else to run.

--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCancellations.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCancellations.test.ts
@@ -159,4 +159,32 @@
     expect(await fleet.findState(job)).toEqual(JobState.Cancelled);
     expect(listLogLines('start-ordered', job)).toEqual([]);
   });
+
+  it('stops a run that a new incarnation of a host started late', async () => {
+    await start(1);
+    await fleet.time.advance(10_000);
+    fleet.faults.lateOrdersMs.set(formatAnswer(OrderKind.Start, 'host-0'), 7_000);
+    fleet.faults.lostOrders.add(formatAnswer(OrderKind.Stop, 'host-0'));
+    const job = fleet.submit([{ taskCount: 1, estimateMs: 20_000 }]);
+    await fleet.time.advance(200);
+    expect(listLogLines('start-ordered', job).length).toEqual(1);
+    fleet.cancel(job);
+    await fleet.time.advance(100);
+    fleet.faults.partitionedHosts.add('host-0');
+    await fleet.time.advance(4_700);
+    expect(listLogLines('run-lost', job).length).toEqual(1);
+    const host = fleet.startHost('host-0');
+    const lateStarts = recordStartOrders(host);
+    fleet.faults.partitionedHosts.clear();
+    // The first orders to the new incarnation are lost.
+    await fleet.time.advance(1_000);
+    fleet.faults.lostOrders.clear();
+    fleet.faults.lateOrdersMs.clear();
+    expect(lateStarts).toEqual([]);
+    await fleet.time.advance(1_100);
+    expect(lateStarts.length).toEqual(1);
+    await fleet.time.advance(CANCEL_MS + CANCELLED_RUN_MS);
+    expect(listOverdueRuns()).toEqual([]);
+    expect(host.countRuns()).toEqual(0);
+  });
 });
