job-emulator: failing test of changes that the watch skipped

Cause: an answer without rows may name a newer version than the owner has applied; the second read after the history was compacted leaves out all rows up to that version. Measured: both lasting tasks of the cancelled job still run.

--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCancellations.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCancellations.test.ts
@@ -187,4 +187,22 @@
     expect(listOverdueRuns()).toEqual([]);
     expect(host.countRuns()).toEqual(0);
   });
+
+  it('applies a cancellation that the watch skipped', async () => {
+    await start(2);
+    const cancelled = fleet.submit([{ taskCount: 2, isLasting: true, estimateMs: 0 }]);
+    await fleet.time.advance(1_000);
+    setJobFaults({ hasEmptyChanges: true });
+    fleet.cancel(cancelled);
+    const stored = fleet.submit([{}]);
+    await fleet.time.advance(100);
+    setJobFaults({});
+    await fleet.time.advance(500);
+    fleet.rows.compactHistory();
+    await fleet.time.advance(CANCEL_MS + CANCELLED_RUN_MS);
+    expect(listLogLines('store-history-gone', 'table=jobs').length).toEqual(1);
+    expect(listOverdueRuns()).toEqual([]);
+    expect(await fleet.findState(cancelled)).toEqual(JobState.Cancelled);
+    await expectCompleted(stored);
+  });
 });
