controller: a second read of the jobs applies what was not applied, whatever version the watch had reached

Callers would see: a cancelled task that lasts runs on for good, or an accepted job never runs. Cause: after the history of the store was compacted, the second read skipped all rows up to the version that the watch had reached. That version comes with an answer and need not be that of a row in it: an answer without rows may name one whose changes it does not show. Evidence: the emulator only. Change: rows of jobs that are not tracked and of cancellations that were not applied are applied.

--- a/packages/baobabwell-controller/src/BaobabwellControllerJobRows.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerJobRows.ts
@@ -69,17 +69,19 @@
     );
   }
 
-  /** Returns the rows to apply of those that a second read showed, up to a version the first applied. */
-  filterUnseen(rows: readonly Row[], appliedVersion: number): readonly Row[] {
-    const olderRows = rows.filter(({ version }) => version <= appliedVersion);
+  /**
+   * Returns the rows that were not applied, of those that a second read showed. The version that the watch
+   * had reached does not tell: an answer without rows may name one whose changes it does not show.
+   */
+  filterUnseen(rows: readonly Row[], watchedVersion: number): readonly Row[] {
+    const unseen = rows.filter((row) => row.version > watchedVersion || this.#isUnseen(row));
     this.#context.logger.recordInfo('store-reread', {
       table: JOBS_TABLE,
-      version: appliedVersion,
+      version: watchedVersion,
       rows: rows.length,
-      unseen: olderRows.filter((row) => this.#isUnseen(row)).length,
+      unseen: unseen.filter(({ version }) => version <= watchedVersion).length,
     });
-    // A job whose row was applied before but that is no longer in memory has ended and was removed.
-    return rows.filter(({ version }) => version > appliedVersion);
+    return unseen;
   }
 
   /** Removes ended jobs from memory until the term ends. */
@@ -94,12 +96,19 @@
     }
   }
 
-  /** Returns true for the row of a job, or of its cancellation, that has not been applied. */
-  #isUnseen({ key }: Row): boolean {
-    const { jobRegistry } = this.#context;
-    return key.endsWith(CANCELLED_SUFFIX)
-      ? jobRegistry.findJob(key.slice(0, -CANCELLED_SUFFIX.length))?.isEnded === false
-      : jobRegistry.findJob(key) === null;
+  /** Returns true for the row of a job that is not tracked, or of a cancellation that was not applied. */
+  #isUnseen({ key, value }: Row): boolean {
+    const { jobRegistry, clock } = this.#context;
+    if (key.endsWith(CANCELLED_SUFFIX)) {
+      return jobRegistry.findJob(key.slice(0, -CANCELLED_SUFFIX.length))?.isEnded === false;
+    }
+    const record = value === null ? null : parseJobRecord(value);
+    // A job that ended and was removed from memory was accepted before.
+    return (
+      record !== null &&
+      jobRegistry.findJob(key) === null &&
+      clock.getWallTime() - record.acceptedAtMs < ENDED_JOB_RETENTION_MS
+    );
   }
 
   /** @param cancelledAtMs wall-clock time at which the cancellation was requested, in ms, as stored. */
