ingress, controller: a cancellation holds for a job that is stored after it

Cause: a cancel that found no row left nothing behind; the owner ignored a cancellation of a job that it did not know. Evidence: tests only. Change: the cancellation is stored for an unknown job too, before the answer, which stays the same; one that could not be stored is not acknowledged. The owner keeps cancellations of unknown jobs for as long as ended jobs.

--- a/packages/baobabwell-controller/src/BaobabwellControllerJobRows.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerJobRows.ts
@@ -14,6 +14,9 @@
 
   #isLoaded = false;
 
+  /** Cancellations of jobs that are not stored yet: a transaction may be carried out late. */
+  readonly #earlyCancellations = new Map<string, JsonValue>();
+
   constructor(context: TermContext) {
     this.#context = context;
   }
@@ -45,6 +48,11 @@
       version,
       ageMs: Math.round(clock.getWallTime() - record.acceptedAtMs),
     });
+    const cancelledAtMs = this.#earlyCancellations.get(key);
+    if (cancelledAtMs !== undefined) {
+      this.#earlyCancellations.delete(key);
+      this.#cancel(key, cancelledAtMs);
+    }
     requestDispatch();
   }
 
@@ -84,18 +92,29 @@
     return unseen;
   }
 
-  /** Removes ended jobs from memory until the term ends. */
+  /** Removes from memory what callers no longer ask for, until the term ends. */
   async runPruning(): Promise<void> {
-    const { jobRegistry, clock, signal } = this.#context;
+    const { clock, signal } = this.#context;
     while (!signal.aborted) {
       await clock.wait(PRUNE_INTERVAL_MS, signal);
-      const nowMs = clock.getNow();
-      [...jobRegistry.listJobs()]
-        .filter(({ endedAtMs }) => endedAtMs !== null && nowMs - endedAtMs > ENDED_JOB_RETENTION_MS)
-        .forEach((job) => jobRegistry.removeJob(job));
+      this.#prune();
     }
   }
 
+  #prune(): void {
+    const { jobRegistry, clock } = this.#context;
+    const nowMs = clock.getNow();
+    [...jobRegistry.listJobs()]
+      .filter(({ endedAtMs }) => endedAtMs !== null && nowMs - endedAtMs > ENDED_JOB_RETENTION_MS)
+      .forEach((job) => jobRegistry.removeJob(job));
+    const earliestMs = clock.getWallTime() - ENDED_JOB_RETENTION_MS;
+    this.#earlyCancellations.forEach((cancelledAtMs, jobId) => {
+      if (typeof cancelledAtMs !== 'number' || cancelledAtMs < earliestMs) {
+        this.#earlyCancellations.delete(jobId);
+      }
+    });
+  }
+
   /** Returns true for the row of a job that is not tracked, or of a cancellation that was not applied. */
   #isUnseen({ key, value }: Row): boolean {
     const { jobRegistry, clock } = this.#context;
@@ -115,7 +134,11 @@
   #cancel(jobId: string, cancelledAtMs: JsonValue): void {
     const { jobRegistry, clock, logger, metrics, stopRun, requestCommit } = this.#context;
     const job = jobRegistry.findJob(jobId);
-    if (job === null || !this.#isLoaded || job.isEnded) {
+    if (job === null) {
+      this.#earlyCancellations.set(jobId, cancelledAtMs);
+      return;
+    }
+    if (!this.#isLoaded || job.isEnded) {
       return;
     }
     const runs = jobRegistry.cancelJob(job, clock.getNow());
--- a/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
@@ -98,17 +98,19 @@
       : { kind: AnswerKind.UnknownJob };
   }
 
-  /** Cancels a job; a cancellation cannot be undone. */
+  /**
+   * Cancels a job; a cancellation cannot be undone. It is stored for an unknown job too, since the
+   * transaction that stores the job may be carried out later.
+   */
   async cancel(jobId: string): Promise<Answer> {
     const rows = await this.#readJobRows(jobId);
     if (rows === null) {
       return this.#createUnavailableAnswer('cancel');
     }
-    if (!rows.isStored) {
-      return { kind: AnswerKind.UnknownJob };
-    }
-    if (rows.isCancelled) {
-      return { kind: AnswerKind.Cancelled };
+    const { isStored, isCancelled } = rows;
+    const answer: Answer = { kind: isStored ? AnswerKind.Cancelled : AnswerKind.UnknownJob };
+    if (isCancelled) {
+      return answer;
     }
     const part = getJobPartition(jobId);
     const key = `${jobId}${CANCELLED_SUFFIX}`;
@@ -117,7 +119,7 @@
       writes: [{ table: JOBS_TABLE, part, key, value: this.#clock.getWallTime() }],
     });
     if (reply.ok) {
-      return { kind: AnswerKind.Cancelled };
+      return answer;
     }
     return { kind: AnswerKind.UnknownOutcome, reason: 'the cancellation may not have been stored' };
   }
