controller: late starts on a new incarnation of a host are stopped until it answers

Callers would see: a task of a cancelled job runs seconds later on a host that had crashed and was back (UNASKED). Cause: after a restart of a host, each unanswered start of its former incarnation was told to stop once, and a run that a report showed unasked was told to stop once for each report. A host without tracked runs was not called again. The clock of a new incarnation starts anew, so the lease of a late order lasts there as long as the host allows. Change: runs that must not be on a host are kept until it answers the order to stop them, and the host is called as long as there are any.

--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -4,15 +4,15 @@
 
 import { RunPhase } from '@baobabwell/jobs';
 
+import { MAX_START_DELAY_MS } from './BaobabwellControllerConstants';
 import { HostHistory } from './BaobabwellControllerHostHistory';
 import { IncarnationState } from './BaobabwellControllerIncarnationState';
 
+/** A run that must not be on a host. */
+export type UnwantedRun = { readonly task: string; readonly run: number };
+
 /** An order to start a run that was not answered and may still be carried out. */
-export type UnansweredStart = {
-  readonly task: string;
-  readonly run: number;
-  readonly sentAtMs: number;
-};
+export type UnansweredStart = UnwantedRun & { readonly sentAtMs: number };
 
 /**
  * Holds the owner's view of a host. A worker that restarts with the same id, pool and address keeps its
@@ -31,6 +31,9 @@
    */
   readonly unansweredStarts = new Map<string, UnansweredStart>();
 
+  /** Runs that are not tracked and must not be on the host; they are stopped until the host answers. */
+  readonly unwantedRuns = new Map<string, UnwantedRun>();
+
   /** Runs that may be on the host: requested, running or being stopped. */
   readonly runs = new Map<string, Run>();
 
@@ -166,6 +169,17 @@
     this.bornMs = bornMs;
   }
 
+  /** Marks as unwanted all runs that are not tracked but may still be started late, by their orders. */
+  markLateStarts(nowMs: number): void {
+    this.unansweredStarts.forEach((start, key) => {
+      if (nowMs - start.sentAtMs >= MAX_START_DELAY_MS) {
+        this.unansweredStarts.delete(key);
+      } else if (!this.runs.has(key)) {
+        this.unwantedRuns.set(key, start);
+      }
+    });
+  }
+
   get servingCount(): number {
     return this.#servingCount;
   }
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -16,7 +16,6 @@
   KEEP_ALIVE_MS,
   MAX_CLOCK_DRIFT,
   MAX_HOST_RETRY_MS,
-  MAX_START_DELAY_MS,
   RECENT_ANSWER_AGE_MS,
   THROTTLED_HOLD_WAIT_MS,
 } from './BaobabwellControllerConstants';
@@ -121,7 +120,8 @@
     [...this.host.runs.values()]
       .filter(({ key }) => this.host.unansweredStarts.has(key))
       .forEach((run) => this.#orders.markOutcomeUnknown(run));
-    void this.#stopLateStarts();
+    this.host.markLateStarts(nowMs);
+    void this.#stopUnwantedRuns();
     this.requestHold();
   }
 
@@ -131,28 +131,29 @@
     this.#recordUnansweredOrder();
   }
 
-  /** Makes the host refuse late starts of its former incarnation, whose runs are elsewhere by now. */
-  async #stopLateStarts(): Promise<void> {
-    const { clock, orders, term } = this.#context;
-    const nowMs = clock.getNow();
-    const unanswered = [...this.host.unansweredStarts.values()];
-    this.host.unansweredStarts.clear();
+  /** Stops runs that must not be on the host, which refuses them from then on. */
+  async #stopUnwantedRuns(): Promise<void> {
+    const { orders, term, signal } = this.#context;
+    const { incarnation, state, unwantedRuns } = this.host;
     await Promise.all(
-      unanswered
-        .filter(({ sentAtMs }) => nowMs - sentAtMs < MAX_START_DELAY_MS)
-        .map(async ({ task, run }) =>
-          orders.stop(this.host.incarnation, { task, run, epoch: term.epoch }),
-        ),
+      [...unwantedRuns].map(async ([key, { task, run }]) => {
+        const reply = await orders.stop(incarnation, { task, run, epoch: term.epoch });
+        // An answer of the former incarnation says nothing of the present one.
+        if (reply.ok && !signal.aborted && this.host.state === state) {
+          unwantedRuns.delete(key);
+        }
+      }),
     );
   }
 
   #shouldHold(): boolean {
     const { host } = this;
-    if (host.listedWorker === null && host.runs.size === 0 && host.isReconciled) {
+    const hasRuns = host.runs.size > 0 || host.unwantedRuns.size > 0;
+    if (host.listedWorker === null && !hasRuns && host.isReconciled) {
       return false;
     }
     return (
-      host.runs.size > 0 ||
+      hasRuns ||
       !host.isReconciled ||
       !host.hasClock ||
       !host.isReachable ||
@@ -242,7 +243,7 @@
   #getWaitMs(): number {
     const { host } = this;
     const hasOnlyEnds = host.runs.size === 0 && host.state.hasUnacknowledgedEnds();
-    if (hasOnlyEnds || host.hasUnknownOutcome()) {
+    if (hasOnlyEnds || host.unwantedRuns.size > 0 || host.hasUnknownOutcome()) {
       return 0;
     }
     return host.servingCount > 0 && host.bestEffortCount > 0
@@ -415,11 +416,7 @@
       job.hasStarted = true;
       return run;
     }
-    void this.#context.orders.stop(this.host.incarnation, {
-      task: name,
-      run: number,
-      epoch: term.epoch,
-    });
+    this.host.unwantedRuns.set(`${name}#${number}`, { task: name, run: number });
     return null;
   }
 
@@ -441,8 +438,11 @@
       ({ phase, answeredAtMs }) =>
         (phase === RunPhase.Unknown || phase === RunPhase.Stopping) && answeredAtMs === null,
     );
-    await Promise.all(pending.map(async (run) => this.#orders.sendStop(run)));
-    if (this.host.hasUnknownOutcome()) {
+    await Promise.all([
+      ...pending.map(async (run) => this.#orders.sendStop(run)),
+      this.#stopUnwantedRuns(),
+    ]);
+    if (this.host.unwantedRuns.size > 0 || this.host.hasUnknownOutcome()) {
       await this.#wait(HOST_RETRY_MS);
     }
   }
