job-emulator: hosts whose capacity changes or that don't check it, and watches without an answer

Change: setCapacity, listed one heartbeat later; checksCapacity; drainHost; hangWorkerWatch. The oracle checks CPU, memory and GPUs against the largest capacity of the last 4.5 s (contact and one heartbeat), with runs that are being stopped, and starts on hosts listed as draining for more than 2 s. CPU of best-effort tasks is not counted, as the users' pages say; hosts counted it. Orders that are carried out late are judged by the time at which they were sent.

--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -2,7 +2,7 @@
 import type { TermContext } from '@baobabwell/controller';
 import type { FleetConfiguration, ListedWorker, MaintenanceWave } from '@baobabwell/fleet';
 import type { WaveState } from '@baobabwell/fleet';
-import type { JobRecord, JobState, StepSpec } from '@baobabwell/jobs';
+import type { JobRecord, JobState, Resources, StepSpec } from '@baobabwell/jobs';
 import type { JsonValue } from '@baobabwell/platform';
 
 import { Controller } from '@baobabwell/controller';
@@ -14,12 +14,12 @@
 import { Random } from '@baobabwell/utils';
 
 import { EmulatedCloud } from './BaobabwellJobEmulatorCloud';
-import { EmulatedHost, MAX_LEASE_MS } from './BaobabwellJobEmulatorHost';
+import { EmulatedHost, HEARTBEAT_MS, MAX_LEASE_MS } from './BaobabwellJobEmulatorHost';
 import { JobOracle } from './BaobabwellJobEmulatorOracle';
 import { EmulatedHostOrders } from './BaobabwellJobEmulatorOrders';
 import { EmulatedJobStore, EmulatedRows } from './BaobabwellJobEmulatorStore';
+import { EmulatedWorkerRows, WORKERS_TABLE } from './BaobabwellJobEmulatorWorkers';
 
-const WORKERS_TABLE = 'workers';
 const OPERATOR_TABLE = 'operator';
 const STATUS_TABLE = 'status';
 const POOL = 'ovens';
@@ -40,7 +40,8 @@
 /** CPU cap of an organisation. */
 export const CAP_CPU_MILLIS = 40_000;
 
-const CAPACITY = { cpuMillis: 16_000, memoryMb: 65_536, gpus: 0 };
+/** Capacity with which a host starts. */
+export const CAPACITY: Resources = { cpuMillis: 16_000, memoryMb: 65_536, gpus: 0 };
 
 /** A step of four short tasks without placement constraints; tests override single fields. */
 export const PLAIN_STEP: StepSpec = {
@@ -124,6 +125,8 @@
 
   readonly #hosts = new Map<string, EmulatedHost>();
 
+  readonly #workers = new EmulatedWorkerRows(this.rows, this.time);
+
   readonly #daemons = new Map<string, Daemon>();
 
   #cloud: EmulatedCloud | null = null;
@@ -261,6 +264,16 @@
     }
   }
 
+  /** Keeps the watch of one process on the table of workers from being answered, or lets it be. */
+  hangWorkerWatch(name: string, isHanging: boolean): void {
+    const tables = this.#daemons.get(name)?.store.unansweredWatches;
+    if (isHanging) {
+      tables?.add(WORKERS_TABLE);
+    } else {
+      tables?.delete(WORKERS_TABLE);
+    }
+  }
+
   /** Finds the process that considers itself the owner, or `null`. */
   findOwner(): string | null {
     const owners = [...this.#daemons.values()].filter(
@@ -289,21 +302,34 @@
       leavesInMs: null,
       bornMs: host.bornMs,
     };
-    const putRow = (): void => this.#put(WORKERS_TABLE, id, worker as unknown as JsonValue);
-    if (rowLagMs === 0) {
-      putRow();
-    } else {
-      this.time.startTimer(rowLagMs, putRow);
-    }
+    this.#workers.put(worker, rowLagMs);
     return host;
   }
 
+  /** Changes the capacity of a host, which reports it with its next heartbeat. */
+  setCapacity(id: string, capacity: Resources): void {
+    const host = this.#hosts.get(id);
+    if (host !== undefined) {
+      host.setCapacity(capacity);
+      this.time.startTimer(HEARTBEAT_MS, () => this.#workers.update(host, { capacity }));
+    }
+  }
+
+  /** Lists a host as draining; it stays and runs on. */
+  drainHost(id: string): void {
+    const host = this.#hosts.get(id);
+    if (host !== undefined) {
+      host.drainingSinceMs = this.time.getNow();
+      this.#workers.update(host, { isDraining: true });
+    }
+  }
+
   /** Kills a host; its row is removed later, unless the host was started again. */
   killHost(id: string): void {
     this.#hosts.get(id)?.kill();
     this.time.startTimer(HOST_ROW_LAG_MS, () => {
       if (this.#hosts.get(id)?.isAlive === false) {
-        this.#put(WORKERS_TABLE, id, null);
+        this.#workers.remove(id);
       }
     });
   }
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
@@ -14,6 +14,8 @@
 import { OrderRefusal } from '@baobabwell/platform';
 import { createError, createOk } from '@baobabwell/utils';
 
+import { fits } from './BaobabwellJobEmulatorOracle';
+
 /** Longest lease that a host grants, in ms. */
 export const MAX_LEASE_MS = 6_000;
 
@@ -26,6 +28,15 @@
 /** Time until a stopped run has ended, in ms. */
 const STOP_MS = 150;
 
+/** Time between two reports of a host about itself, in ms. */
+export const HEARTBEAT_MS = 1_500;
+
+/** Time after a host's report of a smaller capacity from which starts have to fit it, in ms. */
+const CAPACITY_CONTACT_MS = 3_000;
+
+/** Time after a host is listed as draining from which no run may start there, in ms. */
+export const DRAIN_MS = 2_000;
+
 const FULL_PERCENT = 100;
 
 type HostRun = {
@@ -36,6 +47,17 @@
   isStopping: boolean;
 };
 
+/** A capacity that a host had before. */
+type FormerCapacity = { readonly capacity: Resources; readonly untilMs: number };
+
+function getLargest(left: Resources, right: Resources): Resources {
+  return {
+    cpuMillis: Math.max(left.cpuMillis, right.cpuMillis),
+    memoryMb: Math.max(left.memoryMb, right.memoryMb),
+    gpus: Math.max(left.gpus, right.gpus),
+  };
+}
+
 /** One incarnation of a host: its active runs, its ended runs and its lease. */
 export class EmulatedHost {
   /** Actual duration of runs as a multiple of their estimate. */
@@ -50,6 +72,12 @@
   /** True when the host also forgets later ends up to the highest position acknowledged to it. */
   shouldKeepAcknowledgedPosition = false;
 
+  /** True when the host refuses starts that do not fit its capacity. */
+  checksCapacity = true;
+
+  /** Monotonic time at which the host was listed as draining, in ms. */
+  drainingSinceMs: number | null = null;
+
   /** Decides whether a run of a task fails. */
   shouldFailTask: (task: string) => boolean = () => false;
 
@@ -57,12 +85,14 @@
 
   readonly bornMs: number;
 
-  readonly capacity: Resources;
-
   readonly #clock: Clock;
 
   readonly #oracle: JobOracle;
 
+  #capacity: Resources;
+
+  readonly #formerCapacities: FormerCapacity[] = [];
+
   readonly #runs = new Map<string, HostRun>();
 
   /** Highest run number of each task that ended or was ordered to stop on this host. */
@@ -89,7 +119,7 @@
     this.id = id;
     this.#clock = clock;
     this.#oracle = oracle;
-    this.capacity = capacity;
+    this.#capacity = capacity;
     this.bornMs = clock.getWallTime();
   }
 
@@ -101,6 +131,12 @@
     return this.#runs.size;
   }
 
+  /** Changes the capacity; active runs go on. */
+  setCapacity(capacity: Resources): void {
+    this.#formerCapacities.push({ capacity: this.#capacity, untilMs: this.#clock.getNow() });
+    this.#capacity = capacity;
+  }
+
   /** Ends this incarnation; its active runs and its unacknowledged ends are lost. */
   kill(): void {
     if (!this.#isAlive) {
@@ -130,7 +166,8 @@
     ended.forEach(({ position }) => this.#deliveredEnds.add(position));
   }
 
-  start(order: StartOrder): Result<number, OrderError> {
+  /** @param lateMs time for which the order was delayed on its way, in ms. */
+  start(order: StartOrder, lateMs = 0): Result<number, OrderError> {
     const refusal = this.#checkOrder(order.epoch);
     if (refusal !== null) {
       return refusal;
@@ -146,12 +183,15 @@
     if (current !== undefined || order.run <= (this.#highestEndedRuns.get(order.task) ?? 0)) {
       return this.#refuse(OrderRefusal.Superseded);
     }
-    const availableCpuMillis = this.#getAvailableCpu();
     const step = this.#oracle.findStep(order.task);
-    if (step !== null && step.need.cpuMillis > availableCpuMillis) {
+    if (this.checksCapacity && step !== null && !fits(step, this.#getAvailable(this.#capacity))) {
       return this.#refuse(OrderRefusal.NoCapacity);
     }
-    this.#oracle.recordStart(order.task, this.id, this.#clock.getNow(), availableCpuMillis);
+    const nowMs = this.#clock.getNow();
+    this.#oracle.recordStart(order.task, this.id, nowMs, {
+      available: this.#getAvailable(this.#getOwnersCapacity(lateMs)),
+      isDrained: this.drainingSinceMs !== null && nowMs - lateMs > this.drainingSinceMs + DRAIN_MS,
+    });
     const durationMs = (step?.estimateMs ?? 0) * this.durationFactor;
     const cancel =
       step?.isLasting === true
@@ -241,12 +281,26 @@
     return this.#clock.getWallTime() - this.bornMs;
   }
 
-  #getAvailableCpu(): number {
-    let availableCpuMillis = this.capacity.cpuMillis;
+  /** Returns the largest capacity that an owner may still reckon with. */
+  #getOwnersCapacity(lateMs: number): Resources {
+    const sinceMs = this.#clock.getNow() - lateMs - HEARTBEAT_MS - CAPACITY_CONTACT_MS;
+    return this.#formerCapacities
+      .filter(({ untilMs }) => untilMs > sinceMs)
+      .reduce((largest, { capacity }) => getLargest(largest, capacity), this.#capacity);
+  }
+
+  /** Returns what active runs, also those that are being stopped, leave of a capacity. */
+  #getAvailable({ cpuMillis, memoryMb, gpus }: Resources): Resources {
+    const available = { cpuMillis, memoryMb, gpus };
     this.#runs.forEach(({ task }) => {
-      availableCpuMillis -= this.#oracle.findStep(task)?.need.cpuMillis ?? 0;
+      const step = this.#oracle.findStep(task);
+      if (step !== null) {
+        available.cpuMillis -= step.isFilling ? 0 : step.need.cpuMillis;
+        available.memoryMb -= step.need.memoryMb;
+        available.gpus -= step.need.gpus;
+      }
     });
-    return availableCpuMillis;
+    return available;
   }
 
   #checkOrder(epoch: number): Result<never, OrderError> | null {
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOracle.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOracle.ts
@@ -1,4 +1,4 @@
-import type { JobRecord, StepSpec } from '@baobabwell/jobs';
+import type { JobRecord, Resources, StepSpec } from '@baobabwell/jobs';
 
 import { formatTaskName, parseTaskName, RunEnd } from '@baobabwell/jobs';
 
@@ -10,7 +10,7 @@
   RunsOnce = 'runs-once',
   /** A task starts only after all steps that its own step depends on are done. */
   KeepsStepOrder = 'keeps-order',
-  /** No host starts a task that requires more than its available CPU. */
+  /** No host starts a task that requires more than its available CPU, memory or GPUs. */
   KeepsHostCapacity = 'keeps-room',
   /** No organisation exceeds its cap by more than one task. */
   KeepsOrganisationCap = 'keeps-cap',
@@ -20,6 +20,8 @@
   AcknowledgesSeenEnds = 'acknowledges-what-was-seen',
   /** No order ends a long running task while as many others of its step are away as it may miss. */
   KeepsAvailability = 'keeps-available',
+  /** No task starts on a host that has been draining for some time. */
+  SparesDrainingHosts = 'spares-draining-hosts',
   /** Only tasks of submitted jobs start. */
   RunsOnlySubmitted = 'runs-what-was-asked',
 }
@@ -33,6 +35,22 @@
   readonly detail: string;
 };
 
+/** State of a host at the start of a task. */
+export type StartConditions = {
+  readonly available: Resources;
+  /** True when an owner has to know that the host is draining. */
+  readonly isDrained: boolean;
+};
+
+/** Returns true when a task of a step fits the available resources. */
+export function fits({ need, isFilling }: StepSpec, available: Resources): boolean {
+  return (
+    (isFilling || need.cpuMillis <= available.cpuMillis) &&
+    need.memoryMb <= available.memoryMb &&
+    need.gpus <= available.gpus
+  );
+}
+
 type TaskTrace = {
   readonly running: Set<string>;
   isDone: boolean;
@@ -75,7 +93,7 @@
     return (name && this.jobs.get(name.jobId)?.spec.steps[name.step]) ?? null;
   }
 
-  recordStart(task: string, host: string, atMs: number, availableCpuMillis: number): void {
+  recordStart(task: string, host: string, atMs: number, conditions: StartConditions): void {
     this.startCount += 1;
     const step = this.findStep(task);
     const name = parseTaskName(task);
@@ -104,18 +122,26 @@
     if (isEarly) {
       this.#addViolation(JobInvariant.KeepsStepOrder, task, atMs, host);
     }
-    if (availableCpuMillis < step.need.cpuMillis) {
-      this.#addViolation(
-        JobInvariant.KeepsHostCapacity,
-        task,
-        atMs,
-        `${availableCpuMillis} CPU millis available on ${host}`,
-      );
-    }
+    this.#checkHost(task, step, { host, atMs, ...conditions });
     trace.running.add(host);
     this.#addUsage(name.jobId, step.need.cpuMillis, task, atMs);
   }
 
+  #checkHost(
+    task: string,
+    step: StepSpec,
+    start: StartConditions & { readonly host: string; readonly atMs: number },
+  ): void {
+    const { host, atMs, available, isDrained } = start;
+    if (!fits(step, available)) {
+      const detail = `${JSON.stringify(available)} available on ${host}`;
+      this.#addViolation(JobInvariant.KeepsHostCapacity, task, atMs, detail);
+    }
+    if (isDrained) {
+      this.#addViolation(JobInvariant.SparesDrainingHosts, task, atMs, host);
+    }
+  }
+
   recordEnd(task: string, host: string, end: RunEnd, atMs: number): void {
     const trace = this.#getTrace(task);
     trace.running.delete(host);
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
@@ -92,7 +92,9 @@
     host: HostIncarnation,
     order: StartOrder,
   ): Promise<Result<number, OrderError>> {
-    return this.#send(host.id, OrderKind.Start, async (target) => target.start(order));
+    return this.#send(host.id, OrderKind.Start, async (target, lateMs) =>
+      target.start(order, lateMs),
+    );
   }
 
   override async stop(
@@ -127,7 +129,7 @@
   async #send<Value>(
     id: string,
     kind: OrderKind,
-    run: (host: EmulatedHost) => Promise<Result<Value, OrderError>>,
+    run: (host: EmulatedHost, lateMs: number) => Promise<Result<Value, OrderError>>,
   ): Promise<Result<Value, OrderError>> {
     await this.#clock.wait(LATENCY_MS);
     const host = this.#findHost(id);
@@ -140,12 +142,12 @@
       this.#sharedClock.startTimer(delayMs, () => {
         // A delayed order is dropped when the host's incarnation ends; see docs/QUESTIONS.md.
         if (host.isAlive && !this.#isPartitioned(id)) {
-          void run(host);
+          void run(host, delayMs);
         }
       });
       return this.#waitForTimeout();
     }
-    const reply = await run(host);
+    const reply = await run(host, 0);
     const lateMs = this.#faults.lateAnswersMs.get(formatAnswer(kind, id)) ?? 0;
     if (lateMs > 0 && host.isAlive) {
       await this.#clock.wait(lateMs);
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorStore.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorStore.ts
@@ -117,6 +117,9 @@
   /** True while this process cannot reach the store. */
   isPartitioned = false;
 
+  /** Tables whose watches get no answer, while other calls do. */
+  readonly unansweredWatches = new Set<string>();
+
   readonly #clock: Clock;
 
   readonly #sharedClock: Clock;
@@ -178,6 +181,10 @@
       if (!(await this.#waitForStore())) {
         return createError({ kind: WatchErrorKind.Unavailable, cause: 'store down' });
       }
+      if (this.unansweredWatches.has(table)) {
+        await this.#clock.wait(endsAtMs + TIMEOUT_MS - this.#clock.getNow(), signal);
+        return createError({ kind: WatchErrorKind.Unavailable, cause: 'no answer' });
+      }
       if (!this.#rows.hasHistorySince(version)) {
         return createError({ kind: WatchErrorKind.HistoryCompacted, cause: 'history compacted' });
       }
--- a/packages/baobabwell-job-emulator/src/index.ts
+++ b/packages/baobabwell-job-emulator/src/index.ts
@@ -5,6 +5,7 @@
 export { EmulatedCloud } from './BaobabwellJobEmulatorCloud';
 export {
   CAP_CPU_MILLIS,
+  CAPACITY,
   EmulatedJobFleet,
   MAX_ATTEMPTS,
   PLAIN_STEP,
