controller: a run that an owner stops on sight uses its host until its end is reported

What callers saw: none reported; on a host that does not check its capacity all tasks slow down, on others starts are refused. Cause: a run that the owner did not know and did not adopt (its job had been cancelled, a late start) was told to stop once and not tracked. Its capacity and its organisation's cap were given away while it ran on or was being stopped, its task could start a second time beside it, and a stop without an answer was repeated only as long as the host was called for another reason. Change: HostSession tracks such a run and stops it as any other; one of an unknown task still gets a single stop.

--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -394,35 +394,42 @@
       : new Run(task, number, this.host.incarnation.id, this.host.trackedSinceMs);
   }
 
+  /**
+   * Tracks a run that the host reported but that this owner did not know. A run that is not to go on is
+   * stopped; it uses the capacity of the host until its end is reported.
+   *
+   * @returns `null` for a run of an unknown task.
+   */
   #adoptRun(name: string, number: number): Run | null {
-    const { jobRegistry, logger, term } = this.#context;
-    const task = this.host.isReconciled ? null : jobRegistry.findTask(name);
+    const { jobRegistry, logger, orders, term } = this.#context;
+    const { host } = this;
+    const task = jobRegistry.findTask(name);
     const canAdopt =
       task !== null &&
+      !host.isReconciled &&
       task.phase === TaskPhase.Waiting &&
       !task.step.job.isEnded &&
       !task.step.isDone();
     logger.recordInfo(canAdopt ? 'run-adopted' : 'run-unwanted', {
-      host: this.host.incarnation.id,
+      host: host.incarnation.id,
       task: name,
       run: number,
       epoch: term.epoch,
     });
+    if (task === null) {
+      void orders.stop(host.incarnation, { task: name, run: number, epoch: term.epoch });
+      return null;
+    }
+    const run = task.addRun(host.incarnation.id, number, host.trackedSinceMs);
+    run.phase = RunPhase.Running;
+    run.answeredAtMs = host.trackedSinceMs;
+    host.addRun(run);
     if (canAdopt) {
-      const run = task.addRun(this.host.incarnation.id, number, this.host.trackedSinceMs);
-      run.phase = RunPhase.Running;
-      run.answeredAtMs = this.host.trackedSinceMs;
-      this.host.addRun(run);
-      const { job } = task.step;
-      job.hasStarted = true;
-      return run;
+      task.step.job.hasStarted = true;
+    } else {
+      void this.#orders.stopRun(run, 'the run is unwanted');
     }
-    void this.#context.orders.stop(this.host.incarnation, {
-      task: name,
-      run: number,
-      epoch: term.epoch,
-    });
-    return null;
+    return run;
   }
 
   /**
