--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzJobs.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzJobs.ts
@@ -2,7 +2,7 @@
 
 import { array, asyncProperty, constantFrom, integer, oneof, record } from 'fast-check';
 
-import { EmulatedJobFleet, formatRoute, NO_STORE_FAULTS } from '@baobabwell/job-emulator';
+import { CAPACITY, EmulatedJobFleet, formatRoute, NO_STORE_FAULTS } from '@baobabwell/job-emulator';
 import { isEnded } from '@baobabwell/jobs';
 import { checkInvariant } from '@baobabwell/utils';
 
@@ -22,6 +22,9 @@
 const LOST_SHARE = 0.3;
 const SLOW_MS = 200;
 
+/** Largest factor by which a host's capacity shrinks; a factor of 1 restores it. */
+const MAX_SHRINKING = 5;
+
 /** Actions and faults of a history. */
 enum JobStepKind {
   Submit = 'submit',
@@ -42,6 +45,7 @@
   StoreSlow = 'store-slow',
   StoreHealthy = 'store-sound',
   CompactHistory = 'forget-history',
+  ResizeHost = 'resize-host',
 }
 
 type JobStep = { readonly kind: JobStepKind; readonly value: number };
@@ -91,6 +95,11 @@
     faults.partitionedRoutes.clear();
   },
   [JobStepKind.RestartHost]: (fleet, value) => fleet.startHost(`host-${value % HOSTS}`),
+  [JobStepKind.ResizeHost]: (fleet, value) =>
+    fleet.setCapacity(`host-${value % HOSTS}`, {
+      ...CAPACITY,
+      cpuMillis: CAPACITY.cpuMillis / (1 + (value % MAX_SHRINKING)),
+    }),
   [JobStepKind.ToggleLateOrders]: (fleet, value) => {
     const { faults } = fleet;
     faults.delayedFraction = value % 2 === 0 ? LATE_SHARE : 0;
--- a/packages/baobabwell-fuzz/src/__tests__/unit/BaobabwellFuzzJobs.test.ts
+++ b/packages/baobabwell-fuzz/src/__tests__/unit/BaobabwellFuzzJobs.test.ts
@@ -12,6 +12,17 @@
     expect(report.failure).toEqual(null);
   }).timeout(60_000);
 
+  it('finds no start beyond the capacity of hosts that do not check it', async () => {
+    const suite = new JobsFuzzSuite((fleet) =>
+      fleet.listHosts().forEach((listed) => {
+        const host = listed;
+        host.checksCapacity = false;
+      }),
+    );
+    const report = await suite.run({ seed: SEED, runs: RUNS });
+    expect(report.failure).toEqual(null);
+  }).timeout(60_000);
+
   it('detects a task started by two owners when hosts accept orders of every epoch', async () => {
     const suite = new JobsFuzzSuite((fleet) =>
       fleet.listHosts().forEach((host) => {
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -288,8 +288,10 @@
 
   /** Starts a new incarnation of a host, whose row is written after a lag; kills the one before. */
   startHost(id: string, rowLagMs = 0): EmulatedHost {
-    this.#hosts.get(id)?.kill();
+    const former = this.#hosts.get(id);
+    former?.kill();
     const host = new EmulatedHost(id, this.time, this.oracle, CAPACITY);
+    host.checksCapacity = former?.checksCapacity ?? true;
     this.#hosts.set(id, host);
     const worker: ListedWorker = {
       id,
