controller: no starts while the owner's view of the hosts is too old

What callers saw: none reported. A task started on a host that leaves is lost with it; one on a host without capacity slows all. Cause: nothing related a start to the age of what the owner knew of the hosts: not after the load of a term, which reads the hosts first and takes seconds on a busy owner, nor while its watch of the hosts is not answered and its lease is renewed. In an owner's grace period, without a store that hosts could report to, this holds only where hosts accept what does not fit. The watch of that table waits 1 s, the first call of each watch asks without a wait, and an empty answer after the whole wait counts as of its end. Events starts-withheld, starts-resumed.

--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -102,6 +102,12 @@
 /** Longest wait of one watch call on the store's tables, in ms. */
 export const WATCH_WAIT_MS = 1_500;
 
+/** The same on the table of workers, in ms: starts are withheld when the owner's view of it is old. */
+export const WORKERS_WATCH_WAIT_MS = 1_000;
+
+/** Time in which an order to start a run that was decided reaches its host, in ms. */
+export const START_TRANSIT_MS = 200;
+
 /** Initial backoff after a failed watch or read, in ms. */
 export const WATCH_RETRY_MS = 100;
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -26,6 +26,8 @@
   /** Shortest delay between orders of successive owners for the same machine. */
   readonly machineOrderDelayMs: number;
   readonly maintenanceMs: number;
+  /** Time after a host is listed as draining from which no run may start there. */
+  readonly drainMs: number;
 };
 
 /** Tables in which the platform describes the fleet, and the encoding of their rows. */
@@ -73,4 +75,6 @@
   readonly stopRun: (run: Run, reason: string) => void;
   /** Returns the time in ms since all stored jobs and cancellations were known to be applied. */
   readonly getJobsAgeMs: () => number;
+  /** Returns the time in ms since the hosts were known to be as the platform lists them. */
+  readonly getWorkersAgeMs: () => number;
 };
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -13,7 +13,9 @@
   MAX_DISPATCH_WAIT_MS,
   MIN_DISPATCH_DELAY_MS,
   RUNS_PER_TERM,
+  START_TRANSIT_MS,
 } from './BaobabwellControllerConstants';
+import { isHostViewTooOld } from './BaobabwellControllerHostView';
 
 const SECOND_MS = 1_000;
 
@@ -42,6 +44,9 @@
 
   #isRequested = false;
 
+  /** True while no runs are started in some pools because the view of their hosts is too old. */
+  #isWithholding = false;
+
   constructor(
     context: TermContext,
     getSession: (hostId: string) => HostSession | null,
@@ -84,8 +89,9 @@
   /** Places all tasks that can start now, of jobs accepted up to the given version of the store. */
   placeOnce(maxVersion: number): void {
     const nowMs = this.#context.clock.getNow();
+    const withheldPools = this.#listWithheldPools();
     const steps = this.listReadySteps().filter(
-      ({ step }) => step.job.acceptedVersion <= maxVersion,
+      ({ step, pool }) => step.job.acceptedVersion <= maxVersion && !withheldPools.has(pool),
     );
     if (steps.length === 0) {
       return;
@@ -142,6 +148,29 @@
     return pools;
   }
 
+  /** Lists the pools whose hosts may have changed too long ago without the owner knowing. */
+  #listWithheldPools(): ReadonlySet<string> {
+    const { ownership, bounds, logger, getConfiguration, getWorkersAgeMs } = this.#context;
+    const ageMs = getWorkersAgeMs();
+    const view = {
+      ageMs,
+      maxAgeMs: bounds.drainMs - START_TRANSIT_MS,
+      canRenew: ownership.canAct(),
+    };
+    const pools = (getConfiguration()?.pools ?? [])
+      .filter(({ checksRoom }) => isHostViewTooOld(view, checksRoom))
+      .map(({ name }) => name);
+    const isWithholding = pools.length > 0;
+    const fields = { pools: pools.length, workersAgeMs: Math.round(ageMs) };
+    if (isWithholding && !this.#isWithholding) {
+      logger.recordWarning('starts-withheld', fields);
+    } else if (!isWithholding && this.#isWithholding) {
+      logger.recordInfo('starts-resumed', fields);
+    }
+    this.#isWithholding = isWithholding;
+    return new Set(pools);
+  }
+
   #listHosts(
     nowMs: number,
     pools: ReadonlySet<string>,
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -24,6 +24,8 @@
   HOSTS_TABLE,
   LEASE_CHECK_INTERVAL_MS,
   PRUNE_INTERVAL_MS,
+  WATCH_WAIT_MS,
+  WORKERS_WATCH_WAIT_MS,
 } from './BaobabwellControllerConstants';
 import { Dispatcher } from './BaobabwellControllerDispatcher';
 import { FleetControlLoop } from './BaobabwellControllerFleetControlLoop';
@@ -72,6 +74,7 @@
       requestCommit: () => this.#committer.request(),
       stopRun: (run, reason) => this.#stopRun(run, reason),
       getJobsAgeMs: () => this.#tables.getAgeMs(JOBS_TABLE),
+      getWorkersAgeMs: () => this.#tables.getAgeMs(options.codec.workersTable),
     };
     this.#tables = new TermTables(this.context);
     this.#committer = new Committer(this.context, (id) => this.#sessions.get(id)?.requestHold());
@@ -178,8 +181,12 @@
   }
 
   async #watch(table: string, from: TablePosition, apply: (row: Row) => void): Promise<void> {
-    await this.#tables.watch(table, from, apply, async (version) =>
-      this.#rereadTable(table, apply, version),
+    await this.#tables.watch(
+      table,
+      from,
+      apply,
+      async (version) => this.#rereadTable(table, apply, version),
+      table === this.context.codec.workersTable ? WORKERS_WATCH_WAIT_MS : WATCH_WAIT_MS,
     );
   }
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerTermTables.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTermTables.ts
@@ -3,7 +3,7 @@
 import type { ClockReading } from '@baobabwell/utils';
 
 import { WatchErrorKind } from '@baobabwell/platform';
-import { getElapsedMs, readClocks, RetryDelay } from '@baobabwell/utils';
+import { addTime, getElapsedMs, readClocks, RetryDelay } from '@baobabwell/utils';
 
 import {
   MAX_CONCURRENT_READS,
@@ -109,25 +109,32 @@
    * Watches a table for changes.
    *
    * @param reread reads the whole table again, after its history was compacted.
+   * @param maxWaitMs longest wait of one call for a change, in ms.
    */
   async watch(
     table: string,
     from: TablePosition,
     apply: (row: Row) => void,
     reread: (version: number) => Promise<TablePosition | null>,
+    maxWaitMs = WATCH_WAIT_MS,
   ): Promise<void> {
     const { store, clock, signal, logger } = this.#context;
     const retry = new RetryDelay(WATCH_RETRY_MS, MAX_WATCH_RETRY_MS);
     let { version } = from;
+    // The first call shows at once what changed while the stored state was read and applied.
+    let waitMs = 0;
     this.#currentAt.set(table, from.requestedAt);
     while (!signal.aborted) {
       const requestedAt = readClocks(clock);
-      const page = await store.waitForChanges(table, version, WATCH_WAIT_MS, signal);
+      const page = await store.waitForChanges(table, version, waitMs, signal);
       if (page.ok) {
         page.value.rows.forEach(apply);
         version = page.value.version;
         if (page.value.isPartial !== true) {
-          this.#currentAt.set(table, requestedAt);
+          // The store answers without changes only after the whole wait, and so as of its end.
+          const isTimedOut =
+            page.value.rows.length === 0 && getElapsedMs(clock, requestedAt) >= waitMs;
+          this.#currentAt.set(table, isTimedOut ? addTime(requestedAt, waitMs) : requestedAt);
         }
         retry.reset();
       } else if (page.error.kind === WatchErrorKind.HistoryCompacted) {
@@ -141,6 +148,7 @@
         logger.recordWarning('store-watch-failed', { table, cause: page.error.cause });
         await clock.wait(retry.advance(), signal);
       }
+      waitMs = maxWaitMs;
     }
   }
 }
--- a/packages/baobabwell-controller/src/__tests__/unit/BaobabwellControllerTermTables.test.ts
+++ b/packages/baobabwell-controller/src/__tests__/unit/BaobabwellControllerTermTables.test.ts
@@ -6,7 +6,7 @@
 import { EmulatedTime } from '@baobabwell/emulator';
 import { EmulatedJobStore, EmulatedRows } from '@baobabwell/job-emulator';
 import { Logger, LogLevel } from '@baobabwell/logging';
-import { createError, Random } from '@baobabwell/utils';
+import { createError, Random, readClocks } from '@baobabwell/utils';
 
 import { TermTables } from '../../BaobabwellControllerTermTables';
 
@@ -58,4 +58,34 @@
     const pages = await time.settle(tables.readAll(RANGES), 30_000);
     expect([pages.length, store.requestCount]).toEqual([RANGES.length, RANGES.length]);
   });
+
+  it('knows a watched table as of its latest answer, also without changes, and not while none comes', async () => {
+    const time = new EmulatedTime();
+    const store = new EmulatedJobStore(time, time, new Random(SEED), new EmulatedRows());
+    const { signal } = new AbortController();
+    const logger = new Logger(LogLevel.Error, {}, () => undefined);
+    const tables = new TermTables({ store, clock: time, signal, logger });
+    const requestedAt = readClocks(time);
+    await time.advance(5_000);
+    void tables.watch(
+      'hosts',
+      { version: 0, requestedAt },
+      () => undefined,
+      async () => null,
+      1_000,
+    );
+    expect(tables.getAgeMs('hosts')).toEqual(5_000);
+    const ages: number[] = [];
+    for (let round = 0; round < 100; round += 1) {
+      await time.advance(50);
+      ages.push(tables.getAgeMs('hosts'));
+    }
+    expect(Math.max(...ages) <= 1_100).toEqual(true);
+    store.unansweredWatches.add('hosts');
+    await time.advance(10_000);
+    expect(tables.getAgeMs('hosts') >= 9_000).toEqual(true);
+    store.unansweredWatches.clear();
+    await time.advance(3_000);
+    expect(tables.getAgeMs('hosts') <= 1_100).toEqual(true);
+  });
 });
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -14,7 +14,7 @@
 import { Random } from '@baobabwell/utils';
 
 import { EmulatedCloud } from './BaobabwellJobEmulatorCloud';
-import { EmulatedHost, HEARTBEAT_MS, MAX_LEASE_MS } from './BaobabwellJobEmulatorHost';
+import { DRAIN_MS, EmulatedHost, HEARTBEAT_MS, MAX_LEASE_MS } from './BaobabwellJobEmulatorHost';
 import { JobOracle } from './BaobabwellJobEmulatorOracle';
 import { EmulatedHostOrders } from './BaobabwellJobEmulatorOrders';
 import { EmulatedJobStore, EmulatedRows } from './BaobabwellJobEmulatorStore';
@@ -205,6 +205,7 @@
         maxHostLeaseMs: MAX_LEASE_MS,
         machineOrderDelayMs: 3_000,
         maintenanceMs: 2_000,
+        drainMs: DRAIN_MS,
       },
       codec: {
         workersTable: WORKERS_TABLE,
--- a/packages/baobabwell-utils/src/BaobabwellClock.ts
+++ b/packages/baobabwell-utils/src/BaobabwellClock.ts
@@ -58,6 +58,11 @@
   return { monotonicMs: clock.getNow(), wallMs: clock.getWallTime() };
 }
 
+/** Returns the moment that lies some time after another, in ms. */
+export function addTime({ monotonicMs, wallMs }: ClockReading, ms: number): ClockReading {
+  return { monotonicMs: monotonicMs + ms, wallMs: wallMs + ms };
+}
+
 /**
  * Returns the time since a moment, in ms, by the clock that ran further: the monotonic clock stands still
  * while a process is suspended.
