controller: a host that shrank below its long running tasks takes no capacity from its pool

What callers saw: none reported; jobs would be refused as too late, with a retry delay of 8 s, although other hosts had room. Cause: admission sums capacity less long running tasks over the hosts of a pool; a host that shrank counted as negative. Change: Host.getShortTaskCpuMillis is never negative. The emulated fleet can ask the owner for admission (offer). Measured: the test failed before ('the work ahead takes 60000 ms' without any work ahead) and passes now; packages/baobabwell-controller and -job-emulator: 96 passed, 0 failed.

--- a/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
@@ -120,7 +120,7 @@
     let cpuMillis = 0;
     hosts.forEach((host) => {
       const isUsable = host.pool === pool && host.canTakeWork(nowMs);
-      cpuMillis += isUsable ? host.getCapacity().cpuMillis - host.longRunningCpuMillis : 0;
+      cpuMillis += isUsable ? host.getShortTaskCpuMillis() : 0;
     });
     const machines = this.#machines.list();
     const hostCpu = machines[0]?.capacity.cpuMillis ?? 0;
--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -178,9 +178,10 @@
     return this.#longRunningCount;
   }
 
-  /** CPU reserved for long running tasks, in thousandths of a core. */
-  get longRunningCpuMillis(): number {
-    return this.#longRunningCpuMillis;
+  /** Returns the CPU for tasks that are not long running, in thousandths of a core. */
+  getShortTaskCpuMillis(): number {
+    // The capacity may have shrunk below what long running tasks use.
+    return Math.max(0, this.getCapacity().cpuMillis - this.#longRunningCpuMillis);
   }
 
   hasUnknownOutcome(): boolean {
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -2,6 +2,7 @@
 import type { TermContext } from '@baobabwell/controller';
 import type { FleetConfiguration, ListedWorker, MaintenanceWave } from '@baobabwell/fleet';
 import type { WaveState } from '@baobabwell/fleet';
+import type { OfferReply } from '@baobabwell/ingress';
 import type { JobRecord, JobState, Resources, StepSpec } from '@baobabwell/jobs';
 import type { JsonValue } from '@baobabwell/platform';
 
@@ -339,22 +340,19 @@
 
   /** Submits a job: stores it as any process of the fleet does. */
   submit(steps: readonly Partial<StepSpec>[]): string {
-    this.#jobCount += 1;
-    const id = this.#jobCount.toString(HEX).padStart(ID_LENGTH, '0');
-    const record: JobRecord = {
-      id,
-      queue: QUEUE,
-      organisation: 'guild',
-      acceptedAtMs: this.time.getWallTime(),
-      spec: {
-        payload: '',
-        steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })),
-        repeat: null,
-      },
-    };
-    this.oracle.jobs.set(id, record);
-    this.#put(JOBS_TABLE, id, record as unknown as JsonValue, getJobPartition(id));
-    return id;
+    const record = this.#createRecord(steps);
+    this.oracle.jobs.set(record.id, record);
+    this.#put(JOBS_TABLE, record.id, record as unknown as JsonValue, getJobPartition(record.id));
+    return record.id;
+  }
+
+  /** Asks the owner whether it would admit a job, which is not stored; `null` while there is no owner. */
+  async offer(steps: readonly Partial<StepSpec>[]): Promise<OfferReply | null> {
+    const owner = this.findOwner();
+    const record = this.#createRecord(steps);
+    return owner === null
+      ? null
+      : ((await this.#daemons.get(owner)?.controller.offer(record)) ?? null);
   }
 
   cancel(jobId: string): void {
@@ -385,6 +383,21 @@
     });
   }
 
+  #createRecord(steps: readonly Partial<StepSpec>[]): JobRecord {
+    this.#jobCount += 1;
+    return {
+      id: this.#jobCount.toString(HEX).padStart(ID_LENGTH, '0'),
+      queue: QUEUE,
+      organisation: 'guild',
+      acceptedAtMs: this.time.getWallTime(),
+      spec: {
+        payload: '',
+        steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })),
+        repeat: null,
+      },
+    };
+  }
+
   #put(table: string, key: string, value: JsonValue, part = ''): void {
     this.rows.apply({ conditions: [], writes: [{ table, part, key, value }] });
   }
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCapacity.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCapacity.test.ts
@@ -235,4 +235,17 @@
     await fleet.time.advance(2 * RECOVERY_MS);
     await expectCompleted(jobs);
   });
+
+  it('refuses no job that other hosts have room for while one has shrunk below its long running tasks', async () => {
+    await start(2);
+    fleet.submit([{ ...LASTING, taskCount: 12, maxPerHost: 6 }]);
+    await fleet.time.advance(1_000);
+    fleet.setCapacity('host-0', { ...LARGE, cpuMillis: 1_000 });
+    await fleet.time.advance(SHRUNK_MS);
+    const step = { taskCount: 2, estimateMs: 500 };
+    expect(await fleet.offer([step])).toEqual({ isWanted: true });
+    const job = fleet.submit([step]);
+    await fleet.time.advance(1_000);
+    await expectCompleted([job]);
+  });
 });
