--- a/packages/baobabwell-controller/src/BaobabwellControllerStartGate.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerStartGate.ts
@@ -1,6 +1,6 @@
 import type { TermContext } from './BaobabwellControllerContext';
 
-import { MAX_ORDER_DELAY_MS } from './BaobabwellControllerConstants';
+import { START_TRANSIT_MS } from './BaobabwellControllerConstants';
 
 type GateContext = Pick<TermContext, 'ownership' | 'bounds' | 'logger' | 'getJobsAgeMs'>;
 
@@ -32,7 +32,7 @@
 
   #isOutdated(): boolean {
     const { bounds, getJobsAgeMs } = this.#context;
-    return getJobsAgeMs() > bounds.cancellationMs - MAX_ORDER_DELAY_MS;
+    return getJobsAgeMs() > bounds.cancellationMs - START_TRANSIT_MS;
   }
 
   #recordChange(): void {
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -68,6 +68,7 @@
       stopRun: (run, reason) => this.#stopRun(run, reason),
       getJobsAgeMs,
       startGate: new StartGate({ ...options, getJobsAgeMs }),
+      getWorkersAgeMs: () => this.#tables.getAgeMs(options.codec.workersTable),
     };
     this.#tables = new TermTables(this.context);
     this.#jobRows = new JobRows(this.context);
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -3,7 +3,8 @@
 import type { TermContext } from '@baobabwell/controller';
 import type { FleetConfiguration, ListedWorker, MaintenanceWave } from '@baobabwell/fleet';
 import type { WaveState } from '@baobabwell/fleet';
-import type { JobRecord, JobState, StepSpec } from '@baobabwell/jobs';
+import type { OfferReply } from '@baobabwell/ingress';
+import type { JobRecord, JobState, Resources, StepSpec } from '@baobabwell/jobs';
 import type { JsonValue } from '@baobabwell/platform';
 
 import { Controller } from '@baobabwell/controller';
@@ -15,12 +16,17 @@
 import { Random } from '@baobabwell/utils';
 
 import { EmulatedCloud } from './BaobabwellJobEmulatorCloud';
-import { EmulatedHost, MAX_LEASE_MS } from './BaobabwellJobEmulatorHost';
+import { DRAIN_MS, EmulatedHost, HEARTBEAT_MS, MAX_LEASE_MS } from './BaobabwellJobEmulatorHost';
 import { JobOracle } from './BaobabwellJobEmulatorOracle';
 import { EmulatedHostOrders } from './BaobabwellJobEmulatorOrders';
-import { EmulatedJobStore, EmulatedRows, NO_STORE_FAULTS } from './BaobabwellJobEmulatorStore';
+import {
+  EmulatedJobStore,
+  EmulatedRows,
+  NO_STORE_FAULTS,
+  NO_TABLE_FAULTS,
+} from './BaobabwellJobEmulatorStore';
+import { EmulatedWorkerRows, WORKERS_TABLE } from './BaobabwellJobEmulatorWorkers';
 
-const WORKERS_TABLE = 'workers';
 const OPERATOR_TABLE = 'operator';
 const STATUS_TABLE = 'status';
 const POOL = 'ovens';
@@ -41,7 +47,8 @@
 /** CPU cap of an organisation. */
 export const CAP_CPU_MILLIS = 40_000;
 
-const CAPACITY = { cpuMillis: 16_000, memoryMb: 65_536, gpus: 0 };
+/** Capacity with which a host starts. */
+export const CAPACITY: Resources = { cpuMillis: 16_000, memoryMb: 65_536, gpus: 0 };
 
 /** A step of four short tasks without placement constraints; tests override single fields. */
 export const PLAIN_STEP: StepSpec = {
@@ -126,6 +133,8 @@
 
   readonly #hosts = new Map<string, EmulatedHost>();
 
+  readonly #workers = new EmulatedWorkerRows(this.rows, this.time);
+
   readonly #daemons = new Map<string, Daemon>();
 
   #cloud: EmulatedCloud | null = null;
@@ -205,6 +214,7 @@
         machineOrderDelayMs: 3_000,
         maintenanceMs: 2_000,
         cancellationMs: 3_000,
+        drainMs: DRAIN_MS,
       },
       codec: {
         workersTable: WORKERS_TABLE,
@@ -279,6 +289,11 @@
     );
   }
 
+  /** Keeps the watch of one process on the table of workers from being answered, or lets it be. */
+  hangWorkerWatch(name: string, isHanging: boolean): void {
+    this.setTableFaults(name, WORKERS_TABLE, { ...NO_TABLE_FAULTS, hasSilentWatches: isHanging });
+  }
+
   /** Finds the process that considers itself the owner, or `null`. */
   findOwner(): string | null {
     const owners = [...this.#daemons.values()].filter(
@@ -293,8 +308,10 @@
 
   /** Starts a new incarnation of a host, whose row is written after a lag; kills the one before. */
   startHost(id: string, rowLagMs = 0): EmulatedHost {
-    this.#hosts.get(id)?.kill();
+    const former = this.#hosts.get(id);
+    former?.kill();
     const host = new EmulatedHost(id, this.time, this.oracle, CAPACITY);
+    host.checksCapacity = former?.checksCapacity ?? true;
     this.#hosts.set(id, host);
     const worker: ListedWorker = {
       id,
@@ -307,40 +324,42 @@
       leavesInMs: null,
       bornMs: host.bornMs,
     };
-    const putRow = (): void => this.#put(WORKERS_TABLE, id, worker as unknown as JsonValue);
-    if (rowLagMs === 0) {
-      putRow();
-    } else {
-      this.time.startTimer(rowLagMs, putRow);
-    }
+    this.#workers.put(worker, rowLagMs);
     return host;
   }
 
+  /** Changes the capacity of a host, which reports it with its next heartbeat. */
+  setCapacity(id: string, capacity: Resources): void {
+    const host = this.#hosts.get(id);
+    if (host !== undefined) {
+      host.setCapacity(capacity);
+      this.time.startTimer(HEARTBEAT_MS, () => this.#workers.update(host, { capacity }));
+    }
+  }
+
+  /** Lists a host as draining; it stays and runs on. */
+  drainHost(id: string): void {
+    const host = this.#hosts.get(id);
+    if (host !== undefined) {
+      host.drainingSinceMs = this.time.getNow();
+      this.#workers.update(host, { isDraining: true });
+    }
+  }
+
   /** Kills a host; its row is removed later, unless the host was started again. */
   killHost(id: string): void {
     this.#hosts.get(id)?.kill();
     this.time.startTimer(HOST_ROW_LAG_MS, () => {
       if (this.#hosts.get(id)?.isAlive === false) {
-        this.#put(WORKERS_TABLE, id, null);
+        this.#workers.remove(id);
       }
     });
   }
 
   /** Submits a job: stores it as any process of the fleet does, or after a lag. */
   submit(steps: readonly Partial<StepSpec>[], rowLagMs = 0): string {
-    this.#jobCount += 1;
-    const id = this.#jobCount.toString(HEX).padStart(ID_LENGTH, '0');
-    const record: JobRecord = {
-      id,
-      queue: QUEUE,
-      organisation: 'guild',
-      acceptedAtMs: this.time.getWallTime(),
-      spec: {
-        payload: '',
-        steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })),
-        repeat: null,
-      },
-    };
+    const record = this.#createRecord(steps);
+    const { id } = record;
     this.oracle.jobs.set(id, record);
     const putRow = (): void =>
       this.#put(JOBS_TABLE, id, record as unknown as JsonValue, getJobPartition(id));
@@ -352,6 +371,15 @@
     return id;
   }
 
+  /** Asks the owner whether it would admit a job, which is not stored; `null` while there is no owner. */
+  async offer(steps: readonly Partial<StepSpec>[]): Promise<OfferReply | null> {
+    const owner = this.findOwner();
+    const record = this.#createRecord(steps);
+    return owner === null
+      ? null
+      : ((await this.#daemons.get(owner)?.controller.offer(record)) ?? null);
+  }
+
   cancel(jobId: string): void {
     this.oracle.availability.recordCancel(jobId);
     this.oracle.cancellations.recordCancel(jobId, this.time.getNow());
@@ -381,6 +409,21 @@
     });
   }
 
+  #createRecord(steps: readonly Partial<StepSpec>[]): JobRecord {
+    this.#jobCount += 1;
+    return {
+      id: this.#jobCount.toString(HEX).padStart(ID_LENGTH, '0'),
+      queue: QUEUE,
+      organisation: 'guild',
+      acceptedAtMs: this.time.getWallTime(),
+      spec: {
+        payload: '',
+        steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })),
+        repeat: null,
+      },
+    };
+  }
+
   #put(table: string, key: string, value: JsonValue, part = ''): void {
     this.rows.apply({ conditions: [], writes: [{ table, part, key, value }] });
   }
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
@@ -100,8 +100,8 @@
     if (!order.isAllowed()) {
       return createError({ kind: OrderRefusal.NotSent, clockMs: null, cause: 'not allowed' });
     }
-    return this.#send(host.id, OrderKind.Start, async (target, isLate) =>
-      target.start(order, isLate),
+    return this.#send(host.id, OrderKind.Start, async (target, lateMs) =>
+      target.start(order, lateMs),
     );
   }
 
@@ -137,7 +137,7 @@
   async #send<Value>(
     id: string,
     kind: OrderKind,
-    run: (host: EmulatedHost, isLate: boolean) => Promise<Result<Value, OrderError>>,
+    run: (host: EmulatedHost, lateMs: number) => Promise<Result<Value, OrderError>>,
   ): Promise<Result<Value, OrderError>> {
     await this.#clock.wait(LATENCY_MS);
     const host = this.#findHost(id);
@@ -150,7 +150,7 @@
       this.#sharedClock.startTimer(delayMs, () => {
         // A delayed order is dropped when the host's incarnation ends; see docs/QUESTIONS.md.
         if (host.isAlive && !this.#isPartitioned(id)) {
-          void run(host, true);
+          void run(host, delayMs);
         }
       });
       return this.#waitForTimeout();
@@ -160,12 +160,12 @@
       this.#sharedClock.startTimer(delayMs, () => {
         const incarnation = this.#findHost(id);
         if (incarnation?.isAlive && !this.#isPartitioned(id)) {
-          void run(incarnation, true);
+          void run(incarnation, delayMs);
         }
       });
       return this.#waitForTimeout();
     }
-    const reply = await run(host, false);
+    const reply = await run(host, 0);
     const lateMs = this.#faults.lateAnswersMs.get(formatAnswer(kind, id)) ?? 0;
     if (lateMs > 0 && host.isAlive) {
       await this.#clock.wait(lateMs);
--- a/packages/baobabwell-job-emulator/src/index.ts
+++ b/packages/baobabwell-job-emulator/src/index.ts
@@ -6,6 +6,7 @@
 export { EmulatedCloud } from './BaobabwellJobEmulatorCloud';
 export {
   CAP_CPU_MILLIS,
+  CAPACITY,
   EmulatedJobFleet,
   MAX_ATTEMPTS,
   PLAIN_STEP,
