controller: runs of unknown outcome are stopped only after a report that does not contain them

Cause: since stops are repeated beside hold calls, a run whose start had no answer was told to stop before its host could report that it is there. Work that had begun would have been thrown away. Change: only stops that were ordered, and those of unwanted runs, go beside the hold call; runs of unknown outcome are resolved after an answered one, as before. The repetition moves to RunOrders.

--- a/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
@@ -176,6 +176,38 @@
     });
   }
 
+  /** Sends the orders to stop runs that the host has not answered. */
+  async repeatStops(): Promise<void> {
+    await Promise.all([this.#sendPendingStops(RunPhase.Stopping), this.stopUnwantedRuns()]);
+  }
+
+  /** Stops the runs that may or may not be on the host, after a report that did not contain them. */
+  async resolveUnknownRuns(): Promise<void> {
+    await this.#sendPendingStops(RunPhase.Unknown);
+  }
+
+  /** Stops runs that must not be on the host, which refuses them from then on. */
+  async stopUnwantedRuns(): Promise<void> {
+    const { orders, term, signal } = this.#context;
+    const { incarnation, state, unwantedRuns } = this.#host;
+    await Promise.all(
+      [...unwantedRuns].map(async ([key, { task, run }]) => {
+        const reply = await orders.stop(incarnation, { task, run, epoch: term.epoch });
+        // An answer of the former incarnation says nothing of the present one.
+        if (reply.ok && !signal.aborted && this.#host.state === state) {
+          unwantedRuns.delete(key);
+        }
+      }),
+    );
+  }
+
+  async #sendPendingStops(stoppedPhase: RunPhase): Promise<void> {
+    const pending = [...this.#host.runs.values()].filter(
+      ({ phase, answeredAtMs }) => phase === stoppedPhase && answeredAtMs === null,
+    );
+    await Promise.all(pending.map(async (run) => this.sendStop(run)));
+  }
+
   #applyRefusal(run: Run, error: OrderError, mayHaveStarted: boolean): void {
     const { clock, ownership } = this.#context;
     const { task } = run;
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -79,7 +79,7 @@
         await this.#wait(HOST_RETRY_MS);
       } else if (this.#shouldHold()) {
         // A stop is repeated whether or not the host answers the hold call.
-        await Promise.all([this.#holdOnce(), this.#resolveUnknownOutcomes()]);
+        await Promise.all([this.#holdOnce(), this.#orders.repeatStops()]);
       } else if (this.host.listedWorker === null) {
         this.#hasEnded = true;
       } else {
@@ -121,7 +121,7 @@
       .filter(({ key }) => this.host.unansweredStarts.has(key))
       .forEach((run) => this.#orders.markOutcomeUnknown(run));
     this.host.markLateStarts(nowMs);
-    void this.#stopUnwantedRuns();
+    void this.#orders.stopUnwantedRuns();
     this.requestHold();
   }
 
@@ -131,21 +131,6 @@
     this.#recordUnansweredOrder();
   }
 
-  /** Stops runs that must not be on the host, which refuses them from then on. */
-  async #stopUnwantedRuns(): Promise<void> {
-    const { orders, term, signal } = this.#context;
-    const { incarnation, state, unwantedRuns } = this.host;
-    await Promise.all(
-      [...unwantedRuns].map(async ([key, { task, run }]) => {
-        const reply = await orders.stop(incarnation, { task, run, epoch: term.epoch });
-        // An answer of the former incarnation says nothing of the present one.
-        if (reply.ok && !signal.aborted && this.host.state === state) {
-          unwantedRuns.delete(key);
-        }
-      }),
-    );
-  }
-
   #shouldHold(): boolean {
     const { host } = this;
     const hasRuns = host.runs.size > 0 || host.unwantedRuns.size > 0;
@@ -210,6 +195,7 @@
     }
     this.#applyReport(reply.value, { sentAtMs, acknowledgedPosition });
     this.#context.requestDispatch();
+    await this.#resolveUnknownOutcomes();
     this.#throttle.apply();
     if (host.state.hasUnstoredEnds()) {
       await this.#wait(END_STORE_TIMEOUT_MS);
@@ -444,15 +430,9 @@
     });
   }
 
+  /** Stops the runs that may or may not be on the host, after a report that did not contain them. */
   async #resolveUnknownOutcomes(): Promise<void> {
-    const pending = [...this.host.runs.values()].filter(
-      ({ phase, answeredAtMs }) =>
-        (phase === RunPhase.Unknown || phase === RunPhase.Stopping) && answeredAtMs === null,
-    );
-    await Promise.all([
-      ...pending.map(async (run) => this.#orders.sendStop(run)),
-      this.#stopUnwantedRuns(),
-    ]);
+    await this.#orders.resolveUnknownRuns();
     if (this.host.unwantedRuns.size > 0 || this.host.hasUnknownOutcome()) {
       await this.#wait(HOST_RETRY_MS);
     }
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorStops.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorStops.test.ts
@@ -1,5 +1,7 @@
 import { expect } from 'earl';
 
+import { JobState } from '@baobabwell/jobs';
+
 import { EmulatedJobFleet, formatAnswer, OrderKind } from '../../index';
 
 const SEED = 7;
@@ -50,4 +52,12 @@
     await fleet.time.advance(800);
     expect(countRuns()).toEqual(0);
   });
+
+  it('keeps a run whose start was carried out although no attempt was answered', async () => {
+    fleet.faults.lateOrdersMs.set(formatAnswer(OrderKind.Start, HOST), 1);
+    const job = fleet.submit([{ taskCount: 1, estimateMs: 3_000 }]);
+    await fleet.time.advance(5_000);
+    expect(await fleet.findState(job)).toEqual(JobState.Completed);
+    expect(fleet.oracle.startCount).toEqual(1);
+  });
 });
