--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -4,7 +4,7 @@
 import type { FleetConfiguration, ListedWorker, MaintenanceWave } from '@baobabwell/fleet';
 import type { WaveState } from '@baobabwell/fleet';
 import type { OfferReply } from '@baobabwell/ingress';
-import type { JobRecord, JobState, Resources, StepSpec } from '@baobabwell/jobs';
+import type { JobRecord, JobState, RepeatSpec, Resources, StepSpec } from '@baobabwell/jobs';
 import type { JsonValue } from '@baobabwell/platform';
 
 import { Controller } from '@baobabwell/controller';
@@ -35,6 +35,9 @@
 /** Time after which the row of a dead host is removed, in ms. */
 const HOST_ROW_LAG_MS = 4_500;
 
+/** Time after which a crashed host is back, in ms. */
+const CRASH_RECOVERY_MS = 3_200;
+
 /** Longest time in which a process releases its ownership, in ms. */
 const STOP_LIMIT_MS = 2_000;
 
@@ -110,6 +113,15 @@
   readonly store: EmulatedJobStore;
 };
 
+/** How a crashed host comes back. */
+export enum CrashRecovery {
+  SameId = 'same-id',
+  /** Under another id, at the address that it had. */
+  OtherId = 'other-id',
+  /** Not at all; its row is removed after some time. */
+  None = 'none',
+}
+
 /** Several candidates for ownership, their hosts and their store on one clock. */
 export class EmulatedJobFleet {
   readonly time = new EmulatedTime();
@@ -129,6 +141,12 @@
 
   readonly logLines: string[] = [];
 
+  /** Tasks that crash each host that starts them. */
+  readonly crashingTasks = new Set<string>();
+
+  /** How a host comes back after a task crashed it. */
+  crashRecovery = CrashRecovery.SameId;
+
   readonly #random: Random;
 
   readonly #hosts = new Map<string, EmulatedHost>();
@@ -312,6 +330,8 @@
     former?.kill();
     const host = new EmulatedHost(id, this.time, this.oracle, CAPACITY);
     host.checksCapacity = former?.checksCapacity ?? true;
+    host.shouldCrashOnTask = (task) => this.crashingTasks.has(task);
+    host.onCrash = () => this.#recoverCrashedHost(host);
     this.#hosts.set(id, host);
     const worker: ListedWorker = {
       id,
@@ -356,9 +376,23 @@
     });
   }
 
+  /** Crashes hosts in the same moment; they come back as after a crash by a task. */
+  crashHosts(ids: readonly string[]): void {
+    ids.forEach((id) => {
+      const host = this.#hosts.get(id);
+      if (host?.isAlive === true) {
+        host.kill();
+        this.#recoverCrashedHost(host);
+      }
+    });
+  }
+
   /** Submits a job: stores it as any process of the fleet does, or after a lag. */
-  submit(steps: readonly Partial<StepSpec>[], rowLagMs = 0): string {
-    const record = this.#createRecord(steps);
+  submit(
+    steps: readonly Partial<StepSpec>[],
+    { rowLagMs = 0, repeat = null }: { rowLagMs?: number; repeat?: RepeatSpec | null } = {},
+  ): string {
+    const record = this.#createRecord(steps, repeat);
     const { id } = record;
     this.oracle.jobs.set(id, record);
     const putRow = (): void =>
@@ -374,7 +408,7 @@
   /** Asks the owner whether it would admit a job, which is not stored; `null` while there is no owner. */
   async offer(steps: readonly Partial<StepSpec>[]): Promise<OfferReply | null> {
     const owner = this.findOwner();
-    const record = this.#createRecord(steps);
+    const record = this.#createRecord(steps, null);
     return owner === null
       ? null
       : ((await this.#daemons.get(owner)?.controller.offer(record)) ?? null);
@@ -409,7 +443,7 @@
     });
   }
 
-  #createRecord(steps: readonly Partial<StepSpec>[]): JobRecord {
+  #createRecord(steps: readonly Partial<StepSpec>[], repeat: RepeatSpec | null): JobRecord {
     this.#jobCount += 1;
     return {
       id: this.#jobCount.toString(HEX).padStart(ID_LENGTH, '0'),
@@ -419,11 +453,29 @@
       spec: {
         payload: '',
         steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })),
-        repeat: null,
+        repeat,
       },
     };
   }
 
+  #recoverCrashedHost(host: EmulatedHost): void {
+    if (this.crashRecovery === CrashRecovery.None) {
+      this.killHost(host.id);
+      return;
+    }
+    this.time.startTimer(CRASH_RECOVERY_MS, () => {
+      if (this.crashRecovery === CrashRecovery.SameId) {
+        this.startHost(host.id);
+        return;
+      }
+      const crashed = host;
+      crashed.isReplaced = true;
+      this.#put(WORKERS_TABLE, host.id, null);
+      this.#incarnationCount += 1;
+      this.startHost(`${host.id.split('~')[0]}~${this.#incarnationCount}`);
+    });
+  }
+
   #put(table: string, key: string, value: JsonValue, part = ''): void {
     this.rows.apply({ conditions: [], writes: [{ table, part, key, value }] });
   }
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
@@ -37,6 +37,9 @@
 /** Time after a host is listed as draining from which no run may start there, in ms. */
 export const DRAIN_MS = 2_000;
 
+/** Time from the start of a task that crashes its host to the crash, in ms. */
+const CRASH_DELAY_MS = 10;
+
 const FULL_PERCENT = 100;
 
 type HostRun = {
@@ -81,6 +84,15 @@
   /** Decides whether a run of a task fails. */
   shouldFailTask: (task: string) => boolean = () => false;
 
+  /** Decides whether the start of a task crashes the host. */
+  shouldCrashOnTask: (task: string) => boolean = () => false;
+
+  /** Called when a task crashed the host. */
+  onCrash: () => void = () => undefined;
+
+  /** True when another incarnation, under another id, answers at the address of this host. */
+  isReplaced = false;
+
   readonly id: string;
 
   readonly bornMs: number;
@@ -207,6 +219,9 @@
       startedAtMs: this.#clock.getNow(),
       isStopping: false,
     });
+    if (this.shouldCrashOnTask(order.task)) {
+      this.#clock.startTimer(CRASH_DELAY_MS, () => this.#crash(order.task));
+    }
     if (step?.isLasting === true) {
       this.#clock.startTimer(STARTUP_MS, () => this.#recordAtWork(order.task, order.run));
     }
@@ -272,6 +287,14 @@
     this.#ended = this.#ended.filter((end) => end.position > position);
   }
 
+  #crash(task: string): void {
+    if (this.#isAlive) {
+      this.#oracle.recordCrash(task);
+      this.kill();
+      this.onCrash();
+    }
+  }
+
   #recordAtWork(task: string, run: number): void {
     if (this.#isAlive && this.#runs.get(task)?.run === run) {
       this.#oracle.availability.recordAtWork(task);
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOracle.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOracle.ts
@@ -17,6 +17,8 @@
   KeepsOrganisationCap = 'keeps-cap',
   /** No task starts again after its last attempt failed. */
   KeepsAttemptLimit = 'keeps-attempts',
+  /** No task starts more than twice after hosts crashed under it as often as that may happen. */
+  KeepsCrashLimit = 'keeps-crashes',
   /** No process acknowledges an end that none has received. */
   AcknowledgesSeenEnds = 'acknowledges-what-was-seen',
   /** No order ends a long running task while as many others of its step are away as it may miss. */
@@ -62,8 +64,16 @@
   /** True when a run completed, even if its host was lost before the end was acknowledged. */
   hasEverCompleted: boolean;
   failures: number;
+  /** Hosts that the task crashed. */
+  crashes: number;
+  startsAfterCrashes: number;
 };
 
+/** Number of crashed hosts after which a task starts at most {@link MAX_STARTS_AFTER_CRASHES} times. */
+const MAX_CRASHES = 3;
+
+const MAX_STARTS_AFTER_CRASHES = 2;
+
 /** Records starts and ends on the hosts and collects violations of invariants. */
 export class JobOracle {
   readonly jobs = new Map<string, JobRecord>();
@@ -129,6 +139,17 @@
         `started after ${trace.failures} failures`,
       );
     }
+    if (trace.crashes >= MAX_CRASHES) {
+      trace.startsAfterCrashes += 1;
+      if (trace.startsAfterCrashes > MAX_STARTS_AFTER_CRASHES) {
+        this.#addViolation(
+          JobInvariant.KeepsCrashLimit,
+          task,
+          atMs,
+          `started after ${trace.crashes} hosts had crashed under it`,
+        );
+      }
+    }
     const isEarly = step.after.some((position) => this.#hasIncompleteTask(name.jobId, position));
     if (isEarly) {
       this.#addViolation(JobInvariant.KeepsStepOrder, task, atMs, host);
@@ -168,6 +189,16 @@
     }
   }
 
+  /** Records that a task crashed its host. */
+  recordCrash(task: string): void {
+    this.#getTrace(task).crashes += 1;
+  }
+
+  /** Returns how many hosts a task has crashed. */
+  countCrashes(task: string): number {
+    return this.#getTrace(task).crashes;
+  }
+
   /** Records the acknowledgement of an end that no process has received. */
   recordUnseenEnd(task: string, host: string, end: RunEnd, atMs: number): void {
     this.#addViolation(JobInvariant.AcknowledgesSeenEnds, task, atMs, `${end} on ${host}`);
@@ -216,6 +247,8 @@
       isDone: false,
       hasEverCompleted: false,
       failures: 0,
+      crashes: 0,
+      startsAfterCrashes: 0,
     };
     this.#tasks.set(task, trace);
     return trace;
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
@@ -141,6 +141,10 @@
   ): Promise<Result<Value, OrderError>> {
     await this.#clock.wait(LATENCY_MS);
     const host = this.#findHost(id);
+    if (host?.isReplaced === true && !this.#isPartitioned(id)) {
+      const cause = 'another incarnation';
+      return createError({ kind: OrderRefusal.OtherIncarnation, clockMs: null, cause });
+    }
     const isLost = this.#faults.lostOrders.has(formatAnswer(kind, id));
     if (host === null || !host.isAlive || this.#isPartitioned(id) || isLost) {
       return this.#waitForTimeout();
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCancellations.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCancellations.test.ts
@@ -124,7 +124,7 @@
 
   it('stops a run of a job that was cancelled before it was stored', async () => {
     await start(1);
-    const job = fleet.submit([{ taskCount: 1, estimateMs: 20_000 }], 1_000);
+    const job = fleet.submit([{ taskCount: 1, estimateMs: 20_000 }], { rowLagMs: 1_000 });
     fleet.cancel(job);
     await fleet.time.advance(1_000 + CANCEL_MS + CANCELLED_RUN_MS);
     expect(listOverdueRuns()).toEqual([]);
@@ -134,7 +134,7 @@
 
   it('stops a run of a job that was cancelled in an earlier term and stored in this one', async () => {
     fleet = new EmulatedJobFleet(SEED, 1);
-    const job = fleet.submit([{ taskCount: 1, estimateMs: 20_000 }], 2_000);
+    const job = fleet.submit([{ taskCount: 1, estimateMs: 20_000 }], { rowLagMs: 2_000 });
     fleet.cancel(job);
     fleet.startDaemon('a');
     await fleet.time.advance(1_500);
@@ -149,7 +149,7 @@
     await start(1);
     const running = fleet.submit([{ ...WIDE, estimateMs: 8_000 }]);
     await fleet.time.advance(500);
-    const job = fleet.submit([WIDE], 500);
+    const job = fleet.submit([WIDE], { rowLagMs: 500 });
     fleet.cancel(job);
     await fleet.time.advance(1_000);
     fleet.startDaemon('b');
