controller: a task that crashes its hosts is started alone, and its job is given up

Cause: a run that goes down with its host was removed without a trace on its task. Change: each task has the runs under which a host crashed, by number (TaskCrashes). A crash is known from another incarnation at the address or under the id, or from a host that is silent and left the list; a host whose lease expired may still run on, so its runs count as unconfirmed until then. Blamed are the runs whose start the host did not survive by its own clock for 100 ms, of these the suspects where there are any (decideCrashBlame). A crash is attributed when only one run had just started, and fewer than three hosts became silent in one moment. A job fails after two attributed crashes under one of its tasks, or four of any kind. A suspect starts alone: one at a time on a host, strong suspects after a backoff of 1 s on the least loaded host, which is reserved meanwhile (decideReservedHosts). The count is in the progress row, in a new optional field of the step; the start of a suspect is stored before its order is sent, and a successor tracks it (restoreStoredStarts).

--- a/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
@@ -20,7 +20,11 @@
 } from './BaobabwellControllerConstants';
 
 type Batch = {
-  readonly jobs: readonly { readonly job: Job; readonly state: JobState }[];
+  readonly jobs: readonly {
+    readonly job: Job;
+    readonly state: JobState;
+    readonly notifyStored: readonly (() => void)[];
+  }[];
   readonly addedHosts: readonly Host[];
   readonly removedHosts: readonly string[];
   /** Positions of the run ends whose effects this batch makes durable. */
@@ -44,6 +48,9 @@
   /** Versions of the stored host rows, as far as known. */
   readonly #hostRowVersions = new Map<string, number>();
 
+  /** Callbacks to call once the present progress of a job is stored. */
+  readonly #storedCallbacks = new Map<Job, (() => void)[]>();
+
   readonly #wakeSignal: WakeSignal;
 
   readonly #retry = new RetryDelay(COMMIT_RETRY_MS, MAX_COMMIT_RETRY_MS);
@@ -62,6 +69,27 @@
     this.#wakeSignal.notify();
   }
 
+  /** Stores the present progress of a job; never settles if the term ends first. */
+  async storeProgress(job: Job): Promise<void> {
+    this.#context.jobRegistry.addUnsavedJob(job);
+    this.request();
+    await new Promise<void>((resolve) => {
+      this.#addStoredCallbacks(job, [resolve]);
+    });
+  }
+
+  #addStoredCallbacks(job: Job, callbacks: readonly (() => void)[]): void {
+    if (callbacks.length > 0) {
+      this.#storedCallbacks.set(job, [...(this.#storedCallbacks.get(job) ?? []), ...callbacks]);
+    }
+  }
+
+  #takeStoredCallbacks(job: Job): readonly (() => void)[] {
+    const callbacks = this.#storedCallbacks.get(job) ?? [];
+    this.#storedCallbacks.delete(job);
+    return callbacks;
+  }
+
   /** Removes the stored row of a host incarnation on which nothing can be running any more. */
   removeHost(hostId: string): void {
     this.#removedHosts.add(hostId);
@@ -120,7 +148,10 @@
       this.#recordStored(batch, reply.value);
       return;
     }
-    batch.jobs.forEach(({ job }) => this.#context.jobRegistry.addUnsavedJob(job));
+    batch.jobs.forEach(({ job, notifyStored }) => {
+      this.#context.jobRegistry.addUnsavedJob(job);
+      this.#addStoredCallbacks(job, notifyStored);
+    });
     batch.removedHosts.forEach((hostId) => this.#removedHosts.add(hostId));
     this.#isRequested = true;
     const { kind } = reply.error;
@@ -164,7 +195,11 @@
       this.#isRequested = true;
     }
     return {
-      jobs: changed.map((job) => ({ job, state: job.state })),
+      jobs: changed.map((job) => ({
+        job,
+        state: job.state,
+        notifyStored: this.#takeStoredCallbacks(job),
+      })),
       addedHosts,
       removedHosts,
       ends: hasAllChanges
@@ -207,7 +242,10 @@
 
   #recordStored(batch: Batch, version: number): void {
     const { jobRegistry, requestDispatch } = this.#context;
-    batch.jobs.forEach(({ job, state }) => jobRegistry.recordStored(job, state, version));
+    batch.jobs.forEach(({ job, state, notifyStored }) => {
+      jobRegistry.recordStored(job, state, version);
+      notifyStored.forEach((notify) => notify());
+    });
     batch.removedHosts.forEach((hostId) => this.#hostRowVersions.delete(hostId));
     batch.addedHosts.forEach((host) => {
       const storedHost = host;
--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -195,3 +195,15 @@
 
 /** Number of rows applied without a pause while a term loads the stored state. */
 export const ROWS_PER_SLICE = 50;
+
+/**
+ * Time by the host's clock after which a host that started a task and still answers has survived the
+ * start, in ms.
+ */
+export const START_SURVIVAL_MS = 100;
+
+/** Number of hosts that become silent in one moment from which a common cause is assumed. */
+export const MIN_COMMON_CAUSE_HOSTS = 3;
+
+/** Time for which a host receives no other task while a start on it is being stored, in ms. */
+export const MAX_START_STORE_MS = 300;
--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -1,5 +1,6 @@
 import type { Host } from './BaobabwellControllerHost';
 import type { HostMajority } from './BaobabwellControllerHostMajority';
+import type { HostSilences } from './BaobabwellControllerHostSilences';
 import type { StartGate } from './BaobabwellControllerStartGate';
 import type {
   FleetConfiguration,
@@ -7,7 +8,7 @@
   MaintenanceWave,
   WaveState,
 } from '@baobabwell/fleet';
-import type { JobRegistry, Run } from '@baobabwell/jobs';
+import type { Job, JobRegistry, Run } from '@baobabwell/jobs';
 import type { Logger } from '@baobabwell/logging';
 import type { OwnerMetrics } from '@baobabwell/metrics';
 import type { Ownership, Term } from '@baobabwell/ownership';
@@ -66,6 +67,7 @@
   readonly jobRegistry: JobRegistry;
   readonly hosts: Map<string, Host>;
   readonly hostMajority: HostMajority;
+  readonly hostSilences: HostSilences;
   /** Waves requested by the operator, by number. */
   readonly waves: Map<number, MaintenanceWave>;
   /** Aborted when the term ends. */
@@ -74,6 +76,8 @@
   readonly requestDispatch: () => void;
   /** Requests that changed progress be stored. */
   readonly requestCommit: () => void;
+  /** Stores the present progress of a job; never settles if the term ends first. */
+  readonly storeProgress: (job: Job) => Promise<void>;
   /** Orders a run to stop. */
   readonly stopRun: (run: Run, reason: string) => void;
   /** Returns the time in ms since all stored jobs and cancellations were known to be applied. */
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -5,15 +5,18 @@
 import type { Run, Step } from '@baobabwell/jobs';
 import type { Allowance, Placement, PlacementHost } from '@baobabwell/placement';
 
+import { CrashSuspicion, RunPhase } from '@baobabwell/jobs';
 import { compareUrgency, decidePlacements, getUrgency } from '@baobabwell/placement';
 import { WakeSignal } from '@baobabwell/utils';
 
 import {
   DISPATCH_DELAY_FACTOR,
   MAX_DISPATCH_WAIT_MS,
+  MAX_START_STORE_MS,
   MIN_DISPATCH_DELAY_MS,
   RUNS_PER_TERM,
   START_TRANSIT_MS,
+  START_SURVIVAL_MS,
 } from './BaobabwellControllerConstants';
 import { isHostViewTooOld } from './BaobabwellControllerHostView';
 
@@ -32,6 +35,15 @@
   queue: QueueSettings | null,
 ) => ReadonlyMap<string, string> | null;
 
+/** Returns true for a run whose start its host has not yet been seen to survive. */
+function isStarting(run: Run, nowMs: number): boolean {
+  const { phase, answeredAtMs, startClockMs, startSentAtMs } = run;
+  if (phase === RunPhase.StartPending) {
+    return nowMs - startSentAtMs < MAX_START_STORE_MS;
+  }
+  return startClockMs === null || answeredAtMs === null || nowMs - answeredAtMs < START_SURVIVAL_MS;
+}
+
 /** Places waiting tasks on hosts and starts their runs. */
 export class Dispatcher {
   readonly #context: TermContext;
@@ -179,14 +191,17 @@
     this.#context.hosts.forEach((host) => {
       if (pools.has(host.pool) && host.canTakeWork(nowMs)) {
         const hosts = byPool.get(host.pool) ?? [];
-        hosts.push(this.#createPlacementHost(host));
+        hosts.push(this.#createPlacementHost(host, nowMs));
         byPool.set(host.pool, hosts);
       }
     });
     return byPool;
   }
 
-  #createPlacementHost(host: Host): PlacementHost {
+  #createPlacementHost(host: Host, nowMs: number): PlacementHost {
+    const startingRuns = this.#context.jobRegistry.hasSuspects()
+      ? [...host.runs.values()].filter((run) => isStarting(run, nowMs))
+      : [];
     return {
       id: host.incarnation.id,
       pool: host.pool,
@@ -195,6 +210,11 @@
       servingCount: host.servingCount,
       bestEffortCount: host.bestEffortCount,
       hasLongRunning: host.longRunningCount > 0,
+      runCount: host.runs.size,
+      startingCount: startingRuns.length,
+      isStartingSuspect: startingRuns.some(
+        ({ task }) => task.crashes.suspicion !== CrashSuspicion.None,
+      ),
     };
   }
 
@@ -245,8 +265,9 @@
     });
   }
 
-  #startRun(run: Run, ticket: string | null): void {
+  #startRun(placedRun: Run, ticket: string | null): void {
     const { hosts, logger, metrics, term } = this.#context;
+    const run = placedRun;
     const { task, hostId, number } = run;
     const host = hosts.get(hostId);
     const session = this.#getSession(hostId);
@@ -254,6 +275,10 @@
       task.removeRun(run);
       return;
     }
+    run.hostBornMs = host.bornMs;
+    if (task.crashes.suspicion !== CrashSuspicion.None) {
+      run.phase = RunPhase.StartPending;
+    }
     host.addRun(run);
     const { job } = task.step;
     if (!job.hasStarted) {
--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -1,10 +1,15 @@
 import type { ListedWorker } from '@baobabwell/fleet';
 import type { Resources, Run } from '@baobabwell/jobs';
-import type { HostIncarnation } from '@baobabwell/platform';
+import type { HostIncarnation, HostReport } from '@baobabwell/platform';
 
 import { RunPhase } from '@baobabwell/jobs';
 
-import { MAX_START_DELAY_MS } from './BaobabwellControllerConstants';
+import {
+  HOST_RETRY_MS,
+  MAX_HOST_RETRY_MS,
+  MAX_START_DELAY_MS,
+  RECENT_ANSWER_AGE_MS,
+} from './BaobabwellControllerConstants';
 import { HostHistory } from './BaobabwellControllerHostHistory';
 import { IncarnationState } from './BaobabwellControllerIncarnationState';
 
@@ -123,6 +128,33 @@
     return this.listedWorker?.capacity ?? { cpuMillis: 0, memoryMb: 0, gpus: 0 };
   }
 
+  /** Returns true for a reconciled host that left an order unanswered but answered another just before. */
+  hasAnsweredRecently(nowMs: number): boolean {
+    const { answeredAtMs } = this.#state;
+    return (
+      this.isReconciled && answeredAtMs !== null && nowMs - answeredAtMs < RECENT_ANSWER_AGE_MS
+    );
+  }
+
+  /**
+   * Returns true for a report of an incarnation that has ended by now.
+   *
+   * @param stateAtSending state of the host when the report was requested.
+   */
+  isOutdated({ bornMs }: HostReport, stateAtSending: IncarnationState): boolean {
+    return bornMs !== null && this.bornMs !== null
+      ? bornMs < this.bornMs
+      : this.#state !== stateAtSending;
+  }
+
+  /** Returns the delay before the next call, with backoff for a host on which nothing runs. */
+  getRetryMs(): number {
+    const isUrgent = this.runs.size > 0 || !this.isReconciled;
+    return isUrgent
+      ? HOST_RETRY_MS
+      : Math.min(MAX_HOST_RETRY_MS, HOST_RETRY_MS * 2 ** this.failedAttempts);
+  }
+
   /** Returns the capacity that no run has reserved. */
   getFreeResources(): Resources {
     const { cpuMillis, memoryMb, gpus } = this.getCapacity();
--- a/packages/baobabwell-controller/src/BaobabwellControllerIncarnationState.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerIncarnationState.ts
@@ -21,6 +21,8 @@
 
   #leaseEndMs = 0;
 
+  #lastClockMs = 0;
+
   /** Monotonic time by which leases unknown to this process have expired, in ms. */
   readonly #unknownLeasesUntilMs: number;
 
@@ -51,6 +53,7 @@
    */
   recordClock(hostMs: number, receivedAtMs: number): void {
     this.#answeredAtMs = receivedAtMs;
+    this.#lastClockMs = Math.max(this.#lastClockMs, hostMs);
     const leastMs =
       this.#clock &&
       this.#clock.hostMs + (receivedAtMs - this.#clock.receivedAtMs) * (1 - MAX_CLOCK_DRIFT);
@@ -64,6 +67,11 @@
     return this.#answeredAtMs;
   }
 
+  /** Latest reading of the host's clock in any answer, in ms. */
+  get lastClockMs(): number {
+    return this.#lastClockMs;
+  }
+
   /** Returns the end of the lease and the present time, both by the host's clock, as far as known. */
   getLease(nowMs: number): { readonly endMs: number | null; readonly clockMs: number | null } {
     const clockMs = this.#clock && this.#clock.hostMs + nowMs - this.#clock.receivedAtMs;
--- a/packages/baobabwell-controller/src/BaobabwellControllerJobEnds.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerJobEnds.ts
@@ -33,3 +33,10 @@
   const met = tookMs <= objectiveMs ? ObjectiveResult.Met : ObjectiveResult.Slow;
   metrics.objectiveCalls.inc({ queue, result: hasCompleted ? met : ObjectiveResult.Failed });
 }
+
+/** Records that a job failed and stops what is left of its runs. */
+export function stopFailedJob(context: TermContext, lastRun: Run): void {
+  const { job } = lastRun.task.step;
+  recordJobEnd(context, job, lastRun);
+  context.jobRegistry.listRuns(job).forEach((run) => context.stopRun(run, 'the job failed'));
+}
--- a/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
@@ -80,6 +80,7 @@
         if (run.phase !== RunPhase.Stopping) {
           started.answeredAtMs = clock.getNow();
         }
+        started.startClockMs = reply.value;
         if (run.phase === RunPhase.StartSent) {
           started.phase = RunPhase.Running;
         }
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -1,6 +1,5 @@
 import type { TermContext } from './BaobabwellControllerContext';
 import type { Host } from './BaobabwellControllerHost';
-import type { IncarnationState } from './BaobabwellControllerIncarnationState';
 import type { EndedRun, HostReport, OrderError } from '@baobabwell/platform';
 
 import { JobState, Run, RunEndEffect, RunPhase, TaskPhase } from '@baobabwell/jobs';
@@ -15,10 +14,9 @@
   HOST_RETRY_MS,
   KEEP_ALIVE_MS,
   MAX_CLOCK_DRIFT,
-  MAX_HOST_RETRY_MS,
-  RECENT_ANSWER_AGE_MS,
   THROTTLED_HOLD_WAIT_MS,
 } from './BaobabwellControllerConstants';
+import { HostCrashes } from './BaobabwellControllerHostCrashes';
 import {
   describeRun,
   recordHostRestart,
@@ -28,7 +26,7 @@
   recordReportPositions,
   RunLossGround,
 } from './BaobabwellControllerHostLog';
-import { recordJobEnd } from './BaobabwellControllerJobEnds';
+import { recordJobEnd, stopFailedJob } from './BaobabwellControllerJobEnds';
 import { RunOrders } from './BaobabwellControllerOrders';
 
 /** Longest wait of a session that has nothing to send, in ms. */
@@ -46,6 +44,8 @@
 
   readonly #orders: RunOrders;
 
+  readonly #crashes: HostCrashes;
+
   readonly #wakeSignal: WakeSignal;
 
   #abortHold: (() => void) | null = null;
@@ -57,6 +57,7 @@
     this.host = host;
     this.#wakeSignal = new WakeSignal(context.clock);
     this.#throttle = new BestEffortThrottle(context, host);
+    this.#crashes = new HostCrashes(context, host);
     this.#orders = new RunOrders(context, host, {
       requestHold: () => this.requestHold(),
       recordUnansweredOrder: () => this.#recordUnansweredOrder(),
@@ -86,10 +87,21 @@
         await this.#wait(MAX_IDLE_WAIT_MS);
       }
     }
+    if (!signal.aborted) {
+      this.#crashes.recordDisappearance();
+    }
   }
 
   /** Starts a run that was placed on the host. */
   async startRun(run: Run, ticket: string | null): Promise<void> {
+    const started = run;
+    if (run.phase === RunPhase.StartPending) {
+      await this.#context.storeProgress(run.task.step.job);
+      if (this.#context.signal.aborted || run.phase !== RunPhase.StartPending) {
+        return;
+      }
+      started.phase = RunPhase.StartSent;
+    }
     await this.#orders.startRun(run, ticket);
   }
 
@@ -102,6 +114,7 @@
   recordIncarnationEnd(reason: string): void {
     this.#context.logger.recordInfo('host-life-ended', { host: this.host.incarnation.id, reason });
     this.#hasEnded = true;
+    this.#crashes.recordIncarnationEnd();
     this.#abandonRuns(RunLossGround.IncarnationEnded);
     this.requestHold();
   }
@@ -113,6 +126,7 @@
   recordRestart(bornMs: number | null): void {
     const { clock, bounds } = this.#context;
     recordHostRestart(this.#context, this.host, bornMs);
+    this.#crashes.recordRestart();
     const nowMs = clock.getNow();
     this.host.recordRestart(bornMs, nowMs + bounds.maxHostLeaseMs / (1 - MAX_CLOCK_DRIFT));
     this.host.history.recordRestart(nowMs);
@@ -129,6 +143,7 @@
   recordDeparture(reason: string): void {
     this.#context.logger.recordInfo('host-departed', { host: this.host.incarnation.id, reason });
     this.#recordUnansweredOrder();
+    this.#crashes.recordDeparture();
   }
 
   #shouldHold(): boolean {
@@ -164,7 +179,7 @@
       acknowledgedPosition,
       // The lease of an unresponsive host is not extended, so that its runs expire eventually.
       leaseEndMs:
-        shouldRenewLease && (!isResync || this.#hasAnsweredRecently(sentAtMs))
+        shouldRenewLease && (!isResync || host.hasAnsweredRecently(sentAtMs))
           ? state.extendLease(sentAtMs)
           : null,
       waitMs: isResync ? 0 : this.#getWaitMs(),
@@ -178,7 +193,7 @@
       return;
     }
     state.acknowledgedEndPosition = Math.max(state.acknowledgedEndPosition, acknowledgedPosition);
-    if (this.#isOutdated(reply.value, state)) {
+    if (host.isOutdated(reply.value, state)) {
       const { bornMs } = reply.value;
       this.#context.logger.recordWarning('report-outdated', {
         host: host.incarnation.id,
@@ -202,23 +217,6 @@
     }
   }
 
-  /** Returns true for a reconciled host that left an order unanswered but answered another just before. */
-  #hasAnsweredRecently(nowMs: number): boolean {
-    const { isReconciled, state } = this.host;
-    return (
-      isReconciled &&
-      state.answeredAtMs !== null &&
-      nowMs - state.answeredAtMs < RECENT_ANSWER_AGE_MS
-    );
-  }
-
-  /** Returns true for a report of an incarnation that has ended by now. */
-  #isOutdated({ bornMs }: HostReport, stateAtSending: IncarnationState): boolean {
-    return bornMs !== null && this.host.bornMs !== null
-      ? bornMs < this.host.bornMs
-      : this.host.state !== stateAtSending;
-  }
-
   /** Creates the signal of a hold call, which an unanswered order to the host aborts. */
   #createHoldSignal(): AbortSignal {
     const abortController = new AbortController();
@@ -250,6 +248,7 @@
     }
     host.failedAttempts += 1;
     if (host.failedAttempts === 1) {
+      this.#crashes.recordSilence();
       const { kind, cause } = error;
       logger.recordWarning('host-unreachable', { host: host.incarnation.id, refusal: kind, cause });
     }
@@ -258,27 +257,21 @@
         recordLeaseExpiry(this.#context, host);
       }
       host.isReconciled = true;
+      this.#crashes.recordLeaseExpiry();
       this.#abandonRuns(RunLossGround.LeaseExpired);
       if (host.listedWorker === null) {
         this.#hasEnded = true;
+        this.#crashes.recordDisappearance();
       }
     }
-    await this.#wait(this.#getRetryMs());
-  }
-
-  /** Returns the delay before the next call, with backoff for a host on which nothing runs. */
-  #getRetryMs(): number {
-    const { runs, isReconciled, failedAttempts } = this.host;
-    const isUrgent = runs.size > 0 || !isReconciled;
-    return isUrgent
-      ? HOST_RETRY_MS
-      : Math.min(MAX_HOST_RETRY_MS, HOST_RETRY_MS * 2 ** failedAttempts);
+    await this.#wait(host.getRetryMs());
   }
 
   /** Marks the host unreachable after an unanswered order: it gets no work until it answers. */
   #recordUnansweredOrder(): void {
     if (this.host.isReachable) {
       this.#context.logger.recordWarning('host-in-doubt', { host: this.host.incarnation.id });
+      this.#crashes.recordSilence();
     }
     this.host.failedAttempts += 1;
     this.#abortHold?.();
@@ -327,6 +320,7 @@
       }
     });
     if (!report.isPartial) {
+      this.#crashes.recordReport(reportedRuns);
       this.#loseMissingRuns(reportedRuns, hold.sentAtMs);
     }
     if (!host.isReconciled && !report.isPartial) {
@@ -361,8 +355,7 @@
       [...run.task.runs].forEach((copy) => this.#context.stopRun(copy, 'another copy ended'));
     }
     if (job.state === JobState.Failed && effect === RunEndEffect.JobFailed) {
-      recordJobEnd(this.#context, job, run);
-      jobRegistry.listRuns(job).forEach((other) => this.#context.stopRun(other, 'the job failed'));
+      stopFailedJob(this.#context, run);
     } else if (job.state === JobState.Completed) {
       recordJobEnd(this.#context, job, run);
     }
@@ -386,7 +379,7 @@
    * @returns `null` for a run of an unknown task.
    */
   #adoptRun(name: string, number: number): Run | null {
-    const { jobRegistry, logger, orders, term } = this.#context;
+    const { jobRegistry, logger, term } = this.#context;
     const { host } = this;
     const task = jobRegistry.findTask(name);
     const canAdopt =
@@ -402,12 +395,13 @@
       epoch: term.epoch,
     });
     if (task === null) {
-      void orders.stop(host.incarnation, { task: name, run: number, epoch: term.epoch });
+      host.unwantedRuns.set(`${name}#${number}`, { task: name, run: number });
       return null;
     }
     const run = task.addRun(host.incarnation.id, number, host.trackedSinceMs);
     run.phase = RunPhase.Running;
     run.answeredAtMs = host.trackedSinceMs;
+    run.startClockMs = host.state.lastClockMs;
     host.addRun(run);
     if (canAdopt) {
       task.step.job.hasStarted = true;
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -19,12 +19,14 @@
 import { FleetControlLoop } from './BaobabwellControllerFleetControlLoop';
 import { Host } from './BaobabwellControllerHost';
 import { HostMajority } from './BaobabwellControllerHostMajority';
+import { HostSilences } from './BaobabwellControllerHostSilences';
 import { JobRows } from './BaobabwellControllerJobRows';
 import { decideOffer } from './BaobabwellControllerOffers';
 import { PlacementAdviceCache } from './BaobabwellControllerPlacementAdvice';
 import { parseHostRow } from './BaobabwellControllerRows';
 import { HostSession } from './BaobabwellControllerSession';
 import { StartGate } from './BaobabwellControllerStartGate';
+import { restoreStoredStarts } from './BaobabwellControllerStoredStarts';
 import { findCommonPosition, TermTables } from './BaobabwellControllerTermTables';
 
 const SECOND_MS = 1_000;
@@ -61,10 +63,12 @@
       jobRegistry,
       hosts,
       hostMajority: new HostMajority(options.clock, options.ownership, hosts),
+      hostSilences: new HostSilences(),
       waves: new Map(),
       signal: this.#abortController.signal,
       requestDispatch: () => this.#dispatcher.request(),
       requestCommit: () => this.#committer.request(),
+      storeProgress: async (job) => this.#committer.storeProgress(job),
       stopRun: (run, reason) => this.#stopRun(run, reason),
       getJobsAgeMs,
       startGate: new StartGate({ ...options, getJobsAgeMs }),
@@ -145,6 +149,7 @@
     }
     // Without a pause: the first answers of hosts are counted against all hosts of former owners.
     hosts?.rows.forEach((row) => this.#applyHostRow(row));
+    restoreStoredStarts(this.context);
     workers?.rows.forEach((row) => this.#applyWorkerRow(row));
     waves?.rows.forEach((row) => this.#applyWaveRow(row));
     this.#isLoaded = true;
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -16,7 +16,13 @@
 import { Random } from '@baobabwell/utils';
 
 import { EmulatedCloud } from './BaobabwellJobEmulatorCloud';
-import { DRAIN_MS, EmulatedHost, HEARTBEAT_MS, MAX_LEASE_MS } from './BaobabwellJobEmulatorHost';
+import {
+  DRAIN_MS,
+  EmulatedHost,
+  getGang,
+  HEARTBEAT_MS,
+  MAX_LEASE_MS,
+} from './BaobabwellJobEmulatorHost';
 import { JobOracle } from './BaobabwellJobEmulatorOracle';
 import { EmulatedHostOrders } from './BaobabwellJobEmulatorOrders';
 import {
@@ -44,6 +50,9 @@
 const HEX = 16;
 const ID_LENGTH = 16;
 
+/** Separates the address of a host from the number of its incarnation. */
+const ID_SEPARATOR = '~';
+
 /** Maximum attempts of a task. */
 export const MAX_ATTEMPTS = 3;
 
@@ -122,6 +131,11 @@
   None = 'none',
 }
 
+/** Returns the address of a host, which a later incarnation under another id shares. */
+function getAddress(id: string): string {
+  return id.split(ID_SEPARATOR)[0] ?? id;
+}
+
 /** Several candidates for ownership, their hosts and their store on one clock. */
 export class EmulatedJobFleet {
   readonly time = new EmulatedTime();
@@ -331,11 +345,16 @@
     const host = new EmulatedHost(id, this.time, this.oracle, CAPACITY);
     host.checksCapacity = former?.checksCapacity ?? true;
     host.shouldCrashOnTask = (task) => this.crashingTasks.has(task);
-    host.onCrash = () => this.#recoverCrashedHost(host);
+    host.onCrash = (task) => {
+      if (this.oracle.findStep(task)?.isGang === true) {
+        this.#hosts.forEach((other) => other.endGangMembers(getGang(task)));
+      }
+      this.#recoverCrashedHost(host);
+    };
     this.#hosts.set(id, host);
     const worker: ListedWorker = {
       id,
-      address: id,
+      address: getAddress(id),
       pool: POOL,
       zone: 'north',
       labels: [],
@@ -472,7 +491,7 @@
       crashed.isReplaced = true;
       this.#put(WORKERS_TABLE, host.id, null);
       this.#incarnationCount += 1;
-      this.startHost(`${host.id.split('~')[0]}~${this.#incarnationCount}`);
+      this.startHost(`${getAddress(host.id)}${ID_SEPARATOR}${this.#incarnationCount}`);
     });
   }
 
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
@@ -61,6 +61,11 @@
   };
 }
 
+/** Returns the name of the step of a task: the members of a gang share it. */
+export function getGang(task: string): string {
+  return task.slice(0, task.lastIndexOf('.'));
+}
+
 /** One incarnation of a host: its active runs, its ended runs and its lease. */
 export class EmulatedHost {
   /** Actual duration of runs as a multiple of their estimate. */
@@ -87,8 +92,8 @@
   /** Decides whether the start of a task crashes the host. */
   shouldCrashOnTask: (task: string) => boolean = () => false;
 
-  /** Called when a task crashed the host. */
-  onCrash: () => void = () => undefined;
+  /** Called when a task crashed the host, with that task. */
+  onCrash: (task: string) => void = () => undefined;
 
   /** True when another incarnation, under another id, answers at the address of this host. */
   isReplaced = false;
@@ -173,6 +178,13 @@
     this.kill();
   }
 
+  /** Ends the runs of a gang of which a member ended elsewhere. */
+  endGangMembers(gang: string): void {
+    [...this.#runs.keys()]
+      .filter((task) => getGang(task) === gang)
+      .forEach((task) => this.#endRun(task, RunEnd.GangMemberEnded));
+  }
+
   /** Records that a process received a report. */
   recordDelivery({ ended }: HostReport): void {
     ended.forEach(({ position }) => this.#deliveredEnds.add(position));
@@ -291,7 +303,7 @@
     if (this.#isAlive) {
       this.#oracle.recordCrash(task);
       this.kill();
-      this.onCrash();
+      this.onCrash(task);
     }
   }
 
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCrashes.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCrashes.test.ts
@@ -95,6 +95,39 @@
     });
   });
 
+  Object.values(CrashRecovery).forEach((recovery) => {
+    it(`gives up a task that crashes every host although each crash but the first takes the owner with it (hosts come back: ${recovery})`, async () => {
+      await start(12, recovery);
+      const crashing = fleet.submit([{ taskCount: 3 }]);
+      const task = `${crashing}.0.0.1`;
+      fleet.crashingTasks.add(task);
+      const neighbours = await submitNeighbours(2);
+      for (let crash = 2; crash <= MAX_CRASHES; crash += 1) {
+        await waitForCrashes(task, crash);
+        await replaceOwner();
+      }
+      await fleet.time.advance(GIVE_UP_MS);
+      await expectStates([crashing], JobState.Failed);
+      await expectStates(neighbours, JobState.Completed);
+    });
+
+    it(`goes on counting the crashes that earlier owners counted (hosts come back: ${recovery})`, async () => {
+      await start(12, recovery);
+      const crashing = fleet.submit([{ taskCount: 3 }]);
+      const task = `${crashing}.0.0.1`;
+      fleet.crashingTasks.add(task);
+      const neighbours = await submitNeighbours(2);
+      for (let crash = 1; crash <= MAX_CRASHES; crash += 1) {
+        await waitForCrashes(task, crash);
+        await fleet.time.advance(4_500);
+        await replaceOwner();
+      }
+      await fleet.time.advance(GIVE_UP_MS);
+      await expectStates([crashing], JobState.Failed);
+      await expectStates(neighbours, JobState.Completed);
+    });
+  });
+
   it('gives up several tasks that crash hosts without failing the jobs beside them', async () => {
     await start(12);
     const crashing = Array.from({ length: 5 }, () => fleet.submit([{ taskCount: 3 }]));
--- /dev/null
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsCrashes.ts
@@ -0,0 +1,134 @@
+/**
+ * Load pattern: a task crashes each host that starts it, beside tens of tasks that do not. Its
+ * neighbours lose their runs with it, so a crash alone proves nothing against one of them.
+ */
+import type { Run } from './BaobabwellJobsTracking';
+
+/** Suspicion that a task crashes its hosts. */
+export enum CrashSuspicion {
+  None = 'none',
+  /** One host crashed shortly after it had started this task and others. */
+  Weak = 'weak',
+  /** Several hosts crashed, or one on which no other task had just started. */
+  Strong = 'strong',
+}
+
+/** Attributed crashes after which a task is given up. */
+const MAX_ATTRIBUTED_CRASHES = 2;
+
+/**
+ * Crashes after which a task is given up although none of them could be attributed. It leaves room for
+ * one that a lost owner did not count.
+ */
+const MAX_CRASHES = 4;
+
+/** The crashes of hosts for which a task may be the cause, by the numbers of its runs there. */
+export class TaskCrashes {
+  #runs: readonly number[] = [];
+
+  #attributedRuns: readonly number[] = [];
+
+  /** Runs on hosts that are silent: they have crashed, or nothing reaches them. */
+  readonly #unconfirmedRuns = new Map<number, Run>();
+
+  /** Runs under which a host crashed. */
+  get runs(): readonly number[] {
+    return this.#runs;
+  }
+
+  /** Those of these runs for which no other task can have caused the crash. */
+  get attributedRuns(): readonly number[] {
+    return this.#attributedRuns;
+  }
+
+  /** Runs whose hosts are silent and may have crashed under them. */
+  get unconfirmedRuns(): readonly Run[] {
+    return [...this.#unconfirmedRuns.values()];
+  }
+
+  get suspicion(): CrashSuspicion {
+    const count = this.#runs.length + this.#unconfirmedRuns.size;
+    if (count === 0) {
+      return CrashSuspicion.None;
+    }
+    return count > 1 || this.#attributedRuns.length > 0
+      ? CrashSuspicion.Strong
+      : CrashSuspicion.Weak;
+  }
+
+  /** True when the task has crashed so many hosts that it must not be started again. */
+  get areTooMany(): boolean {
+    return (
+      this.#attributedRuns.length >= MAX_ATTRIBUTED_CRASHES || this.#runs.length >= MAX_CRASHES
+    );
+  }
+
+  /** Records that a host crashed under a run; returns false if that was recorded before. */
+  record(runNumber: number, isAttributed: boolean): boolean {
+    this.#unconfirmedRuns.delete(runNumber);
+    if (this.#runs.includes(runNumber)) {
+      return false;
+    }
+    this.#runs = [...this.#runs, runNumber];
+    if (isAttributed) {
+      this.#attributedRuns = [...this.#attributedRuns, runNumber];
+    }
+    return true;
+  }
+
+  /** Adds a run whose host is silent and may have crashed under it. */
+  addUnconfirmed(run: Run): void {
+    if (!this.#runs.includes(run.number)) {
+      this.#unconfirmedRuns.set(run.number, run);
+    }
+  }
+
+  /** Removes a run whose host turned out not to have crashed under it. */
+  removeUnconfirmed(runNumber: number): void {
+    this.#unconfirmedRuns.delete(runNumber);
+  }
+
+  restore(runs: readonly number[], attributedRuns: readonly number[]): void {
+    this.#runs = runs;
+    this.#attributedRuns = attributedRuns;
+  }
+}
+
+/** Runs that were lost when a host crashed. */
+export type HostCrash = {
+  readonly runs: readonly { readonly run: Run; readonly hasSurvivedStart: boolean }[];
+  /** The process of the host is known to have ended. */
+  readonly isConfirmed: boolean;
+  /** Other hosts became silent in the same moment. */
+  readonly hasCommonCause: boolean;
+};
+
+/** Result of {@link decideCrashBlame}. */
+export type CrashBlame = {
+  /** Runs whose tasks may have caused the crash. */
+  readonly suspects: readonly Run[];
+  /** True when the only suspect must be the cause, unless the crash was a coincidence. */
+  readonly isAttributed: boolean;
+};
+
+function isSuspected({ task }: Run): boolean {
+  return task.crashes.suspicion !== CrashSuspicion.None;
+}
+
+/**
+ * Decides which runs may have crashed their host: those that had just started, and among these the ones
+ * that are suspects already.
+ */
+export function decideCrashBlame({ runs, isConfirmed, hasCommonCause }: HostCrash): CrashBlame {
+  const starting = runs.filter(({ hasSurvivedStart }) => !hasSurvivedStart).map(({ run }) => run);
+  // Long running tasks outlive many crashes of their hosts that have another cause.
+  const others = runs.map(({ run }) => run).filter(({ task }) => !task.step.spec.isLasting);
+  const candidates = starting.length > 0 ? starting : others;
+  const suspected = candidates.filter(isSuspected);
+  const suspects = suspected.length > 0 ? suspected : candidates;
+  return {
+    suspects,
+    isAttributed:
+      starting.length === 1 && !starting[0]?.isRestored && isConfirmed && !hasCommonCause,
+  };
+}
--- a/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
@@ -2,6 +2,7 @@
 import type { JobProgress } from './BaobabwellJobsRows';
 import type { Run, Step, Task } from './BaobabwellJobsTracking';
 
+import { CrashSuspicion } from './BaobabwellJobsCrashes';
 import { JobState, parseTaskName, RunEnd } from './BaobabwellJobsModel';
 import { restoreJobProgress } from './BaobabwellJobsRows';
 import { isEnded, Job, TaskPhase } from './BaobabwellJobsTracking';
@@ -28,6 +29,12 @@
 /** Maximum backoff before a failed task is started again, in ms. */
 const MAX_FAILURE_BACKOFF_MS = 800;
 
+/**
+ * Backoff before a task that probably crashes its hosts is started again, in ms; meanwhile the tasks on
+ * the host on which it will start can end.
+ */
+const SUSPECT_BACKOFF_MS = 1_000;
+
 const DEFAULT_MAX_ATTEMPTS = 3;
 
 /** Registry of all jobs that this owner tracks, with every run that may exist. */
@@ -43,6 +50,9 @@
   /** Jobs that were added lately, ended ones included. */
   #newJobs: Job[] = [];
 
+  /** Tasks that may crash their hosts. */
+  readonly #suspects = new Set<Task>();
+
   readonly #unsavedJobs = new Set<Job>();
 
   readonly #getRules: (queue: string) => QueueRules | null;
@@ -79,6 +89,11 @@
     restored.storedState = progress.state;
     restored.hasStarted = true;
     restoreJobProgress(restored, progress);
+    restored
+      .listSteps()
+      .flatMap(({ tasks }) => tasks)
+      .filter(({ crashes, storedStarts }) => crashes.runs.length > 0 || storedStarts.length > 0)
+      .forEach((task) => this.#suspects.add(task));
   }
 
   findJob(id: string): Job | null {
@@ -244,6 +259,56 @@
     return RunEndEffect.Requeued;
   }
 
+  /** Records that the host of a run crashed, and that the task of the run may be the cause. */
+  recordCrash({ task, number }: Run, isAttributed: boolean, nowMs: number): RunEndEffect {
+    const { job } = task.step;
+    if (
+      job.isEnded ||
+      task.phase === TaskPhase.Done ||
+      !task.crashes.record(number, isAttributed)
+    ) {
+      return RunEndEffect.None;
+    }
+    this.addUnsavedJob(job);
+    if (task.crashes.areTooMany) {
+      job.end(JobState.Failed, nowMs);
+      return RunEndEffect.JobFailed;
+    }
+    this.#delaySuspect(task, nowMs);
+    return RunEndEffect.Requeued;
+  }
+
+  /** Records that the host of a run is silent and may have crashed because of its task. */
+  recordPossibleCrash(run: Run, nowMs: number): void {
+    const { task } = run;
+    task.crashes.addUnconfirmed(run);
+    this.#delaySuspect(task, nowMs);
+  }
+
+  /** Lists the tasks that may crash their hosts, those that are done included. */
+  listSuspects(): readonly Task[] {
+    return [...this.#suspects];
+  }
+
+  /** Returns true while a task that may crash its hosts is still to be done. */
+  hasSuspects(): boolean {
+    this.#suspects.forEach((task) => {
+      const { job } = task.step;
+      if (job.isEnded || task.phase === TaskPhase.Done) {
+        this.#suspects.delete(task);
+      }
+    });
+    return this.#suspects.size > 0;
+  }
+
+  #delaySuspect(suspect: Task, nowMs: number): void {
+    const task = suspect;
+    this.#suspects.add(task);
+    if (task.crashes.suspicion === CrashSuspicion.Strong) {
+      task.notBeforeMs = Math.max(task.notBeforeMs, nowMs + SUSPECT_BACKOFF_MS);
+    }
+  }
+
   /** Removes a run that can no longer exist although no host reported its end. */
   removeLostRun(run: Run): void {
     run.task.removeRun(run);
--- a/packages/baobabwell-jobs/src/BaobabwellJobsRows.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRows.ts
@@ -1,7 +1,8 @@
-import type { Job, Step } from './BaobabwellJobsTracking';
+import type { Job, Step, Task } from './BaobabwellJobsTracking';
 
 import { z } from 'zod';
 
+import { CrashSuspicion } from './BaobabwellJobsCrashes';
 import { JobState } from './BaobabwellJobsModel';
 import { TaskPhase } from './BaobabwellJobsTracking';
 
@@ -14,6 +15,20 @@
   z.string(),
 ]);
 
+const taskCrashes = z.object({
+  index: z.number().int(),
+  /** Numbers of the runs under which a host crashed. */
+  runs: z.array(z.number().int()),
+  attributedRuns: z.array(z.number().int()),
+  /** Runs that may exist, stored before their start, or on hosts that may have crashed under them. */
+  starts: z.array(
+    z.object({ run: z.number().int(), hostId: z.string(), bornMs: z.number().nullable() }),
+  ),
+});
+
+/** A run that was stored before its start. */
+export type StoredStart = z.infer<typeof taskCrashes>['starts'][number];
+
 const stepProgress = z.object({
   /** Bit set of the tasks that are done, in hexadecimal. */
   done: z.string().regex(/^[0-9a-f]+$/),
@@ -22,6 +37,8 @@
    * checkpoint.
    */
   tasks: z.array(taskProgress),
+  /** Tasks that may crash their hosts; older builds neither write nor read this. */
+  crashes: z.array(taskCrashes).optional(),
 });
 
 const jobProgress = z.object({
@@ -39,11 +56,30 @@
   return parsed.success ? parsed.data : null;
 }
 
+function createTaskCrashes({ index, crashes, runs }: Task): z.infer<typeof taskCrashes> {
+  return {
+    index,
+    runs: [...crashes.runs],
+    attributedRuns: [...crashes.attributedRuns],
+    starts: [...crashes.unconfirmedRuns, ...runs].map(({ number, hostId, hostBornMs }) => ({
+      run: number,
+      hostId,
+      bornMs: hostBornMs,
+    })),
+  };
+}
+
 function createStepProgress({ tasks }: Step): z.infer<typeof stepProgress> {
   let bits = 0n;
   tasks.forEach(({ phase }, index) => {
     bits += phase === TaskPhase.Done ? 2n ** BigInt(index) : 0n;
   });
+  const crashes = tasks
+    .filter(
+      ({ phase, crashes: { suspicion } }) =>
+        phase !== TaskPhase.Done && suspicion !== CrashSuspicion.None,
+    )
+    .map(createTaskCrashes);
   return {
     done: bits.toString(HEX),
     tasks: tasks
@@ -57,6 +93,7 @@
         [...failedRuns],
         checkpoint,
       ]),
+    ...(crashes.length > 0 ? { crashes } : {}),
   };
 }
 
@@ -81,6 +118,13 @@
   row.tasks.forEach(([index, lastRun, failedRuns, checkpoint]) =>
     step.tasks[index]?.restoreProgress(lastRun, failedRuns, checkpoint),
   );
+  row.crashes?.forEach(({ index, runs, attributedRuns, starts }) => {
+    const task = step.tasks[index];
+    if (task !== undefined) {
+      task.crashes.restore(runs, attributedRuns);
+      task.storedStarts = starts;
+    }
+  });
 }
 
 /** Restores the progress of a job that was just read from its persisted row. */
--- a/packages/baobabwell-jobs/src/BaobabwellJobsTracking.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsTracking.ts
@@ -1,5 +1,7 @@
 import type { JobRecord, StepSpec } from './BaobabwellJobsModel';
+import type { StoredStart } from './BaobabwellJobsRows';
 
+import { TaskCrashes } from './BaobabwellJobsCrashes';
 import { formatTaskName, JobState } from './BaobabwellJobsModel';
 
 /** Phase of a task. */
@@ -12,6 +14,8 @@
 
 /** Phase of a run. */
 export enum RunPhase {
+  /** The start order is sent once the start is stored. */
+  StartPending = 'pending',
   /** The start order was sent and has no answer yet. */
   StartSent = 'asked',
   /** The outcome of the start order is unknown: the run may exist on the host. */
@@ -39,6 +43,15 @@
   /** Monotonic time of the answer to the start order or to the latest stop order, in ms. */
   answeredAtMs: number | null = null;
 
+  /** The host's clock when it answered the start order, in ms; `null` while that is unknown. */
+  startClockMs: number | null = null;
+
+  /** Start of the host's incarnation when the run was placed, in ms since 1970. */
+  hostBornMs: number | null = null;
+
+  /** True for a run that a former owner stored before its start. */
+  isRestored = false;
+
   /** Monotonic time at which progress last rose, in ms. */
   progressedAtMs: number;
 
@@ -87,6 +100,12 @@
   /** Hosts on which a run of this task failed; other hosts are preferred. */
   readonly avoidedHosts = new Set<string>();
 
+  /** Crashes of hosts that the task may have caused. */
+  readonly crashes = new TaskCrashes();
+
+  /** Runs that a former owner stored before their start, until they are tracked. */
+  storedStarts: readonly StoredStart[] = [];
+
   /** Monotonic time before which the task is not started again, in ms. */
   notBeforeMs = 0;
 
--- a/packages/baobabwell-jobs/src/index.ts
+++ b/packages/baobabwell-jobs/src/index.ts
@@ -1,3 +1,4 @@
+export type { CrashBlame, HostCrash } from './BaobabwellJobsCrashes';
 export type {
   JobRecord,
   JobSpec,
@@ -7,8 +8,9 @@
   TaskName,
 } from './BaobabwellJobsModel';
 export type { QueueRules } from './BaobabwellJobsRegistry';
-export type { JobProgress } from './BaobabwellJobsRows';
+export type { JobProgress, StoredStart } from './BaobabwellJobsRows';
 
+export { CrashSuspicion, decideCrashBlame, TaskCrashes } from './BaobabwellJobsCrashes';
 export { formatTaskName, JobState, parseTaskName, RunEnd } from './BaobabwellJobsModel';
 export { JobRegistry, RunEndEffect } from './BaobabwellJobsRegistry';
 export { createJobProgress, parseJobProgress } from './BaobabwellJobsRows';
--- a/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
@@ -25,6 +25,8 @@
 
   readonly lostRuns: Counter<'pool' | 'ground'>;
 
+  readonly crashes: Counter<'pool'>;
+
   readonly waitingJobs: Gauge<'queue'>;
 
   readonly poolHosts: Gauge<'pool' | 'state'>;
@@ -80,6 +82,7 @@
       'Runs given up without a reported end, by pool and ground.',
       ['pool', 'ground'],
     );
+    this.crashes = this.#createCounter('baobabwell_host_crashes_total', 'Crashed hosts.', ['pool']);
     this.waitingJobs = this.#createGauge(
       'baobabwell_waiting_jobs',
       'Accepted jobs without a started task, by queue.',
--- a/packages/baobabwell-placement/src/BaobabwellPlacement.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacement.ts
@@ -2,11 +2,14 @@
  * Load pattern: many small tasks and a few wide ones share a pool whose hosts also run long running
  * tasks. Small tasks go to the fullest host that fits them (best fit), so that the other hosts keep
  * capacity for wide tasks or can leave the pool. Long running tasks are spread over hosts, so that
- * the loss of one host ends few tasks of a step.
+ * the loss of one host ends few tasks of a step. Tasks that may crash their hosts start alone: one at
+ * a time on a host, on which little else runs and nothing else has just started.
  */
 import type { Resources, Step, Task } from '@baobabwell/jobs';
 
-import { TaskPhase } from '@baobabwell/jobs';
+import { CrashSuspicion, TaskPhase } from '@baobabwell/jobs';
+
+import { decideReservedHosts } from './BaobabwellPlacementSuspects';
 
 /** A host on which tasks may be placed. */
 export type PlacementHost = {
@@ -20,6 +23,11 @@
   readonly bestEffortCount: number;
   /** Long running tasks keep the host in its pool. */
   readonly hasLongRunning: boolean;
+  readonly runCount: number;
+  /** Runs whose start the host may not survive. */
+  readonly startingCount: number;
+  /** One of these runs is of a task that may crash its hosts. */
+  readonly isStartingSuspect: boolean;
 };
 
 /** Resources that an organisation may still reserve. */
@@ -56,11 +64,28 @@
   readonly stepCounts: Map<Step, number>;
   bestEffortCount: number;
   servingCount: number;
+  runCount: number;
+  startingCount: number;
+  /** Step of the suspect that starts on the host in this pass. */
+  suspectStep: Step | null;
 };
 
 function createHostCapacity(host: PlacementHost): HostCapacity {
-  const { servingCount, bestEffortCount } = host;
-  return { host, ...host.freeResources, stepCounts: new Map(), servingCount, bestEffortCount };
+  const { servingCount, bestEffortCount, runCount, startingCount } = host;
+  return {
+    host,
+    ...host.freeResources,
+    stepCounts: new Map(),
+    servingCount,
+    bestEffortCount,
+    runCount,
+    startingCount,
+    suspectStep: null,
+  };
+}
+
+function isSuspect({ crashes }: Task): boolean {
+  return crashes.suspicion !== CrashSuspicion.None;
 }
 
 /** Tracks the free capacity of hosts and the allowances during one placement pass. */
@@ -71,6 +96,8 @@
 
   readonly #allowances: ReadonlyMap<string, Allowance>;
 
+  readonly #reservedHosts: ReadonlySet<string>;
+
   constructor(snapshot: PlacementSnapshot) {
     this.#snapshot = snapshot;
     snapshot.hosts.forEach((hosts, pool) =>
@@ -79,6 +106,7 @@
     this.#allowances = new Map(
       [...snapshot.allowances].map(([name, allowance]) => [name, { ...allowance }]),
     );
+    this.#reservedHosts = decideReservedHosts(snapshot);
   }
 
   /** Finds the best host for a task, or `null` if no host fits it. */
@@ -87,7 +115,7 @@
     let best: HostCapacity | null = null;
     let bestScore = Infinity;
     (this.#capacities.get(pool) ?? []).forEach((capacity) => {
-      if (!this.#fits(task.step, capacity) || allowed?.has(capacity.host.id) === false) {
+      if (!this.#fits(task, capacity) || allowed?.has(capacity.host.id) === false) {
         return;
       }
       const score = this.#getScore(task, capacity);
@@ -121,9 +149,15 @@
   }
 
   /** Reserves capacity and allowance for one task (factor 1), or releases them (factor -1). */
-  applyReservation(step: Step, capacity: HostCapacity, factor: 1 | -1): void {
+  applyReservation(task: Task, capacity: HostCapacity, factor: 1 | -1): void {
+    const { step } = task;
     const { need, isFilling, tailTargetMs } = step.spec;
     const updated = capacity;
+    updated.runCount += factor;
+    updated.startingCount += factor;
+    if (isSuspect(task)) {
+      updated.suspectStep = factor === 1 ? step : null;
+    }
     updated.cpuMillis -= isFilling ? 0 : factor * need.cpuMillis;
     updated.memoryMb -= factor * need.memoryMb;
     updated.gpus -= factor * need.gpus;
@@ -139,7 +173,12 @@
     }
   }
 
-  #fits(step: Step, { host, cpuMillis, memoryMb, gpus, stepCounts }: HostCapacity): boolean {
+  #fits(task: Task, capacity: HostCapacity): boolean {
+    const { step } = task;
+    const { host, cpuMillis, memoryMb, gpus, stepCounts } = capacity;
+    if (!this.#canStartBeside(task, capacity)) {
+      return false;
+    }
     const { need, isFilling, hostLabel, maxPerHost } = step.spec;
     if ((!isFilling && need.cpuMillis > cpuMillis) || need.memoryMb > memoryMb) {
       return false;
@@ -151,11 +190,27 @@
     return maxPerHost === 0 || count < maxPerHost;
   }
 
+  /** Returns false if a task would start beside one that may crash the host. */
+  #canStartBeside({ step, crashes }: Task, { host, suspectStep }: HostCapacity): boolean {
+    // The members of a gang start together, on whatever hosts there are.
+    const hasSuspect = suspectStep !== null && !(step.spec.isGang && suspectStep === step);
+    const isReserved =
+      this.#reservedHosts.has(host.id) &&
+      crashes.suspicion !== CrashSuspicion.Strong &&
+      !step.spec.isGang;
+    return !hasSuspect && !host.isStartingSuspect && !isReserved;
+  }
+
   /** Scores a host for a task; a lower score is better. */
-  #getScore({ step, avoidedHosts }: Task, capacity: HostCapacity): number {
+  #getScore(task: Task, capacity: HostCapacity): number {
+    const { step, avoidedHosts, crashes } = task;
     const { host } = capacity;
     const { spec } = step;
     let score = 0;
+    if (isSuspect(task)) {
+      score += capacity.startingCount * 3_000_000;
+      score += crashes.suspicion === CrashSuspicion.Strong ? capacity.runCount * 10_000_000 : 0;
+    }
     score += avoidedHosts.has(host.id) ? 1_000_000 : 0;
     score += spec.dataRack !== null && !host.labels.includes(spec.dataRack) ? 50_000 : 0;
     const onHost = step.countRunsOnHost(host.id) + (capacity.stepCounts.get(step) ?? 0);
@@ -208,10 +263,12 @@
   for (const task of tasks) {
     const capacity = tracker.isWithinAllowance(step) ? tracker.findHost(task, pool) : null;
     if (capacity === null) {
-      reserved.forEach(({ capacity: other }) => tracker.applyReservation(step, other, -1));
+      reserved.forEach(({ capacity: other, placement }) =>
+        tracker.applyReservation(placement.task, other, -1),
+      );
       return [];
     }
-    tracker.applyReservation(step, capacity, 1);
+    tracker.applyReservation(task, capacity, 1);
     reserved.push({ capacity, placement: { task, hostId: capacity.host.id } });
   }
   return reserved.map(({ placement }) => placement);
@@ -233,13 +290,17 @@
       break;
     }
     const capacity = tracker.findHost(task, pool);
+    if (capacity === null && isSuspect(task)) {
+      // It waits for a host of its own; other tasks may still fit.
+      continue;
+    }
     if (capacity === null) {
       if (!tracker.isConstrained(step)) {
         unplaced.add(step, pool);
       }
       break;
     }
-    tracker.applyReservation(step, capacity, 1);
+    tracker.applyReservation(task, capacity, 1);
     placements.push({ task, hostId: capacity.host.id });
   }
   return placements;
--- a/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacement.test.ts
+++ b/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacement.test.ts
@@ -22,6 +22,9 @@
   servingCount: 0,
   bestEffortCount: 0,
   hasLongRunning: false,
+  runCount: 0,
+  startingCount: 0,
+  isStartingSuspect: false,
 };
 
 function createSnapshot(specs: readonly Partial<StepSpec>[]): PlacementSnapshot {
