controller: hosts that are moved or maintained are no sign of a common cause of crashes

Change: a host that is cordoned or draining as it becomes silent isn't recorded. The suspects are looked up once for each round of placements and no longer once for each host.

--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -44,6 +44,33 @@
   return startClockMs === null || answeredAtMs === null || nowMs - answeredAtMs < START_SURVIVAL_MS;
 }
 
+/**
+ * Creates the description of a host for one round.
+ *
+ * @param startingAtMs time of the round, in ms, or `null` when no task is a suspect: then the runs that
+ * are starting make no difference.
+ */
+function createPlacementHost(host: Host, startingAtMs: number | null): PlacementHost {
+  const startingRuns =
+    startingAtMs === null
+      ? []
+      : [...host.runs.values()].filter((run) => isStarting(run, startingAtMs));
+  return {
+    id: host.incarnation.id,
+    pool: host.pool,
+    labels: host.listedWorker?.labels ?? [],
+    freeResources: host.getFreeResources(),
+    servingCount: host.servingCount,
+    bestEffortCount: host.bestEffortCount,
+    hasLongRunning: host.longRunningCount > 0,
+    runCount: host.runs.size,
+    startingCount: startingRuns.length,
+    isStartingSuspect: startingRuns.some(
+      ({ task }) => task.crashes.suspicion !== CrashSuspicion.None,
+    ),
+  };
+}
+
 /** Places waiting tasks on hosts and starts their runs. */
 export class Dispatcher {
   readonly #context: TermContext;
@@ -188,36 +215,17 @@
     pools: ReadonlySet<string>,
   ): ReadonlyMap<string, readonly PlacementHost[]> {
     const byPool = new Map<string, PlacementHost[]>();
+    const hasSuspects = this.#context.jobRegistry.hasSuspects();
     this.#context.hosts.forEach((host) => {
       if (pools.has(host.pool) && host.canTakeWork(nowMs)) {
         const hosts = byPool.get(host.pool) ?? [];
-        hosts.push(this.#createPlacementHost(host, nowMs));
+        hosts.push(createPlacementHost(host, hasSuspects ? nowMs : null));
         byPool.set(host.pool, hosts);
       }
     });
     return byPool;
   }
 
-  #createPlacementHost(host: Host, nowMs: number): PlacementHost {
-    const startingRuns = this.#context.jobRegistry.hasSuspects()
-      ? [...host.runs.values()].filter((run) => isStarting(run, nowMs))
-      : [];
-    return {
-      id: host.incarnation.id,
-      pool: host.pool,
-      labels: host.listedWorker?.labels ?? [],
-      freeResources: host.getFreeResources(),
-      servingCount: host.servingCount,
-      bestEffortCount: host.bestEffortCount,
-      hasLongRunning: host.longRunningCount > 0,
-      runCount: host.runs.size,
-      startingCount: startingRuns.length,
-      isStartingSuspect: startingRuns.some(
-        ({ task }) => task.crashes.suspicion !== CrashSuspicion.None,
-      ),
-    };
-  }
-
   /** Lists the resources that each organisation with a cap may still reserve. */
   #listAllowances(): ReadonlyMap<string, Allowance> {
     const allowances = new Map<string, Allowance>();
--- a/packages/baobabwell-controller/src/BaobabwellControllerHostCrashes.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostCrashes.ts
@@ -40,6 +40,9 @@
     const { clock, hostSilences } = this.#context;
     const { incarnation, state, trackedSinceMs, listedWorker, isCordoned } = this.#host;
     this.#wasLeaving = isCordoned || listedWorker?.isDraining === true;
+    if (this.#wasLeaving) {
+      return;
+    }
     hostSilences.record(incarnation.id, {
       answeredAtMs: state.answeredAtMs ?? trackedSinceMs,
       noticedAtMs: clock.getNow(),
--- a/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
@@ -294,7 +294,8 @@
   hasSuspects(): boolean {
     this.#suspects.forEach((task) => {
       const { job } = task.step;
-      if (job.isEnded || task.phase === TaskPhase.Done) {
+      const isCleared = task.crashes.suspicion === CrashSuspicion.None;
+      if (job.isEnded || task.phase === TaskPhase.Done || isCleared) {
         this.#suspects.delete(task);
       }
     });
--- /dev/null
+++ b/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsCrashes.test.ts
@@ -0,0 +1,156 @@
+import type { HostCrash, JobRecord, Run, Task } from '../../index';
+
+import { expect } from 'earl';
+
+import { PLAIN_STEP } from '@baobabwell/job-emulator';
+
+import {
+  createJobProgress,
+  CrashSuspicion,
+  decideCrashBlame,
+  JobRegistry,
+  JobState,
+  parseJobProgress,
+  RunEndEffect,
+} from '../../index';
+
+const RECORD: JobRecord = {
+  id: 'a',
+  queue: 'bakes',
+  organisation: null,
+  acceptedAtMs: 0,
+  spec: {
+    payload: '',
+    steps: [
+      { ...PLAIN_STEP, taskCount: 4 },
+      { ...PLAIN_STEP, taskCount: 1, isLasting: true },
+    ],
+    repeat: null,
+  },
+};
+
+const CRASH: Omit<HostCrash, 'runs'> = { isConfirmed: true, hasCommonCause: false };
+
+describe('crashes of hosts under tasks', () => {
+  let registry: JobRegistry;
+
+  let tasks: readonly Task[];
+
+  beforeEach(() => {
+    registry = new JobRegistry(() => null);
+    const steps = registry.addJob(RECORD, 1).getOccurrence(0);
+    tasks = steps.flatMap((step) => step.tasks);
+  });
+
+  function start(index: number, number = 1): Run {
+    const run = tasks[index]?.addRun('host', number, 0);
+    if (run === undefined) {
+      throw new Error('no such task');
+    }
+    return run;
+  }
+
+  function crash(index: number, number: number, isAttributed: boolean): RunEndEffect {
+    const run = start(index, number);
+    run.task.removeRun(run);
+    return registry.recordCrash(run, isAttributed, 0);
+  }
+
+  function blame(
+    runs: readonly { readonly run: Run; readonly hasSurvivedStart: boolean }[],
+    change: Partial<HostCrash> = {},
+  ): readonly (string | boolean)[] {
+    const { suspects, isAttributed } = decideCrashBlame({ ...CRASH, runs, ...change });
+    return [...suspects.map(({ task }) => task.name), isAttributed];
+  }
+
+  it('blames the runs whose start the host did not survive', () => {
+    const survived = { run: start(0), hasSurvivedStart: true };
+    const first = { run: start(1), hasSurvivedStart: false };
+    const second = { run: start(2), hasSurvivedStart: false };
+    expect(blame([survived, first, second])).toEqual(['a.0.0.1', 'a.0.0.2', false]);
+    expect(blame([survived, first])).toEqual(['a.0.0.1', true]);
+    expect(blame([survived, first], { isConfirmed: false })).toEqual(['a.0.0.1', false]);
+    expect(blame([survived, first], { hasCommonCause: true })).toEqual(['a.0.0.1', false]);
+  });
+
+  it('blames suspects and not the tasks that start beside them', () => {
+    crash(1, 1, false);
+    const suspect = { run: start(1, 2), hasSurvivedStart: false };
+    const neighbour = { run: start(2), hasSurvivedStart: false };
+    expect(blame([suspect, neighbour])).toEqual(['a.0.0.1', false]);
+  });
+
+  it('blames no long running task that the host had run before', () => {
+    const short = { run: start(0), hasSurvivedStart: true };
+    const lasting = { run: start(4), hasSurvivedStart: true };
+    expect(blame([short, lasting])).toEqual(['a.0.0.0', false]);
+    expect(blame([{ ...lasting, hasSurvivedStart: false }])).toEqual(['a.0.1.0', true]);
+  });
+
+  it('attributes no crash to a run that only its row shows', () => {
+    const run = start(0);
+    run.isRestored = true;
+    expect(blame([{ run, hasSurvivedStart: false }])).toEqual(['a.0.0.0', false]);
+  });
+
+  it('fails the job after two attributed crashes, each counted once', () => {
+    expect(crash(0, 1, true)).toEqual(RunEndEffect.Requeued);
+    expect(crash(0, 1, true)).toEqual(RunEndEffect.None);
+    expect(crash(0, 2, true)).toEqual(RunEndEffect.JobFailed);
+    expect(tasks[0]?.step.job.state).toEqual(JobState.Failed);
+  });
+
+  it('fails the job after four crashes that could not be attributed', () => {
+    const effects = [1, 2, 3, 4].map((number) => crash(0, number, false));
+    expect(effects).toEqual([
+      RunEndEffect.Requeued,
+      RunEndEffect.Requeued,
+      RunEndEffect.Requeued,
+      RunEndEffect.JobFailed,
+    ]);
+  });
+
+  it('suspects a task whose host is silent until the host answers', () => {
+    const run = start(0);
+    registry.recordPossibleCrash(run, 0);
+    expect([run.task.crashes.suspicion, registry.hasSuspects()]).toEqual([
+      CrashSuspicion.Weak,
+      true,
+    ]);
+    run.task.crashes.removeUnconfirmed(run.number);
+    expect([run.task.crashes.suspicion, registry.hasSuspects()]).toEqual([
+      CrashSuspicion.None,
+      false,
+    ]);
+  });
+
+  it('restores crashes and stored starts from the row of a job', () => {
+    crash(1, 1, true);
+    const running = start(1, 2);
+    running.hostBornMs = 70;
+    const silent = start(2, 3);
+    silent.task.removeRun(silent);
+    registry.recordPossibleCrash(silent, 0);
+    const job = running.task.step.job;
+    const row = parseJobProgress(JSON.parse(JSON.stringify(createJobProgress(job))));
+    const later = new JobRegistry(() => null);
+    const restored = later.addJob(RECORD, 1);
+    if (row !== null) {
+      later.restoreProgress(restored, row, 2, 0);
+    }
+    const [, first, second] = restored.getOccurrence(0)[0]?.tasks ?? [];
+    expect(first?.crashes.runs).toEqual([1]);
+    expect(first?.crashes.attributedRuns).toEqual([1]);
+    expect(first?.storedStarts).toEqual([{ run: 2, hostId: 'host', bornMs: 70 }]);
+    expect(second?.storedStarts).toEqual([{ run: 3, hostId: 'host', bornMs: null }]);
+    expect(later.listSuspects().length).toEqual(2);
+  });
+
+  it('writes rows without crashes as older builds do, and reads theirs', () => {
+    const job = start(0).task.step.job;
+    const row = createJobProgress(job);
+    expect(JSON.stringify(row).includes('crashes')).toEqual(false);
+    expect(parseJobProgress(JSON.parse(JSON.stringify(row)))).toEqual(row);
+  });
+});
--- a/packages/baobabwell-placement/src/BaobabwellPlacement.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacement.ts
@@ -208,7 +208,7 @@
     const { spec } = step;
     let score = 0;
     if (isSuspect(task)) {
-      score += capacity.startingCount * 3_000_000;
+      score += capacity.startingCount * 100_000_000;
       score += crashes.suspicion === CrashSuspicion.Strong ? capacity.runCount * 10_000_000 : 0;
     }
     score += avoidedHosts.has(host.id) ? 1_000_000 : 0;
