controller: a crash is attributed only when it was noticed at the start of the run

Change: a crash is attributed only when the host's first unanswered call came within 500 ms of the start's answer. The emulator closes the connections of a host that crashes, as the bench does.

--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -207,3 +207,9 @@
 
 /** Time for which a host receives no other task while a start on it is being stored, in ms. */
 export const MAX_START_STORE_MS = 300;
+
+/**
+ * Time from the start of a run to the first call that its host leaves unanswered up to which the crash of
+ * the host can be attributed to the run, in ms.
+ */
+export const MAX_CRASH_NOTICE_MS = 500;
--- a/packages/baobabwell-controller/src/BaobabwellControllerHostCrashes.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostCrashes.ts
@@ -5,7 +5,11 @@
 
 import { decideCrashBlame, RunEndEffect, RunPhase } from '@baobabwell/jobs';
 
-import { MIN_COMMON_CAUSE_HOSTS, START_SURVIVAL_MS } from './BaobabwellControllerConstants';
+import {
+  MAX_CRASH_NOTICE_MS,
+  MIN_COMMON_CAUSE_HOSTS,
+  START_SURVIVAL_MS,
+} from './BaobabwellControllerConstants';
 import { describeRun } from './BaobabwellControllerHostLog';
 import { stopFailedJob } from './BaobabwellControllerJobEnds';
 
@@ -27,6 +31,9 @@
   /** Runs at a restart of the host, until the new incarnation has reported its own. */
   #restarted: SuspectedCrash | null = null;
 
+  /** Monotonic time of the first call without an answer, in ms; `null` while the host answers. */
+  #silentAtMs: number | null = null;
+
   /** True when the host was about to leave the pool as it became silent. */
   #wasLeaving = false;
 
@@ -40,6 +47,7 @@
     const { clock, hostSilences } = this.#context;
     const { incarnation, state, trackedSinceMs, listedWorker, isCordoned } = this.#host;
     this.#wasLeaving = isCordoned || listedWorker?.isDraining === true;
+    this.#silentAtMs = clock.getNow();
     if (this.#wasLeaving) {
       return;
     }
@@ -84,6 +92,7 @@
     this.#settleRestart(reportedRuns);
     this.#removePossibleCrashes(this.#expired?.runs ?? []);
     this.#expired = null;
+    this.#silentAtMs = null;
     this.#wasLeaving = false;
     this.#context.hostSilences.remove(this.#host.incarnation.id);
   }
@@ -151,6 +160,9 @@
           run,
           hasSurvivedStart:
             run.startClockMs !== null && state.lastClockMs - run.startClockMs >= START_SURVIVAL_MS,
+          wasSilentAtStart:
+            this.#silentAtMs !== null &&
+            this.#silentAtMs - (run.answeredAtMs ?? run.startSentAtMs) <= MAX_CRASH_NOTICE_MS,
         })),
       isConfirmed,
       hasCommonCause: othersSilent + 1 >= MIN_COMMON_CAUSE_HOSTS,
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -400,7 +400,7 @@
     ids.forEach((id) => {
       const host = this.#hosts.get(id);
       if (host?.isAlive === true) {
-        host.kill();
+        host.crash();
         this.#recoverCrashedHost(host);
       }
     });
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
@@ -170,6 +170,12 @@
       .forEach(({ task }) => this.#oracle.recordLostEnd(task));
   }
 
+  /** Ends this incarnation by a crash, which closes its connections. */
+  crash(): void {
+    this.kill();
+    [...this.#waiters].forEach((notify) => notify());
+  }
+
   /** Ends this incarnation on an order of the system, which takes long running tasks away. */
   endForOrder(): void {
     this.#runs.forEach(({ task }) => {
@@ -302,7 +308,7 @@
   #crash(task: string): void {
     if (this.#isAlive) {
       this.#oracle.recordCrash(task);
-      this.kill();
+      this.crash();
       this.onCrash(task);
     }
   }
--- a/packages/baobabwell-jobs/src/BaobabwellJobsCrashes.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsCrashes.ts
@@ -94,9 +94,18 @@
   }
 }
 
+/** A run that was lost when its host crashed. */
+export type CrashedRun = {
+  readonly run: Run;
+  /** The host answered after it had started the run. */
+  readonly hasSurvivedStart: boolean;
+  /** The host became silent shortly after it had started the run. */
+  readonly wasSilentAtStart: boolean;
+};
+
 /** Runs that were lost when a host crashed. */
 export type HostCrash = {
-  readonly runs: readonly { readonly run: Run; readonly hasSurvivedStart: boolean }[];
+  readonly runs: readonly CrashedRun[];
   /** The process of the host is known to have ended. */
   readonly isConfirmed: boolean;
   /** Other hosts became silent in the same moment. */
@@ -120,15 +129,20 @@
  * that are suspects already.
  */
 export function decideCrashBlame({ runs, isConfirmed, hasCommonCause }: HostCrash): CrashBlame {
-  const starting = runs.filter(({ hasSurvivedStart }) => !hasSurvivedStart).map(({ run }) => run);
+  const starting = runs.filter(({ hasSurvivedStart }) => !hasSurvivedStart);
+  const [first] = starting;
   // Long running tasks outlive many crashes of their hosts that have another cause.
   const others = runs.map(({ run }) => run).filter(({ task }) => !task.step.spec.isLasting);
-  const candidates = starting.length > 0 ? starting : others;
+  const candidates = starting.length > 0 ? starting.map(({ run }) => run) : others;
   const suspected = candidates.filter(isSuspected);
   const suspects = suspected.length > 0 ? suspected : candidates;
   return {
     suspects,
     isAttributed:
-      starting.length === 1 && !starting[0]?.isRestored && isConfirmed && !hasCommonCause,
+      starting.length === 1 &&
+      first?.wasSilentAtStart === true &&
+      !first.run.isRestored &&
+      isConfirmed &&
+      !hasCommonCause,
   };
 }
--- a/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsCrashes.test.ts
+++ b/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsCrashes.test.ts
@@ -59,8 +59,13 @@
   function blame(
     runs: readonly { readonly run: Run; readonly hasSurvivedStart: boolean }[],
     change: Partial<HostCrash> = {},
+    wasSilentAtStart = true,
   ): readonly (string | boolean)[] {
-    const { suspects, isAttributed } = decideCrashBlame({ ...CRASH, runs, ...change });
+    const { suspects, isAttributed } = decideCrashBlame({
+      ...CRASH,
+      runs: runs.map((run) => ({ ...run, wasSilentAtStart })),
+      ...change,
+    });
     return [...suspects.map(({ task }) => task.name), isAttributed];
   }
 
@@ -74,6 +79,13 @@
     expect(blame([survived, first], { hasCommonCause: true })).toEqual(['a.0.0.1', false]);
   });
 
+  it('attributes no crash that was noticed late', () => {
+    expect(blame([{ run: start(0), hasSurvivedStart: false }], {}, false)).toEqual([
+      'a.0.0.0',
+      false,
+    ]);
+  });
+
   it('blames suspects and not the tasks that start beside them', () => {
     crash(1, 1, false);
     const suspect = { run: start(1, 2), hasSurvivedStart: false };
--- a/packages/baobabwell-jobs/src/index.ts
+++ b/packages/baobabwell-jobs/src/index.ts
@@ -1,4 +1,4 @@
-export type { CrashBlame, HostCrash } from './BaobabwellJobsCrashes';
+export type { CrashBlame, CrashedRun, HostCrash } from './BaobabwellJobsCrashes';
 export type {
   JobRecord,
   JobSpec,
