--- a/packages/baobabwell-daemon/src/BaobabwellDaemonLogReserve.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonLogReserve.ts
@@ -8,6 +8,8 @@
   'host-reborn',
   'run-lost',
   'run-vanished',
+  'run-crashed',
+  'host-crashed',
 ]);
 
 const OWNERSHIP_PREFIX = 'ownership-';
