jobs: a crash is blamed on every run that had just started, suspects or not

Cause: where a suspect was among the runs that had just started, the others were cleared, so one such task hid another. Change: all of them are blamed; attribution still needs a single one.

--- a/packages/baobabwell-jobs/src/BaobabwellJobsCrashes.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsCrashes.ts
@@ -120,24 +120,17 @@
   readonly isAttributed: boolean;
 };
 
-function isSuspected({ task }: Run): boolean {
-  return task.crashes.suspicion !== CrashSuspicion.None;
-}
-
 /**
- * Decides which runs may have crashed their host: those that had just started, and among these the ones
- * that are suspects already.
+ * Decides which runs may have crashed their host: those that had just started. A suspect among them does
+ * not clear the others, or one such task would hide the crashes of another.
  */
 export function decideCrashBlame({ runs, isConfirmed, hasCommonCause }: HostCrash): CrashBlame {
   const starting = runs.filter(({ hasSurvivedStart }) => !hasSurvivedStart);
   const [first] = starting;
   // Long running tasks outlive many crashes of their hosts that have another cause.
   const others = runs.map(({ run }) => run).filter(({ task }) => !task.step.spec.isLasting);
-  const candidates = starting.length > 0 ? starting.map(({ run }) => run) : others;
-  const suspected = candidates.filter(isSuspected);
-  const suspects = suspected.length > 0 ? suspected : candidates;
   return {
-    suspects,
+    suspects: starting.length > 0 ? starting.map(({ run }) => run) : others,
     isAttributed:
       starting.length === 1 &&
       first?.wasSilentAtStart === true &&
--- a/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsCrashes.test.ts
+++ b/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsCrashes.test.ts
@@ -86,11 +86,11 @@
     ]);
   });
 
-  it('blames suspects and not the tasks that start beside them', () => {
+  it('blames a task that starts beside a suspect as well', () => {
     crash(1, 1, false);
     const suspect = { run: start(1, 2), hasSurvivedStart: false };
     const neighbour = { run: start(2), hasSurvivedStart: false };
-    expect(blame([suspect, neighbour])).toEqual(['a.0.0.1', false]);
+    expect(blame([suspect, neighbour])).toEqual(['a.0.0.1', 'a.0.0.2', false]);
   });
 
   it('blames no long running task that the host had run before', () => {
