jobs: an attributed crash counts twice towards the limit of four

What was seen: in 1 of 40 random histories (trial; restarts, partitions, owners killed) a task crashed six hosts: two owners in turn were lost with a crash that no one had suspected, then three crashes, one of them attributed, did not suffice. Cause: three crashes with one attributed left one more start. Change: one limit, four crashes, of which an attributed one counts twice. Tests: the new case; the emulator's tests as before. Conclusion: at most three counted crashes where one of the last two is attributed.

--- a/packages/baobabwell-jobs/src/BaobabwellJobsCrashes.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsCrashes.ts
@@ -13,12 +13,9 @@
   Strong = 'strong',
 }
 
-/** Attributed crashes after which a task is given up. */
-const MAX_ATTRIBUTED_CRASHES = 2;
-
 /**
- * Crashes after which a task is given up although none of them could be attributed. It leaves room for
- * one that a lost owner did not count.
+ * Crashes after which a task is given up; an attributed one counts twice. It leaves room for one that a
+ * lost owner did not count.
  */
 const MAX_CRASHES = 4;
 
@@ -58,9 +55,7 @@
 
   /** True when the task has crashed so many hosts that it must not be started again. */
   get areTooMany(): boolean {
-    return (
-      this.#attributedRuns.length >= MAX_ATTRIBUTED_CRASHES || this.#runs.length >= MAX_CRASHES
-    );
+    return this.#runs.length + this.#attributedRuns.length >= MAX_CRASHES;
   }
 
   /** Records that a host crashed under a run; returns false if that was recorded before. */
--- a/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsCrashes.test.ts
+++ b/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsCrashes.test.ts
@@ -113,6 +113,12 @@
     expect(tasks[0]?.step.job.state).toEqual(JobState.Failed);
   });
 
+  it('fails the job after three crashes of which one is attributed', () => {
+    expect(crash(0, 1, false)).toEqual(RunEndEffect.Requeued);
+    expect(crash(0, 2, true)).toEqual(RunEndEffect.Requeued);
+    expect(crash(0, 3, false)).toEqual(RunEndEffect.JobFailed);
+  });
+
   it('fails the job after four crashes that could not be attributed', () => {
     const effects = [1, 2, 3, 4].map((number) => crash(0, number, false));
     expect(effects).toEqual([
--- a/tmpdbg/fuzz.ts
+++ b/tmpdbg/fuzz.ts
@@ -29,6 +29,7 @@
   if (deadly !== null) crashed += 1;
   if (notDone > 0 || (deadly !== null && dst !== JobState.Failed) || fleet.oracle.violations.length > 0) {
     bad += 1;
+    fleet.logLines.filter((l) => /host-crashed|run-crashed.*0002.0.0.1 |start-ordered.*0002.0.0.1 |run-lost.*0002.0.0.1 |term-loaded|ownership-acq|run-vanished.*0002.0.0.1 /.test(l)).forEach((l) => console.log(l.replace(/at=\S+ level=\w+ /, '').slice(0, 190)));
     console.log('run', run, 'seed', seed, script.join(','), 'states', st.filter((x) => x !== JobState.Completed), 'deadly', dst, JSON.stringify(fleet.oracle.violations.slice(0,2)));
   }
   fleet.close();
