--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -1,7 +1,7 @@
 import type { HostFaults } from './BaobabwellJobEmulatorOrders';
 import type { TableFaults } from './BaobabwellJobEmulatorStore';
 import type { TermContext } from '@baobabwell/controller';
-import type { FleetConfiguration, ListedWorker, MaintenanceWave } from '@baobabwell/fleet';
+import type { ListedWorker, MaintenanceWave } from '@baobabwell/fleet';
 import type { WaveState } from '@baobabwell/fleet';
 import type { OfferReply } from '@baobabwell/ingress';
 import type { JobRecord, JobState, RepeatSpec, Resources, StepSpec } from '@baobabwell/jobs';
@@ -16,6 +16,16 @@
 import { Random } from '@baobabwell/utils';
 
 import { EmulatedCloud } from './BaobabwellJobEmulatorCloud';
+import {
+  CAP_CPU_MILLIS,
+  CAPACITY,
+  CONFIGURATION,
+  MAX_ATTEMPTS,
+  PLAIN_STEP,
+  POOL,
+  QUEUE,
+  SPARE_POOL,
+} from './BaobabwellJobEmulatorConfiguration';
 import {
   DRAIN_MS,
   EmulatedHost,
@@ -35,9 +45,6 @@
 
 const OPERATOR_TABLE = 'operator';
 const STATUS_TABLE = 'status';
-const POOL = 'ovens';
-const SPARE_POOL = 'storeroom';
-const QUEUE = 'bakes';
 /** Time after which the row of a dead host is removed, in ms. */
 const HOST_ROW_LAG_MS = 4_500;
 
@@ -53,66 +60,6 @@
 /** Separates the address of a host from the number of its incarnation. */
 const ID_SEPARATOR = '~';
 
-/** Maximum attempts of a task. */
-export const MAX_ATTEMPTS = 3;
-
-/** CPU cap of an organisation. */
-export const CAP_CPU_MILLIS = 40_000;
-
-/** Capacity with which a host starts. */
-export const CAPACITY: Resources = { cpuMillis: 16_000, memoryMb: 65_536, gpus: 0 };
-
-/** A step of four short tasks without placement constraints; tests override single fields. */
-export const PLAIN_STEP: StepSpec = {
-  taskCount: 4,
-  need: { cpuMillis: 2_000, memoryMb: 1_000, gpus: 0 },
-  estimateMs: 500,
-  after: [],
-  keepsCheckpoints: false,
-  isGang: false,
-  prefersOneRack: false,
-  hostLabel: null,
-  dataRack: null,
-  maxPerHost: 0,
-  isSpeculative: false,
-  isLasting: false,
-  image: '',
-  tailTargetMs: 0,
-  isFilling: false,
-  maxAway: 0,
-};
-
-const CONFIGURATION: FleetConfiguration = {
-  version: 1,
-  queues: [
-    {
-      name: QUEUE,
-      httpHost: 'bakery.example',
-      pathPrefix: '/bakes/',
-      pool: POOL,
-      priority: 0,
-      maxAttempts: MAX_ATTEMPTS,
-      stretch: 1.6,
-      targetLatencyMs: 600,
-      isOpen: false,
-      advice: null,
-    },
-  ],
-  pools: [
-    { name: POOL, isSpare: false, checksRoom: true },
-    { name: SPARE_POOL, isSpare: true, checksRoom: true },
-  ],
-  organisations: [
-    {
-      name: 'guild',
-      keys: ['guild-key'],
-      weight: 1,
-      cap: { cpuMillis: CAP_CPU_MILLIS, memoryMb: 0, gpus: 0 },
-    },
-  ],
-  maxBodyBytes: 65_536,
-};
-
 /** One emulated process, a candidate for ownership. */
 type Daemon = {
   readonly name: string;
--- a/packages/baobabwell-job-emulator/src/index.ts
+++ b/packages/baobabwell-job-emulator/src/index.ts
@@ -7,11 +7,10 @@
 export {
   CAP_CPU_MILLIS,
   CAPACITY,
-  CrashRecovery,
-  EmulatedJobFleet,
   MAX_ATTEMPTS,
   PLAIN_STEP,
-} from './BaobabwellJobEmulatorFleet';
+} from './BaobabwellJobEmulatorConfiguration';
+export { CrashRecovery, EmulatedJobFleet } from './BaobabwellJobEmulatorFleet';
 export { EmulatedHost } from './BaobabwellJobEmulatorHost';
 export { JobOracle, JobInvariant } from './BaobabwellJobEmulatorOracle';
 export { formatAnswer, formatRoute, OrderKind } from './BaobabwellJobEmulatorOrders';
