controller: no work on a restarted host until its new incarnation is listed

What callers saw: none reported; tasks would start on a host without their label or beyond its capacity. Cause: a report tells of a restart before the list of workers does; until then the capacity and the labels of the former incarnation counted for the new one, which may be of another kind. Change: Host.canTakeWork asks that the listing is of the incarnation that the host reported. Measured: the test failed before (14 starts beyond capacity) and passes now; packages/baobabwell-controller, -job-emulator and -fuzz: 116 passed, 0 failed. A first form of the test also failed with the change, by a start ordered 20 ms after the restart, of which no owner can know; the test now submits once the owner has seen it.

--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -107,6 +107,7 @@
     return (
       this.listedWorker !== null &&
       !this.listedWorker.isDraining &&
+      this.#isIncarnationListed(this.listedWorker) &&
       this.isRegistered &&
       this.isReconciled &&
       this.isReachable &&
@@ -116,6 +117,14 @@
     );
   }
 
+  /**
+   * Returns true unless the listing is of another incarnation, whose capacity, labels and pool may have
+   * been others.
+   */
+  #isIncarnationListed({ bornMs }: ListedWorker): boolean {
+    return bornMs === null || this.bornMs === null || bornMs === this.bornMs;
+  }
+
   getCapacity(): Resources {
     return this.listedWorker?.capacity ?? { cpuMillis: 0, memoryMb: 0, gpus: 0 };
   }
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -289,10 +289,10 @@
   }
 
   /** Starts a new incarnation of a host, whose row is written after a lag; kills the one before. */
-  startHost(id: string, rowLagMs = 0): EmulatedHost {
+  startHost(id: string, rowLagMs = 0, capacity = CAPACITY): EmulatedHost {
     const former = this.#hosts.get(id);
     former?.kill();
-    const host = new EmulatedHost(id, this.time, this.oracle, CAPACITY);
+    const host = new EmulatedHost(id, this.time, this.oracle, capacity);
     host.checksCapacity = former?.checksCapacity ?? true;
     this.#hosts.set(id, host);
     const worker: ListedWorker = {
@@ -301,7 +301,7 @@
       pool: POOL,
       zone: 'north',
       labels: [],
-      capacity: CAPACITY,
+      capacity,
       isDraining: false,
       leavesInMs: null,
       bornMs: host.bornMs,
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCapacity.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCapacity.test.ts
@@ -248,4 +248,17 @@
     await fleet.time.advance(1_000);
     await expectCompleted([job]);
   });
+
+  it('places no work on a restarted host by what its former incarnation reported', async () => {
+    await start(2);
+    const former = fleet.submit([{ taskCount: 8, maxPerHost: 4, estimateMs: 3_000 }]);
+    await fleet.time.advance(500);
+    fleet.startHost('host-0', 2_500, QUARTER);
+    while (!fleet.logLines.some((line) => line.includes('host-reborn'))) {
+      await fleet.time.advance(50);
+    }
+    const jobs = await submitFor(3_000, { taskCount: 4, estimateMs: 600 });
+    await fleet.time.advance(RECOVERY_MS);
+    await expectCompleted([former, ...jobs]);
+  });
 });
