--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -54,9 +54,6 @@
 /** Longest wait for run ends to be stored before the next hold call to their host, in ms. */
 export const END_STORE_TIMEOUT_MS = 400;
 
-/** Longest time from an order until its host has received it, or it counts as unanswered, in ms. */
-export const MAX_ORDER_DELAY_MS = 700;
-
 /** Number of attempts to start a run while the host does not answer. */
 export const MAX_START_ATTEMPTS = 3;
 
@@ -103,13 +100,13 @@
 export const MAX_COMMIT_RETRY_MS = 400;
 
 /**
- * Longest wait of one watch call on the store's tables, in ms. What a table shows counts as known from the
- * sending of the latest answered call, or from the end of its wait when nothing changed.
+ * Longest wait of one watch call on the store's tables, in ms: shorter than the ages at which views of
+ * tables are too old for starts.
  */
 export const WATCH_WAIT_MS = 800;
 
-/** Time in which an order to start a run that was decided reaches its host, in ms. */
-export const START_TRANSIT_MS = 200;
+/** Longest time in which an order to start a run reaches its host, in ms. */
+export const START_TRANSIT_MS = 300;
 
 /** Initial backoff after a failed watch or read, in ms. */
 export const WATCH_RETRY_MS = 100;
--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -27,10 +27,10 @@
   /** Shortest delay between orders of successive owners for the same machine. */
   readonly machineOrderDelayMs: number;
   readonly maintenanceMs: number;
-  /** Time after a host is listed as draining from which no run may start there. */
-  readonly drainMs: number;
   /** Longest time after the acknowledgement of a cancellation for which tasks of the job may start. */
   readonly cancellationMs: number;
+  /** Time after a host is listed as draining from which no run may start there. */
+  readonly drainMs: number;
 };
 
 /** Tables in which the platform describes the fleet, and the encoding of their rows. */
@@ -79,4 +79,6 @@
   /** Returns the time in ms since all stored jobs and cancellations were known to be applied. */
   readonly getJobsAgeMs: () => number;
   readonly startGate: StartGate;
+  /** Returns the time in ms since the hosts were known to be as the platform lists them. */
+  readonly getWorkersAgeMs: () => number;
 };
--- a/packages/baobabwell-controller/src/BaobabwellControllerStartGate.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerStartGate.ts
@@ -1,24 +1,15 @@
 import type { TermContext } from './BaobabwellControllerContext';
 
-import { MAX_ORDER_DELAY_MS, START_TRANSIT_MS } from './BaobabwellControllerConstants';
-import { isHostViewTooOld } from './BaobabwellControllerHostView';
+import { START_TRANSIT_MS } from './BaobabwellControllerConstants';
 
-type GateContext = Pick<
-  TermContext,
-  'ownership' | 'bounds' | 'logger' | 'getConfiguration' | 'getJobsAgeMs'
-> & {
-  /** Returns the time in ms since the hosts were known to be as the platform lists them. */
-  readonly getWorkersAgeMs: () => number;
-};
+type GateContext = Pick<TermContext, 'ownership' | 'bounds' | 'logger' | 'getJobsAgeMs'>;
 
-/** Decides whether runs may start now, by the owner's lease and by the age of what it knows. */
+/** Decides whether runs may start now, by the owner's lease and by the age of what it knows of jobs. */
 export class StartGate {
   readonly #context: GateContext;
 
   #isClosed = false;
 
-  #hasSuspendedPools = false;
-
   constructor(context: GateContext) {
     this.#context = context;
   }
@@ -39,37 +30,9 @@
     return isClosed ? null : ownership.findMaxStartableVersion();
   }
 
-  /** Lists the pools in which no run may start, since their hosts may have changed meanwhile. */
-  listSuspendedPools(): ReadonlySet<string> {
-    const { ownership, bounds, getConfiguration, getWorkersAgeMs } = this.#context;
-    const view = {
-      ageMs: getWorkersAgeMs(),
-      maxAgeMs: bounds.drainMs - START_TRANSIT_MS,
-      canRenew: ownership.canAct(),
-    };
-    const pools = (getConfiguration()?.pools ?? [])
-      .filter(({ checksRoom }) => isHostViewTooOld(view, checksRoom))
-      .map(({ name }) => name);
-    if (pools.length > 0 !== this.#hasSuspendedPools) {
-      this.#hasSuspendedPools = pools.length > 0;
-      this.#recordPools(pools.length, view.ageMs);
-    }
-    return new Set(pools);
-  }
-
-  #recordPools(pools: number, ageMs: number): void {
-    const { logger } = this.#context;
-    const workersAgeMs = Math.round(ageMs);
-    if (pools > 0) {
-      logger.recordWarning('pools-suspended', { pools, workersAgeMs });
-    } else {
-      logger.recordInfo('pools-resumed', { pools, workersAgeMs });
-    }
-  }
-
   #isOutdated(): boolean {
     const { bounds, getJobsAgeMs } = this.#context;
-    return getJobsAgeMs() > bounds.cancellationMs - MAX_ORDER_DELAY_MS;
+    return getJobsAgeMs() > bounds.cancellationMs - START_TRANSIT_MS;
   }
 
   #recordChange(): void {
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -55,7 +55,6 @@
     );
     const hosts = new Map<string, Host>();
     const getJobsAgeMs = (): number => this.#tables.getAgeMs(JOBS_TABLE);
-    const getWorkersAgeMs = (): number => this.#tables.getAgeMs(options.codec.workersTable);
     this.context = {
       ...options,
       term,
@@ -68,7 +67,8 @@
       requestCommit: () => this.#committer.request(),
       stopRun: (run, reason) => this.#stopRun(run, reason),
       getJobsAgeMs,
-      startGate: new StartGate({ ...options, getJobsAgeMs, getWorkersAgeMs }),
+      startGate: new StartGate({ ...options, getJobsAgeMs }),
+      getWorkersAgeMs: () => this.#tables.getAgeMs(options.codec.workersTable),
     };
     this.#tables = new TermTables(this.context);
     this.#jobRows = new JobRows(this.context);
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -19,7 +19,12 @@
 import { DRAIN_MS, EmulatedHost, HEARTBEAT_MS, MAX_LEASE_MS } from './BaobabwellJobEmulatorHost';
 import { JobOracle } from './BaobabwellJobEmulatorOracle';
 import { EmulatedHostOrders } from './BaobabwellJobEmulatorOrders';
-import { EmulatedJobStore, EmulatedRows, NO_STORE_FAULTS } from './BaobabwellJobEmulatorStore';
+import {
+  EmulatedJobStore,
+  EmulatedRows,
+  NO_STORE_FAULTS,
+  NO_TABLE_FAULTS,
+} from './BaobabwellJobEmulatorStore';
 import { EmulatedWorkerRows, WORKERS_TABLE } from './BaobabwellJobEmulatorWorkers';
 
 const OPERATOR_TABLE = 'operator';
@@ -208,8 +213,8 @@
         maxHostLeaseMs: MAX_LEASE_MS,
         machineOrderDelayMs: 3_000,
         maintenanceMs: 2_000,
-        drainMs: DRAIN_MS,
         cancellationMs: 3_000,
+        drainMs: DRAIN_MS,
       },
       codec: {
         workersTable: WORKERS_TABLE,
@@ -284,6 +289,11 @@
     );
   }
 
+  /** Keeps the watch of one process on the table of workers from being answered, or lets it be. */
+  hangWorkerWatch(name: string, isHanging: boolean): void {
+    this.setTableFaults(name, WORKERS_TABLE, { ...NO_TABLE_FAULTS, hasSilentWatches: isHanging });
+  }
+
   /** Finds the process that considers itself the owner, or `null`. */
   findOwner(): string | null {
     const owners = [...this.#daemons.values()].filter(
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
@@ -190,8 +190,8 @@
     const nowMs = this.#clock.getNow();
     this.#oracle.recordStart(order.task, this.id, nowMs, {
       available: this.#getAvailable(this.#getOwnersCapacity(lateMs)),
-      isDrained: this.drainingSinceMs !== null && nowMs - lateMs > this.drainingSinceMs + DRAIN_MS,
       isLate: lateMs > 0,
+      isDrained: this.drainingSinceMs !== null && nowMs - lateMs > this.drainingSinceMs + DRAIN_MS,
     });
     const durationMs = (step?.estimateMs ?? 0) * this.durationFactor;
     const cancel =
--- a/packages/baobabwell-job-emulator/src/index.ts
+++ b/packages/baobabwell-job-emulator/src/index.ts
@@ -20,4 +20,3 @@
   NO_STORE_FAULTS,
   NO_TABLE_FAULTS,
 } from './BaobabwellJobEmulatorStore';
-export { WORKERS_TABLE } from './BaobabwellJobEmulatorWorkers';
