fuzz: the suite capacity, so that histories of the suite jobs stay as they were

Cause: the step resize-host, in the suite jobs since, changed the histories of each seed. Conclusion: none on the product.

--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzJobs.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzJobs.ts
@@ -1,5 +1,5 @@
 import type { InvariantViolation } from '@baobabwell/job-emulator';
-import type { IAsyncProperty } from 'fast-check';
+import type { Arbitrary, IAsyncProperty } from 'fast-check';
 
 import { array, asyncProperty, constantFrom, integer, oneof, record } from 'fast-check';
 
@@ -60,14 +60,18 @@
 
 type JobStep = { readonly kind: JobStepKind; readonly value: number };
 
-const stepArbitrary = record({
-  kind: oneof(
-    { weight: 4, arbitrary: constantFrom(JobStepKind.Submit) },
-    { weight: 6, arbitrary: constantFrom(JobStepKind.Wait) },
-    { weight: 6, arbitrary: constantFrom(...Object.values(JobStepKind)) },
-  ),
-  value: integer({ min: 0, max: 1_000 }),
-});
+const PLAIN_KINDS = Object.values(JobStepKind).filter((kind) => kind !== JobStepKind.ResizeHost);
+
+function createStepArbitrary(kinds: readonly JobStepKind[]): Arbitrary<JobStep> {
+  return record({
+    kind: oneof(
+      { weight: 4, arbitrary: constantFrom(JobStepKind.Submit) },
+      { weight: 6, arbitrary: constantFrom(JobStepKind.Wait) },
+      { weight: 6, arbitrary: constantFrom(...kinds) },
+    ),
+    value: integer({ min: 0, max: 1_000 }),
+  });
+}
 
 /** Steps after which, for some time, no bound in time holds for the processes. */
 const PROCESS_FAULTS: ReadonlySet<JobStepKind> = new Set([
@@ -197,20 +201,26 @@
 
 /** Runs jobs while owners, hosts, orders and the store fail. Checks the events seen by the hosts. */
 export class JobsFuzzSuite extends FuzzSuite {
-  override readonly name = 'jobs';
+  override readonly name: string = 'jobs';
 
   readonly #prepare: (fleet: EmulatedJobFleet) => void;
 
+  readonly #kinds: readonly JobStepKind[];
+
   /** @param prepare modifies the fleet before it starts; for tests that inject a defect. */
-  constructor(prepare: (fleet: EmulatedJobFleet) => void = () => undefined) {
+  constructor(
+    prepare: (fleet: EmulatedJobFleet) => void = () => undefined,
+    kinds: readonly JobStepKind[] = PLAIN_KINDS,
+  ) {
     super();
     this.#prepare = prepare;
+    this.#kinds = kinds;
   }
 
   override createProperty(): IAsyncProperty<unknown> {
     const history = record({
       seed: integer({ min: 0, max: MAX_SEED }),
-      steps: array(stepArbitrary, { minLength: 3, maxLength: MAX_STEPS }),
+      steps: array(createStepArbitrary(this.#kinds), { minLength: 3, maxLength: MAX_STEPS }),
     });
     return asyncProperty(history, async ({ seed, steps }) => this.#runHistory(seed, steps));
   }
@@ -248,3 +258,19 @@
     }
   }
 }
+
+/** Runs jobs while, in addition, the capacity of hosts changes that accept what does not fit them. */
+export class CapacityFuzzSuite extends JobsFuzzSuite {
+  override readonly name = 'capacity';
+
+  constructor() {
+    super(
+      (fleet) =>
+        fleet.listHosts().forEach((listed) => {
+          const host = listed;
+          host.checksCapacity = false;
+        }),
+      Object.values(JobStepKind),
+    );
+  }
+}
--- a/packages/baobabwell-fuzz/src/BaobabwellFuzzRegistry.ts
+++ b/packages/baobabwell-fuzz/src/BaobabwellFuzzRegistry.ts
@@ -2,7 +2,7 @@
 
 import { CallFuzzSuite } from './BaobabwellFuzzCall';
 import { FleetFuzzSuite } from './BaobabwellFuzzFleet';
-import { JobsFuzzSuite } from './BaobabwellFuzzJobs';
+import { CapacityFuzzSuite, JobsFuzzSuite } from './BaobabwellFuzzJobs';
 import { LimitsFuzzSuite } from './BaobabwellFuzzLimits';
 import { ViewFuzzSuite } from './BaobabwellFuzzView';
 
@@ -12,6 +12,7 @@
   new FleetFuzzSuite(),
   new CallFuzzSuite(),
   new JobsFuzzSuite(),
+  new CapacityFuzzSuite(),
   new ViewFuzzSuite(),
 ];
 
--- a/packages/baobabwell-fuzz/src/index.ts
+++ b/packages/baobabwell-fuzz/src/index.ts
@@ -7,6 +7,6 @@
 export { FuzzSuite } from './BaobabwellFuzz';
 export { CallFuzzSystem } from './BaobabwellFuzzCallSystem';
 export { FleetFuzzSuite } from './BaobabwellFuzzFleet';
-export { JobsFuzzSuite } from './BaobabwellFuzzJobs';
+export { CapacityFuzzSuite, JobsFuzzSuite } from './BaobabwellFuzzJobs';
 export { findFuzzSuite, FUZZ_SUITES } from './BaobabwellFuzzRegistry';
 export { runViewHistory, ViewFuzzSuite } from './BaobabwellFuzzView';
