controller: past its lease an owner starts nothing that it knew too little of at its last renewal

Cause: the gate asked for the age of the view only while the lease was valid. An owner that is seconds behind has often lost its lease as well: 54.25 s starts-suspended with jobsAgeMs 13,961, 1.1 s later starts-resumed with 15,037, no fresh view between. Change: past the lease, what was known at the last renewal counts.

--- a/packages/baobabwell-controller/src/BaobabwellControllerStartGate.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerStartGate.ts
@@ -20,9 +20,7 @@
    */
   findMaxStartableVersion(): number | null {
     const { ownership } = this.#context;
-    // While its lease has expired, the owner has its own bound: the store answers nobody, so that no
-    // cancellation is acknowledged either.
-    const isClosed = ownership.canAct() && this.#isOutdated();
+    const isClosed = this.#isOutdated();
     if (isClosed !== this.#isClosed) {
       this.#isClosed = isClosed;
       this.#recordChange();
@@ -31,8 +29,11 @@
   }
 
   #isOutdated(): boolean {
-    const { bounds, getJobsAgeMs } = this.#context;
-    return getJobsAgeMs() > bounds.cancellationMs - START_TRANSIT_MS;
+    const { bounds, ownership, getJobsAgeMs } = this.#context;
+    // A store that answers nobody acknowledges no cancellation: past the lease, what was known at the last
+    // renewal counts.
+    const sinceRenewalMs = ownership.canAct() ? 0 : ownership.getLeaseAgeMs();
+    return getJobsAgeMs() - sinceRenewalMs > bounds.cancellationMs - START_TRANSIT_MS;
   }
 
   #recordChange(): void {
