controller: the answer of a host's former incarnation to a start or a stop says nothing of the present one

Callers would see: a cancelled task runs on, or a task runs twice, after a host had crashed and was back. HostSession compared the state of the incarnation for reports, orders did not. Change: an answer to a start, to a stop or to the stop of an unwanted run counts only for the incarnation to which it was sent; a refused stop of an unwanted run has a log line.

--- a/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
@@ -74,6 +74,11 @@
         pool: this.#host.pool,
         answer: reply.ok ? 'started' : reply.error.kind,
       });
+      if (reply.ok && this.#host.state !== state) {
+        // An answer of the former incarnation says nothing of the present one.
+        mayHaveStarted = true;
+        break;
+      }
       if (reply.ok) {
         state.recordClock(reply.value, clock.getNow());
         // While the run is to be stopped, only the answer to that order counts.
@@ -151,6 +156,7 @@
   async sendStop(run: Run): Promise<void> {
     const { orders, term, clock, logger, ownership, signal } = this.#context;
     const { task, number } = run;
+    const { state } = this.#host;
     const reply = await orders.stop(this.#host.incarnation, {
       task: task.name,
       run: number,
@@ -160,8 +166,10 @@
       return;
     }
     if (reply.ok) {
-      const stopped = run;
-      stopped.answeredAtMs = clock.getNow();
+      if (this.#host.state === state) {
+        const stopped = run;
+        stopped.answeredAtMs = clock.getNow();
+      }
       return;
     }
     if (reply.error.kind === OrderRefusal.Fenced) {
@@ -189,15 +197,19 @@
 
   /** Stops runs that must not be on the host, which refuses them from then on. */
   async stopUnwantedRuns(): Promise<void> {
-    const { orders, term, signal } = this.#context;
+    const { orders, term, signal, logger } = this.#context;
     const { incarnation, state, unwantedRuns } = this.#host;
     await Promise.all(
       [...unwantedRuns].map(async ([key, { task, run }]) => {
         const reply = await orders.stop(incarnation, { task, run, epoch: term.epoch });
-        // An answer of the former incarnation says nothing of the present one.
         if (reply.ok && !signal.aborted && this.#host.state === state) {
           unwantedRuns.delete(key);
         }
+        if (!reply.ok) {
+          const { kind, cause } = reply.error;
+          const host = incarnation.id;
+          logger.recordWarning('stop-refused', { host, task, run, refusal: kind, cause });
+        }
       }),
     );
   }
