controller: a second read of the jobs brings back no ended job, and no job without its cancellation

A job that is not tracked counted as missed for as long as ended jobs are kept, by clocks that may differ; a cancellation was filtered out before the job that the same read adds. Change: a job counts as missed for a minute after its acceptance, two less than ended jobs are kept; cancellations pass unless their job has ended.

--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -117,6 +117,9 @@
 /** Time for which an ended job is retained in memory, in ms; callers query it for two minutes. */
 export const ENDED_JOB_RETENTION_MS = 180_000;
 
+/** Age up to which a job that is not tracked may have been missed by the watch, in ms. */
+export const MAX_UNSEEN_AGE_MS = 60_000;
+
 /** Interval between removals of ended jobs, in ms. */
 export const PRUNE_INTERVAL_MS = 20_000;
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerJobRows.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerJobRows.ts
@@ -5,7 +5,11 @@
 import { CANCELLED_SUFFIX, JOBS_TABLE } from '@baobabwell/ingress';
 import { parseJobProgress } from '@baobabwell/jobs';
 
-import { ENDED_JOB_RETENTION_MS, PRUNE_INTERVAL_MS } from './BaobabwellControllerConstants';
+import {
+  ENDED_JOB_RETENTION_MS,
+  MAX_UNSEEN_AGE_MS,
+  PRUNE_INTERVAL_MS,
+} from './BaobabwellControllerConstants';
 import { parseJobRecord } from './BaobabwellControllerRows';
 
 /** Applies the stored rows of jobs, of their progress and of their cancellations to the registry. */
@@ -119,14 +123,14 @@
   #isUnseen({ key, value }: Row): boolean {
     const { jobRegistry, clock } = this.#context;
     if (key.endsWith(CANCELLED_SUFFIX)) {
-      return jobRegistry.findJob(key.slice(0, -CANCELLED_SUFFIX.length))?.isEnded === false;
+      return jobRegistry.findJob(key.slice(0, -CANCELLED_SUFFIX.length))?.isEnded !== true;
     }
     const record = value === null ? null : parseJobRecord(value);
-    // A job that ended and was removed from memory was accepted before.
+    // Jobs that ended and were removed from memory are older, by clocks that differ by up to two minutes.
     return (
       record !== null &&
       jobRegistry.findJob(key) === null &&
-      clock.getWallTime() - record.acceptedAtMs < ENDED_JOB_RETENTION_MS
+      clock.getWallTime() - record.acceptedAtMs < MAX_UNSEEN_AGE_MS
     );
   }
 
