controller: cancellations of unknown jobs are kept by the owner's clock

Callers would see: a job that is stored after its cancellation runs, where the clock of the process that took the cancel is behind. Cause: such a cancellation was dropped by the time that its writer had put into the row. Change: it is kept for as long as ended jobs, from its receipt.

--- a/packages/baobabwell-controller/src/BaobabwellControllerJobRows.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerJobRows.ts
@@ -12,6 +12,9 @@
 } from './BaobabwellControllerConstants';
 import { parseJobRecord } from './BaobabwellControllerRows';
 
+/** The cancellation of a job that is not stored yet. */
+type EarlyCancellation = { readonly value: JsonValue; readonly receivedAtMs: number };
+
 /** Applies the stored rows of jobs, of their progress and of their cancellations to the registry. */
 export class JobRows {
   readonly #context: TermContext;
@@ -19,7 +22,7 @@
   #isLoaded = false;
 
   /** Cancellations of jobs that are not stored yet: a transaction may be carried out late. */
-  readonly #earlyCancellations = new Map<string, JsonValue>();
+  readonly #earlyCancellations = new Map<string, EarlyCancellation>();
 
   constructor(context: TermContext) {
     this.#context = context;
@@ -52,10 +55,10 @@
       version,
       ageMs: Math.round(clock.getWallTime() - record.acceptedAtMs),
     });
-    const cancelledAtMs = this.#earlyCancellations.get(key);
-    if (cancelledAtMs !== undefined) {
+    const cancellation = this.#earlyCancellations.get(key);
+    if (cancellation !== undefined) {
       this.#earlyCancellations.delete(key);
-      this.#cancel(key, cancelledAtMs);
+      this.#cancel(key, cancellation.value);
     }
     requestDispatch();
   }
@@ -72,7 +75,7 @@
   }
 
   /** Applies the cancellations among rows that were read before the progress of their jobs. */
-  startWatch(pages: readonly (ChangePage | null)[]): void {
+  applyCancellations(pages: readonly (ChangePage | null)[]): void {
     this.#isLoaded = true;
     pages.forEach((page) =>
       page?.rows
@@ -111,9 +114,8 @@
     [...jobRegistry.listJobs()]
       .filter(({ endedAtMs }) => endedAtMs !== null && nowMs - endedAtMs > ENDED_JOB_RETENTION_MS)
       .forEach((job) => jobRegistry.removeJob(job));
-    const earliestMs = clock.getWallTime() - ENDED_JOB_RETENTION_MS;
-    this.#earlyCancellations.forEach((cancelledAtMs, jobId) => {
-      if (typeof cancelledAtMs !== 'number' || cancelledAtMs < earliestMs) {
+    this.#earlyCancellations.forEach(({ receivedAtMs }, jobId) => {
+      if (nowMs - receivedAtMs > ENDED_JOB_RETENTION_MS) {
         this.#earlyCancellations.delete(jobId);
       }
     });
@@ -139,7 +141,7 @@
     const { jobRegistry, clock, logger, metrics, stopRun, requestCommit } = this.#context;
     const job = jobRegistry.findJob(jobId);
     if (job === null) {
-      this.#earlyCancellations.set(jobId, cancelledAtMs);
+      this.#earlyCancellations.set(jobId, { value: cancelledAtMs, receivedAtMs: clock.getNow() });
       return;
     }
     if (!this.#isLoaded || job.isEnded) {
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -154,7 +154,7 @@
     waves?.rows.forEach((row) => this.#applyWaveRow(row));
     this.#isLoaded = true;
     ownership.recordLoaded(term);
-    this.#jobRows.startWatch(jobs);
+    this.#jobRows.applyCancellations(jobs);
     metrics.terms.inc({ start: term.isHandover ? 'handover' : 'takeover' });
     metrics.termLoadSeconds.observe((clock.getNow() - startedAt.monotonicMs) / SECOND_MS);
     logger.recordInfo('term-loaded', {
