jobs, placement, controller: no import circles

Cause: three circles came since (Context and StartGate; Crashes, Rows and Tracking; Placement and Suspects). Change: types that both sides need are in the package's model file; the blame for a crash has a file of its own.

--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -1,13 +1,9 @@
 import type { Host } from './BaobabwellControllerHost';
 import type { HostMajority } from './BaobabwellControllerHostMajority';
 import type { HostSilences } from './BaobabwellControllerHostSilences';
+import type { FleetBounds, FleetCodec } from './BaobabwellControllerModel';
 import type { StartGate } from './BaobabwellControllerStartGate';
-import type {
-  FleetConfiguration,
-  ListedWorker,
-  MaintenanceWave,
-  WaveState,
-} from '@baobabwell/fleet';
+import type { FleetConfiguration, MaintenanceWave } from '@baobabwell/fleet';
 import type { Job, JobRegistry, Run } from '@baobabwell/jobs';
 import type { Logger } from '@baobabwell/logging';
 import type { OwnerMetrics } from '@baobabwell/metrics';
@@ -15,36 +11,11 @@
 import type {
   CloudControl,
   HostOrders,
-  JsonValue,
   PlacementAdvisor,
   WatchableTableService,
 } from '@baobabwell/platform';
 import type { Clock } from '@baobabwell/utils';
 
-/** Limits set by the platform, in ms. */
-export type FleetBounds = {
-  /** Longest lease that a host grants. */
-  readonly maxHostLeaseMs: number;
-  /** Shortest delay between orders of successive owners for the same machine. */
-  readonly machineOrderDelayMs: number;
-  readonly maintenanceMs: number;
-  /** Longest time after the acknowledgement of a cancellation for which tasks of the job may start. */
-  readonly cancellationMs: number;
-  /** Time after a host is listed as draining from which no run may start there. */
-  readonly drainMs: number;
-};
-
-/** Tables in which the platform describes the fleet, and the encoding of their rows. */
-export type FleetCodec = {
-  readonly workersTable: string;
-  readonly operatorTable: string;
-  readonly statusTable: string;
-  readonly decodeWorker: (id: string, value: JsonValue) => ListedWorker | null;
-  readonly decodeWave: (key: string, value: JsonValue) => MaintenanceWave | null;
-  readonly getWaveStatusKey: (wave: number) => string;
-  readonly encodeWaveStatus: (state: WaveState) => JsonValue;
-};
-
 /** Dependencies that the process provides to a term. */
 export type TermOptions = {
   readonly holder: string;
--- a/packages/baobabwell-controller/src/BaobabwellControllerStartGate.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerStartGate.ts
@@ -1,8 +1,15 @@
-import type { TermContext } from './BaobabwellControllerContext';
+import type { FleetBounds } from './BaobabwellControllerModel';
+import type { Logger } from '@baobabwell/logging';
+import type { Ownership } from '@baobabwell/ownership';
 
 import { START_TRANSIT_MS } from './BaobabwellControllerConstants';
 
-type GateContext = Pick<TermContext, 'ownership' | 'bounds' | 'logger' | 'getJobsAgeMs'>;
+type GateContext = {
+  readonly ownership: Ownership;
+  readonly bounds: FleetBounds;
+  readonly logger: Logger;
+  readonly getJobsAgeMs: () => number;
+};
 
 /** Decides whether runs may start now, by the owner's lease and by the age of what it knows of jobs. */
 export class StartGate {
--- a/packages/baobabwell-controller/src/index.ts
+++ b/packages/baobabwell-controller/src/index.ts
@@ -1,8 +1,4 @@
-export type {
-  FleetBounds,
-  FleetCodec,
-  TermContext,
-  TermOptions,
-} from './BaobabwellControllerContext';
+export type { TermContext, TermOptions } from './BaobabwellControllerContext';
+export type { FleetBounds, FleetCodec } from './BaobabwellControllerModel';
 
 export { Controller } from './BaobabwellController';
--- a/packages/baobabwell-jobs/src/BaobabwellJobsModel.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsModel.ts
@@ -101,6 +101,21 @@
   GangIncomplete = 'alone',
 }
 
+/** A run and the incarnation of the host on which it was placed. */
+export type RunOnHost = {
+  readonly number: number;
+  readonly hostId: string;
+  /** Start of the host's incarnation, in ms since 1970; `null` if it is not known. */
+  readonly hostBornMs: number | null;
+};
+
+/** A run that was stored before its start. */
+export type StoredStart = {
+  readonly run: number;
+  readonly hostId: string;
+  readonly bornMs: number | null;
+};
+
 const TASK_NAME_PARTS = 4;
 
 /** Formats the name of a task. */
--- a/packages/baobabwell-jobs/src/BaobabwellJobsRows.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRows.ts
@@ -26,9 +26,6 @@
   ),
 });
 
-/** A run that was stored before its start. */
-export type StoredStart = z.infer<typeof taskCrashes>['starts'][number];
-
 const stepProgress = z.object({
   /** Bit set of the tasks that are done, in hexadecimal. */
   done: z.string().regex(/^[0-9a-f]+$/),
--- a/packages/baobabwell-jobs/src/BaobabwellJobsTracking.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsTracking.ts
@@ -1,5 +1,4 @@
-import type { JobRecord, StepSpec } from './BaobabwellJobsModel';
-import type { StoredStart } from './BaobabwellJobsRows';
+import type { JobRecord, StepSpec, StoredStart } from './BaobabwellJobsModel';
 
 import { TaskCrashes } from './BaobabwellJobsCrashes';
 import { formatTaskName, JobState } from './BaobabwellJobsModel';
--- a/packages/baobabwell-jobs/src/index.ts
+++ b/packages/baobabwell-jobs/src/index.ts
@@ -1,16 +1,19 @@
-export type { CrashBlame, CrashedRun, HostCrash } from './BaobabwellJobsCrashes';
+export type { CrashBlame, CrashedRun, HostCrash } from './BaobabwellJobsCrashBlame';
 export type {
   JobRecord,
   JobSpec,
   RepeatSpec,
   Resources,
+  RunOnHost,
   StepSpec,
+  StoredStart,
   TaskName,
 } from './BaobabwellJobsModel';
 export type { QueueRules } from './BaobabwellJobsRegistry';
-export type { JobProgress, StoredStart } from './BaobabwellJobsRows';
+export type { JobProgress } from './BaobabwellJobsRows';
 
-export { CrashSuspicion, decideCrashBlame, TaskCrashes } from './BaobabwellJobsCrashes';
+export { decideCrashBlame } from './BaobabwellJobsCrashBlame';
+export { CrashSuspicion, TaskCrashes } from './BaobabwellJobsCrashes';
 export { formatTaskName, JobState, parseTaskName, RunEnd } from './BaobabwellJobsModel';
 export { JobRegistry, RunEndEffect } from './BaobabwellJobsRegistry';
 export { createJobProgress, parseJobProgress } from './BaobabwellJobsRows';
--- a/packages/baobabwell-placement/src/BaobabwellPlacementSuspects.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacementSuspects.ts
@@ -3,7 +3,7 @@
  * starts on a host that received no other work while the task waited, so that the crash harms few runs
  * and shows its cause.
  */
-import type { PlacementHost, PlacementSnapshot } from './BaobabwellPlacement';
+import type { PlacementHost, PlacementSnapshot } from './BaobabwellPlacementModel';
 import type { Task } from '@baobabwell/jobs';
 
 import { CrashSuspicion, TaskPhase } from '@baobabwell/jobs';
--- a/packages/baobabwell-placement/src/index.ts
+++ b/packages/baobabwell-placement/src/index.ts
@@ -1,15 +1,15 @@
+export type {
+  AcceptedWork,
+  AdmissionDecision,
+  AdmissionSnapshot,
+} from './BaobabwellPlacementAdmission';
 export type {
   Allowance,
   AllowedHosts,
   Placement,
   PlacementHost,
   PlacementSnapshot,
-} from './BaobabwellPlacement';
-export type {
-  AcceptedWork,
-  AdmissionDecision,
-  AdmissionSnapshot,
-} from './BaobabwellPlacementAdmission';
+} from './BaobabwellPlacementModel';
 export type { StepUrgency } from './BaobabwellPlacementObjective';
 
 export { decidePlacements } from './BaobabwellPlacement';
