durations, controller: interfaces of the parts for hard load

Cause: estimators of durations, state handed to the next owner and evacuations are used by several parts at once. Change: a package durations with the estimator and the one that uses callers' estimates; empty handover sections and evacuations in the context of a term. Measured: none, nothing uses them yet. Conclusion: parts can be built side by side against these types.

--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -1,8 +1,11 @@
+import type { Evacuations } from './BaobabwellControllerEvacuations';
+import type { Handover } from './BaobabwellControllerHandover';
 import type { Host } from './BaobabwellControllerHost';
 import type { HostMajority } from './BaobabwellControllerHostMajority';
 import type { HostSilences } from './BaobabwellControllerHostSilences';
 import type { FleetBounds, FleetCodec } from './BaobabwellControllerModel';
 import type { StartGate } from './BaobabwellControllerStartGate';
+import type { DurationEstimator } from '@baobabwell/durations';
 import type { FleetConfiguration, MaintenanceWave } from '@baobabwell/fleet';
 import type { Job, JobRegistry, Run } from '@baobabwell/jobs';
 import type { Logger } from '@baobabwell/logging';
@@ -37,6 +40,9 @@
   readonly term: Term;
   readonly jobRegistry: JobRegistry;
   readonly hosts: Map<string, Host>;
+  readonly durations: DurationEstimator;
+  readonly evacuations: Evacuations;
+  readonly handover: Handover;
   readonly hostMajority: HostMajority;
   readonly hostSilences: HostSilences;
   /** Waves requested by the operator, by number. */
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -8,6 +8,7 @@
 
 import { setMaxListeners } from 'node:events';
 
+import { CallerEstimates } from '@baobabwell/durations';
 import { JOBS_TABLE, listJobPartitions, PROGRESS_TABLE } from '@baobabwell/ingress';
 import { JobRegistry } from '@baobabwell/jobs';
 import { getWidestStepCpu } from '@baobabwell/placement';
@@ -16,7 +17,9 @@
 import { Committer } from './BaobabwellControllerCommitter';
 import { HOSTS_TABLE, LEASE_CHECK_INTERVAL_MS } from './BaobabwellControllerConstants';
 import { Dispatcher } from './BaobabwellControllerDispatcher';
+import { Evacuations } from './BaobabwellControllerEvacuations';
 import { FleetControlLoop } from './BaobabwellControllerFleetControlLoop';
+import { Handover } from './BaobabwellControllerHandover';
 import { Host } from './BaobabwellControllerHost';
 import { HostMajority } from './BaobabwellControllerHostMajority';
 import { HostSilences } from './BaobabwellControllerHostSilences';
@@ -62,6 +65,9 @@
       term,
       jobRegistry,
       hosts,
+      durations: new CallerEstimates(),
+      evacuations: new Evacuations(),
+      handover: new Handover(),
       hostMajority: new HostMajority(options.clock, options.ownership, hosts),
       hostSilences: new HostSilences(),
       waves: new Map(),
--- /dev/null
+++ b/packages/baobabwell-durations/src/index.ts
@@ -0,0 +1,1 @@
+export { CallerEstimates, DurationEstimator } from './BaobabwellDurationsModel';
