--- a/packages/baobabwell-controller/src/BaobabwellControllerWaveControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerWaveControlLoop.ts
@@ -6,6 +6,7 @@
 import { z } from 'zod';
 
 import { decideMaintenance, WaveState } from '@baobabwell/fleet';
+import { RunPhase } from '@baobabwell/jobs';
 import { CloudHostState } from '@baobabwell/platform';
 
 import { WAVES_TABLE } from './BaobabwellControllerConstants';
@@ -127,7 +128,7 @@
       changed.isReported = await this.#writeStatus(wave, row, WaveState.Completed);
       return;
     }
-    const { maintenanceStarts, drains } = decideMaintenance({
+    const { maintenanceStarts, drains, stops } = decideMaintenance({
       remainingMs: wave.durationMs - (clock.getWallTime() - row.seenAtMs),
       maxDown: wave.maxDown,
       downCount,
@@ -135,6 +136,7 @@
       maintenanceMs: bounds.maintenanceMs + PREPARATION_MS,
     });
     drains.forEach((name) => this.#drain(wave, byName.get(name) as CloudHost, cordons));
+    stops.forEach((name) => this.#stopRuns(wave, byName.get(name) as CloudHost));
     // Not awaited: a missing answer must not delay the next round.
     maintenanceStarts.forEach((name) => {
       void this.#startMaintenance(wave, row, byName.get(name) as CloudHost);
@@ -178,6 +180,7 @@
       isIdle: host?.isIdle === true,
       hasLongRunning: host !== null && listLongRunning(host).length > 0,
       usedCpuMillis: host?.getUsedResources().cpuMillis ?? 0,
+      isDraining: host?.isCordoned === true,
     };
   }
 
@@ -191,6 +194,16 @@
     }
   }
 
+  /** Stops the runs that keep a drained machine from its maintenance; their tasks start elsewhere. */
+  #stopRuns({ number }: MaintenanceWave, machine: CloudHost): void {
+    const host = this.#machines.findHost(machine);
+    if (host?.isCordoned === true) {
+      [...host.runs.values()]
+        .filter(({ phase, task }) => phase === RunPhase.Running && !task.step.spec.isLasting)
+        .forEach((run) => this.#context.stopRun(run, `wave ${number} would be late`));
+    }
+  }
+
   async #startMaintenance(wave: MaintenanceWave, row: WaveRow, machine: CloudHost): Promise<void> {
     const host = this.#machines.findHost(machine);
     if (host !== null) {
