controller: start nothing in a data centre that the operator evacuates

Cause: the operator's request was not read, so tasks went on starting in an evacuated data centre. Change: the owner tracks the evacuation rows of the operator's table, also at load and after its history was compacted; hosts there take no new task, also of starts that are retried or not sent yet. Where the platform bounds the time after an evacuation, an owner that has not known the operator's rows for longer starts nothing. Machines there count neither as capacity, headroom nor spare. The emulated fleet has data centres, evacuations and an invariant for them.

--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -59,6 +59,8 @@
   readonly stopRun: (run: Run, reason: string) => void;
   /** Returns the time in ms since all stored jobs and cancellations were known to be applied. */
   readonly getJobsAgeMs: () => number;
+  /** Returns the time in ms since the operator's requests were known to be applied. */
+  readonly getRequestsAgeMs: () => number;
   readonly startGate: StartGate;
   /** Returns the time in ms since the hosts were known to be as the platform lists them. */
   readonly getWorkersAgeMs: () => number;
--- a/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
@@ -127,6 +127,7 @@
     const allocatable = machines.filter(
       (machine) =>
         this.#machines.isSpare(machine) &&
+        !this.#machines.isEvacuated(machine) &&
         machine.state === CloudHostState.Up &&
         !this.#machines.isPending(machine.machine),
     );
@@ -288,11 +289,12 @@
     const loads = getPoolLoads(this.#context);
     const nowMs = clock.getNow();
     const machines = this.#machines.list();
-    const headroom = this.#divideHeadroom(machines.length, nowMs);
+    const headroom = this.#divideHeadroom(this.#machines.countUsable(), nowMs);
     return (getConfiguration()?.pools ?? []).map(({ name, isSpare }) => {
       const present = machines.filter(
         (machine) =>
           machine.pool === name &&
+          !this.#machines.isEvacuated(machine) &&
           machine.state === CloudHostState.Up &&
           !this.#machines.isPending(machine.machine) &&
           (isSpare || this.#machines.findHost(machine) !== null),
--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -62,6 +62,9 @@
   /** True while the host receives no new work because it is about to leave the pool or go down. */
   isCordoned = false;
 
+  /** True while the operator evacuates the data centre of the host. */
+  isEvacuated = false;
+
   /** Monotonic time at which this owner began to track the host, in ms; earlier runs may be unknown. */
   readonly trackedSinceMs: number;
 
@@ -120,6 +123,7 @@
       this.isReconciled &&
       this.isReachable &&
       !this.isCordoned &&
+      !this.isEvacuated &&
       this.hasClock &&
       nowMs >= this.unhealthyUntilMs
     );
--- a/packages/baobabwell-controller/src/BaobabwellControllerMachineInventory.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerMachineInventory.ts
@@ -49,9 +49,21 @@
     return this.#pendingOrders.has(machine);
   }
 
-  /** Counts the machines that are joining a pool. */
+  /** Returns true for a machine in a data centre that the operator evacuates. */
+  isEvacuated({ zone }: CloudHost): boolean {
+    return this.#context.evacuations.isEvacuated(zone);
+  }
+
+  /** Counts the machines that may take work. */
+  countUsable(): number {
+    return this.#machines.filter((machine) => !this.isEvacuated(machine)).length;
+  }
+
+  /** Counts the machines that are joining a pool and may take work there. */
   countArriving(pool: string): number {
-    return this.#machines.filter((machine) => this.#isArriving(machine, pool)).length;
+    return this.#machines.filter(
+      (machine) => this.#isArriving(machine, pool) && !this.isEvacuated(machine),
+    ).length;
   }
 
   /** Lists the hosts whose machines have a pending order for a move or maintenance. */
--- a/packages/baobabwell-controller/src/BaobabwellControllerModel.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerModel.ts
@@ -12,6 +12,11 @@
   readonly cancellationMs: number;
   /** Time after a host is listed as draining from which no run may start there. */
   readonly drainMs: number;
+  /**
+   * Longest time after the acknowledgement of an evacuation for which tasks may start in its data centre;
+   * `null` where the platform sets none.
+   */
+  readonly evacuationMs: number | null;
 };
 
 /** Tables in which the platform describes the fleet, and the encoding of their rows. */
@@ -20,6 +25,8 @@
   readonly operatorTable: string;
   readonly statusTable: string;
   readonly decodeWorker: (id: string, value: JsonValue) => ListedWorker | null;
+  /** Returns the zone that the row with a key of the operator's table evacuates, or `null`. */
+  readonly decodeEvacuatedZone: (key: string) => string | null;
   readonly decodeWave: (key: string, value: JsonValue) => MaintenanceWave | null;
   readonly getWaveStatusKey: (wave: number) => string;
   readonly encodeWaveStatus: (state: WaveState) => JsonValue;
--- a/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
@@ -123,16 +123,18 @@
 
   /**
    * Returns true while a run may start on the host. It may not once its order to stop was sent, its job must
-   * not start by the owner's lease or by the age of what the owner knows, or the host drains or left.
+   * not start by the owner's lease or by the age of what the owner knows, the host drains or left, or its
+   * data centre is evacuated.
    */
   #canStart({ key, phase, task }: Run): boolean {
-    const { runs, listedWorker } = this.#host;
+    const { runs, listedWorker, isEvacuated } = this.#host;
     const maxVersion = this.#context.startGate.findMaxStartableVersion() ?? 0;
     return (
       runs.has(key) &&
       phase !== RunPhase.Stopping &&
       task.step.job.acceptedVersion <= maxVersion &&
       listedWorker?.isDraining === false &&
+      !isEvacuated &&
       !this.#listener.hasEnded()
     );
   }
--- a/packages/baobabwell-controller/src/BaobabwellControllerStartGate.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerStartGate.ts
@@ -3,15 +3,18 @@
 import type { Ownership } from '@baobabwell/ownership';
 
 import { START_TRANSIT_MS } from './BaobabwellControllerConstants';
+import { isEvacuationViewTooOld } from './BaobabwellControllerEvacuationView';
 
 type GateContext = {
   readonly ownership: Ownership;
   readonly bounds: FleetBounds;
   readonly logger: Logger;
   readonly getJobsAgeMs: () => number;
+  /** Returns the time in ms since the operator's requests were known to be applied. */
+  readonly getRequestsAgeMs: () => number;
 };
 
-/** Decides whether runs may start now, by the owner's lease and by the age of what it knows of jobs. */
+/** Decides whether runs may start now, by the owner's lease and by the age of what it knows. */
 export class StartGate {
   readonly #context: GateContext;
 
@@ -23,7 +26,7 @@
 
   /**
    * Returns the version of the store up to which accepted jobs may be started now; `null` if none may.
-   * A job may have been cancelled since its owner last knew all cancellations.
+   * A job may have been cancelled, or a data centre evacuated, since its owner last knew all requests.
    */
   findMaxStartableVersion(): number | null {
     const { ownership } = this.#context;
@@ -36,20 +39,31 @@
   }
 
   #isOutdated(): boolean {
-    const { bounds, ownership, getJobsAgeMs } = this.#context;
+    const { bounds, ownership, getJobsAgeMs, getRequestsAgeMs } = this.#context;
     // A store that answers nobody acknowledges no cancellation: past the lease, what was known at the last
     // renewal counts.
     const sinceRenewalMs = ownership.canAct() ? 0 : ownership.getLeaseAgeMs();
-    return getJobsAgeMs() - sinceRenewalMs > bounds.cancellationMs - START_TRANSIT_MS;
+    const { cancellationMs, evacuationMs } = bounds;
+    return (
+      getJobsAgeMs() - sinceRenewalMs > cancellationMs - START_TRANSIT_MS ||
+      isEvacuationViewTooOld({
+        ageMs: getRequestsAgeMs(),
+        unansweredMs: sinceRenewalMs,
+        maxAgeMs: evacuationMs === null ? null : evacuationMs - START_TRANSIT_MS,
+      })
+    );
   }
 
   #recordChange(): void {
-    const { logger, getJobsAgeMs } = this.#context;
-    const jobsAgeMs = Math.round(getJobsAgeMs());
+    const { logger, getJobsAgeMs, getRequestsAgeMs } = this.#context;
+    const ages = {
+      jobsAgeMs: Math.round(getJobsAgeMs()),
+      requestsAgeMs: Math.round(getRequestsAgeMs()),
+    };
     if (this.#isClosed) {
-      logger.recordWarning('starts-suspended', { jobsAgeMs });
+      logger.recordWarning('starts-suspended', ages);
     } else {
-      logger.recordInfo('starts-resumed', { jobsAgeMs });
+      logger.recordInfo('starts-resumed', ages);
     }
   }
 }
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -1,4 +1,5 @@
 import type { TermContext, TermOptions } from './BaobabwellControllerContext';
+import type { EvacuationRow } from './BaobabwellControllerEvacuations';
 import type { TablePosition } from './BaobabwellControllerTermTables';
 import type { ListedWorker } from '@baobabwell/fleet';
 import type { OfferReply } from '@baobabwell/ingress';
@@ -17,7 +18,7 @@
 import { Committer } from './BaobabwellControllerCommitter';
 import { HOSTS_TABLE, LEASE_CHECK_INTERVAL_MS } from './BaobabwellControllerConstants';
 import { Dispatcher } from './BaobabwellControllerDispatcher';
-import { Evacuations } from './BaobabwellControllerEvacuations';
+import { EvacuationChange, Evacuations } from './BaobabwellControllerEvacuations';
 import { FleetControlLoop } from './BaobabwellControllerFleetControlLoop';
 import { Handover } from './BaobabwellControllerHandover';
 import { Host } from './BaobabwellControllerHost';
@@ -60,6 +61,7 @@
     );
     const hosts = new Map<string, Host>();
     const getJobsAgeMs = (): number => this.#tables.getAgeMs(JOBS_TABLE);
+    const getRequestsAgeMs = (): number => this.#tables.getAgeMs(options.codec.operatorTable);
     this.context = {
       ...options,
       term,
@@ -77,7 +79,8 @@
       storeProgress: async (job) => this.#committer.storeProgress(job),
       stopRun: (run, reason) => this.#stopRun(run, reason),
       getJobsAgeMs,
-      startGate: new StartGate({ ...options, getJobsAgeMs }),
+      getRequestsAgeMs,
+      startGate: new StartGate({ ...options, getJobsAgeMs, getRequestsAgeMs }),
       getWorkersAgeMs: () => this.#tables.getAgeMs(options.codec.workersTable),
     };
     this.#tables = new TermTables(this.context);
@@ -141,7 +144,7 @@
   async run(): Promise<void> {
     const { clock, logger, metrics, term, codec, ownership, signal } = this.context;
     const startedAt = readClocks(clock);
-    const [hosts, workers, progress, waves, ...jobs] = await this.#tables.readAll([
+    const [hosts, workers, progress, requests, ...jobs] = await this.#tables.readAll([
       { table: HOSTS_TABLE },
       { table: codec.workersTable },
       { table: PROGRESS_TABLE },
@@ -157,7 +160,7 @@
     hosts?.rows.forEach((row) => this.#applyHostRow(row));
     restoreStoredStarts(this.context);
     workers?.rows.forEach((row) => this.#applyWorkerRow(row));
-    waves?.rows.forEach((row) => this.#applyWaveRow(row));
+    requests?.rows.forEach((row) => this.#applyOperatorRow(row));
     this.#isLoaded = true;
     ownership.recordLoaded(term);
     this.#jobRows.applyCancellations(jobs);
@@ -182,7 +185,9 @@
       ),
       this.#watch(codec.workersTable, workers ?? startPosition, (row) => this.#applyWorkerRow(row)),
       this.#watch(HOSTS_TABLE, hosts ?? startPosition, (row) => this.#committer.recordHostRow(row)),
-      this.#watch(codec.operatorTable, waves ?? startPosition, (row) => this.#applyWaveRow(row)),
+      this.#watch(codec.operatorTable, requests ?? startPosition, (row) =>
+        this.#applyOperatorRow(row),
+      ),
     ]);
   }
 
@@ -211,7 +216,11 @@
         }
       });
     }
-    return findCommonPosition(pages);
+    const position = findCommonPosition(pages);
+    if (table === this.context.codec.operatorTable && position !== null) {
+      this.#withdrawMissingEvacuations(rows, position.version);
+    }
+    return position;
   }
 
   #applyHostRow(stored: Row): void {
@@ -277,6 +286,7 @@
       this.#fleetControlLoop.requestRound();
     }
     host.listedWorker = worker;
+    this.#updateEvacuated(host);
     if (worker.bornMs !== null && host.bornMs !== null && worker.bornMs > host.bornMs) {
       this.#sessions.get(worker.id)?.recordRestart(worker.bornMs);
     }
@@ -290,6 +300,7 @@
     host.bornMs = state.bornMs ?? host.bornMs;
     host.isRegistered = state.isRegistered;
     host.mayBeStored = state.isRegistered;
+    this.#updateEvacuated(host);
     hosts.set(host.incarnation.id, host);
     const session = new HostSession(this.context, host);
     this.#sessions.set(host.incarnation.id, session);
@@ -303,6 +314,54 @@
     requestDispatch();
   }
 
+  #applyOperatorRow(row: Row): void {
+    const { key, value, version } = row;
+    const zone = this.context.codec.decodeEvacuatedZone(key);
+    if (zone === null) {
+      this.#applyWaveRow(row);
+    } else {
+      this.#applyEvacuation({ zone, isRequested: value !== null, version });
+    }
+  }
+
+  #applyEvacuation(row: EvacuationRow): void {
+    const { evacuations, hosts, clock, logger, requestDispatch } = this.context;
+    const change = evacuations.apply(row, clock.getNow());
+    if (change === EvacuationChange.None) {
+      return;
+    }
+    const { zone, version } = row;
+    let hostCount = 0;
+    let runCount = 0;
+    hosts.forEach((host) => {
+      this.#updateEvacuated(host);
+      const isConcerned = host.listedWorker?.zone === zone;
+      hostCount += isConcerned ? 1 : 0;
+      runCount += isConcerned ? host.runs.size : 0;
+    });
+    const event =
+      change === EvacuationChange.Requested ? 'evacuation-seen' : 'evacuation-withdrawn';
+    logger.recordInfo(event, { zone, version, hosts: hostCount, runs: runCount });
+    this.#fleetControlLoop.requestRound();
+    requestDispatch();
+  }
+
+  /** Withdraws the evacuations whose rows were removed while the history of their table was missing. */
+  #withdrawMissingEvacuations(rows: readonly Row[], version: number): void {
+    const { codec, evacuations } = this.context;
+    const requested = new Set(rows.map(({ key }) => codec.decodeEvacuatedZone(key)));
+    evacuations
+      .list()
+      .filter(({ zone }) => !requested.has(zone))
+      .forEach(({ zone }) => this.#applyEvacuation({ zone, isRequested: false, version }));
+  }
+
+  #updateEvacuated(changed: Host): void {
+    const host = changed;
+    const zone = host.listedWorker?.zone;
+    host.isEvacuated = zone !== undefined && this.context.evacuations.isEvacuated(zone);
+  }
+
   #applyWaveRow({ key, value }: Row): void {
     const { codec, waves, logger } = this.context;
     const wave = value === null ? null : codec.decodeWave(key, value);
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorCloud.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorCloud.ts
@@ -27,6 +27,7 @@
   /** Starts a worker on a machine and returns the worker's id. */
   readonly startWorker: (machine: string, pool: string) => string;
   readonly isSparePool: (pool: string) => boolean;
+  readonly getZone: (machine: string) => string;
 };
 
 /** Emulates a cloud interface that moves machines between pools and takes them down for maintenance. */
@@ -93,7 +94,7 @@
         machine: name,
         pool,
         state,
-        zone: 'north',
+        zone: this.#callbacks.getZone(name),
         labels: [],
         capacity: { cpuMillis: 16_000, memoryMb: 65_536, gpus: 0 },
         hostId,
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -28,6 +28,7 @@
 } from './BaobabwellJobEmulatorConfiguration';
 import {
   DRAIN_MS,
+  EVACUATION_MS,
   EmulatedHost,
   getGang,
   HEARTBEAT_MS,
@@ -45,6 +46,13 @@
 
 const OPERATOR_TABLE = 'operator';
 const STATUS_TABLE = 'status';
+
+/** Prefix of the operator's rows that evacuate a zone. */
+const EVACUATION_PREFIX = 'evacuate/';
+
+/** Zones over which hosts and machines are spread by the first number in their names. */
+const ZONES = ['north', 'south', 'west'];
+
 /** Time after which the row of a dead host is removed, in ms. */
 const HOST_ROW_LAG_MS = 4_500;
 
@@ -83,6 +91,12 @@
   return id.split(ID_SEPARATOR)[0] ?? id;
 }
 
+/** Returns the zone of a host or a machine, which a later worker on the machine shares. */
+function getZone(name: string, zoneCount: number): string {
+  const number = Number(/\d+/.exec(name)?.[0] ?? 0);
+  return ZONES[number % zoneCount] ?? '';
+}
+
 /** Several candidates for ownership, their hosts and their store on one clock. */
 export class EmulatedJobFleet {
   readonly time = new EmulatedTime();
@@ -118,12 +132,18 @@
 
   #cloud: EmulatedCloud | null = null;
 
+  /** Time at which each evacuated zone was evacuated, in ms. */
+  readonly #evacuatedAtMs = new Map<string, number>();
+
+  readonly #zoneCount: number;
+
   #jobCount = 0;
 
   #incarnationCount = 0;
 
-  constructor(seed: number, hostCount: number) {
+  constructor(seed: number, hostCount: number, zoneCount = 1) {
     this.#random = new Random(seed);
+    this.#zoneCount = zoneCount;
     for (let index = 0; index < hostCount; index += 1) {
       this.startHost(`host-${index}`);
     }
@@ -145,6 +165,7 @@
         return this.startHost(`${machine}-${this.#incarnationCount}`).id;
       },
       isSparePool: (pool) => pool === SPARE_POOL,
+      getZone: (machine) => getZone(machine, this.#zoneCount),
     });
     this.#hosts.forEach((_, id) => cloud.addMachine(`m-${id}`, POOL, id));
     for (let index = 0; index < spareCount; index += 1) {
@@ -159,6 +180,25 @@
     this.#put(OPERATOR_TABLE, `wave/${wave.number}`, wave as unknown as JsonValue);
   }
 
+  /** Evacuates a zone, as an operator does. */
+  evacuate(zone: string): void {
+    this.#evacuatedAtMs.set(zone, this.time.getNow());
+    this.#put(OPERATOR_TABLE, `${EVACUATION_PREFIX}${zone}`, {});
+  }
+
+  /** Withdraws the evacuation of a zone. */
+  withdrawEvacuation(zone: string): void {
+    this.#evacuatedAtMs.delete(zone);
+    this.#put(OPERATOR_TABLE, `${EVACUATION_PREFIX}${zone}`, null);
+  }
+
+  /** Counts the runs on the hosts of a zone. */
+  countRunsInZone(zone: string): number {
+    return [...this.#hosts.values()]
+      .filter(({ id }) => getZone(id, this.#zoneCount) === zone)
+      .reduce((count, host) => count + host.countRuns(), 0);
+  }
+
   /** Finds the state of a wave as operators read it; `null` until one is written. */
   findWaveState(wave: number): JsonValue | null {
     const rows = this.rows.list({ table: STATUS_TABLE });
@@ -194,12 +234,15 @@
         maintenanceMs: 2_000,
         cancellationMs: 3_000,
         drainMs: DRAIN_MS,
+        evacuationMs: EVACUATION_MS,
       },
       codec: {
         workersTable: WORKERS_TABLE,
         operatorTable: OPERATOR_TABLE,
         statusTable: STATUS_TABLE,
         decodeWorker: (_id, value) => value as unknown as ListedWorker,
+        decodeEvacuatedZone: (key) =>
+          key.startsWith(EVACUATION_PREFIX) ? key.slice(EVACUATION_PREFIX.length) : null,
         decodeWave: (_key, value) => value as unknown as MaintenanceWave,
         getWaveStatusKey: (wave) => String(wave),
         encodeWaveStatus: (state: WaveState) => ({ state }),
@@ -268,6 +311,11 @@
     );
   }
 
+  /** Keeps the watch of one process on the operator's table from being answered, or lets it be. */
+  hangOperatorWatch(name: string, isHanging: boolean): void {
+    this.setTableFaults(name, OPERATOR_TABLE, { ...NO_TABLE_FAULTS, hasSilentWatches: isHanging });
+  }
+
   /** Keeps the watch of one process on the table of workers from being answered, or lets it be. */
   hangWorkerWatch(name: string, isHanging: boolean): void {
     this.setTableFaults(name, WORKERS_TABLE, { ...NO_TABLE_FAULTS, hasSilentWatches: isHanging });
@@ -291,6 +339,8 @@
     former?.kill();
     const host = new EmulatedHost(id, this.time, this.oracle, capacity);
     host.checksCapacity = former?.checksCapacity ?? true;
+    const zone = getZone(id, this.#zoneCount);
+    host.findEvacuatedAtMs = () => this.#evacuatedAtMs.get(zone) ?? null;
     host.shouldCrashOnTask = (task) => this.crashingTasks.has(task);
     host.onCrash = (task) => {
       if (this.oracle.findStep(task)?.isGang === true) {
@@ -303,7 +353,7 @@
       id,
       address: getAddress(id),
       pool: POOL,
-      zone: 'north',
+      zone,
       labels: [],
       capacity,
       isDraining: false,
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
@@ -37,6 +37,9 @@
 /** Time after a host is listed as draining from which no run may start there, in ms. */
 export const DRAIN_MS = 2_000;
 
+/** Time after the evacuation of a zone from which no run may start there, in ms. */
+export const EVACUATION_MS = 4_000;
+
 /** Time from the start of a task that crashes its host to the crash, in ms. */
 const CRASH_DELAY_MS = 10;
 
@@ -86,6 +89,9 @@
   /** Monotonic time at which the host was listed as draining, in ms. */
   drainingSinceMs: number | null = null;
 
+  /** Finds the monotonic time at which the zone of the host was evacuated, in ms; `null` if it is not. */
+  findEvacuatedAtMs: () => number | null = () => null;
+
   /** Decides whether a run of a task fails. */
   shouldFailTask: (task: string) => boolean = () => false;
 
@@ -218,10 +224,12 @@
       return this.#refuse(OrderRefusal.NoCapacity);
     }
     const nowMs = this.#clock.getNow();
+    const evacuatedAtMs = this.findEvacuatedAtMs() ?? Infinity;
     this.#oracle.recordStart(order.task, this.id, nowMs, {
       available: this.#getAvailable(this.#getOwnersCapacity(lateMs)),
       isLate: lateMs > 0,
       isDrained: this.drainingSinceMs !== null && nowMs - lateMs > this.drainingSinceMs + DRAIN_MS,
+      isEvacuated: nowMs - lateMs > evacuatedAtMs + EVACUATION_MS,
     });
     const durationMs = (step?.estimateMs ?? 0) * this.durationFactor;
     const cancel =
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOracle.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOracle.ts
@@ -25,6 +25,8 @@
   KeepsAvailability = 'keeps-available',
   /** No task starts on a host that has been draining for some time. */
   SparesDrainingHosts = 'spares-draining-hosts',
+  /** No task starts in a data centre that has been evacuated for some time. */
+  SparesEvacuatedDataCentres = 'spares-evacuated-data-centres',
   /** Only tasks of submitted jobs start. */
   RunsOnlySubmitted = 'runs-what-was-asked',
   /** No task starts some time after the cancelling of its job was acknowledged. */
@@ -45,6 +47,8 @@
   readonly available: Resources;
   /** True when an owner has to know that the host is draining. */
   readonly isDrained: boolean;
+  /** True when an owner has to know that the data centre of the host is evacuated. */
+  readonly isEvacuated: boolean;
   /** True when the host carried out the order late. */
   readonly isLate: boolean;
 };
@@ -164,7 +168,7 @@
     step: StepSpec,
     start: StartConditions & { readonly host: string; readonly atMs: number },
   ): void {
-    const { host, atMs, available, isDrained } = start;
+    const { host, atMs, available, isDrained, isEvacuated } = start;
     if (!fits(step, available)) {
       const detail = `${JSON.stringify(available)} available on ${host}`;
       this.#addViolation(JobInvariant.KeepsHostCapacity, task, atMs, detail);
@@ -172,6 +176,9 @@
     if (isDrained) {
       this.#addViolation(JobInvariant.SparesDrainingHosts, task, atMs, host);
     }
+    if (isEvacuated) {
+      this.#addViolation(JobInvariant.SparesEvacuatedDataCentres, task, atMs, host);
+    }
   }
 
   recordEnd(task: string, host: string, end: RunEnd, atMs: number): void {
