controller, placement: long running tasks leave an evacuated data centre

Cause: tasks that run until they are cancelled stayed in an evacuated data centre for good. Change: a task there is stopped when a host elsewhere in its pool has room for it and its step can miss it (decideRelocations); members of a gang and tasks with advised hosts stay. What is left is logged once a second and shown by the gauge baobabwell_evacuations.

--- a/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
@@ -32,6 +32,7 @@
   REFUSED_DEMAND_WINDOW_MS,
   REQUIRED_HOSTS_WINDOW_MS,
 } from './BaobabwellControllerConstants';
+import { EvacuationControlLoop } from './BaobabwellControllerEvacuationControlLoop';
 import { listLongRunning, stopLongRunning } from './BaobabwellControllerLongRunning';
 import { MachineInventory } from './BaobabwellControllerMachineInventory';
 import { getPoolLoads } from './BaobabwellControllerPoolLoad';
@@ -56,6 +57,8 @@
 
   readonly #waves: WaveControlLoop;
 
+  readonly #evacuations: EvacuationControlLoop;
+
   readonly #desiredPeaks = new RecentPeaks(DESIRED_HOSTS_WINDOW_MS);
 
   readonly #requiredPeaks = new RecentPeaks(REQUIRED_HOSTS_WINDOW_MS);
@@ -91,6 +94,7 @@
     this.#wakeSignal = new WakeSignal(context.clock);
     this.#machines = new MachineInventory(context);
     this.#waves = new WaveControlLoop(context, this.#machines, recordDeparture);
+    this.#evacuations = new EvacuationControlLoop(context);
     this.#recordDeparture = recordDeparture;
     this.#endIncarnation = endIncarnation;
     this.#startedAtMs = context.clock.getNow();
@@ -147,6 +151,7 @@
       await this.#wakeSignal.wait(CONTROL_LOOP_INTERVAL_MS, signal);
       if (!signal.aborted && ownership.canAct()) {
         this.#drainLeavingHosts();
+        this.#evacuations.runRound();
         await this.#runRound();
       }
     }
--- a/packages/baobabwell-controller/src/BaobabwellControllerLongRunning.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerLongRunning.ts
@@ -16,7 +16,7 @@
 }
 
 /** Returns true while a task is available, by a recent report of its host. */
-function isAvailable(context: TermContext, { runs }: Task): boolean {
+export function isAvailable(context: TermContext, { runs }: Task): boolean {
   return [...runs].some(
     ({ phase, progressPercent, hostId }) =>
       phase === RunPhase.Running &&
@@ -34,6 +34,12 @@
   return tasks.filter((task) => task !== stopped && !isAvailable(context, task)).length;
 }
 
+/** Returns the number of further tasks of a step that may be made unavailable. */
+export function countMayMiss(context: TermContext, { tasks, spec }: Step): number {
+  const unavailableCount = tasks.filter((task) => !isAvailable(context, task)).length;
+  return Math.max(1, spec.maxAway) - unavailableCount;
+}
+
 /** Returns true when enough other tasks of a step stay available after one is stopped. */
 function canStopLongRunning(context: TermContext, step: Step, stopped: Task): boolean {
   return countOthersUnavailable(context, step, stopped) < Math.max(1, step.spec.maxAway);
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -339,9 +339,12 @@
       hostCount += isConcerned ? 1 : 0;
       runCount += isConcerned ? host.runs.size : 0;
     });
-    const event =
-      change === EvacuationChange.Requested ? 'evacuation-seen' : 'evacuation-withdrawn';
-    logger.recordInfo(event, { zone, version, hosts: hostCount, runs: runCount });
+    const fields = { zone, version, hosts: hostCount, runs: runCount };
+    if (change === EvacuationChange.Requested) {
+      logger.recordInfo('evacuation-seen', fields);
+    } else {
+      logger.recordInfo('evacuation-withdrawn', fields);
+    }
     this.#fleetControlLoop.requestRound();
     requestDispatch();
   }
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorEvacuations.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorEvacuations.test.ts
@@ -8,6 +8,15 @@
 /** Number of hosts; half of them are in each of two zones. */
 const HOSTS = 4;
 
+/** Four tasks, of which one at a time may be away. */
+const LONG_RUNNING = {
+  taskCount: 4,
+  need: { cpuMillis: 8_000, memoryMb: 1_000, gpus: 0 },
+  isLasting: true,
+  estimateMs: 0,
+  maxAway: 1,
+};
+
 describe('evacuations on the emulated fleet', () => {
   let fleet: EmulatedJobFleet;
 
@@ -95,6 +104,36 @@
     expect(fleet.oracle.violations).toEqual([]);
   });
 
+  it('moves long running tasks out one after another', async () => {
+    await start(2);
+    fleet.submit([LONG_RUNNING]);
+    await fleet.time.advance(1_000);
+    expect(countZones()).toEqual([2, 2, 0]);
+    fleet.evacuate('north');
+    await fleet.time.advance(4_000);
+    expect([countZones(), countLogLines('stop-ordered')]).toEqual([[0, 4, 0], 2]);
+    expect(countLogLines('evacuation-progress') <= 5).toEqual(true);
+    expect(fleet.oracle.violations).toEqual([]);
+  });
+
+  it('leaves long running tasks at work until a spare machine elsewhere has room for them', async () => {
+    fleet = new EmulatedJobFleet(SEED, 2, 2);
+    const cloud = fleet.createCloud(4);
+    fleet.startDaemon('a');
+    await fleet.time.advance(START_MS);
+    fleet.submit([
+      { ...LONG_RUNNING, taskCount: 2, need: { ...LONG_RUNNING.need, cpuMillis: 10_000 } },
+    ]);
+    await fleet.time.advance(1_000);
+    expect(countZones()).toEqual([1, 1, 0]);
+    fleet.evacuate('north');
+    await fleet.time.advance(1_000);
+    expect(countZones()).toEqual([1, 1, 0]);
+    await fleet.time.advance(6_000);
+    expect([countZones(), cloud.countInPool('ovens') > 2]).toEqual([[0, 2, 0], true]);
+    expect(fleet.oracle.violations).toEqual([]);
+  });
+
   it('retries no start on a host whose data centre has been evacuated meanwhile', async () => {
     await start(1);
     fleet.listHosts().forEach(({ id }) => fleet.faults.partitionedHosts.add(id));
--- a/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
@@ -37,6 +37,8 @@
 
   readonly waveMachines: Gauge<'wave' | 'state'>;
 
+  readonly evacuations: Gauge<'zone' | 'left'>;
+
   readonly terms: Counter<'start'>;
 
   readonly termLoadSeconds: Histogram;
@@ -108,6 +110,7 @@
       'Machines of a maintenance wave: done and total.',
       ['wave', 'state'],
     );
+    this.evacuations = this.#createEvacuationGauge();
     this.terms = this.#createCounter(
       'baobabwell_terms_total',
       'Terms of this process as the owner, by start: handover or takeover.',
@@ -122,8 +125,16 @@
 
   /** Resets the gauges that describe the fleet during the last term. */
   resetGauges(): void {
-    [this.waitingJobs, this.poolHosts, this.poolCores, this.waveMachines].forEach((gauge) =>
-      gauge.reset(),
+    [this.waitingJobs, this.poolHosts, this.poolCores, this.waveMachines, this.evacuations].forEach(
+      (gauge) => gauge.reset(),
+    );
+  }
+
+  #createEvacuationGauge() {
+    return this.#createGauge(
+      'baobabwell_evacuations',
+      'Hosts, runs and long running tasks (long-running) left in each evacuated data centre.',
+      ['zone', 'left'],
     );
   }
 
--- a/packages/baobabwell-placement/src/index.ts
+++ b/packages/baobabwell-placement/src/index.ts
@@ -10,6 +10,7 @@
   PlacementHost,
   PlacementSnapshot,
 } from './BaobabwellPlacementModel';
+export type { RelocationHost, RelocationSnapshot } from './BaobabwellPlacementRelocation';
 export type { StepUrgency } from './BaobabwellPlacementObjective';
 
 export { decidePlacements } from './BaobabwellPlacement';
@@ -23,3 +24,4 @@
   listRemainingPathsMs,
 } from './BaobabwellPlacementObjective';
 export { compareUrgency } from './BaobabwellPlacementOrder';
+export { decideRelocations } from './BaobabwellPlacementRelocation';
