controller, placement: predictions come from learned durations

Cause: critical paths, work ahead, laxity and what is left of a run came from estimates; a run past its estimate counted 0. Conclusion: the promise of a queue is a multiple of the work that a job turns out to be, so due times use predictions too.

--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -4,6 +4,7 @@
 import type { HostMajority } from './BaobabwellControllerHostMajority';
 import type { HostSilences } from './BaobabwellControllerHostSilences';
 import type { FleetBounds, FleetCodec } from './BaobabwellControllerModel';
+import type { RunDurations } from './BaobabwellControllerRunDurations';
 import type { StartGate } from './BaobabwellControllerStartGate';
 import type { DurationEstimator } from '@baobabwell/durations';
 import type { FleetConfiguration, MaintenanceWave } from '@baobabwell/fleet';
@@ -41,6 +42,7 @@
   readonly jobRegistry: JobRegistry;
   readonly hosts: Map<string, Host>;
   readonly durations: DurationEstimator;
+  readonly runDurations: RunDurations;
   readonly evacuations: Evacuations;
   readonly handover: Handover;
   readonly hostMajority: HostMajority;
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -149,7 +149,7 @@
 
   /** Lists the steps with waiting tasks in the order in which they are placed. */
   listReadySteps(): readonly ReadyStep[] {
-    const { jobRegistry, clock, getConfiguration, term } = this.#context;
+    const { jobRegistry, clock, durations, getConfiguration, term } = this.#context;
     const nowMs = clock.getNow();
     const wallMs = clock.getWallTime();
     const queues = new Map(getConfiguration()?.queues.map((queue) => [queue.name, queue]));
@@ -169,7 +169,7 @@
           .listReadySteps(job, wallMs)
           .filter(({ waitingCount }) => waitingCount > 0)
           .forEach((step) => {
-            const urgency = getUrgency(step, queue, nowMs, wallMs);
+            const urgency = getUrgency(step, queue, durations, nowMs, wallMs);
             ready.push({ step, pool: queue.pool, queue, urgency });
           });
       }
--- a/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
@@ -35,6 +35,7 @@
 import { listLongRunning, stopLongRunning } from './BaobabwellControllerLongRunning';
 import { MachineInventory } from './BaobabwellControllerMachineInventory';
 import { getPoolLoads } from './BaobabwellControllerPoolLoad';
+import { getRunRemainingMs } from './BaobabwellControllerRunDurations';
 import { WaveControlLoop } from './BaobabwellControllerWaveControlLoop';
 
 /** Time that a round takes to send its orders, and an order to reach its machine, in ms. */
@@ -172,7 +173,7 @@
     const nowMs = this.#context.clock.getNow();
     host.runs.forEach((run) => {
       const { spec } = run.task.step;
-      const remainingMs = spec.estimateMs - (nowMs - run.startSentAtMs);
+      const remainingMs = getRunRemainingMs(run, this.#context.durations, nowMs);
       const isLate = remainingMs > leftMs - DEPARTURE_RESERVE_MS;
       if (run.phase === RunPhase.Running && !spec.isLasting && spec.keepsCheckpoints && isLate) {
         this.#context.stopRun(run, 'the host leaves before the run can end');
--- a/packages/baobabwell-controller/src/BaobabwellControllerJobEnds.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerJobEnds.ts
@@ -9,7 +9,7 @@
 
 /** Logs a job that completed or failed, and counts it against the objective of its queue. */
 export function recordJobEnd(context: TermContext, { record, state }: Job, lastRun: Run): void {
-  const { clock, logger, metrics, getConfiguration } = context;
+  const { clock, logger, metrics, durations, getConfiguration } = context;
   const { id, spec, queue, acceptedAtMs } = record;
   const tookMs = Math.round(clock.getWallTime() - acceptedAtMs);
   const settings = getConfiguration()?.queues.find(({ name }) => name === queue);
@@ -17,7 +17,7 @@
   const objectiveMs =
     settings === undefined || spec.repeat !== null
       ? null
-      : Math.round(getObjectiveMs(spec, settings));
+      : Math.round(getObjectiveMs(spec, settings, durations));
   const hasCompleted = state === JobState.Completed;
   const fields = { job: id, queue, task: lastRun.task.name, run: lastRun.number };
   if (hasCompleted) {
--- a/packages/baobabwell-controller/src/BaobabwellControllerModel.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerModel.ts
@@ -12,6 +12,8 @@
   readonly cancellationMs: number;
   /** Time after a host is listed as draining from which no run may start there. */
   readonly drainMs: number;
+  /** Factor by which a task takes longer on another rack than its data. */
+  readonly farFactor: number;
 };
 
 /** Tables in which the platform describes the fleet, and the encoding of their rows. */
--- a/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
@@ -6,6 +6,8 @@
 import { TaskPhase } from '@baobabwell/jobs';
 import { decideAdmission, getCriticalPathMs, getObjectiveMs } from '@baobabwell/placement';
 
+import { getRunRemainingMs } from './BaobabwellControllerRunDurations';
+
 /** Capacity of a pool, in thousandths of a core. */
 export type PoolCapacity = {
   readonly cpuMillis: number;
@@ -16,19 +18,23 @@
 };
 
 /** Returns the estimated remaining work of a job, in thousandths of a core times ms. */
-function getRemainingWork(job: Job, nowMs: number): number {
+function getRemainingWork(job: Job, { clock, durations }: TermContext): number {
+  const { queue } = job.record;
+  const nowMs = clock.getNow();
   let work = 0;
   job.listSteps().forEach(({ spec, tasks }) => {
     if (spec.isLasting) {
       return;
     }
+    const expectedMs = durations.getExpectedMs(queue, spec);
     tasks.forEach(({ phase, runs }) => {
       if (phase === TaskPhase.Waiting) {
-        work += spec.need.cpuMillis * spec.estimateMs;
+        work += spec.need.cpuMillis * expectedMs;
       } else if (phase === TaskPhase.Placed) {
         const [run] = runs;
-        const elapsedMs = run === undefined ? 0 : nowMs - run.startSentAtMs;
-        work += spec.need.cpuMillis * Math.max(0, spec.estimateMs - elapsedMs);
+        work +=
+          spec.need.cpuMillis *
+          (run === undefined ? expectedMs : getRunRemainingMs(run, durations, nowMs));
       }
     });
   });
@@ -36,7 +42,7 @@
 }
 
 function listAcceptedWork(context: TermContext, pool: string): readonly AcceptedWork[] {
-  const { jobRegistry, clock, getConfiguration } = context;
+  const { jobRegistry, clock, durations, getConfiguration } = context;
   const nowMs = clock.getNow();
   const wallMs = clock.getWallTime();
   const queues = new Map(getConfiguration()?.queues.map((queue) => [queue.name, queue]));
@@ -45,8 +51,8 @@
     const queue = queues.get(job.record.queue);
     if (queue?.pool === pool && job.record.spec.repeat === null) {
       const ageMs = wallMs - job.record.acceptedAtMs;
-      const dueMs = nowMs - ageMs + getObjectiveMs(job.record.spec, queue);
-      accepted.push({ dueMs, remainingWork: getRemainingWork(job, nowMs) });
+      const dueMs = nowMs - ageMs + getObjectiveMs(job.record.spec, queue, durations);
+      accepted.push({ dueMs, remainingWork: getRemainingWork(job, context) });
     }
   }
   return accepted;
@@ -76,8 +82,8 @@
   const nowMs = context.clock.getNow();
   return decideAdmission({
     nowMs,
-    dueMs: nowMs + getObjectiveMs(spec, queue),
-    criticalPathMs: getCriticalPathMs(spec),
+    dueMs: nowMs + getObjectiveMs(spec, queue, context.durations),
+    criticalPathMs: getCriticalPathMs(spec, queue.name, context.durations),
     stepCount: spec.steps.length,
     cpuMillis: poolCapacity.cpuMillis,
     arrivingCpuMillis: poolCapacity.arrivingCpuMillis,
--- a/packages/baobabwell-controller/src/BaobabwellControllerPoolLoad.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerPoolLoad.ts
@@ -1,4 +1,5 @@
 import type { TermContext } from './BaobabwellControllerContext';
+import type { DurationEstimator } from '@baobabwell/durations';
 import type { PoolLoad } from '@baobabwell/fleet';
 import type { Job, Step } from '@baobabwell/jobs';
 
@@ -21,9 +22,14 @@
   };
 }
 
-function addArrival(load: MutableLoad, job: Job, ageMs: number): void {
+function addArrival(
+  load: MutableLoad,
+  { record }: Job,
+  durations: DurationEstimator,
+  ageMs: number,
+): void {
   const changed = load;
-  const work = getCpuWork(job.record.spec) / SECOND_MS;
+  const work = getCpuWork(record.spec, record.queue, durations) / SECOND_MS;
   if (ageMs < SECOND_MS) {
     changed.arrivingCpuMillis += work;
     changed.arrivingJobs += 1;
@@ -50,6 +56,7 @@
 export function getPoolLoads({
   jobRegistry,
   clock,
+  durations,
   getConfiguration,
 }: TermContext): ReadonlyMap<string, PoolLoad> {
   const loads = new Map<string, MutableLoad>();
@@ -61,7 +68,7 @@
   jobRegistry.listArrivedJobs(wallMs - 2 * SECOND_MS).forEach((job) => {
     const load = findLoad(job);
     if (load !== undefined && !job.record.spec.steps.some((step) => step.isLasting)) {
-      addArrival(load, job, wallMs - job.record.acceptedAtMs);
+      addArrival(load, job, durations, wallMs - job.record.acceptedAtMs);
     }
   });
   jobRegistry.listOpenJobs().forEach((job) => {
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -208,7 +208,7 @@
       this.#context.logger.recordInfo('host-reachable', { host: host.incarnation.id });
       host.failedAttempts = 0;
     }
-    this.#applyReport(reply.value, { sentAtMs, acknowledgedPosition });
+    this.#applyReport(reply.value, { sentAtMs, acknowledgedPosition, isPrompt: !isResync });
     this.#context.requestDispatch();
     await this.#resolveUnknownOutcomes();
     this.#throttle.apply();
@@ -285,7 +285,12 @@
 
   #applyReport(
     report: HostReport,
-    hold: { readonly sentAtMs: number; readonly acknowledgedPosition: number },
+    hold: {
+      readonly sentAtMs: number;
+      readonly acknowledgedPosition: number;
+      /** The host had answered the call before, so that the ends are recent. */
+      readonly isPrompt: boolean;
+    },
   ): void {
     const { host } = this;
     const nowMs = this.#context.clock.getNow();
@@ -305,7 +310,7 @@
       reportedRuns.add(`${task}#${run}`);
       if (position > state.appliedEndPosition) {
         state.appliedEndPosition = position;
-        this.#applyEnd(endedRun);
+        this.#applyEnd(endedRun, hold.isPrompt);
       }
     });
     report.active.forEach(({ task, run, checkpoint, progressPercent, reading }) => {
@@ -337,7 +342,7 @@
     }
   }
 
-  #applyEnd(endedRun: EndedRun): void {
+  #applyEnd(endedRun: EndedRun, isPrompt: boolean): void {
     const { task: name, run: number, end, checkpoint } = endedRun;
     const { jobRegistry, logger, metrics, clock } = this.#context;
     const { host } = this;
@@ -348,6 +353,7 @@
     }
     host.removeRun(run);
     const effect = jobRegistry.applyEnd(run, end, checkpoint, clock.getNow());
+    this.#context.runDurations.recordEnd(host, run, end, isPrompt);
     metrics.runs.inc({ pool: host.pool, end });
     logger.recordInfo('run-ended', { ...describeRun(run), end, effect });
     const { job } = run.task.step;
@@ -367,9 +373,12 @@
       return null;
     }
     const task = this.#context.jobRegistry.findTask(name);
-    return task === null
-      ? null
-      : new Run(task, number, this.host.incarnation.id, this.host.trackedSinceMs);
+    if (task === null) {
+      return null;
+    }
+    const run = new Run(task, number, this.host.incarnation.id, this.host.trackedSinceMs);
+    run.isStartKnown = false;
+    return run;
   }
 
   /**
@@ -400,6 +409,7 @@
     }
     const run = task.addRun(host.incarnation.id, number, host.trackedSinceMs);
     run.phase = RunPhase.Running;
+    run.isStartKnown = false;
     run.answeredAtMs = host.trackedSinceMs;
     run.startClockMs = host.state.lastClockMs;
     host.addRun(run);
@@ -436,6 +446,7 @@
     // An order can outlive its run, which was then recorded as lost before.
     if (this.host.runs.has(run.key)) {
       recordLostRun(this.#context, this.host, run, ground);
+      this.#context.runDurations.recordLoss(this.host, run);
     }
     this.host.removeRun(run);
     this.#context.jobRegistry.removeLostRun(run);
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -8,7 +8,6 @@
 
 import { setMaxListeners } from 'node:events';
 
-import { CallerEstimates } from '@baobabwell/durations';
 import { JOBS_TABLE, listJobPartitions, PROGRESS_TABLE } from '@baobabwell/ingress';
 import { JobRegistry } from '@baobabwell/jobs';
 import { getWidestStepCpu } from '@baobabwell/placement';
@@ -27,6 +26,7 @@
 import { decideOffer } from './BaobabwellControllerOffers';
 import { PlacementAdviceCache } from './BaobabwellControllerPlacementAdvice';
 import { parseHostRow } from './BaobabwellControllerRows';
+import { RunDurations } from './BaobabwellControllerRunDurations';
 import { HostSession } from './BaobabwellControllerSession';
 import { StartGate } from './BaobabwellControllerStartGate';
 import { restoreStoredStarts } from './BaobabwellControllerStoredStarts';
@@ -52,6 +52,8 @@
 
   readonly #jobRows: JobRows;
 
+  readonly #runDurations: RunDurations;
+
   #isLoaded = false;
 
   constructor(options: TermOptions, term: Term) {
@@ -59,13 +61,15 @@
       (name) => options.getConfiguration()?.queues.find((queue) => queue.name === name) ?? null,
     );
     const hosts = new Map<string, Host>();
+    this.#runDurations = new RunDurations(options);
     const getJobsAgeMs = (): number => this.#tables.getAgeMs(JOBS_TABLE);
     this.context = {
       ...options,
       term,
       jobRegistry,
       hosts,
-      durations: new CallerEstimates(),
+      durations: this.#runDurations.estimator,
+      runDurations: this.#runDurations,
       evacuations: new Evacuations(),
       handover: new Handover(),
       hostMajority: new HostMajority(options.clock, options.ownership, hosts),
@@ -80,6 +84,7 @@
       startGate: new StartGate({ ...options, getJobsAgeMs }),
       getWorkersAgeMs: () => this.#tables.getAgeMs(options.codec.workersTable),
     };
+    this.#runDurations.registerHandover(this.context.handover);
     this.#tables = new TermTables(this.context);
     this.#jobRows = new JobRows(this.context);
     this.#committer = new Committer(this.context, (id) => this.#sessions.get(id)?.requestHold());
@@ -175,6 +180,7 @@
       this.#committer.run(),
       this.#dispatcher.run(),
       this.#fleetControlLoop.run(),
+      this.#runDurations.run(signal),
       this.#jobRows.runPruning(),
       this.#watchLease(),
       this.#watch(JOBS_TABLE, findCommonPosition(jobs) ?? startPosition, (row) =>
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -194,6 +194,7 @@
         maintenanceMs: 2_000,
         cancellationMs: 3_000,
         drainMs: DRAIN_MS,
+        farFactor: 1,
       },
       codec: {
         workersTable: WORKERS_TABLE,
--- a/packages/baobabwell-jobs/src/BaobabwellJobsTracking.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsTracking.ts
@@ -51,6 +51,12 @@
   /** True for a run that a former owner stored before its start. */
   isRestored = false;
 
+  /** False for a run that a former owner started, at a time that this owner does not know. */
+  isStartKnown = true;
+
+  /** True for a run that resumes from a checkpoint. */
+  readonly isResumed: boolean;
+
   /** Monotonic time at which progress last rose, in ms. */
   progressedAtMs: number;
 
@@ -62,6 +68,7 @@
     readonly startSentAtMs: number,
   ) {
     this.progressedAtMs = startSentAtMs;
+    this.isResumed = task.checkpoint !== '';
   }
 
   get key(): string {
--- a/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
@@ -3,6 +3,8 @@
 
 import { Counter, Gauge, Histogram } from 'prom-client';
 
+import { DurationMetrics } from './BaobabwellMetricsDurations';
+
 const JOB_SECONDS_BUCKETS = [0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60];
 
 /** Metrics of a process during its terms as the owner. */
@@ -19,6 +21,8 @@
 
   readonly jobSeconds: Histogram<'queue'>;
 
+  readonly durations: DurationMetrics;
+
   readonly starts: Counter<'pool' | 'answer'>;
 
   readonly runs: Counter<'pool' | 'end'>;
@@ -68,6 +72,7 @@
       'Time from the acceptance of a job to its end, by queue.',
       ['queue'],
     );
+    this.durations = new DurationMetrics(registry);
     this.starts = this.#createCounter(
       'baobabwell_starts_total',
       'Orders to start a task, by pool and answer of the host.',
--- a/packages/baobabwell-placement/src/BaobabwellPlacementObjective.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacementObjective.ts
@@ -1,42 +1,90 @@
+import type { DurationEstimator } from '@baobabwell/durations';
 import type { QueueSettings } from '@baobabwell/fleet';
 import type { Job, JobSpec, Step } from '@baobabwell/jobs';
 
-/** Lists the earliest end of each step after the start of the job, in ms, by the estimates. */
-function listEarliestEndsMs({ steps }: JobSpec): readonly number[] {
-  const endsMs: number[] = [];
-  steps.forEach(({ after, estimateMs }) => {
-    const before = after.map((position) => endsMs[position] ?? 0);
-    endsMs.push(Math.max(0, ...before) + estimateMs);
-  });
-  return endsMs;
-}
+/** What an estimator predicts for a job, until its version changes. */
+type JobPrediction = {
+  readonly version: number;
+  readonly criticalPathMs: number;
+  /** Length of the critical path from the start of each step to the end of the job, in ms. */
+  readonly remainingPathsMs: readonly number[];
+  /** CPU time of the job, in thousandths of a core times ms. */
+  readonly cpuWork: number;
+};
 
-/** Returns the length of the critical path of a job, in ms, by the estimates. */
-export function getCriticalPathMs(spec: JobSpec): number {
-  return Math.max(0, ...listEarliestEndsMs(spec));
-}
+const predictions = new WeakMap<DurationEstimator, WeakMap<JobSpec, JobPrediction>>();
 
-/**
- * Lists the length of the critical path from the start of each step to the end of the job, in ms.
- */
-export function listRemainingPathsMs({ steps }: JobSpec): readonly number[] {
-  const remainingMs = steps.map(({ estimateMs }) => estimateMs);
+function listPathsMs({ steps }: JobSpec, durationsMs: readonly number[]): readonly number[] {
+  const pathsMs = [...durationsMs];
   for (let position = steps.length - 1; position >= 0; position -= 1) {
     const { after } = steps[position] as JobSpec['steps'][number];
     after.forEach((before) => {
-      const own = steps[before]?.estimateMs ?? 0;
-      remainingMs[before] = Math.max(remainingMs[before] ?? 0, own + (remainingMs[position] ?? 0));
+      const own = durationsMs[before] ?? 0;
+      pathsMs[before] = Math.max(pathsMs[before] ?? 0, own + (pathsMs[position] ?? 0));
     });
   }
-  return remainingMs;
+  return pathsMs;
 }
 
-/** Returns the CPU time that a job takes, in thousandths of a core times ms, by the estimates. */
-export function getCpuWork({ steps }: JobSpec): number {
-  return steps.reduce(
-    (sum, { taskCount, need, estimateMs }) => sum + taskCount * need.cpuMillis * estimateMs,
-    0,
+function createPrediction(
+  spec: JobSpec,
+  queue: string,
+  durations: DurationEstimator,
+): JobPrediction {
+  const { steps } = spec;
+  // A step ends with its longest task.
+  const remainingPathsMs = listPathsMs(
+    spec,
+    steps.map((step) => durations.getLongestMs(queue, step)),
   );
+  return {
+    version: durations.version,
+    criticalPathMs: Math.max(0, ...remainingPathsMs),
+    remainingPathsMs,
+    cpuWork: steps.reduce(
+      (sum, step) =>
+        sum + step.taskCount * step.need.cpuMillis * durations.getExpectedMs(queue, step),
+      0,
+    ),
+  };
+}
+
+/** Returns the prediction for a job, which is computed once for each version of the estimator. */
+function getPrediction(spec: JobSpec, queue: string, durations: DurationEstimator): JobPrediction {
+  const known = predictions.get(durations) ?? new WeakMap<JobSpec, JobPrediction>();
+  const cached = known.get(spec);
+  if (cached?.version === durations.version) {
+    return cached;
+  }
+  const prediction = createPrediction(spec, queue, durations);
+  known.set(spec, prediction);
+  predictions.set(durations, known);
+  return prediction;
+}
+
+/** Returns the expected length of the critical path of a job, in ms. */
+export function getCriticalPathMs(
+  spec: JobSpec,
+  queue: string,
+  durations: DurationEstimator,
+): number {
+  return getPrediction(spec, queue, durations).criticalPathMs;
+}
+
+/**
+ * Lists the expected length of the critical path from the start of each step to the end of the job, in ms.
+ */
+export function listRemainingPathsMs(
+  spec: JobSpec,
+  queue: string,
+  durations: DurationEstimator,
+): readonly number[] {
+  return getPrediction(spec, queue, durations).remainingPathsMs;
+}
+
+/** Returns the expected CPU time of a job, in thousandths of a core times ms. */
+export function getCpuWork(spec: JobSpec, queue: string, durations: DurationEstimator): number {
+  return getPrediction(spec, queue, durations).cpuWork;
 }
 
 /** Returns the CPU that the widest step of a job uses at once, in thousandths of a core. */
@@ -44,9 +92,16 @@
   return Math.max(0, ...steps.map(({ taskCount, need }) => taskCount * need.cpuMillis));
 }
 
-/** Returns the time that a job may take without being late, in ms. */
-export function getObjectiveMs(spec: JobSpec, queue: QueueSettings): number {
-  return queue.stretch * getCriticalPathMs(spec) + queue.targetLatencyMs;
+/**
+ * Returns the time that a job may take without being late, in ms. Its queue promises a multiple of the work
+ * that the job turns out to be, so the expected work counts rather than the estimate.
+ */
+export function getObjectiveMs(
+  spec: JobSpec,
+  queue: QueueSettings,
+  durations: DurationEstimator,
+): number {
+  return queue.stretch * getCriticalPathMs(spec, queue.name, durations) + queue.targetLatencyMs;
 }
 
 /** Properties of a step by which steps are ordered. */
@@ -74,13 +129,15 @@
 export function getUrgency(
   step: Step,
   queue: QueueSettings | null,
+  durations: DurationEstimator,
   nowMs: number,
   wallMs: number,
 ): StepUrgency {
   const { job, spec, position } = step;
   const startMs = getStartMs(job, step.occurrence, nowMs, wallMs);
-  const objectiveMs = queue === null ? 0 : getObjectiveMs(job.record.spec, queue);
-  const remainingMs = listRemainingPathsMs(job.record.spec)[position] ?? 0;
+  const objectiveMs = queue === null ? 0 : getObjectiveMs(job.record.spec, queue, durations);
+  const pathsMs = listRemainingPathsMs(job.record.spec, job.record.queue, durations);
+  const remainingMs = pathsMs[position] ?? 0;
   const dueMs = startMs + objectiveMs;
   return {
     priority: queue?.priority ?? 0,
