--- a/packages/baobabwell-controller/src/BaobabwellControllerModel.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerModel.ts
@@ -17,6 +17,8 @@
    * `null` where the platform sets none.
    */
   readonly evacuationMs: number | null;
+  /** Factor by which a task takes longer on another rack than its data. */
+  readonly farFactor: number;
 };
 
 /** Tables in which the platform describes the fleet, and the encoding of their rows. */
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -235,6 +235,7 @@
         cancellationMs: 3_000,
         drainMs: DRAIN_MS,
         evacuationMs: EVACUATION_MS,
+        farFactor: 1,
       },
       codec: {
         workersTable: WORKERS_TABLE,
