fairness, controller: ready work is ordered by the weighted shares of organisations

Change: package fairness: weighted dominant shares by pool over cpu, memory and gpu, unused share lent; within a class of priority and lateness, work below its organisation's share goes before work above it, and jobs sent beyond the weight in jobs a second wait first. Only in pools where not all ready work fits; long running tasks take no part.

--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -3,6 +3,7 @@
 import type { Host } from './BaobabwellControllerHost';
 import type { HostMajority } from './BaobabwellControllerHostMajority';
 import type { HostSilences } from './BaobabwellControllerHostSilences';
+import type { JobRates } from './BaobabwellControllerJobRates';
 import type { FleetBounds, FleetCodec } from './BaobabwellControllerModel';
 import type { StartGate } from './BaobabwellControllerStartGate';
 import type { DurationEstimator } from '@baobabwell/durations';
@@ -41,6 +42,7 @@
   readonly jobRegistry: JobRegistry;
   readonly hosts: Map<string, Host>;
   readonly durations: DurationEstimator;
+  readonly jobRates: JobRates;
   readonly evacuations: Evacuations;
   readonly handover: Handover;
   readonly hostMajority: HostMajority;
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -1,12 +1,20 @@
 import type { TermContext } from './BaobabwellControllerContext';
 import type { Host } from './BaobabwellControllerHost';
+import type { JobRates } from './BaobabwellControllerJobRates';
 import type { HostSession } from './BaobabwellControllerSession';
+import type { ReadyWork } from '@baobabwell/fairness';
 import type { QueueSettings } from '@baobabwell/fleet';
 import type { Run, Step } from '@baobabwell/jobs';
-import type { Allowance, Placement, PlacementHost } from '@baobabwell/placement';
+import type { Allowance, Placement, PlacementHost, StepUrgency } from '@baobabwell/placement';
 
+import { decideFairOrder } from '@baobabwell/fairness';
 import { CrashSuspicion, RunPhase } from '@baobabwell/jobs';
-import { compareUrgency, decidePlacements, getUrgency } from '@baobabwell/placement';
+import {
+  compareUrgency,
+  decidePlacements,
+  getUrgency,
+  getUrgencyClass,
+} from '@baobabwell/placement';
 import { WakeSignal } from '@baobabwell/utils';
 
 import {
@@ -19,9 +27,14 @@
   START_SURVIVAL_MS,
 } from './BaobabwellControllerConstants';
 import { isHostViewTooOld } from './BaobabwellControllerHostView';
+import { listContendedPools } from './BaobabwellControllerPoolUsage';
+import { ShareLog } from './BaobabwellControllerShareLog';
 
 const SECOND_MS = 1_000;
 
+/** Number of organisations from which shares make a difference. */
+const MIN_SHARING_ORGANISATIONS = 2;
+
 /** A step that can start tasks, with its pool and queue. */
 export type ReadyStep = {
   readonly step: Step;
@@ -29,6 +42,8 @@
   readonly queue: QueueSettings | null;
 };
 
+type UrgentStep = ReadyStep & { readonly urgency: StepUrgency };
+
 /** Finds the tickets with which a step may start, by host; `null` when it requires none. */
 export type TicketFinder = (
   step: Step,
@@ -71,6 +86,29 @@
   };
 }
 
+/** Creates the description of a step by which organisations share the pools. */
+function createReadyWork(
+  ready: UrgentStep,
+  jobRates: JobRates,
+): ReadyWork & { readonly ready: ReadyStep } {
+  const { step, pool, urgency } = ready;
+  const { need, isFilling } = step.spec;
+  const count = step.waitingCount;
+  return {
+    ready,
+    pool,
+    organisation: step.job.record.organisation ?? '',
+    workClass: getUrgencyClass(urgency),
+    need: {
+      cpuMillis: isFilling ? 0 : count * need.cpuMillis,
+      memoryMb: count * need.memoryMb,
+      gpus: count * need.gpus,
+    },
+    isBeyondRate: jobRates.isBeyondRate(step.job),
+    isExempt: urgency.isLongRunning,
+  };
+}
+
 /** Places waiting tasks on hosts and starts their runs. */
 export class Dispatcher {
   readonly #context: TermContext;
@@ -83,6 +121,8 @@
 
   #isRequested = false;
 
+  readonly #shareLog: ShareLog;
+
   /** True while no runs are started in some pools because the view of their hosts is too old. */
   #isWithholding = false;
 
@@ -93,6 +133,7 @@
   ) {
     this.#context = context;
     this.#wakeSignal = new WakeSignal(context.clock);
+    this.#shareLog = new ShareLog(context);
     this.#getSession = getSession;
     this.#findTickets = findTickets;
   }
@@ -154,7 +195,7 @@
     const wallMs = clock.getWallTime();
     const queues = new Map(getConfiguration()?.queues.map((queue) => [queue.name, queue]));
     let unreconciledPools: ReadonlySet<string> | null = null;
-    const ready: (ReadyStep & { readonly urgency: ReturnType<typeof getUrgency> })[] = [];
+    const ready: UrgentStep[] = [];
     for (const job of jobRegistry.listOpenJobs()) {
       const queue = queues.get(job.record.queue) ?? null;
       // The runs that an earlier owner may have started are unknown until every host of the pool has
@@ -174,7 +215,27 @@
           });
       }
     }
-    return ready.toSorted((left, right) => compareUrgency(left.urgency, right.urgency));
+    return this.#sortByShares(
+      ready.toSorted((left, right) => compareUrgency(left.urgency, right.urgency)),
+    );
+  }
+
+  /** Sorts steps within each class of urgency by the shares of their organisations. */
+  #sortByShares(steps: readonly UrgentStep[]): readonly ReadyStep[] {
+    const { getConfiguration, jobRates } = this.#context;
+    const organisations = getConfiguration()?.organisations ?? [];
+    if (organisations.length < MIN_SHARING_ORGANISATIONS) {
+      return steps;
+    }
+    jobRates.addJobs(steps.map(({ step }) => step.job));
+    const work = steps.map((ready) => createReadyWork(ready, jobRates));
+    const pools = listContendedPools(this.#context, work);
+    if (pools.size === 0) {
+      return steps;
+    }
+    const weights = new Map(organisations.map(({ name, weight }) => [name, weight]));
+    pools.forEach((usage, pool) => this.#shareLog.record(pool, usage, weights, work));
+    return decideFairOrder({ work, pools, weights }).map(({ ready }) => ready);
   }
 
   #listUnreconciledPools(): ReadonlySet<string> {
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -23,6 +23,7 @@
 import { Host } from './BaobabwellControllerHost';
 import { HostMajority } from './BaobabwellControllerHostMajority';
 import { HostSilences } from './BaobabwellControllerHostSilences';
+import { JobRates } from './BaobabwellControllerJobRates';
 import { JobRows } from './BaobabwellControllerJobRows';
 import { decideOffer } from './BaobabwellControllerOffers';
 import { PlacementAdviceCache } from './BaobabwellControllerPlacementAdvice';
@@ -66,6 +67,7 @@
       jobRegistry,
       hosts,
       durations: new CallerEstimates(),
+      jobRates: new JobRates(options),
       evacuations: new Evacuations(),
       handover: new Handover(),
       hostMajority: new HostMajority(options.clock, options.ownership, hosts),
--- a/packages/baobabwell-fleet/src/BaobabwellFleetModel.ts
+++ b/packages/baobabwell-fleet/src/BaobabwellFleetModel.ts
@@ -43,7 +43,7 @@
 export type OrganisationSettings = {
   readonly name: string;
   readonly keys: readonly string[];
-  /** Weight by which capacity is to be shared when the fleet is full; the controller ignores it. */
+  /** Weight by which capacity is shared when the fleet is full, in jobs a second. */
   readonly weight: number;
   /** Resources that its running tasks may use over the whole fleet; 0 in a field means no limit. */
   readonly cap: Resources;
--- a/packages/baobabwell-placement/src/BaobabwellPlacementOrder.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacementOrder.ts
@@ -26,3 +26,8 @@
     getRank(left) - getRank(right) || left.priority - right.priority || left.dueMs - right.dueMs
   );
 }
+
+/** Returns the class of a step: steps of one class differ by due time only. */
+export function getUrgencyClass(urgency: StepUrgency): string {
+  return `${getRank(urgency)}.${urgency.priority}`;
+}
--- a/packages/baobabwell-placement/src/index.ts
+++ b/packages/baobabwell-placement/src/index.ts
@@ -22,4 +22,4 @@
   getWidestStepCpu,
   listRemainingPathsMs,
 } from './BaobabwellPlacementObjective';
-export { compareUrgency } from './BaobabwellPlacementOrder';
+export { compareUrgency, getUrgencyClass } from './BaobabwellPlacementOrder';
