placement, controller: admission by the work that is placed before a job, and by shares

Cause: admission summed the work of all organisations by due time, walked all tasks of all open jobs for each offer, did not count running work of late jobs nor jobs admitted a moment ago, and took each retry of a refused job for a new job. Change: a work queue by pool and priority, summed at most every 20 ms with sums by organisation and due time; an offer asks it with a binary search each organisation. The others' work counts up to the same share by weight; cause beyond-share names own excess; memory counts where it binds; durations come from the estimator; a retry keeps the due time of its first offer; Retry-After is spread by the job id; no refusal while the first tasks fit on free pieces beside what waits. Conclusion: an offer costs no walk over the tasks.

--- a/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
@@ -1,10 +1,10 @@
 import type { TermContext } from './BaobabwellControllerContext';
 import type { QueueSettings } from '@baobabwell/fleet';
-import type { Job, JobRecord, Resources } from '@baobabwell/jobs';
+import type { Job, JobRecord, JobSpec, Resources, StepSpec } from '@baobabwell/jobs';
 import type { AcceptedWork, AdmissionDecision } from '@baobabwell/placement';
 
 import { TaskPhase } from '@baobabwell/jobs';
-import { decideAdmission, getCriticalPathMs, getObjectiveMs } from '@baobabwell/placement';
+import { decideAdmission, getObjectiveMs, WorkQueue } from '@baobabwell/placement';
 
 /** Capacity of a pool, in thousandths of a core. */
 export type PoolCapacity = {
@@ -15,74 +15,298 @@
   readonly machineCapacities: readonly Resources[];
 };
 
-/** Returns the estimated remaining work of a job, in thousandths of a core times ms. */
-function getRemainingWork(job: Job, nowMs: number): number {
-  let work = 0;
-  job.listSteps().forEach(({ spec, tasks }) => {
-    if (spec.isLasting) {
-      return;
-    }
-    tasks.forEach(({ phase, runs }) => {
-      if (phase === TaskPhase.Waiting) {
-        work += spec.need.cpuMillis * spec.estimateMs;
-      } else if (phase === TaskPhase.Placed) {
-        const [run] = runs;
-        const elapsedMs = run === undefined ? 0 : nowMs - run.startSentAtMs;
-        work += spec.need.cpuMillis * Math.max(0, spec.estimateMs - elapsedMs);
-      }
-    });
-  });
-  return work;
+/** Accepted work of a pool ahead of one queue, as it was a short time ago. */
+type PoolState = {
+  readonly atMs: number;
+  readonly capacity: PoolCapacity;
+  readonly work: WorkQueue;
+  /** Thousandths of a core that a MB of memory is worth in the pool. */
+  readonly cpuMillisPerMb: number;
+  /** CPU that the waiting tasks of ready steps require, in thousandths of a core. */
+  waitingCpuMillis: number;
+};
+
+/** An admitted job that is not stored yet. */
+type AdmittedJob = { readonly record: JobRecord; readonly atMs: number; readonly dueMs: number };
+
+/** Time for which the accepted work of a pool is not summed again, in ms. */
+const POOL_STATE_MS = 20;
+
+/** Time within which an admitted job is stored and seen, in ms. */
+const STORE_TIME_MS = 1_000;
+
+/** Time for which the first offer of a job counts when the job is offered again, in ms. */
+const FIRST_OFFER_MS = 15_000;
+
+function canFit(need: Resources, { cpuMillis, memoryMb, gpus }: Resources): boolean {
+  return need.cpuMillis <= cpuMillis && need.memoryMb <= memoryMb && need.gpus <= gpus;
+}
+
+/** Counts how often a need fits into free resources. */
+function countPieces({ need, maxPerHost }: StepSpec, free: Resources): number {
+  const pieces = Math.min(
+    need.cpuMillis > 0 ? free.cpuMillis / need.cpuMillis : Infinity,
+    need.memoryMb > 0 ? free.memoryMb / need.memoryMb : Infinity,
+    need.gpus > 0 ? free.gpus / need.gpus : Infinity,
+    maxPerHost > 0 ? maxPerHost : Infinity,
+  );
+  return Math.max(0, Math.floor(pieces));
+}
+
+function listFirstSteps({ steps }: JobSpec): readonly StepSpec[] {
+  return steps.filter(({ after, isLasting }) => after.length === 0 && !isLasting);
+}
+
+function sumFirstCpu(spec: JobSpec): number {
+  return listFirstSteps(spec).reduce(
+    (sum, { taskCount, need }) => sum + taskCount * need.cpuMillis,
+    0,
+  );
 }
 
-function listAcceptedWork(context: TermContext, pool: string): readonly AcceptedWork[] {
-  const { jobRegistry, clock, getConfiguration } = context;
-  const nowMs = clock.getNow();
-  const wallMs = clock.getWallTime();
-  const queues = new Map(getConfiguration()?.queues.map((queue) => [queue.name, queue]));
-  const accepted: AcceptedWork[] = [];
-  for (const job of jobRegistry.listOpenJobs()) {
-    const queue = queues.get(job.record.queue);
-    if (queue?.pool === pool && job.record.spec.repeat === null) {
-      const ageMs = wallMs - job.record.acceptedAtMs;
-      const dueMs = nowMs - ageMs + getObjectiveMs(job.record.spec, queue);
-      accepted.push({ dueMs, remainingWork: getRemainingWork(job, nowMs) });
+/** Removes the oldest entries of a map; entries are in the order of their time. */
+function pruneOldest<Value>(map: Map<string, Value>, isOld: (value: Value) => boolean): void {
+  for (const [key, value] of map) {
+    if (!isOld(value)) {
+      break;
     }
+    map.delete(key);
   }
-  return accepted;
 }
 
-function canFit(need: Resources, { cpuMillis, memoryMb, gpus }: Resources): boolean {
-  return need.cpuMillis <= cpuMillis && need.memoryMb <= memoryMb && need.gpus <= gpus;
-}
+/** Decides which offered jobs are admitted. */
+export class OfferAdmission {
+  readonly #context: TermContext;
+
+  readonly #getPoolCapacity: (pool: string) => PoolCapacity;
+
+  readonly #states = new Map<string, PoolState>();
+
+  readonly #admitted = new Map<string, AdmittedJob>();
+
+  /** Monotonic time at which each job was offered first, in ms. */
+  readonly #firstOffersAtMs = new Map<string, number>();
 
-/** Decides whether to admit an offered job. */
-export function decideOffer(
-  context: TermContext,
-  record: JobRecord,
-  queue: QueueSettings,
-  poolCapacity: PoolCapacity,
-): AdmissionDecision {
-  const { spec } = record;
-  const isLargerThanAnyHost =
-    poolCapacity.machineCapacities.length > 0 &&
-    spec.steps.some(
-      ({ need }) => !poolCapacity.machineCapacities.some((capacity) => canFit(need, capacity)),
+  constructor(context: TermContext, getPoolCapacity: (pool: string) => PoolCapacity) {
+    this.#context = context;
+    this.#getPoolCapacity = getPoolCapacity;
+  }
+
+  /** Decides whether to admit an offered job. */
+  decide(record: JobRecord, queue: QueueSettings): AdmissionDecision {
+    const { clock, jobRates } = this.#context;
+    const { spec, organisation } = record;
+    const nowMs = clock.getNow();
+    const state = this.#getState(queue, nowMs);
+    const { machineCapacities, ...capacity } = state.capacity;
+    const isLargerThanAnyHost =
+      machineCapacities.length > 0 &&
+      spec.steps.some(({ need }) => !machineCapacities.some((machine) => canFit(need, machine)));
+    const isBeyondRate = jobRates.addOffer(record);
+    const hasNoObjective = spec.repeat !== null || spec.steps.some(({ isLasting }) => isLasting);
+    if (hasNoObjective && !isLargerThanAnyHost) {
+      return { isWanted: true };
+    }
+    const dueMs = this.#getFirstOfferMs(record.id, nowMs) + getObjectiveMs(spec, queue);
+    const firstSteps = listFirstSteps(spec);
+    const decision = decideAdmission({
+      nowMs,
+      jobId: record.id,
+      organisation: organisation ?? '',
+      isBeyondRate,
+      rateDelayMs: jobRates.getDelayMs(organisation),
+      dueMs,
+      criticalPathMs: this.#getExpectedPathMs(record),
+      taskMs: Math.max(0, ...firstSteps.map((step) => this.#getExpectedMs(queue.name, step))),
+      firstWork: this.#sumWork(queue.name, firstSteps, state.cpuMillisPerMb),
+      stepCount: spec.steps.length,
+      ...capacity,
+      accepted: state.work,
+      isLargerThanAnyHost,
+      hasFreeRoom: () => this.#hasFreeRoom(firstSteps, queue.pool, state),
+    });
+    if (decision.isWanted) {
+      this.#addAdmitted({ record, atMs: nowMs, dueMs }, queue.name, state);
+    } else {
+      jobRates.removeOffer(record);
+    }
+    return decision;
+  }
+
+  #getFirstOfferMs(jobId: string, nowMs: number): number {
+    pruneOldest(this.#firstOffersAtMs, (atMs) => nowMs - atMs > FIRST_OFFER_MS);
+    const firstAtMs = this.#firstOffersAtMs.get(jobId) ?? nowMs;
+    this.#firstOffersAtMs.set(jobId, firstAtMs);
+    return firstAtMs;
+  }
+
+  #addAdmitted(admitted: AdmittedJob, queue: string, current: PoolState): void {
+    this.#admitted.set(admitted.record.id, admitted);
+    const state = current;
+    state.work.add(this.#createAdmittedWork(admitted, queue, state.cpuMillisPerMb));
+    state.waitingCpuMillis += sumFirstCpu(admitted.record.spec);
+  }
+
+  #createAdmittedWork(
+    { record, dueMs }: AdmittedJob,
+    queue: string,
+    cpuMillisPerMb: number,
+  ): AcceptedWork {
+    return {
+      organisation: record.organisation ?? '',
+      dueMs,
+      runningWork: 0,
+      waitingWork: this.#sumWork(queue, record.spec.steps, cpuMillisPerMb),
+      isLate: false,
+    };
+  }
+
+  /** Returns the state of the pool of a queue for jobs of its priority. */
+  #getState({ pool, priority }: QueueSettings, nowMs: number): PoolState {
+    const key = `${priority} ${pool}`;
+    const existing = this.#states.get(key);
+    if (existing !== undefined && nowMs - existing.atMs < POOL_STATE_MS) {
+      return existing;
+    }
+    const state = this.#buildState(pool, priority, nowMs);
+    this.#states.set(key, state);
+    return state;
+  }
+
+  #buildState(pool: string, priority: number, nowMs: number): PoolState {
+    const { jobRegistry, clock, getConfiguration, hosts } = this.#context;
+    const configuration = getConfiguration();
+    const organisations = configuration?.organisations ?? [];
+    const wallMs = clock.getWallTime();
+    const queues = new Map(
+      configuration?.queues
+        .filter((queue) => queue.pool === pool && queue.priority <= priority)
+        .map((queue) => [queue.name, queue]),
     );
-  const hasNoObjective = spec.repeat !== null || spec.steps.some(({ isLasting }) => isLasting);
-  if (hasNoObjective && !isLargerThanAnyHost) {
-    return { isWanted: true };
+    let totalCpu = 0;
+    let totalMemory = 0;
+    hosts.forEach((host) => {
+      const isInPool = host.pool === pool;
+      totalCpu += isInPool ? host.getCapacity().cpuMillis : 0;
+      totalMemory += isInPool ? host.getCapacity().memoryMb : 0;
+    });
+    const cpuMillisPerMb = totalMemory > 0 ? totalCpu / totalMemory : 0;
+    const accepted: AcceptedWork[] = [];
+    let waitingCpuMillis = 0;
+    for (const job of jobRegistry.listOpenJobs()) {
+      const queue = queues.get(job.record.queue);
+      if (queue !== undefined && job.record.spec.repeat === null) {
+        accepted.push(this.#createAcceptedWork(job, queue, priority, cpuMillisPerMb, nowMs));
+        jobRegistry.listReadySteps(job, wallMs).forEach(({ spec, waitingCount }) => {
+          waitingCpuMillis += spec.isLasting ? 0 : waitingCount * spec.need.cpuMillis;
+        });
+      }
+    }
+    pruneOldest(this.#admitted, ({ atMs }) => nowMs - atMs > STORE_TIME_MS);
+    this.#admitted.forEach((admitted) => {
+      const queue = queues.get(admitted.record.queue);
+      if (queue !== undefined && jobRegistry.findJob(admitted.record.id) === null) {
+        accepted.push(this.#createAdmittedWork(admitted, queue.name, cpuMillisPerMb));
+        waitingCpuMillis += sumFirstCpu(admitted.record.spec);
+      }
+    });
+    const weights = new Map(organisations.map(({ name, weight }) => [name, weight]));
+    return {
+      atMs: nowMs,
+      capacity: this.#getPoolCapacity(pool),
+      work: new WorkQueue(accepted, weights),
+      cpuMillisPerMb,
+      waitingCpuMillis,
+    };
+  }
+
+  #createAcceptedWork(
+    job: Job,
+    queue: QueueSettings,
+    priority: number,
+    cpuMillisPerMb: number,
+    nowMs: number,
+  ): AcceptedWork {
+    const { record } = job;
+    let runningWork = 0;
+    let waitingWork = 0;
+    job.listSteps().forEach(({ spec, tasks, doneCount }) => {
+      if (spec.isLasting || doneCount === spec.taskCount) {
+        return;
+      }
+      const taskCpu = this.#getWeighedCpu(spec, cpuMillisPerMb);
+      const expectedMs = this.#getExpectedMs(record.queue, spec);
+      tasks.forEach(({ phase, runs }) => {
+        if (phase === TaskPhase.Waiting) {
+          waitingWork += taskCpu * expectedMs;
+        } else if (phase === TaskPhase.Placed) {
+          const [run] = runs;
+          const elapsedMs = run === undefined ? 0 : nowMs - run.startSentAtMs;
+          const { durations } = this.#context;
+          runningWork += taskCpu * durations.getRemainingMs(record.queue, spec, elapsedMs);
+        }
+      });
+    });
+    const ageMs = this.#context.clock.getWallTime() - record.acceptedAtMs;
+    const dueMs = nowMs - ageMs + getObjectiveMs(record.spec, queue);
+    return {
+      organisation: record.organisation ?? '',
+      // Work of a higher priority is placed before, whenever it is due.
+      dueMs: queue.priority < priority ? -Infinity : dueMs,
+      runningWork,
+      waitingWork,
+      isLate: dueMs <= nowMs,
+    };
+  }
+
+  #getExpectedMs(queue: string, step: StepSpec): number {
+    return this.#context.durations.getExpectedMs(queue, step);
+  }
+
+  #getExpectedPathMs({ queue, spec }: JobRecord): number {
+    const endsMs: number[] = [];
+    spec.steps.forEach((step) => {
+      const before = step.after.map((position) => endsMs[position] ?? 0);
+      endsMs.push(Math.max(0, ...before) + this.#getExpectedMs(queue, step));
+    });
+    return Math.max(0, ...endsMs);
+  }
+
+  /** Returns the CPU of a task, or what its memory is worth if that is more. */
+  #getWeighedCpu({ need }: StepSpec, cpuMillisPerMb: number): number {
+    return Math.max(need.cpuMillis, need.memoryMb * cpuMillisPerMb);
+  }
+
+  #sumWork(queue: string, steps: readonly StepSpec[], cpuMillisPerMb: number): number {
+    return steps.reduce(
+      (sum, step) =>
+        sum +
+        step.taskCount *
+          this.#getWeighedCpu(step, cpuMillisPerMb) *
+          this.#getExpectedMs(queue, step),
+      0,
+    );
+  }
+
+  /** Returns true if the first steps fit on free pieces of hosts beside all that waits. */
+  #hasFreeRoom(steps: readonly StepSpec[], pool: string, state: PoolState): boolean {
+    const nowMs = this.#context.clock.getNow();
+    let freeCpuMillis = -state.waitingCpuMillis;
+    const missing = new Map(steps.map((step) => [step, step.taskCount]));
+    this.#context.hosts.forEach((host) => {
+      if (host.pool !== pool || !host.canTakeWork(nowMs)) {
+        return;
+      }
+      const free = host.getFreeResources();
+      freeCpuMillis += free.cpuMillis;
+      missing.forEach((count, step) => {
+        const { hostLabel } = step;
+        const isAllowed =
+          hostLabel === null || host.listedWorker?.labels.includes(hostLabel) === true;
+        missing.set(step, count - (isAllowed ? countPieces(step, free) : 0));
+      });
+    });
+    const requiredCpu = steps.reduce((sum, step) => sum + step.taskCount * step.need.cpuMillis, 0);
+    return freeCpuMillis >= requiredCpu && [...missing.values()].every((count) => count <= 0);
   }
-  const nowMs = context.clock.getNow();
-  return decideAdmission({
-    nowMs,
-    dueMs: nowMs + getObjectiveMs(spec, queue),
-    criticalPathMs: getCriticalPathMs(spec),
-    stepCount: spec.steps.length,
-    cpuMillis: poolCapacity.cpuMillis,
-    arrivingCpuMillis: poolCapacity.arrivingCpuMillis,
-    allocatableCpuMillis: poolCapacity.allocatableCpuMillis,
-    accepted: listAcceptedWork(context, queue.pool),
-    isLargerThanAnyHost,
-  });
 }
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -25,7 +25,7 @@
 import { HostSilences } from './BaobabwellControllerHostSilences';
 import { JobRates } from './BaobabwellControllerJobRates';
 import { JobRows } from './BaobabwellControllerJobRows';
-import { decideOffer } from './BaobabwellControllerOffers';
+import { OfferAdmission } from './BaobabwellControllerOffers';
 import { PlacementAdviceCache } from './BaobabwellControllerPlacementAdvice';
 import { parseHostRow } from './BaobabwellControllerRows';
 import { HostSession } from './BaobabwellControllerSession';
@@ -49,6 +49,8 @@
 
   readonly #fleetControlLoop: FleetControlLoop;
 
+  readonly #admission: OfferAdmission;
+
   readonly #tables: TermTables;
 
   readonly #jobRows: JobRows;
@@ -98,6 +100,9 @@
       (id, reason) => this.#recordDeparture(id, reason),
       (id, reason) => this.#sessions.get(id)?.recordIncarnationEnd(reason),
     );
+    this.#admission = new OfferAdmission(this.context, (pool) =>
+      this.#fleetControlLoop.getPoolCapacity(pool),
+    );
   }
 
   /** True once all persisted state has been read. */
@@ -112,12 +117,7 @@
     if (jobRegistry.findJob(record.id) !== null || queue === undefined) {
       return { isWanted: true };
     }
-    const decision = decideOffer(
-      this.context,
-      record,
-      queue,
-      this.#fleetControlLoop.getPoolCapacity(queue.pool),
-    );
+    const decision = this.#admission.decide(record, queue);
     if (!decision.isWanted) {
       const { cause, reason, retryAfterMs } = decision;
       this.#fleetControlLoop.recordRefusal(queue.pool, getWidestStepCpu(record.spec));
--- a/packages/baobabwell-placement/src/BaobabwellPlacementAdmission.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacementAdmission.ts
@@ -1,24 +1,28 @@
 /**
- * Load pattern: a burst of a queue demands more than the capacity of all machines. Each job
- * admitted then makes all jobs behind it late. A job that can no longer meet its objective is
- * therefore refused at once, before any of it is stored, and the refusal tells the caller how long
- * the work ahead takes.
+ * Load pattern: a burst of a queue demands more than the capacity of all machines, or one organisation
+ * sends several times its usual load. Each job admitted then makes jobs behind it late. A job that can no
+ * longer meet its objective behind the work that is placed before it is therefore refused at once, before
+ * any of it is stored. Organisations below their share are admitted as if the others kept to theirs.
  */
-
-/** An accepted job that is not done. */
-export type AcceptedWork = {
-  /** Monotonic time at which the job is due, in ms. */
-  readonly dueMs: number;
-  /** CPU time that the job still takes, in thousandths of a core times ms. */
-  readonly remainingWork: number;
-};
+import type { WorkAhead, WorkQueue } from './BaobabwellPlacementWorkQueue';
 
 /** Input of `decideAdmission`. */
 export type AdmissionSnapshot = {
   readonly nowMs: number;
-  /** Monotonic time at which the job is due, and the length of its critical path, in ms. */
+  readonly jobId: string;
+  /** Organisation of the job, '' if there is none, and what it may send (see `WorkQueue`). */
+  readonly organisation: string;
+  /** The organisation sent the job beyond its rate; then it has no share to claim. */
+  readonly isBeyondRate: boolean;
+  /** Time until the organisation is within its rate again, in ms. */
+  readonly rateDelayMs: number;
+  /** Monotonic time at which the job is due, in ms. */
   readonly dueMs: number;
+  /** Expected length of its critical path and expected duration of a task of its first step, in ms. */
   readonly criticalPathMs: number;
+  readonly taskMs: number;
+  /** Work of the steps with which the job begins, in thousandths of a core times ms. */
+  readonly firstWork: number;
   readonly stepCount: number;
   /**
    * CPU for tasks that are not long running, in thousandths of a core: now, and of arriving
@@ -28,9 +32,12 @@
   readonly arrivingCpuMillis: number;
   /** CPU of machines that could be allocated to the pool. */
   readonly allocatableCpuMillis: number;
-  readonly accepted: readonly AcceptedWork[];
+  /** Accepted work of the pool. */
+  readonly accepted: WorkQueue;
   /** The largest task fits on no host that could ever be in the pool. */
   readonly isLargerThanAnyHost: boolean;
+  /** Returns true if the job could start now on free pieces of hosts; asked before a refusal only. */
+  readonly hasFreeRoom: () => boolean;
 };
 
 /** Reason for which a job is refused. */
@@ -39,6 +46,8 @@
   TooLarge = 'too-large',
   /** The job could not be done in time. */
   TooLate = 'too-late',
+  /** The job could not be done in time because of what its own organisation sent. */
+  BeyondShare = 'beyond-share',
 }
 
 /** Whether a job is admitted (`isWanted`), and the cause if it is not. */
@@ -60,6 +69,9 @@
  */
 const USABLE_SHARE = 0.85;
 
+/** Share of the duration of running tasks that is left on average. */
+const RUNNING_LEFT_SHARE = 0.5;
+
 /** Expected lateness up to which a job is still admitted, in ms: estimates are rough. */
 const ESTIMATE_TOLERANCE_MS = 100;
 
@@ -70,9 +82,24 @@
 const MIN_RETRY_MS = 1_000;
 const MAX_RETRY_MS = 8_000;
 
-/** Retry delay for a task larger than any host, in ms: only a change of the fleet helps. */
+/** Share of the retry delay over which callers are spread. */
+const RETRY_SPREAD_SHARE = 0.5;
+
+/** Longest wait that a reason names, and retry delay for a task larger than any host, in ms. */
 const TOO_LARGE_RETRY_MS = 60_000;
 
+const HASH_FACTOR = 31;
+const HASH_RANGE = 65_521;
+
+/** Returns a number from 0 to 1 that depends on the id only. */
+function getSpread(id: string): number {
+  let hash = 0;
+  for (let index = 0; index < id.length; index += 1) {
+    hash = (hash * HASH_FACTOR + id.charCodeAt(index)) % HASH_RANGE;
+  }
+  return hash / HASH_RANGE;
+}
+
 /**
  * Estimates the time in which the pool does some work, in ms, with the machines that join it
  * meanwhile.
@@ -97,9 +124,41 @@
   return Infinity;
 }
 
-/** Decides whether a job can still be in time, given all jobs that were accepted before it. */
+/**
+ * Estimates how long the job waits, in ms: until the work ahead and its own first tasks are done but for
+ * what runs then.
+ */
+function estimateWaitMs({ running, waiting }: WorkAhead, snapshot: AdmissionSnapshot): number {
+  const { taskMs, firstWork, stepCount } = snapshot;
+  const doneMs = estimateWorkMs(running + waiting + firstWork, snapshot);
+  const firstWaitMs = Math.max(0, doneMs - RUNNING_LEFT_SHARE * taskMs);
+  return firstWaitMs * (1 + ADDITIONAL_STEP_WAIT_SHARE * (stepCount - 1));
+}
+
+function refuseTooLate(
+  snapshot: AdmissionSnapshot,
+  waitMs: number,
+  waitWithoutSharesMs: number,
+): AdmissionDecision {
+  const { nowMs, jobId, dueMs, criticalPathMs, isBeyondRate, rateDelayMs } = snapshot;
+  const laxityMs = dueMs - nowMs - criticalPathMs;
+  const isOwnExcess = isBeyondRate || waitMs > waitWithoutSharesMs;
+  const delayMs = Math.max(waitMs - laxityMs, isBeyondRate ? rateDelayMs : 0);
+  const spreadDelayMs =
+    Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, delayMs)) *
+    (1 + RETRY_SPREAD_SHARE * getSpread(jobId));
+  const shownWaitMs = Math.round(Math.min(waitMs, TOO_LARGE_RETRY_MS));
+  return {
+    isWanted: false,
+    cause: isOwnExcess ? RefusalCause.BeyondShare : RefusalCause.TooLate,
+    reason: `the work ahead takes ${shownWaitMs} ms, ${Math.round(laxityMs)} ms are left`,
+    retryAfterMs: Math.round(Math.min(MAX_RETRY_MS, spreadDelayMs)),
+  };
+}
+
+/** Decides whether a job can still be in time, given the work that is placed before it. */
 export function decideAdmission(snapshot: AdmissionSnapshot): AdmissionDecision {
-  const { nowMs, dueMs, criticalPathMs, stepCount, accepted, isLargerThanAnyHost } = snapshot;
+  const { nowMs, dueMs, criticalPathMs, accepted, isLargerThanAnyHost } = snapshot;
   if (isLargerThanAnyHost) {
     const reason = 'a task is larger than any host';
     return {
@@ -109,20 +168,11 @@
       retryAfterMs: TOO_LARGE_RETRY_MS,
     };
   }
-  const workAhead = accepted
-    .filter((work) => work.dueMs <= dueMs && work.dueMs > nowMs)
-    .reduce((sum, { remainingWork }) => sum + remainingWork, 0);
-  const waitMs =
-    estimateWorkMs(workAhead, snapshot) * (1 + ADDITIONAL_STEP_WAIT_SHARE * (stepCount - 1));
-  const laxityMs = dueMs - nowMs - criticalPathMs;
-  if (waitMs <= laxityMs + ESTIMATE_TOLERANCE_MS) {
+  const waitMs = estimateWaitMs(accepted.getWorkAhead(snapshot), snapshot);
+  const isInTime = waitMs <= dueMs - nowMs - criticalPathMs + ESTIMATE_TOLERANCE_MS;
+  if (isInTime || snapshot.hasFreeRoom()) {
     return { isWanted: true };
   }
-  const excessMs = waitMs - laxityMs;
-  return {
-    isWanted: false,
-    cause: RefusalCause.TooLate,
-    reason: `the work ahead takes ${Math.round(Math.min(waitMs, TOO_LARGE_RETRY_MS))} ms, ${Math.round(laxityMs)} ms are left`,
-    retryAfterMs: Math.round(Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, excessMs))),
-  };
+  const waitWithoutSharesMs = estimateWaitMs(accepted.getWorkDueBefore(dueMs), snapshot);
+  return refuseTooLate(snapshot, waitMs, waitWithoutSharesMs);
 }
--- a/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacementAdmission.test.ts
+++ b/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacementAdmission.test.ts
@@ -1,6 +1,9 @@
+import type { AcceptedWork, AdmissionSnapshot } from '../../index';
+
 import { expect } from 'earl';
+import fc from 'fast-check';
 
-import { compareUrgency, decideAdmission, RefusalCause } from '../../index';
+import { compareUrgency, decideAdmission, RefusalCause, WorkQueue } from '../../index';
 
 /**
  * Simulates a burst that demands twice the capacity of the machines. Jobs start in the order in
@@ -14,8 +17,46 @@
 const BURST_MS = 6_000;
 const ARRIVALS_PER_STEP = 3;
 
+const SNAPSHOT: AdmissionSnapshot = {
+  nowMs: 0,
+  jobId: 'a1',
+  organisation: 'guild',
+  isBeyondRate: false,
+  rateDelayMs: 0,
+  dueMs: OBJECTIVE_MS,
+  criticalPathMs: TASK_MS,
+  taskMs: 0,
+  firstWork: 0,
+  stepCount: 1,
+  cpuMillis: POOL_CPU,
+  arrivingCpuMillis: 0,
+  allocatableCpuMillis: 0,
+  accepted: new WorkQueue([], new Map()),
+  isLargerThanAnyHost: false,
+  hasFreeRoom: () => false,
+};
+
+const WAITING: AcceptedWork = {
+  organisation: 'guild',
+  dueMs: 1_000,
+  runningWork: 0,
+  waitingWork: 0,
+  isLate: false,
+};
+
 type SimulatedJob = { readonly dueMs: number; startedAtMs: number | null };
 
+function createWork({ dueMs, startedAtMs }: SimulatedJob, nowMs: number): AcceptedWork {
+  const isWaiting = startedAtMs === null;
+  return {
+    ...WAITING,
+    dueMs,
+    runningWork: isWaiting ? 0 : TASK_CPU * (TASK_MS - (nowMs - startedAtMs)),
+    waitingWork: isWaiting ? TASK_CPU * TASK_MS : 0,
+    isLate: dueMs <= nowMs,
+  };
+}
+
 function countInTime(admits: boolean): number {
   let accepted: SimulatedJob[] = [];
   let inTime = 0;
@@ -27,18 +68,15 @@
     accepted = accepted.filter((job) => !ended.includes(job));
     for (let arrival = 0; nowMs < BURST_MS && arrival < ARRIVALS_PER_STEP; arrival += 1) {
       const decision = decideAdmission({
+        ...SNAPSHOT,
         nowMs,
         dueMs: nowMs + OBJECTIVE_MS,
-        criticalPathMs: TASK_MS,
-        stepCount: 1,
-        cpuMillis: POOL_CPU,
-        arrivingCpuMillis: 0,
-        allocatableCpuMillis: 0,
-        accepted: accepted.map(({ dueMs, startedAtMs }) => ({
-          dueMs,
-          remainingWork: TASK_CPU * (TASK_MS - (startedAtMs === null ? 0 : nowMs - startedAtMs)),
-        })),
-        isLargerThanAnyHost: false,
+        taskMs: TASK_MS,
+        firstWork: TASK_CPU * TASK_MS,
+        accepted: new WorkQueue(
+          accepted.map((job) => createWork(job, nowMs)),
+          new Map(),
+        ),
       });
       if (!admits || decision.isWanted) {
         accepted.push({ dueMs: nowMs + OBJECTIVE_MS, startedAtMs: null });
@@ -59,16 +97,11 @@
   });
 
   it('reports how long the work ahead takes', () => {
+    const work = [{ ...WAITING, waitingWork: POOL_CPU * 4_250 }];
     const decision = decideAdmission({
-      nowMs: 0,
-      dueMs: OBJECTIVE_MS,
-      criticalPathMs: TASK_MS,
-      stepCount: 1,
-      cpuMillis: POOL_CPU,
-      arrivingCpuMillis: 0,
-      allocatableCpuMillis: 0,
-      accepted: [{ dueMs: 1_000, remainingWork: POOL_CPU * 4_250 }],
-      isLargerThanAnyHost: false,
+      ...SNAPSHOT,
+      jobId: '',
+      accepted: new WorkQueue(work, new Map()),
     });
     expect(decision).toEqual({
       isWanted: false,
@@ -79,17 +112,7 @@
   });
 
   it('refuses a task larger than any host with a long retry delay', () => {
-    const decision = decideAdmission({
-      nowMs: 0,
-      dueMs: OBJECTIVE_MS,
-      criticalPathMs: TASK_MS,
-      stepCount: 1,
-      cpuMillis: POOL_CPU,
-      arrivingCpuMillis: 0,
-      allocatableCpuMillis: 0,
-      accepted: [],
-      isLargerThanAnyHost: true,
-    });
+    const decision = decideAdmission({ ...SNAPSHOT, isLargerThanAnyHost: true });
     expect(decision).toEqual({
       isWanted: false,
       cause: RefusalCause.TooLarge,
@@ -98,6 +121,73 @@
     });
   });
 
+  it('refuses an organisation for its own excess and admits the others', () => {
+    const weights = new Map(['guild', 'school', 'bakery'].map((name) => [name, 1]));
+    const accepted = new WorkQueue(
+      [
+        { ...WAITING, waitingWork: POOL_CPU * 6_000 },
+        { ...WAITING, organisation: 'school', waitingWork: POOL_CPU * 100 },
+      ],
+      weights,
+    );
+    const job = { ...SNAPSHOT, firstWork: POOL_CPU * 50, accepted };
+    const hot = decideAdmission(job);
+    expect(hot.isWanted).toEqual(false);
+    expect(decideAdmission({ ...job, organisation: 'bakery' }).isWanted).toEqual(true);
+    expect(decideAdmission({ ...job, organisation: 'school' }).isWanted).toEqual(true);
+  });
+
+  it('counts what was admitted since the work was summed', () => {
+    const accepted = new WorkQueue([], new Map());
+    expect(decideAdmission({ ...SNAPSHOT, accepted }).isWanted).toEqual(true);
+    accepted.add({ ...WAITING, waitingWork: POOL_CPU * 6_000 });
+    expect(decideAdmission({ ...SNAPSHOT, accepted }).isWanted).toEqual(false);
+    expect(decideAdmission({ ...SNAPSHOT, accepted, hasFreeRoom: () => true }).isWanted).toEqual(
+      true,
+    );
+  });
+
+  it('admits with more room what it admits with less', () => {
+    const names = ['guild', 'school', 'bakery'];
+    const work = fc.record({
+      organisation: fc.constantFrom(...names),
+      dueMs: fc.integer({ min: 0, max: 4_000 }),
+      runningWork: fc.integer({ min: 0, max: POOL_CPU * 500 }),
+      waitingWork: fc.integer({ min: 0, max: POOL_CPU * 1_000 }),
+      isLate: fc.boolean(),
+    });
+    const room = fc.integer({ min: 0, max: 2 * POOL_CPU });
+    fc.assert(
+      fc.property(
+        fc.array(work, { maxLength: 12 }),
+        fc.tuple(room, room, room),
+        fc.tuple(room, room, room),
+        fc.boolean(),
+        (accepted, now, more, isBeyondRate) => {
+          const [cpuMillis, arrivingCpuMillis, allocatableCpuMillis] = now;
+          const snapshot = {
+            ...SNAPSHOT,
+            isBeyondRate,
+            taskMs: TASK_MS,
+            firstWork: TASK_CPU * TASK_MS,
+            cpuMillis,
+            arrivingCpuMillis,
+            allocatableCpuMillis,
+            accepted: new WorkQueue(accepted, new Map(names.map((name) => [name, 1]))),
+          };
+          const larger = {
+            ...snapshot,
+            cpuMillis: cpuMillis + more[0],
+            arrivingCpuMillis: arrivingCpuMillis + more[1],
+            allocatableCpuMillis: allocatableCpuMillis + more[2],
+          };
+          const isWanted = decideAdmission(snapshot).isWanted;
+          expect(!isWanted || decideAdmission(larger).isWanted).toEqual(true);
+        },
+      ),
+    );
+  });
+
   it('orders long running steps first, then steps in time by due time, then late steps', () => {
     const urgency = {
       priority: 0,
--- a/packages/baobabwell-placement/src/index.ts
+++ b/packages/baobabwell-placement/src/index.ts
@@ -1,8 +1,4 @@
-export type {
-  AcceptedWork,
-  AdmissionDecision,
-  AdmissionSnapshot,
-} from './BaobabwellPlacementAdmission';
+export type { AdmissionDecision, AdmissionSnapshot } from './BaobabwellPlacementAdmission';
 export type {
   Allowance,
   AllowedHosts,
@@ -11,6 +7,7 @@
   PlacementSnapshot,
 } from './BaobabwellPlacementModel';
 export type { StepUrgency } from './BaobabwellPlacementObjective';
+export type { AcceptedWork, WorkAhead } from './BaobabwellPlacementWorkQueue';
 
 export { decidePlacements } from './BaobabwellPlacement';
 export { decideAdmission, RefusalCause } from './BaobabwellPlacementAdmission';
@@ -23,3 +20,4 @@
   listRemainingPathsMs,
 } from './BaobabwellPlacementObjective';
 export { compareUrgency, getUrgencyClass } from './BaobabwellPlacementOrder';
+export { WorkQueue } from './BaobabwellPlacementWorkQueue';
