--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -23,8 +23,9 @@
 import { Host } from './BaobabwellControllerHost';
 import { HostMajority } from './BaobabwellControllerHostMajority';
 import { HostSilences } from './BaobabwellControllerHostSilences';
+import { JobRates } from './BaobabwellControllerJobRates';
 import { JobRows } from './BaobabwellControllerJobRows';
-import { decideOffer } from './BaobabwellControllerOffers';
+import { OfferAdmission } from './BaobabwellControllerOffers';
 import { PlacementAdviceCache } from './BaobabwellControllerPlacementAdvice';
 import { parseHostRow } from './BaobabwellControllerRows';
 import { RunDurations } from './BaobabwellControllerRunDurations';
@@ -49,6 +50,8 @@
 
   readonly #fleetControlLoop: FleetControlLoop;
 
+  readonly #admission: OfferAdmission;
+
   readonly #tables: TermTables;
 
   readonly #jobRows: JobRows;
@@ -72,6 +75,7 @@
       hosts,
       durations: this.#runDurations.estimator,
       runDurations: this.#runDurations,
+      jobRates: new JobRates(options),
       evacuations: new Evacuations(),
       handover: new Handover(),
       hostMajority: new HostMajority(options.clock, options.ownership, hosts),
@@ -104,6 +108,9 @@
       (id, reason) => this.#recordDeparture(id, reason),
       (id, reason) => this.#sessions.get(id)?.recordIncarnationEnd(reason),
     );
+    this.#admission = new OfferAdmission(this.context, (pool) =>
+      this.#fleetControlLoop.getPoolCapacity(pool),
+    );
   }
 
   /** True once all persisted state has been read. */
@@ -118,12 +125,7 @@
     if (jobRegistry.findJob(record.id) !== null || queue === undefined) {
       return { isWanted: true };
     }
-    const decision = decideOffer(
-      this.context,
-      record,
-      queue,
-      this.#fleetControlLoop.getPoolCapacity(queue.pool),
-    );
+    const decision = this.#admission.decide(record, queue);
     if (!decision.isWanted) {
       const { cause, reason, retryAfterMs } = decision;
       this.#fleetControlLoop.recordRefusal(queue.pool, getWidestStepCpu(record.spec));
--- a/packages/baobabwell-placement/src/index.ts
+++ b/packages/baobabwell-placement/src/index.ts
@@ -1,8 +1,4 @@
-export type {
-  AcceptedWork,
-  AdmissionDecision,
-  AdmissionSnapshot,
-} from './BaobabwellPlacementAdmission';
+export type { AdmissionDecision, AdmissionSnapshot } from './BaobabwellPlacementAdmission';
 export type {
   Allowance,
   AllowedHosts,
@@ -12,6 +8,7 @@
 } from './BaobabwellPlacementModel';
 export type { RelocationHost, RelocationSnapshot } from './BaobabwellPlacementRelocation';
 export type { StepUrgency } from './BaobabwellPlacementObjective';
+export type { AcceptedWork, WorkAhead } from './BaobabwellPlacementWorkQueue';
 
 export { decidePlacements } from './BaobabwellPlacement';
 export { decideAdmission, RefusalCause } from './BaobabwellPlacementAdmission';
@@ -23,5 +20,6 @@
   getWidestStepCpu,
   listRemainingPathsMs,
 } from './BaobabwellPlacementObjective';
-export { compareUrgency } from './BaobabwellPlacementOrder';
 export { decideRelocations } from './BaobabwellPlacementRelocation';
+export { compareUrgency, getUrgencyClass } from './BaobabwellPlacementOrder';
+export { WorkQueue } from './BaobabwellPlacementWorkQueue';
