controller: switch off emptied machines of an evacuated data centre

Change: machines of an evacuated data centre on which nothing runs move to the spare pool. The label long-runs takes the place of a word of the wire.

--- a/packages/baobabwell-controller/src/BaobabwellControllerEvacuationControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerEvacuationControlLoop.ts
@@ -1,10 +1,13 @@
 import type { TermContext } from './BaobabwellControllerContext';
 import type { Evacuation } from './BaobabwellControllerEvacuations';
 import type { Host } from './BaobabwellControllerHost';
+import type { MachineInventory } from './BaobabwellControllerMachineInventory';
 import type { Run } from '@baobabwell/jobs';
 import type { RelocationHost } from '@baobabwell/placement';
+import type { CloudHost } from '@baobabwell/platform';
 
 import { decideRelocations } from '@baobabwell/placement';
+import { CloudHostState } from '@baobabwell/platform';
 
 import { LOAD_LOG_INTERVAL_MS } from './BaobabwellControllerConstants';
 import { countMayMiss, isAvailable, listLongRunning } from './BaobabwellControllerLongRunning';
@@ -16,17 +19,21 @@
   readonly longRunning: number;
 };
 
-/** Moves long running tasks out of evacuated data centres and reports what is left there. */
+/** Empties evacuated data centres and reports what is left there. */
 export class EvacuationControlLoop {
   readonly #context: TermContext;
 
+  readonly #machines: MachineInventory;
+
   /** Monotonic time of the latest log line on each evacuated zone, in ms. */
   readonly #loggedAtMs = new Map<string, number>();
 
-  constructor(context: TermContext) {
+  constructor(context: TermContext, machines: MachineInventory) {
     this.#context = context;
+    this.#machines = machines;
   }
 
+  /** Has long running tasks start elsewhere, and reports what is left. */
   runRound(): void {
     const evacuations = this.#context.evacuations.list();
     if (evacuations.length > 0) {
@@ -41,6 +48,26 @@
     evacuations.forEach((evacuation) => this.#recordProgress(evacuation));
   }
 
+  /**
+   * Lists the machines of evacuated data centres on which nothing runs, and which a spare pool can therefore
+   * switch off.
+   *
+   * @param reserved hosts that are drained for other reasons.
+   */
+  listIdleMachines(reserved: ReadonlyMap<string, string>): readonly CloudHost[] {
+    return this.#machines.list().filter((machine) => {
+      const host = this.#machines.findHost(machine);
+      return (
+        host?.isEvacuated === true &&
+        host.isIdle &&
+        host.listedWorker?.isDraining === false &&
+        !reserved.has(host.incarnation.id) &&
+        machine.state === CloudHostState.Up &&
+        !this.#machines.isPending(machine.machine)
+      );
+    });
+  }
+
   #relocate(): void {
     const { hosts, clock, stopRun } = this.#context;
     const nowMs = clock.getNow();
@@ -118,6 +145,6 @@
     const { evacuations } = this.#context.metrics;
     evacuations.set({ zone, left: 'hosts' }, hosts);
     evacuations.set({ zone, left: 'runs' }, runs);
-    evacuations.set({ zone, left: 'long-running' }, longRunning);
+    evacuations.set({ zone, left: 'long-runs' }, longRunning);
   }
 }
--- a/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
@@ -94,7 +94,7 @@
     this.#wakeSignal = new WakeSignal(context.clock);
     this.#machines = new MachineInventory(context);
     this.#waves = new WaveControlLoop(context, this.#machines, recordDeparture);
-    this.#evacuations = new EvacuationControlLoop(context);
+    this.#evacuations = new EvacuationControlLoop(context, this.#machines);
     this.#recordDeparture = recordDeparture;
     this.#endIncarnation = endIncarnation;
     this.#startedAtMs = context.clock.getNow();
@@ -217,6 +217,7 @@
     }
     const waveCordons = await this.#waves.runRound();
     const moveCordons = this.#moveMachines(waveCordons);
+    this.#moveEvacuatedMachines(waveCordons);
     this.#applyCordons(new Map([...moveCordons, ...waveCordons]));
   }
 
@@ -275,6 +276,15 @@
     return cordons;
   }
 
+  #moveEvacuatedMachines(reserved: ReadonlyMap<string, string>): void {
+    const spare = this.#context.getConfiguration()?.pools.find(({ isSpare }) => isSpare);
+    if (spare !== undefined) {
+      this.#evacuations.listIdleMachines(reserved).forEach((machine) => {
+        void this.#moveMachine(machine, spare.name);
+      });
+    }
+  }
+
   async #moveMachine(machine: CloudHost, pool: string): Promise<void> {
     const host = this.#machines.findHost(machine);
     if (host !== null && !host.isIdle) {
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorEvacuations.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorEvacuations.test.ts
@@ -130,7 +130,8 @@
     await fleet.time.advance(1_000);
     expect(countZones()).toEqual([1, 1, 0]);
     await fleet.time.advance(6_000);
-    expect([countZones(), cloud.countInPool('ovens') > 2]).toEqual([[0, 2, 0], true]);
+    // The emptied machine is switched off, and another one has taken its place.
+    expect([countZones(), cloud.countInPool('ovens')]).toEqual([[0, 2, 0], 2]);
     expect(fleet.oracle.violations).toEqual([]);
   });
 
--- a/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
@@ -133,7 +133,7 @@
   #createEvacuationGauge() {
     return this.#createGauge(
       'baobabwell_evacuations',
-      'Hosts, runs and long running tasks (long-running) left in each evacuated data centre.',
+      'Hosts, runs and long running tasks (long-runs) left in each evacuated data centre.',
       ['zone', 'left'],
     );
   }
