placement: prefer warm hosts to those that have just started

Cause: a worker's row tells how long it still runs tasks more slowly after its start; placement did not read it. Change: the listing of a host has the time for which it is cold, counted from when the row was read; tasks take a cold host when no warm one fits, for short tasks by the share of their duration for which it is cold. Conclusion: takes effect only where workers report it.

--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -50,7 +50,11 @@
  * @param startingAtMs time of the round, in ms, or `null` when no task is a suspect: then the runs that
  * are starting make no difference.
  */
-function createPlacementHost(host: Host, startingAtMs: number | null): PlacementHost {
+function createPlacementHost(
+  host: Host,
+  nowMs: number,
+  startingAtMs: number | null,
+): PlacementHost {
   const startingRuns =
     startingAtMs === null
       ? []
@@ -62,6 +66,7 @@
     freeResources: host.getFreeResources(),
     servingCount: host.servingCount,
     bestEffortCount: host.bestEffortCount,
+    coldLeftMs: host.getColdLeftMs(nowMs),
     hasLongRunning: host.longRunningCount > 0,
     runCount: host.runs.size,
     startingCount: startingRuns.length,
@@ -219,7 +224,7 @@
     this.#context.hosts.forEach((host) => {
       if (pools.has(host.pool) && host.canTakeWork(nowMs)) {
         const hosts = byPool.get(host.pool) ?? [];
-        hosts.push(createPlacementHost(host, hasSuspects ? nowMs : null));
+        hosts.push(createPlacementHost(host, nowMs, hasSuspects ? nowMs : null));
         byPool.set(host.pool, hosts);
       }
     });
--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -24,8 +24,10 @@
  * `Host`; otherwise the owner creates a new one.
  */
 export class Host {
-  /** The latest listing of the host; `null` once the host is no longer listed. */
-  listedWorker: ListedWorker | null;
+  #listedWorker: ListedWorker | null = null;
+
+  /** Monotonic time until which the host is cold, by its latest listing, in ms. */
+  #coldUntilMs = -Infinity;
 
   /** Start of the incarnation, in ms since 1970; `null` until the host reports it. */
   bornMs: number | null;
@@ -89,12 +91,28 @@
     listedWorker: ListedWorker | null,
     trackedSinceMs: number,
   ) {
-    this.listedWorker = listedWorker;
+    this.updateListing(listedWorker, trackedSinceMs);
     this.bornMs = listedWorker?.bornMs ?? null;
     this.trackedSinceMs = trackedSinceMs;
     this.#state = new IncarnationState(trackedSinceMs);
   }
 
+  /** The latest listing of the host; `null` once the host is no longer listed. */
+  get listedWorker(): ListedWorker | null {
+    return this.#listedWorker;
+  }
+
+  /** Records how the host is listed now; `null` if it is not. */
+  updateListing(listedWorker: ListedWorker | null, nowMs: number): void {
+    this.#listedWorker = listedWorker;
+    this.#coldUntilMs = nowMs + (listedWorker?.coldLeftMs ?? 0);
+  }
+
+  /** Returns the time for which the host still runs tasks more slowly after its start, in ms. */
+  getColdLeftMs(nowMs: number): number {
+    return Math.max(0, this.#coldUntilMs - nowMs);
+  }
+
   /** State of the present incarnation; a restart replaces it. */
   get state(): IncarnationState {
     return this.#state;
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -242,7 +242,7 @@
       if (value !== null) {
         logger.recordWarning('worker-row-ignored', { key });
       } else if (trackedHost?.listedWorker) {
-        trackedHost.listedWorker = null;
+        trackedHost.updateListing(null, this.#getNow());
         logger.recordInfo('host-unlisted', { host: key, pool: trackedHost.pool });
         this.#sessions.get(key)?.requestHold();
       }
@@ -259,7 +259,8 @@
       this.#addHost(host, { bornMs: worker.bornMs, isRegistered: false });
       host.isReconciled = true;
       host.history.hasKnownPositions = true;
-      logger.recordInfo('host-listed', { host: key, pool: worker.pool, address: worker.address });
+      const { pool, address, zone, coldLeftMs } = worker;
+      logger.recordInfo('host-listed', { host: key, pool, address, zone, coldLeftMs });
       requestCommit();
       return;
     }
@@ -285,7 +286,7 @@
       logger.recordInfo('host-draining', { host: worker.id, leavesInMs: worker.leavesInMs });
       this.#fleetControlLoop.requestRound();
     }
-    host.listedWorker = worker;
+    host.updateListing(worker, this.#getNow());
     this.#updateEvacuated(host);
     if (worker.bornMs !== null && host.bornMs !== null && worker.bornMs > host.bornMs) {
       this.#sessions.get(worker.id)?.recordRestart(worker.bornMs);
--- a/packages/baobabwell-fleet/src/BaobabwellFleetModel.ts
+++ b/packages/baobabwell-fleet/src/BaobabwellFleetModel.ts
@@ -71,6 +71,8 @@
    * Minimum time for which a draining worker stays, in ms; `null` if the worker does not report it.
    */
   readonly leavesInMs: number | null;
+  /** Time for which the worker still runs tasks more slowly after its start, in ms; 0 if it is warm. */
+  readonly coldLeftMs: number;
   /** Start of this incarnation, in ms since 1970; `null` if the worker does not report it. */
   readonly bornMs: number | null;
 };
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -358,6 +358,7 @@
       capacity,
       isDraining: false,
       leavesInMs: null,
+      coldLeftMs: 0,
       bornMs: host.bornMs,
     };
     this.#workers.put(worker, rowLagMs);
--- a/packages/baobabwell-placement/src/BaobabwellPlacement.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacement.ts
@@ -1,7 +1,8 @@
 /**
  * Load pattern: many small tasks and a few wide ones share a pool whose hosts also run long running
  * tasks. Small tasks go to the fullest host that fits them (best fit), so that the other hosts keep
- * capacity for wide tasks or can leave the pool. Long running tasks are spread over hosts, so that
+ * capacity for wide tasks or can leave the pool. Hosts that have just started are slower for some time;
+ * they are used when no warm host fits. Long running tasks are spread over hosts, so that
  * the loss of one host ends few tasks of a step. Tasks that may crash their hosts start alone: one at
  * a time on a host, on which little else runs and nothing else has just started.
  */
@@ -49,6 +50,20 @@
   return crashes.suspicion !== CrashSuspicion.None;
 }
 
+/**
+ * Score of a task that runs on a cold host all the time: it weighs more than how full hosts are, and less
+ * than the data of the task.
+ */
+const COLD_SCORE = 10_000;
+
+/** Score of a cold host for a long running task: it decides between hosts that are equal otherwise. */
+const COLD_LONG_RUNNING_SCORE = 500;
+
+/** Returns the share of a task's estimated duration for which a host is cold. */
+function getColdShare({ spec }: Step, { coldLeftMs }: PlacementHost): number {
+  return coldLeftMs <= 0 ? 0 : Math.min(1, coldLeftMs / Math.max(1, spec.estimateMs));
+}
+
 /** Tracks the free capacity of hosts and the allowances during one placement pass. */
 class CapacityTracker {
   readonly #snapshot: PlacementSnapshot;
@@ -181,10 +196,12 @@
       );
     }
     if (spec.isLasting) {
+      score += host.coldLeftMs > 0 ? COLD_LONG_RUNNING_SCORE : 0;
       return (
         score + onHost * 10_000 + capacity.bestEffortCount * 3_000 + capacity.servingCount * 1_000
       );
     }
+    score += getColdShare(step, host) * COLD_SCORE;
     // Hosts that long running tasks keep in the pool anyway are filled first.
     return score + capacity.cpuMillis / 100 - (host.hasLongRunning ? 1_000 : 0);
   }
--- a/packages/baobabwell-placement/src/BaobabwellPlacementModel.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacementModel.ts
@@ -10,6 +10,8 @@
   /** Number of serving tasks on the host; best-effort tasks prefer hosts with fewer of them. */
   readonly servingCount: number;
   readonly bestEffortCount: number;
+  /** Time for which the host still runs tasks more slowly after its start, in ms. */
+  readonly coldLeftMs: number;
   /** Long running tasks keep the host in its pool. */
   readonly hasLongRunning: boolean;
   readonly runCount: number;
--- a/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacement.test.ts
+++ b/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacement.test.ts
@@ -21,6 +21,7 @@
   freeResources: { cpuMillis: 4_000, memoryMb: 1_000, gpus: 0 },
   servingCount: 0,
   bestEffortCount: 0,
+  coldLeftMs: 0,
   hasLongRunning: false,
   runCount: 0,
   startingCount: 0,
@@ -77,6 +78,23 @@
     expect(listPlaced(snapshot)).toEqual(['j0.0.0.0', 'j2.0.0.0']);
   });
 
+  it('starts short and long running tasks on warm hosts, and on cold ones when these are full', () => {
+    const cold = { ...HOST, id: 'cold', coldLeftMs: 400, hasLongRunning: true };
+    const warm = { ...HOST, id: 'warm', freeResources: { ...HOST.freeResources, memoryMb: 200 } };
+    const hosts = new Map([['ovens', [cold, warm]]]);
+    const listHosts = (spec: Partial<StepSpec>): readonly string[] =>
+      decidePlacements({ ...createSnapshot([spec]), hosts }).map(({ hostId }) => hostId);
+    expect(listHosts({ taskCount: 3 })).toEqual(['warm', 'warm', 'cold']);
+    expect(listHosts({ isLasting: true })).toEqual(['warm']);
+  });
+
+  it('takes a cold host near the data of a task before a warm one far from it', () => {
+    const cold = { ...HOST, id: 'cold', coldLeftMs: 60_000, labels: ['rack-1'] };
+    const hosts = new Map([['ovens', [HOST, cold]]]);
+    const [placement] = decidePlacements({ ...createSnapshot([{ dataRack: 'rack-1' }]), hosts });
+    expect(placement?.hostId).toEqual('cold');
+  });
+
   it('does not treat missing host labels as a shortage of capacity', () => {
     const snapshot = createSnapshot([{ hostLabel: 'b' }, {}]);
     expect(listPlaced(snapshot)).toEqual(['j1.0.0.0']);
--- a/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacementSuspects.test.ts
+++ b/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacementSuspects.test.ts
@@ -15,6 +15,7 @@
   freeResources: { cpuMillis: 10_000, memoryMb: 100_000, gpus: 0 },
   servingCount: 0,
   bestEffortCount: 0,
+  coldLeftMs: 0,
   hasLongRunning: false,
   runCount: 0,
   startingCount: 0,
