controller: keep unanswered starts of a host until it is listed again

Cause: orders to start a run that a host left unanswered were forgotten when its session ended. A host listed again under the same id carried them out late, and nobody stopped the run. Change: the term keeps them by host id for as long as they may be carried out; a new listing gets them, and has the runs stopped. The test is now two: the host receives the order to stop before the late start (refused, no start) or after it (started, then stopped); the former one asked for the start although the stop came first.

--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -19,6 +19,11 @@
 /** An order to start a run that was not answered and may still be carried out. */
 export type UnansweredStart = UnwantedRun & { readonly sentAtMs: number };
 
+/** Returns true while an unanswered order to start a run may still be carried out. */
+export function mayBeCarriedOut({ sentAtMs }: UnansweredStart, nowMs: number): boolean {
+  return nowMs - sentAtMs < MAX_START_DELAY_MS;
+}
+
 /**
  * Holds the owner's view of a host. A worker that restarts with the same id, pool and address keeps its
  * `Host`; otherwise the owner creates a new one.
@@ -213,7 +218,7 @@
   /** Marks as unwanted all runs that are not tracked but may still be started late, by their orders. */
   markLateStarts(nowMs: number): void {
     this.unansweredStarts.forEach((start, key) => {
-      if (nowMs - start.sentAtMs >= MAX_START_DELAY_MS) {
+      if (!mayBeCarriedOut(start, nowMs)) {
         this.unansweredStarts.delete(key);
       } else if (!this.runs.has(key)) {
         this.unwantedRuns.set(key, start);
@@ -221,6 +226,12 @@
     });
   }
 
+  /** Adds the unanswered starts of an earlier listing under the same id. */
+  addUnansweredStarts(starts: ReadonlyMap<string, UnansweredStart>, nowMs: number): void {
+    starts.forEach((start, key) => this.unansweredStarts.set(key, start));
+    this.markLateStarts(nowMs);
+  }
+
   get servingCount(): number {
     return this.#servingCount;
   }
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -1,4 +1,5 @@
 import type { TermContext, TermOptions } from './BaobabwellControllerContext';
+import type { UnansweredStart } from './BaobabwellControllerHost';
 import type { TablePosition } from './BaobabwellControllerTermTables';
 import type { ListedWorker } from '@baobabwell/fleet';
 import type { OfferReply } from '@baobabwell/ingress';
@@ -20,7 +21,7 @@
 import { Evacuations } from './BaobabwellControllerEvacuations';
 import { FleetControlLoop } from './BaobabwellControllerFleetControlLoop';
 import { Handover } from './BaobabwellControllerHandover';
-import { Host } from './BaobabwellControllerHost';
+import { Host, mayBeCarriedOut } from './BaobabwellControllerHost';
 import { HostMajority } from './BaobabwellControllerHostMajority';
 import { HostSilences } from './BaobabwellControllerHostSilences';
 import { JobRows } from './BaobabwellControllerJobRows';
@@ -42,6 +43,9 @@
 
   readonly #sessions = new Map<string, HostSession>();
 
+  /** Unanswered starts of hosts whose session ended, by host and run: a later listing may carry them out. */
+  readonly #unansweredStarts = new Map<string, ReadonlyMap<string, UnansweredStart>>();
+
   readonly #committer: Committer;
 
   readonly #dispatcher: Dispatcher;
@@ -290,6 +294,10 @@
     host.bornMs = state.bornMs ?? host.bornMs;
     host.isRegistered = state.isRegistered;
     host.mayBeStored = state.isRegistered;
+    const former = hosts.get(host.incarnation.id);
+    const unanswered = former?.unansweredStarts ?? this.#unansweredStarts.get(host.incarnation.id);
+    this.#unansweredStarts.delete(host.incarnation.id);
+    host.addUnansweredStarts(unanswered ?? new Map(), this.#getNow());
     hosts.set(host.incarnation.id, host);
     const session = new HostSession(this.context, host);
     this.#sessions.set(host.incarnation.id, session);
@@ -297,12 +305,25 @@
       if (hosts.get(host.incarnation.id) === host) {
         hosts.delete(host.incarnation.id);
         this.#sessions.delete(host.incarnation.id);
+        this.#recordUnansweredStarts(host);
         this.#committer.removeHost(host.incarnation.id);
       }
     });
     requestDispatch();
   }
 
+  #recordUnansweredStarts({ incarnation, unansweredStarts }: Host): void {
+    const nowMs = this.#getNow();
+    this.#unansweredStarts.forEach((starts, id) => {
+      if (![...starts.values()].some((start) => mayBeCarriedOut(start, nowMs))) {
+        this.#unansweredStarts.delete(id);
+      }
+    });
+    if (unansweredStarts.size > 0) {
+      this.#unansweredStarts.set(incarnation.id, unansweredStarts);
+    }
+  }
+
   #applyWaveRow({ key, value }: Row): void {
     const { codec, waves, logger } = this.context;
     const wave = value === null ? null : codec.decodeWave(key, value);
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorOutdatedViews.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorOutdatedViews.test.ts
@@ -93,29 +93,37 @@
     expect(fleet.oracle.violations).toEqual([]);
   });
 
-  it('stops a late start on a host that was listed again after its row was removed', async () => {
-    await start(1);
-    await fleet.time.advance(10_000);
-    fleet.faults.lateOrdersMs.set(formatAnswer(OrderKind.Start, HOST), 10_000);
-    fleet.faults.lostOrders.add(formatAnswer(OrderKind.Stop, HOST));
-    const job = fleet.submit([{ taskCount: 1, estimateMs: 20_000 }]);
-    await fleet.time.advance(200);
-    expect(listLogLines('start-ordered', job).length).toEqual(1);
-    fleet.cancel(job);
-    await fleet.time.advance(100);
-    fleet.killHost(HOST);
-    await fleet.time.advance(6_500);
-    expect(listLogLines('host-unlisted', HOST).length).toEqual(1);
-    fleet.faults.lostOrders.clear();
-    fleet.startHost(HOST);
-    await fleet.time.advance(1_000);
-    fleet.faults.lateOrdersMs.clear();
-    expect(listLogLines('host-listed', HOST).length).toEqual(2);
-    await fleet.time.advance(2_500);
-    // The order is carried out 10 s after it was sent.
-    const startCount = fleet.oracle.startCount;
-    await fleet.time.advance(CANCEL_MS + CANCELLED_RUN_MS);
-    expect([startCount, listOverdueRuns(), countRuns()]).toEqual([1, [], 0]);
+  [
+    { moment: 'before', startCount: 0 },
+    { moment: 'after', startCount: 1 },
+  ].forEach(({ moment, startCount }) => {
+    it(`stops a late start on a host that was listed again after its row was removed (the host receives the stop ${moment} the start)`, async () => {
+      await start(1);
+      await fleet.time.advance(10_000);
+      fleet.faults.lateOrdersMs.set(formatAnswer(OrderKind.Start, HOST), 10_000);
+      fleet.faults.lostOrders.add(formatAnswer(OrderKind.Stop, HOST));
+      const job = fleet.submit([{ taskCount: 1, estimateMs: 20_000 }]);
+      await fleet.time.advance(200);
+      expect(listLogLines('start-ordered', job).length).toEqual(1);
+      fleet.cancel(job);
+      await fleet.time.advance(100);
+      fleet.killHost(HOST);
+      await fleet.time.advance(6_500);
+      expect(listLogLines('host-unlisted', HOST).length).toEqual(1);
+      if (moment === 'before') {
+        fleet.faults.lostOrders.clear();
+      }
+      fleet.startHost(HOST);
+      await fleet.time.advance(1_000);
+      fleet.faults.lateOrdersMs.clear();
+      expect(listLogLines('host-listed', HOST).length).toEqual(2);
+      await fleet.time.advance(2_500);
+      // The order is carried out 10 s after it was sent, unless the host was told to stop the run before.
+      expect([fleet.oracle.startCount, countRuns()]).toEqual([startCount, startCount]);
+      fleet.faults.lostOrders.clear();
+      await fleet.time.advance(CANCEL_MS + CANCELLED_RUN_MS);
+      expect([listOverdueRuns(), countRuns()]).toEqual([[], 0]);
+    });
   });
 
   it('repeats the order to stop a run when the former incarnation of its host answers late', async () => {
