controller: an owner past its lease restarts no run that it only takes for lost

Cut off from the store and from some hosts, it took their leases for expired and restarted their long running tasks on the hosts that it reached, while its successor, which reached the others, had adopted and renewed the same runs: two runs at once (TWICE). Tasks of other kinds were held up only because a suspect's start is stored first. Change: a task whose run is lost without an answer of its host while the owner cannot renew starts again at the end of that time at the earliest. Measured: the new test (three long running tasks) fails without the change with three violations of runs-once; emulator, ownership and controller suites 153 passed, 0 failed, the known reds besides.

--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -1,9 +1,10 @@
 import type { TermContext } from './BaobabwellControllerContext';
 import type { Host } from './BaobabwellControllerHost';
+import type { Task } from '@baobabwell/jobs';
 import type { EndedRun, HostReport, OrderError } from '@baobabwell/platform';
 
 import { JobState, Run, RunEndEffect, RunPhase, TaskPhase } from '@baobabwell/jobs';
-import { OWNER_LEASE_MS } from '@baobabwell/ownership';
+import { OWNER_GRACE_MS, OWNER_LEASE_MS } from '@baobabwell/ownership';
 import { OrderRefusal } from '@baobabwell/platform';
 import { WakeSignal } from '@baobabwell/utils';
 
@@ -439,9 +440,25 @@
     }
     this.host.removeRun(run);
     this.#context.jobRegistry.removeLostRun(run);
+    if (ground !== RunLossGround.NotStarted) {
+      this.#setEarliestRestart(run.task);
+    }
     this.#context.requestDispatch();
   }
 
+  /**
+   * Delays a task whose run was lost without an answer of its host while this owner cannot renew: a
+   * successor may have reached the host, and may keep the run or restart it.
+   */
+  #setEarliestRestart(delayed: Task): void {
+    const { ownership, clock } = this.#context;
+    const task = delayed;
+    if (!ownership.canAct()) {
+      const graceMs = Math.max(0, OWNER_GRACE_MS - ownership.getLeaseAgeMs());
+      task.notBeforeMs = Math.max(task.notBeforeMs, clock.getNow() + graceMs);
+    }
+  }
+
   async #wait(waitMs: number): Promise<void> {
     await this.#wakeSignal.wait(waitMs, this.#context.signal);
   }
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorMajority.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorMajority.test.ts
@@ -103,6 +103,27 @@
     expect(fleet.oracle.violations).toEqual([]);
   });
 
+  it('let a former owner restart no run that it takes for expired while its successor keeps it', async () => {
+    await start();
+    const owner = fleet.findOwner() as string;
+    fleet.submit([{ isLasting: true, estimateMs: 0, taskCount: 3, maxPerHost: 1 }]);
+    await fleet.time.advance(1_000);
+    const used = listHostsWithRuns();
+    expect(used.length).toEqual(HOST_COUNT / 2);
+    fleet.partitionDaemon(owner, true);
+    fleet.listHosts().forEach(({ id }) => {
+      const cutOff = used.includes(id) ? [owner] : ['a', 'b', 'c'].filter((name) => name !== owner);
+      cutOff.forEach((name) => fleet.faults.partitionedRoutes.add(formatRoute(name, id)));
+    });
+    await fleet.time.advance(8_000);
+    expect(fleet.oracle.violations).toEqual([]);
+    fleet.faults.partitionedRoutes.clear();
+    fleet.partitionDaemon(owner, false);
+    await fleet.time.advance(30_000);
+    expect(listHostsWithRuns()).toEqual(used);
+    expect(fleet.oracle.violations).toEqual([]);
+  });
+
   it('end the term of a former owner whose runs are on hosts that its successor cannot reach', async () => {
     await start();
     const owner = fleet.findOwner() as string;
