ownership: after refused writes, small machines try to take over last

While the store reset all writes (31.0 to 34.6 s) every candidate tried a takeover and failed; each then waited 1.7 s from its own failure, so the order by processor was lost. Change: after a takeover that the store did not take, a candidate waits up to 5 s more, by its processor, until it sees a renewal again. The owner's own renewals and the large machines come first. A second one: small machines alone still take over. Ownership suite passes. Conclusion: a refusal that ends just as the first attempts are made can still let a small machine win; a slow load itself is unchanged.

--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorStore.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorStore.ts
@@ -15,6 +15,8 @@
 /** Injected faults of the store. */
 export type StoreFaults = {
   readonly isDown: boolean;
+  /** True while all writes are refused; reads and watches are answered. */
+  readonly refusesWrites: boolean;
   /** Fraction of the writes that get no answer and are applied at once or late. */
   readonly lostFraction: number;
   readonly slowMs: number;
@@ -24,6 +26,7 @@
 
 export const NO_STORE_FAULTS: StoreFaults = {
   isDown: false,
+  refusesWrites: false,
   lostFraction: 0,
   slowMs: 0,
   commitAnswerMs: 0,
@@ -154,7 +157,7 @@
   }
 
   override async commit(transaction: Transaction): Promise<Result<number, TableError>> {
-    if (!(await this.#waitForStore())) {
+    if (!(await this.#waitForStore()) || this.#rows.faults.refusesWrites) {
       return createError(this.#createUnavailable(false));
     }
     if (transaction.conditions.length + transaction.writes.length > MAX_TRANSACTION_SIZE) {
--- a/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
@@ -11,6 +11,7 @@
 
 import {
   MAX_FITNESS_DELAY_MS,
+  MAX_REFUSED_DELAY_MS,
   MAX_RETRY_DELAY_MS,
   MAX_SPREAD_DELAY_MS,
   MAX_WAIT_DOUBLINGS,
@@ -107,6 +108,9 @@
    */
   #renewalSeenAtMs = 0;
 
+  /** True while the store took no write of this daemon's last takeover and has shown no other since. */
+  #wasRefused = false;
+
   /** Epoch of the latest term whose owner reported that it had loaded the stored state. */
   #loadedEpoch = 0;
 
@@ -303,6 +307,7 @@
 
   #applyRow({ key, value, version }: Row): void {
     if (key === RENEWAL_KEY && version > this.#renewalVersion) {
+      this.#wasRefused = false;
       this.#renewalVersion = version;
       this.#renewalSeenAtMs = this.#clock.getNow();
       const { data } = renewalRow.safeParse(value);
@@ -354,9 +359,9 @@
   /** Returns the time until this daemon may take over, in ms. */
   #getTakeoverDelayMs(): number {
     const { name, fitness } = this.#candidate;
+    const maxFitnessDelayMs = MAX_FITNESS_DELAY_MS + (this.#wasRefused ? MAX_REFUSED_DELAY_MS : 0);
     const delayMs =
-      MAX_FITNESS_DELAY_MS * (1 - fitness) +
-      MAX_SPREAD_DELAY_MS * getSpread(name, this.#ownerVersion);
+      maxFitnessDelayMs * (1 - fitness) + MAX_SPREAD_DELAY_MS * getSpread(name, this.#ownerVersion);
     const waitMs = this.#getMinTakeoverAgeMs();
     const sinceRenewalMs = this.#clock.getNow() - this.#renewalSeenAtMs;
     return Math.min(MAX_WATCH_MS, Math.max(0, waitMs + delayMs - sinceRenewalMs));
@@ -394,6 +399,7 @@
     if (!reply.ok) {
       // If the outcome is unknown, the watch reads the rows and finds this daemon if it is the owner.
       this.#renewalSeenAtMs = this.#clock.getNow();
+      this.#wasRefused = reply.error.kind === TableErrorKind.Unavailable;
       this.#logger.recordInfo('ownership-not-acquired', { epoch, reason: reply.error.kind });
       return;
     }
--- a/packages/baobabwell-ownership/src/BaobabwellOwnershipConstants.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnershipConstants.ts
@@ -43,6 +43,12 @@
 /** Maximum delay of a candidate for its processor, in ms: daemons on larger machines take over first. */
 export const MAX_FITNESS_DELAY_MS = 200;
 
+/**
+ * Maximum further delay of a candidate for its processor once the store took no write of its takeover, in
+ * ms: longer than most outages of the store, so that a small machine is not the first to try after one.
+ */
+export const MAX_REFUSED_DELAY_MS = 5_000;
+
 /**
  * Maximum delay that spreads candidates on equal machines, in ms. A candidate that is a few round-trip
  * times ahead of the others completes its takeover before they attempt theirs.
--- a/packages/baobabwell-ownership/src/__tests__/unit/BaobabwellOwnershipTakeover.test.ts
+++ b/packages/baobabwell-ownership/src/__tests__/unit/BaobabwellOwnershipTakeover.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl';
 
 import { EmulatedTime, ProcessClock } from '@baobabwell/emulator';
-import { EmulatedJobStore, EmulatedRows } from '@baobabwell/job-emulator';
+import { EmulatedJobStore, EmulatedRows, NO_STORE_FAULTS } from '@baobabwell/job-emulator';
 import { Logger, LogLevel } from '@baobabwell/logging';
 import { Random } from '@baobabwell/utils';
 
@@ -17,6 +17,13 @@
 const START_MS = 6_000;
 const DAY_MS = 18_000;
 
+/** Processor of most machines relative to that of the largest. */
+const SMALL_FITNESS = 0.24;
+
+/** Numbers of machines of the deployment on which a small one became the owner after an outage. */
+const LARGE_COUNT = 6;
+const SMALL_COUNT = 28;
+
 /** Largest share of the candidates on equal machines that attempt the same takeover. */
 const MAX_ATTEMPT_SHARE = 0.25;
 
@@ -34,9 +41,9 @@
 
   readonly #random = new Random(SEED);
 
-  constructor(count: number, loadMs: number) {
+  constructor(count: number, loadMs: number, getFitness: (index: number) => number = () => 0.5) {
     for (let index = 0; index < count; index += 1) {
-      this.#start(`d${index}`, loadMs);
+      this.#start(`d${index}`, loadMs, getFitness(index));
     }
   }
 
@@ -48,7 +55,7 @@
     this.#clocks.forEach((clock) => clock.kill());
   }
 
-  #start(name: string, loadMs: number): void {
+  #start(name: string, loadMs: number, fitness: number): void {
     const clock = new ProcessClock(this.time);
     this.#clocks.set(name, clock);
     const ownership: Ownership = new Ownership({
@@ -57,7 +64,7 @@
       logger: new Logger(LogLevel.Info, {}, (line) => {
         this.attemptCount += /ownership-(not-)?acquired/.test(line) ? 1 : 0;
       }),
-      candidate: { name, incarnation: '1', address: name, fitness: 0.5 },
+      candidate: { name, incarnation: '1', address: name, fitness },
       listener: {
         startTerm: (term: Term) => {
           this.owners.push(name);
@@ -102,4 +109,32 @@
       expect(candidates.attemptCount <= MAX_ATTEMPT_SHARE * count).toEqual(true);
     });
   });
+
+  it('lets no small machine take over right after a time in which the store refused all writes', async () => {
+    for (let refusedMs = 2_400; refusedMs <= 6_000; refusedMs += 300) {
+      candidates = new Candidates(LARGE_COUNT + SMALL_COUNT, 0, (index) =>
+        index < LARGE_COUNT ? 1 : SMALL_FITNESS,
+      );
+      await candidates.time.advance(START_MS);
+      candidates.killOwner();
+      candidates.rows.faults = { ...NO_STORE_FAULTS, refusesWrites: true };
+      await candidates.time.advance(refusedMs);
+      candidates.rows.faults = NO_STORE_FAULTS;
+      await candidates.time.advance(START_MS);
+      const [, successor = ''] = candidates.owners;
+      expect([refusedMs, Number(successor.slice(1)) < LARGE_COUNT]).toEqual([refusedMs, true]);
+      candidates.close();
+    }
+  });
+
+  it('lets a small machine take over after such a time when no larger one is left', async () => {
+    candidates = new Candidates(SMALL_COUNT, 0, () => SMALL_FITNESS);
+    await candidates.time.advance(START_MS);
+    candidates.killOwner();
+    candidates.rows.faults = { ...NO_STORE_FAULTS, refusesWrites: true };
+    await candidates.time.advance(LOAD_MS);
+    candidates.rows.faults = NO_STORE_FAULTS;
+    await candidates.time.advance(START_MS);
+    expect(candidates.owners.length).toEqual(2);
+  });
 });
