placement: hosts are searched once for a step, scored by the scarce dimensions; steps that prefer one rack keep to it

Cause: each task searched all hosts of its pool; the score looked at free processor only; the wish for one rack was decoded and read by no placement. Change: the hosts that fit a step are listed and scored once, and only the host chosen last is scored again; free memory counts as much as the waiting work makes it scarce; the tasks of a step that prefers one rack go to the labels with room for most of them, where they run already or first.

--- a/packages/baobabwell-placement/src/BaobabwellPlacement.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacement.ts
@@ -45,10 +45,49 @@
   };
 }
 
+/** A host that fits the tasks of a step, with its score. */
+type Candidate = { readonly capacity: HostCapacity; readonly farPenalty: number; score: number };
+
+/** Hosts that fit the tasks of one step; only what is placed in the meantime changes them. */
+type HostSearch = { readonly candidates: Candidate[]; lastChosen: Candidate | null };
+
+/** Share of a pool's free resources that the waiting tasks require, by dimension; they add up to 1. */
+type Scarcity = { readonly cpu: number; readonly memory: number };
+
 function isSuspect({ crashes }: Task): boolean {
   return crashes.suspicion !== CrashSuspicion.None;
 }
 
+/** What a host on another rack than the rest of its step costs. */
+const FAR_RACK_PENALTY = 40_000;
+
+/** Returns a key that is the same for hosts of one rack and kind: the labels name both. */
+function getRackKey({ labels }: PlacementHost): string {
+  return labels.join(' ');
+}
+
+function countPieces({ need }: Step['spec'], { cpuMillis, memoryMb }: HostCapacity): number {
+  const byCpu = need.cpuMillis > 0 ? cpuMillis / need.cpuMillis : Infinity;
+  const byMemory = need.memoryMb > 0 ? memoryMb / need.memoryMb : Infinity;
+  return Math.max(0, Math.floor(Math.min(byCpu, byMemory)));
+}
+
+/**
+ * Finds the rack for the tasks of a step that slow each other down on several racks: the one on which
+ * they run already, or the one with room for most of them.
+ */
+function findRoomiestRack(step: Step, capacities: readonly HostCapacity[]): string | null {
+  const rooms = new Map<string, number>();
+  capacities.forEach((capacity) => {
+    const key = getRackKey(capacity.host);
+    const present = step.countRunsOnHost(capacity.host.id) * step.spec.taskCount;
+    const room = (rooms.get(key) ?? 0) + countPieces(step.spec, capacity) + present;
+    rooms.set(key, room);
+  });
+  const sorted = [...rooms].toSorted(([, left], [, right]) => right - left);
+  return sorted[0]?.[0] ?? null;
+}
+
 /** Tracks the free capacity of hosts and the allowances during one placement pass. */
 class CapacityTracker {
   readonly #snapshot: PlacementSnapshot;
@@ -59,6 +98,11 @@
 
   readonly #reservedHosts: ReadonlySet<string>;
 
+  readonly #scarcities = new Map<string, Scarcity>();
+
+  /** CPU per memory of all free resources, in thousandths of a core per MB. */
+  readonly #cpuMillisPerMb: number;
+
   constructor(snapshot: PlacementSnapshot) {
     this.#snapshot = snapshot;
     snapshot.hosts.forEach((hosts, pool) =>
@@ -68,24 +112,61 @@
       [...snapshot.allowances].map(([name, allowance]) => [name, { ...allowance }]),
     );
     this.#reservedHosts = decideReservedHosts(snapshot);
+    let cpuMillis = 0;
+    let memoryMb = 1;
+    this.#capacities.forEach((capacities) =>
+      capacities.forEach((capacity) => {
+        cpuMillis += Math.max(0, capacity.cpuMillis);
+        memoryMb += Math.max(0, capacity.memoryMb);
+      }),
+    );
+    this.#cpuMillisPerMb = cpuMillis / memoryMb;
+  }
+
+  /** Starts a search for hosts of the tasks of a step. */
+  createSearch(step: Step, pool: string): HostSearch {
+    const capacities = this.#capacities.get(pool) ?? [];
+    const [task] = step.tasks;
+    const allowed = this.#snapshot.findAllowedHosts(step);
+    const candidates: Candidate[] = [];
+    const scarcity = this.#getScarcity(pool);
+    const rack = step.spec.prefersOneRack ? findRoomiestRack(step, capacities) : null;
+    capacities.forEach((capacity) => {
+      const isAllowed = allowed?.has(capacity.host.id) !== false;
+      if (task !== undefined && isAllowed && this.#hasRoom(step, capacity)) {
+        const isFar = rack !== null && getRackKey(capacity.host) !== rack;
+        const farPenalty = isFar ? FAR_RACK_PENALTY : 0;
+        const score = this.#getScore(step, capacity, scarcity) + farPenalty;
+        candidates.push({ capacity, farPenalty, score });
+      }
+    });
+    return { candidates, lastChosen: null };
   }
 
   /** Finds the best host for a task, or `null` if no host fits it. */
-  findHost(task: Task, pool: string): HostCapacity | null {
-    const allowed = this.#snapshot.findAllowedHosts(task.step);
-    let best: HostCapacity | null = null;
-    let bestScore = Infinity;
-    (this.#capacities.get(pool) ?? []).forEach((capacity) => {
-      if (!this.#fits(task, capacity) || allowed?.has(capacity.host.id) === false) {
-        return;
+  findHost(task: Task, pool: string, current: HostSearch): HostCapacity | null {
+    const search = current;
+    const { lastChosen } = search;
+    if (lastChosen !== null) {
+      const { capacity } = lastChosen;
+      if (this.#hasRoom(task.step, capacity)) {
+        lastChosen.score =
+          this.#getScore(task.step, capacity, this.#getScarcity(pool)) + lastChosen.farPenalty;
+      } else {
+        search.candidates.splice(search.candidates.indexOf(lastChosen), 1);
       }
-      const score = this.#getScore(task, capacity);
-      if (score < bestScore) {
-        best = capacity;
+    }
+    let best: Candidate | null = null;
+    let bestScore = Infinity;
+    search.candidates.forEach((candidate) => {
+      const score = candidate.score + this.#getTaskPenalty(task, candidate.capacity);
+      if (score < bestScore && this.#canStartBeside(task, candidate.capacity)) {
+        best = candidate;
         bestScore = score;
       }
     });
-    return best;
+    search.lastChosen = best;
+    return (best as Candidate | null)?.capacity ?? null;
   }
 
   /**
@@ -134,12 +215,35 @@
     }
   }
 
-  #fits(task: Task, capacity: HostCapacity): boolean {
-    const { step } = task;
-    const { host, cpuMillis, memoryMb, gpus, stepCounts } = capacity;
-    if (!this.#canStartBeside(task, capacity)) {
-      return false;
+  /** Computes how scarce each dimension of a pool is; an idle dimension does not guide placement. */
+  #getScarcity(pool: string): Scarcity {
+    const existing = this.#scarcities.get(pool);
+    if (existing !== undefined) {
+      return existing;
     }
+    const free = { cpu: 1, memory: 1 };
+    const needs = { cpu: 0, memory: 0 };
+    (this.#capacities.get(pool) ?? []).forEach(({ cpuMillis, memoryMb }) => {
+      free.cpu += Math.max(0, cpuMillis);
+      free.memory += Math.max(0, memoryMb);
+    });
+    this.#snapshot.steps.forEach(({ step, pool: stepPool }) => {
+      const { need, isFilling } = step.spec;
+      if (stepPool === pool) {
+        needs.cpu += isFilling ? 0 : step.waitingCount * need.cpuMillis;
+        needs.memory += step.waitingCount * need.memoryMb;
+      }
+    });
+    const cpu = needs.cpu / free.cpu;
+    const memory = needs.memory / free.memory;
+    const sum = cpu + memory;
+    const scarcity = sum === 0 ? { cpu: 1, memory: 0 } : { cpu: cpu / sum, memory: memory / sum };
+    this.#scarcities.set(pool, scarcity);
+    return scarcity;
+  }
+
+  /** Returns true if a task of the step fits on the host, whatever else starts there. */
+  #hasRoom(step: Step, { host, cpuMillis, memoryMb, gpus, stepCounts }: HostCapacity): boolean {
     const { need, isFilling, hostLabel, maxPerHost } = step.spec;
     if ((!isFilling && need.cpuMillis > cpuMillis) || need.memoryMb > memoryMb) {
       return false;
@@ -162,18 +266,21 @@
     return !hasSuspect && !host.isStartingSuspect && !isReserved;
   }
 
-  /** Scores a host for a task; a lower score is better. */
-  #getScore(task: Task, capacity: HostCapacity): number {
-    const { step, avoidedHosts, crashes } = task;
-    const { host } = capacity;
-    const { spec } = step;
-    let score = 0;
+  /** Returns what a host costs for one task beyond its score for the step. */
+  #getTaskPenalty(task: Task, { host, startingCount, runCount }: HostCapacity): number {
+    let penalty = 0;
     if (isSuspect(task)) {
-      score += capacity.startingCount * 100_000_000;
-      score += crashes.suspicion === CrashSuspicion.Strong ? capacity.runCount * 10_000_000 : 0;
+      penalty += startingCount * 100_000_000;
+      penalty += task.crashes.suspicion === CrashSuspicion.Strong ? runCount * 10_000_000 : 0;
     }
-    score += avoidedHosts.has(host.id) ? 1_000_000 : 0;
-    score += spec.dataRack !== null && !host.labels.includes(spec.dataRack) ? 50_000 : 0;
+    return penalty + (task.avoidedHosts.has(host.id) ? 1_000_000 : 0);
+  }
+
+  /** Scores a host for a step; a lower score is better. */
+  #getScore(step: Step, capacity: HostCapacity, scarcity: Scarcity): number {
+    const { host } = capacity;
+    const { spec } = step;
+    const score = spec.dataRack !== null && !host.labels.includes(spec.dataRack) ? 50_000 : 0;
     const onHost = step.countRunsOnHost(host.id) + (capacity.stepCounts.get(step) ?? 0);
     if (spec.isFilling) {
       return (
@@ -185,8 +292,12 @@
         score + onHost * 10_000 + capacity.bestEffortCount * 3_000 + capacity.servingCount * 1_000
       );
     }
+    // Memory counts as much as the CPU that a host of the pool has beside it.
+    const free =
+      scarcity.cpu * capacity.cpuMillis +
+      scarcity.memory * capacity.memoryMb * this.#cpuMillisPerMb;
     // Hosts that long running tasks keep in the pool anyway are filled first.
-    return score + capacity.cpuMillis / 100 - (host.hasLongRunning ? 1_000 : 0);
+    return score + free / 100 - (host.hasLongRunning ? 1_000 : 0);
   }
 }
 
@@ -221,8 +332,9 @@
   tracker: CapacityTracker,
 ): Placement[] {
   const reserved: { readonly capacity: HostCapacity; readonly placement: Placement }[] = [];
+  const search = tracker.createSearch(step, pool);
   for (const task of tasks) {
-    const capacity = tracker.isWithinAllowance(step) ? tracker.findHost(task, pool) : null;
+    const capacity = tracker.isWithinAllowance(step) ? tracker.findHost(task, pool, search) : null;
     if (capacity === null) {
       reserved.forEach(({ capacity: other, placement }) =>
         tracker.applyReservation(placement.task, other, -1),
@@ -243,14 +355,15 @@
   unplaced: UnplacedRequirements,
 ): Placement[] {
   const placements: Placement[] = [];
-  if (unplaced.matches(step, pool)) {
+  if (tasks.length === 0 || unplaced.matches(step, pool)) {
     return placements;
   }
+  const search = tracker.createSearch(step, pool);
   for (const task of tasks) {
     if (!tracker.isWithinAllowance(step)) {
       break;
     }
-    const capacity = tracker.findHost(task, pool);
+    const capacity = tracker.findHost(task, pool, search);
     if (capacity === null && isSuspect(task)) {
       // It waits for a host of its own; other tasks may still fit.
       continue;
--- a/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacement.test.ts
+++ b/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacement.test.ts
@@ -93,4 +93,31 @@
     // Called once for each search, and once more for the first task that does not fit.
     expect(callCount).toEqual(3);
   });
+
+  it('keeps CPU and memory usable together where both are scarce', () => {
+    const snapshot = createSnapshot([{ need: { cpuMillis: 2_000, memoryMb: 800, gpus: 0 } }]);
+    const hosts = [
+      { ...HOST, id: 'half-of-both', freeResources: { cpuMillis: 3_000, memoryMb: 900, gpus: 0 } },
+      { ...HOST, id: 'much-memory', freeResources: { cpuMillis: 2_900, memoryMb: 9_000, gpus: 0 } },
+    ];
+    const placed = decidePlacements({ ...snapshot, hosts: new Map([['ovens', hosts]]) });
+    expect(placed.map(({ hostId }) => hostId)).toEqual(['half-of-both']);
+  });
+
+  it('places the tasks of a step that prefers one rack on the rack with room for them', () => {
+    const specs = [{ taskCount: 4, prefersOneRack: true }];
+    const free = { cpuMillis: 2_000, memoryMb: 1_000, gpus: 0 };
+    const hosts = ['a1 r1', 'a2 r2', 'a3 r1', 'a4 r2', 'a5 r1'].map((name, index) => ({
+      ...HOST,
+      id: name.slice(0, 2),
+      labels: ['plain', name.slice(3)],
+      // Rack 2 has the fuller hosts, which would be taken first, but not enough room.
+      freeResources: index % 2 === 0 ? free : { ...free, cpuMillis: 1_000 },
+    }));
+    const placed = decidePlacements({
+      ...createSnapshot(specs),
+      hosts: new Map([['ovens', hosts]]),
+    });
+    expect(placed.map(({ hostId }) => hostId)).toEqual(['a1', 'a1', 'a3', 'a3']);
+  });
 });
