ingress, controller: entries refuse what was refused a moment ago, and answer at once while the store is silent

Change: answers to offers carry the refusals of the queue of the last 500 ms; an entry refuses a job of the same queue and organisation that asks for no less and leaves no more time, up to 2 s while the owner doesn't answer, after reading that the job isn't stored. After two submissions without an answer the store counts as silent: 503 at once, single probes each 250 ms; a job whose outcome was unclear here is never called not accepted.

--- a/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
@@ -1,10 +1,12 @@
 import type { TermContext } from './BaobabwellControllerContext';
 import type { QueueSettings } from '@baobabwell/fleet';
+import type { RecentRefusal } from '@baobabwell/ingress';
 import type { Job, JobRecord, JobSpec, Resources, StepSpec } from '@baobabwell/jobs';
 import type { AcceptedWork, AdmissionDecision } from '@baobabwell/placement';
 
+import { computeDemand, RefusalMemory } from '@baobabwell/ingress';
 import { TaskPhase } from '@baobabwell/jobs';
-import { decideAdmission, getObjectiveMs, WorkQueue } from '@baobabwell/placement';
+import { decideAdmission, getObjectiveMs, RefusalCause, WorkQueue } from '@baobabwell/placement';
 
 /** Capacity of a pool, in thousandths of a core. */
 export type PoolCapacity = {
@@ -82,6 +84,8 @@
 
   readonly #states = new Map<string, PoolState>();
 
+  readonly #refusals = new RefusalMemory();
+
   readonly #admitted = new Map<string, AdmittedJob>();
 
   /** Monotonic time at which each job was offered first, in ms. */
@@ -129,10 +133,32 @@
       this.#addAdmitted({ record, atMs: nowMs, dueMs }, queue.name, state);
     } else {
       jobRates.removeOffer(record);
+      if (decision.cause !== RefusalCause.TooLarge) {
+        this.#recordRefusal(record, queue, decision.retryAfterMs, nowMs);
+      }
     }
     return decision;
   }
 
+  /** Lists the latest refusals of a queue, which entries apply to like jobs without an offer. */
+  listRefusals(queue: string): readonly RecentRefusal[] {
+    return this.#refusals.list(queue, this.#context.clock.getNow());
+  }
+
+  #recordRefusal(
+    record: JobRecord,
+    queue: QueueSettings,
+    retryAfterMs: number,
+    nowMs: number,
+  ): void {
+    const demand = computeDemand(record, queue);
+    if (demand === null) {
+      return;
+    }
+    const laxityMs = demand.laxityMs - (nowMs - this.#getFirstOfferMs(record.id, nowMs));
+    this.#refusals.add([{ ...demand, laxityMs, retryAfterMs, ageMs: 0 }], nowMs);
+  }
+
   #getFirstOfferMs(jobId: string, nowMs: number): number {
     pruneOldest(this.#firstOffersAtMs, (atMs) => nowMs - atMs > FIRST_OFFER_MS);
     const firstAtMs = this.#firstOffersAtMs.get(jobId) ?? nowMs;
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -115,7 +115,7 @@
     const { jobRegistry, logger, metrics, getConfiguration } = this.context;
     const queue = getConfiguration()?.queues.find(({ name }) => name === record.queue);
     if (jobRegistry.findJob(record.id) !== null || queue === undefined) {
-      return { isWanted: true };
+      return { isWanted: true, refusals: [] };
     }
     const decision = this.#admission.decide(record, queue);
     if (!decision.isWanted) {
@@ -130,7 +130,7 @@
         retryAfterMs,
       });
     }
-    return decision;
+    return { ...decision, refusals: this.#admission.listRefusals(queue.name) };
   }
 
   /** Ends the term: no further orders are sent. */
--- a/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
@@ -1,5 +1,6 @@
 import type { Answer } from './BaobabwellIngressModel';
 import type { OwnerClient } from './BaobabwellIngressOwner';
+import type { RecentRefusal } from './BaobabwellIngressRefusalMemory';
 import type { QueueSettings } from '@baobabwell/fleet';
 import type { JobRecord, JobSpec } from '@baobabwell/jobs';
 import type { Logger } from '@baobabwell/logging';
@@ -10,6 +11,8 @@
 import { TableErrorKind } from '@baobabwell/platform';
 
 import { AnswerKind } from './BaobabwellIngressModel';
+import { computeDemand, RefusalMemory } from './BaobabwellIngressRefusalMemory';
+import { StoreSilence } from './BaobabwellIngressStoreSilence';
 import {
   CANCELLED_SUFFIX,
   getJobPartition,
@@ -26,6 +29,9 @@
 /** Interval between these reads, in ms. */
 const RESOLVE_INTERVAL_MS = 150;
 
+/** Time for which a job with an unknown outcome is remembered, in ms; callers repeat calls sooner. */
+const UNCLEAR_MS = 30_000;
+
 /** Rows of a job that exist in the store. */
 type JobRows = { readonly isStored: boolean; readonly isCancelled: boolean };
 
@@ -39,6 +45,13 @@
 
   readonly #logger: Logger;
 
+  readonly #refusals = new RefusalMemory();
+
+  readonly #silence = new StoreSilence();
+
+  /** Monotonic time at which the outcome of a job's submission was last unknown, in ms. */
+  readonly #unclearAtMs = new Map<string, number>();
+
   constructor(options: {
     readonly store: WatchableTableService;
     readonly owner: OwnerClient;
@@ -60,20 +73,53 @@
   ): Promise<Answer> {
     const acceptedAtMs = this.#clock.getWallTime();
     const record: JobRecord = { id: jobId, queue: queue.name, organisation, acceptedAtMs, spec };
+    const demand = computeDemand(record, queue);
+    const known = this.#refusals.find(demand, this.#clock.getNow(), true);
+    if (known !== null) {
+      return this.#refuseKnown(jobId, known);
+    }
     const offer = await this.#owner.offer(record);
+    this.#refusals.add(offer?.refusals ?? [], this.#clock.getNow());
     if (offer !== null && !offer.isWanted) {
       const { reason, retryAfterMs } = offer;
       return { kind: AnswerKind.Refused, reason, retryAfterMs };
     }
+    const earlier =
+      offer === null ? this.#refusals.find(demand, this.#clock.getNow(), false) : null;
+    return earlier === null ? this.#storeJob(record) : this.#refuseKnown(jobId, earlier);
+  }
+
+  /** Refuses a job as the owner refused a like one, unless an earlier call stored it. */
+  async #refuseKnown(jobId: string, { retryAfterMs }: RecentRefusal): Promise<Answer> {
+    const rows = await this.#readJobRows(jobId);
+    if (rows === null) {
+      return this.#createUnavailableAnswer('submit');
+    }
+    return rows.isStored
+      ? { kind: AnswerKind.Accepted }
+      : { kind: AnswerKind.Refused, reason: 'like jobs were refused a moment ago', retryAfterMs };
+  }
+
+  async #storeJob(record: JobRecord): Promise<Answer> {
+    const { id: jobId } = record;
+    if (!this.#silence.canSubmit(this.#clock.getNow())) {
+      const reason = 'the store did not answer the last submissions';
+      return this.#unclearAtMs.has(jobId)
+        ? { kind: AnswerKind.UnknownOutcome, reason }
+        : { kind: AnswerKind.Unavailable, reason, retryAfterMs: STORE_RETRY_AFTER_MS };
+    }
     const part = getJobPartition(jobId);
     const reply = await this.#store.commit({
       conditions: [{ table: JOBS_TABLE, part, key: jobId, version: 0 }],
       writes: [{ table: JOBS_TABLE, part, key: jobId, value: record as unknown as JsonValue }],
     });
-    if (reply.ok || reply.error.kind === TableErrorKind.Conflict) {
+    const isAnswered = reply.ok || reply.error.kind === TableErrorKind.Conflict;
+    if (isAnswered) {
+      this.#silence.record(true, this.#clock.getNow());
       return { kind: AnswerKind.Accepted };
     }
     if (!reply.error.mayHaveCommitted) {
+      this.#silence.record(false, this.#clock.getNow());
       return {
         kind: AnswerKind.Unavailable,
         reason: `store: ${reply.error.cause}`,
@@ -148,17 +194,34 @@
 
   /** Reads the store again to find out whether a commit with an unknown outcome stored the job. */
   async #resolveOutcome(jobId: string, cause: string): Promise<Answer> {
+    let isAnswered = false;
     for (let attempt = 0; attempt < RESOLVE_ATTEMPTS; attempt += 1) {
       await this.#clock.wait(RESOLVE_INTERVAL_MS);
       const rows = await this.#readJobRows(jobId);
+      isAnswered ||= rows !== null;
       if (rows?.isStored) {
+        this.#silence.record(true, this.#clock.getNow());
         this.#logger.recordInfo('submission-settled', { job: jobId, attempt });
         return { kind: AnswerKind.Accepted };
       }
     }
+    this.#silence.record(isAnswered, this.#clock.getNow());
+    this.#recordUnclear(jobId);
     return { kind: AnswerKind.UnknownOutcome, reason: `store: ${cause}` };
   }
 
+  /** Records that a job may be stored although its caller was not told so. */
+  #recordUnclear(jobId: string): void {
+    const nowMs = this.#clock.getNow();
+    for (const [id, atMs] of this.#unclearAtMs) {
+      if (nowMs - atMs < UNCLEAR_MS) {
+        break;
+      }
+      this.#unclearAtMs.delete(id);
+    }
+    this.#unclearAtMs.set(jobId, nowMs);
+  }
+
   /** Reads which rows of a job exist; returns `null` when the store does not answer. */
   async #readJobRows(jobId: string): Promise<JobRows | null> {
     const part = getJobPartition(jobId);
--- a/packages/baobabwell-ingress/src/BaobabwellIngressOwner.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressOwner.ts
@@ -1,9 +1,14 @@
+import type { RecentRefusal } from './BaobabwellIngressRefusalMemory';
 import type { JobRecord, JobState } from '@baobabwell/jobs';
 
-/** Whether the owner admits a job (`isWanted`), and if not, why. */
-export type OfferReply =
+/**
+ * Whether the owner admits a job (`isWanted`), and if not, why; with the jobs of the queue that it refused
+ * in the last moments.
+ */
+export type OfferReply = { readonly refusals: readonly RecentRefusal[] } & (
   | { readonly isWanted: true }
-  | { readonly isWanted: false; readonly reason: string; readonly retryAfterMs: number };
+  | { readonly isWanted: false; readonly reason: string; readonly retryAfterMs: number }
+);
 
 /** Client of the fleet's owner. Operations never reject; `null` means that no answer arrived. */
 export abstract class OwnerClient {
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressJobSubmissionService.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressJobSubmissionService.test.ts
@@ -10,7 +10,13 @@
 import { Logger, LogLevel } from '@baobabwell/logging';
 import { Random } from '@baobabwell/utils';
 
-import { AnswerKind, findQueue, JobSubmissionService, OwnerClient } from '../../index';
+import {
+  AnswerKind,
+  computeDemand,
+  findQueue,
+  JobSubmissionService,
+  OwnerClient,
+} from '../../index';
 
 const SPEC = { payload: '', steps: [], repeat: null };
 const QUEUE = {
@@ -51,7 +57,9 @@
   let time: EmulatedTime;
   let rows: EmulatedRows;
 
-  function createService(offer: OfferReply | null = { isWanted: true }): JobSubmissionService {
+  function createService(
+    offer: OfferReply | null = { isWanted: true, refusals: [] },
+  ): JobSubmissionService {
     return new JobSubmissionService({
       store: new EmulatedJobStore(time, time, new Random(1), rows),
       owner: new ScriptedOwner(offer),
@@ -87,7 +95,7 @@
   });
 
   it('does not store a refused job', async () => {
-    const refusal = { isWanted: false, reason: 'full', retryAfterMs: 1_000 } as const;
+    const refusal = { isWanted: false, reason: 'full', retryAfterMs: 1_000, refusals: [] } as const;
     expect(await submit(createService(refusal))).toEqual(AnswerKind.Refused);
     expect(await readState('00000000000000a1')).toEqual(AnswerKind.UnknownJob);
   });
@@ -107,6 +115,42 @@
     expect(await submit(createService())).toEqual(AnswerKind.Unavailable);
   });
 
+  it('refuses at once what the owner refused a like job for, but accepts what is stored', async () => {
+    const refused = computeDemand(
+      { id: 'b', queue: QUEUE.name, organisation: null, acceptedAtMs: 0, spec: SPEC },
+      QUEUE,
+    );
+    expect(refused !== null).toEqual(true);
+    const refusals =
+      refused === null
+        ? []
+        : [{ ...refused, laxityMs: refused.laxityMs + 300, retryAfterMs: 700, ageMs: 0 }];
+    const service = createService({ isWanted: true, refusals });
+    expect(await submit(service)).toEqual(AnswerKind.Accepted);
+    expect(await submit(service, '00000000000000a2')).toEqual(AnswerKind.Refused);
+    expect(await submit(service)).toEqual(AnswerKind.Accepted);
+    expect(await readState('00000000000000a2')).toEqual(AnswerKind.UnknownJob);
+    // The work ahead shrinks: a refusal covers no job that leaves more time than is still missing.
+    await time.advance(400);
+    expect(await submit(service, '00000000000000a3')).toEqual(AnswerKind.Accepted);
+  });
+
+  it('waits for a silent store twice, then answers at once until a probe is answered', async () => {
+    rows.faults = { ...NO_STORE_FAULTS, isDown: true };
+    const service = createService();
+    await submit(service);
+    await submit(service);
+    const calls = Array.from({ length: 5 }, async (_, index) =>
+      service.submit(QUEUE, null, `00000000000000c${index}`, SPEC),
+    );
+    const answers = await time.settle(Promise.all(calls), 20);
+    expect(answers.map(({ kind }) => kind)).toEqual(answers.map(() => AnswerKind.Unavailable));
+    rows.faults = NO_STORE_FAULTS;
+    await time.advance(300);
+    expect(await submit(service)).toEqual(AnswerKind.Accepted);
+    expect(await submit(service, '00000000000000a2')).toEqual(AnswerKind.Accepted);
+  });
+
   it('cancels a stored job and reports any other as unknown', async () => {
     await submit(createService());
     const cancelled = await time.settle(createService().cancel('00000000000000a1'), 20_000);
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCapacity.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCapacity.test.ts
@@ -243,7 +243,7 @@
     fleet.setCapacity('host-0', { ...LARGE, cpuMillis: 1_000 });
     await fleet.time.advance(SHRUNK_MS);
     const step = { taskCount: 2, estimateMs: 500 };
-    expect(await fleet.offer([step])).toEqual({ isWanted: true });
+    expect(await fleet.offer([step])).toEqual({ isWanted: true, refusals: [] });
     const job = fleet.submit([step]);
     await fleet.time.advance(1_000);
     await expectCompleted([job]);
