controller: owners store what they learned for their successor

Cause: what an owner learned in its term was gone at a takeover. Change: sections of components are stored in one row of the table handover, at most once a second and only when they changed, with the transactions that the owner sends anyway; the next owner reads the row beside its load and restores them with their age. 32 KiB at most. Conclusion: the row costs no call of its own but one read a term.

--- a/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
@@ -139,15 +139,19 @@
       this.#recordStored(batch, 0);
       return;
     }
-    const { ownership, term } = this.#context;
+    const { ownership, term, handover } = this.#context;
     batch.ends.forEach(({ host, position }) => host.history.recordCommit(position));
-    const reply = await ownership.commit(term, batch.conditions, batch.writes);
+    const reply = await ownership.commit(term, batch.conditions, [
+      ...batch.writes,
+      ...handover.createWrites(),
+    ]);
     batch.ends.forEach(({ host }) => host.history.recordCommit(null));
     if (reply.ok) {
       this.#retry.reset();
       this.#recordStored(batch, reply.value);
       return;
     }
+    handover.requestStore();
     batch.jobs.forEach(({ job, notifyStored }) => {
       this.#context.jobRegistry.addUnsavedJob(job);
       this.#addStoredCallbacks(job, notifyStored);
--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -86,9 +86,9 @@
 
 /**
  * Maximum number of entries in one transaction, conditions and writes together: the store's limit minus
- * the entries for the owner's fence and its lease renewal.
+ * the entries for the owner's fence, its lease renewal and the handover.
  */
-export const MAX_COMMIT_ENTRIES = 98;
+export const MAX_COMMIT_ENTRIES = 97;
 
 /** Maximum number of host rows in one transaction; the other entries are left for jobs. */
 export const MAX_COMMIT_HOSTS = 40;
@@ -216,3 +216,30 @@
  * the host can be attributed to the run, in ms.
  */
 export const MAX_CRASH_NOTICE_MS = 500;
+
+/** Table of what owners pass on to their successors. */
+export const HANDOVER_TABLE = 'handover';
+
+/** Shortest interval between two writes of the handover row, in ms. */
+export const HANDOVER_INTERVAL_MS = 1_000;
+
+/** Maximum length of the sections in the handover row, in characters. */
+export const MAX_HANDOVER_LENGTH = 32_768;
+
+/** Table of the machines that owners are about to order. */
+export const MACHINE_ORDERS_TABLE = 'machine-orders';
+
+/** Maximum number of machines in the row of order intents, for the store's limit on the size of a row. */
+export const MAX_LISTED_INTENTS = 1_000;
+
+/** Longest time from the last answer of an order, or its timeout, for which it can still take effect, in ms. */
+export const MAX_MACHINE_ORDER_MS = 2_000;
+
+/** Time after which order intents are stored again without those that have expired, in ms. */
+export const INTENTS_REFRESH_MS = 5_000;
+
+/**
+ * Share of the listed capacity that is expected of hosts that have not reported to a new owner yet: some
+ * are gone.
+ */
+export const UNREPORTED_SHARE = 0.8;
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -67,7 +67,7 @@
       hosts,
       durations: new CallerEstimates(),
       evacuations: new Evacuations(),
-      handover: new Handover(),
+      handover: new Handover({ ...options, term, signal: this.#abortController.signal }),
       hostMajority: new HostMajority(options.clock, options.ownership, hosts),
       hostSilences: new HostSilences(),
       waves: new Map(),
@@ -141,6 +141,8 @@
   async run(): Promise<void> {
     const { clock, logger, metrics, term, codec, ownership, signal } = this.context;
     const startedAt = readClocks(clock);
+    // Not awaited: what the former owner learned may come later or not at all.
+    void this.context.handover.load();
     const [hosts, workers, progress, waves, ...jobs] = await this.#tables.readAll([
       { table: HOSTS_TABLE },
       { table: codec.workersTable },
