controller: a new owner waits only for machines that were ordered lately, and counts hosts that have not reported

Change: the machines of an order are stored before it is sent (table machine-orders, one transaction a round, fenced and with the row's version, so that one carried out late removes nothing). A new owner delays its orders for the machines in the row; without the row, or if the former owner did not write it, for all. Hosts that have not reported count by their listed capacity with a margin; refusals in that time name the cause, with a delay of 1 s. Tests: 'keeps a minimum delay between machine orders of two successive owners' measured the time between orders for different machines, which no rule asks for. It is replaced by one per machine with the same bounds, with the intents stored (first order within 300 ms) and removed (first order after 2 s).

--- a/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
@@ -14,7 +14,6 @@
   RecentPeaks,
 } from '@baobabwell/fleet';
 import { RunPhase } from '@baobabwell/jobs';
-import { MIN_TAKEOVER_MS } from '@baobabwell/ownership';
 import { CloudHostState } from '@baobabwell/platform';
 import { WakeSignal } from '@baobabwell/utils';
 
@@ -31,15 +30,13 @@
   MIN_HOSTS,
   REFUSED_DEMAND_WINDOW_MS,
   REQUIRED_HOSTS_WINDOW_MS,
+  UNREPORTED_SHARE,
 } from './BaobabwellControllerConstants';
 import { listLongRunning, stopLongRunning } from './BaobabwellControllerLongRunning';
 import { MachineInventory } from './BaobabwellControllerMachineInventory';
 import { getPoolLoads } from './BaobabwellControllerPoolLoad';
 import { WaveControlLoop } from './BaobabwellControllerWaveControlLoop';
 
-/** Time that a round takes to send its orders, and an order to reach its machine, in ms. */
-const SEND_TIME_MS = 200;
-
 const CORE_MILLIS = 1_000;
 
 type RefusedDemand = {
@@ -76,8 +73,6 @@
   /** Monotonic time at which the load of each pool was last logged, in ms. */
   readonly #loadLoggedAtMs = new Map<string, number>();
 
-  readonly #startedAtMs: number;
-
   readonly #recordDeparture: (hostId: string, reason: string) => void;
 
   readonly #endIncarnation: (hostId: string, reason: string) => void;
@@ -93,7 +88,6 @@
     this.#waves = new WaveControlLoop(context, this.#machines, recordDeparture);
     this.#recordDeparture = recordDeparture;
     this.#endIncarnation = endIncarnation;
-    this.#startedAtMs = context.clock.getNow();
   }
 
   /** Requests a round without waiting for the interval to pass. */
@@ -118,20 +112,21 @@
     const { hosts, clock } = this.#context;
     const nowMs = clock.getNow();
     let cpuMillis = 0;
+    let unreportedCpuMillis = 0;
     hosts.forEach((host) => {
-      const isUsable = host.pool === pool && host.canTakeWork(nowMs);
-      cpuMillis += isUsable ? host.getShortTaskCpuMillis() : 0;
+      if (host.pool === pool) {
+        cpuMillis += host.canTakeWork(nowMs) ? host.getShortTaskCpuMillis() : 0;
+        unreportedCpuMillis += host.isAwaited ? host.getShortTaskCpuMillis() : 0;
+      }
     });
     const machines = this.#machines.list();
     const hostCpu = machines[0]?.capacity.cpuMillis ?? 0;
     const allocatable = machines.filter(
-      (machine) =>
-        this.#machines.isSpare(machine) &&
-        machine.state === CloudHostState.Up &&
-        !this.#machines.isPending(machine.machine),
+      (machine) => this.#machines.isSpare(machine) && this.#machines.isAvailable(machine),
     );
     return {
-      cpuMillis,
+      cpuMillis: cpuMillis + UNREPORTED_SHARE * unreportedCpuMillis,
+      isComplete: unreportedCpuMillis === 0,
       arrivingCpuMillis: this.#machines.countArriving(pool) * hostCpu,
       allocatableCpuMillis: allocatable.length * hostCpu,
       machineCapacities: machines.map(({ capacity }) => capacity),
@@ -141,7 +136,7 @@
   /** Runs rounds of the control loop until the term ends. */
   async run(): Promise<void> {
     const { signal, ownership } = this.#context;
-    await this.#waves.load();
+    await Promise.all([this.#waves.load(), this.#machines.intents.load()]);
     while (!signal.aborted) {
       await this.#wakeSignal.wait(CONTROL_LOOP_INTERVAL_MS, signal);
       if (!signal.aborted && ownership.canAct()) {
@@ -180,17 +175,8 @@
     });
   }
 
-  /**
-   * Returns the time after a takeover for which the owner sends no machine orders, in ms. It is shorter
-   * than the platform's delay because the former owner stopped its orders some time before the takeover.
-   */
-  #getOrderDelayMs(): number {
-    const { bounds } = this.#context;
-    return bounds.machineOrderDelayMs - (MIN_TAKEOVER_MS - MAX_ORDER_LEASE_AGE_MS) + SEND_TIME_MS;
-  }
-
   async #runRound(): Promise<void> {
-    const { clock, term, cloud, ownership, getConfiguration } = this.#context;
+    const { cloud, ownership, getConfiguration } = this.#context;
     if (cloud === null || getConfiguration() === null) {
       return;
     }
@@ -203,12 +189,11 @@
       return;
     }
     this.#endReplacedHosts();
-    const isTooEarly =
-      !term.isHandover && clock.getNow() - this.#startedAtMs < this.#getOrderDelayMs();
     const isTooLate = ownership.getLeaseAgeMs() > MAX_ORDER_LEASE_AGE_MS;
-    if (isTooEarly || isTooLate) {
+    if (!this.#machines.intents.isKnown || isTooLate) {
       return;
     }
+    this.#machines.intents.refresh();
     const waveCordons = await this.#waves.runRound();
     const moveCordons = this.#moveMachines(waveCordons);
     this.#applyCordons(new Map([...moveCordons, ...waveCordons]));
@@ -404,11 +389,13 @@
   #createMovableMachine(machine: CloudHost, reserved: ReadonlyMap<string, string>): MovableMachine {
     const host = this.#machines.findHost(machine);
     const isReserved = machine.hostId !== null && reserved.has(machine.hostId);
+    const canOrder = this.#machines.intents.canOrder(machine.machine);
     const isIdle = host === null || (host.isIdle && host.listedWorker?.isDraining !== true);
     return {
       machine: machine.machine,
-      isIdle: isIdle && !isReserved,
+      isIdle: isIdle && !isReserved && canOrder,
       canBeDrained:
+        canOrder &&
         host?.isReconciled === true &&
         !isReserved &&
         host.isReachable &&
--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -106,6 +106,11 @@
     return this.isReconciled && this.runs.size === 0;
   }
 
+  /** True while a listed host has not reported to this owner and has left no call unanswered. */
+  get isAwaited(): boolean {
+    return !this.isReconciled && this.isReachable && this.listedWorker?.isDraining === false;
+  }
+
   get hasClock(): boolean {
     return this.#state.hasClock;
   }
--- a/packages/baobabwell-controller/src/BaobabwellControllerMachineInventory.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerMachineInventory.ts
@@ -11,6 +11,7 @@
   MAX_ORDER_LEASE_AGE_MS,
 } from './BaobabwellControllerConstants';
 import { describeKnowledge } from './BaobabwellControllerHostLog';
+import { OrderIntents } from './BaobabwellControllerOrderIntents';
 
 /** An order for a machine whose effect has not shown in the list yet. */
 type PendingOrder = {
@@ -32,8 +33,11 @@
 
   #isReading = false;
 
+  readonly intents: OrderIntents;
+
   constructor(context: TermContext) {
     this.#context = context;
+    this.intents = new OrderIntents(context);
   }
 
   /** True once the list has been read in this term. */
@@ -49,6 +53,13 @@
     return this.#pendingOrders.has(machine);
   }
 
+  /** Returns true for a machine that is up and may be ordered now. */
+  isAvailable({ machine, state }: CloudHost): boolean {
+    return (
+      state === CloudHostState.Up && !this.isPending(machine) && this.intents.canOrder(machine)
+    );
+  }
+
   /** Counts the machines that are joining a pool. */
   countArriving(pool: string): number {
     return this.#machines.filter((machine) => this.#isArriving(machine, pool)).length;
@@ -123,9 +134,16 @@
       return false;
     }
     const sentAtMs = clock.getNow();
-    const known = describeKnowledge(sentAtMs, this.findHost(machine));
+    const host = this.findHost(machine);
+    const known = describeKnowledge(sentAtMs, host);
     this.#pendingOrders.set(name, { pool, sentAtMs, isAnswered: false });
+    const isAnnounced = await this.intents.announce(name);
+    if (!isAnnounced || !isAllowed() || host?.isIdle === false) {
+      this.#pendingOrders.delete(name);
+      return false;
+    }
     const reply = await send({ machine: name, holder, epoch: term.epoch, isAllowed });
+    this.intents.recordOrder(name);
     const isDone = reply?.ok === true;
     const refusal = reply?.ok === false ? reply.error.kind : null;
     metrics.machineOrders.inc({ order: orderName, answer: refusal ?? 'carried-out' });
--- a/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
@@ -4,13 +4,26 @@
 import type { AcceptedWork, AdmissionDecision } from '@baobabwell/placement';
 
 import { TaskPhase } from '@baobabwell/jobs';
-import { decideAdmission, getCriticalPathMs, getObjectiveMs } from '@baobabwell/placement';
+import {
+  decideAdmission,
+  getCriticalPathMs,
+  getObjectiveMs,
+  RefusalCause,
+} from '@baobabwell/placement';
+
+/** Retry delay of refusals while hosts have not reported to a new owner, in ms. */
+const INCOMPLETE_RETRY_MS = 1_000;
 
 /** Capacity of a pool, in thousandths of a core. */
 export type PoolCapacity = {
   readonly cpuMillis: number;
   readonly arrivingCpuMillis: number;
   readonly allocatableCpuMillis: number;
+  /**
+   * False while hosts have not reported to this owner yet; they count by their listed capacity, with a
+   * margin.
+   */
+  readonly isComplete: boolean;
   /** Capacity of each machine of the fleet; empty while the list of machines is not loaded. */
   readonly machineCapacities: readonly Resources[];
 };
@@ -74,7 +87,7 @@
     return { isWanted: true };
   }
   const nowMs = context.clock.getNow();
-  return decideAdmission({
+  const decision = decideAdmission({
     nowMs,
     dueMs: nowMs + getObjectiveMs(spec, queue),
     criticalPathMs: getCriticalPathMs(spec),
@@ -85,4 +98,11 @@
     accepted: listAcceptedWork(context, queue.pool),
     isLargerThanAnyHost,
   });
+  return decision.isWanted || decision.cause !== RefusalCause.TooLate || poolCapacity.isComplete
+    ? decision
+    : {
+        ...decision,
+        reason: 'the owner has just taken over and does not know its hosts yet',
+        retryAfterMs: INCOMPLETE_RETRY_MS,
+      };
 }
--- a/packages/baobabwell-controller/src/BaobabwellControllerWaveControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerWaveControlLoop.ts
@@ -171,10 +171,7 @@
     return {
       machine: machine.machine,
       isSpare,
-      isUp:
-        machine.state === CloudHostState.Up &&
-        !this.#machines.isPending(machine.machine) &&
-        (isSpare || host?.isReconciled === true),
+      isUp: this.#machines.isAvailable(machine) && (isSpare || host?.isReconciled === true),
       isIdle: host?.isIdle === true,
       hasLongRunning: host !== null && listLongRunning(host).length > 0,
       usedCpuMillis: host?.getUsedResources().cpuMillis ?? 0,
--- a/packages/baobabwell-controller/src/index.ts
+++ b/packages/baobabwell-controller/src/index.ts
@@ -2,3 +2,4 @@
 export type { FleetBounds, FleetCodec } from './BaobabwellControllerModel';
 
 export { Controller } from './BaobabwellController';
+export { MACHINE_ORDERS_TABLE } from './BaobabwellControllerConstants';
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorCloud.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorCloud.ts
@@ -34,7 +34,11 @@
   /** Highest number of machines that were down for maintenance at once. */
   maxDownCount = 0;
 
-  readonly #orders: { readonly holder: string; readonly atMs: number }[] = [];
+  readonly #orders: {
+    readonly holder: string;
+    readonly machine: string;
+    readonly atMs: number;
+  }[] = [];
 
   readonly #clock: Clock;
 
@@ -72,13 +76,20 @@
     return this.#orders.length;
   }
 
+  /** Finds the time of the first order of a holder, in ms; `null` if it sent none. */
+  findFirstOrderMs(holder: string): number | null {
+    return this.#orders.find((order) => order.holder === holder)?.atMs ?? null;
+  }
+
   /**
-   * Finds the shortest time between consecutive orders of two different holders, in ms; `null` when
-   * there was no handover.
+   * Finds the shortest time between consecutive orders of two different holders for one machine, in ms;
+   * `null` when there was no handover.
    */
   findMinHandoverMs(): number | null {
     const handoversMs = this.#orders.flatMap((order, index) => {
-      const previous = this.#orders[index - 1];
+      const previous = this.#orders
+        .slice(0, index)
+        .findLast(({ machine }) => machine === order.machine);
       return previous === undefined || previous.holder === order.holder
         ? []
         : [order.atMs - previous.atMs];
@@ -136,8 +147,8 @@
     return createOk(null);
   }
 
-  #recordOrder({ holder }: CloudOrder): void {
-    this.#orders.push({ holder, atMs: this.#clock.getNow() });
+  #recordOrder({ holder, machine }: CloudOrder): void {
+    this.#orders.push({ holder, machine, atMs: this.#clock.getNow() });
   }
 
   #takeDown(target: Machine, state: CloudHostState): void {
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -159,6 +159,11 @@
     this.#put(OPERATOR_TABLE, `wave/${wave.number}`, wave as unknown as JsonValue);
   }
 
+  /** Removes a row of the store. */
+  removeRow(table: string, key: string): void {
+    this.#put(table, key, null);
+  }
+
   /** Finds the state of a wave as operators read it; `null` until one is written. */
   findWaveState(wave: number): JsonValue | null {
     const rows = this.rows.list({ table: STATUS_TABLE });
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorMachines.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorMachines.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'earl';
 
+import { MACHINE_ORDERS_TABLE } from '@baobabwell/controller';
 import { WaveState } from '@baobabwell/fleet';
 import { JobState } from '@baobabwell/jobs';
 
@@ -58,22 +59,35 @@
     expect(cloud.countOrders() > before).toEqual(true);
   });
 
-  it('keeps a minimum delay between machine orders of two successive owners', async () => {
-    fleet = new EmulatedJobFleet(SEED, 2);
-    const cloud = fleet.createCloud(40);
-    startDaemons();
-    await fleet.time.advance(START_MS);
-    const owner = fleet.findOwner() as string;
-    [1, 2, 3, 4].forEach(() => submitManyTasks());
-    await fleet.time.advance(150);
-    fleet.partitionDaemon(owner, true);
-    for (let round = 0; round < 20; round += 1) {
-      submitManyTasks();
-      await fleet.time.advance(400);
-    }
-    const handoverMs = cloud.findMinHandoverMs() ?? 0;
-    expect(handoverMs >= MIN_HANDOVER_MS).toEqual(true);
-    expect(handoverMs < 1.5 * MIN_HANDOVER_MS).toEqual(true);
+  [false, true].forEach((hasIntents) => {
+    const orders = hasIntents ? 'the machines that the former owner ordered' : 'any machine';
+    it(`delays the orders of a new owner for ${orders}`, async () => {
+      fleet = new EmulatedJobFleet(SEED, 2);
+      const cloud = fleet.createCloud(40);
+      startDaemons();
+      await fleet.time.advance(START_MS);
+      const owner = fleet.findOwner() as string;
+      const next = owner === 'a' ? 'b' : 'a';
+      const machines = Array.from({ length: 40 }, (_, index) => `m-spare-${index}`);
+      fleet.requestWave({ ...WAVE, maxDown: 10, machines: machines.slice(0, 10) });
+      await fleet.time.advance(150);
+      expect(cloud.countMaintained(WAVE.number)).toEqual(10);
+      fleet.partitionDaemon(owner, true);
+      fleet.requestWave({ ...WAVE, number: 2, maxDown: 40, machines });
+      if (!hasIntents) {
+        fleet.removeRow(MACHINE_ORDERS_TABLE, 'intents');
+      }
+      while (fleet.findOwner() !== next) {
+        await fleet.time.advance(10);
+      }
+      const takeoverMs = fleet.time.getNow();
+      await fleet.time.advance(6_000);
+      const firstOrderMs = (cloud.findFirstOrderMs(next) ?? Infinity) - takeoverMs;
+      expect(hasIntents ? firstOrderMs < 300 : firstOrderMs > 2_000).toEqual(true);
+      const handoverMs = cloud.findMinHandoverMs() ?? 0;
+      expect(handoverMs >= MIN_HANDOVER_MS).toEqual(true);
+      expect(handoverMs < 1.5 * MIN_HANDOVER_MS).toEqual(true);
+    });
   });
 
   it('completes a wave in time and within its bound, despite long running tasks', async () => {
