fleet, controller: capacity follows turns with fewer machines, and what is learned of them passes to the next owner

A second with many jobs by chance made a pool want 145 machines where 60 were used; a pool whose turn ended was predicted a new one (39 machines); hosts stayed for single last tasks. Change: an increase of arrivals counts beyond its deviation only, else two seconds count; no burst is predicted within 4 s after another of the same pool; machines that no pool retains are given on before those that are off; busy hosts beyond the retained number take no new work, so that they become idle; headroom goes by the square of the idle time, and is given up while the interval learned from earlier turns says that none is due; memory counts as CPU does.

--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -243,3 +243,6 @@
  * are gone.
  */
 export const UNREPORTED_SHARE = 0.8;
+
+/** Age above which what a former owner learned of bursts is not restored, in ms. */
+export const MAX_TURNS_AGE_MS = 60_000;
--- a/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
@@ -5,9 +5,7 @@
 import type { CloudHost } from '@baobabwell/platform';
 
 import {
-  BurstPredictor,
   decideMoves,
-  divideHeadroom,
   getBaseHosts,
   getDesiredHosts,
   getRequiredHosts,
@@ -19,11 +17,9 @@
 
 import {
   BURST_SHARE,
-  BURSTS_ENDED_MS,
   CONTROL_LOOP_INTERVAL_MS,
   DEPARTURE_RESERVE_MS,
   DESIRED_HOSTS_WINDOW_MS,
-  HEADROOM_SHARE,
   LOAD_LOG_INTERVAL_MS,
   MAX_ORDER_LEASE_AGE_MS,
   MIN_BURST_HOSTS,
@@ -35,10 +31,13 @@
 import { listLongRunning, stopLongRunning } from './BaobabwellControllerLongRunning';
 import { MachineInventory } from './BaobabwellControllerMachineInventory';
 import { getPoolLoads } from './BaobabwellControllerPoolLoad';
+import { Turns } from './BaobabwellControllerTurns';
 import { WaveControlLoop } from './BaobabwellControllerWaveControlLoop';
 
 const CORE_MILLIS = 1_000;
 
+const NO_CAPACITY = { cpuMillis: 0, memoryMb: 0 };
+
 type RefusedDemand = {
   readonly pool: string;
   readonly cpuMillis: number;
@@ -57,7 +56,7 @@
 
   readonly #requiredPeaks = new RecentPeaks(REQUIRED_HOSTS_WINDOW_MS);
 
-  readonly #burstPredictor = new BurstPredictor();
+  readonly #turns: Turns;
 
   /** Monotonic time at which each draining host was first observed as draining, in ms. */
   readonly #drainSeenAtMs = new Map<string, number>();
@@ -67,9 +66,6 @@
   /** Demand of recently refused jobs, which counts as much as that of waiting jobs. */
   #refusedDemands: readonly RefusedDemand[] = [];
 
-  /** Monotonic time at which each pool last had a burst, in ms. */
-  readonly #lastBurstAtMs = new Map<string, number>();
-
   /** Monotonic time at which the load of each pool was last logged, in ms. */
   readonly #loadLoggedAtMs = new Map<string, number>();
 
@@ -88,6 +84,7 @@
     this.#waves = new WaveControlLoop(context, this.#machines, recordDeparture);
     this.#recordDeparture = recordDeparture;
     this.#endIncarnation = endIncarnation;
+    this.#turns = new Turns(context);
   }
 
   /** Requests a round without waiting for the interval to pass. */
@@ -273,7 +270,7 @@
     const loads = getPoolLoads(this.#context);
     const nowMs = clock.getNow();
     const machines = this.#machines.list();
-    const headroom = this.#divideHeadroom(machines.length, nowMs);
+    const headroom = this.#turns.divideHeadroom(machines.length, nowMs);
     return (getConfiguration()?.pools ?? []).map(({ name, isSpare }) => {
       const present = machines.filter(
         (machine) =>
@@ -284,17 +281,14 @@
       );
       const load = this.#addRefusedDemand(name, loads.get(name), nowMs);
       this.#recordLoad(name, load, present.length);
-      const hostCpu = present[0]?.capacity.cpuMillis ?? machines[0]?.capacity.cpuMillis ?? 0;
-      const sizing = { cpuMillis: hostCpu, minHosts: MIN_HOSTS };
+      const { cpuMillis, memoryMb } = (present[0] ?? machines[0])?.capacity ?? NO_CAPACITY;
+      const sizing = { cpuMillis, memoryMb, minHosts: MIN_HOSTS };
       const demandHosts = load === undefined ? MIN_HOSTS : getDesiredHosts(load, sizing);
       const requiredHosts = load === undefined ? MIN_HOSTS : getRequiredHosts(load, sizing);
       const baseHosts = getBaseHosts(load, sizing);
       const extraHosts = demandHosts - baseHosts;
-      if (extraHosts >= this.#getMinBurstHosts()) {
-        this.#lastBurstAtMs.set(name, nowMs);
-      }
       const demandSample = { pool: name, extraHosts, arrivingJobs: load?.arrivingJobs ?? 0 };
-      const predictedHosts = this.#burstPredictor.record(
+      const predictedHosts = this.#turns.recordDemand(
         demandSample,
         this.#getMinBurstHosts(),
         nowMs,
@@ -330,22 +324,6 @@
     return Math.max(MIN_BURST_HOSTS, Math.ceil(BURST_SHARE * this.#machines.list().length));
   }
 
-  #divideHeadroom(machineCount: number, nowMs: number): ReadonlyMap<string, number> {
-    const pools = this.#context.getConfiguration()?.pools ?? [];
-    const lastBurstAtMs = Math.max(...this.#lastBurstAtMs.values());
-    const hasNoRecentBurst =
-      this.#lastBurstAtMs.size > 0 && nowMs - lastBurstAtMs > BURSTS_ENDED_MS;
-    return divideHeadroom(
-      pools
-        .filter(({ isSpare }) => !isSpare)
-        .map(({ name }) => ({
-          name,
-          idleMs: nowMs - (this.#lastBurstAtMs.get(name) ?? -Infinity),
-        })),
-      hasNoRecentBurst ? 0 : Math.floor(machineCount * HEADROOM_SHARE),
-    );
-  }
-
   /** Logs the capacity and demand of a pool, at most once a second. */
   #recordLoad(pool: string, load: PoolLoad | undefined, upCount: number): void {
     const nowMs = this.#context.clock.getNow();
--- a/packages/baobabwell-controller/src/BaobabwellControllerPoolLoad.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerPoolLoad.ts
@@ -18,6 +18,8 @@
     arrivingCpuMillis: 0,
     previousArrivingCpuMillis: 0,
     arrivingJobs: 0,
+    longRunningMemoryMb: 0,
+    currentMemoryMb: 0,
   };
 }
 
@@ -36,6 +38,7 @@
   const changed = load;
   if (spec.isLasting) {
     changed.longRunningCpuMillis += spec.isFilling ? 0 : spec.taskCount * spec.need.cpuMillis;
+    changed.longRunningMemoryMb += spec.isFilling ? 0 : spec.taskCount * spec.need.memoryMb;
     const hosts = spec.maxPerHost === 0 ? 1 : Math.ceil(spec.taskCount / spec.maxPerHost);
     changed.longRunningHosts = Math.max(changed.longRunningHosts, hosts);
     return;
@@ -43,6 +46,8 @@
   tasks.forEach(({ phase }) => {
     changed.runningCpuMillis += phase === TaskPhase.Placed ? spec.need.cpuMillis : 0;
     changed.waitingCpuMillis += phase === TaskPhase.Waiting ? spec.need.cpuMillis : 0;
+    const isCurrent = phase === TaskPhase.Placed || phase === TaskPhase.Waiting;
+    changed.currentMemoryMb += isCurrent ? spec.need.memoryMb : 0;
   });
 }
 
--- a/packages/baobabwell-fleet/src/BaobabwellFleetMoves.ts
+++ b/packages/baobabwell-fleet/src/BaobabwellFleetMoves.ts
@@ -1,9 +1,11 @@
 /**
  * Load pattern: the work of one pool requires more hosts than the pool has, while other pools have
- * more than they require. Machines that are switched off are moved first, then idle ones that no
- * pool retains, then idle ones that are headroom elsewhere. A busy machine is drained only if no
- * other is available. Several pools with a shortage are filled to the same share of their
- * requirement. Machines that no pool retains any longer are switched off.
+ * more than they require. Idle machines that no pool retains are moved first, because they would be
+ * moved anyway, then those that are switched off, then idle ones that are headroom elsewhere. A busy
+ * machine is drained for another pool only if no other is available. Several pools with a shortage
+ * are filled to the same share of their requirement. Machines that no pool retains any longer are
+ * switched off; where the last tasks of a burst keep more hosts busy than they require, some take no
+ * new work until they are idle.
  */
 
 /** A machine that may be moved to another pool. */
@@ -78,8 +80,8 @@
   readonly #hosts = new Map<string, number>();
 
   constructor(pools: readonly PoolDemand[]) {
-    // Spare pools come first: their machines are switched off, so that taking them costs nothing.
-    this.#pools = pools.toSorted((a, b) => Number(b.isSpare) - Number(a.isSpare));
+    // Spare pools come last: what other pools do not retain would be moved to them next.
+    this.#pools = pools.toSorted((a, b) => Number(a.isSpare) - Number(b.isSpare));
     pools.forEach((pool) => this.#hosts.set(pool.name, countHosts(pool)));
   }
 
@@ -93,6 +95,11 @@
     return this.#find(getMinHosts, ({ isIdle, canBeDrained }) => !isIdle && canBeDrained);
   }
 
+  /** Finds the busy machine with the lowest CPU use that may be drained in one pool above its minimum. */
+  findBusyIn(pool: PoolDemand, minHosts: number): MovableCandidate | null {
+    return this.#findIn(pool, minHosts, ({ isIdle, canBeDrained }) => !isIdle && canBeDrained);
+  }
+
   /** Finds an idle machine in one pool if the pool has more hosts than the minimum. */
   findIdleIn(pool: PoolDemand, minHosts: number): MovableCandidate | null {
     return this.#findIn(pool, minHosts, ({ isIdle }) => isIdle);
@@ -211,6 +218,12 @@
         move(excess, spare);
         excess = supply.findIdleIn(pool, pool.retainedHosts);
       }
+      excess = supply.findBusyIn(pool, pool.retainedHosts);
+      while (excess !== null) {
+        supply.take(excess);
+        drain(excess);
+        excess = supply.findBusyIn(pool, pool.retainedHosts);
+      }
     });
   }
   return { moves, drains };
--- a/packages/baobabwell-fleet/src/__tests__/unit/BaobabwellFleetMoves.test.ts
+++ b/packages/baobabwell-fleet/src/__tests__/unit/BaobabwellFleetMoves.test.ts
@@ -107,3 +107,22 @@
     expect(peaks.findLast('a')).toEqual(3);
   });
 });
+
+describe('the end of a burst', () => {
+  it('gives machines straight to the next pool, before those that are switched off', () => {
+    const pools = [
+      createPool('spare', { idle: 10 }, true),
+      createPool('ending', { idle: 6, busy: 6, required: 6 }),
+      createPool('next', { busy: 4, required: 12 }),
+    ];
+    expect(countMoves(pools)).toEqual({ 'ending-next': 6, 'spare-next': 2 });
+  });
+
+  it('drains what the last tasks keep busy beyond the retained hosts, but no long running tasks', () => {
+    const ending = createPool('ending', { busy: 8, required: 3, retained: 5 });
+    const pools = [createPool('spare', {}, true), ending];
+    expect(decideMoves(pools)).toEqual({ moves: [], drains: ['ending-0', 'ending-1', 'ending-2'] });
+    const machines = ending.machines.map((machine) => ({ ...machine, canBeDrained: false }));
+    expect(decideMoves([{ ...ending, machines }])).toEqual({ moves: [], drains: [] });
+  });
+});
--- a/packages/baobabwell-fleet/src/index.ts
+++ b/packages/baobabwell-fleet/src/index.ts
@@ -1,4 +1,4 @@
-export type { DemandSample } from './BaobabwellFleetBurstPrediction';
+export type { BurstRecord, DemandSample } from './BaobabwellFleetBurstPrediction';
 export type { HostSize, PoolLoad } from './BaobabwellFleetDemand';
 export type { PoolIdleTime } from './BaobabwellFleetHeadroom';
 export type {
@@ -19,7 +19,7 @@
   getDesiredHosts,
   getRequiredHosts,
 } from './BaobabwellFleetDemand';
-export { divideHeadroom } from './BaobabwellFleetHeadroom';
+export { divideHeadroom, isBetweenBursts } from './BaobabwellFleetHeadroom';
 export { WaveState } from './BaobabwellFleetModel';
 export { decideMoves } from './BaobabwellFleetMoves';
 export { RecentPeaks } from './BaobabwellFleetPeaks';
