--- a/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
@@ -5,45 +5,41 @@
 import type { CloudHost } from '@baobabwell/platform';
 
 import {
-  BurstPredictor,
   decideMoves,
-  divideHeadroom,
   getBaseHosts,
   getDesiredHosts,
   getRequiredHosts,
   RecentPeaks,
 } from '@baobabwell/fleet';
 import { RunPhase } from '@baobabwell/jobs';
-import { MIN_TAKEOVER_MS } from '@baobabwell/ownership';
 import { CloudHostState } from '@baobabwell/platform';
 import { WakeSignal } from '@baobabwell/utils';
 
 import {
   BURST_SHARE,
-  BURSTS_ENDED_MS,
   CONTROL_LOOP_INTERVAL_MS,
   DEPARTURE_RESERVE_MS,
   DESIRED_HOSTS_WINDOW_MS,
-  HEADROOM_SHARE,
   LOAD_LOG_INTERVAL_MS,
   MAX_ORDER_LEASE_AGE_MS,
   MIN_BURST_HOSTS,
   MIN_HOSTS,
   REFUSED_DEMAND_WINDOW_MS,
   REQUIRED_HOSTS_WINDOW_MS,
+  UNREPORTED_SHARE,
 } from './BaobabwellControllerConstants';
 import { EvacuationControlLoop } from './BaobabwellControllerEvacuationControlLoop';
 import { listLongRunning, stopLongRunning } from './BaobabwellControllerLongRunning';
 import { MachineInventory } from './BaobabwellControllerMachineInventory';
 import { getPoolLoads } from './BaobabwellControllerPoolLoad';
 import { getRunRemainingMs } from './BaobabwellControllerRunDurations';
+import { Turns } from './BaobabwellControllerTurns';
 import { WaveControlLoop } from './BaobabwellControllerWaveControlLoop';
 
-/** Time that a round takes to send its orders, and an order to reach its machine, in ms. */
-const SEND_TIME_MS = 200;
-
 const CORE_MILLIS = 1_000;
 
+const NO_CAPACITY = { cpuMillis: 0, memoryMb: 0 };
+
 type RefusedDemand = {
   readonly pool: string;
   readonly cpuMillis: number;
@@ -64,7 +60,7 @@
 
   readonly #requiredPeaks = new RecentPeaks(REQUIRED_HOSTS_WINDOW_MS);
 
-  readonly #burstPredictor = new BurstPredictor();
+  readonly #turns: Turns;
 
   /** Monotonic time at which each draining host was first observed as draining, in ms. */
   readonly #drainSeenAtMs = new Map<string, number>();
@@ -74,14 +70,9 @@
   /** Demand of recently refused jobs, which counts as much as that of waiting jobs. */
   #refusedDemands: readonly RefusedDemand[] = [];
 
-  /** Monotonic time at which each pool last had a burst, in ms. */
-  readonly #lastBurstAtMs = new Map<string, number>();
-
   /** Monotonic time at which the load of each pool was last logged, in ms. */
   readonly #loadLoggedAtMs = new Map<string, number>();
 
-  readonly #startedAtMs: number;
-
   readonly #recordDeparture: (hostId: string, reason: string) => void;
 
   readonly #endIncarnation: (hostId: string, reason: string) => void;
@@ -98,7 +89,7 @@
     this.#evacuations = new EvacuationControlLoop(context, this.#machines);
     this.#recordDeparture = recordDeparture;
     this.#endIncarnation = endIncarnation;
-    this.#startedAtMs = context.clock.getNow();
+    this.#turns = new Turns(context);
   }
 
   /** Requests a round without waiting for the interval to pass. */
@@ -123,9 +114,12 @@
     const { hosts, clock } = this.#context;
     const nowMs = clock.getNow();
     let cpuMillis = 0;
+    let unreportedCpuMillis = 0;
     hosts.forEach((host) => {
-      const isUsable = host.pool === pool && host.canTakeWork(nowMs);
-      cpuMillis += isUsable ? host.getShortTaskCpuMillis() : 0;
+      if (host.pool === pool) {
+        cpuMillis += host.canTakeWork(nowMs) ? host.getShortTaskCpuMillis() : 0;
+        unreportedCpuMillis += host.isAwaited ? host.getShortTaskCpuMillis() : 0;
+      }
     });
     const machines = this.#machines.list();
     const hostCpu = machines[0]?.capacity.cpuMillis ?? 0;
@@ -133,11 +127,11 @@
       (machine) =>
         this.#machines.isSpare(machine) &&
         !this.#machines.isEvacuated(machine) &&
-        machine.state === CloudHostState.Up &&
-        !this.#machines.isPending(machine.machine),
+        this.#machines.isAvailable(machine),
     );
     return {
-      cpuMillis,
+      cpuMillis: cpuMillis + UNREPORTED_SHARE * unreportedCpuMillis,
+      isComplete: unreportedCpuMillis === 0,
       arrivingCpuMillis: this.#machines.countArriving(pool) * hostCpu,
       allocatableCpuMillis: allocatable.length * hostCpu,
       machineCapacities: machines.map(({ capacity }) => capacity),
@@ -147,7 +141,7 @@
   /** Runs rounds of the control loop until the term ends. */
   async run(): Promise<void> {
     const { signal, ownership } = this.#context;
-    await this.#waves.load();
+    await Promise.all([this.#waves.load(), this.#machines.intents.load()]);
     while (!signal.aborted) {
       await this.#wakeSignal.wait(CONTROL_LOOP_INTERVAL_MS, signal);
       if (!signal.aborted && ownership.canAct()) {
@@ -187,17 +181,8 @@
     });
   }
 
-  /**
-   * Returns the time after a takeover for which the owner sends no machine orders, in ms. It is shorter
-   * than the platform's delay because the former owner stopped its orders some time before the takeover.
-   */
-  #getOrderDelayMs(): number {
-    const { bounds } = this.#context;
-    return bounds.machineOrderDelayMs - (MIN_TAKEOVER_MS - MAX_ORDER_LEASE_AGE_MS) + SEND_TIME_MS;
-  }
-
   async #runRound(): Promise<void> {
-    const { clock, term, cloud, ownership, getConfiguration } = this.#context;
+    const { cloud, ownership, getConfiguration } = this.#context;
     if (cloud === null || getConfiguration() === null) {
       return;
     }
@@ -210,12 +195,11 @@
       return;
     }
     this.#endReplacedHosts();
-    const isTooEarly =
-      !term.isHandover && clock.getNow() - this.#startedAtMs < this.#getOrderDelayMs();
     const isTooLate = ownership.getLeaseAgeMs() > MAX_ORDER_LEASE_AGE_MS;
-    if (isTooEarly || isTooLate) {
+    if (!this.#machines.intents.isKnown || isTooLate) {
       return;
     }
+    this.#machines.intents.refresh();
     const waveCordons = await this.#waves.runRound();
     const moveCordons = this.#moveMachines(waveCordons);
     this.#moveEvacuatedMachines(waveCordons);
@@ -305,7 +289,7 @@
     const loads = getPoolLoads(this.#context);
     const nowMs = clock.getNow();
     const machines = this.#machines.list();
-    const headroom = this.#divideHeadroom(this.#machines.countUsable(), nowMs);
+    const headroom = this.#turns.divideHeadroom(this.#machines.countUsable(), nowMs);
     return (getConfiguration()?.pools ?? []).map(({ name, isSpare }) => {
       const present = machines.filter(
         (machine) =>
@@ -317,17 +301,14 @@
       );
       const load = this.#addRefusedDemand(name, loads.get(name), nowMs);
       this.#recordLoad(name, load, present.length);
-      const hostCpu = present[0]?.capacity.cpuMillis ?? machines[0]?.capacity.cpuMillis ?? 0;
-      const sizing = { cpuMillis: hostCpu, minHosts: MIN_HOSTS };
+      const { cpuMillis, memoryMb } = (present[0] ?? machines[0])?.capacity ?? NO_CAPACITY;
+      const sizing = { cpuMillis, memoryMb, minHosts: MIN_HOSTS };
       const demandHosts = load === undefined ? MIN_HOSTS : getDesiredHosts(load, sizing);
       const requiredHosts = load === undefined ? MIN_HOSTS : getRequiredHosts(load, sizing);
       const baseHosts = getBaseHosts(load, sizing);
       const extraHosts = demandHosts - baseHosts;
-      if (extraHosts >= this.#getMinBurstHosts()) {
-        this.#lastBurstAtMs.set(name, nowMs);
-      }
       const demandSample = { pool: name, extraHosts, arrivingJobs: load?.arrivingJobs ?? 0 };
-      const predictedHosts = this.#burstPredictor.record(
+      const predictedHosts = this.#turns.recordDemand(
         demandSample,
         this.#getMinBurstHosts(),
         nowMs,
@@ -363,22 +344,6 @@
     return Math.max(MIN_BURST_HOSTS, Math.ceil(BURST_SHARE * this.#machines.list().length));
   }
 
-  #divideHeadroom(machineCount: number, nowMs: number): ReadonlyMap<string, number> {
-    const pools = this.#context.getConfiguration()?.pools ?? [];
-    const lastBurstAtMs = Math.max(...this.#lastBurstAtMs.values());
-    const hasNoRecentBurst =
-      this.#lastBurstAtMs.size > 0 && nowMs - lastBurstAtMs > BURSTS_ENDED_MS;
-    return divideHeadroom(
-      pools
-        .filter(({ isSpare }) => !isSpare)
-        .map(({ name }) => ({
-          name,
-          idleMs: nowMs - (this.#lastBurstAtMs.get(name) ?? -Infinity),
-        })),
-      hasNoRecentBurst ? 0 : Math.floor(machineCount * HEADROOM_SHARE),
-    );
-  }
-
   /** Logs the capacity and demand of a pool, at most once a second. */
   #recordLoad(pool: string, load: PoolLoad | undefined, upCount: number): void {
     const nowMs = this.#context.clock.getNow();
@@ -422,11 +387,13 @@
   #createMovableMachine(machine: CloudHost, reserved: ReadonlyMap<string, string>): MovableMachine {
     const host = this.#machines.findHost(machine);
     const isReserved = machine.hostId !== null && reserved.has(machine.hostId);
+    const canOrder = this.#machines.intents.canOrder(machine.machine);
     const isIdle = host === null || (host.isIdle && host.listedWorker?.isDraining !== true);
     return {
       machine: machine.machine,
-      isIdle: isIdle && !isReserved,
+      isIdle: isIdle && !isReserved && canOrder,
       canBeDrained:
+        canOrder &&
         host?.isReconciled === true &&
         !isReserved &&
         host.isReachable &&
--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -5,10 +5,12 @@
 import { RunPhase } from '@baobabwell/jobs';
 
 import {
+  HOLD_WAIT_MS,
   HOST_RETRY_MS,
   MAX_HOST_RETRY_MS,
   MAX_START_DELAY_MS,
   RECENT_ANSWER_AGE_MS,
+  THROTTLED_HOLD_WAIT_MS,
 } from './BaobabwellControllerConstants';
 import { HostHistory } from './BaobabwellControllerHostHistory';
 import { IncarnationState } from './BaobabwellControllerIncarnationState';
@@ -132,6 +134,11 @@
     return this.isReconciled && this.runs.size === 0;
   }
 
+  /** True while a listed host has not reported to this owner and has left no call unanswered. */
+  get isAwaited(): boolean {
+    return !this.isReconciled && this.isReachable && this.listedWorker?.isDraining === false;
+  }
+
   get hasClock(): boolean {
     return this.#state.hasClock;
   }
@@ -272,6 +279,17 @@
     return Math.max(0, this.getCapacity().cpuMillis - this.#longRunningCpuMillis);
   }
 
+  /** Returns how long a hold call may wait for the end of a run, in ms. */
+  getHoldWaitMs(): number {
+    const hasOnlyEnds = this.runs.size === 0 && this.state.hasUnacknowledgedEnds();
+    if (hasOnlyEnds || this.unwantedRuns.size > 0 || this.hasUnknownOutcome()) {
+      return 0;
+    }
+    return this.servingCount > 0 && this.bestEffortCount > 0
+      ? THROTTLED_HOLD_WAIT_MS
+      : HOLD_WAIT_MS;
+  }
+
   hasUnknownOutcome(): boolean {
     return (
       this.#countRuns(({ phase }) => phase === RunPhase.Unknown || phase === RunPhase.Stopping) > 0
--- a/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
@@ -16,11 +16,19 @@
 
 import { getRunRemainingMs } from './BaobabwellControllerRunDurations';
 
+/** Retry delay of refusals while hosts have not reported to a new owner, in ms. */
+const INCOMPLETE_RETRY_MS = 1_000;
+
 /** Capacity of a pool, in thousandths of a core. */
 export type PoolCapacity = {
   readonly cpuMillis: number;
   readonly arrivingCpuMillis: number;
   readonly allocatableCpuMillis: number;
+  /**
+   * False while hosts have not reported to this owner yet; they count by their listed capacity, with a
+   * margin.
+   */
+  readonly isComplete: boolean;
   /** Capacity of each machine of the fleet; empty while the list of machines is not loaded. */
   readonly machineCapacities: readonly Resources[];
 };
@@ -141,11 +149,17 @@
       this.#addAdmitted({ record, atMs: nowMs, dueMs }, queue.name, state);
     } else {
       jobRates.removeOffer(record);
-      if (decision.cause !== RefusalCause.TooLarge) {
+      if (decision.cause !== RefusalCause.TooLarge && capacity.isComplete) {
         this.#recordRefusal(record, queue, decision.retryAfterMs, nowMs);
       }
     }
-    return decision;
+    return decision.isWanted || decision.cause === RefusalCause.TooLarge || capacity.isComplete
+      ? decision
+      : {
+          ...decision,
+          reason: 'the owner has just taken over and does not know its hosts yet',
+          retryAfterMs: INCOMPLETE_RETRY_MS,
+        };
   }
 
   /** Lists the latest refusals of a queue, which entries apply to like jobs without an offer. */
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -11,11 +11,9 @@
 import { BestEffortThrottle } from './BaobabwellControllerBestEffortThrottle';
 import {
   END_STORE_TIMEOUT_MS,
-  HOLD_WAIT_MS,
   HOST_RETRY_MS,
   KEEP_ALIVE_MS,
   MAX_CLOCK_DRIFT,
-  THROTTLED_HOLD_WAIT_MS,
 } from './BaobabwellControllerConstants';
 import { HostCrashes } from './BaobabwellControllerHostCrashes';
 import {
@@ -183,7 +181,7 @@
         shouldRenewLease && (!isResync || host.hasAnsweredRecently(sentAtMs))
           ? state.extendLease(sentAtMs)
           : null,
-      waitMs: isResync ? 0 : this.#getWaitMs(),
+      waitMs: isResync ? 0 : host.getHoldWaitMs(),
       signal: this.#createHoldSignal(),
     });
     if (this.#context.signal.aborted || this.#hasEnded) {
@@ -225,17 +223,6 @@
     return abortController.signal;
   }
 
-  #getWaitMs(): number {
-    const { host } = this;
-    const hasOnlyEnds = host.runs.size === 0 && host.state.hasUnacknowledgedEnds();
-    if (hasOnlyEnds || host.unwantedRuns.size > 0 || host.hasUnknownOutcome()) {
-      return 0;
-    }
-    return host.servingCount > 0 && host.bestEffortCount > 0
-      ? THROTTLED_HOLD_WAIT_MS
-      : HOLD_WAIT_MS;
-  }
-
   async #handleHoldFailure(error: OrderError): Promise<void> {
     const { clock, logger, ownership, hostMajority } = this.#context;
     const { host } = this;
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -81,7 +81,7 @@
       runDurations: this.#runDurations,
       jobRates: new JobRates(options),
       evacuations: new Evacuations(),
-      handover: new Handover(),
+      handover: new Handover({ ...options, term, signal: this.#abortController.signal }),
       hostMajority: new HostMajority(options.clock, options.ownership, hosts),
       hostSilences: new HostSilences(),
       waves: new Map(),
@@ -155,6 +155,8 @@
   async run(): Promise<void> {
     const { clock, logger, metrics, term, codec, ownership, signal } = this.context;
     const startedAt = readClocks(clock);
+    // Not awaited: what the former owner learned may come later or not at all.
+    void this.context.handover.load();
     const [hosts, workers, progress, requests, ...jobs] = await this.#tables.readAll([
       { table: HOSTS_TABLE },
       { table: codec.workersTable },
