host-health, controller: hosts that fail or slow down their runs are ejected and probed

Cause: a task remembers only the hosts on which it failed itself; a host that fails all that it starts is always the emptiest and receives most of a burst. Change: a package host-health keeps what runs showed of each host, ejects outliers with a bound per pool, a bad rack or data centre as one finding, and admits hosts again after small probes; the owner observes ends and progress. Conclusion: blame is shared between task and host by where else the step failed.

--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -2,6 +2,7 @@
 import type { Handover } from './BaobabwellControllerHandover';
 import type { Host } from './BaobabwellControllerHost';
 import type { HostMajority } from './BaobabwellControllerHostMajority';
+import type { HostObserver } from './BaobabwellControllerHostObserver';
 import type { HostSilences } from './BaobabwellControllerHostSilences';
 import type { FleetBounds, FleetCodec } from './BaobabwellControllerModel';
 import type { StartGate } from './BaobabwellControllerStartGate';
@@ -44,6 +45,7 @@
   readonly evacuations: Evacuations;
   readonly handover: Handover;
   readonly hostMajority: HostMajority;
+  readonly hostObserver: HostObserver;
   readonly hostSilences: HostSilences;
   /** Waves requested by the operator, by number. */
   readonly waves: Map<number, MaintenanceWave>;
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -2,9 +2,10 @@
 import type { Host } from './BaobabwellControllerHost';
 import type { HostSession } from './BaobabwellControllerSession';
 import type { QueueSettings } from '@baobabwell/fleet';
-import type { Run, Step } from '@baobabwell/jobs';
+import type { Resources, Run, Step } from '@baobabwell/jobs';
 import type { Allowance, Placement, PlacementHost } from '@baobabwell/placement';
 
+import { HostAdmission } from '@baobabwell/host-health';
 import { CrashSuspicion, RunPhase } from '@baobabwell/jobs';
 import { compareUrgency, decidePlacements, getUrgency } from '@baobabwell/placement';
 import { WakeSignal } from '@baobabwell/utils';
@@ -22,6 +23,9 @@
 
 const SECOND_MS = 1_000;
 
+/** Share of the capacity of an ejected host that a probe may use. */
+const PROBE_SHARE = 0.25;
+
 /** A step that can start tasks, with its pool and queue. */
 export type ReadyStep = {
   readonly step: Step;
@@ -44,13 +48,29 @@
   return startClockMs === null || answeredAtMs === null || nowMs - answeredAtMs < START_SURVIVAL_MS;
 }
 
+/** Returns the resources for small work on a host that is tried again; none while a probe runs there. */
+function getProbeResources(host: Host): Resources {
+  const free = host.getFreeResources();
+  const { cpuMillis, memoryMb } = host.getCapacity();
+  const hasProbe = host.runs.size > host.longRunningCount;
+  return {
+    cpuMillis: hasProbe ? 0 : Math.min(free.cpuMillis, cpuMillis * PROBE_SHARE),
+    memoryMb: hasProbe ? 0 : Math.min(free.memoryMb, memoryMb * PROBE_SHARE),
+    gpus: 0,
+  };
+}
+
 /**
  * Creates the description of a host for one round.
  *
  * @param startingAtMs time of the round, in ms, or `null` when no task is a suspect: then the runs that
  * are starting make no difference.
  */
-function createPlacementHost(host: Host, startingAtMs: number | null): PlacementHost {
+function createPlacementHost(
+  host: Host,
+  startingAtMs: number | null,
+  admission: HostAdmission,
+): PlacementHost {
   const startingRuns =
     startingAtMs === null
       ? []
@@ -59,7 +79,8 @@
     id: host.incarnation.id,
     pool: host.pool,
     labels: host.listedWorker?.labels ?? [],
-    freeResources: host.getFreeResources(),
+    freeResources:
+      admission === HostAdmission.Probe ? getProbeResources(host) : host.getFreeResources(),
     servingCount: host.servingCount,
     bestEffortCount: host.bestEffortCount,
     hasLongRunning: host.longRunningCount > 0,
@@ -215,11 +236,14 @@
     pools: ReadonlySet<string>,
   ): ReadonlyMap<string, readonly PlacementHost[]> {
     const byPool = new Map<string, PlacementHost[]>();
+    const { hostObserver } = this.#context;
     const hasSuspects = this.#context.jobRegistry.hasSuspects();
+    pools.forEach((pool) => hostObserver.updatePool(pool));
     this.#context.hosts.forEach((host) => {
-      if (pools.has(host.pool) && host.canTakeWork(nowMs)) {
+      const admission = hostObserver.getAdmission(host.incarnation.id);
+      if (pools.has(host.pool) && admission !== HostAdmission.None && host.canTakeWork(nowMs)) {
         const hosts = byPool.get(host.pool) ?? [];
-        hosts.push(createPlacementHost(host, hasSuspects ? nowMs : null));
+        hosts.push(createPlacementHost(host, hasSuspects ? nowMs : null, admission));
         byPool.set(host.pool, hosts);
       }
     });
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -115,6 +115,7 @@
     this.#context.logger.recordInfo('host-life-ended', { host: this.host.incarnation.id, reason });
     this.#hasEnded = true;
     this.#crashes.recordIncarnationEnd();
+    this.#context.hostObserver.removeHost(this.host.incarnation.id);
     this.#abandonRuns(RunLossGround.IncarnationEnded);
     this.requestHold();
   }
@@ -127,6 +128,7 @@
     const { clock, bounds } = this.#context;
     recordHostRestart(this.#context, this.host, bornMs);
     this.#crashes.recordRestart();
+    this.#context.hostObserver.removeHost(this.host.incarnation.id);
     const nowMs = clock.getNow();
     this.host.recordRestart(bornMs, nowMs + bounds.maxHostLeaseMs / (1 - MAX_CLOCK_DRIFT));
     this.host.history.recordRestart(nowMs);
@@ -144,6 +146,7 @@
     this.#context.logger.recordInfo('host-departed', { host: this.host.incarnation.id, reason });
     this.#recordUnansweredOrder();
     this.#crashes.recordDeparture();
+    this.#context.hostObserver.removeHost(this.host.incarnation.id);
   }
 
   #shouldHold(): boolean {
@@ -313,6 +316,7 @@
       const trackedRun = host.runs.get(`${task}#${run}`) ?? this.#adoptRun(task, run);
       if (trackedRun !== null) {
         trackedRun.recordReport(progressPercent, reading, nowMs);
+        this.#context.hostObserver.recordProgress(host, trackedRun);
         const { task: trackedTask } = trackedRun;
         if (checkpoint !== '') {
           trackedTask.checkpoint = checkpoint;
@@ -349,6 +353,7 @@
     host.removeRun(run);
     const effect = jobRegistry.applyEnd(run, end, checkpoint, clock.getNow());
     metrics.runs.inc({ pool: host.pool, end });
+    this.#context.hostObserver.recordEnd(host, run, end);
     logger.recordInfo('run-ended', { ...describeRun(run), end, effect });
     const { job } = run.task.step;
     if (effect === RunEndEffect.TaskDone || effect === RunEndEffect.JobFailed) {
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -22,6 +22,7 @@
 import { Handover } from './BaobabwellControllerHandover';
 import { Host } from './BaobabwellControllerHost';
 import { HostMajority } from './BaobabwellControllerHostMajority';
+import { HostObserver } from './BaobabwellControllerHostObserver';
 import { HostSilences } from './BaobabwellControllerHostSilences';
 import { JobRows } from './BaobabwellControllerJobRows';
 import { decideOffer } from './BaobabwellControllerOffers';
@@ -60,19 +61,22 @@
     );
     const hosts = new Map<string, Host>();
     const getJobsAgeMs = (): number => this.#tables.getAgeMs(JOBS_TABLE);
+    const durations = new CallerEstimates();
+    const requestDispatch = (): void => this.#dispatcher.request();
     this.context = {
       ...options,
       term,
       jobRegistry,
       hosts,
-      durations: new CallerEstimates(),
+      durations,
       evacuations: new Evacuations(),
       handover: new Handover(),
       hostMajority: new HostMajority(options.clock, options.ownership, hosts),
+      hostObserver: new HostObserver({ ...options, durations, hosts, requestDispatch }),
       hostSilences: new HostSilences(),
       waves: new Map(),
       signal: this.#abortController.signal,
-      requestDispatch: () => this.#dispatcher.request(),
+      requestDispatch,
       requestCommit: () => this.#committer.request(),
       storeProgress: async (job) => this.#committer.storeProgress(job),
       stopRun: (run, reason) => this.#stopRun(run, reason),
--- a/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
@@ -3,6 +3,8 @@
 
 import { Counter, Gauge, Histogram } from 'prom-client';
 
+import { HostHealthMetrics } from './BaobabwellMetricsHostHealth';
+
 const JOB_SECONDS_BUCKETS = [0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60];
 
 /** Metrics of a process during its terms as the owner. */
@@ -27,6 +29,8 @@
 
   readonly crashes: Counter<'pool'>;
 
+  readonly hostHealth: HostHealthMetrics;
+
   readonly waitingJobs: Gauge<'queue'>;
 
   readonly poolHosts: Gauge<'pool' | 'state'>;
@@ -83,6 +87,7 @@
       ['pool', 'ground'],
     );
     this.crashes = this.#createCounter('baobabwell_host_crashes_total', 'Crashed hosts.', ['pool']);
+    this.hostHealth = new HostHealthMetrics(registry);
     this.waitingJobs = this.#createGauge(
       'baobabwell_waiting_jobs',
       'Accepted jobs without a started task, by queue.',
