--- a/packages/baobabwell-controller/src/BaobabwellControllerHostCrashes.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostCrashes.ts
@@ -135,7 +135,7 @@
     const { incarnation, pool } = this.#host;
     const { suspects, isAttributed } = this.#decideBlame({ runs, state }, isConfirmed);
     this.#removePossibleCrashes(runs);
-    metrics.crashes.inc({ pool });
+    metrics.hostHealth.crashes.inc({ pool });
     logger.recordWarning('host-crashed', {
       host: incarnation.id,
       pool,
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -1,5 +1,4 @@
 import type { TermContext, TermOptions } from './BaobabwellControllerContext';
-import type { EvacuationRow } from './BaobabwellControllerEvacuations';
 import type { UnansweredStart } from './BaobabwellControllerHost';
 import type { TablePosition } from './BaobabwellControllerTermTables';
 import type { ListedWorker } from '@baobabwell/fleet';
@@ -18,15 +17,17 @@
 import { Committer } from './BaobabwellControllerCommitter';
 import { HOSTS_TABLE, LEASE_CHECK_INTERVAL_MS } from './BaobabwellControllerConstants';
 import { Dispatcher } from './BaobabwellControllerDispatcher';
-import { EvacuationChange, Evacuations } from './BaobabwellControllerEvacuations';
+import { Evacuations } from './BaobabwellControllerEvacuations';
 import { FleetControlLoop } from './BaobabwellControllerFleetControlLoop';
 import { Handover } from './BaobabwellControllerHandover';
 import { Host, mayBeCarriedOut } from './BaobabwellControllerHost';
 import { HostMajority } from './BaobabwellControllerHostMajority';
+import { HostObserver } from './BaobabwellControllerHostObserver';
 import { HostSilences } from './BaobabwellControllerHostSilences';
 import { JobRates } from './BaobabwellControllerJobRates';
 import { JobRows } from './BaobabwellControllerJobRows';
 import { OfferAdmission } from './BaobabwellControllerOffers';
+import { OperatorRequests } from './BaobabwellControllerOperatorRequests';
 import { PlacementAdviceCache } from './BaobabwellControllerPlacementAdvice';
 import { parseHostRow } from './BaobabwellControllerRows';
 import { RunDurations } from './BaobabwellControllerRunDurations';
@@ -60,6 +61,8 @@
 
   readonly #jobRows: JobRows;
 
+  readonly #operatorRequests: OperatorRequests;
+
   readonly #runDurations: RunDurations;
 
   #isLoaded = false;
@@ -72,6 +75,7 @@
     this.#runDurations = new RunDurations(options);
     const getJobsAgeMs = (): number => this.#tables.getAgeMs(JOBS_TABLE);
     const getRequestsAgeMs = (): number => this.#tables.getAgeMs(options.codec.operatorTable);
+    const requestDispatch = (): void => this.#dispatcher.request();
     this.context = {
       ...options,
       term,
@@ -83,10 +87,16 @@
       evacuations: new Evacuations(),
       handover: new Handover({ ...options, term, signal: this.#abortController.signal }),
       hostMajority: new HostMajority(options.clock, options.ownership, hosts),
+      hostObserver: new HostObserver({
+        ...options,
+        durations: this.#runDurations.estimator,
+        hosts,
+        requestDispatch,
+      }),
       hostSilences: new HostSilences(),
       waves: new Map(),
       signal: this.#abortController.signal,
-      requestDispatch: () => this.#dispatcher.request(),
+      requestDispatch,
       requestCommit: () => this.#committer.request(),
       storeProgress: async (job) => this.#committer.storeProgress(job),
       stopRun: (run, reason) => this.#stopRun(run, reason),
@@ -98,6 +108,9 @@
     this.#runDurations.registerHandover(this.context.handover);
     this.#tables = new TermTables(this.context);
     this.#jobRows = new JobRows(this.context);
+    this.#operatorRequests = new OperatorRequests(this.context, () =>
+      this.#fleetControlLoop.requestRound(),
+    );
     this.#committer = new Committer(this.context, (id) => this.#sessions.get(id)?.requestHold());
     const advice = new PlacementAdviceCache(this.context);
     this.#dispatcher = new Dispatcher(
@@ -173,7 +186,7 @@
     hosts?.rows.forEach((row) => this.#applyHostRow(row));
     restoreStoredStarts(this.context);
     workers?.rows.forEach((row) => this.#applyWorkerRow(row));
-    requests?.rows.forEach((row) => this.#applyOperatorRow(row));
+    requests?.rows.forEach((row) => this.#operatorRequests.apply(row));
     this.#isLoaded = true;
     ownership.recordLoaded(term);
     this.#jobRows.applyCancellations(jobs);
@@ -200,7 +213,7 @@
       this.#watch(codec.workersTable, workers ?? startPosition, (row) => this.#applyWorkerRow(row)),
       this.#watch(HOSTS_TABLE, hosts ?? startPosition, (row) => this.#committer.recordHostRow(row)),
       this.#watch(codec.operatorTable, requests ?? startPosition, (row) =>
-        this.#applyOperatorRow(row),
+        this.#operatorRequests.apply(row),
       ),
     ]);
   }
@@ -232,7 +245,7 @@
     }
     const position = findCommonPosition(pages);
     if (table === this.context.codec.operatorTable && position !== null) {
-      this.#withdrawMissingEvacuations(rows, position.version);
+      this.#operatorRequests.withdrawMissing(rows, position.version);
     }
     return position;
   }
@@ -301,7 +314,7 @@
       this.#fleetControlLoop.requestRound();
     }
     host.updateListing(worker, this.#getNow());
-    this.#updateEvacuated(host);
+    this.#operatorRequests.updateHost(host);
     if (worker.bornMs !== null && host.bornMs !== null && worker.bornMs > host.bornMs) {
       this.#sessions.get(worker.id)?.recordRestart(worker.bornMs);
     }
@@ -315,7 +328,7 @@
     host.bornMs = state.bornMs ?? host.bornMs;
     host.isRegistered = state.isRegistered;
     host.mayBeStored = state.isRegistered;
-    this.#updateEvacuated(host);
+    this.#operatorRequests.updateHost(host);
     const former = hosts.get(host.incarnation.id);
     const unanswered = former?.unansweredStarts ?? this.#unansweredStarts.get(host.incarnation.id);
     this.#unansweredStarts.delete(host.incarnation.id);
@@ -334,57 +347,6 @@
     requestDispatch();
   }
 
-  #applyOperatorRow(row: Row): void {
-    const { key, value, version } = row;
-    const zone = this.context.codec.decodeEvacuatedZone(key);
-    if (zone === null) {
-      this.#applyWaveRow(row);
-    } else {
-      this.#applyEvacuation({ zone, isRequested: value !== null, version });
-    }
-  }
-
-  #applyEvacuation(row: EvacuationRow): void {
-    const { evacuations, hosts, clock, logger, requestDispatch } = this.context;
-    const change = evacuations.apply(row, clock.getNow());
-    if (change === EvacuationChange.None) {
-      return;
-    }
-    const { zone, version } = row;
-    let hostCount = 0;
-    let runCount = 0;
-    hosts.forEach((host) => {
-      this.#updateEvacuated(host);
-      const isConcerned = host.listedWorker?.zone === zone;
-      hostCount += isConcerned ? 1 : 0;
-      runCount += isConcerned ? host.runs.size : 0;
-    });
-    const fields = { zone, version, hosts: hostCount, runs: runCount };
-    if (change === EvacuationChange.Requested) {
-      logger.recordInfo('evacuation-seen', fields);
-    } else {
-      logger.recordInfo('evacuation-withdrawn', fields);
-    }
-    this.#fleetControlLoop.requestRound();
-    requestDispatch();
-  }
-
-  /** Withdraws the evacuations whose rows were removed while the history of their table was missing. */
-  #withdrawMissingEvacuations(rows: readonly Row[], version: number): void {
-    const { codec, evacuations } = this.context;
-    const requested = new Set(rows.map(({ key }) => codec.decodeEvacuatedZone(key)));
-    evacuations
-      .list()
-      .filter(({ zone }) => !requested.has(zone))
-      .forEach(({ zone }) => this.#applyEvacuation({ zone, isRequested: false, version }));
-  }
-
-  #updateEvacuated(changed: Host): void {
-    const host = changed;
-    const zone = host.listedWorker?.zone;
-    host.isEvacuated = zone !== undefined && this.context.evacuations.isEvacuated(zone);
-  }
-
   #recordUnansweredStarts({ incarnation, unansweredStarts }: Host): void {
     const nowMs = this.#getNow();
     this.#unansweredStarts.forEach((starts, id) => {
@@ -397,22 +359,6 @@
     }
   }
 
-  #applyWaveRow({ key, value }: Row): void {
-    const { codec, waves, logger } = this.context;
-    const wave = value === null ? null : codec.decodeWave(key, value);
-    if (wave !== null && !waves.has(wave.number)) {
-      waves.set(wave.number, wave);
-      const { number, machines, durationMs, maxDown } = wave;
-      logger.recordInfo('wave-seen', {
-        wave: number,
-        machines: machines.length,
-        durationMs,
-        maxDown,
-      });
-      this.#fleetControlLoop.requestRound();
-    }
-  }
-
   /**
    * Records that a host was moved or went down. Nothing runs on it any more, so no later owner has to
    * call it.
--- a/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
@@ -4,6 +4,7 @@
 import { Counter, Gauge, Histogram } from 'prom-client';
 
 import { DurationMetrics } from './BaobabwellMetricsDurations';
+import { HostHealthMetrics } from './BaobabwellMetricsHostHealth';
 
 const JOB_SECONDS_BUCKETS = [0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60];
 
@@ -29,7 +30,7 @@
 
   readonly lostRuns: Counter<'pool' | 'ground'>;
 
-  readonly crashes: Counter<'pool'>;
+  readonly hostHealth: HostHealthMetrics;
 
   readonly waitingJobs: Gauge<'queue'>;
 
@@ -89,7 +90,7 @@
       'Runs given up without a reported end, by pool and ground.',
       ['pool', 'ground'],
     );
-    this.crashes = this.#createCounter('baobabwell_host_crashes_total', 'Crashed hosts.', ['pool']);
+    this.hostHealth = new HostHealthMetrics(registry);
     this.waitingJobs = this.#createGauge(
       'baobabwell_waiting_jobs',
       'Accepted jobs without a started task, by queue.',
