controller: the first machine orders of a term wait for no transaction

Change: intents and the list of machines are read beside the load of the term; the row of a term first says that its owner may order any machine, and lists them from 5 s on. A successor within these 5 s delays all its orders, as before. Conclusion: the first orders depend on the load of the term alone.

--- a/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
@@ -87,6 +87,12 @@
     this.#turns = new Turns(context);
   }
 
+  /** Reads what orders depend on, beside the load of the term. */
+  load(): void {
+    void this.#machines.intents.load();
+    void this.#machines.refresh();
+  }
+
   /** Requests a round without waiting for the interval to pass. */
   requestRound(): void {
     this.#wakeSignal.notify();
@@ -133,7 +139,7 @@
   /** Runs rounds of the control loop until the term ends. */
   async run(): Promise<void> {
     const { signal, ownership } = this.#context;
-    await Promise.all([this.#waves.load(), this.#machines.intents.load()]);
+    await this.#waves.load();
     while (!signal.aborted) {
       await this.#wakeSignal.wait(CONTROL_LOOP_INTERVAL_MS, signal);
       if (!signal.aborted && ownership.canAct()) {
--- a/packages/baobabwell-controller/src/BaobabwellControllerOrderIntents.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOrderIntents.ts
@@ -52,6 +52,12 @@
   /** Former owners may have ordered machines that are not listed. */
   #isFormerUnlisted = false;
 
+  /** The stored row says that this owner may have ordered any machine. */
+  #coversAll = false;
+
+  /** The row was written at least once in this term. */
+  #hasStored = false;
+
   #version: number | null = null;
 
   #storing: Promise<void> | null = null;
@@ -63,7 +69,10 @@
     this.#startedAtMs = context.clock.getNow();
   }
 
-  /** Reads the intents of the former owner, and stores that this owner has none yet. */
+  /**
+   * Reads the intents of the former owner, and stores that this owner may order any machine, so that its
+   * first orders wait for no transaction.
+   */
   async load(): Promise<void> {
     const { store, clock, logger, signal, term } = this.#context;
     const retry = new RetryDelay(WATCH_RETRY_MS, MAX_WATCH_RETRY_MS);
@@ -107,6 +116,9 @@
   /** Stores the intent to order a machine; returns false if it is not stored. */
   async announce(machine: string): Promise<boolean> {
     this.#orderedAtMs.set(machine, this.#context.clock.getNow());
+    if (this.#coversAll) {
+      return true;
+    }
     // Machines of one round are stored together.
     await Promise.resolve();
     if (this.#storing !== null) {
@@ -118,14 +130,12 @@
     return this.#stored.has(machine);
   }
 
-  /** Stores the intents again once some of them have expired. */
+  /** Stores the intents again once some of them have expired, or while the row covers all machines. */
   refresh(): void {
     const isDue = this.#context.clock.getNow() - this.#storedAtMs >= INTENTS_REFRESH_MS;
-    if (
-      isDue &&
-      this.#storing === null &&
-      [...this.#stored].some((name) => this.#isExpired(name))
-    ) {
+    const isOutdated =
+      this.#coversAll || [...this.#stored].some((machine) => this.#isExpired(machine));
+    if (isDue && isOutdated && this.#storing === null) {
       void this.#requestStore();
     }
   }
@@ -148,20 +158,25 @@
 
   /** Stores all present intents, together with requests of the same moment. */
   async #requestStore(): Promise<void> {
-    this.#storing ??= this.#store();
+    this.#storing ??= this.#store().finally(() => {
+      this.#storing = null;
+    });
     await this.#storing;
   }
 
   async #store(): Promise<void> {
     const { ownership, term, clock, logger, signal } = this.#context;
     if (this.#version === null || signal.aborted) {
-      this.#storing = null;
       return;
     }
     this.#prune();
     this.#storedAtMs = clock.getNow();
     const machines = [...this.#orderedAtMs.keys()];
-    const isListed = !this.#isFormerUnlisted && machines.length <= MAX_LISTED_INTENTS;
+    const isFirst = !this.#hasStored;
+    const isListed = !isFirst && !this.#isFormerUnlisted && machines.length <= MAX_LISTED_INTENTS;
+    this.#hasStored = true;
+    // Orders that are decided from now on wait for this transaction.
+    this.#coversAll = false;
     const condition = { table: MACHINE_ORDERS_TABLE, key: INTENTS_KEY, version: this.#version };
     const value = { epoch: term.epoch, machines: isListed ? machines : null };
     // The condition keeps a transaction that is carried out late from removing later intents.
@@ -170,10 +185,10 @@
       [condition],
       [{ table: MACHINE_ORDERS_TABLE, key: INTENTS_KEY, value }],
     );
-    this.#storing = null;
     if (reply.ok) {
       this.#version = reply.value;
       this.#stored = new Set(machines);
+      this.#coversAll = isFirst;
       return;
     }
     if (reply.error.kind === TableErrorKind.Conflict) {
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -143,6 +143,7 @@
     const startedAt = readClocks(clock);
     // Not awaited: what the former owner learned may come later or not at all.
     void this.context.handover.load();
+    this.#fleetControlLoop.load();
     const [hosts, workers, progress, waves, ...jobs] = await this.#tables.readAll([
       { table: HOSTS_TABLE },
       { table: codec.workersTable },
