--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -155,7 +155,7 @@
 export const BURST_SHARE = 0.08;
 
 /** Share of all machines kept ready as headroom in idle pools. */
-export const HEADROOM_SHARE = 0.22;
+export const HEADROOM_SHARE = 0.18;
 
 /** Table of the machines of each wave whose maintenance is done. */
 export const WAVES_TABLE = 'waves';
@@ -170,7 +170,7 @@
  * Time for which a pool retains the hosts that it desired, in ms: moving a machine away and back costs
  * about as much as a host for this long.
  */
-export const DESIRED_HOSTS_WINDOW_MS = 1_800;
+export const DESIRED_HOSTS_WINDOW_MS = 1_200;
 
 /**
  * Window over which the peak of a pool's required hosts counts, in ms: about half the duration of a
