controller: read a table whose watches get no answer

Cause: an owner whose renewals are answered and whose watch of the jobs is not starts nothing (its view of cancellations is too old), and nobody takes over from it. Change: after two watches in a row without an answer, while renewals are answered, the table is read once as a whole and the watch goes on from there. A read that is incomplete changes nothing; so far an incomplete one of the hosts, at the end of a term, would have counted all of them as unlisted. TermTables' test now also counts the reads: none while watches are answered.

--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -105,6 +105,12 @@
  */
 export const WATCH_WAIT_MS = 800;
 
+/**
+ * Number of watches in a row without an answer after which their table is read instead: no starts are
+ * allowed by a view of that age.
+ */
+export const MAX_WATCH_FAILURES = 2;
+
 /** Longest time in which an order to start a run reaches its host, in ms. */
 export const START_TRANSIT_MS = 300;
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -191,18 +191,27 @@
   }
 
   async #watch(table: string, from: TablePosition, apply: (row: Row) => void): Promise<void> {
-    await this.#tables.watch(table, from, apply, async (version) =>
-      this.#rereadTable(table, apply, version),
-    );
+    await this.#tables.watch(table, from, apply, {
+      rereadCompacted: async (version) => this.#rereadTable(table, apply, version, Infinity),
+      // A store that answers no renewal answers no read either.
+      rereadUnwatched: async (version) =>
+        this.context.ownership.canAct() ? this.#rereadTable(table, apply, version, 1) : null,
+    });
   }
 
   async #rereadTable(
     table: string,
     apply: (row: Row) => void,
     appliedVersion: number,
+    maxAttempts: number,
   ): Promise<TablePosition | null> {
     const partitions = table === JOBS_TABLE ? listJobPartitions() : [''];
-    const pages = await this.#tables.readAll(partitions.map((part) => ({ table, part })));
+    const ranges = partitions.map((part) => ({ table, part }));
+    const pages = await this.#tables.readAll(ranges, maxAttempts);
+    const position = findCommonPosition(pages);
+    if (position === null) {
+      return null;
+    }
     const rows = pages.flatMap((page) => page?.rows ?? []);
     const applicable =
       table === JOBS_TABLE ? this.#jobRows.filterUnseen(rows, appliedVersion) : rows;
@@ -215,7 +224,7 @@
         }
       });
     }
-    return findCommonPosition(pages);
+    return position;
   }
 
   #applyHostRow(stored: Row): void {
--- a/packages/baobabwell-controller/src/BaobabwellControllerTermTables.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTermTables.ts
@@ -7,6 +7,7 @@
 
 import {
   MAX_CONCURRENT_READS,
+  MAX_WATCH_FAILURES,
   MAX_WATCH_RETRY_MS,
   ROWS_PER_SLICE,
   WATCH_RETRY_MS,
@@ -38,6 +39,14 @@
       };
 }
 
+/** Reads a watched table again; `null` when it was not read as a whole. */
+export type TableRereader = {
+  /** Reads after the history of the table was compacted, until the store answers. */
+  readonly rereadCompacted: (version: number) => Promise<TablePosition | null>;
+  /** Reads once while watches get no answer, if the store answers other calls. */
+  readonly rereadUnwatched: (version: number) => Promise<TablePosition | null>;
+};
+
 /** Reads and watches the store's tables until the term ends. */
 export class TermTables {
   readonly #context: TableContext;
@@ -63,31 +72,38 @@
   /**
    * Reads several ranges, a few at a time: on a slow link, many answers at once would all be late, and
    * each would be requested again from the start.
+   *
+   * @param maxAttempts number of attempts after which a range counts as not read.
    */
-  async readAll(ranges: readonly RowRange[]): Promise<readonly (ReadPage | null)[]> {
+  async readAll(
+    ranges: readonly RowRange[],
+    maxAttempts = Infinity,
+  ): Promise<readonly (ReadPage | null)[]> {
     const pages: (ReadPage | null)[] = [];
     const remaining = ranges.entries();
     const readRemaining = async (): Promise<void> => {
       for (const [index, range] of remaining) {
-        pages[index] = await this.#read(range);
+        pages[index] = await this.#read(range, maxAttempts);
       }
     };
     await Promise.all(Array.from({ length: MAX_CONCURRENT_READS }, readRemaining));
     return pages;
   }
 
-  /** Reads rows until the store answers or the term ends. */
-  async #read(range: RowRange): Promise<ReadPage | null> {
+  /** Reads rows until the store answers, the attempts are used up or the term ends. */
+  async #read(range: RowRange, maxAttempts: number): Promise<ReadPage | null> {
     const { store, clock, signal, logger } = this.#context;
     const retry = new RetryDelay(WATCH_RETRY_MS, MAX_WATCH_RETRY_MS);
-    while (!signal.aborted) {
+    for (let attempt = 1; attempt <= maxAttempts && !signal.aborted; attempt += 1) {
       const requestedAt = readClocks(clock);
       const page = await store.list(range);
       if (page.ok) {
         return { ...page.value, requestedAt };
       }
       logger.recordWarning('store-read-failed', { table: range.table, reason: page.error.kind });
-      await clock.wait(retry.advance(), signal);
+      if (attempt < maxAttempts) {
+        await clock.wait(retry.advance(), signal);
+      }
     }
     return null;
   }
@@ -108,19 +124,26 @@
   /**
    * Watches a table for changes.
    *
-   * @param reread reads the whole table again, after its history was compacted.
+   * @param rereader reads the whole table again where a watch does not show its changes.
    */
   async watch(
     table: string,
     from: TablePosition,
     apply: (row: Row) => void,
-    reread: (version: number) => Promise<TablePosition | null>,
+    rereader: TableRereader,
   ): Promise<void> {
     const { store, clock, signal, logger } = this.#context;
     const retry = new RetryDelay(WATCH_RETRY_MS, MAX_WATCH_RETRY_MS);
     let { version } = from;
     // The first call shows at once what changed while the stored state was read and applied.
     let waitMs = 0;
+    let failureCount = 0;
+    const applyPosition = (position: TablePosition | null): void => {
+      if (position !== null) {
+        version = position.version;
+        this.#currentAt.set(table, position.requestedAt);
+      }
+    };
     this.#currentAt.set(table, from.requestedAt);
     while (!signal.aborted) {
       const requestedAt = readClocks(clock);
@@ -135,15 +158,17 @@
           this.#currentAt.set(table, isTimedOut ? addTime(requestedAt, waitMs) : requestedAt);
         }
         retry.reset();
+        failureCount = 0;
       } else if (page.error.kind === WatchErrorKind.HistoryCompacted) {
         logger.recordWarning('store-history-gone', { table, version });
-        const position = await reread(version);
-        if (position !== null) {
-          version = position.version;
-          this.#currentAt.set(table, position.requestedAt);
-        }
+        applyPosition(await rereader.rereadCompacted(version));
       } else if (!signal.aborted) {
         logger.recordWarning('store-watch-failed', { table, cause: page.error.cause });
+        failureCount += 1;
+        if (failureCount >= MAX_WATCH_FAILURES) {
+          failureCount = 0;
+          applyPosition(await rereader.rereadUnwatched(version));
+        }
         await clock.wait(retry.advance(), signal);
       }
       waitMs = WATCH_WAIT_MS;
--- a/packages/baobabwell-controller/src/__tests__/unit/BaobabwellControllerTermTables.test.ts
+++ b/packages/baobabwell-controller/src/__tests__/unit/BaobabwellControllerTermTables.test.ts
@@ -67,12 +67,14 @@
     const tables = new TermTables({ store, clock: time, signal, logger });
     const requestedAt = readClocks(time);
     await time.advance(5_000);
-    void tables.watch(
-      'hosts',
-      { version: 0, requestedAt },
-      () => undefined,
-      async () => null,
-    );
+    let rereadCount = 0;
+    void tables.watch('hosts', { version: 0, requestedAt }, () => undefined, {
+      rereadCompacted: async () => null,
+      rereadUnwatched: async () => {
+        rereadCount += 1;
+        return null;
+      },
+    });
     expect(tables.getAgeMs('hosts')).toEqual(5_000);
     const ages: number[] = [];
     for (let round = 0; round < 100; round += 1) {
@@ -80,9 +82,11 @@
       ages.push(tables.getAgeMs('hosts'));
     }
     expect(Math.max(...ages) <= 1_100).toEqual(true);
+    expect(rereadCount).toEqual(0);
     store.tableFaults.set('hosts', { ...NO_TABLE_FAULTS, hasSilentWatches: true });
     await time.advance(10_000);
     expect(tables.getAgeMs('hosts') >= 9_000).toEqual(true);
+    expect(rereadCount > 1).toEqual(true);
     store.tableFaults.clear();
     await time.advance(3_000);
     expect(tables.getAgeMs('hosts') <= 1_100).toEqual(true);
