controller, daemon: an owner that alone is cut off starts only by young cancellations

Cause: past its lease an owner starts for 3.5 s what it accepted before, as if the store answered nobody. Where it alone is cut off, others acknowledge cancellations meanwhile: a task started 3.9 s after one. Change: from a lease age of 1 s the owner asks up to eight peers every 250 ms how long ago the store answered them. If it answered one later than the owner's last renewal (and 800 ms), or no peer answers, the credit for the outage ends: starts need a view of cancellations within the platform's bound. Conclusion: open: a process that none of the asked peers stands for may alone reach the store. The procedure between processes has no test of its own.

--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -111,6 +111,21 @@
  */
 export const MAX_WATCH_FAILURES = 2;
 
+/** Lease age from which an owner asks peers whether the store answers them, in ms: it may soon expire. */
+export const MIN_OUTAGE_LEASE_AGE_MS = 1_000;
+
+/** Interval between two requests to peers whether the store answers them, in ms. */
+export const OUTAGE_POLL_INTERVAL_MS = 250;
+
+/** Age up to which a peer's report on the store counts, in ms. */
+export const MAX_PEER_REPORT_AGE_MS = 1_200;
+
+/**
+ * Time by which the store may have answered a peer later than the owner's last renewal although it has
+ * answered nobody since, in ms: two renewals and the transmission of a report.
+ */
+export const OUTAGE_SLACK_MS = 800;
+
 /** Longest time in which an order to start a run reaches its host, in ms. */
 export const START_TRANSIT_MS = 300;
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -5,6 +5,7 @@
 import type { HostSilences } from './BaobabwellControllerHostSilences';
 import type { FleetBounds, FleetCodec } from './BaobabwellControllerModel';
 import type { StartGate } from './BaobabwellControllerStartGate';
+import type { PeerReports } from './BaobabwellControllerStoreOutage';
 import type { DurationEstimator } from '@baobabwell/durations';
 import type { FleetConfiguration, MaintenanceWave } from '@baobabwell/fleet';
 import type { Job, JobRegistry, Run } from '@baobabwell/jobs';
@@ -32,6 +33,7 @@
   readonly cloud: CloudControl | null;
   readonly advisor: PlacementAdvisor | null;
   readonly ownership: Ownership;
+  readonly peerReports: PeerReports;
   readonly getConfiguration: () => FleetConfiguration | null;
 };
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerStartGate.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerStartGate.ts
@@ -1,4 +1,5 @@
 import type { FleetBounds } from './BaobabwellControllerModel';
+import type { StoreOutage } from './BaobabwellControllerStoreOutage';
 import type { Logger } from '@baobabwell/logging';
 import type { Ownership } from '@baobabwell/ownership';
 
@@ -9,6 +10,7 @@
   readonly bounds: FleetBounds;
   readonly logger: Logger;
   readonly getJobsAgeMs: () => number;
+  readonly storeOutage: StoreOutage;
 };
 
 /** Decides whether runs may start now, by the owner's lease and by the age of what it knows of jobs. */
@@ -36,10 +38,11 @@
   }
 
   #isOutdated(): boolean {
-    const { bounds, ownership, getJobsAgeMs } = this.#context;
+    const { bounds, ownership, getJobsAgeMs, storeOutage } = this.#context;
     // A store that answers nobody acknowledges no cancellation: past the lease, what was known at the last
-    // renewal counts.
-    const sinceRenewalMs = ownership.canAct() ? 0 : ownership.getLeaseAgeMs();
+    // renewal counts. While it answers a peer, only what is known now counts.
+    const sinceRenewalMs =
+      !ownership.canAct() && storeOutage.isCommon() ? ownership.getLeaseAgeMs() : 0;
     return getJobsAgeMs() - sinceRenewalMs > bounds.cancellationMs - START_TRANSIT_MS;
   }
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -31,6 +31,7 @@
 import { HostSession } from './BaobabwellControllerSession';
 import { StartGate } from './BaobabwellControllerStartGate';
 import { restoreStoredStarts } from './BaobabwellControllerStoredStarts';
+import { StoreOutage } from './BaobabwellControllerStoreOutage';
 import { findCommonPosition, TermTables } from './BaobabwellControllerTermTables';
 
 const SECOND_MS = 1_000;
@@ -56,6 +57,8 @@
 
   readonly #jobRows: JobRows;
 
+  readonly #storeOutage: StoreOutage;
+
   #isLoaded = false;
 
   constructor(options: TermOptions, term: Term) {
@@ -63,6 +66,8 @@
       (name) => options.getConfiguration()?.queues.find((queue) => queue.name === name) ?? null,
     );
     const hosts = new Map<string, Host>();
+    const { signal } = this.#abortController;
+    this.#storeOutage = new StoreOutage({ ...options, signal });
     const getJobsAgeMs = (): number => this.#tables.getAgeMs(JOBS_TABLE);
     this.context = {
       ...options,
@@ -75,13 +80,13 @@
       hostMajority: new HostMajority(options.clock, options.ownership, hosts),
       hostSilences: new HostSilences(),
       waves: new Map(),
-      signal: this.#abortController.signal,
+      signal,
       requestDispatch: () => this.#dispatcher.request(),
       requestCommit: () => this.#committer.request(),
       storeProgress: async (job) => this.#committer.storeProgress(job),
       stopRun: (run, reason) => this.#stopRun(run, reason),
       getJobsAgeMs,
-      startGate: new StartGate({ ...options, getJobsAgeMs }),
+      startGate: new StartGate({ ...options, getJobsAgeMs, storeOutage: this.#storeOutage }),
       getWorkersAgeMs: () => this.#tables.getAgeMs(options.codec.workersTable),
     };
     this.#tables = new TermTables(this.context);
@@ -181,6 +186,7 @@
       this.#fleetControlLoop.run(),
       this.#jobRows.runPruning(),
       this.#watchLease(),
+      this.#storeOutage.run(),
       this.#watch(JOBS_TABLE, findCommonPosition(jobs) ?? startPosition, (row) =>
         this.#jobRows.apply(row),
       ),
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
@@ -8,6 +8,7 @@
 
 import { ConfigurationWatcher } from './BaobabwellDaemonConfiguration';
 import { MemberDirectory } from './BaobabwellDaemonMembers';
+import { MemberReports } from './BaobabwellDaemonPeerReports';
 import { buildDaemonRouter, PeerClients, PeerOwnerClient } from './BaobabwellDaemonPeers';
 import { readPeerSecret } from './BaobabwellDaemonSecret';
 import {
@@ -71,6 +72,7 @@
     cloud,
     advisor,
     ownership: kernel.getService(OWNERSHIP),
+    peerReports: new MemberReports(kernel.getService(MEMBERS), kernel.getService(PEERS)),
     getConfiguration: () => kernel.getService(CONFIGURATION).getConfiguration(),
   });
 }
@@ -154,6 +156,7 @@
       owner: controller,
       store,
       getConfiguration: () => configuration.getConfiguration(),
+      getStoreAnswerAgeMs: () => ownership.getStoreAnswerAgeMs(),
     });
     const server: FastifyInstance = await buildPeerServer(router, secret);
     kernel.lifecycle.add('peer server', async () => server.close());
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonPeers.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonPeers.ts
@@ -30,8 +30,9 @@
   readonly owner: OwnerClient;
   readonly store: WatchableTableService;
   readonly getConfiguration: () => FleetConfiguration | null;
+  readonly getStoreAnswerAgeMs: () => number;
 }) {
-  const { owner, store, getConfiguration } = options;
+  const { owner, store, getConfiguration, getStoreAnswerAgeMs } = options;
   return createPeerRouter({
     offer: peerProcedure
       .input(z.custom<JobRecord>(isObject))
@@ -49,6 +50,11 @@
       .input(z.custom<RowRange>(isObject))
       .query(async ({ input }): Promise<Result<ChangePage, TableError>> => store.list(input)),
     getConfiguration: peerProcedure.query((): FleetConfiguration | null => getConfiguration()),
+    // `null` when the store never answered.
+    getStoreAnswerAgeMs: peerProcedure.query((): number | null => {
+      const ageMs = getStoreAnswerAgeMs();
+      return Number.isFinite(ageMs) ? ageMs : null;
+    }),
   });
 }
 
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -1,4 +1,5 @@
 import type { HostFaults } from './BaobabwellJobEmulatorOrders';
+import type { EmulatedPeer } from './BaobabwellJobEmulatorPeers';
 import type { TableFaults } from './BaobabwellJobEmulatorStore';
 import type { TermContext } from '@baobabwell/controller';
 import type { ListedWorker, MaintenanceWave } from '@baobabwell/fleet';
@@ -35,6 +36,7 @@
 } from './BaobabwellJobEmulatorHost';
 import { JobOracle } from './BaobabwellJobEmulatorOracle';
 import { EmulatedHostOrders } from './BaobabwellJobEmulatorOrders';
+import { EmulatedPeerReports } from './BaobabwellJobEmulatorPeers';
 import {
   EmulatedJobStore,
   EmulatedRows,
@@ -105,6 +107,9 @@
   /** Tasks that crash each host that starts them. */
   readonly crashingTasks = new Set<string>();
 
+  /** Processes that do not reach their peers. */
+  readonly processesWithoutPeers = new Set<string>();
+
   /** How a host comes back after a task crashed it. */
   crashRecovery = CrashRecovery.SameId;
 
@@ -216,6 +221,7 @@
       cloud: this.#cloud,
       advisor: null,
       ownership,
+      peerReports: new EmulatedPeerReports(clock, () => this.#listPeers(name)),
       getConfiguration: () => CONFIGURATION,
     });
     this.#daemons.set(name, { name, clock, ownership, controller, store });
@@ -409,6 +415,18 @@
     });
   }
 
+  #listPeers(name: string): readonly EmulatedPeer[] {
+    return [...this.#daemons.values()]
+      .filter((daemon) => daemon.name !== name)
+      .map(({ clock, ownership, name: peer }) => ({
+        ownership,
+        isAnswering: () =>
+          !clock.isDead() &&
+          !clock.isPaused() &&
+          ![name, peer].some((process) => this.processesWithoutPeers.has(process)),
+      }));
+  }
+
   #createRecord(steps: readonly Partial<StepSpec>[], repeat: RepeatSpec | null): JobRecord {
     this.#jobCount += 1;
     return {
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorOutdatedViews.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorOutdatedViews.test.ts
@@ -93,6 +93,36 @@
     expect(fleet.oracle.violations).toEqual([]);
   });
 
+  it('starts no task of a cancelled job while the owner reaches neither the store nor its peers', async () => {
+    await start(1);
+    fleet.startDaemon('b');
+    setFaults('b', JOBS_TABLE, { listAnswerMs: 1_300 });
+    fleet.submit([{ ...WIDE, estimateMs: 5_000 }]);
+    await fleet.time.advance(200);
+    const waiting = fleet.submit([WIDE]);
+    await fleet.time.advance(800);
+    fleet.partitionDaemon('a', true);
+    fleet.processesWithoutPeers.add('a');
+    await fleet.time.advance(100);
+    fleet.cancel(waiting);
+    await fleet.time.advance(6_000);
+    expect(listLogLines('start-ordered', waiting)).toEqual([]);
+    expect(fleet.oracle.violations).toEqual([]);
+  });
+
+  it('starts accepted tasks while the store answers nobody', async () => {
+    await start(1);
+    fleet.startDaemon('b');
+    fleet.submit([{ ...WIDE, estimateMs: 5_000 }]);
+    await fleet.time.advance(200);
+    const waiting = fleet.submit([WIDE]);
+    await fleet.time.advance(800);
+    fleet.rows.faults = { ...NO_STORE_FAULTS, isDown: true };
+    await fleet.time.advance(4_200);
+    expect(listLogLines('start-ordered', waiting).length).toEqual(1);
+    expect(fleet.oracle.violations).toEqual([]);
+  });
+
   [
     { moment: 'before', startCount: 0 },
     { moment: 'after', startCount: 1 },
--- a/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
@@ -108,6 +108,9 @@
    */
   #renewalSeenAtMs = 0;
 
+  /** Monotonic time of the store's last answer to the watch of the owner's rows, in ms. */
+  #storeAnsweredAtMs = -Infinity;
+
   /** True while the store took no write of this daemon's last takeover and has shown no other since. */
   #wasRefused = false;
 
@@ -176,6 +179,11 @@
     return getElapsedMs(this.#clock, this.#confirmedRenewalSentAt);
   }
 
+  /** Returns the time since the store last answered this daemon's watch of the owner's rows, in ms. */
+  getStoreAnswerAgeMs(): number {
+    return this.#clock.getNow() - this.#storeAnsweredAtMs;
+  }
+
   /** Watches the owner's rows and takes over if there is no owner, until {@link stop} is called. */
   async run(): Promise<void> {
     const { signal } = this.#stopped;
@@ -188,6 +196,7 @@
         await this.#clock.wait(retry.advance(), signal);
       } else {
         retry.reset();
+        this.#storeAnsweredAtMs = this.#clock.getNow();
         if (this.#term === null && this.#isVacant()) {
           await this.#acquire();
         }
