--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -8,6 +8,7 @@
 import type { FleetBounds, FleetCodec } from './BaobabwellControllerModel';
 import type { RunDurations } from './BaobabwellControllerRunDurations';
 import type { StartGate } from './BaobabwellControllerStartGate';
+import type { PeerReports } from './BaobabwellControllerStoreOutage';
 import type { DurationEstimator } from '@baobabwell/durations';
 import type { FleetConfiguration, MaintenanceWave } from '@baobabwell/fleet';
 import type { Job, JobRegistry, Run } from '@baobabwell/jobs';
@@ -35,6 +36,7 @@
   readonly cloud: CloudControl | null;
   readonly advisor: PlacementAdvisor | null;
   readonly ownership: Ownership;
+  readonly peerReports: PeerReports;
   readonly getConfiguration: () => FleetConfiguration | null;
 };
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerStartGate.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerStartGate.ts
@@ -1,4 +1,5 @@
 import type { FleetBounds } from './BaobabwellControllerModel';
+import type { StoreOutage } from './BaobabwellControllerStoreOutage';
 import type { Logger } from '@baobabwell/logging';
 import type { Ownership } from '@baobabwell/ownership';
 
@@ -12,6 +13,7 @@
   readonly getJobsAgeMs: () => number;
   /** Returns the time in ms since the operator's requests were known to be applied. */
   readonly getRequestsAgeMs: () => number;
+  readonly storeOutage: StoreOutage;
 };
 
 /** Decides whether runs may start now, by the owner's lease and by the age of what it knows. */
@@ -39,10 +41,11 @@
   }
 
   #isOutdated(): boolean {
-    const { bounds, ownership, getJobsAgeMs, getRequestsAgeMs } = this.#context;
+    const { bounds, ownership, getJobsAgeMs, getRequestsAgeMs, storeOutage } = this.#context;
     // A store that answers nobody acknowledges no cancellation: past the lease, what was known at the last
-    // renewal counts.
-    const sinceRenewalMs = ownership.canAct() ? 0 : ownership.getLeaseAgeMs();
+    // renewal counts. While it answers a peer, only what is known now counts.
+    const sinceRenewalMs =
+      !ownership.canAct() && storeOutage.isCommon() ? ownership.getLeaseAgeMs() : 0;
     const { cancellationMs, evacuationMs } = bounds;
     return (
       getJobsAgeMs() - sinceRenewalMs > cancellationMs - START_TRANSIT_MS ||
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -34,6 +34,7 @@
 import { HostSession } from './BaobabwellControllerSession';
 import { StartGate } from './BaobabwellControllerStartGate';
 import { restoreStoredStarts } from './BaobabwellControllerStoredStarts';
+import { StoreOutage } from './BaobabwellControllerStoreOutage';
 import { findCommonPosition, TermTables } from './BaobabwellControllerTermTables';
 
 const SECOND_MS = 1_000;
@@ -65,6 +66,8 @@
 
   readonly #runDurations: RunDurations;
 
+  readonly #storeOutage: StoreOutage;
+
   #isLoaded = false;
 
   constructor(options: TermOptions, term: Term) {
@@ -73,6 +76,8 @@
     );
     const hosts = new Map<string, Host>();
     this.#runDurations = new RunDurations(options);
+    const { signal } = this.#abortController;
+    this.#storeOutage = new StoreOutage({ ...options, signal });
     const getJobsAgeMs = (): number => this.#tables.getAgeMs(JOBS_TABLE);
     const getRequestsAgeMs = (): number => this.#tables.getAgeMs(options.codec.operatorTable);
     const requestDispatch = (): void => this.#dispatcher.request();
@@ -95,14 +100,19 @@
       }),
       hostSilences: new HostSilences(),
       waves: new Map(),
-      signal: this.#abortController.signal,
+      signal,
       requestDispatch,
       requestCommit: () => this.#committer.request(),
       storeProgress: async (job) => this.#committer.storeProgress(job),
       stopRun: (run, reason) => this.#stopRun(run, reason),
       getJobsAgeMs,
       getRequestsAgeMs,
-      startGate: new StartGate({ ...options, getJobsAgeMs, getRequestsAgeMs }),
+      startGate: new StartGate({
+        ...options,
+        getJobsAgeMs,
+        getRequestsAgeMs,
+        storeOutage: this.#storeOutage,
+      }),
       getWorkersAgeMs: () => this.#tables.getAgeMs(options.codec.workersTable),
     };
     this.#runDurations.registerHandover(this.context.handover);
@@ -208,6 +218,7 @@
       this.#runDurations.run(signal),
       this.#jobRows.runPruning(),
       this.#watchLease(),
+      this.#storeOutage.run(),
       this.#watch(JOBS_TABLE, findCommonPosition(jobs) ?? startPosition, (row) =>
         this.#jobRows.apply(row),
       ),
@@ -220,18 +231,27 @@
   }
 
   async #watch(table: string, from: TablePosition, apply: (row: Row) => void): Promise<void> {
-    await this.#tables.watch(table, from, apply, async (version) =>
-      this.#rereadTable(table, apply, version),
-    );
+    await this.#tables.watch(table, from, apply, {
+      rereadCompacted: async (version) => this.#rereadTable(table, apply, version, Infinity),
+      // A store that answers no renewal answers no read either.
+      rereadUnwatched: async (version) =>
+        this.context.ownership.canAct() ? this.#rereadTable(table, apply, version, 1) : null,
+    });
   }
 
   async #rereadTable(
     table: string,
     apply: (row: Row) => void,
     appliedVersion: number,
+    maxAttempts: number,
   ): Promise<TablePosition | null> {
     const partitions = table === JOBS_TABLE ? listJobPartitions() : [''];
-    const pages = await this.#tables.readAll(partitions.map((part) => ({ table, part })));
+    const ranges = partitions.map((part) => ({ table, part }));
+    const pages = await this.#tables.readAll(ranges, maxAttempts);
+    const position = findCommonPosition(pages);
+    if (position === null) {
+      return null;
+    }
     const rows = pages.flatMap((page) => page?.rows ?? []);
     const applicable =
       table === JOBS_TABLE ? this.#jobRows.filterUnseen(rows, appliedVersion) : rows;
@@ -244,8 +264,7 @@
         }
       });
     }
-    const position = findCommonPosition(pages);
-    if (table === this.context.codec.operatorTable && position !== null) {
+    if (table === this.context.codec.operatorTable) {
       this.#operatorRequests.withdrawMissing(rows, position.version);
     }
     return position;
--- a/packages/baobabwell-controller/src/index.ts
+++ b/packages/baobabwell-controller/src/index.ts
@@ -3,3 +3,4 @@
 
 export { Controller } from './BaobabwellController';
 export { MACHINE_ORDERS_TABLE } from './BaobabwellControllerConstants';
+export { PeerReports } from './BaobabwellControllerStoreOutage';
