controller, placement: copies of stragglers of speculative steps

Cause: a few tasks in a hundred take several times as long as the others and keep their jobs waiting; isSpeculative was decoded and never read. Change: decideCopies copies such a run on another host and rack where nothing waits in its pool, one copy a task, within 5% of the pool's CPU, within caps and limits per host, not for suspects nor at the last attempt, and only while copies of the queue win. A successor adopts both runs. The emulated hosts report progress. The oracle allows a second run of a step that may be copied, and a start up to 1 s after an acknowledged completion there (RULES TWICE); all else is as strict. Measured: job-emulator, daemon, placement, durations, controller, jobs: 207 passed, the 6 known red fail as before. Conclusion: a copy is decided by what is left of the run, by its progress where projections proved right.

--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -1,3 +1,4 @@
+import type { Copies } from './BaobabwellControllerCopies';
 import type { Evacuations } from './BaobabwellControllerEvacuations';
 import type { Handover } from './BaobabwellControllerHandover';
 import type { Host } from './BaobabwellControllerHost';
@@ -46,6 +47,7 @@
   readonly durations: DurationEstimator;
   readonly runDurations: RunDurations;
   readonly jobRates: JobRates;
+  readonly copies: Copies;
   readonly evacuations: Evacuations;
   readonly handover: Handover;
   readonly hostMajority: HostMajority;
--- a/packages/baobabwell-controller/src/BaobabwellControllerRunDurations.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerRunDurations.ts
@@ -145,9 +145,10 @@
 
   /** Finds the duration of a run by the clock of its host, otherwise by that of this owner. */
   #findDurationMs(host: Host, run: Run): number | null {
-    const { isStartKnown, startClockMs, startSentAtMs, cpuLimitPercent, hostBornMs } = run;
+    const { isStartKnown, startClockMs, startSentAtMs, hostBornMs } = run;
+    const isSlowed = run.isOnColdHost || run.cpuLimitPercent < FULL_PERCENT;
     const isSameIncarnation = hostBornMs === null || hostBornMs === host.bornMs;
-    if (!isStartKnown || cpuLimitPercent < FULL_PERCENT || !isSameIncarnation) {
+    if (!isStartKnown || isSlowed || !isSameIncarnation) {
       return null;
     }
     return startClockMs === null
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -350,6 +350,7 @@
     this.#context.hostObserver.recordEnd(host, run, end);
     logger.recordInfo('run-ended', { ...describeRun(run), end, effect });
     const { job } = run.task.step;
+    this.#context.copies.recordEnd(run, effect);
     if (effect === RunEndEffect.TaskDone || effect === RunEndEffect.JobFailed) {
       [...run.task.runs].forEach((copy) => this.#context.stopRun(copy, 'another copy ended'));
     }
@@ -387,7 +388,8 @@
     const canAdopt =
       task !== null &&
       !host.isReconciled &&
-      task.phase === TaskPhase.Waiting &&
+      (task.phase === TaskPhase.Waiting ||
+        (task.phase === TaskPhase.Placed && task.step.spec.isSpeculative)) &&
       !task.step.job.isEnded &&
       !task.step.isDone();
     logger.recordInfo(canAdopt ? 'run-adopted' : 'run-unwanted', {
@@ -406,6 +408,8 @@
     run.answeredAtMs = host.trackedSinceMs;
     run.startClockMs = host.state.lastClockMs;
     host.addRun(run);
+    run.isCopy = canAdopt && task.runs.size > 1;
+    this.#context.copies.recordRun(run);
     if (canAdopt) {
       task.step.job.hasStarted = true;
     } else {
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -16,6 +16,7 @@
 
 import { Committer } from './BaobabwellControllerCommitter';
 import { HOSTS_TABLE, LEASE_CHECK_INTERVAL_MS } from './BaobabwellControllerConstants';
+import { Copies } from './BaobabwellControllerCopies';
 import { Dispatcher } from './BaobabwellControllerDispatcher';
 import { Evacuations } from './BaobabwellControllerEvacuations';
 import { FleetControlLoop } from './BaobabwellControllerFleetControlLoop';
@@ -84,6 +85,7 @@
       durations: this.#runDurations.estimator,
       runDurations: this.#runDurations,
       jobRates: new JobRates(options),
+      copies: new Copies({ ...options, hosts, durations: this.#runDurations.estimator }),
       evacuations: new Evacuations(),
       handover: new Handover({ ...options, term, signal: this.#abortController.signal }),
       hostMajority: new HostMajority(options.clock, options.ownership, hosts),
--- a/packages/baobabwell-durations/src/BaobabwellDurationsLearned.ts
+++ b/packages/baobabwell-durations/src/BaobabwellDurationsLearned.ts
@@ -23,6 +23,9 @@
 /** Steps with observed projections from which these are trusted. */
 const MIN_PROGRESS_WEIGHT = 3;
 
+/** Mean |log ratio| of projections up to which these are trusted even if predictions are better. */
+const MAX_PROGRESS_ERROR = 0.1;
+
 /** Smallest variance of tasks of one step, so that a few equal ones do not decide alone. */
 const MIN_WITHIN_VARIANCE = 0.01;
 
@@ -227,10 +230,8 @@
   }
 
   #isProgressTrusted({ progressError, learnedError }: QueueModel): boolean {
-    return (
-      progressError.weight >= MIN_PROGRESS_WEIGHT &&
-      progressError.get(0, 0) < learnedError.get(0, 0)
-    );
+    const maxError = Math.max(MAX_PROGRESS_ERROR, learnedError.get(0, 0));
+    return progressError.weight >= MIN_PROGRESS_WEIGHT && progressError.get(0, 0) < maxError;
   }
 
   #getPrediction(model: QueueModel, step: StepSpec): CachedPrediction {
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
@@ -50,6 +50,8 @@
   readonly run: number;
   readonly cancel: CancelTimer;
   readonly startedAtMs: number;
+  /** Duration of the whole run, in ms; `null` for a long running task. */
+  readonly durationMs: number | null;
   isStopping: boolean;
 };
 
@@ -243,6 +245,7 @@
       run: order.run,
       cancel,
       startedAtMs: this.#clock.getNow(),
+      durationMs: step?.isLasting === true ? null : durationMs,
       isStopping: false,
     });
     if (this.shouldCrashOnTask(order.task)) {
@@ -289,17 +292,25 @@
       ended: this.#ended.slice(0, MAX_REPORTED_ENDS),
       isPartial: this.#ended.length >= MAX_REPORTED_ENDS,
       active: (this.shouldHideRuns ? [] : [...this.#runs.values()]).map(
-        ({ task, run, startedAtMs }) => ({
+        ({ task, run, startedAtMs, durationMs }) => ({
           task,
           run,
           checkpoint: '',
-          progressPercent: this.#clock.getNow() - startedAtMs >= STARTUP_MS ? FULL_PERCENT : 0,
+          progressPercent: this.#getProgressPercent(startedAtMs, durationMs),
           reading: null,
         }),
       ),
     });
   }
 
+  #getProgressPercent(startedAtMs: number, durationMs: number | null): number {
+    const elapsedMs = this.#clock.getNow() - startedAtMs;
+    if (durationMs === null) {
+      return elapsedMs >= STARTUP_MS ? FULL_PERCENT : 0;
+    }
+    return Math.min(FULL_PERCENT, Math.floor((FULL_PERCENT * elapsedMs) / Math.max(1, durationMs)));
+  }
+
   #forgetEnds(acknowledgedPosition: number): void {
     this.#acknowledgedPosition = Math.max(this.#acknowledgedPosition, acknowledgedPosition);
     const position = this.shouldKeepAcknowledgedPosition
@@ -310,6 +321,9 @@
       .forEach(({ task, end }) =>
         this.#oracle.recordUnseenEnd(task, this.id, end, this.#clock.getNow()),
       );
+    this.#ended
+      .filter(({ end, position: own }) => end === RunEnd.Done && own <= position)
+      .forEach(({ task }) => this.#oracle.recordSeenEnd(task, this.#clock.getNow()));
     this.#ended = this.#ended.filter((end) => end.position > position);
   }
 
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOracle.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOracle.ts
@@ -7,7 +7,10 @@
 
 /** Invariants that the oracle checks against the starts and ends on the hosts. */
 export enum JobInvariant {
-  /** No task has two concurrent runs, nor a run after an acknowledged completion. */
+  /**
+   * No task has two concurrent runs, nor a run after an acknowledged completion; a task that may be copied
+   * has at most two, and no run some time after the acknowledgement.
+   */
   RunsOnce = 'runs-once',
   /** A task starts only after all steps that its own step depends on are done. */
   KeepsStepOrder = 'keeps-order',
@@ -65,6 +68,8 @@
 type TaskTrace = {
   readonly running: Set<string>;
   isDone: boolean;
+  /** Time of the first acknowledged completion, in ms; `null` before. */
+  doneSeenAtMs: number | null;
   /** True when a run completed, even if its host was lost before the end was acknowledged. */
   hasEverCompleted: boolean;
   failures: number;
@@ -73,6 +78,9 @@
   startsAfterCrashes: number;
 };
 
+/** Time after an acknowledged completion from which a task that may be copied starts no more, in ms. */
+const COPY_START_MS = 1_000;
+
 /** Number of crashed hosts after which a task starts at most {@link MAX_STARTS_AFTER_CRASHES} times. */
 const MAX_CRASHES = 3;
 
@@ -127,7 +135,11 @@
       return;
     }
     const trace = this.#getTrace(task);
-    if (trace.running.size > 0 || trace.isDone) {
+    const isRepeated = step.isSpeculative
+      ? trace.running.size > 1 ||
+        (!conditions.isLate && atMs - (trace.doneSeenAtMs ?? Infinity) > COPY_START_MS)
+      : trace.running.size > 0 || trace.isDone;
+    if (isRepeated) {
       this.#addViolation(
         JobInvariant.RunsOnce,
         task,
@@ -211,6 +223,11 @@
     this.#addViolation(JobInvariant.AcknowledgesSeenEnds, task, atMs, `${end} on ${host}`);
   }
 
+  /** Records that an owner acknowledged a completion. */
+  recordSeenEnd(task: string, atMs: number): void {
+    this.#getTrace(task).doneSeenAtMs ??= atMs;
+  }
+
   /** Records that an unacknowledged completion was lost, so that the task may run again. */
   recordLostEnd(task: string): void {
     this.#getTrace(task).isDone = false;
@@ -252,6 +269,7 @@
     const trace: TaskTrace = {
       running: new Set(),
       isDone: false,
+      doneSeenAtMs: null,
       hasEverCompleted: false,
       failures: 0,
       crashes: 0,
--- a/packages/baobabwell-jobs/src/BaobabwellJobsTracking.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsTracking.ts
@@ -54,6 +54,12 @@
   /** False for a run that a former owner started, at a time that this owner does not know. */
   isStartKnown = true;
 
+  /** True for a run whose host was cold, and therefore slow, when it was placed there. */
+  isOnColdHost = false;
+
+  /** True for a run that was started beside another run of its task. */
+  isCopy = false;
+
   /** True for a run that resumes from a checkpoint. */
   readonly isResumed: boolean;
 
--- a/packages/baobabwell-placement/src/index.ts
+++ b/packages/baobabwell-placement/src/index.ts
@@ -1,4 +1,5 @@
 export type { AdmissionDecision, AdmissionSnapshot } from './BaobabwellPlacementAdmission';
+export type { CopyCandidate, CopyPool, CopySnapshot } from './BaobabwellPlacementCopies';
 export type {
   Allowance,
   AllowedHosts,
@@ -12,6 +13,7 @@
 
 export { decidePlacements } from './BaobabwellPlacement';
 export { decideAdmission, RefusalCause } from './BaobabwellPlacementAdmission';
+export { decideCopies } from './BaobabwellPlacementCopies';
 export {
   getCpuWork,
   getCriticalPathMs,
