--- a/packages/baobabwell-controller/src/BaobabwellControllerCopies.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCopies.ts
@@ -1,4 +1,5 @@
 import type { TermContext } from './BaobabwellControllerContext';
+import type { Host } from './BaobabwellControllerHost';
 import type { Run, Task } from '@baobabwell/jobs';
 import type { CopyCandidate } from '@baobabwell/placement';
 
@@ -15,6 +16,13 @@
 const ASSUMED_COPIES = 2;
 const ASSUMED_WON = 1;
 
+/** Returns true if a run of a former owner is to go on; a task that may be copied keeps all its runs. */
+export function canAdoptRun({ isReconciled }: Host, { phase, step }: Task): boolean {
+  const isWanted =
+    phase === TaskPhase.Waiting || (phase === TaskPhase.Placed && step.spec.isSpeculative);
+  return isWanted && !isReconciled && !step.job.isEnded && !step.isDone();
+}
+
 type CopiesContext = Pick<TermContext, 'durations' | 'logger' | 'metrics' | 'hosts'>;
 
 /** Tracks the running tasks that may be copied, and how the copies of each queue ended. */
@@ -30,16 +38,17 @@
   }
 
   /** Records that a run was started or adopted. */
-  recordRun({ task }: Run): void {
+  recordRun(run: Run): void {
+    const { task } = run;
     if (task.step.spec.isSpeculative) {
+      const started = run;
+      started.isCopy = task.runs.size > 1;
       this.#tasks.add(task);
     }
   }
 
   /** Records that a run was started beside another one. */
   recordCopy(copy: Run, { remainingMs, freshMs }: CopyCandidate): void {
-    const copied = copy;
-    copied.isCopy = true;
     const { logger, metrics } = this.#context;
     const { queue } = copy.task.step.job.record;
     metrics.durations.copies.inc({ queue, event: CopyEvent.Started });
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -3,7 +3,7 @@
 import type { Task } from '@baobabwell/jobs';
 import type { EndedRun, HostReport, OrderError } from '@baobabwell/platform';
 
-import { JobState, Run, RunEndEffect, RunPhase, TaskPhase } from '@baobabwell/jobs';
+import { JobState, Run, RunEndEffect, RunPhase } from '@baobabwell/jobs';
 import { OWNER_GRACE_MS, OWNER_LEASE_MS } from '@baobabwell/ownership';
 import { OrderRefusal } from '@baobabwell/platform';
 import { WakeSignal } from '@baobabwell/utils';
@@ -15,6 +15,7 @@
   KEEP_ALIVE_MS,
   MAX_CLOCK_DRIFT,
 } from './BaobabwellControllerConstants';
+import { canAdoptRun } from './BaobabwellControllerCopies';
 import { HostCrashes } from './BaobabwellControllerHostCrashes';
 import {
   describeRun,
@@ -385,13 +386,7 @@
     const { jobRegistry, logger, term } = this.#context;
     const { host } = this;
     const task = jobRegistry.findTask(name);
-    const canAdopt =
-      task !== null &&
-      !host.isReconciled &&
-      (task.phase === TaskPhase.Waiting ||
-        (task.phase === TaskPhase.Placed && task.step.spec.isSpeculative)) &&
-      !task.step.job.isEnded &&
-      !task.step.isDone();
+    const canAdopt = task !== null && canAdoptRun(host, task);
     logger.recordInfo(canAdopt ? 'run-adopted' : 'run-unwanted', {
       host: host.incarnation.id,
       task: name,
@@ -408,7 +403,6 @@
     run.answeredAtMs = host.trackedSinceMs;
     run.startClockMs = host.state.lastClockMs;
     host.addRun(run);
-    run.isCopy = canAdopt && task.runs.size > 1;
     this.#context.copies.recordRun(run);
     if (canAdopt) {
       task.step.job.hasStarted = true;
