job-emulator: an owner without knowledge of evacuations gets no answer to reads either

Cause: since a table is read when its watch gets no answer, the owner of this test knew of the evacuation and rightly started work. Change: the test delays the answers to reads as well, with the same expectation for 8 s; a second test says what holds when only the watch gets no answer. Conclusion: both faults are covered.

--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -328,6 +328,16 @@
     this.setTableFaults(name, OPERATOR_TABLE, { ...NO_TABLE_FAULTS, hasSilentWatches: isHanging });
   }
 
+  /** Delays the answers to one process that concern the operator's table, those of watches without end. */
+  delayOperatorTable(name: string, listAnswerMs: number): void {
+    const hasSilentWatches = listAnswerMs > 0;
+    this.setTableFaults(name, OPERATOR_TABLE, {
+      ...NO_TABLE_FAULTS,
+      hasSilentWatches,
+      listAnswerMs,
+    });
+  }
+
   /** Keeps the watch of one process on the table of workers from being answered, or lets it be. */
   hangWorkerWatch(name: string, isHanging: boolean): void {
     this.setTableFaults(name, WORKERS_TABLE, { ...NO_TABLE_FAULTS, hasSilentWatches: isHanging });
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorEvacuations.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorEvacuations.test.ts
@@ -94,12 +94,21 @@
 
   it('starts nothing anywhere while the owner does not know whether an evacuation is requested', async () => {
     await start(2);
-    fleet.hangOperatorWatch('a', true);
+    fleet.delayOperatorTable('a', 9_000);
     fleet.evacuate('north');
     await submitFor(8_000);
     expect([countZones(), countLogLines('starts-suspended')]).toEqual([[0, 0, 0], 1]);
-    fleet.hangOperatorWatch('a', false);
-    await submitFor(2_000);
+    fleet.delayOperatorTable('a', 0);
+    await submitFor(10_000);
+    expect([countZones()[0], fleet.countRunsInZone('south') > 0]).toEqual([0, true]);
+    expect(fleet.oracle.violations).toEqual([]);
+  });
+
+  it("knows of an evacuation although only the watch of the operator's table gets no answer", async () => {
+    await start(2);
+    fleet.hangOperatorWatch('a', true);
+    fleet.evacuate('north');
+    await submitFor(8_000);
     expect([countZones()[0], fleet.countRunsInZone('south') > 0]).toEqual([0, true]);
     expect(fleet.oracle.violations).toEqual([]);
   });
