--- a/packages/baobabwell-controller/src/BaobabwellControllerTurns.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTurns.ts
@@ -52,7 +52,19 @@
     if (sample.extraHosts >= minBurstHosts) {
       this.#lastBurstAtMs.set(sample.pool, nowMs);
     }
-    return this.#burstPredictor.record(sample, minBurstHosts, nowMs);
+    const lastStartMs = this.#burstPredictor.listStartsMs().at(-1) ?? null;
+    const predictedHosts = this.#burstPredictor.record(sample, minBurstHosts, nowMs);
+    const { metrics, logger } = this.#context;
+    metrics.poolHosts.set({ pool: sample.pool, state: 'predicted' }, predictedHosts);
+    if (this.#burstPredictor.listStartsMs().at(-1) !== (lastStartMs ?? undefined)) {
+      logger.recordInfo('burst-started', {
+        pool: sample.pool,
+        sinceLastMs: lastStartMs && Math.round(nowMs - lastStartMs),
+        extraHosts: sample.extraHosts,
+        predictedHosts,
+      });
+    }
+    return predictedHosts;
   }
 
   /** Divides the headroom among the pools whose burst may be next. */
--- a/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
@@ -98,7 +98,7 @@
     );
     this.poolHosts = this.#createGauge(
       'baobabwell_pool_hosts',
-      'Hosts of a pool: up, arriving and desired (wanted).',
+      'Hosts of a pool: up, arriving, desired (wanted) and predicted beyond its base at the start of a burst.',
       ['pool', 'state'],
     );
     this.poolCores = this.#createGauge(
