fleet, controller: no host of a pool is drained at the end of a burst while tasks wait there

Cause: read, not seen: a step that spreads its tasks over many hosts needs more of them than their CPU says; draining hosts beyond the retained number could keep it waiting. Change: hosts beyond the retained number are drained only while no task of the pool waits. Measured: unit tests. Conclusion: the drain frees hosts of a pool whose work all runs.

--- a/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
@@ -331,6 +331,7 @@
         isSpare,
         machines: present.map((machine) => this.#createMovableMachine(machine, reserved)),
         arrivingCount,
+        hasWaitingTasks: (load?.waitingCpuMillis ?? 0) > 0,
         requiredHosts: isSpare ? 0 : recentlyRequiredHosts,
         desiredHosts: isSpare ? 0 : desiredHosts,
         retainedHosts: isSpare ? 0 : this.#recordDesired(name, desiredHosts, nowMs),
--- a/packages/baobabwell-fleet/src/BaobabwellFleetMoves.ts
+++ b/packages/baobabwell-fleet/src/BaobabwellFleetMoves.ts
@@ -27,6 +27,8 @@
   readonly machines: readonly MovableMachine[];
   /** Number of machines that are joining the pool: being moved, in maintenance or not yet listed. */
   readonly arrivingCount: number;
+  /** Tasks of the pool wait for a host, maybe for other reasons than its CPU. */
+  readonly hasWaitingTasks: boolean;
   /** Hosts that the present work of the pool requires. */
   readonly requiredHosts: number;
   /** Hosts that the pool should have, including headroom. */
@@ -218,7 +220,7 @@
         move(excess, spare);
         excess = supply.findIdleIn(pool, pool.retainedHosts);
       }
-      excess = supply.findBusyIn(pool, pool.retainedHosts);
+      excess = pool.hasWaitingTasks ? null : supply.findBusyIn(pool, pool.retainedHosts);
       while (excess !== null) {
         supply.take(excess);
         drain(excess);
--- a/packages/baobabwell-fleet/src/__tests__/unit/BaobabwellFleetBursts.test.ts
+++ b/packages/baobabwell-fleet/src/__tests__/unit/BaobabwellFleetBursts.test.ts
@@ -86,6 +86,7 @@
           usedCpuMillis: position >= busyCount ? 0 : MACHINE_CPU,
         })),
         arrivingCount: assigned.length - present.length,
+        hasWaitingTasks: cpu > used,
         requiredHosts:
           name === SPARE
             ? 0
--- a/packages/baobabwell-fleet/src/__tests__/unit/BaobabwellFleetMoves.test.ts
+++ b/packages/baobabwell-fleet/src/__tests__/unit/BaobabwellFleetMoves.test.ts
@@ -26,6 +26,7 @@
       usedCpuMillis: index < idle ? 0 : 1_000,
     })),
     arrivingCount: arriving,
+    hasWaitingTasks: false,
     requiredHosts: required,
     desiredHosts: desired,
     retainedHosts: options.retained ?? desired,
@@ -124,5 +125,10 @@
     expect(decideMoves(pools)).toEqual({ moves: [], drains: ['ending-0', 'ending-1', 'ending-2'] });
     const machines = ending.machines.map((machine) => ({ ...machine, canBeDrained: false }));
     expect(decideMoves([{ ...ending, machines }])).toEqual({ moves: [], drains: [] });
+    const waiting = { ...ending, hasWaitingTasks: true };
+    expect(decideMoves([createPool('spare', {}, true), waiting])).toEqual({
+      moves: [],
+      drains: [],
+    });
   });
 });
--- a/packages/baobabwell-fleet/src/__tests__/unit/BaobabwellFleetTurns.test.ts
+++ b/packages/baobabwell-fleet/src/__tests__/unit/BaobabwellFleetTurns.test.ts
@@ -127,6 +127,7 @@
           usedCpuMillis: position >= busyCount ? 0 : SIZE.cpuMillis,
         })),
         arrivingCount: own.length - up.length,
+        hasWaitingTasks: queue.length > 0,
         requiredHosts: isSpare
           ? 0
           : requiredPeaks.record(name, getRequiredHosts(load, SIZE), nowMs),
