--- a/packages/baobabwell-placement/src/BaobabwellPlacementAdmission.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacementAdmission.ts
@@ -61,8 +61,8 @@
     };
 
 /** Time until an arriving machine, or one that is allocated now, takes work, in ms. */
-const ARRIVING_MACHINE_DELAY_MS = 900;
-const ALLOCATED_MACHINE_DELAY_MS = 1_900;
+const ARRIVING_MACHINE_DELAY_MS = 1_600;
+const ALLOCATED_MACHINE_DELAY_MS = 3_000;
 
 /**
  * Share of the capacity that tasks use when there is enough work: tasks do not fill hosts evenly.
