placement: steps that cannot fit are skipped before their tasks and hosts are looked at

A profile of an emulated backlog of 1,000 steps showed a search over all hosts for each waiting step, and a look at each task for suspects, in every round. Change: the largest free piece of a pool and the allowance are asked first; no suspects, no look at tasks. Conclusion: decisions of a full pool must cost what can start, not what waits.

--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -221,6 +221,7 @@
     const tickets = new Map<Step, ReadonlyMap<string, string> | null>();
     steps.forEach(({ step, queue }) => tickets.set(step, this.#findTickets(step, queue)));
     const placements = decidePlacements({
+      hasSuspects: this.#context.jobRegistry.hasSuspects(),
       nowMs,
       steps,
       hosts: this.#listHosts(nowMs, new Set(steps.map(({ pool }) => pool))),
--- a/packages/baobabwell-placement/src/BaobabwellPlacement.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacement.ts
@@ -115,6 +115,9 @@
 
   readonly #scarcities = new Map<string, Scarcity>();
 
+  /** Largest free amounts on any host of a pool when the pass began; later ones are smaller. */
+  readonly #largestFree = new Map<string, Resources>();
+
   /** CPU per memory of all free resources, in thousandths of a core per MB. */
   readonly #cpuMillisPerMb: number;
 
@@ -138,6 +141,31 @@
     this.#cpuMillisPerMb = cpuMillis / memoryMb;
   }
 
+  /** Returns false if no host of the pool can have room for a task of the step. */
+  mayFit({ spec: { need, isFilling } }: Step, pool: string): boolean {
+    const free = this.#getLargestFree(pool);
+    return (
+      (isFilling || need.cpuMillis <= free.cpuMillis) &&
+      need.memoryMb <= free.memoryMb &&
+      need.gpus <= free.gpus
+    );
+  }
+
+  #getLargestFree(pool: string): Resources {
+    const existing = this.#largestFree.get(pool);
+    if (existing !== undefined) {
+      return existing;
+    }
+    const largest = { cpuMillis: -Infinity, memoryMb: -Infinity, gpus: -Infinity };
+    (this.#capacities.get(pool) ?? []).forEach(({ cpuMillis, memoryMb, gpus }) => {
+      largest.cpuMillis = Math.max(largest.cpuMillis, cpuMillis);
+      largest.memoryMb = Math.max(largest.memoryMb, memoryMb);
+      largest.gpus = Math.max(largest.gpus, gpus);
+    });
+    this.#largestFree.set(pool, largest);
+    return largest;
+  }
+
   /** Starts a search for hosts of the tasks of a step. */
   createSearch(step: Step, pool: string): HostSearch {
     const capacities = this.#capacities.get(pool) ?? [];
@@ -372,7 +400,7 @@
   unplaced: UnplacedRequirements,
 ): Placement[] {
   const placements: Placement[] = [];
-  if (tasks.length === 0 || unplaced.matches(step, pool)) {
+  if (tasks.length === 0 || !tracker.isWithinAllowance(step) || unplaced.matches(step, pool)) {
     return placements;
   }
   const search = tracker.createSearch(step, pool);
@@ -402,6 +430,10 @@
   const tracker = new CapacityTracker(snapshot);
   const unplaced = new UnplacedRequirements();
   return snapshot.steps.flatMap(({ step, pool }) => {
+    // Most steps of a full pool end here.
+    if (!tracker.mayFit(step, pool)) {
+      return [];
+    }
     const waiting = step.tasks.filter(
       ({ phase, notBeforeMs }) => phase === TaskPhase.Waiting && notBeforeMs <= snapshot.nowMs,
     );
--- a/packages/baobabwell-placement/src/BaobabwellPlacementModel.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacementModel.ts
@@ -36,6 +36,8 @@
   readonly nowMs: number;
   /** Hosts by pool. */
   readonly hosts: ReadonlyMap<string, readonly PlacementHost[]>;
+  /** False when no task may crash its hosts. */
+  readonly hasSuspects?: boolean;
   /** Steps in the order in which their tasks are placed, with their pool. */
   readonly steps: readonly { readonly step: Step; readonly pool: string }[];
   /** Allowances by organisation; an organisation without an entry has no limit. */
--- a/packages/baobabwell-placement/src/BaobabwellPlacementSuspects.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacementSuspects.ts
@@ -43,6 +43,9 @@
 /** Decides which hosts receive only tasks that probably crash them; every pool keeps a host for others. */
 export function decideReservedHosts(snapshot: PlacementSnapshot): ReadonlySet<string> {
   const reserved = new Set<string>();
+  if (snapshot.hasSuspects === false) {
+    return reserved;
+  }
   countTasks(snapshot).forEach((count, pool) => {
     const hosts = snapshot.hosts.get(pool) ?? [];
     const maxCount = Math.max(1, Math.floor(hosts.length * MAX_RESERVED_SHARE));
