--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -1,28 +1,14 @@
 import type { TermContext } from './BaobabwellControllerContext';
+import type { ReadyStep, UrgentStep } from './BaobabwellControllerFairOrder';
 import type { Host } from './BaobabwellControllerHost';
-import type { JobRates } from './BaobabwellControllerJobRates';
 import type { HostSession } from './BaobabwellControllerSession';
-import type { ReadyWork } from '@baobabwell/fairness';
 import type { QueueSettings } from '@baobabwell/fleet';
 import type { Resources, Run, Step } from '@baobabwell/jobs';
-import type {
-  Allowance,
-  CopyPool,
-  Placement,
-  PlacementHost,
-  StepUrgency,
-} from '@baobabwell/placement';
-
-import { decideFairOrder } from '@baobabwell/fairness';
+import type { Allowance, CopyPool, Placement, PlacementHost } from '@baobabwell/placement';
+
 import { HostAdmission } from '@baobabwell/host-health';
 import { CrashSuspicion, RunPhase } from '@baobabwell/jobs';
-import {
-  compareUrgency,
-  decideCopies,
-  decidePlacements,
-  getUrgency,
-  getUrgencyClass,
-} from '@baobabwell/placement';
+import { compareUrgency, decideCopies, decidePlacements, getUrgency } from '@baobabwell/placement';
 import { WakeSignal } from '@baobabwell/utils';
 
 import {
@@ -34,15 +20,11 @@
   START_TRANSIT_MS,
   START_SURVIVAL_MS,
 } from './BaobabwellControllerConstants';
+import { FairOrder } from './BaobabwellControllerFairOrder';
 import { isHostViewTooOld } from './BaobabwellControllerHostView';
-import { listContendedPools } from './BaobabwellControllerPoolUsage';
-import { ShareLog } from './BaobabwellControllerShareLog';
 
 const SECOND_MS = 1_000;
 
-/** Number of organisations from which shares make a difference. */
-const MIN_SHARING_ORGANISATIONS = 2;
-
 /** Share of the capacity of an ejected host that a probe may use. */
 const PROBE_SHARE = 0.25;
 
@@ -52,15 +34,6 @@
 /** Largest share of the CPU of a pool that copies use. */
 const MAX_COPY_SHARE = 0.05;
 
-/** A step that can start tasks, with its pool and queue. */
-export type ReadyStep = {
-  readonly step: Step;
-  readonly pool: string;
-  readonly queue: QueueSettings | null;
-};
-
-type UrgentStep = ReadyStep & { readonly urgency: StepUrgency };
-
 /** Finds the tickets with which a step may start, by host; `null` when it requires none. */
 export type TicketFinder = (
   step: Step,
@@ -122,29 +95,6 @@
   };
 }
 
-/** Creates the description of a step by which organisations share the pools. */
-function createReadyWork(
-  ready: UrgentStep,
-  jobRates: JobRates,
-): ReadyWork & { readonly ready: ReadyStep } {
-  const { step, pool, urgency } = ready;
-  const { need, isFilling } = step.spec;
-  const count = step.waitingCount;
-  return {
-    ready,
-    pool,
-    organisation: step.job.record.organisation ?? '',
-    workClass: getUrgencyClass(urgency),
-    need: {
-      cpuMillis: isFilling ? 0 : count * need.cpuMillis,
-      memoryMb: count * need.memoryMb,
-      gpus: count * need.gpus,
-    },
-    isBeyondRate: jobRates.isBeyondRate(step.job),
-    isExempt: urgency.isLongRunning,
-  };
-}
-
 /** Places waiting tasks on hosts and starts their runs. */
 export class Dispatcher {
   readonly #context: TermContext;
@@ -157,7 +107,7 @@
 
   #isRequested = false;
 
-  readonly #shareLog: ShareLog;
+  readonly #fairOrder: FairOrder;
 
   #copiedAtMs = -Infinity;
 
@@ -171,7 +121,7 @@
   ) {
     this.#context = context;
     this.#wakeSignal = new WakeSignal(context.clock);
-    this.#shareLog = new ShareLog(context);
+    this.#fairOrder = new FairOrder(context);
     this.#getSession = getSession;
     this.#findTickets = findTickets;
   }
@@ -314,29 +264,11 @@
           });
       }
     }
-    return this.#sortByShares(
+    return this.#fairOrder.sort(
       ready.toSorted((left, right) => compareUrgency(left.urgency, right.urgency)),
     );
   }
 
-  /** Sorts steps within each class of urgency by the shares of their organisations. */
-  #sortByShares(steps: readonly UrgentStep[]): readonly ReadyStep[] {
-    const { getConfiguration, jobRates } = this.#context;
-    const organisations = getConfiguration()?.organisations ?? [];
-    if (organisations.length < MIN_SHARING_ORGANISATIONS) {
-      return steps;
-    }
-    jobRates.addJobs(steps.map(({ step }) => step.job));
-    const work = steps.map((ready) => createReadyWork(ready, jobRates));
-    const pools = listContendedPools(this.#context, work);
-    if (pools.size === 0) {
-      return steps;
-    }
-    const weights = new Map(organisations.map(({ name, weight }) => [name, weight]));
-    pools.forEach((usage, pool) => this.#shareLog.record(pool, usage, weights, work));
-    return decideFairOrder({ work, pools, weights }).map(({ ready }) => ready);
-  }
-
   #listUnreconciledPools(): ReadonlySet<string> {
     const pools = new Set<string>();
     this.#context.hosts.forEach(({ isReconciled, pool }) => {
