controller: placement of copies in a file of its own

Change: placeCopies with an interface to the dispatcher; no behaviour changes. Measured: job-emulator's tests of copies passed (3).

--- /dev/null
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCopyPlacement.ts
@@ -0,0 +1,84 @@
+import type { TermContext } from './BaobabwellControllerContext';
+import type { QueueSettings } from '@baobabwell/fleet';
+import type { Run, Step } from '@baobabwell/jobs';
+import type { Allowance, CopyPool, Placement, PlacementHost } from '@baobabwell/placement';
+
+import { decideCopies } from '@baobabwell/placement';
+
+/** Largest share of the CPU of a pool that copies use. */
+const MAX_COPY_SHARE = 0.05;
+
+type Tickets = ReadonlyMap<string, string> | null;
+
+/** What the dispatcher knows and does for the placement of copies. */
+export type CopyDispatch = {
+  /** Lists the pools in which a task waits, or whose hosts are not all known. */
+  readonly listClosedPools: () => readonly string[];
+  readonly listHosts: (pools: ReadonlySet<string>) => ReadonlyMap<string, readonly PlacementHost[]>;
+  readonly listAllowances: () => ReadonlyMap<string, Allowance>;
+  readonly findTickets: (step: Step, queue: QueueSettings | null) => Tickets;
+  readonly startPlacements: (
+    placements: readonly Placement[],
+    tickets: ReadonlyMap<Step, Tickets>,
+  ) => readonly Run[];
+};
+
+/** Lists the pools in which no task waits, with the CPU that copies may use there. */
+function listCopyPools(
+  { hosts, copies }: TermContext,
+  { listClosedPools, listHosts }: CopyDispatch,
+  pools: ReadonlySet<string>,
+): ReadonlyMap<string, CopyPool> {
+  const closed = new Set(listClosedPools());
+  const open = new Set([...pools].filter((pool) => !closed.has(pool)));
+  const capacities = new Map<string, number>();
+  hosts.forEach((host) => {
+    const known = capacities.get(host.pool) ?? 0;
+    capacities.set(host.pool, known + host.getShortTaskCpuMillis());
+  });
+  return new Map(
+    [...listHosts(open)].map(([pool, poolHosts]) => {
+      const maxCpuMillis = (capacities.get(pool) ?? 0) * MAX_COPY_SHARE;
+      return [pool, { hosts: poolHosts, cpuMillis: maxCpuMillis - copies.sumCopiesCpu(pool) }];
+    }),
+  );
+}
+
+/** Copies runs that take long, of jobs accepted up to the given version, where nothing waits. */
+export function placeCopies(
+  context: TermContext,
+  maxVersion: number,
+  dispatch: CopyDispatch,
+): void {
+  const { jobRegistry, clock, copies, hosts, getConfiguration } = context;
+  const queues = getConfiguration()?.queues ?? [];
+  const findQueue = (name: string) => queues.find((queue) => queue.name === name) ?? null;
+  const candidates = copies
+    .listCandidates(clock.getNow(), findQueue)
+    .filter(({ run }) => run.task.step.job.acceptedVersion <= maxVersion);
+  if (candidates.length === 0 || jobRegistry.hasSuspects()) {
+    return;
+  }
+  const tickets = new Map<Step, Tickets>();
+  const findAllowedHosts = (step: Step) => {
+    const known = tickets.get(step);
+    const found =
+      known === undefined ? dispatch.findTickets(step, findQueue(step.job.record.queue)) : known;
+    tickets.set(step, found);
+    return found;
+  };
+  const placements = decideCopies({
+    candidates,
+    pools: listCopyPools(context, dispatch, new Set(candidates.map(({ pool }) => pool))),
+    findLabels: (hostId) => hosts.get(hostId)?.listedWorker?.labels ?? [],
+    allowances: dispatch.listAllowances(),
+    findAllowedHosts,
+  });
+  const byTask = new Map(candidates.map((candidate) => [candidate.run.task, candidate]));
+  dispatch.startPlacements(placements, tickets).forEach((run) => {
+    const candidate = byTask.get(run.task);
+    if (candidate !== undefined) {
+      copies.recordCopy(run, candidate);
+    }
+  });
+}
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -5,20 +5,13 @@
 import type { ReadyWork } from '@baobabwell/fairness';
 import type { QueueSettings } from '@baobabwell/fleet';
 import type { Resources, Run, Step } from '@baobabwell/jobs';
-import type {
-  Allowance,
-  CopyPool,
-  Placement,
-  PlacementHost,
-  StepUrgency,
-} from '@baobabwell/placement';
+import type { Allowance, Placement, PlacementHost, StepUrgency } from '@baobabwell/placement';
 
 import { decideFairOrder } from '@baobabwell/fairness';
 import { HostAdmission } from '@baobabwell/host-health';
 import { CrashSuspicion, RunPhase } from '@baobabwell/jobs';
 import {
   compareUrgency,
-  decideCopies,
   decidePlacements,
   getUrgency,
   getUrgencyClass,
@@ -34,6 +27,7 @@
   START_TRANSIT_MS,
   START_SURVIVAL_MS,
 } from './BaobabwellControllerConstants';
+import { placeCopies } from './BaobabwellControllerCopyPlacement';
 import { isHostViewTooOld } from './BaobabwellControllerHostView';
 import { listContendedPools } from './BaobabwellControllerPoolUsage';
 import { ShareLog } from './BaobabwellControllerShareLog';
@@ -49,9 +43,6 @@
 /** Interval at which runs that take long are looked for, in ms. */
 const COPY_INTERVAL_MS = 100;
 
-/** Largest share of the CPU of a pool that copies use. */
-const MAX_COPY_SHARE = 0.05;
-
 /** A step that can start tasks, with its pool and queue. */
 export type ReadyStep = {
   readonly step: Step;
@@ -198,7 +189,7 @@
         this.placeOnce(maxVersion);
         if (startedAtMs - this.#copiedAtMs >= COPY_INTERVAL_MS) {
           this.#copiedAtMs = startedAtMs;
-          this.copyOnce(maxVersion);
+          this.#placeCopies(maxVersion);
         }
         delayMs = Math.max(
           MIN_DISPATCH_DELAY_MS,
@@ -230,61 +221,18 @@
     this.#startPlacements(placements, tickets);
   }
 
-  /** Copies runs that take long in pools where nothing waits. */
-  copyOnce(maxVersion: number): void {
-    const { jobRegistry, clock, copies, hosts, getConfiguration } = this.#context;
-    const nowMs = clock.getNow();
-    const queues = getConfiguration()?.queues ?? [];
-    const findQueue = (name: string) => queues.find((queue) => queue.name === name) ?? null;
-    const candidates = copies
-      .listCandidates(nowMs, findQueue)
-      .filter(({ run }) => run.task.step.job.acceptedVersion <= maxVersion);
-    if (candidates.length === 0 || jobRegistry.hasSuspects()) {
-      return;
-    }
-    const tickets = new Map<Step, ReadonlyMap<string, string> | null>();
-    const findAllowedHosts = (step: Step) => {
-      const known = tickets.get(step);
-      const found =
-        known === undefined ? this.#findTickets(step, findQueue(step.job.record.queue)) : known;
-      tickets.set(step, found);
-      return found;
-    };
-    const placements = decideCopies({
-      candidates,
-      pools: this.#listCopyPools(nowMs, new Set(candidates.map(({ pool }) => pool))),
-      findLabels: (hostId) => hosts.get(hostId)?.listedWorker?.labels ?? [],
-      allowances: this.#listAllowances(),
-      findAllowedHosts,
-    });
-    const byTask = new Map(candidates.map((candidate) => [candidate.run.task, candidate]));
-    this.#startPlacements(placements, tickets).forEach((run) => {
-      const candidate = byTask.get(run.task);
-      if (candidate !== undefined) {
-        copies.recordCopy(run, candidate);
-      }
-    });
-  }
-
-  /** Lists the pools in which no task waits, with the CPU that copies may use there. */
-  #listCopyPools(nowMs: number, pools: ReadonlySet<string>): ReadonlyMap<string, CopyPool> {
-    const closed = new Set([
-      ...this.#listUnreconciledPools(),
-      ...this.#listWithheldPools(),
-      ...this.listReadySteps().map(({ pool }) => pool),
-    ]);
-    const open = new Set([...pools].filter((pool) => !closed.has(pool)));
-    const capacities = new Map<string, number>();
-    this.#context.hosts.forEach((host) => {
-      const known = capacities.get(host.pool) ?? 0;
-      capacities.set(host.pool, known + host.getShortTaskCpuMillis());
+  #placeCopies(maxVersion: number): void {
+    placeCopies(this.#context, maxVersion, {
+      listClosedPools: () => [
+        ...this.#listUnreconciledPools(),
+        ...this.#listWithheldPools(),
+        ...this.listReadySteps().map(({ pool }) => pool),
+      ],
+      listHosts: (pools) => this.#listHosts(this.#context.clock.getNow(), pools),
+      listAllowances: () => this.#listAllowances(),
+      findTickets: this.#findTickets,
+      startPlacements: (placements, tickets) => this.#startPlacements(placements, tickets),
     });
-    return new Map(
-      [...this.#listHosts(nowMs, open)].map(([pool, hosts]) => {
-        const maxCpuMillis = (capacities.get(pool) ?? 0) * MAX_COPY_SHARE;
-        return [pool, { hosts, cpuMillis: maxCpuMillis - this.#context.copies.sumCopiesCpu(pool) }];
-      }),
-    );
   }
 
   /** Lists the steps with waiting tasks in the order in which they are placed. */
