--- a/packages/baobabwell-cli/src/BaobabwellCliFleet.ts
+++ b/packages/baobabwell-cli/src/BaobabwellCliFleet.ts
@@ -1,4 +1,4 @@
-/** The commands `fleet owner`, `fleet pools`, `fleet jobs` and `fleet job ID`. */
+/** The commands `fleet owner`, `fleet pools`, `fleet evacuations`, `fleet jobs` and `fleet job ID`. */
 import type { Cell } from './BaobabwellCliTable';
 import type { Argv } from 'yargs';
 
@@ -75,6 +75,11 @@
   return formatRows(z.object({ pools: z.array(rowSchema) }).parse(body).pools, 'no pools');
 }
 
+function formatEvacuations(body: unknown): string {
+  const { evacuations } = z.object({ evacuations: z.array(rowSchema) }).parse(body);
+  return formatRows(evacuations, 'no data centre is evacuated');
+}
+
 function formatJobs(body: unknown): string {
   const { jobs, openCount } = z
     .object({ jobs: z.array(rowSchema), openCount: z.number() })
@@ -101,6 +106,13 @@
       addOptions,
       async (options) => runFleetQuery(options as unknown as FleetOptions, '/pools', formatPools),
     )
+    .command(
+      'evacuations',
+      'Show the evacuated data centres and what is left there',
+      addOptions,
+      async (options) =>
+        runFleetQuery(options as unknown as FleetOptions, '/evacuations', formatEvacuations),
+    )
     .command(
       'jobs',
       'Show the jobs that have not ended, oldest first',
@@ -127,9 +139,12 @@
 
 /** Adds the command `fleet`. */
 export function addFleet(cli: Argv): Argv {
-  return cli.command('fleet', 'Show the owner and its pools, jobs and runs', (command) =>
-    addFleetCommands(command)
-      .example('$0 fleet jobs --address 10.1.0.23:7001', 'List the jobs that have not ended')
-      .demandCommand(1, 'name a subcommand: owner, pools, jobs or job'),
+  return cli.command(
+    'fleet',
+    'Show the owner and its pools, evacuations, jobs and runs',
+    (command) =>
+      addFleetCommands(command)
+        .example('$0 fleet jobs --address 10.1.0.23:7001', 'List the jobs that have not ended')
+        .demandCommand(1, 'name a subcommand: owner, pools, evacuations, jobs or job'),
   );
 }
--- a/packages/baobabwell-controller/src/BaobabwellControllerEvacuationControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerEvacuationControlLoop.ts
@@ -1,5 +1,5 @@
 import type { TermContext } from './BaobabwellControllerContext';
-import type { Evacuation } from './BaobabwellControllerEvacuations';
+import type { EvacuationReport } from './BaobabwellControllerEvacuationReport';
 import type { Host } from './BaobabwellControllerHost';
 import type { MachineInventory } from './BaobabwellControllerMachineInventory';
 import type { Run } from '@baobabwell/jobs';
@@ -10,23 +10,20 @@
 import { CloudHostState } from '@baobabwell/platform';
 
 import { LOAD_LOG_INTERVAL_MS } from './BaobabwellControllerConstants';
+import { listEvacuationReports } from './BaobabwellControllerEvacuationReport';
 import { countMayMiss, isAvailable, listLongRunning } from './BaobabwellControllerLongRunning';
 
-/** What is left in an evacuated data centre. */
-type Remainder = {
-  readonly hosts: number;
-  readonly runs: number;
-  readonly longRunning: number;
-};
-
 /** Empties evacuated data centres and reports what is left there. */
 export class EvacuationControlLoop {
   readonly #context: TermContext;
 
   readonly #machines: MachineInventory;
 
-  /** Monotonic time of the latest log line on each evacuated zone, in ms. */
-  readonly #loggedAtMs = new Map<string, number>();
+  /** Evacuated zones that the latest report contains. */
+  readonly #reportedZones = new Set<string>();
+
+  /** Monotonic time of the latest report, in ms. */
+  #reportedAtMs = -Infinity;
 
   constructor(context: TermContext, machines: MachineInventory) {
     this.#context = context;
@@ -35,17 +32,17 @@
 
   /** Has long running tasks start elsewhere, and reports what is left. */
   runRound(): void {
-    const evacuations = this.#context.evacuations.list();
-    if (evacuations.length > 0) {
-      this.#relocate();
-    }
-    this.#loggedAtMs.forEach((_, zone) => {
-      if (!this.#context.evacuations.isEvacuated(zone)) {
-        this.#loggedAtMs.delete(zone);
-        this.#setGauges(zone, { hosts: 0, runs: 0, longRunning: 0 });
+    const { evacuations } = this.#context;
+    this.#reportedZones.forEach((zone) => {
+      if (!evacuations.isEvacuated(zone)) {
+        this.#reportedZones.delete(zone);
+        this.#setGauges({ zone, hosts: 0, runs: 0, longRuns: 0 });
       }
     });
-    evacuations.forEach((evacuation) => this.#recordProgress(evacuation));
+    if (evacuations.list().length > 0) {
+      this.#relocate();
+      this.#recordProgress();
+    }
   }
 
   /**
@@ -111,40 +108,26 @@
     );
   }
 
-  /** Logs what is left in an evacuated data centre, at most once a second. */
-  #recordProgress({ zone, seenAtMs }: Evacuation): void {
-    const nowMs = this.#context.clock.getNow();
-    if (nowMs - (this.#loggedAtMs.get(zone) ?? -Infinity) < LOAD_LOG_INTERVAL_MS) {
+  /** Logs what is left in evacuated data centres, at most once a second. */
+  #recordProgress(): void {
+    const { clock, logger, evacuations } = this.#context;
+    const nowMs = clock.getNow();
+    const isDue = evacuations.list().some(({ zone }) => !this.#reportedZones.has(zone));
+    if (!isDue && nowMs - this.#reportedAtMs < LOAD_LOG_INTERVAL_MS) {
       return;
     }
-    this.#loggedAtMs.set(zone, nowMs);
-    const remainder = this.#getRemainder(zone);
-    this.#setGauges(zone, remainder);
-    this.#context.logger.recordInfo('evacuation-progress', {
-      zone,
-      ageMs: Math.round(nowMs - seenAtMs),
-      ...remainder,
-    });
-  }
-
-  #getRemainder(zone: string): Remainder {
-    let hosts = 0;
-    let runs = 0;
-    let longRunning = 0;
-    this.#context.hosts.forEach((host) => {
-      if (host.listedWorker?.zone === zone) {
-        hosts += 1;
-        runs += host.runs.size;
-        longRunning += host.longRunningCount;
-      }
+    this.#reportedAtMs = nowMs;
+    listEvacuationReports(this.#context).forEach((report) => {
+      this.#reportedZones.add(report.zone);
+      this.#setGauges(report);
+      logger.recordInfo('evacuation-progress', report);
     });
-    return { hosts, runs, longRunning };
   }
 
-  #setGauges(zone: string, { hosts, runs, longRunning }: Remainder): void {
+  #setGauges({ zone, hosts, runs, longRuns }: Omit<EvacuationReport, 'ageMs'>): void {
     const { evacuations } = this.#context.metrics;
     evacuations.set({ zone, left: 'hosts' }, hosts);
     evacuations.set({ zone, left: 'runs' }, runs);
-    evacuations.set({ zone, left: 'long-runs' }, longRunning);
+    evacuations.set({ zone, left: 'long-runs' }, longRuns);
   }
 }
--- a/packages/baobabwell-controller/src/index.ts
+++ b/packages/baobabwell-controller/src/index.ts
@@ -1,6 +1,8 @@
 export type { TermContext, TermOptions } from './BaobabwellControllerContext';
+export type { EvacuationReport } from './BaobabwellControllerEvacuationReport';
 export type { FleetBounds, FleetCodec } from './BaobabwellControllerModel';
 
 export { Controller } from './BaobabwellController';
 export { MACHINE_ORDERS_TABLE } from './BaobabwellControllerConstants';
 export { PeerReports } from './BaobabwellControllerStoreOutage';
+export { listEvacuationReports } from './BaobabwellControllerEvacuationReport';
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonStatus.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonStatus.ts
@@ -3,6 +3,7 @@
 import type { Owner } from '@baobabwell/ownership';
 import type { FastifyInstance } from 'fastify';
 
+import { listEvacuationReports } from '@baobabwell/controller';
 import { TaskPhase } from '@baobabwell/jobs';
 
 const HTTP_NOT_FOUND = 404;
@@ -115,7 +116,7 @@
   });
 }
 
-/** Registers the routes that show operators the owner, pools, jobs and runs. */
+/** Registers the routes that show operators the owner, pools, evacuations, jobs and runs. */
 export function registerStatusRoutes(server: FastifyInstance, source: StatusSource): void {
   const describeOwner = () => {
     const owner = source.getOwner();
@@ -139,6 +140,7 @@
   };
   server.get('/owner', async () => ({ owner: describeOwner() }));
   addOwnerRoute('/pools', (context) => ({ pools: listPoolStatuses(context) }));
+  addOwnerRoute('/evacuations', (context) => ({ evacuations: listEvacuationReports(context) }));
   addOwnerRoute('/jobs', (context) => {
     const openJobs = context.jobRegistry.listOpenJobs();
     const jobs = openJobs.slice(0, MAX_LISTED_JOBS).map((job) => buildJobStatus(context, job));
--- a/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonStatus.test.ts
+++ b/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonStatus.test.ts
@@ -1,4 +1,5 @@
 import type { StatusSource } from '../../BaobabwellDaemonStatus';
+import type { EvacuationReport } from '@baobabwell/controller';
 import type { FastifyInstance } from 'fastify';
 
 import { expect } from 'earl';
@@ -56,6 +57,24 @@
     expect(answers).toMatchSnapshot(this);
   });
 
+  it('return the evacuations and what is left in their data centres', async () => {
+    openServer({ getOwner: () => OWNER, getContext: () => fleet.findOwnerContext() });
+    expect((await request('/evacuations')).body).toEqual({ evacuations: [] });
+    fleet.submit([
+      { taskCount: 1, isLasting: true },
+      { taskCount: 1, estimateMs: 60_000 },
+    ]);
+    await fleet.time.advance(500);
+    fleet.evacuate('north');
+    await fleet.time.advance(200);
+    const { evacuations } = (await request('/evacuations')).body as {
+      evacuations: EvacuationReport[];
+    };
+    expect(evacuations.map(({ ageMs: _, ...left }) => left)).toEqual([
+      { zone: 'north', hosts: 2, runs: 2, longRuns: 1 },
+    ]);
+  });
+
   it('name the owner when this process is not the owner, and report unknown jobs', async () => {
     openServer({ getOwner: () => OWNER, getContext: () => null });
     const owner = { name: 'a', address: '10.0.0.1:7000', epoch: 3 };
