--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -1,9 +1,7 @@
 import type { HostFaults } from './BaobabwellJobEmulatorOrders';
-import type { EmulatedPeer } from './BaobabwellJobEmulatorPeers';
 import type { TableFaults } from './BaobabwellJobEmulatorStore';
 import type { TermContext } from '@baobabwell/controller';
-import type { ListedWorker, MaintenanceWave } from '@baobabwell/fleet';
-import type { WaveState } from '@baobabwell/fleet';
+import type { ListedWorker, MaintenanceWave, WaveState } from '@baobabwell/fleet';
 import type { OfferReply } from '@baobabwell/ingress';
 import type { JobRecord, JobState, RepeatSpec, Resources, StepSpec } from '@baobabwell/jobs';
 import type { JsonValue } from '@baobabwell/platform';
@@ -28,6 +26,7 @@
   SPARE_POOL,
 } from './BaobabwellJobEmulatorConfiguration';
 import {
+  CrashRecovery,
   DRAIN_MS,
   EVACUATION_MS,
   EmulatedHost,
@@ -79,15 +78,6 @@
   readonly store: EmulatedJobStore;
 };
 
-/** How a crashed host comes back. */
-export enum CrashRecovery {
-  SameId = 'same-id',
-  /** Under another id, at the address that it had. */
-  OtherId = 'other-id',
-  /** Not at all; its row is removed after some time. */
-  None = 'none',
-}
-
 /** Returns the address of a host, which a later incarnation under another id shares. */
 function getAddress(id: string): string {
   return id.split(ID_SEPARATOR)[0] ?? id;
@@ -270,7 +260,7 @@
       cloud: this.#cloud,
       advisor: null,
       ownership,
-      peerReports: new EmulatedPeerReports(clock, () => this.#listPeers(name)),
+      peerReports: new EmulatedPeerReports(name, this.#daemons, this.processesWithoutPeers),
       getConfiguration: () => CONFIGURATION,
     });
     this.#daemons.set(name, { name, clock, ownership, controller, store });
@@ -330,12 +320,8 @@
 
   /** Delays the answers to one process that concern the operator's table, those of watches without end. */
   delayOperatorTable(name: string, listAnswerMs: number): void {
-    const hasSilentWatches = listAnswerMs > 0;
-    this.setTableFaults(name, OPERATOR_TABLE, {
-      ...NO_TABLE_FAULTS,
-      hasSilentWatches,
-      listAnswerMs,
-    });
+    const faults = { ...NO_TABLE_FAULTS, hasSilentWatches: listAnswerMs > 0, listAnswerMs };
+    this.setTableFaults(name, OPERATOR_TABLE, faults);
   }
 
   /** Keeps the watch of one process on the table of workers from being answered, or lets it be. */
@@ -482,18 +468,6 @@
     });
   }
 
-  #listPeers(name: string): readonly EmulatedPeer[] {
-    return [...this.#daemons.values()]
-      .filter((daemon) => daemon.name !== name)
-      .map(({ clock, ownership, name: peer }) => ({
-        ownership,
-        isAnswering: () =>
-          !clock.isDead() &&
-          !clock.isPaused() &&
-          ![name, peer].some((process) => this.processesWithoutPeers.has(process)),
-      }));
-  }
-
   #createRecord(steps: readonly Partial<StepSpec>[], repeat: RepeatSpec | null): JobRecord {
     this.#jobCount += 1;
     return {
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
@@ -66,6 +66,15 @@
   };
 }
 
+/** How a crashed host comes back. */
+export enum CrashRecovery {
+  SameId = 'same-id',
+  /** Under another id, at the address that it had. */
+  OtherId = 'other-id',
+  /** Not at all; its row is removed after some time. */
+  None = 'none',
+}
+
 /** Returns the name of the step of a task: the members of a gang share it. */
 export function getGang(task: string): string {
   return task.slice(0, task.lastIndexOf('.'));
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorPeers.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorPeers.ts
@@ -1,5 +1,5 @@
+import type { ProcessClock } from '@baobabwell/emulator';
 import type { Ownership } from '@baobabwell/ownership';
-import type { Clock } from '@baobabwell/utils';
 
 import { PeerReports } from '@baobabwell/controller';
 
@@ -8,33 +8,42 @@
 
 /** A process that answers its peers. */
 export type EmulatedPeer = {
+  readonly name: string;
+  readonly clock: ProcessClock;
   readonly ownership: Ownership;
-  /** Returns false while the process is dead or paused, or cut off from its peers. */
-  readonly isAnswering: () => boolean;
 };
 
 /** Requests of one process to the others. */
 export class EmulatedPeerReports extends PeerReports {
-  readonly #clock: Clock;
+  readonly #name: string;
 
-  readonly #listPeers: () => readonly EmulatedPeer[];
+  readonly #processes: ReadonlyMap<string, EmulatedPeer>;
 
-  constructor(clock: Clock, listPeers: () => readonly EmulatedPeer[]) {
+  readonly #isolated: ReadonlySet<string>;
+
+  /** @param isolated names of the processes that do not reach their peers. */
+  constructor(
+    name: string,
+    processes: ReadonlyMap<string, EmulatedPeer>,
+    isolated: ReadonlySet<string>,
+  ) {
     super();
-    this.#clock = clock;
-    this.#listPeers = listPeers;
+    this.#name = name;
+    this.#processes = processes;
+    this.#isolated = isolated;
   }
 
   override hasPeers(): boolean {
-    return this.#listPeers().length > 0;
+    return [...this.#processes.keys()].some((name) => name !== this.#name);
   }
 
   override requestStoreAnswerAges(recordAge: (ageMs: number) => void): void {
-    this.#listPeers()
-      .filter(({ isAnswering }) => isAnswering())
-      .forEach(({ ownership }) => {
+    this.#processes.forEach(({ name, clock, ownership }) => {
+      const isCutOff = this.#isolated.has(this.#name) || this.#isolated.has(name);
+      if (name !== this.#name && !isCutOff && !clock.isDead() && !clock.isPaused()) {
         const ageMs = ownership.getStoreAnswerAgeMs();
-        this.#clock.startTimer(LATENCY_MS, () => recordAge(ageMs));
-      });
+        this.#processes.get(this.#name)?.clock.startTimer(LATENCY_MS, () => recordAge(ageMs));
+      }
+    });
   }
 }
--- a/packages/baobabwell-job-emulator/src/index.ts
+++ b/packages/baobabwell-job-emulator/src/index.ts
@@ -10,8 +10,8 @@
   MAX_ATTEMPTS,
   PLAIN_STEP,
 } from './BaobabwellJobEmulatorConfiguration';
-export { CrashRecovery, EmulatedJobFleet } from './BaobabwellJobEmulatorFleet';
-export { EmulatedHost } from './BaobabwellJobEmulatorHost';
+export { EmulatedJobFleet } from './BaobabwellJobEmulatorFleet';
+export { CrashRecovery, EmulatedHost } from './BaobabwellJobEmulatorHost';
 export { JobOracle, JobInvariant } from './BaobabwellJobEmulatorOracle';
 export { formatAnswer, formatRoute, OrderKind } from './BaobabwellJobEmulatorOrders';
 export {
