controller: the sums for admission take a bounded share of the processor

Change: sums are used for 60 times as long as they took, at least 50 ms; jobs admitted meanwhile are added to them. Conclusion: none of the decisions at arrival may grow with the backlog.

--- a/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
@@ -35,7 +35,8 @@
 
 /** Accepted work of a pool ahead of one queue, as it was a short time ago. */
 type PoolState = {
-  readonly atMs: number;
+  /** Monotonic time until which the state is used, in ms. */
+  readonly untilMs: number;
   readonly capacity: PoolCapacity;
   readonly work: WorkQueue;
   /** Thousandths of a core that a MB of memory is worth in the pool. */
@@ -47,9 +48,12 @@
 /** An admitted job that is not stored yet. */
 type AdmittedJob = { readonly record: JobRecord; readonly atMs: number; readonly dueMs: number };
 
-/** Time for which the accepted work of a pool is not summed again, in ms. */
+/** Shortest time for which the accepted work of a pool is not summed again, in ms. */
 const POOL_STATE_MS = 50;
 
+/** The same as a multiple of the time that the sums took, so that offers never fill the processor. */
+const POOL_STATE_FACTOR = 60;
+
 /** Time within which an admitted job is stored and seen, in ms. */
 const STORE_TIME_MS = 1_000;
 
@@ -213,15 +217,20 @@
   #getState({ pool, priority }: QueueSettings, nowMs: number): PoolState {
     const key = `${priority} ${pool}`;
     const existing = this.#states.get(key);
-    if (existing !== undefined && nowMs - existing.atMs < POOL_STATE_MS) {
+    if (existing !== undefined && nowMs < existing.untilMs) {
       return existing;
     }
-    const state = this.#buildState(pool, priority, nowMs);
+    const built = this.#buildState(pool, priority, nowMs);
+    const tookMs = this.#context.clock.getNow() - nowMs;
+    const state = {
+      ...built,
+      untilMs: nowMs + Math.max(POOL_STATE_MS, POOL_STATE_FACTOR * tookMs),
+    };
     this.#states.set(key, state);
     return state;
   }
 
-  #buildState(pool: string, priority: number, nowMs: number): PoolState {
+  #buildState(pool: string, priority: number, nowMs: number): Omit<PoolState, 'untilMs'> {
     const { jobRegistry, clock, getConfiguration, hosts } = this.#context;
     const configuration = getConfiguration();
     const organisations = configuration?.organisations ?? [];
@@ -261,7 +270,6 @@
     });
     const weights = new Map(organisations.map(({ name, weight }) => [name, weight]));
     return {
-      atMs: nowMs,
       capacity: this.#getPoolCapacity(pool),
       work: new WorkQueue(accepted, weights),
       cpuMillisPerMb,
