controller: no import circle through the context of a term

Cause: the observer of hosts, the copies and the learned durations named the context of which they are a part. Change: what a process provides to a term, and the log fields of a run, have files of their own. Conclusion: parts of the context take what they use.

--- a/packages/baobabwell-controller/src/BaobabwellController.ts
+++ b/packages/baobabwell-controller/src/BaobabwellController.ts
@@ -1,4 +1,4 @@
-import type { TermOptions } from './BaobabwellControllerContext';
+import type { TermOptions } from './BaobabwellControllerTermOptions';
 import type { OfferReply } from '@baobabwell/ingress';
 import type { JobRecord, JobState } from '@baobabwell/jobs';
 import type { Term } from '@baobabwell/ownership';
--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -6,40 +6,13 @@
 import type { HostObserver } from './BaobabwellControllerHostObserver';
 import type { HostSilences } from './BaobabwellControllerHostSilences';
 import type { JobRates } from './BaobabwellControllerJobRates';
-import type { FleetBounds, FleetCodec } from './BaobabwellControllerModel';
 import type { RunDurations } from './BaobabwellControllerRunDurations';
 import type { StartGate } from './BaobabwellControllerStartGate';
-import type { PeerReports } from './BaobabwellControllerStoreOutage';
+import type { TermOptions } from './BaobabwellControllerTermOptions';
 import type { DurationEstimator } from '@baobabwell/durations';
-import type { FleetConfiguration, MaintenanceWave } from '@baobabwell/fleet';
+import type { MaintenanceWave } from '@baobabwell/fleet';
 import type { Job, JobRegistry, Run } from '@baobabwell/jobs';
-import type { Logger } from '@baobabwell/logging';
-import type { OwnerMetrics } from '@baobabwell/metrics';
-import type { Ownership, Term } from '@baobabwell/ownership';
-import type {
-  CloudControl,
-  HostOrders,
-  PlacementAdvisor,
-  WatchableTableService,
-} from '@baobabwell/platform';
-import type { Clock } from '@baobabwell/utils';
-
-/** Dependencies that the process provides to a term. */
-export type TermOptions = {
-  readonly holder: string;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly metrics: OwnerMetrics;
-  readonly bounds: FleetBounds;
-  readonly codec: FleetCodec;
-  readonly store: WatchableTableService;
-  readonly orders: HostOrders;
-  readonly cloud: CloudControl | null;
-  readonly advisor: PlacementAdvisor | null;
-  readonly ownership: Ownership;
-  readonly peerReports: PeerReports;
-  readonly getConfiguration: () => FleetConfiguration | null;
-};
+import type { Term } from '@baobabwell/ownership';
 
 /** State and callbacks shared by the components of an owner's term. */
 export type TermContext = TermOptions & {
--- a/packages/baobabwell-controller/src/BaobabwellControllerCopies.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCopies.ts
@@ -1,13 +1,14 @@
-import type { TermContext } from './BaobabwellControllerContext';
 import type { Host } from './BaobabwellControllerHost';
+import type { TermOptions } from './BaobabwellControllerTermOptions';
+import type { DurationEstimator } from '@baobabwell/durations';
 import type { Run, Task } from '@baobabwell/jobs';
 import type { CopyCandidate } from '@baobabwell/placement';
 
 import { RunEndEffect, RunPhase, TaskPhase } from '@baobabwell/jobs';
 import { CopyEvent } from '@baobabwell/metrics';
 
-import { describeRun } from './BaobabwellControllerHostLog';
 import { getRunRemainingMs } from './BaobabwellControllerRunDurations';
+import { describeRun } from './BaobabwellControllerRunLog';
 
 /** Copies whose outcomes are remembered, by queue. */
 const OUTCOME_MEMORY = 50;
@@ -23,7 +24,10 @@
   return isWanted && !isReconciled && !step.job.isEnded && !step.isDone();
 }
 
-type CopiesContext = Pick<TermContext, 'durations' | 'logger' | 'metrics' | 'hosts'>;
+type CopiesContext = Pick<TermOptions, 'logger' | 'metrics'> & {
+  readonly durations: DurationEstimator;
+  readonly hosts: ReadonlyMap<string, Host>;
+};
 
 /** Tracks the running tasks that may be copied, and how the copies of each queue ended. */
 export class Copies {
--- a/packages/baobabwell-controller/src/BaobabwellControllerHostCrashes.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostCrashes.ts
@@ -10,8 +10,8 @@
   MIN_COMMON_CAUSE_HOSTS,
   START_SURVIVAL_MS,
 } from './BaobabwellControllerConstants';
-import { describeRun } from './BaobabwellControllerHostLog';
 import { stopFailedJob } from './BaobabwellControllerJobEnds';
+import { describeRun } from './BaobabwellControllerRunLog';
 
 /** Runs that may have been lost with an incarnation of a host, which may have crashed. */
 type SuspectedCrash = {
--- a/packages/baobabwell-controller/src/BaobabwellControllerHostLog.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostLog.ts
@@ -8,6 +8,7 @@
 import { parseTaskName } from '@baobabwell/jobs';
 
 import { countOthersUnavailable } from './BaobabwellControllerLongRunning';
+import { describeRun } from './BaobabwellControllerRunLog';
 
 /** Ground on which a run is given up although its host reported no end of it. */
 export enum RunLossGround {
@@ -26,11 +27,6 @@
   return atMs === null ? null : Math.round(nowMs - atMs);
 }
 
-/** Returns the log fields that identify a run. */
-export function describeRun({ task, number, hostId }: Run): Record<string, string | number> {
-  return { job: task.step.job.record.id, task: task.name, run: number, host: hostId };
-}
-
 /** Returns the log fields with what this owner knows of a host; `null` for one that it does not track. */
 export function describeKnowledge(nowMs: number, host: Host | null): LogFields {
   return {
--- a/packages/baobabwell-controller/src/BaobabwellControllerHostObserver.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostObserver.ts
@@ -1,5 +1,6 @@
-import type { TermContext } from './BaobabwellControllerContext';
 import type { Host } from './BaobabwellControllerHost';
+import type { TermOptions } from './BaobabwellControllerTermOptions';
+import type { DurationEstimator } from '@baobabwell/durations';
 import type { HealthHost, HostInPool, StepKey, HostAdmission } from '@baobabwell/host-health';
 import type { Run, Step, StepSpec } from '@baobabwell/jobs';
 
@@ -12,10 +13,12 @@
 
 const FULL_PERCENT = 100;
 
-type ObserverContext = Pick<
-  TermContext,
-  'clock' | 'durations' | 'hosts' | 'logger' | 'metrics' | 'requestDispatch'
->;
+type ObserverContext = Pick<TermOptions, 'clock' | 'logger' | 'metrics'> & {
+  readonly durations: DurationEstimator;
+  readonly hosts: ReadonlyMap<string, Host>;
+  /** Requests a round of placements. */
+  readonly requestDispatch: () => void;
+};
 
 function getStepKey({ job, occurrence, position }: Step): StepKey {
   const jobId = job.record.id;
--- a/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
@@ -11,7 +11,8 @@
   REFUSAL_DELAY_MS,
   UNHEALTHY_BACKOFF_MS,
 } from './BaobabwellControllerConstants';
-import { describeLongRunningStop, describeRun } from './BaobabwellControllerHostLog';
+import { describeLongRunningStop } from './BaobabwellControllerHostLog';
+import { describeRun } from './BaobabwellControllerRunLog';
 
 /** Callbacks from orders to the session of their host. */
 export type OrderListener = {
--- a/packages/baobabwell-controller/src/BaobabwellControllerRunDurations.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerRunDurations.ts
@@ -1,6 +1,6 @@
-import type { TermOptions } from './BaobabwellControllerContext';
 import type { Handover } from './BaobabwellControllerHandover';
 import type { Host } from './BaobabwellControllerHost';
+import type { TermOptions } from './BaobabwellControllerTermOptions';
 import type { DurationEstimator, RunProgress } from '@baobabwell/durations';
 import type { Run } from '@baobabwell/jobs';
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -18,7 +18,6 @@
 import { canAdoptRun } from './BaobabwellControllerCopies';
 import { HostCrashes } from './BaobabwellControllerHostCrashes';
 import {
-  describeRun,
   recordHostRestart,
   recordIgnoredEnd,
   recordLeaseExpiry,
@@ -28,6 +27,7 @@
 } from './BaobabwellControllerHostLog';
 import { recordJobEnd, stopFailedJob } from './BaobabwellControllerJobEnds';
 import { RunOrders } from './BaobabwellControllerOrders';
+import { describeRun } from './BaobabwellControllerRunLog';
 
 /** Longest wait of a session that has nothing to send, in ms. */
 const MAX_IDLE_WAIT_MS = 10_000;
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -1,5 +1,6 @@
-import type { TermContext, TermOptions } from './BaobabwellControllerContext';
+import type { TermContext } from './BaobabwellControllerContext';
 import type { UnansweredStart } from './BaobabwellControllerHost';
+import type { TermOptions } from './BaobabwellControllerTermOptions';
 import type { TablePosition } from './BaobabwellControllerTermTables';
 import type { ListedWorker } from '@baobabwell/fleet';
 import type { OfferReply } from '@baobabwell/ingress';
--- /dev/null
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTermOptions.ts
@@ -0,0 +1,30 @@
+import type { FleetBounds, FleetCodec } from './BaobabwellControllerModel';
+import type { PeerReports } from './BaobabwellControllerStoreOutage';
+import type { FleetConfiguration } from '@baobabwell/fleet';
+import type { Logger } from '@baobabwell/logging';
+import type { OwnerMetrics } from '@baobabwell/metrics';
+import type { Ownership } from '@baobabwell/ownership';
+import type {
+  CloudControl,
+  HostOrders,
+  PlacementAdvisor,
+  WatchableTableService,
+} from '@baobabwell/platform';
+import type { Clock } from '@baobabwell/utils';
+
+/** Dependencies that the process provides to a term. */
+export type TermOptions = {
+  readonly holder: string;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: OwnerMetrics;
+  readonly bounds: FleetBounds;
+  readonly codec: FleetCodec;
+  readonly store: WatchableTableService;
+  readonly orders: HostOrders;
+  readonly cloud: CloudControl | null;
+  readonly advisor: PlacementAdvisor | null;
+  readonly ownership: Ownership;
+  readonly peerReports: PeerReports;
+  readonly getConfiguration: () => FleetConfiguration | null;
+};
--- a/packages/baobabwell-controller/src/index.ts
+++ b/packages/baobabwell-controller/src/index.ts
@@ -1,4 +1,5 @@
-export type { TermContext, TermOptions } from './BaobabwellControllerContext';
+export type { TermContext } from './BaobabwellControllerContext';
+export type { TermOptions } from './BaobabwellControllerTermOptions';
 export type { EvacuationReport } from './BaobabwellControllerEvacuationReport';
 export type { FleetBounds, FleetCodec } from './BaobabwellControllerModel';
 
