jobs: sums and comparisons of resources stand once

Cause: the read-through found the sum of resources twice and the check whether a need fits three times, added by different parts. Change: addResources, fitsInto and NO_RESOURCES in the package jobs, beside the type; fairness, placement and controller call them. Conclusion: arithmetic of a shared type belongs beside it.

--- a/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
@@ -5,7 +5,7 @@
 import type { AcceptedWork, AdmissionDecision } from '@baobabwell/placement';
 
 import { computeDemand, RefusalMemory } from '@baobabwell/ingress';
-import { TaskPhase } from '@baobabwell/jobs';
+import { fitsInto, TaskPhase } from '@baobabwell/jobs';
 import {
   decideAdmission,
   getCriticalPathMs,
@@ -60,10 +60,6 @@
 /** Time for which the first offer of a job counts when the job is offered again, in ms. */
 const FIRST_OFFER_MS = 15_000;
 
-function canFit(need: Resources, { cpuMillis, memoryMb, gpus }: Resources): boolean {
-  return need.cpuMillis <= cpuMillis && need.memoryMb <= memoryMb && need.gpus <= gpus;
-}
-
 /** Counts how often a need fits into free resources. */
 function countPieces({ need, maxPerHost }: StepSpec, free: Resources): number {
   const pieces = Math.min(
@@ -125,7 +121,7 @@
     const { machineCapacities, ...capacity } = state.capacity;
     const isLargerThanAnyHost =
       machineCapacities.length > 0 &&
-      spec.steps.some(({ need }) => !machineCapacities.some((machine) => canFit(need, machine)));
+      spec.steps.some(({ need }) => !machineCapacities.some((machine) => fitsInto(need, machine)));
     const isBeyondRate = jobRates.addOffer(record);
     const hasNoObjective = spec.repeat !== null || spec.steps.some(({ isLasting }) => isLasting);
     if (hasNoObjective && !isLargerThanAnyHost) {
--- a/packages/baobabwell-controller/src/BaobabwellControllerPoolUsage.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerPoolUsage.ts
@@ -2,24 +2,10 @@
 import type { PoolUsage, ReadyWork } from '@baobabwell/fairness';
 import type { Resources } from '@baobabwell/jobs';
 
-const NO_RESOURCES: Resources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
-
-function addResources(left: Resources, right: Resources, factor: 1 | -1): Resources {
-  return {
-    cpuMillis: left.cpuMillis + factor * right.cpuMillis,
-    memoryMb: left.memoryMb + factor * right.memoryMb,
-    gpus: left.gpus + factor * right.gpus,
-  };
-}
+import { addResources, fitsInto, NO_RESOURCES } from '@baobabwell/jobs';
 
 function addTo(sums: Map<string, Resources>, key: string, change: Resources): void {
-  sums.set(key, addResources(sums.get(key) ?? NO_RESOURCES, change, 1));
-}
-
-function fits(need: Resources, free: Resources): boolean {
-  return (
-    need.cpuMillis <= free.cpuMillis && need.memoryMb <= free.memoryMb && need.gpus <= free.gpus
-  );
+  sums.set(key, addResources(sums.get(key) ?? NO_RESOURCES, change));
 }
 
 /**
@@ -41,7 +27,7 @@
   const contended = new Map<string, { capacity: Resources; used: Map<string, Resources> }>();
   needs.forEach((need, pool) => {
     const poolFree = free.get(pool);
-    if (poolFree !== undefined && !fits(need, poolFree)) {
+    if (poolFree !== undefined && !fitsInto(need, poolFree)) {
       contended.set(pool, { capacity: poolFree, used: new Map() });
     }
   });
@@ -55,7 +41,7 @@
       if (!isLasting) {
         const used = isFilling ? { ...need, cpuMillis: 0 } : need;
         addTo(poolUsage.used, step.job.record.organisation ?? '', used);
-        poolUsage.capacity = addResources(poolUsage.capacity, used, 1);
+        poolUsage.capacity = addResources(poolUsage.capacity, used);
       }
     });
   });
--- a/packages/baobabwell-fairness/src/BaobabwellFairnessOrder.ts
+++ b/packages/baobabwell-fairness/src/BaobabwellFairnessOrder.ts
@@ -7,9 +7,9 @@
 import type { FairOrderSnapshot, PoolUsage, ReadyWork } from './BaobabwellFairnessModel';
 import type { Resources } from '@baobabwell/jobs';
 
-import { computeShareLevel, getDominantShare } from './BaobabwellFairnessShares';
+import { addResources, NO_RESOURCES } from '@baobabwell/jobs';
 
-const NO_RESOURCES: Resources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
+import { computeShareLevel, getDominantShare } from './BaobabwellFairnessShares';
 
 /** Place of work within its class; work with a lower one goes first. */
 enum Tier {
@@ -26,14 +26,6 @@
   Tier.BeyondShareAndRate,
 ];
 
-function addResources(left: Resources, right: Resources): Resources {
-  return {
-    cpuMillis: left.cpuMillis + right.cpuMillis,
-    memoryMb: left.memoryMb + right.memoryMb,
-    gpus: left.gpus + right.gpus,
-  };
-}
-
 /** Tracks what each organisation uses in a pool, with the work that was ordered before. */
 class PoolShares {
   readonly #capacity: Resources;
--- a/packages/baobabwell-jobs/src/index.ts
+++ b/packages/baobabwell-jobs/src/index.ts
@@ -16,5 +16,6 @@
 export { CrashSuspicion, TaskCrashes } from './BaobabwellJobsCrashes';
 export { formatTaskName, JobState, parseTaskName, RunEnd } from './BaobabwellJobsModel';
 export { JobRegistry, RunEndEffect } from './BaobabwellJobsRegistry';
+export { addResources, fitsInto, NO_RESOURCES } from './BaobabwellJobsResources';
 export { createJobProgress, parseJobProgress } from './BaobabwellJobsRows';
 export { isEnded, Job, Run, RunPhase, Step, Task, TaskPhase } from './BaobabwellJobsTracking';
--- a/packages/baobabwell-placement/src/BaobabwellPlacementCopies.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacementCopies.ts
@@ -6,7 +6,7 @@
 import type { Allowance, AllowedHosts, Placement, PlacementHost } from './BaobabwellPlacementModel';
 import type { Resources, Run, Step } from '@baobabwell/jobs';
 
-import { CrashSuspicion, RunPhase, TaskPhase } from '@baobabwell/jobs';
+import { CrashSuspicion, fitsInto, RunPhase, TaskPhase } from '@baobabwell/jobs';
 
 /** A run of a task that may be copied, with what is expected of it. */
 export type CopyCandidate = {
@@ -56,12 +56,6 @@
   };
 }
 
-function fits(need: Resources, free: Resources): boolean {
-  return (
-    need.cpuMillis <= free.cpuMillis && need.memoryMb <= free.memoryMb && need.gpus <= free.gpus
-  );
-}
-
 /** Returns true if a task may have a copy at all. */
 function canCopy({ run, maxAttempts, wonShare }: CopyCandidate): boolean {
   const { task } = run;
@@ -128,7 +122,7 @@
         host.id !== run.hostId &&
         !avoidedHosts.has(host.id) &&
         !host.isStartingSuspect &&
-        fits(spec.need, own) &&
+        fitsInto(spec.need, own) &&
         (spec.hostLabel === null || host.labels.includes(spec.hostLabel)) &&
         (spec.maxPerHost === 0 || count < spec.maxPerHost) &&
         allowed?.has(host.id) !== false;
@@ -150,7 +144,7 @@
       const { organisation } = task.step.job.record;
       const pool = pools.get(candidate.pool);
       const allowance = organisation === null ? undefined : allowances.get(organisation);
-      if (pool === undefined || (allowance !== undefined && !fits(need, allowance))) {
+      if (pool === undefined || (allowance !== undefined && !fitsInto(need, allowance))) {
         return;
       }
       const room = remaining.get(candidate.pool) ?? { cpuMillis: pool.cpuMillis, free: new Map() };
