processor-time, daemon: processor time by activity, in metrics and in the log of a busy process

Change: sections of the owner's work are measured; a process that is busy for half of a second or more logs processor-busy with the time and number of each activity and of garbage collection; counter baobabwell_processor_seconds_total. Not by a profiler: it costs more and tells nothing by activity.

--- a/packages/baobabwell-controller/src/BaobabwellController.ts
+++ b/packages/baobabwell-controller/src/BaobabwellController.ts
@@ -4,6 +4,7 @@
 import type { Term } from '@baobabwell/ownership';
 
 import { OwnerClient } from '@baobabwell/ingress';
+import { Activity } from '@baobabwell/processor-time';
 
 import { OwnerTerm } from './BaobabwellControllerTerm';
 
@@ -37,11 +38,15 @@
   }
 
   override async offer(job: JobRecord): Promise<OfferReply | null> {
-    return this.getLoadedTerm()?.offer(job) ?? null;
+    const term = this.getLoadedTerm();
+    return term && this.#options.processorTime.measure(Activity.Admission, () => term.offer(job));
   }
 
   override async findState(jobId: string): Promise<JobState | null> {
-    return this.getLoadedTerm()?.context.jobRegistry.findJob(jobId)?.getVisibleState() ?? null;
+    return this.#options.processorTime.measure(
+      Activity.StateReads,
+      () => this.getLoadedTerm()?.context.jobRegistry.findJob(jobId)?.getVisibleState() ?? null,
+    );
   }
 
   override async countWaiting(queue: string): Promise<number | null> {
--- a/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
@@ -7,6 +7,7 @@
 import { PROGRESS_TABLE } from '@baobabwell/ingress';
 import { createJobProgress, parseJobProgress } from '@baobabwell/jobs';
 import { TableErrorKind } from '@baobabwell/platform';
+import { Activity } from '@baobabwell/processor-time';
 import { RetryDelay, WakeSignal } from '@baobabwell/utils';
 
 import {
@@ -134,21 +135,22 @@
   /** Stores one batch of the pending changes. */
   async commitOnce(): Promise<void> {
     this.#isRequested = false;
-    const batch = this.#createBatch();
+    const { processorTime } = this.#context;
+    const batch = processorTime.measure(Activity.Storage, () => this.#createBatch());
     if (batch.writes.length === 0) {
       this.#recordStored(batch, 0);
       return;
     }
     const { ownership, term, handover } = this.#context;
     batch.ends.forEach(({ host, position }) => host.history.recordCommit(position));
-    const reply = await ownership.commit(term, batch.conditions, [
-      ...batch.writes,
-      ...handover.createWrites(),
-    ]);
+    const reply = await processorTime.measure(Activity.Storage, async () =>
+      ownership.commit(term, batch.conditions, [...batch.writes, ...handover.createWrites()]),
+    );
     batch.ends.forEach(({ host }) => host.history.recordCommit(null));
     if (reply.ok) {
+      const { value: version } = reply;
       this.#retry.reset();
-      this.#recordStored(batch, reply.value);
+      processorTime.measure(Activity.Storage, () => this.#recordStored(batch, version));
       return;
     }
     handover.requestStore();
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -9,6 +9,7 @@
 import { HostAdmission } from '@baobabwell/host-health';
 import { CrashSuspicion, RunPhase } from '@baobabwell/jobs';
 import { compareUrgency, decidePlacements, getUrgency } from '@baobabwell/placement';
+import { Activity } from '@baobabwell/processor-time';
 import { WakeSignal } from '@baobabwell/utils';
 
 import {
@@ -132,7 +133,7 @@
 
   /** Runs rounds of placements until the term ends. */
   async run(): Promise<void> {
-    const { signal, clock } = this.#context;
+    const { signal, clock, processorTime } = this.#context;
     let delayMs = MIN_DISPATCH_DELAY_MS;
     while (!signal.aborted) {
       await clock.wait(delayMs, signal);
@@ -143,10 +144,10 @@
       const maxVersion = this.#context.startGate.findMaxStartableVersion();
       if (!signal.aborted && maxVersion !== null) {
         const startedAtMs = clock.getNow();
-        this.placeOnce(maxVersion);
+        processorTime.measure(Activity.Placement, () => this.placeOnce(maxVersion));
         if (startedAtMs - this.#copiedAtMs >= COPY_INTERVAL_MS) {
           this.#copiedAtMs = startedAtMs;
-          this.#placeCopies(maxVersion);
+          processorTime.measure(Activity.Copies, () => this.#placeCopies(maxVersion));
         }
         delayMs = Math.max(
           MIN_DISPATCH_DELAY_MS,
@@ -160,7 +161,9 @@
   placeOnce(maxVersion: number): void {
     const nowMs = this.#context.clock.getNow();
     const withheldPools = this.#listWithheldPools();
-    const steps = this.listReadySteps().filter(
+    const { processorTime } = this.#context;
+    const ready = processorTime.measure(Activity.Order, () => this.listReadySteps());
+    const steps = ready.filter(
       ({ step, pool }) => step.job.acceptedVersion <= maxVersion && !withheldPools.has(pool),
     );
     if (steps.length === 0) {
@@ -176,7 +179,7 @@
       allowances: this.#listAllowances(),
       findAllowedHosts: (step) => tickets.get(step) ?? null,
     });
-    this.#startPlacements(placements, tickets);
+    processorTime.measure(Activity.Starts, () => this.#startPlacements(placements, tickets));
   }
 
   #placeCopies(maxVersion: number): void {
--- a/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerFleetControlLoop.ts
@@ -13,6 +13,7 @@
 } from '@baobabwell/fleet';
 import { RunPhase } from '@baobabwell/jobs';
 import { CloudHostState } from '@baobabwell/platform';
+import { Activity } from '@baobabwell/processor-time';
 import { WakeSignal } from '@baobabwell/utils';
 
 import {
@@ -188,7 +189,7 @@
   }
 
   async #runRound(): Promise<void> {
-    const { cloud, ownership, getConfiguration } = this.#context;
+    const { cloud, ownership, processorTime, getConfiguration } = this.#context;
     if (cloud === null || getConfiguration() === null) {
       return;
     }
@@ -207,7 +208,9 @@
     }
     this.#machines.intents.refresh();
     const waveCordons = await this.#waves.runRound();
-    const moveCordons = this.#moveMachines(waveCordons);
+    const moveCordons = processorTime.measure(Activity.Fleet, () =>
+      this.#moveMachines(waveCordons),
+    );
     this.#moveEvacuatedMachines(waveCordons);
     this.#applyCordons(new Map([...moveCordons, ...waveCordons]));
   }
--- a/packages/baobabwell-controller/src/BaobabwellControllerTermOptions.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTermOptions.ts
@@ -10,6 +10,7 @@
   PlacementAdvisor,
   WatchableTableService,
 } from '@baobabwell/platform';
+import type { ProcessorTime } from '@baobabwell/processor-time';
 import type { Clock } from '@baobabwell/utils';
 
 /** Dependencies that the process provides to a term. */
@@ -18,6 +19,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: OwnerMetrics;
+  readonly processorTime: ProcessorTime;
   readonly bounds: FleetBounds;
   readonly codec: FleetCodec;
   readonly store: WatchableTableService;
--- a/packages/baobabwell-controller/src/BaobabwellControllerTermTables.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTermTables.ts
@@ -3,6 +3,7 @@
 import type { ClockReading } from '@baobabwell/utils';
 
 import { WatchErrorKind } from '@baobabwell/platform';
+import { Activity } from '@baobabwell/processor-time';
 import { addTime, getElapsedMs, readClocks, RetryDelay } from '@baobabwell/utils';
 
 import {
@@ -14,7 +15,7 @@
   WATCH_WAIT_MS,
 } from './BaobabwellControllerConstants';
 
-type TableContext = Pick<TermContext, 'store' | 'clock' | 'signal' | 'logger'>;
+type TableContext = Pick<TermContext, 'store' | 'clock' | 'signal' | 'logger' | 'processorTime'>;
 
 /** The stored rows of a range. */
 export type ReadPage = ChangePage & {
@@ -132,7 +133,7 @@
     apply: (row: Row) => void,
     rereader: TableRereader,
   ): Promise<void> {
-    const { store, clock, signal, logger } = this.#context;
+    const { store, clock, signal, logger, processorTime } = this.#context;
     const retry = new RetryDelay(WATCH_RETRY_MS, MAX_WATCH_RETRY_MS);
     let { version } = from;
     // The first call shows at once what changed while the stored state was read and applied.
@@ -149,7 +150,7 @@
       const requestedAt = readClocks(clock);
       const page = await store.waitForChanges(table, version, waitMs, signal);
       if (page.ok) {
-        page.value.rows.forEach(apply);
+        processorTime.measure(Activity.Watches, () => page.value.rows.forEach(apply));
         version = page.value.version;
         if (page.value.isPartial !== true) {
           // The store answers without changes only after the whole wait, and so as of its end.
--- a/packages/baobabwell-controller/src/__tests__/unit/BaobabwellControllerTermTables.test.ts
+++ b/packages/baobabwell-controller/src/__tests__/unit/BaobabwellControllerTermTables.test.ts
@@ -6,6 +6,7 @@
 import { EmulatedTime } from '@baobabwell/emulator';
 import { EmulatedJobStore, EmulatedRows, NO_TABLE_FAULTS } from '@baobabwell/job-emulator';
 import { Logger, LogLevel } from '@baobabwell/logging';
+import { ProcessorTime } from '@baobabwell/processor-time';
 import { createError, Random, readClocks } from '@baobabwell/utils';
 
 import { TermTables } from '../../BaobabwellControllerTermTables';
@@ -54,7 +55,8 @@
     const store = new SlowLinkStore(time);
     const { signal } = new AbortController();
     const logger = new Logger(LogLevel.Error, {}, () => undefined);
-    const tables = new TermTables({ store, clock: time, signal, logger });
+    const processorTime = new ProcessorTime(() => time.getNow());
+    const tables = new TermTables({ store, clock: time, signal, logger, processorTime });
     const pages = await time.settle(tables.readAll(RANGES), 30_000);
     expect([pages.length, store.requestCount]).toEqual([RANGES.length, RANGES.length]);
   });
@@ -64,7 +66,8 @@
     const store = new EmulatedJobStore(time, time, new Random(SEED), new EmulatedRows());
     const { signal } = new AbortController();
     const logger = new Logger(LogLevel.Error, {}, () => undefined);
-    const tables = new TermTables({ store, clock: time, signal, logger });
+    const processorTime = new ProcessorTime(() => time.getNow());
+    const tables = new TermTables({ store, clock: time, signal, logger, processorTime });
     const requestedAt = readClocks(time);
     await time.advance(5_000);
     let rereadCount = 0;
--- a/packages/baobabwell-daemon/src/BaobabwellDaemon.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemon.ts
@@ -5,13 +5,22 @@
 
 import { Kernel, mergeUndo } from '@baobabwell/kernel';
 import { DaemonMetrics } from '@baobabwell/metrics';
+import { ProcessorTime } from '@baobabwell/processor-time';
 
 import { controllerPlugin } from './BaobabwellDaemonControllerPlugin';
 import { eventLoopPlugin } from './BaobabwellDaemonEventLoop';
 import { ingressPlugin } from './BaobabwellDaemonIngressPlugin';
 import { MeasuredStore } from './BaobabwellDaemonMeasuredStore';
 import { metricsPlugin } from './BaobabwellDaemonMetricsPlugin';
-import { ADAPTERS, LOGGER, METRICS, SETTINGS, STATE } from './BaobabwellDaemonTokens';
+import { processorTimePlugin } from './BaobabwellDaemonProcessorTime';
+import {
+  ADAPTERS,
+  LOGGER,
+  METRICS,
+  PROCESSOR_TIME,
+  SETTINGS,
+  STATE,
+} from './BaobabwellDaemonTokens';
 
 /** Builds the kernel of one process. The code that calls this starts and closes it. */
 export function buildDaemon(options: {
@@ -35,11 +44,16 @@
         })),
         kernel.registerService(LOGGER, () => options.logger),
         kernel.registerService(METRICS, () => metrics),
+        kernel.registerService(
+          PROCESSOR_TIME,
+          () => new ProcessorTime(() => options.clock.getNow()),
+        ),
         kernel.registerService(STATE, () => options.state),
       );
     },
   });
   kernel.use(eventLoopPlugin);
+  kernel.use(processorTimePlugin);
   // Plugins close in reverse order: ownership is handed over first, while callers are still served.
   kernel.use(ingressPlugin);
   kernel.use(metricsPlugin);
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
@@ -22,6 +22,7 @@
   OWNERSHIP,
   PEER_CONNECTOR,
   PEERS,
+  PROCESSOR_TIME,
   SETTINGS,
 } from './BaobabwellDaemonTokens';
 
@@ -65,6 +66,7 @@
     clock: kernel.clock,
     logger: kernel.getService(LOGGER),
     metrics: kernel.getService(METRICS).owner,
+    processorTime: kernel.getService(PROCESSOR_TIME),
     bounds,
     codec,
     store,
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonTokens.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonTokens.ts
@@ -8,6 +8,7 @@
 import type { DaemonMetrics } from '@baobabwell/metrics';
 import type { Ownership } from '@baobabwell/ownership';
 import type { PeerConnector } from '@baobabwell/peers';
+import type { ProcessorTime } from '@baobabwell/processor-time';
 
 import { createServiceToken } from '@baobabwell/kernel';
 
@@ -15,6 +16,7 @@
 export const ADAPTERS = createServiceToken<DaemonAdapters>('adapters');
 export const LOGGER = createServiceToken<Logger>('logger');
 export const METRICS = createServiceToken<DaemonMetrics>('metrics');
+export const PROCESSOR_TIME = createServiceToken<ProcessorTime>('processorTime');
 export const STATE = createServiceToken<DaemonState>('state');
 export const PEER_CONNECTOR = createServiceToken<PeerConnector>('peerConnector');
 export const OWNERSHIP = createServiceToken<Ownership>('ownership');
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -12,6 +12,7 @@
 import { Logger, LogLevel } from '@baobabwell/logging';
 import { DaemonMetrics } from '@baobabwell/metrics';
 import { Ownership } from '@baobabwell/ownership';
+import { ProcessorTime } from '@baobabwell/processor-time';
 import { Random } from '@baobabwell/utils';
 
 import { EmulatedCloud } from './BaobabwellJobEmulatorCloud';
@@ -228,6 +229,7 @@
       clock,
       logger,
       metrics: new DaemonMetrics().owner,
+      processorTime: new ProcessorTime(() => clock.getNow()),
       bounds: {
         maxHostLeaseMs: MAX_LEASE_MS,
         machineOrderDelayMs: 3_000,
@@ -432,11 +434,8 @@
 
   /** Asks the owner whether it would admit a job, which is not stored; `null` while there is no owner. */
   async offer(steps: readonly Partial<StepSpec>[]): Promise<OfferReply | null> {
-    const owner = this.findOwner();
-    const record = this.#createRecord(steps, null);
-    return owner === null
-      ? null
-      : ((await this.#daemons.get(owner)?.controller.offer(record)) ?? null);
+    const owner = this.#daemons.get(this.findOwner() ?? '');
+    return (await owner?.controller.offer(this.#createRecord(steps, null))) ?? null;
   }
 
   cancel(jobId: string): void {
--- a/packages/baobabwell-metrics/src/BaobabwellMetricsDaemon.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetricsDaemon.ts
@@ -63,6 +63,13 @@
     registers: [this.registry],
   });
 
+  readonly processorSeconds = new Counter({
+    name: 'baobabwell_processor_seconds_total',
+    help: 'Time for which this process ran code, by activity; `all` covers the activities and the rest.',
+    labelNames: ['activity'] as const,
+    registers: [this.registry],
+  });
+
   readonly eventLoopDelaySeconds = new Histogram({
     name: 'baobabwell_event_loop_delay_seconds',
     help: 'Time by which timers of this process were late, measured ten times a second.',
--- /dev/null
+++ b/packages/baobabwell-processor-time/src/index.ts
@@ -0,0 +1,3 @@
+export type { ActivityTime } from './BaobabwellProcessorTime';
+
+export { Activity, ProcessorTime, ProcessorTimeReport } from './BaobabwellProcessorTime';
