peers: few connections to each peer, kept open between bursts

Other processes opened a connection for each request beyond those open, and closed them after 4 s without any; in a turn they opened them anew to the one process that was busy. Requests on connections that were not accepted yet ended after 1,000 ms ('peer-not-answering'), each closed its connection and opened another one, and the job was stored without the owner's admission, a second late. Change: four connections to a peer at most, closed after 20 s; further requests wait. Not one connection for all: a relayed call may take a second. The timeouts that are left come from its load.

--- a/packages/baobabwell-peers/src/BaobabwellPeersConnector.ts
+++ b/packages/baobabwell-peers/src/BaobabwellPeersConnector.ts
@@ -8,6 +8,7 @@
 import { startResponseTimer } from '@baobabwell/utils';
 
 import {
+  MAX_CONNECTIONS_PER_PEER,
   PEER_CONNECT_TIMEOUT_MS,
   PEER_IDLE_TIMEOUT_MS,
   PEER_PATH,
@@ -29,6 +30,7 @@
   readonly #secret: string;
 
   readonly #agent = new Agent({
+    connections: MAX_CONNECTIONS_PER_PEER,
     connect: createConnector(PEER_CONNECT_TIMEOUT_MS),
     keepAliveTimeout: PEER_IDLE_TIMEOUT_MS,
     keepAliveMaxTimeout: PEER_IDLE_TIMEOUT_MS,
--- a/packages/baobabwell-peers/src/BaobabwellPeersConstants.ts
+++ b/packages/baobabwell-peers/src/BaobabwellPeersConstants.ts
@@ -10,5 +10,11 @@
 /** Maximum time for opening a connection to a peer. */
 export const PEER_CONNECT_TIMEOUT_MS = 500;
 
-/** Time after which an idle connection to a peer is closed. */
-export const PEER_IDLE_TIMEOUT_MS = 4_000;
+/** Time after which an idle connection to a peer is closed, in ms; longer than the pauses between bursts. */
+export const PEER_IDLE_TIMEOUT_MS = 20_000;
+
+/**
+ * Maximum number of connections to one peer; further requests wait for one of them. A server accepts one
+ * connection in each turn of its event loop, so that a busy one accepts new connections late.
+ */
+export const MAX_CONNECTIONS_PER_PEER = 4;
