peers: procedures are called without the adapter of trpc

Cause: serving one request of a peer took 496 us of processor, three times as much as a call to a host (149 to 175 us): the adapter creates a web request, streams and a web response for each. Callers whose jobs are late ask for their state more often, up to 338 times a second: a fifth of the owner's processor. Change: a route of the server calls the procedure and writes the reply in the format of the HTTP link. Clients stay as they are. Measured: a program with 8 connections, 6,000 requests: 496 -> 138 us a request. Conclusion: the protocol stays trpc; only the conversion between two models of HTTP goes.

--- a/packages/baobabwell-peers/src/BaobabwellPeersServer.ts
+++ b/packages/baobabwell-peers/src/BaobabwellPeersServer.ts
@@ -1,7 +1,13 @@
 import type { AnyTRPCRouter } from '@trpc/server';
-import type { FastifyInstance } from 'fastify';
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 
-import { fastifyTRPCPlugin } from '@trpc/server/adapters/fastify';
+import {
+  callTRPCProcedure,
+  getTRPCErrorFromUnknown,
+  getTRPCErrorShape,
+  TRPCError,
+} from '@trpc/server';
+import { getHTTPStatusCodeFromError } from '@trpc/server/http';
 import Fastify from 'fastify';
 import { timingSafeEqual } from 'node:crypto';
 
@@ -10,13 +16,69 @@
 const HTTP_UNAUTHORIZED = 401;
 const MAX_PARAMETER_LENGTH = 1_000;
 
+type PeerRequest = FastifyRequest<{
+  Params: { readonly path: string };
+  Querystring: { readonly input?: string };
+}>;
+
 function matchesSecret(received: unknown, secret: string): boolean {
   const actual = Buffer.from(typeof received === 'string' ? received : '');
   const expected = Buffer.from(secret);
   return actual.length === expected.length && timingSafeEqual(actual, expected);
 }
 
-/** Builds the server for other entries. The code that calls this starts listening and closes it. */
+function parseInput(request: PeerRequest): unknown {
+  if (request.method === 'POST') {
+    return request.body;
+  }
+  const { input } = request.query;
+  try {
+    return input === undefined ? undefined : JSON.parse(input);
+  } catch (cause) {
+    throw new TRPCError({ code: 'PARSE_ERROR', cause });
+  }
+}
+
+/** Calls a procedure and sends its result as an HTTP link of trpc reads it. */
+async function answerRequest(
+  router: AnyTRPCRouter,
+  request: PeerRequest,
+  reply: FastifyReply,
+): Promise<FastifyReply> {
+  const { path } = request.params;
+  const type = request.method === 'POST' ? 'mutation' : 'query';
+  try {
+    const data: unknown = await callTRPCProcedure({
+      router,
+      path,
+      type,
+      ctx: {},
+      getRawInput: async () => parseInput(request),
+      signal: undefined,
+      batchIndex: 0,
+    });
+    return await reply.send({ result: { data } });
+  } catch (cause) {
+    const error = getTRPCErrorFromUnknown(cause);
+     
+    const { _config: config } = router._def;
+    const shape: unknown = getTRPCErrorShape({
+      config,
+      error,
+      type,
+      path,
+      input: undefined,
+      ctx: {},
+    });
+    return reply.code(getHTTPStatusCodeFromError(error)).send({ error: shape });
+  }
+}
+
+/**
+ * Builds the server for other entries. The code that calls this starts listening and closes it. Procedures
+ * are called directly: the adapters of trpc create web requests and responses, which cost several times
+ * as much as the call.
+ */
 export async function buildPeerServer(
   router: AnyTRPCRouter,
   secret: string,
@@ -30,6 +92,10 @@
       ? undefined
       : reply.code(HTTP_UNAUTHORIZED).send(),
   );
-  await server.register(fastifyTRPCPlugin, { prefix: PEER_PATH, trpcOptions: { router } });
+  server.route({
+    method: ['GET', 'POST'],
+    url: `${PEER_PATH}/:path`,
+    handler: async (request, reply) => answerRequest(router, request as PeerRequest, reply),
+  });
   return server;
 }
