fleet: the peak of a burst that still runs predicts that of the next

Cause: peaks were recorded at the end of a burst. Change: bursts of other pools that have lasted for two seconds count with their peak so far. Measured: the new test failed before (0 for 12 hosts).

--- a/packages/baobabwell-fleet/src/BaobabwellFleetBurstPrediction.ts
+++ b/packages/baobabwell-fleet/src/BaobabwellFleetBurstPrediction.ts
@@ -2,8 +2,8 @@
  * Load pattern: the queues have demand bursts one after the other, and the bursts resemble each
  * other: within a second or two, each reaches about the peak of the one before. Machines take
  * longer than that to join a pool, so a pool gets most of the usual peak at the start of its burst,
- * before its own load shows it. Without an earlier burst nothing is predicted, and a single large
- * job starts no burst.
+ * before its own load shows it. The burst before may still run then, and shows its peak as well.
+ * Without an earlier burst nothing is predicted, and a single large job starts no burst.
  */
 
 /** Demand on a pool at one moment. */
@@ -108,7 +108,7 @@
     minHosts: number,
     nowMs: number,
   ): number {
-    const usualPeak = this.#getUsualPeak();
+    const usualPeak = this.#getUsualPeak(pool, nowMs);
     const isLoaded = extraHosts >= Math.max(minHosts, BURST_START_SHARE * usualPeak);
     const burst = this.#bursts.get(pool) ?? null;
     if (burst === null) {
@@ -194,9 +194,15 @@
     }
   }
 
-  /** Returns the lower median of the recorded peaks; 0 if there are none. */
-  #getUsualPeak(): number {
-    const ordered = this.#peaks.toSorted((a, b) => a - b);
+  /**
+   * Returns the lower median of the recorded peaks and of those of bursts that other pools have; 0 if
+   * there are none.
+   */
+  #getUsualPeak(pool: string, nowMs: number): number {
+    const running = [...this.#bursts]
+      .filter(([name, { startedAtMs }]) => name !== pool && nowMs - startedAtMs >= MIN_BURST_MS)
+      .map(([, { peakHosts }]) => peakHosts);
+    const ordered = [...this.#peaks, ...running].toSorted((a, b) => a - b);
     return ordered[Math.floor((ordered.length - 1) / 2)] ?? 0;
   }
 }
--- a/packages/baobabwell-fleet/src/__tests__/unit/BaobabwellFleetBurstPrediction.test.ts
+++ b/packages/baobabwell-fleet/src/__tests__/unit/BaobabwellFleetBurstPrediction.test.ts
@@ -60,6 +60,21 @@
     expect(predictor.record(sample, MIN_BURST_HOSTS, 9_600)).toEqual(0);
   });
 
+  it('predicts the peak of a burst that still runs in another pool', () => {
+    const predictor = new BurstPredictor();
+    const north = { pool: 'north', extraHosts: PEAK_HOSTS, arrivingJobs: 9 };
+    const south = { ...north, pool: 'south', extraHosts: PEAK_HOSTS / 4 };
+    [0, 7_000].forEach((nowMs) => predictor.record(north, MIN_BURST_HOSTS, nowMs));
+    expect(predictor.record(south, MIN_BURST_HOSTS, 7_500)).toEqual(0.75 * PEAK_HOSTS);
+  });
+
+  it('predicts nothing by a burst that has just begun', () => {
+    const predictor = new BurstPredictor();
+    const north = { pool: 'north', extraHosts: PEAK_HOSTS, arrivingJobs: 9 };
+    [0, 1_000].forEach((nowMs) => predictor.record(north, MIN_BURST_HOSTS, nowMs));
+    expect(predictor.record({ ...north, pool: 'south' }, MIN_BURST_HOSTS, 1_500)).toEqual(0);
+  });
+
   it('predicts no new burst of a pool whose burst has just ended', () => {
     const predictor = new BurstPredictor();
     const sample = { pool: 'north', extraHosts: PEAK_HOSTS, arrivingJobs: 9 };
