placement: a job at risk waits behind those that still have time in hand

Change: a job that has not started and has used up three quarters of the time for which it could wait goes behind those in time, before those that are late. Started jobs keep their place. Not last in, first out: that also passes over jobs which can still be in time. Conclusion: at overload, who waits is decided before it is too late for everyone.

--- a/packages/baobabwell-placement/src/BaobabwellPlacementObjective.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacementObjective.ts
@@ -109,6 +109,10 @@
   readonly priority: number;
   readonly isLongRunning: boolean;
   readonly isBestEffort: boolean;
+  /** A task of the job has started. */
+  readonly hasStarted: boolean;
+  /** Time for which the job could wait when it arrived, in ms; negative if it was late then. */
+  readonly maxWaitMs: number;
   /**
    * Time left until the due time beyond the remaining critical path, in ms; negative if the step is
    * late.
@@ -143,6 +147,8 @@
     priority: queue?.priority ?? 0,
     isLongRunning: spec.isLasting,
     isBestEffort: spec.isFilling,
+    hasStarted: job.hasStarted,
+    maxWaitMs: objectiveMs - getCriticalPathMs(job.record.spec, job.record.queue, durations),
     laxityMs: dueMs - nowMs - remainingMs,
     dueMs,
   };
--- a/packages/baobabwell-placement/src/BaobabwellPlacementOrder.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacementOrder.ts
@@ -2,7 +2,9 @@
  * Load pattern: during a burst of a few seconds, a queue demands several times the capacity of its
  * pool. Steps that can still meet their objective go before those that cannot; among the former,
  * the one with the earliest due time goes first, which completes the most steps in time when all
- * could be in time.
+ * could be in time. When they could not, that order alone would start each job at the last moment at
+ * which it may be in time, and make all of them late by what estimates are off. A job that has not
+ * started by then therefore waits behind those that still have time in hand.
  */
 import type { StepUrgency } from './BaobabwellPlacementObjective';
 
@@ -12,12 +14,29 @@
  */
 const LATE_TOLERANCE_MS = 150;
 
-/** Returns the rank of the urgency class of a step; a lower rank goes first. */
-function getRank({ isLongRunning, isBestEffort, laxityMs }: StepUrgency): number {
+/** Share of the time for which a job could wait below which it is at risk if it has not started. */
+const RISK_SHARE = 0.25;
+
+/** Classes of urgency, in the order in which their steps are placed. */
+enum UrgencyClass {
+  LongRunning = 0,
+  InTime = 1,
+  AtRisk = 2,
+  Late = 3,
+  BestEffort = 4,
+}
+
+function getRank(urgency: StepUrgency): UrgencyClass {
+  const { isLongRunning, isBestEffort, hasStarted, maxWaitMs, laxityMs } = urgency;
   if (isLongRunning) {
-    return isBestEffort ? 3 : 0;
+    return isBestEffort ? UrgencyClass.BestEffort : UrgencyClass.LongRunning;
+  }
+  if (laxityMs < -LATE_TOLERANCE_MS) {
+    return UrgencyClass.Late;
   }
-  return laxityMs >= -LATE_TOLERANCE_MS ? 1 : 2;
+  return !hasStarted && laxityMs < RISK_SHARE * maxWaitMs
+    ? UrgencyClass.AtRisk
+    : UrgencyClass.InTime;
 }
 
 /** Compares two steps; the step that is placed first sorts first. */
--- a/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacementAdmission.test.ts
+++ b/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacementAdmission.test.ts
@@ -193,6 +193,8 @@
       priority: 0,
       isLongRunning: false,
       isBestEffort: false,
+      hasStarted: false,
+      maxWaitMs: 1_000,
       laxityMs: 500,
       dueMs: 900,
     };
