controller, placement: admission by the present capacity of a pool

Cause: the capacity was kept with the sums of accepted work, for 60 times as long as these took: a busy owner refused by the capacity of a second ago while machines joined the pool. Change: the capacity is summed again after 50 ms; what the pool has done since the sums were made counts; the sums are kept 40 times as long as they took. job-refused names the capacity and the age of the sums. Measured: the new tests failed before. Conclusion: a bound on processor time must not decide how old a fact may be.

--- a/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
@@ -2,6 +2,7 @@
 import type { QueueSettings } from '@baobabwell/fleet';
 import type { RecentRefusal } from '@baobabwell/ingress';
 import type { Job, JobRecord, JobSpec, Resources, StepSpec } from '@baobabwell/jobs';
+import type { LogFields } from '@baobabwell/logging';
 import type { AcceptedWork, AdmissionDecision } from '@baobabwell/placement';
 
 import { computeDemand, RefusalMemory } from '@baobabwell/ingress';
@@ -33,11 +34,14 @@
   readonly machineCapacities: readonly Resources[];
 };
 
+/** Capacity of a pool at a time, in ms. */
+type KnownCapacity = { readonly atMs: number; readonly capacity: PoolCapacity };
+
 /** Accepted work of a pool ahead of one queue, as it was a short time ago. */
 type PoolState = {
-  /** Monotonic time until which the state is used, in ms. */
+  /** Monotonic times at which the state was built and until which it is used, in ms. */
+  readonly builtAtMs: number;
   readonly untilMs: number;
-  readonly capacity: PoolCapacity;
   readonly work: WorkQueue;
   /** Thousandths of a core that a MB of memory is worth in the pool. */
   readonly cpuMillisPerMb: number;
@@ -52,7 +56,10 @@
 const POOL_STATE_MS = 50;
 
 /** The same as a multiple of the time that the sums took, so that offers never fill the processor. */
-const POOL_STATE_FACTOR = 60;
+const POOL_STATE_FACTOR = 40;
+
+/** Time for which the capacity of a pool is not summed again, in ms: machines join by the second. */
+const CAPACITY_MS = 50;
 
 /** Time within which an admitted job is stored and seen, in ms. */
 const STORE_TIME_MS = 1_000;
@@ -71,6 +78,10 @@
   return Math.max(0, Math.floor(pieces));
 }
 
+function getStateKey(pool: string, priority: number): string {
+  return `${priority} ${pool}`;
+}
+
 function listFirstSteps({ steps }: JobSpec): readonly StepSpec[] {
   return steps.filter(({ after, isLasting }) => after.length === 0 && !isLasting);
 }
@@ -100,6 +111,8 @@
 
   readonly #states = new Map<string, PoolState>();
 
+  readonly #capacities = new Map<string, KnownCapacity>();
+
   readonly #refusals = new RefusalMemory();
 
   readonly #admitted = new Map<string, AdmittedJob>();
@@ -118,7 +131,7 @@
     const { spec, organisation } = record;
     const nowMs = clock.getNow();
     const state = this.#getState(queue, nowMs);
-    const { machineCapacities, ...capacity } = state.capacity;
+    const { machineCapacities, ...capacity } = this.#getCapacity(queue.pool, nowMs);
     const isLargerThanAnyHost =
       machineCapacities.length > 0 &&
       spec.steps.some(({ need }) => !machineCapacities.some((machine) => fitsInto(need, machine)));
@@ -142,6 +155,7 @@
       stepCount: spec.steps.length,
       ...capacity,
       accepted: state.work,
+      workAgeMs: nowMs - state.builtAtMs,
       isLargerThanAnyHost,
       hasFreeRoom: () => this.#hasFreeRoom(firstSteps, queue.pool, state),
     });
@@ -162,6 +176,18 @@
         };
   }
 
+  /** Returns the log fields with what the latest decision for a queue was based on. */
+  describeBasis({ pool, priority }: QueueSettings): LogFields {
+    const capacity = this.#capacities.get(pool)?.capacity;
+    const state = this.#states.get(getStateKey(pool, priority));
+    const nowMs = this.#context.clock.getNow();
+    return {
+      roomCpu: capacity?.cpuMillis ?? null,
+      arrivingCpu: capacity?.arrivingCpuMillis ?? null,
+      workAgeMs: state === undefined ? null : Math.round(nowMs - state.builtAtMs),
+    };
+  }
+
   /** Lists the latest refusals of a queue, which entries apply to like jobs without an offer. */
   listRefusals(queue: string): readonly RecentRefusal[] {
     return this.#refusals.list(queue, this.#context.clock.getNow());
@@ -211,7 +237,7 @@
 
   /** Returns the state of the pool of a queue for jobs of its priority. */
   #getState({ pool, priority }: QueueSettings, nowMs: number): PoolState {
-    const key = `${priority} ${pool}`;
+    const key = getStateKey(pool, priority);
     const existing = this.#states.get(key);
     if (existing !== undefined && nowMs < existing.untilMs) {
       return existing;
@@ -226,6 +252,16 @@
     return state;
   }
 
+  #getCapacity(pool: string, nowMs: number): PoolCapacity {
+    const known = this.#capacities.get(pool);
+    if (known !== undefined && nowMs - known.atMs < CAPACITY_MS) {
+      return known.capacity;
+    }
+    const capacity = this.#getPoolCapacity(pool);
+    this.#capacities.set(pool, { atMs: nowMs, capacity });
+    return capacity;
+  }
+
   #buildState(pool: string, priority: number, nowMs: number): Omit<PoolState, 'untilMs'> {
     const { jobRegistry, clock, getConfiguration, hosts } = this.#context;
     const configuration = getConfiguration();
@@ -266,7 +302,7 @@
     });
     const weights = new Map(organisations.map(({ name, weight }) => [name, weight]));
     return {
-      capacity: this.#getPoolCapacity(pool),
+      builtAtMs: nowMs,
       work: new WorkQueue(accepted, weights),
       cpuMillisPerMb,
       waitingCpuMillis,
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -166,6 +166,7 @@
         cause,
         reason,
         retryAfterMs,
+        ...this.#admission.describeBasis(queue),
       });
     }
     return { ...decision, refusals: this.#admission.listRefusals(queue.name) };
--- a/packages/baobabwell-placement/src/BaobabwellPlacementAdmission.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacementAdmission.ts
@@ -32,8 +32,9 @@
   readonly arrivingCpuMillis: number;
   /** CPU of machines that could be allocated to the pool. */
   readonly allocatableCpuMillis: number;
-  /** Accepted work of the pool. */
+  /** Accepted work of the pool, and the time since it was summed, in ms. */
   readonly accepted: WorkQueue;
+  readonly workAgeMs: number;
   /** The largest task fits on no host that could ever be in the pool. */
   readonly isLargerThanAnyHost: boolean;
   /** Returns true if the job could start now on free pieces of hosts; asked before a refusal only. */
@@ -129,8 +130,9 @@
  * what runs then.
  */
 function estimateWaitMs({ running, waiting }: WorkAhead, snapshot: AdmissionSnapshot): number {
-  const { taskMs, firstWork, stepCount } = snapshot;
-  const doneMs = estimateWorkMs(running + waiting + firstWork, snapshot);
+  const { taskMs, firstWork, stepCount, workAgeMs } = snapshot;
+  // The pool has worked since the sums were made.
+  const doneMs = estimateWorkMs(running + waiting + firstWork, snapshot) - workAgeMs;
   const firstWaitMs = Math.max(0, doneMs - RUNNING_LEFT_SHARE * taskMs);
   return firstWaitMs * (1 + ADDITIONAL_STEP_WAIT_SHARE * (stepCount - 1));
 }
--- a/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacementAdmission.test.ts
+++ b/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacementAdmission.test.ts
@@ -32,6 +32,7 @@
   arrivingCpuMillis: 0,
   allocatableCpuMillis: 0,
   accepted: new WorkQueue([], new Map()),
+  workAgeMs: 0,
   isLargerThanAnyHost: false,
   hasFreeRoom: () => false,
 };
@@ -137,6 +138,13 @@
     expect(decideAdmission({ ...job, organisation: 'school' }).isWanted).toEqual(true);
   });
 
+  it('counts what the pool has done since the work was summed', () => {
+    const accepted = new WorkQueue([{ ...WAITING, waitingWork: POOL_CPU * 1_200 }], new Map());
+    const job = { ...SNAPSHOT, accepted };
+    expect(decideAdmission(job).isWanted).toEqual(false);
+    expect(decideAdmission({ ...job, workAgeMs: 400 }).isWanted).toEqual(true);
+  });
+
   it('counts what was admitted since the work was summed', () => {
     const accepted = new WorkQueue([], new Map());
     expect(decideAdmission({ ...SNAPSHOT, accepted }).isWanted).toEqual(true);
