controller, durations, utils: less work for each run

Cause: each wait added a listener to the signal of the term and removed it, past those of all sessions; each hold call created a signal of its own; each end of a run decayed 48 buckets and built 48 objects; each field of a log line was matched against a pattern. Change: a WakeSignal listens once until it is closed; a session keeps its signal until an order is unanswered; one factor decays the evidence and its sums are arrays; only text is matched.

--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -6,6 +6,7 @@
 import { JobState, Run, RunEndEffect, RunPhase } from '@baobabwell/jobs';
 import { OWNER_GRACE_MS, OWNER_LEASE_MS } from '@baobabwell/ownership';
 import { OrderRefusal } from '@baobabwell/platform';
+import { Activity } from '@baobabwell/processor-time';
 import { WakeSignal } from '@baobabwell/utils';
 
 import { BestEffortThrottle } from './BaobabwellControllerBestEffortThrottle';
@@ -48,7 +49,8 @@
 
   readonly #wakeSignal: WakeSignal;
 
-  #abortHold: (() => void) | null = null;
+  /** Aborted for a hold call that must not wait; kept for the next one otherwise. */
+  #holdAbort = new AbortController();
 
   #hasEnded = false;
 
@@ -87,6 +89,7 @@
         await this.#wait(MAX_IDLE_WAIT_MS);
       }
     }
+    this.#wakeSignal.close();
     if (!signal.aborted) {
       this.#crashes.recordDisappearance();
     }
@@ -166,7 +169,7 @@
   }
 
   async #holdOnce(): Promise<void> {
-    const { clock, orders, term, hostMajority } = this.#context;
+    const { clock, orders, term, hostMajority, processorTime } = this.#context;
     const { host } = this;
     const sentAtMs = clock.getNow();
     const isResync = !host.isReconciled || !host.hasClock || !host.isReachable;
@@ -177,7 +180,7 @@
     // A run end that is not acknowledged before the lease expires does not count.
     const shouldRenewLease =
       (host.runs.size > 0 || state.hasUnacknowledgedEnds()) && hostMajority.canRenewLeases();
-    const reply = await orders.hold(host.incarnation, {
+    const order = {
       epoch: term.epoch,
       acknowledgedPosition,
       // The lease of an unresponsive host is not extended, so that its runs expire eventually.
@@ -186,8 +189,11 @@
           ? state.extendLease(sentAtMs)
           : null,
       waitMs: isResync ? 0 : host.getHoldWaitMs(),
-      signal: this.#createHoldSignal(),
-    });
+      signal: this.#holdAbort.signal,
+    };
+    const reply = await processorTime.measure(Activity.Holds, async () =>
+      orders.hold(host.incarnation, order),
+    );
     if (this.#context.signal.aborted || this.#hasEnded) {
       return;
     }
@@ -211,7 +217,10 @@
       this.#context.logger.recordInfo('host-reachable', { host: host.incarnation.id });
       host.failedAttempts = 0;
     }
-    this.#applyReport(reply.value, { sentAtMs, acknowledgedPosition, isPrompt: !isResync });
+    const { value: report } = reply;
+    processorTime.measure(Activity.Reports, () =>
+      this.#applyReport(report, { sentAtMs, acknowledgedPosition, isPrompt: !isResync }),
+    );
     this.#context.requestDispatch();
     await this.#resolveUnknownOutcomes();
     this.#throttle.apply();
@@ -220,13 +229,6 @@
     }
   }
 
-  /** Creates the signal of a hold call, which an unanswered order to the host aborts. */
-  #createHoldSignal(): AbortSignal {
-    const abortController = new AbortController();
-    this.#abortHold = () => abortController.abort();
-    return abortController.signal;
-  }
-
   async #handleHoldFailure(error: OrderError): Promise<void> {
     const { clock, logger, ownership, hostMajority } = this.#context;
     const { host } = this;
@@ -266,7 +268,8 @@
       this.#crashes.recordSilence();
     }
     this.host.failedAttempts += 1;
-    this.#abortHold?.();
+    this.#holdAbort.abort();
+    this.#holdAbort = new AbortController();
     this.requestHold();
   }
 
--- a/packages/baobabwell-durations/src/BaobabwellDurationsRatios.ts
+++ b/packages/baobabwell-durations/src/BaobabwellDurationsRatios.ts
@@ -19,8 +19,13 @@
 
 const BOUNDS = Array.from({ length: BUCKET_COUNT + 1 }, (_, index) => getBound(index));
 
+const MIDDLES = Array.from(
+  { length: BUCKET_COUNT },
+  (_, index) => ((BOUNDS[index] ?? 0) + (BOUNDS[index + 1] ?? 0)) / 2,
+);
+
 function getMiddle(index: number): number {
-  return ((BOUNDS[index] ?? 0) + (BOUNDS[index + 1] ?? 0)) / 2;
+  return MIDDLES[index] ?? 0;
 }
 
 function findBucket(ratio: number): number {
@@ -43,99 +48,121 @@
 const CALIBRATION =
   PRIOR_WEIGHT / PRIOR.reduce((sum, weight, index) => sum + weight * getMiddle(index), 0);
 
-/** Sums over a bucket and all above it. */
-type Tail = { readonly weight: number; readonly moment: number };
+/** Scale below which the stored weights are scaled anew. */
+const MIN_SCALE = 1e-6;
 
 /** Distribution of actual / predicted duration in log-spaced buckets whose evidence decays. */
 export class RatioDistribution {
   readonly #memory: number;
 
-  readonly #weights: number[];
+  /** Evidence of each bucket divided by the scale, so that its decay changes one number only. */
+  readonly #stored = new Float64Array(BUCKET_COUNT);
+
+  #scale = 1;
+
+  /** Sums of weights and of moments from each bucket upwards, unless evidence was added since. */
+  readonly #tailWeights = new Float64Array(BUCKET_COUNT + 1);
+
+  readonly #tailMoments = new Float64Array(BUCKET_COUNT + 1);
 
-  /** Sums from each bucket upwards; `null` after a change. */
-  #tails: readonly Tail[] | null = null;
+  #hasTails = false;
 
   constructor(memory: number, weights: readonly number[] = []) {
     this.#memory = memory;
-    this.#weights = Array.from({ length: BUCKET_COUNT }, (_, index) => weights[index] ?? 0);
+    this.#stored.set(weights.slice(0, BUCKET_COUNT));
   }
 
   get weights(): readonly number[] {
-    return this.#weights;
+    return Array.from(this.#stored, (stored) => stored * this.#scale);
   }
 
   add(ratio: number, weight: number): void {
     this.#decay(weight);
-    const bucket = findBucket(ratio);
-    this.#weights[bucket] = (this.#weights[bucket] ?? 0) + weight;
+    this.#addToBucket(findBucket(ratio), weight);
   }
 
   /** Adds a ratio that is known to be at least `ratio`: spreads its weight as the evidence above it is. */
   addAtLeast(ratio: number, weight: number): void {
     const bucket = findBucket(ratio);
-    const above = this.#getTails()[bucket]?.weight ?? 0;
+    this.#updateTails();
+    const above = this.#getTailWeight(bucket);
     if (above === 0) {
       this.add(ratio, weight);
       return;
     }
-    const shares = this.#weights.map((own, index) => (own + (PRIOR[index] ?? 0)) / above);
+    const shares = this.weights.map((own, index) => (own + (PRIOR[index] ?? 0)) / above);
     this.#decay(weight);
     for (let index = bucket; index < BUCKET_COUNT; index += 1) {
-      this.#weights[index] = (this.#weights[index] ?? 0) + weight * (shares[index] ?? 0);
+      this.#addToBucket(index, weight * (shares[index] ?? 0));
     }
   }
 
   getMean(): number {
-    const [{ weight, moment } = { weight: 1, moment: 1 }] = this.#getTails();
-    return (CALIBRATION * moment) / weight;
+    this.#updateTails();
+    return (CALIBRATION * this.#getTailMoment(0)) / this.#getTailWeight(0);
   }
 
   /** Returns the ratio below which the given share of the distribution lies. */
   getQuantile(share: number): number {
-    const tails = this.#getTails();
-    const above = (1 - share) * (tails[0]?.weight ?? 0);
-    const index = tails.findIndex(({ weight }) => weight < above);
+    this.#updateTails();
+    const above = (1 - share) * this.#getTailWeight(0);
+    const index = this.#tailWeights.subarray(0, BUCKET_COUNT).findIndex((weight) => weight < above);
     return getMiddle(index === -1 ? BUCKET_COUNT - 1 : Math.max(0, index - 1));
   }
 
   /** Returns the expected excess over a ratio, given that the ratio is exceeded. */
   getMeanExcess(ratio: number): number {
     const bucket = findBucket(ratio);
-    const tails = this.#getTails();
-    const above = tails[bucket + 1] ?? { weight: 0, moment: 0 };
+    this.#updateTails();
+    const aboveWeight = this.#getTailWeight(bucket + 1);
     const low = bucket === 0 ? 0 : (BOUNDS[bucket] ?? 0);
     const high = BOUNDS[bucket + 1] ?? Infinity;
-    const own = (tails[bucket]?.weight ?? 0) - above.weight;
+    const own = this.#getTailWeight(bucket) - aboveWeight;
     const share = Math.min(1, Math.max(0, (high - ratio) / (high - low)));
-    const weight = above.weight + own * share;
+    const weight = aboveWeight + own * share;
     if (weight < Number.EPSILON) {
       return ratio * TAIL_EXCESS;
     }
-    const moment = above.moment + own * share * ((Math.max(ratio, low) + high) / 2);
+    const ownMoment = own * share * ((Math.max(ratio, low) + high) / 2);
+    const moment = this.#getTailMoment(bucket + 1) + ownMoment;
     return CALIBRATION * Math.max(0, moment / weight - ratio);
   }
 
+  #addToBucket(bucket: number, weight: number): void {
+    this.#stored[bucket] = (this.#stored[bucket] ?? 0) + weight / this.#scale;
+    this.#hasTails = false;
+  }
+
   #decay(weight: number): void {
-    this.#tails = null;
-    const keep = 1 - weight / this.#memory;
-    for (let index = 0; index < BUCKET_COUNT; index += 1) {
-      this.#weights[index] = (this.#weights[index] ?? 0) * keep;
+    this.#hasTails = false;
+    this.#scale *= 1 - weight / this.#memory;
+    if (!(this.#scale > MIN_SCALE)) {
+      this.#stored.set(this.weights);
+      this.#scale = 1;
     }
   }
 
-  #getTails(): readonly Tail[] {
-    if (this.#tails === null) {
-      const tails: Tail[] = Array.from({ length: BUCKET_COUNT }, () => ({ weight: 0, moment: 0 }));
-      let weight = 0;
-      let moment = 0;
-      for (let index = BUCKET_COUNT - 1; index >= 0; index -= 1) {
-        const own = (this.#weights[index] ?? 0) + (PRIOR[index] ?? 0);
-        weight += own;
-        moment += own * getMiddle(index);
-        tails[index] = { weight, moment };
-      }
-      this.#tails = tails;
+  #getTailWeight(bucket: number): number {
+    return this.#tailWeights[bucket] ?? 0;
+  }
+
+  #getTailMoment(bucket: number): number {
+    return this.#tailMoments[bucket] ?? 0;
+  }
+
+  #updateTails(): void {
+    if (this.#hasTails) {
+      return;
+    }
+    this.#hasTails = true;
+    let weight = 0;
+    let moment = 0;
+    for (let index = BUCKET_COUNT - 1; index >= 0; index -= 1) {
+      const own = (this.#stored[index] ?? 0) * this.#scale + (PRIOR[index] ?? 0);
+      weight += own;
+      moment += own * getMiddle(index);
+      this.#tailWeights[index] = weight;
+      this.#tailMoments[index] = moment;
     }
-    return this.#tails;
   }
 }
--- a/packages/baobabwell-logging/src/BaobabwellLogging.ts
+++ b/packages/baobabwell-logging/src/BaobabwellLogging.ts
@@ -30,6 +30,9 @@
 
 function formatValue(value: string | number | boolean | null): string {
   const text = String(value);
+  if (typeof value !== 'string') {
+    return text;
+  }
   return NEEDS_QUOTES.test(text) || text === '' ? JSON.stringify(text) : text;
 }
 
--- a/packages/baobabwell-utils/src/BaobabwellWakeSignal.ts
+++ b/packages/baobabwell-utils/src/BaobabwellWakeSignal.ts
@@ -1,4 +1,4 @@
-import type { Clock } from './BaobabwellClock';
+import type { CancelTimer, Clock } from './BaobabwellClock';
 
 /** A wait that other code can end early. */
 export class WakeSignal {
@@ -6,6 +6,11 @@
 
   #endWait: (() => void) | null = null;
 
+  /** Signal that this object listens to until it is closed: many listeners make each change slow. */
+  #signal: AbortSignal | null = null;
+
+  readonly #handleAbort = (): void => this.notify();
+
   constructor(clock: Clock) {
     this.#clock = clock;
   }
@@ -20,17 +25,30 @@
     if (signal.aborted) {
       return;
     }
+    this.#listen(signal);
     await new Promise<void>((resolve) => {
-      const cancel = this.#clock.startTimer(delayMs, end);
-      const endWait = end;
-      signal.addEventListener('abort', end, { once: true });
-      this.#endWait = endWait;
+      const cancel: CancelTimer = this.#clock.startTimer(delayMs, end);
+      this.#endWait = end;
       function end(): void {
         cancel();
-        signal.removeEventListener('abort', end);
         resolve();
       }
     });
     this.#endWait = null;
   }
+
+  /** Ends the current wait, and stops listening to the signal of the last one. */
+  close(): void {
+    this.notify();
+    this.#signal?.removeEventListener('abort', this.#handleAbort);
+    this.#signal = null;
+  }
+
+  #listen(signal: AbortSignal): void {
+    if (signal !== this.#signal) {
+      this.#signal?.removeEventListener('abort', this.#handleAbort);
+      signal.addEventListener('abort', this.#handleAbort, { once: true });
+      this.#signal = signal;
+    }
+  }
 }
