controller: rounds of placements follow their decisions, not the orders that they send

Cause: a round waited four times as long as the one before took, its orders included: a full owner had 3 to 5 rounds a second, each task waited for the next one. Copies were looked for ten times a second in all pools, 14 ms each, though a pool with waiting work gets none. Change: the time of orders does not count for the wait; pools with waiting work are left out before anything is estimated. Conclusion: the factor bounds what is repeated; orders are sent once.

--- a/packages/baobabwell-controller/src/BaobabwellControllerCopyPlacement.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCopyPlacement.ts
@@ -23,21 +23,19 @@
   ) => readonly Run[];
 };
 
-/** Lists the pools in which no task waits, with the CPU that copies may use there. */
+/** Lists pools in which no task waits, with the CPU that copies may use there. */
 function listCopyPools(
   { hosts, copies }: TermContext,
-  { listClosedPools, listHosts }: CopyDispatch,
+  { listHosts }: CopyDispatch,
   pools: ReadonlySet<string>,
 ): ReadonlyMap<string, CopyPool> {
-  const closed = new Set(listClosedPools());
-  const open = new Set([...pools].filter((pool) => !closed.has(pool)));
   const capacities = new Map<string, number>();
   hosts.forEach((host) => {
     const known = capacities.get(host.pool) ?? 0;
     capacities.set(host.pool, known + host.getShortTaskCpuMillis());
   });
   return new Map(
-    [...listHosts(open)].map(([pool, poolHosts]) => {
+    [...listHosts(pools)].map(([pool, poolHosts]) => {
       const maxCpuMillis = (capacities.get(pool) ?? 0) * MAX_COPY_SHARE;
       return [pool, { hosts: poolHosts, cpuMillis: maxCpuMillis - copies.sumCopiesCpu(pool) }];
     }),
@@ -53,8 +51,13 @@
   const { jobRegistry, clock, copies, hosts, getConfiguration } = context;
   const queues = getConfiguration()?.queues ?? [];
   const findQueue = (name: string) => queues.find((queue) => queue.name === name) ?? null;
+  const closed = new Set(dispatch.listClosedPools());
+  const findOpenQueue = (name: string) => {
+    const queue = findQueue(name);
+    return queue === null || closed.has(queue.pool) ? null : queue;
+  };
   const candidates = copies
-    .listCandidates(clock.getNow(), findQueue)
+    .listCandidates(clock.getNow(), findOpenQueue)
     .filter(({ run }) => run.task.step.job.acceptedVersion <= maxVersion);
   if (candidates.length === 0 || jobRegistry.hasSuspects()) {
     return;
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -110,6 +110,12 @@
 
   #copiedAtMs = -Infinity;
 
+  /** Pools in which a task waited at the end of the last round. */
+  #waitingPools: ReadonlySet<string> = new Set();
+
+  /** Time spent on sending orders so far, in ms. */
+  #sendingMs = 0;
+
   /** True while no runs are started in some pools because the view of their hosts is too old. */
   #isWithholding = false;
 
@@ -144,15 +150,16 @@
       const maxVersion = this.#context.startGate.findMaxStartableVersion();
       if (!signal.aborted && maxVersion !== null) {
         const startedAtMs = clock.getNow();
+        const sendingBeforeMs = this.#sendingMs;
         processorTime.measure(Activity.Placement, () => this.placeOnce(maxVersion));
         if (startedAtMs - this.#copiedAtMs >= COPY_INTERVAL_MS) {
           this.#copiedAtMs = startedAtMs;
           processorTime.measure(Activity.Copies, () => this.#placeCopies(maxVersion));
         }
-        delayMs = Math.max(
-          MIN_DISPATCH_DELAY_MS,
-          DISPATCH_DELAY_FACTOR * (clock.getNow() - startedAtMs),
-        );
+        // Orders have to be sent in any case; only decisions are repeated by the next round.
+        const sendingMs = this.#sendingMs - sendingBeforeMs;
+        const decisionMs = clock.getNow() - startedAtMs - sendingMs;
+        delayMs = Math.max(MIN_DISPATCH_DELAY_MS, DISPATCH_DELAY_FACTOR * decisionMs);
       }
     }
   }
@@ -167,6 +174,7 @@
       ({ step, pool }) => step.job.acceptedVersion <= maxVersion && !withheldPools.has(pool),
     );
     if (steps.length === 0) {
+      this.#waitingPools = new Set(ready.map(({ pool }) => pool));
       return;
     }
     const tickets = new Map<Step, ReadonlyMap<string, string> | null>();
@@ -180,6 +188,8 @@
       findAllowedHosts: (step) => tickets.get(step) ?? null,
     });
     processorTime.measure(Activity.Starts, () => this.#startPlacements(placements, tickets));
+    const waiting = ready.filter(({ step }) => step.waitingCount > 0);
+    this.#waitingPools = new Set(waiting.map(({ pool }) => pool));
   }
 
   #placeCopies(maxVersion: number): void {
@@ -187,7 +197,7 @@
       listClosedPools: () => [
         ...this.#listUnreconciledPools(),
         ...this.#listWithheldPools(),
-        ...this.listReadySteps().map(({ pool }) => pool),
+        ...this.#waitingPools,
       ],
       listHosts: (pools) => this.#listHosts(this.#context.clock.getNow(), pools),
       listAllowances: () => this.#listAllowances(),
@@ -312,7 +322,8 @@
     tickets: ReadonlyMap<Step, ReadonlyMap<string, string> | null>,
   ): readonly Run[] {
     const gangRuns = new Map<Step, number>();
-    return placements.map(({ task, hostId }) => {
+    const startedAtMs = this.#context.clock.getNow();
+    const runs = placements.map(({ task, hostId }) => {
       const { step } = task;
       if (step.spec.isGang && !gangRuns.has(step)) {
         gangRuns.set(
@@ -326,6 +337,8 @@
       this.#startRun(run, ticket);
       return run;
     });
+    this.#sendingMs += this.#context.clock.getNow() - startedAtMs;
+    return runs;
   }
 
   #startRun(placedRun: Run, ticket: string | null): void {
