deploy: young generation of 8 MB and collection on one thread

Cause: garbage collection was 17 to 21 of 100 of what a full owner ran (V8 profile). That V8 also makes the young generation small on a machine with little memory is suspected, not measured.

--- a/scripts/build-daemon.ts
+++ b/scripts/build-daemon.ts
@@ -11,7 +11,7 @@
 const CODE_CACHE = 'target/baobabwell-daemon.cache';
 
 /** Must match deploy/system.toml: V8 rejects a code cache created under different flags. */
-const NODE_FLAGS = ['--max-old-space-size=160'];
+const NODE_FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=8', '--single-threaded-gc'];
 
 const runFile = promisify(execFile);
 
