controller: a start on a host does not end the wait for its stored ends

Cause: after a report with ends, a session waits until these are stored, so that the next hold call acknowledges them. The answer of each start on the host ended that wait, so a host that was given new runs at once got a hold call for nearly each end: 750 hold calls a second for 500 ends. Conclusion: work that a full process does more often because it is full.

--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -224,8 +224,27 @@
     this.#context.requestDispatch();
     await this.#resolveUnknownOutcomes();
     this.#throttle.apply();
-    if (host.state.hasUnstoredEnds()) {
-      await this.#wait(END_STORE_TIMEOUT_MS);
+    await this.#waitForStoredEnds();
+  }
+
+  /**
+   * Waits until the ends that the host reported are stored, so that the next hold call acknowledges them.
+   * Starts on the host do not end the wait: the next ends can be reported together.
+   */
+  async #waitForStoredEnds(): Promise<void> {
+    const { clock, signal } = this.#context;
+    const { host } = this;
+    const untilMs = clock.getNow() + END_STORE_TIMEOUT_MS;
+    while (
+      host.state.hasUnstoredEnds() &&
+      host.isReachable &&
+      !host.hasUnknownOutcome() &&
+      host.unwantedRuns.size === 0 &&
+      !this.#hasEnded &&
+      !signal.aborted &&
+      clock.getNow() < untilMs
+    ) {
+      await this.#wait(untilMs - clock.getNow());
     }
   }
 
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
@@ -115,6 +115,9 @@
   /** True when another incarnation, under another id, answers at the address of this host. */
   isReplaced = false;
 
+  /** Number of hold calls that reached the host. */
+  holdCount = 0;
+
   readonly id: string;
 
   readonly bornMs: number;
@@ -284,6 +287,7 @@
   }
 
   async hold(order: HoldOrder): Promise<Result<HostReport, OrderError>> {
+    this.holdCount += 1;
     const refusal = this.#checkOrder(order.epoch);
     if (refusal !== null) {
       return refusal;
