--- a/packages/baobabwell-peers/src/BaobabwellPeersServer.ts
+++ b/packages/baobabwell-peers/src/BaobabwellPeersServer.ts
@@ -60,7 +60,6 @@
     return await reply.send({ result: { data } });
   } catch (cause) {
     const error = getTRPCErrorFromUnknown(cause);
-
     const { _config: config } = router._def;
     const shape: unknown = getTRPCErrorShape({
       config,
