--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -290,6 +290,16 @@
       : HOLD_WAIT_MS;
   }
 
+  /** Returns true while ends are being stored and nothing else has to be said to the host meanwhile. */
+  isStoringEnds(): boolean {
+    return (
+      this.state.hasUnstoredEnds() &&
+      this.isReachable &&
+      this.unwantedRuns.size === 0 &&
+      !this.hasUnknownOutcome()
+    );
+  }
+
   hasUnknownOutcome(): boolean {
     return (
       this.#countRuns(({ phase }) => phase === RunPhase.Unknown || phase === RunPhase.Stopping) > 0
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -1,9 +1,9 @@
 import type { TermContext } from './BaobabwellControllerContext';
 import type { Host } from './BaobabwellControllerHost';
-import type { Task } from '@baobabwell/jobs';
+import type { Run, Task } from '@baobabwell/jobs';
 import type { EndedRun, HostReport, OrderError } from '@baobabwell/platform';
 
-import { JobState, Run, RunEndEffect, RunPhase } from '@baobabwell/jobs';
+import { JobState, RunEndEffect, RunPhase } from '@baobabwell/jobs';
 import { OWNER_GRACE_MS, OWNER_LEASE_MS } from '@baobabwell/ownership';
 import { OrderRefusal } from '@baobabwell/platform';
 import { Activity } from '@baobabwell/processor-time';
@@ -17,6 +17,7 @@
   MAX_CLOCK_DRIFT,
 } from './BaobabwellControllerConstants';
 import { canAdoptRun } from './BaobabwellControllerCopies';
+import { findFormerRun } from './BaobabwellControllerFormerRuns';
 import { HostCrashes } from './BaobabwellControllerHostCrashes';
 import {
   recordHostRestart,
@@ -235,15 +236,7 @@
     const { clock, signal } = this.#context;
     const { host } = this;
     const untilMs = clock.getNow() + END_STORE_TIMEOUT_MS;
-    while (
-      host.state.hasUnstoredEnds() &&
-      host.isReachable &&
-      !host.hasUnknownOutcome() &&
-      host.unwantedRuns.size === 0 &&
-      !this.#hasEnded &&
-      !signal.aborted &&
-      clock.getNow() < untilMs
-    ) {
+    while (host.isStoringEnds() && !this.#hasEnded && !signal.aborted && clock.getNow() < untilMs) {
       await this.#wait(untilMs - clock.getNow());
     }
   }
@@ -361,7 +354,8 @@
     const { task: name, run: number, end, checkpoint } = endedRun;
     const { jobRegistry, logger, metrics, clock } = this.#context;
     const { host } = this;
-    const run = host.runs.get(`${name}#${number}`) ?? this.#findFormerRun(name, number);
+    const run =
+      host.runs.get(`${name}#${number}`) ?? findFormerRun(this.#context, host, { name, number });
     if (run === null) {
       recordIgnoredEnd(this.#context, host, endedRun);
       return;
@@ -384,20 +378,6 @@
     }
   }
 
-  /** Finds the run that an earlier owner started, for an end in the host's first report. */
-  #findFormerRun(name: string, number: number): Run | null {
-    if (this.host.isReconciled) {
-      return null;
-    }
-    const task = this.#context.jobRegistry.findTask(name);
-    if (task === null) {
-      return null;
-    }
-    const run = new Run(task, number, this.host.incarnation.id, this.host.trackedSinceMs);
-    run.isStartKnown = false;
-    return run;
-  }
-
   /**
    * Tracks a run that the host reported but that this owner did not know. A run that is not to go on is
    * stopped; it uses the capacity of the host until its end is reported.
