utils, daemon: one repeated timer for the two monitors of a process

Cause: the reports of processor time repeated the timer of the event loop monitor line by line. Change: startRepeatedTimer in utils serves both. No change of behaviour.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemonEventLoop.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonEventLoop.ts
@@ -1,9 +1,10 @@
 import type { Plugin, Undo } from '@baobabwell/kernel';
 import type { Logger } from '@baobabwell/logging';
 import type { DaemonMetrics } from '@baobabwell/metrics';
-import type { CancelTimer, Clock } from '@baobabwell/utils';
+import type { Clock } from '@baobabwell/utils';
 
 import { mergeUndo } from '@baobabwell/kernel';
+import { startRepeatedTimer } from '@baobabwell/utils';
 
 import { LOGGER, METRICS } from './BaobabwellDaemonTokens';
 
@@ -25,7 +26,7 @@
   readonly metrics: DaemonMetrics;
 }): Undo {
   const { clock, logger, metrics } = options;
-  let cancelTimer: CancelTimer = () => undefined;
+  let dueAtMs = clock.getNow() + SAMPLE_INTERVAL_MS;
   let loggedAtMs = -Infinity;
 
   function recordDelay(delayMs: number): void {
@@ -37,16 +38,10 @@
     }
   }
 
-  function startTimer(): void {
-    const dueAtMs = clock.getNow() + SAMPLE_INTERVAL_MS;
-    cancelTimer = clock.startTimer(SAMPLE_INTERVAL_MS, () => {
-      recordDelay(Math.max(0, clock.getNow() - dueAtMs));
-      startTimer();
-    });
-  }
-
-  startTimer();
-  return () => cancelTimer();
+  return startRepeatedTimer(clock, SAMPLE_INTERVAL_MS, () => {
+    recordDelay(Math.max(0, clock.getNow() - dueAtMs));
+    dueAtMs = clock.getNow() + SAMPLE_INTERVAL_MS;
+  });
 }
 
 /** Measures the delay of the event loop until the process closes. */
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonProcessorTime.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonProcessorTime.ts
@@ -2,12 +2,13 @@
 import type { Logger, LogFields } from '@baobabwell/logging';
 import type { DaemonMetrics } from '@baobabwell/metrics';
 import type { ProcessorTime } from '@baobabwell/processor-time';
-import type { CancelTimer, Clock } from '@baobabwell/utils';
+import type { Clock } from '@baobabwell/utils';
 
 import { PerformanceObserver } from 'node:perf_hooks';
 
 import { mergeUndo } from '@baobabwell/kernel';
 import { ProcessorTimeReport } from '@baobabwell/processor-time';
+import { startRepeatedTimer } from '@baobabwell/utils';
 
 import { LOGGER, METRICS, PROCESSOR_TIME } from './BaobabwellDaemonTokens';
 
@@ -73,7 +74,6 @@
 }): Undo {
   const { clock, logger, metrics, processorTime, runtime } = options;
   const report = new ProcessorTimeReport(processorTime);
-  let cancelTimer: CancelTimer = () => undefined;
   let reportedAtMs = clock.getNow();
   let reportedActiveMs = runtime.getActiveMs();
   let reportedCollectionMs = runtime.getCollectionMs();
@@ -104,15 +104,7 @@
     }
   }
 
-  function startTimer(): void {
-    cancelTimer = clock.startTimer(REPORT_INTERVAL_MS, () => {
-      recordReport();
-      startTimer();
-    });
-  }
-
-  startTimer();
-  return () => cancelTimer();
+  return startRepeatedTimer(clock, REPORT_INTERVAL_MS, recordReport);
 }
 
 /** Reports the processor time of the process until it closes. */
--- a/packages/baobabwell-utils/src/BaobabwellClock.ts
+++ b/packages/baobabwell-utils/src/BaobabwellClock.ts
@@ -51,6 +51,23 @@
   }
 }
 
+/** Runs `callback` at an interval, counted from its end; returns a function that stops this. */
+export function startRepeatedTimer(
+  clock: Clock,
+  intervalMs: number,
+  callback: () => void,
+): CancelTimer {
+  let cancelTimer: CancelTimer;
+  const startNext = (): void => {
+    cancelTimer = clock.startTimer(intervalMs, () => {
+      callback();
+      startNext();
+    });
+  };
+  startNext();
+  return () => cancelTimer();
+}
+
 /** One moment on both clocks of a process, in ms. */
 export type ClockReading = { readonly monotonicMs: number; readonly wallMs: number };
 
--- a/packages/baobabwell-utils/src/index.ts
+++ b/packages/baobabwell-utils/src/index.ts
@@ -2,7 +2,14 @@
 export type { Finding, SourceLocation } from './BaobabwellFindings';
 export type { Result } from './BaobabwellResult';
 
-export { addTime, Clock, getElapsedMs, readClocks, SystemClock } from './BaobabwellClock';
+export {
+  addTime,
+  Clock,
+  getElapsedMs,
+  readClocks,
+  startRepeatedTimer,
+  SystemClock,
+} from './BaobabwellClock';
 export { FindingList, formatFinding } from './BaobabwellFindings';
 export { checkInvariant, InvariantError } from './BaobabwellInvariant';
 export { Random } from './BaobabwellRandom';
