peers, emulator: one call of a peer procedure without HTTP

Cause: the peer server called trpc with the same seven options as the emulated peers. Change: callPeerProcedure serves both. No change of behaviour.

--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorPeers.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorPeers.ts
@@ -3,10 +3,9 @@
 import type { AnyTRPCRouter } from '@trpc/server';
 
 import { TRPCClientError } from '@trpc/client';
-import { callTRPCProcedure } from '@trpc/server';
 import { observable } from '@trpc/server/observable';
 
-import { PeerConnector } from '@baobabwell/peers';
+import { callPeerProcedure, PeerConnector } from '@baobabwell/peers';
 
 const TIMEOUT_MS = 1_000;
 
@@ -88,15 +87,7 @@
         if (router === null) {
           throw new Error(`nothing listens at ${address}`);
         }
-        const reply: unknown = await callTRPCProcedure({
-          router,
-          path,
-          type,
-          ctx: {},
-          getRawInput: async () => sent.value,
-          signal: undefined,
-          batchIndex: 0,
-        });
+        const reply = await callPeerProcedure(router, { path, type, getInput: () => sent.value });
         const copied = copyAsJson(reply);
         const { name } = peer.endpoint;
         this.#network.recordBytes(this.#from.name, name, sent.bytes + copied.bytes);
--- a/packages/baobabwell-peers/src/BaobabwellPeersServer.ts
+++ b/packages/baobabwell-peers/src/BaobabwellPeersServer.ts
@@ -1,17 +1,13 @@
 import type { AnyTRPCRouter } from '@trpc/server';
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 
-import {
-  callTRPCProcedure,
-  getTRPCErrorFromUnknown,
-  getTRPCErrorShape,
-  TRPCError,
-} from '@trpc/server';
+import { getTRPCErrorFromUnknown, getTRPCErrorShape, TRPCError } from '@trpc/server';
 import { getHTTPStatusCodeFromError } from '@trpc/server/http';
 import Fastify from 'fastify';
 import { timingSafeEqual } from 'node:crypto';
 
 import { PEER_PATH, PEER_SECRET_HEADER } from './BaobabwellPeersConstants';
+import { callPeerProcedure } from './BaobabwellPeersTrpc';
 
 const HTTP_UNAUTHORIZED = 401;
 const MAX_PARAMETER_LENGTH = 1_000;
@@ -48,14 +44,10 @@
   const { path } = request.params;
   const type = request.method === 'POST' ? 'mutation' : 'query';
   try {
-    const data: unknown = await callTRPCProcedure({
-      router,
+    const data = await callPeerProcedure(router, {
       path,
       type,
-      ctx: {},
-      getRawInput: async () => parseInput(request),
-      signal: undefined,
-      batchIndex: 0,
+      getInput: () => parseInput(request),
     });
     return await reply.send({ result: { data } });
   } catch (cause) {
--- a/packages/baobabwell-peers/src/index.ts
+++ b/packages/baobabwell-peers/src/index.ts
@@ -1,4 +1,11 @@
+export type { PeerCall } from './BaobabwellPeersTrpc';
+
 export { HttpPeerConnector, PeerConnector } from './BaobabwellPeersConnector';
 export { PEER_PATH } from './BaobabwellPeersConstants';
 export { buildPeerServer } from './BaobabwellPeersServer';
-export { createPeerRouter, mergePeerRouters, peerProcedure } from './BaobabwellPeersTrpc';
+export {
+  callPeerProcedure,
+  createPeerRouter,
+  mergePeerRouters,
+  peerProcedure,
+} from './BaobabwellPeersTrpc';
