controller: the time of orders is measured once

Cause: the dispatcher kept a sum of its own of what the activity 'starts' measures, and noted the pools with waiting work in two places. Change: starts are measured where they are sent, those of copies included, and the wait of rounds reads that; a round notes the pools once, at its end. Copies count less in processor-busy and starts more; no decision changes.

--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -113,9 +113,6 @@
   /** Pools in which a task waited at the end of the last round. */
   #waitingPools: ReadonlySet<string> = new Set();
 
-  /** Time spent on sending orders so far, in ms. */
-  #sendingMs = 0;
-
   /** True while no runs are started in some pools because the view of their hosts is too old. */
   #isWithholding = false;
 
@@ -150,14 +147,14 @@
       const maxVersion = this.#context.startGate.findMaxStartableVersion();
       if (!signal.aborted && maxVersion !== null) {
         const startedAtMs = clock.getNow();
-        const sendingBeforeMs = this.#sendingMs;
+        const { spentMs: sendingBeforeMs } = processorTime.get(Activity.Starts);
         processorTime.measure(Activity.Placement, () => this.placeOnce(maxVersion));
         if (startedAtMs - this.#copiedAtMs >= COPY_INTERVAL_MS) {
           this.#copiedAtMs = startedAtMs;
           processorTime.measure(Activity.Copies, () => this.#placeCopies(maxVersion));
         }
         // Orders have to be sent in any case; only decisions are repeated by the next round.
-        const sendingMs = this.#sendingMs - sendingBeforeMs;
+        const sendingMs = processorTime.get(Activity.Starts).spentMs - sendingBeforeMs;
         const decisionMs = clock.getNow() - startedAtMs - sendingMs;
         delayMs = Math.max(MIN_DISPATCH_DELAY_MS, DISPATCH_DELAY_FACTOR * decisionMs);
       }
@@ -166,17 +163,21 @@
 
   /** Places all tasks that can start now, of jobs accepted up to the given version of the store. */
   placeOnce(maxVersion: number): void {
-    const nowMs = this.#context.clock.getNow();
     const withheldPools = this.#listWithheldPools();
     const { processorTime } = this.#context;
     const ready = processorTime.measure(Activity.Order, () => this.listReadySteps());
     const steps = ready.filter(
       ({ step, pool }) => step.job.acceptedVersion <= maxVersion && !withheldPools.has(pool),
     );
-    if (steps.length === 0) {
-      this.#waitingPools = new Set(ready.map(({ pool }) => pool));
-      return;
+    if (steps.length > 0) {
+      this.#placeSteps(steps);
     }
+    const waiting = ready.filter(({ step }) => step.waitingCount > 0);
+    this.#waitingPools = new Set(waiting.map(({ pool }) => pool));
+  }
+
+  #placeSteps(steps: readonly ReadyStep[]): void {
+    const nowMs = this.#context.clock.getNow();
     const tickets = new Map<Step, ReadonlyMap<string, string> | null>();
     steps.forEach(({ step, queue }) => tickets.set(step, this.#findTickets(step, queue)));
     const placements = decidePlacements({
@@ -187,9 +188,7 @@
       allowances: this.#listAllowances(),
       findAllowedHosts: (step) => tickets.get(step) ?? null,
     });
-    processorTime.measure(Activity.Starts, () => this.#startPlacements(placements, tickets));
-    const waiting = ready.filter(({ step }) => step.waitingCount > 0);
-    this.#waitingPools = new Set(waiting.map(({ pool }) => pool));
+    this.#startPlacements(placements, tickets);
   }
 
   #placeCopies(maxVersion: number): void {
@@ -322,8 +321,7 @@
     tickets: ReadonlyMap<Step, ReadonlyMap<string, string> | null>,
   ): readonly Run[] {
     const gangRuns = new Map<Step, number>();
-    const startedAtMs = this.#context.clock.getNow();
-    const runs = placements.map(({ task, hostId }) => {
+    const start = ({ task, hostId }: Placement): Run => {
       const { step } = task;
       if (step.spec.isGang && !gangRuns.has(step)) {
         gangRuns.set(
@@ -336,9 +334,8 @@
       const ticket = tickets.get(step)?.get(hostId) ?? null;
       this.#startRun(run, ticket);
       return run;
-    });
-    this.#sendingMs += this.#context.clock.getNow() - startedAtMs;
-    return runs;
+    };
+    return this.#context.processorTime.measure(Activity.Starts, () => placements.map(start));
   }
 
   #startRun(placedRun: Run, ticket: string | null): void {
