controller: a host tells in one place whether runs on it are unresolved

Cause: three places asked for unwanted runs and unknown outcomes. Change: Host.hasUnresolvedRuns. No change of behaviour.

--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -282,7 +282,7 @@
   /** Returns how long a hold call may wait for the end of a run, in ms. */
   getHoldWaitMs(): number {
     const hasOnlyEnds = this.runs.size === 0 && this.state.hasUnacknowledgedEnds();
-    if (hasOnlyEnds || this.unwantedRuns.size > 0 || this.hasUnknownOutcome()) {
+    if (hasOnlyEnds || this.hasUnresolvedRuns()) {
       return 0;
     }
     return this.servingCount > 0 && this.bestEffortCount > 0
@@ -292,15 +292,15 @@
 
   /** Returns true while ends are being stored and nothing else has to be said to the host meanwhile. */
   isStoringEnds(): boolean {
-    return (
-      this.state.hasUnstoredEnds() &&
-      this.isReachable &&
-      this.unwantedRuns.size === 0 &&
-      !this.hasUnknownOutcome()
-    );
+    return this.state.hasUnstoredEnds() && this.isReachable && !this.hasUnresolvedRuns();
+  }
+
+  /** Returns true while runs are to be stopped, or may or may not be on the host. */
+  hasUnresolvedRuns(): boolean {
+    return this.unwantedRuns.size > 0 || this.#hasUnknownOutcome();
   }
 
-  hasUnknownOutcome(): boolean {
+  #hasUnknownOutcome(): boolean {
     return (
       this.#countRuns(({ phase }) => phase === RunPhase.Unknown || phase === RunPhase.Stopping) > 0
     );
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -430,7 +430,7 @@
   /** Stops the runs that may or may not be on the host, after a report that did not contain them. */
   async #resolveUnknownOutcomes(): Promise<void> {
     await this.#orders.resolveUnknownRuns();
-    if (this.host.unwantedRuns.size > 0 || this.host.hasUnknownOutcome()) {
+    if (this.host.hasUnresolvedRuns()) {
       await this.#wait(HOST_RETRY_MS);
     }
   }
