placement: two comparisons of resources use fitsInto

Cause: allowances and unplaced requirements were compared dimension by dimension, as fitsInto of jobs does. Change: they call it. Those with best-effort tasks or labels stay. No change of behaviour.

--- a/packages/baobabwell-placement/src/BaobabwellPlacement.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacement.ts
@@ -14,7 +14,7 @@
 } from './BaobabwellPlacementModel';
 import type { Resources, Step, Task } from '@baobabwell/jobs';
 
-import { CrashSuspicion, TaskPhase } from '@baobabwell/jobs';
+import { CrashSuspicion, fitsInto, TaskPhase } from '@baobabwell/jobs';
 
 import { decideReservedHosts } from './BaobabwellPlacementSuspects';
 
@@ -224,13 +224,7 @@
   isWithinAllowance(step: Step): boolean {
     const { organisation } = step.job.record;
     const allowance = organisation === null ? undefined : this.#allowances.get(organisation);
-    const { need } = step.spec;
-    return (
-      allowance === undefined ||
-      (need.cpuMillis <= allowance.cpuMillis &&
-        need.memoryMb <= allowance.memoryMb &&
-        need.gpus <= allowance.gpus)
-    );
+    return allowance === undefined || fitsInto(step.spec.need, allowance);
   }
 
   /** Reserves capacity and allowance for one task (factor 1), or releases them (factor -1). */
@@ -363,9 +357,8 @@
   /** Returns true if a task that requires no more than a task of this step did not fit. */
   matches({ spec }: Step, pool: string): boolean {
     const { need, isFilling } = spec;
-    return (this.#byPool.get(pool) ?? []).some(
-      ({ cpuMillis, memoryMb, gpus }) =>
-        !isFilling && cpuMillis <= need.cpuMillis && memoryMb <= need.memoryMb && gpus <= need.gpus,
+    return (
+      !isFilling && (this.#byPool.get(pool) ?? []).some((unplaced) => fitsInto(unplaced, need))
     );
   }
 }
