controller: the test of admission takes its step and queue from the emulator

Cause: it repeated the plain step and the queue of the emulated fleet. Change: both are taken from there; the assertions stay.

--- a/packages/baobabwell-controller/src/__tests__/unit/BaobabwellControllerOffers.test.ts
+++ b/packages/baobabwell-controller/src/__tests__/unit/BaobabwellControllerOffers.test.ts
@@ -7,6 +7,7 @@
 import { expect } from 'earl';
 
 import { CallerEstimates } from '@baobabwell/durations';
+import { CONFIGURATION, PLAIN_STEP } from '@baobabwell/job-emulator';
 import { JobRegistry } from '@baobabwell/jobs';
 import { Clock } from '@baobabwell/utils';
 
@@ -19,16 +20,9 @@
 const TASK_MS = 1_000;
 
 const QUEUE: QueueSettings = {
-  name: 'bakes',
-  httpHost: 'bakery.example',
-  pathPrefix: '/bakes/',
-  pool: 'ovens',
-  priority: 0,
-  maxAttempts: 3,
+  ...(CONFIGURATION.queues[0] as QueueSettings),
   stretch: 1,
   targetLatencyMs: 1_000,
-  isOpen: true,
-  advice: null,
 };
 
 /** A clock of a process that takes its time whenever it sums the accepted work. */
@@ -50,24 +44,8 @@
 }
 
 function createJob(id: string): JobRecord {
-  const step = {
-    taskCount: 100,
-    need: { cpuMillis: 1_000, memoryMb: 0, gpus: 0 },
-    estimateMs: TASK_MS,
-    after: [],
-    keepsCheckpoints: false,
-    isGang: false,
-    prefersOneRack: false,
-    hostLabel: null,
-    dataRack: null,
-    maxPerHost: 0,
-    isSpeculative: false,
-    isLasting: false,
-    image: '',
-    tailTargetMs: 0,
-    isFilling: false,
-    maxAway: 0,
-  };
+  const need = { cpuMillis: 1_000, memoryMb: 0, gpus: 0 };
+  const step = { ...PLAIN_STEP, taskCount: 100, need, estimateMs: TASK_MS };
   const spec = { payload: '', steps: [step], repeat: null };
   return { id, queue: QUEUE.name, organisation: null, acceptedAtMs: 0, spec };
 }
@@ -85,13 +63,7 @@
 describe('admission by a busy owner', () => {
   it('refuses nothing by the capacity that a pool had before machines joined it', () => {
     const clock = new BusyClock();
-    const configuration = {
-      version: 1,
-      queues: [QUEUE],
-      pools: [],
-      organisations: [],
-      maxBodyBytes: 0,
-    };
+    const configuration = { ...CONFIGURATION, queues: [QUEUE], organisations: [] };
     const getConfiguration = () => configuration;
     const context = {
       clock,
--- a/packages/baobabwell-job-emulator/src/index.ts
+++ b/packages/baobabwell-job-emulator/src/index.ts
@@ -7,6 +7,7 @@
 export {
   CAP_CPU_MILLIS,
   CAPACITY,
+  CONFIGURATION,
   MAX_ATTEMPTS,
   PLAIN_STEP,
 } from './BaobabwellJobEmulatorConfiguration';
