--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -24,6 +24,8 @@
     Object.assign(this, { isSameId: false, kind: 'a', ...options });
     this.isUp = false;
     this.isCut = false;
+    /** Refuses all starts as an unhealthy worker does; its heartbeats go on. */
+    this.isBusy = false;
     this.port = 0;
   }
 
@@ -170,6 +172,10 @@
     this.token = body['fencing-token'] ?? 0;
     switch (path) {
       case '/baobabwell/run-start':
+        if (this.isBusy) {
+          this.log('start-refused', { task: body.task, run: body.run, worker: this.id });
+          return this.#reply(503, {});
+        }
         return this.#start(body);
       case '/baobabwell/run-stop':
         return this.#stop(body);
