Review, case 3: the script loses workers to cuts, not crashes

The script now cuts its workers off, so that none crashes: the job is still shown as failed, without a run that failed.

Code: HostCrashes.recordDisappearance counts a crash where a host is silent and no longer listed.

--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,4 +1,4 @@
-/** LOST: the worker of a task crashes four times. The job is given up although no run has failed. */
+/** LOST: the worker of a task is cut off four times. The job is given up although no run has failed. */
 import { setTimeout as wait } from 'node:timers/promises';
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -6,10 +6,10 @@
 import { createConfiguration, createJobId, HAS_TROUBLE, PREFIX, runCase } from '../lib/case.mjs';
 
 const WORKERS = 9;
-const CRASHES = 4;
+const CUTS = 4;
 const WORK_MS = 6_000;
-const CRASH_AFTER_MS = 2_000;
-const DOWN_MS = 2_000;
+const CUT_AFTER_MS = 1_000;
+const CUT_MS = 5_500;
 const LIMIT_MS = 80_000;
 
 function createJob() {
@@ -20,16 +20,17 @@
   };
 }
 
-async function crashWorkers(deployment) {
-  let crashed = 0;
-  while (crashed < CRASHES) {
-    const busy = deployment.workers.find(({ runs }) => runs.size > 0);
+/** Cuts off the worker on which the task runs, again and again; each worker is back after a while. */
+async function cutWorkers(deployment) {
+  let count = 0;
+  while (count < CUTS) {
+    const busy = deployment.workers.find(({ runs, isCut }) => runs.size > 0 && !isCut);
     if (busy !== undefined) {
-      await wait(CRASH_AFTER_MS);
+      await wait(CUT_AFTER_MS);
       if (busy.runs.size > 0) {
-        busy.crash();
-        crashed += 1;
-        setTimeout(() => void busy.start(), DOWN_MS);
+        busy.cut(true);
+        count += 1;
+        setTimeout(() => busy.cut(false), CUT_MS);
       }
     }
     await wait(20);
@@ -43,7 +44,7 @@
     throw new Error('the job was not accepted');
   }
   if (HAS_TROUBLE) {
-    void crashWorkers(deployment);
+    void cutWorkers(deployment);
   }
   let state = null;
   const untilMs = performance.now() + LIMIT_MS;
@@ -54,13 +55,13 @@
   const failedEnds = deployment.events.filter(
     ({ event, how }) => event === 'run-ended' && how === 'failed',
   );
-  const crashes = deployment.events.filter(({ event }) => event === 'worker-crashed').length;
-  deployment.record('end', { state, failedEnds: failedEnds.length, crashes });
+  const cuts = deployment.events.filter(({ event }) => event === 'worker-cut').length;
+  deployment.record('end', { state, failedEnds: failedEnds.length, cuts });
   if (state !== 'completed' && state !== 'failed') {
     throw new Error(`the job is still ${state}`);
   }
   return state === 'failed' && failedEnds.length === 0
-    ? `LOST: the job is shown as failed after ${crashes} crashes of workers, and no run of it ended as failed`
+    ? `LOST: the job is shown as failed after ${cuts} cuts of workers, and no run of it ended as failed`
     : null;
 }
 
