Review, case 4: a machine that the store turns away takes work for a withdrawn key

Seen: the store turns the owner's machine away for 9 s, and a version withdraws a key. The machine answers 200 to jobs with that key for all that time, over 7 s after the acknowledgement, and they run.

Code: ConfigurationWatcher.#applyFromPeer asks only the owner last seen; a machine that is this owner asks nobody. RelayedStore stores the jobs through peers.

--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -141,7 +141,6 @@
     const { daemons, workers, configuration } = this.options;
     this.#folder = await mkdtemp(join(tmpdir(), 'baobabwell-case-'));
     const [, ...args] = await readRunCommand();
-    await this.store.start('127.0.0.1');
     this.cloud = await listen('127.0.0.1', 0, async (call) => this.#answerCloud(call));
     this.store.put('op', 'config', configuration);
     for (const worker of workers) {
@@ -194,7 +193,7 @@
   }
 
   /** Sends a client's call to one daemon. */
-  async call(daemonIndex, method, path, body, timeoutMs = 3_000) {
+  async call(daemonIndex, method, path, body, timeoutMs = 3_000, key = KEY) {
     const { host, frontPort, name } = this.daemons[daemonIndex];
     const reply = await send({
       host,
@@ -205,7 +204,7 @@
       timeoutMs,
       headers: {
         host: ROUTE_HOST,
-        authorization: `Bearer ${KEY}`,
+        authorization: `Bearer ${key}`,
         'baobabwell-request-deadline': String(timeoutMs),
       },
     });
@@ -267,6 +266,7 @@
     const host = `127.0.1.${index + 1}`;
     const name = `front-zone-a-${index + 1}`;
     const settingsPath = join(this.#folder, `${name}.yaml`);
+    const storeAddress = await this.store.open('127.0.0.1', name);
     const settings = {
       'node-name': name,
       role: 'entry',
@@ -334,7 +334,7 @@
       },
       orders: 'call',
       platform: {
-        address: this.store.address,
+        address: storeAddress,
         form: 'table',
         'writes-per-s': 800,
         'reads-per-s': 2000,
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -46,21 +46,25 @@
 
   #waiters = new Set();
 
-  #server = null;
+  #servers = [];
 
   #startedAtMs = performance.now();
 
+  /** Names of machines that the store turns away with 503. */
+  refusedMachines = new Set();
+
   /** Counts of calls by path and status. */
   calls = new Map();
 
-  async start(host) {
-    this.host = host;
-    this.#server = await listen(host, 0, async (call) => this.#handle(call));
-    this.address = `${host}:${this.#server.port}`;
+  /** Opens a port for one machine, so that the store can tell the machines apart; returns its address. */
+  async open(host, machine) {
+    const server = await listen(host, 0, async (call) => this.#handle(call, machine));
+    this.#servers.push(server);
+    return `${host}:${server.port}`;
   }
 
   close() {
-    this.#server?.close();
+    this.#servers.forEach((server) => server.close());
   }
 
   /** Writes a row as the operator or a worker does. */
@@ -143,8 +147,12 @@
     this.#waiters.forEach((notify) => notify());
   }
 
-  async #handle(call) {
-    const reply = await this.#answer(call);
+  async #handle(call, machine) {
+    const refusal = { status: 503, body: {} };
+    const isRefused = () => this.refusedMachines.has(machine);
+    const answer = isRefused() ? refusal : await this.#answer(call);
+    // A call of the feed that waits is turned away too; it has done nothing.
+    const reply = call.path.endsWith('/rows-feed') && isRefused() ? refusal : answer;
     const key = `${call.path} ${reply.status}`;
     this.calls.set(key, (this.calls.get(key) ?? 0) + 1);
     return reply;
