--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -9,7 +9,7 @@
 
 import { listen, send } from './http.mjs';
 import { Store } from './store.mjs';
-import { Worker } from './worker.mjs';
+import { Worker } from './server.mjs';
 
 const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), '..', '..');
 const MAX_CASE_MS = 112_000;
