--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -21,7 +21,7 @@
 export const KEY = 'key-of-team-one';
 export const TENANT = 'team-one';
 export const ROUTE_HOST = 'queue.example';
-export const PREFIX = '/work/';
+export const PREFIX = '/queue-a/';
 
 /** True when the disruption is to be played. */
 export const HAS_TROUBLE = process.env.TROUBLE !== '0';
