jobs: a long running task is restarted however often its hosts crash

Change: such a task stays a suspect (it starts alone, 1 s after the crash) and its job goes on. The crashes kept in the row of a job are the latest four, so that the row does not grow.

--- a/packages/baobabwell-jobs/src/BaobabwellJobsCrashes.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsCrashes.ts
@@ -24,7 +24,7 @@
   /** Runs on hosts that are silent: they have crashed, or nothing reaches them. */
   readonly #unconfirmedRuns = new Map<number, RunOnHost>();
 
-  /** Runs under which a host crashed. */
+  /** Latest runs under which a host crashed: as many as suffice to give a task up. */
   get runs(): readonly number[] {
     return this.#runs;
   }
@@ -60,9 +60,9 @@
     if (this.#runs.includes(runNumber)) {
       return false;
     }
-    this.#runs = [...this.#runs, runNumber];
+    this.#runs = [...this.#runs, runNumber].slice(-MAX_CRASHES);
     if (isAttributed) {
-      this.#attributedRuns = [...this.#attributedRuns, runNumber];
+      this.#attributedRuns = [...this.#attributedRuns, runNumber].slice(-MAX_CRASHES);
     }
     return true;
   }
--- a/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
@@ -270,7 +270,8 @@
       return RunEndEffect.None;
     }
     this.addUnsavedJob(job);
-    if (task.crashes.areTooMany) {
+    // Long running tasks are restarted however they end.
+    if (task.crashes.areTooMany && !task.step.spec.isLasting) {
       job.end(JobState.Failed, nowMs);
       return RunEndEffect.JobFailed;
     }
--- a/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsCrashes.test.ts
+++ b/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsCrashes.test.ts
@@ -129,6 +129,14 @@
     ]);
   });
 
+  it('never fails the job of a long running task, and keeps its latest crashes', () => {
+    const numbers = Array.from({ length: 10 }, (_, index) => index + 1);
+    const effects = numbers.map((number) => crash(4, number, true));
+    expect(effects).toEqual(numbers.map(() => RunEndEffect.Requeued));
+    expect(tasks[4]?.crashes.runs).toEqual(numbers.slice(-4));
+    expect(tasks[4]?.crashes.suspicion).toEqual(CrashSuspicion.Strong);
+  });
+
   it('suspects a task whose host is silent until the host answers', () => {
     const run = start(0);
     registry.recordPossibleCrash(run, 0);
