platform, controller: an order whose connection was refused has not reached its host

Cause: the second crash that gave the job of inc1 up was counted against run 7, which no worker ever received: 'connect ECONNREFUSED', twice, 2.2 s after the worker was last heard. The adapter gave this the same kind as an order without an answer, so the run might have started, and a new worker at the address made it the only suspect of a crash. Change: a refused connection is a kind of its own (connection-refused). The run does not exist: it is not tracked, not stopped and not blamed, its task is placed again at once, and the host is in doubt as after any unanswered call. Crashed hosts of the emulator refuse connections. Measured: npx tsx scripts/test.ts packages/baobabwell-job-emulator packages/baobabwell-controller platform: 'counts no crash against a task that was to start on a host that had ended before' failed on (failed for completed), passes now; 195 passed, 0 failed, 4 known red. Class of fault: an order that was not delivered counts as carried out. Searched elsewhere: stops and CPU limits repeat and need no more; machine orders keep counting as carried out, as their intents are stored before.

--- a/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
@@ -105,6 +105,10 @@
       if (reply.error.kind === OrderRefusal.NotSent) {
         break;
       }
+      if (reply.error.kind === OrderRefusal.ConnectionRefused) {
+        this.#listener.recordUnansweredOrder();
+        break;
+      }
       if (reply.error.kind !== OrderRefusal.Unanswered) {
         this.#applyRefusal(run, reply.error, mayHaveStarted);
         return;
@@ -178,7 +182,10 @@
     if (reply.error.kind === OrderRefusal.Fenced) {
       ownership.endTerm(`host ${this.#host.incarnation.id} accepts orders only from a later owner`);
     }
-    if (reply.error.kind === OrderRefusal.Unanswered) {
+    if (
+      reply.error.kind === OrderRefusal.Unanswered ||
+      reply.error.kind === OrderRefusal.ConnectionRefused
+    ) {
       this.#listener.recordUnansweredOrder();
     }
     logger.recordWarning('stop-refused', {
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
@@ -115,6 +115,9 @@
   /** True when another incarnation, under another id, answers at the address of this host. */
   isReplaced = false;
 
+  /** True when the incarnation ended by a crash: its address refuses connections. */
+  hasCrashed = false;
+
   /** Number of hold calls that reached the host. */
   holdCount = 0;
 
@@ -197,6 +200,7 @@
 
   /** Ends this incarnation by a crash, which closes its connections. */
   crash(): void {
+    this.hasCrashed = true;
     this.kill();
     [...this.#waiters].forEach((notify) => notify());
   }
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
@@ -145,6 +145,10 @@
       const cause = 'another incarnation';
       return createError({ kind: OrderRefusal.OtherIncarnation, clockMs: null, cause });
     }
+    if (host?.hasCrashed === true && !this.#isPartitioned(id)) {
+      const cause = 'connection refused';
+      return createError({ kind: OrderRefusal.ConnectionRefused, clockMs: null, cause });
+    }
     const isLost = this.#faults.lostOrders.has(formatAnswer(kind, id));
     if (host === null || !host.isAlive || this.#isPartitioned(id) || isLost) {
       return this.#waitForTimeout();
--- a/packages/baobabwell-platform/src/BaobabwellPlatformHosts.ts
+++ b/packages/baobabwell-platform/src/BaobabwellPlatformHosts.ts
@@ -94,6 +94,8 @@
   OtherIncarnation = 'other-life',
   /** The order was not sent, because it was no longer allowed. */
   NotSent = 'not-sent',
+  /** Nothing listens at the address of the host, which has not received the order. */
+  ConnectionRefused = 'connection-refused',
   /** No answer arrived: the order may have been executed, or may be executed later. */
   Unanswered = 'unanswered',
 }
