jobs, controller: a crash counts against a task only if it was seen, just after its start

Change: a disappeared host has crashed only if it refused a connection or another worker answers at its address. Blamed are the runs that had just started when the host became silent; a crash without such runs has another cause. While such crashes happen, and for a start that was not answered, a crash counts once, not twice. A successor counts no crash for a host whose row its predecessor removed: that one saw the end of the host. Conclusion: evidence for a crash is an ended process, and evidence against a task is the time of its start.

--- a/packages/baobabwell-controller/src/BaobabwellControllerHostCrashes.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostCrashes.ts
@@ -37,6 +37,9 @@
   /** True when the host was about to leave the pool as it became silent. */
   #wasLeaving = false;
 
+  /** True when the silent host refused a connection: its process has ended. */
+  #hasRefusedConnection = false;
+
   constructor(context: TermContext, host: Host) {
     this.#context = context;
     this.#host = host;
@@ -57,6 +60,11 @@
     });
   }
 
+  /** Records that the silent host refused a connection. */
+  recordRefusedConnection(): void {
+    this.#hasRefusedConnection = true;
+  }
+
   /** Records that the host was moved or went down by order: the loss of its runs is no crash. */
   recordDeparture(): void {
     this.#wasLeaving = true;
@@ -94,6 +102,7 @@
     this.#expired = null;
     this.#silentAtMs = null;
     this.#wasLeaving = false;
+    this.#hasRefusedConnection = false;
     this.#context.hostSilences.remove(this.#host.incarnation.id);
   }
 
@@ -112,9 +121,16 @@
   /** Records that the host is silent and no longer listed: it has crashed, or nothing reaches it. */
   recordDisappearance(): void {
     this.#settleRestart(new Set());
-    if (this.#expired !== null) {
-      this.#recordCrash(this.#expired, this.#isReplaced());
-      this.#expired = null;
+    const expired = this.#expired;
+    this.#expired = null;
+    if (expired === null) {
+      return;
+    }
+    const isReplaced = this.#isReplaced();
+    if (isReplaced || this.#hasRefusedConnection) {
+      this.#recordCrash(expired, isReplaced);
+    } else {
+      this.#removePossibleCrashes(expired.runs);
     }
   }
 
@@ -131,10 +147,13 @@
     if (this.#wasLeaving || runs.length === 0) {
       return;
     }
-    const { logger, metrics, hostSilences, requestCommit, requestDispatch } = this.#context;
+    const { logger, metrics, clock, hostSilences, requestCommit, requestDispatch } = this.#context;
     const { incarnation, pool } = this.#host;
     const { suspects, isAttributed } = this.#decideBlame({ runs, state }, isConfirmed);
     this.#removePossibleCrashes(runs);
+    if (suspects.length === 0) {
+      hostSilences.recordOtherCrash(clock.getNow());
+    }
     metrics.hostHealth.crashes.inc({ pool });
     logger.recordWarning('host-crashed', {
       host: incarnation.id,
@@ -152,7 +171,8 @@
 
   #decideBlame({ runs, state }: SuspectedCrash, isConfirmed: boolean): CrashBlame {
     const { incarnation } = this.#host;
-    const othersSilent = this.#context.hostSilences.countSimultaneous(incarnation.id);
+    const { hostSilences, clock } = this.#context;
+    const othersSilent = hostSilences.countSimultaneous(incarnation.id);
     return decideCrashBlame({
       runs: runs
         .filter(({ phase }) => phase !== RunPhase.StartPending)
@@ -160,15 +180,20 @@
           run,
           hasSurvivedStart:
             run.startClockMs !== null && state.lastClockMs - run.startClockMs >= START_SURVIVAL_MS,
-          wasSilentAtStart:
-            this.#silentAtMs !== null &&
-            this.#silentAtMs - (run.answeredAtMs ?? run.startSentAtMs) <= MAX_CRASH_NOTICE_MS,
+          wasSilentAtStart: run.isRestored || this.#wasSilentAt(run),
         })),
       isConfirmed,
       hasCommonCause: othersSilent + 1 >= MIN_COMMON_CAUSE_HOSTS,
+      hasOtherCrashes: hostSilences.hasOtherCrashes(clock.getNow()),
     });
   }
 
+  /** Returns true when the host became silent shortly after the start of a run. */
+  #wasSilentAt({ answeredAtMs, startSentAtMs }: Run): boolean {
+    const startedAtMs = answeredAtMs ?? startSentAtMs;
+    return this.#silentAtMs !== null && this.#silentAtMs - startedAtMs <= MAX_CRASH_NOTICE_MS;
+  }
+
   #removePossibleCrashes(runs: readonly Run[]): void {
     runs.forEach(({ task, number }) => task.crashes.removeUnconfirmed(number));
   }
--- a/packages/baobabwell-controller/src/BaobabwellControllerHostSilences.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostSilences.ts
@@ -7,10 +7,15 @@
 /** Time for which silences are kept, in ms: longer than a host needs to come back. */
 const RETENTION_MS = 30_000;
 
-/** Records when hosts became silent, so that crashes with a common cause can be recognised. */
+/** Time for which a crash that no task caused shows that hosts crash for other reasons, in ms. */
+const OTHER_CRASH_WINDOW_MS = 10_000;
+
+/** Records when and why hosts became silent, so that crashes that no task caused can be recognised. */
 export class HostSilences {
   readonly #silences = new Map<string, Silence>();
 
+  #otherCrashAtMs = -Infinity;
+
   record(hostId: string, silence: Silence): void {
     const oldestMs = silence.noticedAtMs - RETENTION_MS;
     this.#silences.forEach(({ noticedAtMs }, id) => {
@@ -37,4 +42,14 @@
         id !== hostId && answeredAtMs <= silence.noticedAtMs && noticedAtMs >= silence.answeredAtMs,
     ).length;
   }
+
+  /** Records a crash of a host on which no task had just started. */
+  recordOtherCrash(nowMs: number): void {
+    this.#otherCrashAtMs = nowMs;
+  }
+
+  /** Returns true when hosts crashed lately although no task had just started there. */
+  hasOtherCrashes(nowMs: number): boolean {
+    return nowMs - this.#otherCrashAtMs <= OTHER_CRASH_WINDOW_MS;
+  }
 }
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -258,6 +258,9 @@
       const { kind, cause } = error;
       logger.recordWarning('host-unreachable', { host: host.incarnation.id, refusal: kind, cause });
     }
+    if (error.kind === OrderRefusal.ConnectionRefused) {
+      this.#crashes.recordRefusedConnection();
+    }
     if (clock.getNow() > host.getExpiredAtMs(hostMajority.getFormerLeasesEndMs(host))) {
       if (host.runs.size > 0 || !host.isReconciled) {
         recordLeaseExpiry(this.#context, host);
--- a/packages/baobabwell-controller/src/BaobabwellControllerStoredStarts.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerStoredStarts.ts
@@ -4,11 +4,7 @@
 import { RunPhase, TaskPhase } from '@baobabwell/jobs';
 
 /** Tracks a run that a former owner stored before its start: it may be on its host. */
-function restoreStart(
-  { hosts, clock, jobRegistry }: TermContext,
-  task: Task,
-  storedStart: StoredStart,
-): void {
+function restoreStart({ hosts, clock }: TermContext, task: Task, storedStart: StoredStart): void {
   const { run: number, hostId, bornMs } = storedStart;
   const nowMs = clock.getNow();
   const host = hosts.get(hostId);
@@ -16,9 +12,8 @@
   run.isRestored = true;
   run.hostBornMs = bornMs;
   if (host === undefined) {
-    // The former owner removed the host's row because the incarnation had ended.
+    // The former owner removed the host's row, and counted the crash if it saw one.
     task.removeRun(run);
-    jobRegistry.recordCrash(run, false, nowMs);
     return;
   }
   if (bornMs !== null) {
--- a/packages/baobabwell-jobs/src/BaobabwellJobsCrashBlame.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsCrashBlame.ts
@@ -1,6 +1,6 @@
 /**
- * Load pattern: a task crashes each host that starts it, beside tens of tasks that do not. Its
- * neighbours lose their runs with it, so a crash alone proves nothing against one of them.
+ * Load pattern: a task crashes each host that starts it, beside tens of tasks that do not, and hosts crash
+ * for other reasons. The neighbours lose their runs too, so a crash alone proves nothing against a task.
  */
 import type { Run } from './BaobabwellJobsTracking';
 
@@ -20,6 +20,8 @@
   readonly isConfirmed: boolean;
   /** Other hosts became silent in the same moment. */
   readonly hasCommonCause: boolean;
+  /** Hosts crashed lately although no task had just started there. */
+  readonly hasOtherCrashes: boolean;
 };
 
 /** Result of {@link decideCrashBlame}. */
@@ -31,21 +33,27 @@
 };
 
 /**
- * Decides which runs may have crashed their host: those that had just started. A suspect among them does
- * not clear the others, or one such task would hide the crashes of another.
+ * Decides which runs may have crashed their host: those that had just started when it became silent. A
+ * suspect among them does not clear the others, or one such task would hide the crashes of another.
  */
-export function decideCrashBlame({ runs, isConfirmed, hasCommonCause }: HostCrash): CrashBlame {
-  const starting = runs.filter(({ hasSurvivedStart }) => !hasSurvivedStart);
-  const [first] = starting;
-  // Long running tasks outlive many crashes of their hosts that have another cause.
-  const others = runs.map(({ run }) => run).filter(({ task }) => !task.step.spec.isLasting);
+export function decideCrashBlame({
+  runs,
+  isConfirmed,
+  hasCommonCause,
+  hasOtherCrashes,
+}: HostCrash): CrashBlame {
+  const suspects = runs
+    .filter(({ hasSurvivedStart, wasSilentAtStart }) => !hasSurvivedStart && wasSilentAtStart)
+    .map(({ run }) => run);
+  const [first] = suspects;
   return {
-    suspects: starting.length > 0 ? starting.map(({ run }) => run) : others,
+    suspects,
     isAttributed:
-      starting.length === 1 &&
-      first?.wasSilentAtStart === true &&
-      !first.run.isRestored &&
+      suspects.length === 1 &&
+      first?.isRestored === false &&
+      first.startClockMs !== null &&
       isConfirmed &&
-      !hasCommonCause,
+      !hasCommonCause &&
+      !hasOtherCrashes,
   };
 }
