daemon, ingress: a process that the store turns away learns the configuration from any peer

It asked the owner that it saw last, once after each failed call; if that was itself, or turned away too, nobody. Change: while the store has not confirmed the configuration for 1.5 s, three peers in turn are asked every 250 ms for a newer version and for the age of their knowledge, counted from the request. A process that neither the store nor a peer answers for the users' bound (config-apply-ms + max-stretch-ms, less 500 ms) answers 503 with Retry-After 1 s, and is not ready, until one does; where peers answer and none knows more, the store serves nobody and calls go on. A watch that ends without changes confirms the configuration as of its end. Way not taken: asking all peers at each failure, which at 17 processes is a call each 100 ms to all.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemonConfiguration.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonConfiguration.ts
@@ -22,10 +22,37 @@
  */
 const MAX_RETRY_DELAY_MS = 400;
 
-/** Requests the configuration of another process; resolves to `null` when none answers. */
-export type RequestPeerConfiguration = () => Promise<FleetConfiguration | null>;
+/** Age of the configuration from which peers are asked for a newer one, in ms: a watch then had no answer. */
+const MIN_PEER_REQUEST_AGE_MS = 1_500;
 
-/** Watches the operator's configuration; never applies an older version. */
+/** Interval between two requests to peers, in ms. */
+const PEER_REQUEST_INTERVAL_MS = 250;
+
+/** Age up to which a peer's report counts, in ms: by then all peers of a small fleet were asked in turn. */
+const MAX_REPORT_AGE_MS = 1_200;
+
+/** Time for which an accepted call may still be on its way, in ms. */
+const CALL_TRANSIT_MS = 500;
+
+/** What another process knows of the configuration. */
+export type ConfigurationReport = {
+  readonly version: number;
+  /** Time since the store confirmed the configuration, in ms. */
+  readonly ageMs: number;
+  /** The configuration, unless the process that asked knows it. */
+  readonly configuration: FleetConfiguration | null;
+};
+
+/** Requests reports from some peers; each that arrives is given to `record`. */
+export type RequestReports = (
+  knownVersion: number | null,
+  record: (report: ConfigurationReport) => void,
+) => void;
+
+/**
+ * Watches the operator's configuration; never applies an older version. Where the store turns this process
+ * away, its peers tell what they read there.
+ */
 export class ConfigurationWatcher {
   readonly #adapters: DaemonAdapters;
 
@@ -33,25 +60,35 @@
 
   readonly #logger: Logger;
 
-  readonly #requestPeerConfiguration: RequestPeerConfiguration;
+  readonly #requestReports: RequestReports;
+
+  readonly #maxAgeMs: number;
 
   readonly #stopped = new AbortController();
 
   #configuration: FleetConfiguration | null = null;
 
-  /** Monotonic time at which the store last confirmed the configuration, in ms. */
+  /** Monotonic time at which the store last confirmed the configuration to this process or a peer, in ms. */
   #confirmedAtMs: number | null = null;
 
+  /** Monotonic time at which a peer was asked that has reported, in ms. */
+  #reportedAtMs = -Infinity;
+
+  #wasOutdated = false;
+
   constructor(options: {
     readonly adapters: DaemonAdapters;
     readonly clock: Clock;
     readonly logger: Logger;
-    readonly requestPeerConfiguration: RequestPeerConfiguration;
+    /** Longest time after which a change of the configuration has to be in force, in ms. */
+    readonly maxAgeMs: number;
+    readonly requestReports: RequestReports;
   }) {
     this.#adapters = options.adapters;
     this.#clock = options.clock;
     this.#logger = options.logger;
-    this.#requestPeerConfiguration = options.requestPeerConfiguration;
+    this.#maxAgeMs = options.maxAgeMs;
+    this.#requestReports = options.requestReports;
   }
 
   getConfiguration(): FleetConfiguration | null {
@@ -63,6 +100,39 @@
     return this.#confirmedAtMs === null ? null : this.#clock.getNow() - this.#confirmedAtMs;
   }
 
+  /**
+   * Returns true while a change of the configuration may be in force of which this process cannot know:
+   * neither the store nor a peer answers it. While peers answer, none of them knows a later configuration.
+   */
+  isOutdated(): boolean {
+    const ageMs = this.getAgeMs();
+    const isOutdated =
+      ageMs !== null &&
+      ageMs > this.#maxAgeMs - CALL_TRANSIT_MS &&
+      this.#clock.getNow() - this.#reportedAtMs > MAX_REPORT_AGE_MS;
+    if (isOutdated !== this.#wasOutdated) {
+      this.#wasOutdated = isOutdated;
+      const version = this.#configuration?.version ?? null;
+      this.#logger.recordWarning(isOutdated ? 'configuration-outdated' : 'configuration-current', {
+        version,
+        ageMs: Math.round(ageMs ?? 0),
+      });
+    }
+    return isOutdated;
+  }
+
+  /** Creates the report for a peer that knows a version; `null` before the first configuration. */
+  createReport(knownVersion: number | null): ConfigurationReport | null {
+    const ageMs = this.getAgeMs();
+    const configuration = this.#configuration;
+    if (configuration === null || ageMs === null) {
+      return null;
+    }
+    const { version } = configuration;
+    const isKnown = knownVersion !== null && knownVersion >= version;
+    return { version, ageMs, configuration: isKnown ? null : configuration };
+  }
+
   stop(): void {
     this.#stopped.abort();
   }
@@ -73,18 +143,30 @@
     const retryDelay = new RetryDelay(MIN_RETRY_DELAY_MS, MAX_RETRY_DELAY_MS);
     let version: number | null = null;
     while (!signal.aborted) {
-      const sentAtMs = this.#clock.getNow();
       version = version === null ? await this.#readAll() : await this.#watch(version);
       if (version !== null) {
-        this.#confirmedAtMs = sentAtMs;
         retryDelay.reset();
       } else if (!signal.aborted) {
-        await this.#applyFromPeer();
         await this.#clock.wait(retryDelay.advance(), signal);
       }
     }
   }
 
+  /** Asks peers while the store does not confirm the configuration, until {@link stop} is called. */
+  async runPeerRequests(): Promise<void> {
+    const { signal } = this.#stopped;
+    while (!signal.aborted) {
+      await this.#clock.wait(PEER_REQUEST_INTERVAL_MS, signal);
+      if (!signal.aborted && (this.getAgeMs() ?? Infinity) > MIN_PEER_REQUEST_AGE_MS) {
+        const requestedAtMs = this.#clock.getNow();
+        // Not awaited: peers that do not answer must not delay the next request.
+        this.#requestReports(this.#configuration?.version ?? null, (report) =>
+          this.#applyReport(report, requestedAtMs),
+        );
+      }
+    }
+  }
+
   /** Applies a configuration unless the current one has the same or a later version. */
   apply(configuration: FleetConfiguration, source: string): void {
     const before = this.#configuration?.version ?? null;
@@ -103,21 +185,28 @@
 
   async #readAll(): Promise<number | null> {
     const { store, codec, configurationKey } = this.#adapters;
+    const sentAtMs = this.#clock.getNow();
     const page = await store.list(getKeyRange(codec.operatorTable, configurationKey));
     if (!page.ok) {
       this.#logger.recordWarning('configuration-not-read', { reason: page.error.kind });
       return null;
     }
     page.value.rows.forEach((row) => this.#applyRow(row));
+    this.#confirm(sentAtMs);
     return page.value.version;
   }
 
   async #watch(version: number): Promise<number | null> {
     const { store, codec } = this.#adapters;
     const { signal } = this.#stopped;
+    const sentAtMs = this.#clock.getNow();
     const page = await store.waitForChanges(codec.operatorTable, version, WATCH_TIMEOUT_MS, signal);
     if (page.ok) {
       page.value.rows.forEach((row) => this.#applyRow(row));
+      // The store answers without changes only after the whole wait, and so as of its end.
+      const endsAtMs = sentAtMs + WATCH_TIMEOUT_MS;
+      const isTimedOut = page.value.rows.length === 0 && this.#clock.getNow() >= endsAtMs;
+      this.#confirm(isTimedOut ? endsAtMs : sentAtMs);
       return page.value.version;
     }
     if (!signal.aborted) {
@@ -142,10 +231,21 @@
     this.apply(configuration, 'store');
   }
 
-  async #applyFromPeer(): Promise<void> {
-    const configuration = await this.#requestPeerConfiguration();
+  #applyReport(
+    { version, ageMs, configuration }: ConfigurationReport,
+    requestedAtMs: number,
+  ): void {
     if (configuration !== null) {
       this.apply(configuration, 'peer');
     }
+    this.#reportedAtMs = Math.max(this.#reportedAtMs, requestedAtMs);
+    if (version >= (this.#configuration?.version ?? 0)) {
+      // A busy peer reads the age late; counted from the report's arrival, an old answer would seem new.
+      this.#confirm(requestedAtMs - ageMs);
+    }
+  }
+
+  #confirm(atMs: number): void {
+    this.#confirmedAtMs = Math.max(this.#confirmedAtMs ?? -Infinity, atMs);
   }
 }
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
@@ -7,6 +7,7 @@
 import { buildPeerServer, HttpPeerConnector } from '@baobabwell/peers';
 
 import { ConfigurationWatcher } from './BaobabwellDaemonConfiguration';
+import { MemberPoll } from './BaobabwellDaemonMemberPoll';
 import { MemberDirectory } from './BaobabwellDaemonMembers';
 import { MemberReports } from './BaobabwellDaemonPeerReports';
 import { buildDaemonRouter, PeerClients, PeerOwnerClient } from './BaobabwellDaemonPeers';
@@ -32,6 +33,9 @@
  */
 const HANDOVER_TIMEOUT_MS = 800;
 
+/** Number of peers asked at once for a newer configuration. */
+const MAX_CONFIGURATION_PEERS = 3;
+
 function createOwnership(kernel: Kernel): Ownership {
   const { name, peers, fitness } = kernel.getService(SETTINGS);
   const metrics = kernel.getService(METRICS);
@@ -108,28 +112,34 @@
   });
 }
 
+function createConfigurationWatcher(kernel: Kernel): ConfigurationWatcher {
+  const { configurationMs } = kernel.getService(SETTINGS);
+  const poll = new MemberPoll(
+    kernel.getService(MEMBERS),
+    kernel.getService(PEERS),
+    MAX_CONFIGURATION_PEERS,
+  );
+  return new ConfigurationWatcher({
+    adapters: kernel.getService(ADAPTERS),
+    clock: kernel.clock,
+    logger: kernel.getService(LOGGER),
+    maxAgeMs: configurationMs,
+    requestReports: (knownVersion, record) =>
+      poll.send(async (client) => client.getConfigurationReport.query(knownVersion), record),
+  });
+}
+
 /** Seeks ownership, runs the controller while this process is the owner, and serves peers. */
 export const controllerPlugin: Plugin = {
   name: 'duties',
   register(kernel) {
-    const { clock } = kernel;
     return mergeUndo(
       kernel.registerService(OWNERSHIP, createOwnership),
       kernel.registerService(CONTROLLER, createController),
       kernel.registerService(PEERS, createPeerClients),
       kernel.registerService(MEMBERS, createMemberDirectory),
       kernel.registerService(OWNER_CLIENT, createOwnerClient),
-      kernel.registerService(
-        CONFIGURATION,
-        () =>
-          new ConfigurationWatcher({
-            adapters: kernel.getService(ADAPTERS),
-            clock,
-            logger: kernel.getService(LOGGER),
-            requestPeerConfiguration: async () =>
-              kernel.getService(OWNER_CLIENT).getConfiguration(),
-          }),
-      ),
+      kernel.registerService(CONFIGURATION, createConfigurationWatcher),
     );
   },
   async start(kernel) {
@@ -150,6 +160,7 @@
       HANDOVER_TIMEOUT_MS,
     );
     void configuration.run();
+    void configuration.runPeerRequests();
     const secret = await readPeerSecret(store, kernel.clock, logger, stopped.signal);
     const connector = new HttpPeerConnector(secret);
     kernel.lifecycle.add('peer connections', async () => connector.close());
@@ -157,7 +168,7 @@
     const router = buildDaemonRouter({
       owner: controller,
       store,
-      getConfiguration: () => configuration.getConfiguration(),
+      getConfigurationReport: (knownVersion) => configuration.createReport(knownVersion),
       getStoreAnswerAgeMs: () => ownership.getStoreAnswerAgeMs(),
     });
     const server: FastifyInstance = await buildPeerServer(router, secret);
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
@@ -52,7 +52,9 @@
     clock,
     logger,
     getConfiguration: () => configuration.getConfiguration(),
-    isReady: () => configuration.getConfiguration() !== null && !state.isStopping,
+    isOutdated: () => configuration.isOutdated(),
+    isReady: () =>
+      configuration.getConfiguration() !== null && !configuration.isOutdated() && !state.isStopping,
     isStopping: () => state.isStopping,
     recordCall: ({ queue, request, answer, tookMs }) => {
       metrics.clientCalls.inc({ queue: queue ?? '', request: request ?? '', answer });
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonPeers.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonPeers.ts
@@ -1,4 +1,4 @@
-import type { FleetConfiguration } from '@baobabwell/fleet';
+import type { ConfigurationReport } from './BaobabwellDaemonConfiguration';
 import type { OfferReply } from '@baobabwell/ingress';
 import type { JobRecord, JobState } from '@baobabwell/jobs';
 import type { Logger } from '@baobabwell/logging';
@@ -29,10 +29,11 @@
 export function buildDaemonRouter(options: {
   readonly owner: OwnerClient;
   readonly store: WatchableTableService;
-  readonly getConfiguration: () => FleetConfiguration | null;
+  /** Returns what this process knows of the configuration, for a peer that knows a version. */
+  readonly getConfigurationReport: (knownVersion: number | null) => ConfigurationReport | null;
   readonly getStoreAnswerAgeMs: () => number;
 }) {
-  const { owner, store, getConfiguration, getStoreAnswerAgeMs } = options;
+  const { owner, store, getConfigurationReport, getStoreAnswerAgeMs } = options;
   return createPeerRouter({
     offer: peerProcedure
       .input(z.custom<JobRecord>(isObject))
@@ -49,7 +50,9 @@
     list: peerProcedure
       .input(z.custom<RowRange>(isObject))
       .query(async ({ input }): Promise<Result<ChangePage, TableError>> => store.list(input)),
-    getConfiguration: peerProcedure.query((): FleetConfiguration | null => getConfiguration()),
+    getConfigurationReport: peerProcedure
+      .input(z.number().nullable())
+      .query(({ input }): ConfigurationReport | null => getConfigurationReport(input)),
     // `null` when the store never answered.
     getStoreAnswerAgeMs: peerProcedure.query((): number | null => {
       const ageMs = getStoreAnswerAgeMs();
@@ -60,6 +63,9 @@
 
 type DaemonRouter = ReturnType<typeof buildDaemonRouter>;
 
+/** Client of the procedures of another process. */
+export type PeerClient = TRPCClient<DaemonRouter>;
+
 /** Time for which no request is sent to a peer that did not answer, in ms. */
 const UNRESPONSIVE_PEER_BACKOFF_MS = 400;
 
@@ -71,7 +77,7 @@
 
   readonly #getConnector: () => PeerConnector | null;
 
-  readonly #clients = new Map<string, TRPCClient<DaemonRouter>>();
+  readonly #clients = new Map<string, PeerClient>();
 
   readonly #backoffUntilMs = new Map<string, number>();
 
@@ -89,7 +95,7 @@
   /** Sends a request to the process at an address, unless it recently failed to answer. */
   async request<Reply>(
     address: string,
-    send: (client: TRPCClient<DaemonRouter>) => Promise<Reply | null>,
+    send: (client: PeerClient) => Promise<Reply | null>,
   ): Promise<Reply | null> {
     const connector = this.#getConnector();
     const isBackingOff = this.#clock.getNow() < (this.#backoffUntilMs.get(address) ?? 0);
@@ -106,7 +112,7 @@
     }
   }
 
-  #getClient(connector: PeerConnector, address: string): TRPCClient<DaemonRouter> {
+  #getClient(connector: PeerConnector, address: string): PeerClient {
     const existing = this.#clients.get(address);
     if (existing !== undefined) {
       return existing;
@@ -163,17 +169,9 @@
     );
   }
 
-  /** Requests the owner's configuration, for a process that gets no answer from the store. */
-  async getConfiguration(): Promise<FleetConfiguration | null> {
-    return this.#request(
-      async () => null,
-      async (client) => client.getConfiguration.query(),
-    );
-  }
-
   async #request<Reply>(
     requestLocal: () => Promise<Reply | null>,
-    requestPeer: (client: TRPCClient<DaemonRouter>) => Promise<Reply | null>,
+    requestPeer: (client: PeerClient) => Promise<Reply | null>,
   ): Promise<Reply | null> {
     const owner = this.#getOwner();
     if (owner === null) {
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonSettings.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonSettings.ts
@@ -24,6 +24,8 @@
   readonly fitness: number;
   /** Time from the stop signal until the process is killed, in ms. */
   readonly graceMs: number;
+  /** Longest time after the acknowledgement of a configuration until it is in force everywhere, in ms. */
+  readonly configurationMs: number;
   readonly bounds: FleetBounds;
 };
 
--- a/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
@@ -15,7 +15,7 @@
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 
-/** Retry delay sent to callers while this process has no configuration, in ms. */
+/** Retry delay sent to callers while this process has no configuration, or an outdated one, in ms. */
 const NO_CONFIGURATION_RETRY_AFTER_MS = 1_000;
 
 /** Maximum size of a body that the server reads before a configuration's limit applies, in bytes. */
@@ -42,6 +42,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly getConfiguration: () => FleetConfiguration | null;
+  /** Returns true while the configuration may have changed without this process knowing. */
+  readonly isOutdated: () => boolean;
   readonly isReady: () => boolean;
   readonly isStopping: () => boolean;
   readonly recordCall: (call: AnsweredCall) => void;
@@ -138,8 +140,9 @@
   }> {
     const configuration = this.#context.getConfiguration();
     const none = { queue: null, kind: null, jobId: null };
-    if (configuration === null) {
-      const reason = 'no configuration yet';
+    if (configuration === null || this.#context.isOutdated()) {
+      const reason =
+        configuration === null ? 'no configuration yet' : 'the configuration may be outdated';
       const retryAfterMs = NO_CONFIGURATION_RETRY_AFTER_MS;
       return { answer: { kind: AnswerKind.Unavailable, reason, retryAfterMs }, ...none };
     }
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
@@ -67,6 +67,7 @@
 
 describe('IngressServer', () => {
   let configuration: FleetConfiguration | null;
+  let isOutdated: boolean;
   let server: FastifyInstance;
   let calls: AnsweredCall[];
   let lines: string[];
@@ -74,6 +75,7 @@
   beforeEach(() => {
     const time = new EmulatedTime();
     configuration = CONFIGURATION;
+    isOutdated = false;
     calls = [];
     lines = [];
     const logger = new Logger(LogLevel.Info, {}, (line) => lines.push(line));
@@ -89,6 +91,7 @@
       clock: time,
       logger,
       getConfiguration: () => configuration,
+      isOutdated: () => isOutdated,
       isReady: () => true,
       isStopping: () => false,
       recordCall: (call) => calls.push(call),
@@ -103,6 +106,15 @@
     return reply.json<{ kind: AnswerKind }>().kind;
   }
 
+  it('serves no call by a configuration that may be outdated, neither to admit nor to refuse it', async () => {
+    isOutdated = true;
+    expect(await request('/cakes/')).toEqual(AnswerKind.Unavailable);
+    expect(await request('/bakes/')).toEqual(AnswerKind.Unavailable);
+    expect(lines.at(-1) ?? '').toInclude(
+      'reason="the configuration may be outdated" retryAfterMs=1000',
+    );
+  });
+
   it('distinguishes an unknown queue from a process that cannot serve calls', async () => {
     expect(await request('/cakes/')).toEqual(AnswerKind.UnknownQueue);
     expect(await request('/bakes/')).toEqual(AnswerKind.Unavailable);
