controller, daemon: a read that is older than what the store showed before is not used

An owner that loaded from such reads started four tasks that had run already (the new test, TWICE), a table read again fell back behind what its watch had shown and counted as current, and a configuration counted as confirmed now. Change: reads of a term are as new as its takeover at least; a table that is read again is as new as what its watch had reached, and newer where the store said that changes after that are gone. An older answer is logged (store-read-behind, configuration-read-behind, with both versions) and read again after the usual delay; the age of what is known goes on, so that starts and calls are withheld as in an outage.

--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -185,13 +185,16 @@
     // Not awaited: what the former owner learned may come later or not at all.
     void this.context.handover.load();
     this.#fleetControlLoop.load();
-    const [hosts, workers, progress, requests, ...jobs] = await this.#tables.readAll([
-      { table: HOSTS_TABLE },
-      { table: codec.workersTable },
-      { table: PROGRESS_TABLE },
-      { table: codec.operatorTable },
-      ...listJobPartitions().map((part) => ({ table: JOBS_TABLE, part })),
-    ]);
+    const [hosts, workers, progress, requests, ...jobs] = await this.#tables.readAll(
+      [
+        { table: HOSTS_TABLE },
+        { table: codec.workersTable },
+        { table: PROGRESS_TABLE },
+        { table: codec.operatorTable },
+        ...listJobPartitions().map((part) => ({ table: JOBS_TABLE, part })),
+      ],
+      term.startVersion,
+    );
     await this.#tables.applyInSlices(jobs, (row) => this.#jobRows.apply(row));
     await this.#tables.applyInSlices([progress], (row) => this.#jobRows.applyProgress(row));
     if (signal.aborted) {
@@ -236,22 +239,34 @@
 
   async #watch(table: string, from: TablePosition, apply: (row: Row) => void): Promise<void> {
     await this.#tables.watch(table, from, apply, {
-      rereadCompacted: async (version) => this.#rereadTable(table, apply, version, Infinity),
+      // Only changes after the watched version can be missing from the history.
+      rereadCompacted: async (version) =>
+        this.#rereadTable(table, apply, { appliedVersion: version, minVersion: version + 1 }),
       // A store that answers no renewal answers no read either.
       rereadUnwatched: async (version) =>
-        this.context.ownership.canAct() ? this.#rereadTable(table, apply, version, 1) : null,
+        this.context.ownership.canAct()
+          ? this.#rereadTable(table, apply, {
+              appliedVersion: version,
+              minVersion: version,
+              maxAttempts: 1,
+            })
+          : null,
     });
   }
 
   async #rereadTable(
     table: string,
     apply: (row: Row) => void,
-    appliedVersion: number,
-    maxAttempts: number,
+    limits: {
+      readonly appliedVersion: number;
+      readonly minVersion: number;
+      readonly maxAttempts?: number;
+    },
   ): Promise<TablePosition | null> {
     const partitions = table === JOBS_TABLE ? listJobPartitions() : [''];
     const ranges = partitions.map((part) => ({ table, part }));
-    const pages = await this.#tables.readAll(ranges, maxAttempts);
+    const { appliedVersion, minVersion, maxAttempts } = limits;
+    const pages = await this.#tables.readAll(ranges, minVersion, maxAttempts);
     const position = findCommonPosition(pages);
     if (position === null) {
       return null;
--- a/packages/baobabwell-controller/src/BaobabwellControllerTermTables.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTermTables.ts
@@ -74,17 +74,20 @@
    * Reads several ranges, a few at a time: on a slow link, many answers at once would all be late, and
    * each would be requested again from the start.
    *
+   * @param minVersion version that the store has shown to this owner before: an answer that is behind it
+   * is not used.
    * @param maxAttempts number of attempts after which a range counts as not read.
    */
   async readAll(
     ranges: readonly RowRange[],
+    minVersion: number,
     maxAttempts = Infinity,
   ): Promise<readonly (ReadPage | null)[]> {
     const pages: (ReadPage | null)[] = [];
     const remaining = ranges.entries();
     const readRemaining = async (): Promise<void> => {
       for (const [index, range] of remaining) {
-        pages[index] = await this.#read(range, maxAttempts);
+        pages[index] = await this.#read(range, minVersion, maxAttempts);
       }
     };
     await Promise.all(Array.from({ length: MAX_CONCURRENT_READS }, readRemaining));
@@ -92,16 +95,25 @@
   }
 
   /** Reads rows until the store answers, the attempts are used up or the term ends. */
-  async #read(range: RowRange, maxAttempts: number): Promise<ReadPage | null> {
+  async #read(range: RowRange, minVersion: number, maxAttempts: number): Promise<ReadPage | null> {
     const { store, clock, signal, logger } = this.#context;
     const retry = new RetryDelay(WATCH_RETRY_MS, MAX_WATCH_RETRY_MS);
     for (let attempt = 1; attempt <= maxAttempts && !signal.aborted; attempt += 1) {
       const requestedAt = readClocks(clock);
       const page = await store.list(range);
-      if (page.ok) {
+      if (page.ok && page.value.version >= minVersion) {
         return { ...page.value, requestedAt };
       }
-      logger.recordWarning('store-read-failed', { table: range.table, reason: page.error.kind });
+      const { table } = range;
+      if (page.ok) {
+        logger.recordWarning('store-read-behind', {
+          table,
+          version: page.value.version,
+          minVersion,
+        });
+      } else {
+        logger.recordWarning('store-read-failed', { table, reason: page.error.kind });
+      }
       if (attempt < maxAttempts) {
         await clock.wait(retry.advance(), signal);
       }
--- a/packages/baobabwell-controller/src/__tests__/unit/BaobabwellControllerTermTables.test.ts
+++ b/packages/baobabwell-controller/src/__tests__/unit/BaobabwellControllerTermTables.test.ts
@@ -57,7 +57,7 @@
     const logger = new Logger(LogLevel.Error, {}, () => undefined);
     const processorTime = new ProcessorTime(() => time.getNow());
     const tables = new TermTables({ store, clock: time, signal, logger, processorTime });
-    const pages = await time.settle(tables.readAll(RANGES), 30_000);
+    const pages = await time.settle(tables.readAll(RANGES, 0), 30_000);
     expect([pages.length, store.requestCount]).toEqual([RANGES.length, RANGES.length]);
   });
 
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonConfiguration.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonConfiguration.ts
@@ -76,6 +76,9 @@
 
   #wasOutdated = false;
 
+  /** Version that the store has reached at least, as its answers told. */
+  #storeVersion = 0;
+
   constructor(options: {
     readonly adapters: DaemonAdapters;
     readonly clock: Clock;
@@ -191,9 +194,16 @@
       this.#logger.recordWarning('configuration-not-read', { reason: page.error.kind });
       return null;
     }
-    page.value.rows.forEach((row) => this.#applyRow(row));
+    const { rows, version } = page.value;
+    if (version < this.#storeVersion) {
+      const minVersion = this.#storeVersion;
+      this.#logger.recordWarning('configuration-read-behind', { version, minVersion });
+      return null;
+    }
+    this.#storeVersion = version;
+    rows.forEach((row) => this.#applyRow(row));
     this.#confirm(sentAtMs);
-    return page.value.version;
+    return version;
   }
 
   async #watch(version: number): Promise<number | null> {
@@ -207,13 +217,19 @@
       const endsAtMs = sentAtMs + WATCH_TIMEOUT_MS;
       const isTimedOut = page.value.rows.length === 0 && this.#clock.getNow() >= endsAtMs;
       this.#confirm(isTimedOut ? endsAtMs : sentAtMs);
+      this.#storeVersion = Math.max(this.#storeVersion, page.value.version);
       return page.value.version;
     }
+    const isHistoryGone = page.error.kind === WatchErrorKind.HistoryCompacted;
+    if (isHistoryGone) {
+      // Only changes after the requested version can be missing.
+      this.#storeVersion = Math.max(this.#storeVersion, version + 1);
+    }
     if (!signal.aborted) {
       this.#logger.recordWarning('configuration-watch-failed', {
         cause: page.error.cause,
         ageMs: Math.round(this.getAgeMs() ?? -1),
-        isHistoryGone: page.error.kind === WatchErrorKind.HistoryCompacted,
+        isHistoryGone,
       });
     }
     return null;
--- a/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonConfiguration.test.ts
+++ b/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonConfiguration.test.ts
@@ -134,6 +134,19 @@
     expect(requestCount).toEqual(0);
   });
 
+  it('confirms nothing by a read that is behind, after the history was compacted', async () => {
+    rows.delayReads();
+    put(2);
+    rows.compactHistory();
+    await time.advance(2 * APPLY_MS);
+    const [age = 0] = processes.map(({ watcher }) => watcher.getAgeMs() ?? 0);
+    expect([listVersions(), age >= APPLY_MS]).toEqual([[1, 1, 1], true]);
+    rows.releaseReads();
+    await time.advance(APPLY_MS);
+    const [laterAge = APPLY_MS] = processes.map(({ watcher }) => watcher.getAgeMs() ?? APPLY_MS);
+    expect([listVersions(), laterAge < APPLY_MS]).toEqual([[2, 2, 2], true]);
+  });
+
   it('never applies an older configuration of a peer', async () => {
     partition(0);
     await time.advance(APPLY_MS);
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorStore.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorStore.ts
@@ -64,6 +64,16 @@
 
 type StoredRow = Row & { readonly table: string; readonly part: string };
 
+function listRange(
+  rows: ReadonlyMap<string, StoredRow>,
+  { table, part = '', from = '', to }: RowRange,
+): readonly Row[] {
+  return [...rows.values()]
+    .filter((row) => row.table === table && row.part === part && row.value !== null)
+    .filter(({ key }) => key >= from && (to === undefined || key < to))
+    .toSorted((left, right) => (left.key < right.key ? -1 : 1));
+}
+
 /** The rows of the store, shared by all processes. */
 export class EmulatedRows {
   faults: StoreFaults = NO_STORE_FAULTS;
@@ -75,6 +85,12 @@
 
   readonly #rows = new Map<string, StoredRow>();
 
+  /** What reads show while they are behind; `null` while they are current. */
+  #readSnapshot: {
+    readonly rows: ReadonlyMap<string, StoredRow>;
+    readonly version: number;
+  } | null = null;
+
   /** Version up to which the change history is compacted. */
   #compactedVersion = 0;
 
@@ -112,11 +128,23 @@
     return version >= this.#compactedVersion;
   }
 
-  list({ table, part = '', from = '', to }: RowRange): readonly Row[] {
-    return [...this.#rows.values()]
-      .filter((row) => row.table === table && row.part === part && row.value !== null)
-      .filter(({ key }) => key >= from && (to === undefined || key < to))
-      .toSorted((left, right) => (left.key < right.key ? -1 : 1));
+  /** Keeps reads as of now until {@link releaseReads} is called; watches and writes go on. */
+  delayReads(): void {
+    this.#readSnapshot = { rows: new Map(this.#rows), version: this.#version };
+  }
+
+  releaseReads(): void {
+    this.#readSnapshot = null;
+  }
+
+  list(range: RowRange): readonly Row[] {
+    return listRange(this.#rows, range);
+  }
+
+  /** Returns what a process reads: rows that may be behind, and the version at which they were current. */
+  read(range: RowRange): ChangePage {
+    const { rows, version } = this.#readSnapshot ?? { rows: this.#rows, version: this.#version };
+    return { rows: listRange(rows, range), version };
   }
 
   listSince(table: string, version: number): readonly Row[] {
@@ -186,7 +214,7 @@
     if (!(await this.#waitForStore())) {
       return createError(this.#createUnavailable(false));
     }
-    const page = { rows: this.#rows.list(range), version: this.#rows.version };
+    const page = this.#rows.read(range);
     const { listAnswerMs } = this.#getTableFaults(range.table);
     if (listAnswerMs > 0) {
       await this.#clock.wait(listAnswerMs);
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorOutdatedViews.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorOutdatedViews.test.ts
@@ -5,6 +5,7 @@
 import { expect } from 'earl';
 
 import { getJobPartition, JOBS_TABLE } from '@baobabwell/ingress';
+import { JobState } from '@baobabwell/jobs';
 
 import {
   CANCEL_MS,
@@ -285,4 +286,35 @@
     expect(listLogLines('start-ordered', job)).toEqual([]);
     expect(fleet.oracle.violations).toEqual([]);
   });
+
+  it('starts no task on a draining host by a read that is behind, after the history was compacted', async () => {
+    await start(1);
+    fleet.rows.delayReads();
+    fleet.drainHost(HOST);
+    await fleet.time.advance(500);
+    fleet.rows.compactHistory();
+    await fleet.time.advance(DRAIN_MS);
+    const job = fleet.submit([{ taskCount: 1 }]);
+    await fleet.time.advance(2_000);
+    expect(listLogLines('start-ordered', job)).toEqual([]);
+    fleet.rows.releaseReads();
+    await fleet.time.advance(2_000);
+    expect(fleet.oracle.violations).toEqual([]);
+    expect(listLogLines('store-read-behind', 'table=workers').length).toBeGreaterThan(0);
+  });
+
+  it('loads no term from reads that are behind its takeover', async () => {
+    await start(2);
+    fleet.rows.delayReads();
+    const job = fleet.submit([{ taskCount: 4 }]);
+    await fleet.time.advance(1_000);
+    fleet.killDaemon('a');
+    fleet.startDaemon('b');
+    await fleet.time.advance(6_000);
+    fleet.rows.releaseReads();
+    await fleet.time.advance(6_000);
+    expect(fleet.oracle.violations).toEqual([]);
+    expect(await fleet.findState(job)).toEqual(JobState.Completed);
+    expect(listLogLines('start-ordered', job).length).toEqual(4);
+  });
 });
