controller: a new owner waits for hosts in every pool where runs of a queue may exist

What a new owner waited for followed from today's routes. Change: the owner stores, by pool, the queues that start runs there before the first of them does (table queue-pools, one row a pool, fenced), and keeps a queue there while a run of it is tracked or a host has not reported. A new owner holds back the jobs of before its term while a host is silent in any pool in which their queue may have runs; other queues wait for no more hosts than before. Where no row exists yet, after an upgrade, it waits for all. PossibleRuns says what may run unknown; the dispatcher asks it. Ways not taken: waiting for all silent hosts (other services would wait for leases), the pool in the job's row (routes change more than once). Steady cost: one write at a term's first start and one with each configuration that sends a queue to another pool. Conclusion: the store now holds what the former owner may have done, not only what is to be done.

--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -1,6 +1,9 @@
 /** Table of the host incarnations on which an owner may have started runs. */
 export const HOSTS_TABLE = 'hosts';
 
+/** Table of the queues whose runs may exist in a pool. */
+export const QUEUE_POOLS_TABLE = 'queue-pools';
+
 /**
  * Lease of all runs on a host, in ms. It is longer than a takeover after an owner failed, and short
  * enough that the work of an unresponsive host is soon started elsewhere.
--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -6,6 +6,8 @@
 import type { HostObserver } from './BaobabwellControllerHostObserver';
 import type { HostSilences } from './BaobabwellControllerHostSilences';
 import type { JobRates } from './BaobabwellControllerJobRates';
+import type { PossibleRuns } from './BaobabwellControllerPossibleRuns';
+import type { QueuePools } from './BaobabwellControllerQueuePools';
 import type { RunDurations } from './BaobabwellControllerRunDurations';
 import type { StartGate } from './BaobabwellControllerStartGate';
 import type { TermOptions } from './BaobabwellControllerTermOptions';
@@ -28,6 +30,8 @@
   readonly hostMajority: HostMajority;
   readonly hostObserver: HostObserver;
   readonly hostSilences: HostSilences;
+  readonly possibleRuns: PossibleRuns;
+  readonly queuePools: QueuePools;
   /** Waves requested by the operator, by number. */
   readonly waves: Map<number, MaintenanceWave>;
   /** Aborted when the term ends. */
--- a/packages/baobabwell-controller/src/BaobabwellControllerCopyPlacement.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCopyPlacement.ts
@@ -48,13 +48,14 @@
   maxVersion: number,
   dispatch: CopyDispatch,
 ): void {
-  const { jobRegistry, clock, copies, hosts, getConfiguration } = context;
+  const { jobRegistry, clock, copies, hosts, queuePools, getConfiguration } = context;
   const queues = getConfiguration()?.queues ?? [];
   const findQueue = (name: string) => queues.find((queue) => queue.name === name) ?? null;
   const closed = new Set(dispatch.listClosedPools());
   const findOpenQueue = (name: string) => {
     const queue = findQueue(name);
-    return queue === null || closed.has(queue.pool) ? null : queue;
+    const isOpen = queue !== null && !closed.has(queue.pool) && queuePools.canStart(queue);
+    return isOpen ? queue : null;
   };
   const candidates = copies
     .listCandidates(clock.getNow(), findOpenQueue)
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -194,7 +194,7 @@
   #placeCopies(maxVersion: number): void {
     placeCopies(this.#context, maxVersion, {
       listClosedPools: () => [
-        ...this.#listUnreconciledPools(),
+        ...this.#context.possibleRuns.listUnreconciledPools(),
         ...this.#listWithheldPools(),
         ...this.#waitingPools,
       ],
@@ -207,22 +207,20 @@
 
   /** Lists the steps with waiting tasks in the order in which they are placed. */
   listReadySteps(): readonly ReadyStep[] {
-    const { jobRegistry, clock, durations, getConfiguration, term } = this.#context;
+    const { jobRegistry, clock, durations, getConfiguration, possibleRuns, queuePools } =
+      this.#context;
     const nowMs = clock.getNow();
     const wallMs = clock.getWallTime();
     const queues = new Map(getConfiguration()?.queues.map((queue) => [queue.name, queue]));
-    let unreconciledPools: ReadonlySet<string> | null = null;
+    const unreconciledPools = possibleRuns.listUnreconciledPools();
     const ready: UrgentStep[] = [];
     for (const job of jobRegistry.listOpenJobs()) {
       const queue = queues.get(job.record.queue) ?? null;
-      // The runs that an earlier owner may have started are unknown until every host of the pool has
-      // reported.
-      let isBlocked = false;
-      if (queue !== null && job.acceptedVersion <= term.startVersion) {
-        unreconciledPools ??= this.#listUnreconciledPools();
-        isBlocked = unreconciledPools.has(queue.pool);
-      }
-      if (queue !== null && !isBlocked) {
+      if (
+        queue !== null &&
+        queuePools.canStart(queue) &&
+        !possibleRuns.mayRunUnknown(job, queue, unreconciledPools)
+      ) {
         jobRegistry
           .listReadySteps(job, wallMs)
           .filter(({ waitingCount }) => waitingCount > 0)
@@ -237,16 +235,6 @@
     );
   }
 
-  #listUnreconciledPools(): ReadonlySet<string> {
-    const pools = new Set<string>();
-    this.#context.hosts.forEach(({ isReconciled, pool }) => {
-      if (!isReconciled) {
-        pools.add(pool);
-      }
-    });
-    return pools;
-  }
-
   /** Lists the pools whose hosts may have changed too long ago without the owner knowing. */
   #listWithheldPools(): ReadonlySet<string> {
     const { ownership, bounds, logger, getConfiguration, getWorkersAgeMs } = this.#context;
@@ -301,17 +289,16 @@
         });
       }
     });
+    const reserve = (organisation: string | null, used: Resources): void => {
+      const allowance = organisation === null ? undefined : allowances.get(organisation);
+      if (allowance !== undefined) {
+        allowance.cpuMillis -= used.cpuMillis;
+        allowance.memoryMb -= used.memoryMb;
+        allowance.gpus -= used.gpus;
+      }
+    };
     this.#context.hosts.forEach(({ runs }) =>
-      runs.forEach(({ task }) => {
-        const { organisation } = task.step.job.record;
-        const allowance = organisation === null ? undefined : allowances.get(organisation);
-        if (allowance !== undefined) {
-          const { need } = task.step.spec;
-          allowance.cpuMillis -= need.cpuMillis;
-          allowance.memoryMb -= need.memoryMb;
-          allowance.gpus -= need.gpus;
-        }
-      }),
+      runs.forEach(({ task: { step } }) => reserve(step.job.record.organisation, step.spec.need)),
     );
     return allowances;
   }
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -16,7 +16,11 @@
 import { readClocks } from '@baobabwell/utils';
 
 import { Committer } from './BaobabwellControllerCommitter';
-import { HOSTS_TABLE, LEASE_CHECK_INTERVAL_MS } from './BaobabwellControllerConstants';
+import {
+  HOSTS_TABLE,
+  LEASE_CHECK_INTERVAL_MS,
+  QUEUE_POOLS_TABLE,
+} from './BaobabwellControllerConstants';
 import { Copies } from './BaobabwellControllerCopies';
 import { Dispatcher } from './BaobabwellControllerDispatcher';
 import { Evacuations } from './BaobabwellControllerEvacuations';
@@ -31,6 +35,8 @@
 import { OfferAdmission } from './BaobabwellControllerOffers';
 import { OperatorRequests } from './BaobabwellControllerOperatorRequests';
 import { PlacementAdviceCache } from './BaobabwellControllerPlacementAdvice';
+import { PossibleRuns } from './BaobabwellControllerPossibleRuns';
+import { QueuePools } from './BaobabwellControllerQueuePools';
 import { parseHostRow } from './BaobabwellControllerRows';
 import { RunDurations } from './BaobabwellControllerRunDurations';
 import { HostSession } from './BaobabwellControllerSession';
@@ -83,11 +89,10 @@
     const getJobsAgeMs = (): number => this.#tables.getAgeMs(JOBS_TABLE);
     const getRequestsAgeMs = (): number => this.#tables.getAgeMs(options.codec.operatorTable);
     const requestDispatch = (): void => this.#dispatcher.request();
+    const base = { ...options, term, hosts, jobRegistry, signal, requestDispatch };
+    const queuePools = new QueuePools(base);
     this.context = {
-      ...options,
-      term,
-      jobRegistry,
-      hosts,
+      ...base,
       durations: this.#runDurations.estimator,
       runDurations: this.#runDurations,
       jobRates: new JobRates(options),
@@ -102,9 +107,9 @@
         requestDispatch,
       }),
       hostSilences: new HostSilences(),
+      possibleRuns: new PossibleRuns({ ...base, queuePools }),
+      queuePools,
       waves: new Map(),
-      signal,
-      requestDispatch,
       requestCommit: () => this.#committer.request(),
       storeProgress: async (job) => this.#committer.storeProgress(job),
       stopRun: (run, reason) => this.#stopRun(run, reason),
@@ -185,12 +190,13 @@
     // Not awaited: what the former owner learned may come later or not at all.
     void this.context.handover.load();
     this.#fleetControlLoop.load();
-    const [hosts, workers, progress, requests, ...jobs] = await this.#tables.readAll(
+    const [hosts, workers, progress, requests, queuePools, ...jobs] = await this.#tables.readAll(
       [
         { table: HOSTS_TABLE },
         { table: codec.workersTable },
         { table: PROGRESS_TABLE },
         { table: codec.operatorTable },
+        { table: QUEUE_POOLS_TABLE },
         ...listJobPartitions().map((part) => ({ table: JOBS_TABLE, part })),
       ],
       term.startVersion,
@@ -200,6 +206,7 @@
     if (signal.aborted) {
       return;
     }
+    this.context.queuePools.load(queuePools?.rows ?? []);
     // Without a pause: the first answers of hosts are counted against all hosts of former owners.
     hosts?.rows.forEach((row) => this.#applyHostRow(row));
     restoreStoredStarts(this.context);
@@ -220,6 +227,7 @@
     const startPosition = { version: 0, requestedAt: startedAt };
     await Promise.all([
       this.#committer.run(),
+      this.context.queuePools.run(),
       this.#dispatcher.run(),
       this.#fleetControlLoop.run(),
       this.#runDurations.run(signal),
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -115,6 +115,9 @@
   /** Processes that do not reach their peers. */
   readonly processesWithoutPeers = new Set<string>();
 
+  /** The operator's configuration, in force at once. */
+  configuration = CONFIGURATION;
+
   /** How a host comes back after a task crashed it. */
   crashRecovery = CrashRecovery.SameId;
 
@@ -264,7 +267,7 @@
       advisor: null,
       ownership,
       peerReports: new EmulatedPeerReports(name, this.#daemons, this.processesWithoutPeers),
-      getConfiguration: () => CONFIGURATION,
+      getConfiguration: () => this.configuration,
     });
     this.#daemons.set(name, { name, clock, ownership, controller, store });
     void ownership.run();
