controller: runs that a former owner may have started count against the caps

Runs on hosts that have not reported counted for nothing, and jobs accepted after the takeover started at once with the whole cap (QUOTA). Change: PossibleRuns sums, by organisation, what the tasks require that may run unknown: those of jobs of before the term whose queue may have runs in a pool with a silent host. The allowance of the organisation is less by that until the hosts have reported or their leases have expired. An organisation with room left, or without such jobs, starts at once. Conclusion: starts and caps ask one place what may still run. Gangs, upkeep and evacuation go by isReconciled of their hosts as before.

--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -300,6 +300,9 @@
     this.#context.hosts.forEach(({ runs }) =>
       runs.forEach(({ task: { step } }) => reserve(step.job.record.organisation, step.spec.need)),
     );
+    this.#context.possibleRuns
+      .sumUnknownResources()
+      .forEach((used, organisation) => reserve(organisation, used));
     return allowances;
   }
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerPossibleRuns.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerPossibleRuns.ts
@@ -1,8 +1,13 @@
 import type { TermContext } from './BaobabwellControllerContext';
 import type { QueueSettings } from '@baobabwell/fleet';
-import type { Job } from '@baobabwell/jobs';
+import type { Job, Resources } from '@baobabwell/jobs';
 
-type PossibleRunsContext = Pick<TermContext, 'hosts' | 'queuePools' | 'term'>;
+import { addResources, NO_RESOURCES, TaskPhase } from '@baobabwell/jobs';
+
+type PossibleRunsContext = Pick<
+  TermContext,
+  'clock' | 'getConfiguration' | 'hosts' | 'jobRegistry' | 'queuePools' | 'term'
+>;
 
 /**
  * Tells what may still run beside the tracked runs: former owners may have started tasks on hosts that
@@ -38,4 +43,32 @@
       [...unreconciledPools].some((pool) => queuePools.mayHaveFormerRuns(queue, pool))
     );
   }
+
+  /** Sums what the tasks that may run unknown to this owner use at most, by organisation. */
+  sumUnknownResources(): ReadonlyMap<string, Resources> {
+    const { jobRegistry, clock, getConfiguration } = this.#context;
+    const sums = new Map<string, Resources>();
+    const pools = this.listUnreconciledPools();
+    if (pools.size === 0) {
+      return sums;
+    }
+    const queues = new Map(getConfiguration()?.queues.map((queue) => [queue.name, queue]));
+    const wallMs = clock.getWallTime();
+    jobRegistry.listOpenJobs().forEach((job) => {
+      const { organisation } = job.record;
+      const queue = queues.get(job.record.queue);
+      if (organisation === null || queue === undefined || !this.mayRunUnknown(job, queue, pools)) {
+        return;
+      }
+      jobRegistry.listReadySteps(job, wallMs).forEach(({ tasks, spec }) =>
+        tasks
+          .filter(({ phase }) => phase === TaskPhase.Waiting)
+          .forEach(() => {
+            const sum = sums.get(organisation) ?? NO_RESOURCES;
+            sums.set(organisation, addResources(sum, spec.need));
+          }),
+      );
+    });
+    return sums;
+  }
 }
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorTakeovers.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorTakeovers.test.ts
@@ -4,7 +4,7 @@
 
 import { JobState } from '@baobabwell/jobs';
 
-import { CONFIGURATION, EmulatedJobFleet } from '../../index';
+import { CAP_CPU_MILLIS, CONFIGURATION, EmulatedJobFleet } from '../../index';
 
 const SEED = 7;
 const START_MS = 1_500;
@@ -89,6 +89,16 @@
     });
   });
 
+  it('keeps the cap of an organisation while runs on silent hosts may still use it', async () => {
+    await start(8);
+    const former = fleet.submit([{ ...HALF, taskCount: CAP_CPU_MILLIS / HALF.need.cpuMillis }]);
+    await fleet.time.advance(500);
+    await replaceOwnerOfSilentHosts();
+    const next = fleet.submit([{ ...HALF, taskCount: 5 }]);
+    await fleet.time.advance(2 * RECOVERY_MS);
+    await expectCompleted([former, next]);
+  });
+
   it('starts new work of an organisation with room at once although a host is silent', async () => {
     await start(8);
     fleet.submit([{ ...HALF, taskCount: 1 }]);
