controller: rows of ended jobs are removed, and a takeover keeps only the jobs that are alive

Change: the rows of a job are removed one minute after nobody may ask for it any more (status_s), from one partition at a time, at most 45 jobs in a transaction and 180 a second, the job's row first and the fenced row of its progress last. A takeover reads page by page, the progress first, and does not track jobs that had ended and were accepted over three minutes before; their state is read from the store, and their rows are removed after the same time. A table of jobs that is read again is applied page by page as well. Cancellations of unknown jobs are removed too. Conclusion: what is stored now has an end; a column of its own for the jobs that are alive would make a takeover flat.

--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -138,8 +138,20 @@
 /** Longest backoff while a watch or read keeps failing, in ms. */
 export const MAX_WATCH_RETRY_MS = 400;
 
-/** Time for which an ended job is retained in memory, in ms; callers query it for two minutes. */
-export const ENDED_JOB_RETENTION_MS = 180_000;
+/** Time for which an ended job is kept beyond the time for which callers query it, in ms: clocks differ. */
+export const ENDED_JOB_MARGIN_MS = 60_000;
+
+/** Age from which a job that had ended before a takeover is not tracked, in ms: nobody submits it again. */
+export const MIN_UNTRACKED_AGE_MS = 180_000;
+
+/** Interval between two removals of rows of ended jobs, in ms. */
+export const REMOVAL_INTERVAL_MS = 1_000;
+
+/** The same interval while more jobs than one transaction takes are to be removed, in ms. */
+export const REMOVAL_BACKLOG_INTERVAL_MS = 250;
+
+/** Maximum number of jobs whose rows are removed at once, for the store's limit of a transaction. */
+export const MAX_REMOVED_JOBS = 45;
 
 /** Age up to which a job that is not tracked may have been missed by the watch, in ms. */
 export const MAX_UNSEEN_AGE_MS = 60_000;
--- a/packages/baobabwell-controller/src/BaobabwellControllerModel.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerModel.ts
@@ -10,6 +10,8 @@
   readonly maintenanceMs: number;
   /** Longest time after the acknowledgement of a cancellation for which tasks of the job may start. */
   readonly cancellationMs: number;
+  /** Time after the end of a job for which callers may ask for its state. */
+  readonly endedJobMs: number;
   /** Time after a host is listed as draining from which no run may start there. */
   readonly drainMs: number;
   /**
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -1,7 +1,7 @@
 import type { TermContext } from './BaobabwellControllerContext';
 import type { UnansweredStart } from './BaobabwellControllerHost';
 import type { TermOptions } from './BaobabwellControllerTermOptions';
-import type { TablePosition } from './BaobabwellControllerTermTables';
+import type { RereadLimits, TablePosition } from './BaobabwellControllerTermTables';
 import type { ListedWorker } from '@baobabwell/fleet';
 import type { OfferReply } from '@baobabwell/ingress';
 import type { JobRecord, Run } from '@baobabwell/jobs';
@@ -10,19 +10,21 @@
 
 import { setMaxListeners } from 'node:events';
 
-import { JOBS_TABLE, listJobPartitions, PROGRESS_TABLE } from '@baobabwell/ingress';
+import { JOBS_TABLE } from '@baobabwell/ingress';
 import { JobRegistry } from '@baobabwell/jobs';
 import { getWidestStepCpu } from '@baobabwell/placement';
 import { readClocks } from '@baobabwell/utils';
 
 import { Committer } from './BaobabwellControllerCommitter';
 import {
+  ENDED_JOB_MARGIN_MS,
   HOSTS_TABLE,
   LEASE_CHECK_INTERVAL_MS,
   QUEUE_POOLS_TABLE,
 } from './BaobabwellControllerConstants';
 import { Copies } from './BaobabwellControllerCopies';
 import { Dispatcher } from './BaobabwellControllerDispatcher';
+import { EndedJobs } from './BaobabwellControllerEndedJobs';
 import { Evacuations } from './BaobabwellControllerEvacuations';
 import { FleetControlLoop } from './BaobabwellControllerFleetControlLoop';
 import { Handover } from './BaobabwellControllerHandover';
@@ -70,6 +72,8 @@
 
   readonly #jobRows: JobRows;
 
+  readonly #endedJobs: EndedJobs;
+
   readonly #operatorRequests: OperatorRequests;
 
   readonly #runDurations: RunDurations;
@@ -125,7 +129,9 @@
     };
     this.#runDurations.registerHandover(this.context.handover);
     this.#tables = new TermTables(this.context);
-    this.#jobRows = new JobRows(this.context);
+    const { endedJobMs } = options.bounds;
+    this.#endedJobs = new EndedJobs(this.context, endedJobMs + ENDED_JOB_MARGIN_MS);
+    this.#jobRows = new JobRows(this.context, this.#endedJobs);
     this.#operatorRequests = new OperatorRequests(this.context, () =>
       this.#fleetControlLoop.requestRound(),
     );
@@ -190,19 +196,14 @@
     // Not awaited: what the former owner learned may come later or not at all.
     void this.context.handover.load();
     this.#fleetControlLoop.load();
-    const [hosts, workers, progress, requests, queuePools, ...jobs] = await this.#tables.readAll(
-      [
-        { table: HOSTS_TABLE },
-        { table: codec.workersTable },
-        { table: PROGRESS_TABLE },
-        { table: codec.operatorTable },
-        { table: QUEUE_POOLS_TABLE },
-        ...listJobPartitions().map((part) => ({ table: JOBS_TABLE, part })),
-      ],
+    const jobs = this.#jobRows.load(this.#tables, term.startVersion);
+    const [hosts, workers, requests, queuePools] = await this.#tables.readAll(
+      [HOSTS_TABLE, codec.workersTable, codec.operatorTable, QUEUE_POOLS_TABLE].map((table) => ({
+        table,
+      })),
       term.startVersion,
     );
-    await this.#tables.applyInSlices(jobs, (row) => this.#jobRows.apply(row));
-    await this.#tables.applyInSlices([progress], (row) => this.#jobRows.applyProgress(row));
+    const jobsPosition = await jobs;
     if (signal.aborted) {
       return;
     }
@@ -214,13 +215,14 @@
     requests?.rows.forEach((row) => this.#operatorRequests.apply(row));
     this.#isLoaded = true;
     ownership.recordLoaded(term);
-    this.#jobRows.applyCancellations(jobs);
+    this.#jobRows.finishLoad();
     metrics.terms.inc({ start: term.isHandover ? 'handover' : 'takeover' });
     metrics.termLoadSeconds.observe((clock.getNow() - startedAt.monotonicMs) / SECOND_MS);
     logger.recordInfo('term-loaded', {
       epoch: term.epoch,
       tookMs: Math.round(clock.getNow() - startedAt.monotonicMs),
       jobs: [...this.context.jobRegistry.listJobs()].length,
+      endedJobs: this.#endedJobs.countFormer(),
       hosts: this.context.hosts.size,
     });
     this.#committer.request();
@@ -232,11 +234,10 @@
       this.#fleetControlLoop.run(),
       this.#runDurations.run(signal),
       this.#jobRows.runPruning(),
+      this.#endedJobs.run(),
       this.#watchLease(),
       this.#storeOutage.run(),
-      this.#watch(JOBS_TABLE, findCommonPosition(jobs) ?? startPosition, (row) =>
-        this.#jobRows.apply(row),
-      ),
+      this.#watch(JOBS_TABLE, jobsPosition ?? startPosition, (row) => this.#jobRows.apply(row)),
       this.#watch(codec.workersTable, workers ?? startPosition, (row) => this.#applyWorkerRow(row)),
       this.#watch(HOSTS_TABLE, hosts ?? startPosition, (row) => this.#committer.recordHostRow(row)),
       this.#watch(codec.operatorTable, requests ?? startPosition, (row) =>
@@ -265,24 +266,19 @@
   async #rereadTable(
     table: string,
     apply: (row: Row) => void,
-    limits: {
-      readonly appliedVersion: number;
-      readonly minVersion: number;
-      readonly maxAttempts?: number;
-    },
+    limits: RereadLimits,
   ): Promise<TablePosition | null> {
-    const partitions = table === JOBS_TABLE ? listJobPartitions() : [''];
-    const ranges = partitions.map((part) => ({ table, part }));
-    const { appliedVersion, minVersion, maxAttempts } = limits;
-    const pages = await this.#tables.readAll(ranges, minVersion, maxAttempts);
+    const { minVersion, maxAttempts } = limits;
+    if (table === JOBS_TABLE) {
+      return this.#jobRows.reread(this.#tables, limits);
+    }
+    const pages = await this.#tables.readAll([{ table }], minVersion, maxAttempts);
     const position = findCommonPosition(pages);
     if (position === null) {
       return null;
     }
     const rows = pages.flatMap((page) => page?.rows ?? []);
-    const applicable =
-      table === JOBS_TABLE ? this.#jobRows.filterUnseen(rows, appliedVersion) : rows;
-    applicable.forEach(apply);
+    rows.forEach(apply);
     if (table === this.context.codec.workersTable) {
       const present = new Set(rows.map(({ key }) => key));
       this.context.hosts.forEach((host, id) => {
--- a/packages/baobabwell-controller/src/BaobabwellControllerTermTables.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTermTables.ts
@@ -1,10 +1,10 @@
 import type { TermContext } from './BaobabwellControllerContext';
-import type { ChangePage, Row, RowRange } from '@baobabwell/platform';
-import type { ClockReading } from '@baobabwell/utils';
+import type { ChangePage, Row, RowRange, TableError } from '@baobabwell/platform';
+import type { ClockReading, Result } from '@baobabwell/utils';
 
 import { WatchErrorKind } from '@baobabwell/platform';
 import { Activity } from '@baobabwell/processor-time';
-import { addTime, getElapsedMs, readClocks, RetryDelay } from '@baobabwell/utils';
+import { addTime, createOk, getElapsedMs, readClocks, RetryDelay } from '@baobabwell/utils';
 
 import {
   MAX_CONCURRENT_READS,
@@ -23,9 +23,20 @@
   readonly requestedAt: ClockReading;
 };
 
+/** A range to read; with `apply`, its rows are applied page by page and not kept. */
+export type ReadRange = RowRange & { readonly apply?: (rows: readonly Row[]) => Promise<void> };
+
 /** Position from which a table is watched. */
 export type TablePosition = Pick<ReadPage, 'version' | 'requestedAt'>;
 
+/** What a table that is read again has to show, and how often it is tried. */
+export type RereadLimits = {
+  /** Version up to which changes were applied. */
+  readonly appliedVersion: number;
+  readonly minVersion: number;
+  readonly maxAttempts?: number;
+};
+
 /** Returns the position up to which all the given pages show the changes; `null` if one is missing. */
 export function findCommonPosition(pages: readonly (ReadPage | null)[]): TablePosition | null {
   const complete = pages.filter((page) => page !== null);
@@ -79,7 +90,7 @@
    * @param maxAttempts number of attempts after which a range counts as not read.
    */
   async readAll(
-    ranges: readonly RowRange[],
+    ranges: readonly ReadRange[],
     minVersion: number,
     maxAttempts = Infinity,
   ): Promise<readonly (ReadPage | null)[]> {
@@ -95,12 +106,12 @@
   }
 
   /** Reads rows until the store answers, the attempts are used up or the term ends. */
-  async #read(range: RowRange, minVersion: number, maxAttempts: number): Promise<ReadPage | null> {
-    const { store, clock, signal, logger } = this.#context;
+  async #read(range: ReadRange, minVersion: number, maxAttempts: number): Promise<ReadPage | null> {
+    const { clock, signal, logger } = this.#context;
     const retry = new RetryDelay(WATCH_RETRY_MS, MAX_WATCH_RETRY_MS);
     for (let attempt = 1; attempt <= maxAttempts && !signal.aborted; attempt += 1) {
       const requestedAt = readClocks(clock);
-      const page = await store.list(range);
+      const page = await this.#readOnce(range, minVersion);
       if (page.ok && page.value.version >= minVersion) {
         return { ...page.value, requestedAt };
       }
@@ -121,13 +132,26 @@
     return null;
   }
 
+  /** Reads a range once; rows that are behind are not applied. */
+  async #readOnce(
+    { apply, ...range }: ReadRange,
+    minVersion: number,
+  ): Promise<Result<ChangePage, TableError>> {
+    const { store } = this.#context;
+    if (apply === undefined) {
+      return store.list(range);
+    }
+    let isBehind = false;
+    const reply = await store.readPages(range, async ({ rows, version }) => {
+      isBehind ||= version < minVersion;
+      await (isBehind ? undefined : apply(rows));
+    });
+    return reply.ok ? createOk({ rows: [], version: reply.value }) : reply;
+  }
+
   /** Applies rows in slices, between which the ownership is renewed and answers are read. */
-  async applyInSlices(
-    pages: readonly (ChangePage | null | undefined)[],
-    apply: (row: Row) => void,
-  ): Promise<void> {
+  async applyInSlices(rows: readonly Row[], apply: (row: Row) => void): Promise<void> {
     const { clock, signal } = this.#context;
-    const rows = pages.flatMap((page) => page?.rows ?? []);
     for (let start = 0; start < rows.length && !signal.aborted; start += ROWS_PER_SLICE) {
       rows.slice(start, start + ROWS_PER_SLICE).forEach(apply);
       await clock.wait(0, signal);
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonMeasuredStore.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonMeasuredStore.ts
@@ -36,6 +36,13 @@
     return this.#measure('list', async () => this.tables.list(range));
   }
 
+  override async readPages(
+    range: RowRange,
+    handle: (page: ChangePage) => Promise<void>,
+  ): Promise<Result<number, TableError>> {
+    return this.#measure('read-pages', async () => this.tables.readPages(range, handle));
+  }
+
   override async read(table: string, key: string): Promise<Result<Row | null, TableError>> {
     return this.#measure('read', async () => this.tables.read(table, key));
   }
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -239,6 +239,7 @@
         machineOrderDelayMs: 3_000,
         maintenanceMs: 2_000,
         cancellationMs: 3_000,
+        endedJobMs: 120_000,
         drainMs: DRAIN_MS,
         evacuationMs: EVACUATION_MS,
         farFactor: 1,
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorTakeovers.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorTakeovers.test.ts
@@ -1,7 +1,9 @@
 import type { EmulatedHost } from '../../index';
+import type { JsonValue } from '@baobabwell/platform';
 
 import { expect } from 'earl';
 
+import { getJobPartition, JOBS_TABLE, PROGRESS_TABLE } from '@baobabwell/ingress';
 import { JobState } from '@baobabwell/jobs';
 
 import { CAP_CPU_MILLIS, CONFIGURATION, EmulatedJobFleet } from '../../index';
@@ -12,6 +14,12 @@
 /** Time after a takeover within which all jobs have ended, in ms. */
 const RECOVERY_MS = 20_000;
 
+/** Time for which the rows of an ended job are kept at least, in ms. */
+const RETENTION_MS = 180_000;
+
+/** Number of jobs that ended before a takeover: more than one transaction removes. */
+const FORMER_JOBS = 150;
+
 const OTHER_POOL = 'cellars';
 
 /** A task that uses half of a host. */
@@ -99,6 +107,36 @@
     await expectCompleted([former, next]);
   });
 
+  it('tracks no job that ended long ago after a takeover, and removes its rows in time', async () => {
+    await start(3);
+    const done = fleet.submit([{ taskCount: 2 }]);
+    await fleet.time.advance(2_000);
+    const [progress] = fleet.rows.list({ table: PROGRESS_TABLE });
+    const former = Array.from({ length: FORMER_JOBS }, (_, index) => `f${index}`.padStart(16, 'f'));
+    const acceptedAtMs = fleet.time.getWallTime() - 10 * RETENTION_MS;
+    former.forEach((id) => {
+      const record = { ...fleet.oracle.jobs.get(done), id, acceptedAtMs } as unknown as JsonValue;
+      const writes = [
+        { table: JOBS_TABLE, part: getJobPartition(id), key: id, value: record },
+        { table: PROGRESS_TABLE, key: id, value: progress?.value ?? null },
+      ];
+      fleet.rows.apply({ conditions: [], writes });
+    });
+    fleet.rows.compactHistory();
+    fleet.killDaemon(fleet.findOwner() ?? '');
+    await fleet.time.advance(5_000);
+    const next = fleet.submit([{ taskCount: 2 }]);
+    await fleet.time.advance(2_000);
+    const tracked = [...(fleet.findOwnerContext()?.jobRegistry.listJobs() ?? [])];
+    expect(tracked.map(({ record }) => record.id)).toEqual([done, next]);
+    expect(fleet.rows.list({ table: PROGRESS_TABLE }).length).toEqual(FORMER_JOBS + 2);
+    await expectCompleted([next]);
+    await fleet.time.advance(2 * RETENTION_MS);
+    const partitions = new Set([done, next, ...former].map(getJobPartition));
+    const left = [...partitions].flatMap((part) => fleet.rows.list({ table: JOBS_TABLE, part }));
+    expect([left, fleet.rows.list({ table: PROGRESS_TABLE })]).toEqual([[], []]);
+  });
+
   it('starts new work of an organisation with room at once although a host is silent', async () => {
     await start(8);
     fleet.submit([{ ...HALF, taskCount: 1 }]);
--- a/packages/baobabwell-platform/src/BaobabwellPlatformForwarding.ts
+++ b/packages/baobabwell-platform/src/BaobabwellPlatformForwarding.ts
@@ -21,6 +21,13 @@
     return this.tables.list(range);
   }
 
+  override async readPages(
+    range: RowRange,
+    handle: (page: ChangePage) => Promise<void>,
+  ): Promise<Result<number, TableError>> {
+    return this.tables.readPages(range, handle);
+  }
+
   override async waitForChanges(
     table: string,
     version: number,
--- a/packages/baobabwell-platform/src/BaobabwellPlatformWatch.ts
+++ b/packages/baobabwell-platform/src/BaobabwellPlatformWatch.ts
@@ -42,6 +42,24 @@
   /** Lists the rows of a range as of one point in time, by ascending key. */
   abstract list(range: RowRange): Promise<Result<ChangePage, TableError>>;
 
+  /**
+   * Reads the rows of a range page by page, each after the one before was handled, so that a table may be
+   * larger than the memory of this process. Later pages may be newer.
+   *
+   * @returns the version of the first page.
+   */
+  async readPages(
+    range: RowRange,
+    handle: (page: ChangePage) => Promise<void>,
+  ): Promise<Result<number, TableError>> {
+    const page = await this.list(range);
+    if (!page.ok) {
+      return page;
+    }
+    await handle(page.value);
+    return createOk(page.value.version);
+  }
+
   /** Waits up to `waitMs` for changes after a version in any partition of a table. */
   abstract waitForChanges(
     table: string,
