controller: no order for a machine by a list that is older than its worker

Change: machines are ordered by a list that was requested at most 2 s before, and not while another worker is listed at the address of the one that the list names. Both are checked before the order is announced and again before it is sent.

--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -175,6 +175,9 @@
 /** Age at which the list of machines is read again, in ms: reads cost money and are rate-limited. */
 export const MAX_MACHINE_LIST_AGE_MS = 700;
 
+/** Age of the list of machines up to which orders follow it, in ms: a machine may have another worker since. */
+export const MAX_ORDER_LIST_AGE_MS = 2_000;
+
 /** Time after which an order whose effect never shows in the list of machines is dropped, in ms. */
 export const MACHINE_ORDER_TIMEOUT_MS = 4_000;
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -26,6 +26,14 @@
   return nowMs - sentAtMs < MAX_START_DELAY_MS;
 }
 
+/** Returns true when another worker is listed at the address of a host, whose incarnation has ended. */
+export function isReplaced(hosts: ReadonlyMap<string, Host>, { incarnation }: Host): boolean {
+  return [...hosts.values()].some(
+    ({ incarnation: { id, address }, listedWorker }) =>
+      id !== incarnation.id && address === incarnation.address && listedWorker !== null,
+  );
+}
+
 /**
  * Holds the owner's view of a host. A worker that restarts with the same id, pool and address keeps its
  * `Host`; otherwise the owner creates a new one.
--- a/packages/baobabwell-controller/src/BaobabwellControllerHostCrashes.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostCrashes.ts
@@ -10,6 +10,7 @@
   MIN_COMMON_CAUSE_HOSTS,
   START_SURVIVAL_MS,
 } from './BaobabwellControllerConstants';
+import { isReplaced } from './BaobabwellControllerHost';
 import { stopFailedJob } from './BaobabwellControllerJobEnds';
 import { describeRun } from './BaobabwellControllerRunLog';
 
@@ -126,9 +127,9 @@
     if (expired === null) {
       return;
     }
-    const isReplaced = this.#isReplaced();
-    if (isReplaced || this.#hasRefusedConnection) {
-      this.#recordCrash(expired, isReplaced);
+    const isConfirmed = isReplaced(this.#context.hosts, this.#host);
+    if (isConfirmed || this.#hasRefusedConnection) {
+      this.#recordCrash(expired, isConfirmed);
     } else {
       this.#removePossibleCrashes(expired.runs);
     }
@@ -198,15 +199,6 @@
     runs.forEach(({ task, number }) => task.crashes.removeUnconfirmed(number));
   }
 
-  /** Returns true when another worker is listed at the address of the host. */
-  #isReplaced(): boolean {
-    const { id, address } = this.#host.incarnation;
-    return [...this.#context.hosts.values()].some(
-      ({ incarnation, listedWorker }) =>
-        incarnation.id !== id && incarnation.address === address && listedWorker !== null,
-    );
-  }
-
   #recordSuspect(run: Run, isAttributed: boolean): void {
     const { jobRegistry, clock, logger } = this.#context;
     const effect = jobRegistry.recordCrash(run, isAttributed, clock.getNow());
--- a/packages/baobabwell-controller/src/BaobabwellControllerMachineInventory.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerMachineInventory.ts
@@ -9,7 +9,9 @@
   MACHINE_ORDER_TIMEOUT_MS,
   MAX_MACHINE_LIST_AGE_MS,
   MAX_ORDER_LEASE_AGE_MS,
+  MAX_ORDER_LIST_AGE_MS,
 } from './BaobabwellControllerConstants';
+import { isReplaced } from './BaobabwellControllerHost';
 import { describeKnowledge } from './BaobabwellControllerHostLog';
 import { OrderIntents } from './BaobabwellControllerOrderIntents';
 
@@ -31,6 +33,9 @@
 
   #readAtMs: number | null = null;
 
+  /** Monotonic time at which the present list was requested, in ms. */
+  #listedAtMs = -Infinity;
+
   #isReading = false;
 
   readonly intents: OrderIntents;
@@ -114,6 +119,7 @@
     }
     this.#machines = reply.value;
     this.#readAtMs = sentAtMs;
+    this.#listedAtMs = sentAtMs;
     this.#removeFinishedOrders(sentAtMs);
   }
 
@@ -142,15 +148,15 @@
     // The next owner relies on this owner sending no later orders; the next round decides again.
     const isAllowed = (): boolean =>
       !signal.aborted && ownership.getLeaseAgeMs() <= MAX_ORDER_LEASE_AGE_MS;
-    if (!isAllowed()) {
-      return false;
-    }
     const sentAtMs = clock.getNow();
     const host = this.findHost(machine);
+    if (!isAllowed() || this.#isOutdated(host)) {
+      return false;
+    }
     const known = describeKnowledge(sentAtMs, host);
     this.#pendingOrders.set(name, { pool, sentAtMs, isAnswered: false });
     const isAnnounced = await this.intents.announce(name);
-    if (!isAnnounced || !isAllowed() || host?.isIdle === false) {
+    if (!isAnnounced || !isAllowed() || host?.isIdle === false || this.#isOutdated(host)) {
       this.#pendingOrders.delete(name);
       return false;
     }
@@ -179,6 +185,13 @@
     return isDone;
   }
 
+  /** Returns true when a machine may have another worker than the list names. */
+  #isOutdated(host: Host | null): boolean {
+    const { clock, hosts } = this.#context;
+    const ageMs = clock.getNow() - this.#listedAtMs;
+    return ageMs > MAX_ORDER_LIST_AGE_MS || (host !== null && isReplaced(hosts, host));
+  }
+
   #isArriving(machine: CloudHost, pool: string): boolean {
     const pending = this.#pendingOrders.get(machine.machine);
     if (pending !== undefined) {
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorCloud.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorCloud.ts
@@ -32,6 +32,9 @@
 
 /** Emulates a cloud interface that moves machines between pools and takes them down for maintenance. */
 export class EmulatedCloud extends CloudControl {
+  /** True while the list of machines is not available; orders are carried out. */
+  isListUnavailable = false;
+
   /** Highest number of machines that were down for maintenance at once. */
   maxDownCount = 0;
 
@@ -100,6 +103,9 @@
 
   override async list(): Promise<Result<readonly CloudHost[], CloudError>> {
     await this.#clock.wait(CALL_LATENCY_MS);
+    if (this.isListUnavailable) {
+      return createError({ kind: CloudRefusal.Unanswered, cause: 'not available' });
+    }
     return createOk(
       [...this.#machines.values()].map(({ name, pool, state, hostId }) => ({
         machine: name,
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorMachines.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorMachines.test.ts
@@ -4,7 +4,7 @@
 import { WaveState } from '@baobabwell/fleet';
 import { JobState } from '@baobabwell/jobs';
 
-import { EmulatedJobFleet, formatAnswer, formatRoute, OrderKind } from '../../index';
+import { CAPACITY, EmulatedJobFleet, formatAnswer, formatRoute, OrderKind } from '../../index';
 
 const SEED = 11;
 const START_MS = 2_000;
@@ -59,6 +59,29 @@
     expect(cloud.countOrders() > before).toEqual(true);
   });
 
+  it('starts no maintenance by a list of machines from before their workers were replaced', async () => {
+    fleet = new EmulatedJobFleet(SEED, 1);
+    const cloud = fleet.createCloud(1);
+    startDaemons();
+    await fleet.time.advance(START_MS);
+    cloud.isListUnavailable = true;
+    fleet.killHost('host-0');
+    await fleet.time.advance(1_000);
+    // Only the new worker has room for a task.
+    const need = { ...CAPACITY, cpuMillis: 2_000, memoryMb: CAPACITY.memoryMb + 1 };
+    const large = { ...CAPACITY, memoryMb: 3 * need.memoryMb };
+    const { id } = fleet.startHost('host-0~next', 0, large);
+    cloud.addMachine('m-host-0', 'ovens', id);
+    const lasting = fleet.submit([{ taskCount: 3, need, isLasting: true, maxAway: 1 }]);
+    await fleet.time.advance(600);
+    const worker = fleet.listHosts().find((host) => host.id === id);
+    expect(worker?.countRuns()).toEqual(3);
+    fleet.requestWave({ ...WAVE, machines: ['m-host-0'] });
+    await fleet.time.advance(2_000);
+    expect(fleet.oracle.violations).toEqual([]);
+    expect([await fleet.findState(lasting), worker?.countRuns()]).toEqual([JobState.Running, 3]);
+  });
+
   [false, true].forEach((hasIntents) => {
     const orders = hasIntents ? 'the machines that the former owner ordered' : 'any machine';
     it(`delays the orders of a new owner for ${orders}`, async () => {
