controller: the pools of a queue are stored in a row of their own

Cause: found in the read-through: one row a pool grows with its queues, and past the store's 65,536 bytes (some 4,000 queues) nothing of the pool would start. Change: one row a queue, with its pools, at most as many in a transaction as the store takes. Conclusion: no row of the table grows with the fleet.

--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -1,7 +1,7 @@
 /** Table of the host incarnations on which an owner may have started runs. */
 export const HOSTS_TABLE = 'hosts';
 
-/** Table of the queues whose runs may exist in a pool. */
+/** Table of the pools in which runs of a queue may exist. */
 export const QUEUE_POOLS_TABLE = 'queue-pools';
 
 /**
--- a/packages/baobabwell-controller/src/BaobabwellControllerQueuePools.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerQueuePools.ts
@@ -8,12 +8,13 @@
 
 import {
   COMMIT_RETRY_MS,
+  MAX_COMMIT_ENTRIES,
   MAX_COMMIT_RETRY_MS,
   MAX_COMMIT_WAIT_MS,
   QUEUE_POOLS_TABLE,
 } from './BaobabwellControllerConstants';
 
-const poolRow = z.object({ queues: z.array(z.string()) });
+const queueRow = z.object({ pools: z.array(z.string()) });
 
 type QueuePoolsContext = Pick<
   TermContext,
@@ -27,7 +28,16 @@
   | 'term'
 >;
 
-type QueuesByPool = ReadonlyMap<string, ReadonlySet<string>>;
+/** Pools by the name of a queue. */
+type PoolsByQueue = ReadonlyMap<string, ReadonlySet<string>>;
+
+function createWrites(changes: PoolsByQueue): readonly RowWrite[] {
+  return [...changes].map(([key, pools]) => ({
+    table: QUEUE_POOLS_TABLE,
+    key,
+    value: pools.size === 0 ? null : { pools: [...pools].toSorted() },
+  }));
+}
 
 /**
  * Stores in which pools runs of a queue may exist, before the first of them starts there: the route of a
@@ -39,10 +49,10 @@
   readonly #wakeSignal: WakeSignal;
 
   /** Rows as the former owner left them; `null` where no owner has stored any. */
-  #former: QueuesByPool | null = null;
+  #former: PoolsByQueue | null = null;
 
   /** Rows as they are stored now. */
-  #stored: QueuesByPool = new Map();
+  readonly #stored = new Map<string, ReadonlySet<string>>();
 
   constructor(context: QueuePoolsContext) {
     this.#context = context;
@@ -52,27 +62,25 @@
   /** Restores the rows of the former owner. */
   load(rows: readonly Row[]): void {
     const { logger } = this.#context;
-    const stored = new Map<string, ReadonlySet<string>>();
     rows.forEach(({ key, value }) => {
-      const parsed = poolRow.safeParse(value);
+      const parsed = queueRow.safeParse(value);
       if (parsed.success) {
-        stored.set(key, new Set(parsed.data.queues));
+        this.#stored.set(key, new Set(parsed.data.pools));
       } else {
-        logger.recordWarning('queue-pools-row-ignored', { pool: key });
+        logger.recordWarning('queue-pools-row-ignored', { queue: key });
       }
     });
-    this.#stored = stored;
-    this.#former = rows.length === 0 ? null : stored;
+    this.#former = rows.length === 0 ? null : new Map(this.#stored);
   }
 
   /** Returns true when a former owner may have started runs of a queue in a pool. */
   mayHaveFormerRuns({ name, pool: present }: QueueSettings, pool: string): boolean {
-    return pool === present || this.#former === null || this.#former.get(pool)?.has(name) === true;
+    return pool === present || this.#former === null || this.#former.get(name)?.has(pool) === true;
   }
 
   /** Returns true when runs of a queue may start in its pool; has that stored otherwise. */
   canStart({ name, pool }: QueueSettings): boolean {
-    const isStored = this.#stored.get(pool)?.has(name) === true;
+    const isStored = this.#stored.get(name)?.has(pool) === true;
     if (!isStored) {
       this.#wakeSignal.notify();
     }
@@ -84,51 +92,50 @@
     const { signal, clock, logger, ownership, term, requestDispatch } = this.#context;
     const retry = new RetryDelay(COMMIT_RETRY_MS, MAX_COMMIT_RETRY_MS);
     while (!signal.aborted) {
-      const next = this.#listQueues();
-      const writes = this.#createWrites(next);
-      const reply = writes.length === 0 ? null : await ownership.commit(term, [], writes);
-      if (reply?.ok === false) {
-        logger.recordWarning('queue-pools-not-stored', { reason: reply.error.kind });
-        await clock.wait(retry.advance(), signal);
-      } else {
-        this.#stored = next;
+      const changes = this.#listChanges();
+      const reply =
+        changes.size === 0 ? null : await ownership.commit(term, [], createWrites(changes));
+      if (reply === null) {
+        await this.#wakeSignal.wait(MAX_COMMIT_WAIT_MS, signal);
+      } else if (reply.ok) {
+        changes.forEach((pools, queue) => this.#stored.set(queue, pools));
         retry.reset();
         requestDispatch();
-        await this.#wakeSignal.wait(MAX_COMMIT_WAIT_MS, signal);
+      } else {
+        logger.recordWarning('queue-pools-not-stored', { reason: reply.error.kind });
+        await clock.wait(retry.advance(), signal);
       }
     }
     this.#wakeSignal.close();
   }
 
-  /** Lists the queues that start runs in each pool, or whose runs may still exist there. */
-  #listQueues(): QueuesByPool {
+  /** Lists the queues whose rows differ from where their runs start or may still exist. */
+  #listChanges(): PoolsByQueue {
     const { hosts, getConfiguration } = this.#context;
-    const queues = new Map<string, Set<string>>();
-    const add = (pool: string, queue: string): void => {
-      queues.set(pool, (queues.get(pool) ?? new Set()).add(queue));
+    const next = new Map<string, Set<string>>();
+    const add = (queue: string, pool: string): void => {
+      next.set(queue, (next.get(queue) ?? new Set()).add(pool));
     };
-    getConfiguration()?.queues.forEach(({ name, pool }) => add(pool, name));
+    getConfiguration()?.queues.forEach(({ name, pool }) => add(name, pool));
+    const unreconciledPools = new Set<string>();
     hosts.forEach(({ pool, runs, isReconciled }) => {
-      runs.forEach(({ task }) => add(pool, task.step.job.record.queue));
+      runs.forEach(({ task }) => add(task.step.job.record.queue, pool));
       if (!isReconciled) {
-        this.#stored.get(pool)?.forEach((queue) => add(pool, queue));
+        unreconciledPools.add(pool);
       }
     });
-    return queues;
-  }
-
-  #createWrites(next: QueuesByPool): readonly RowWrite[] {
-    const pools = [...new Set([...this.#stored.keys(), ...next.keys()])];
-    return pools
-      .filter((pool) => {
-        const stored = this.#stored.get(pool) ?? new Set();
-        const queues = next.get(pool) ?? new Set();
-        return stored.size !== queues.size || [...queues].some((queue) => !stored.has(queue));
-      })
-      .map((pool) => {
-        const queues = next.get(pool);
-        const value = queues === undefined ? null : { queues: [...queues].toSorted() };
-        return { table: QUEUE_POOLS_TABLE, key: pool, value };
-      });
+    this.#stored.forEach((pools, queue) =>
+      [...pools].filter((pool) => unreconciledPools.has(pool)).forEach((pool) => add(queue, pool)),
+    );
+    const queues = [...new Set([...this.#stored.keys(), ...next.keys()])];
+    return new Map(
+      queues
+        .map((queue) => [queue, next.get(queue) ?? new Set<string>()] as const)
+        .filter(([queue, pools]) => {
+          const stored = this.#stored.get(queue) ?? new Set();
+          return stored.size !== pools.size || [...pools].some((pool) => !stored.has(pool));
+        })
+        .slice(0, MAX_COMMIT_ENTRIES),
+    );
   }
 }
