controller: job-failed names the ends and crashes that count against the task

Change: job-failed has failedRuns, crashedRuns, attributedRuns and maxAttempts; failures-restored says what a new owner read. explain tells a job that was given up for crashes from one whose task failed. No decision is changed.

--- a/packages/baobabwell-controller/src/BaobabwellControllerJobEnds.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerJobEnds.ts
@@ -1,5 +1,6 @@
 import type { TermContext } from './BaobabwellControllerContext';
-import type { Job, Run } from '@baobabwell/jobs';
+import type { Job, Run, Task } from '@baobabwell/jobs';
+import type { LogFields } from '@baobabwell/logging';
 
 import { JobState } from '@baobabwell/jobs';
 import { ObjectiveResult } from '@baobabwell/metrics';
@@ -7,6 +8,35 @@
 
 const SECOND_MS = 1_000;
 
+function formatNumbers(numbers: readonly number[]): string | null {
+  return numbers.length === 0 ? null : numbers.join();
+}
+
+/** Returns the log fields with the runs that count against a task: failed ones, and crashes under them. */
+function describeFailures({ failedRuns, crashes }: Task): LogFields {
+  return {
+    failedRuns: formatNumbers(failedRuns),
+    crashedRuns: formatNumbers(crashes.runs),
+    attributedRuns: formatNumbers(crashes.attributedRuns),
+  };
+}
+
+/** Logs the failures that earlier owners stored with a job, which this owner did not observe. */
+export function recordStoredFailures({ logger, term }: TermContext, job: Job): void {
+  job
+    .listSteps()
+    .flatMap(({ tasks }) => tasks)
+    .filter(({ failedRuns, crashes }) => failedRuns.length > 0 || crashes.runs.length > 0)
+    .forEach((task) =>
+      logger.recordInfo('failures-restored', {
+        job: job.record.id,
+        task: task.name,
+        epoch: term.epoch,
+        ...describeFailures(task),
+      }),
+    );
+}
+
 /** Logs a job that completed or failed, and counts it against the objective of its queue. */
 export function recordJobEnd(context: TermContext, { record, state }: Job, lastRun: Run): void {
   const { clock, logger, metrics, durations, getConfiguration } = context;
@@ -23,7 +53,13 @@
   if (hasCompleted) {
     logger.recordInfo('job-completed', { ...fields, tookMs, objectiveMs });
   } else {
-    logger.recordWarning('job-failed', { ...fields, tookMs, objectiveMs });
+    logger.recordWarning('job-failed', {
+      ...fields,
+      tookMs,
+      objectiveMs,
+      maxAttempts: settings?.maxAttempts ?? null,
+      ...describeFailures(lastRun.task),
+    });
   }
   metrics.jobs.inc({ queue, event: state });
   if (objectiveMs === null) {
--- a/packages/baobabwell-controller/src/BaobabwellControllerJobRows.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerJobRows.ts
@@ -18,6 +18,7 @@
   MIN_UNTRACKED_AGE_MS,
   PRUNE_INTERVAL_MS,
 } from './BaobabwellControllerConstants';
+import { recordStoredFailures } from './BaobabwellControllerJobEnds';
 import { parseJobRecord } from './BaobabwellControllerRows';
 import { findCommonPosition } from './BaobabwellControllerTermTables';
 
@@ -193,6 +194,7 @@
     const job = jobRegistry.findJob(key);
     if (job !== null && loaded !== null) {
       jobRegistry.restoreProgress(job, loaded.progress, loaded.version, clock.getNow());
+      recordStoredFailures(this.#context, job);
     }
   }
 
--- a/packages/baobabwell-explain/src/BaobabwellExplainTimeline.ts
+++ b/packages/baobabwell-explain/src/BaobabwellExplainTimeline.ts
@@ -170,8 +170,11 @@
   }
   if (end.event === 'job-failed') {
     const task = getField(end, 'task');
-    const cause = `task ${task} reached its maximum number of failures after ${took}`;
-    return { outcome: RequestOutcome.Failed, cause };
+    const crashedRuns = getField(end, 'crashedRuns');
+    const reason = ['', 'null'].includes(crashedRuns)
+      ? 'reached its maximum number of failures'
+      : `was given up, also for crashes of hosts under its runs ${crashedRuns},`;
+    return { outcome: RequestOutcome.Failed, cause: `task ${task} ${reason} after ${took}` };
   }
   const objective = getField(end, 'objectiveMs');
   const isLate = objective !== 'null' && Number(getField(end, 'tookMs')) > Number(objective);
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorLog.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorLog.test.ts
@@ -196,6 +196,25 @@
     expect(listLines('stop-ordered')).toMatchSnapshot(this);
   });
 
+  it('name the ends for which a job failed, and which of them a former owner stored', async function () {
+    await start(1);
+    replaceOnHost({ shouldFailTask: () => true });
+    fleet.submit([{ taskCount: 1, estimateMs: 400 }]);
+    await fleet.time.advance(1_000);
+    fleet.killDaemon('a');
+    fleet.startDaemon('b');
+    await fleet.time.advance(10_000);
+    expect(listLines('failures-restored', 'job-failed')).toMatchSnapshot(this);
+  });
+
+  it('name the crashes for which a job failed', async function () {
+    await start(1);
+    const job = fleet.submit([{ taskCount: 1, estimateMs: 400 }]);
+    fleet.crashingTasks.add(`${job}.0.0.0`);
+    await fleet.time.advance(15_000);
+    expect(listLines('job-failed')).toMatchSnapshot(this);
+  });
+
   it('count lost runs by ground', async () => {
     await start(1);
     fleet.submit([TASK]);
