jobs, controller: a crash that its host can still refute fails no job

Cause: a host that refused a connection and was no longer listed counted as crashed for good. A worker that is cut off so is listed again after some seconds, in the same incarnation, and reports the run as lapsed; nothing took the count back. Change: such a crash is refutable. It counts for suspicion, and four crashes withhold the task; the job fails only for crashes that are certain: another incarnation is known, or the host has not returned for 10 s. A host that is listed again in the same incarnation takes its crash back. The row of the job's progress keeps which crashes can be refuted, for a successor. With hosts that never come back the two can't be told apart at once: the task waits, since what callers see as final must not rest on what the next report may refute. Conclusion: evidence that ends a job needs a time after which it can't be refuted.

--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -22,6 +22,7 @@
   START_SURVIVAL_MS,
 } from './BaobabwellControllerConstants';
 import { placeCopies } from './BaobabwellControllerCopyPlacement';
+import { settleCrashes } from './BaobabwellControllerCrashReview';
 import { FairOrder } from './BaobabwellControllerFairOrder';
 import { isHostViewTooOld } from './BaobabwellControllerHostView';
 
@@ -144,6 +145,7 @@
         await this.#wakeSignal.wait(MAX_DISPATCH_WAIT_MS, signal);
       }
       this.#isRequested = false;
+      settleCrashes(this.#context);
       const maxVersion = this.#context.startGate.findMaxStartableVersion();
       if (!signal.aborted && maxVersion !== null) {
         const startedAtMs = clock.getNow();
--- a/packages/baobabwell-controller/src/BaobabwellControllerHostCrashes.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostCrashes.ts
@@ -1,7 +1,7 @@
 import type { TermContext } from './BaobabwellControllerContext';
 import type { Host } from './BaobabwellControllerHost';
 import type { IncarnationState } from './BaobabwellControllerIncarnationState';
-import type { CrashBlame, Run } from '@baobabwell/jobs';
+import type { CrashBlame, CrashEvidence, Run } from '@baobabwell/jobs';
 
 import { decideCrashBlame, RunEndEffect, RunPhase } from '@baobabwell/jobs';
 
@@ -165,7 +165,8 @@
       isConfirmed,
       othersSilent: hostSilences.countSimultaneous(incarnation.id),
     });
-    suspects.forEach((run) => this.#recordSuspect(run, isAttributed));
+    const evidence = { isAttributed, isRefutable: !isConfirmed };
+    suspects.forEach((run) => this.#recordSuspect(run, evidence));
     requestCommit();
     requestDispatch();
   }
@@ -199,9 +200,9 @@
     runs.forEach(({ task, number }) => task.crashes.removeUnconfirmed(number));
   }
 
-  #recordSuspect(run: Run, isAttributed: boolean): void {
+  #recordSuspect(run: Run, evidence: CrashEvidence): void {
     const { jobRegistry, clock, logger } = this.#context;
-    const effect = jobRegistry.recordCrash(run, isAttributed, clock.getNow());
+    const effect = jobRegistry.recordCrash(run, evidence, clock.getNow());
     if (effect === RunEndEffect.None) {
       return;
     }
@@ -210,6 +211,7 @@
       ...describeRun(run),
       crashes: crashes.runs.length,
       attributed: crashes.attributedRuns.length,
+      isRefutable: evidence.isRefutable,
       effect,
     });
     if (effect === RunEndEffect.JobFailed) {
--- a/packages/baobabwell-controller/src/BaobabwellControllerJobEnds.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerJobEnds.ts
@@ -37,8 +37,11 @@
     );
 }
 
+/** The run of a task at whose end its job ended. */
+type LastRun = Pick<Run, 'task' | 'number'>;
+
 /** Logs a job that completed or failed, and counts it against the objective of its queue. */
-export function recordJobEnd(context: TermContext, { record, state }: Job, lastRun: Run): void {
+export function recordJobEnd(context: TermContext, { record, state }: Job, lastRun: LastRun): void {
   const { clock, logger, metrics, durations, getConfiguration } = context;
   const { id, spec, queue, acceptedAtMs } = record;
   const tookMs = Math.round(clock.getWallTime() - acceptedAtMs);
@@ -71,7 +74,7 @@
 }
 
 /** Records that a job failed and stops what is left of its runs. */
-export function stopFailedJob(context: TermContext, lastRun: Run): void {
+export function stopFailedJob(context: TermContext, lastRun: LastRun): void {
   const { job } = lastRun.task.step;
   recordJobEnd(context, job, lastRun);
   context.jobRegistry.listRuns(job).forEach((run) => context.stopRun(run, 'the job failed'));
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -23,6 +23,7 @@
   QUEUE_POOLS_TABLE,
 } from './BaobabwellControllerConstants';
 import { Copies } from './BaobabwellControllerCopies';
+import { refuteCrashes } from './BaobabwellControllerCrashReview';
 import { Dispatcher } from './BaobabwellControllerDispatcher';
 import { EndedJobs } from './BaobabwellControllerEndedJobs';
 import { Evacuations } from './BaobabwellControllerEvacuations';
@@ -318,6 +319,7 @@
       }
       return;
     }
+    refuteCrashes(this.context, worker);
     if (trackedHost === undefined) {
       // No owner has started runs on an incarnation that is not stored.
       const host = new Host(
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -1,4 +1,3 @@
-import type { HostFaults } from './BaobabwellJobEmulatorOrders';
 import type { TableFaults } from './BaobabwellJobEmulatorStore';
 import type { TermContext } from '@baobabwell/controller';
 import type { ListedWorker, MaintenanceWave, WaveState } from '@baobabwell/fleet';
@@ -36,7 +35,7 @@
   MAX_LEASE_MS,
 } from './BaobabwellJobEmulatorHost';
 import { JobOracle } from './BaobabwellJobEmulatorOracle';
-import { EmulatedHostOrders } from './BaobabwellJobEmulatorOrders';
+import { createHostFaults, EmulatedHostOrders } from './BaobabwellJobEmulatorOrders';
 import { EmulatedPeerReports } from './BaobabwellJobEmulatorPeers';
 import {
   EmulatedJobStore,
@@ -98,14 +97,7 @@
 
   readonly rows = new EmulatedRows();
 
-  readonly faults: HostFaults = {
-    delayedFraction: 0,
-    partitionedHosts: new Set(),
-    partitionedRoutes: new Set(),
-    lateAnswersMs: new Map(),
-    lostOrders: new Set(),
-    lateOrdersMs: new Map(),
-  };
+  readonly faults = createHostFaults();
 
   readonly logLines: string[] = [];
 
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
@@ -202,6 +202,11 @@
   crash(): void {
     this.hasCrashed = true;
     this.kill();
+    this.closeConnections();
+  }
+
+  /** Ends the calls that wait for an answer. */
+  closeConnections(): void {
     [...this.#waiters].forEach((notify) => notify());
   }
 
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
@@ -36,6 +36,8 @@
   delayedFraction: number;
   /** Hosts that no process can reach, although they keep running. */
   readonly partitionedHosts: Set<string>;
+  /** Hosts that refuse connections, although they keep running. */
+  readonly refusingHosts: Set<string>;
   /** Partitioned routes between one process and one host, formatted by {@link formatRoute}. */
   readonly partitionedRoutes: Set<string>;
   /**
@@ -52,6 +54,19 @@
   readonly lateOrdersMs: Map<string, number>;
 };
 
+/** Creates the faults of a fleet without any. */
+export function createHostFaults(): HostFaults {
+  return {
+    delayedFraction: 0,
+    partitionedHosts: new Set(),
+    refusingHosts: new Set(),
+    partitionedRoutes: new Set(),
+    lateAnswersMs: new Map(),
+    lostOrders: new Set(),
+    lateOrdersMs: new Map(),
+  };
+}
+
 /** Formats the route from a process to a host. */
 export function formatRoute(process: string, hostId: string): string {
   return `${process} ${hostId}`;
@@ -145,7 +160,8 @@
       const cause = 'another incarnation';
       return createError({ kind: OrderRefusal.OtherIncarnation, clockMs: null, cause });
     }
-    if (host?.hasCrashed === true && !this.#isPartitioned(id)) {
+    const isRefusing = host?.hasCrashed === true || this.#faults.refusingHosts.has(id);
+    if (isRefusing && !this.#isPartitioned(id)) {
       const cause = 'connection refused';
       return createError({ kind: OrderRefusal.ConnectionRefused, clockMs: null, cause });
     }
@@ -174,6 +190,10 @@
       return this.#waitForTimeout();
     }
     const reply = await run(host, 0);
+    if (this.#faults.refusingHosts.has(id)) {
+      const cause = 'connection closed';
+      return createError({ kind: OrderRefusal.Unanswered, clockMs: null, cause });
+    }
     const lateMs = this.#faults.lateAnswersMs.get(formatAnswer(kind, id)) ?? 0;
     if (lateMs > 0 && host.isAlive) {
       await this.#clock.wait(lateMs);
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCrashes.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCrashes.test.ts
@@ -70,17 +70,26 @@
     fleet.crashHosts(hosts.map(({ id }) => id));
   }
 
-  /** Partitions a host, which runs on, until some time after its row was removed. */
-  function partitionHost(host: EmulatedHost): void {
-    const { partitionedHosts } = fleet.faults;
-    partitionedHosts.add(host.id);
+  /** Adds a host, which runs on, to those with a fault until some time after its row was removed. */
+  function cutHost(host: EmulatedHost, faultyHosts: Set<string>): void {
+    faultyHosts.add(host.id);
     fleet.time.startTimer(CUT_MS - 1_000, () => fleet.workers.remove(host.id));
     fleet.time.startTimer(CUT_MS, () => {
-      partitionedHosts.delete(host.id);
+      faultyHosts.delete(host.id);
       fleet.workers.update(host, {});
     });
   }
 
+  function findHost(task: string): EmulatedHost | undefined {
+    const { partitionedHosts, refusingHosts } = fleet.faults;
+    return fleet
+      .listHosts()
+      .find(
+        (host) =>
+          host.hasRun(task) && !partitionedHosts.has(host.id) && !refusingHosts.has(host.id),
+      );
+  }
+
   async function replaceOwner(): Promise<void> {
     const owner = fleet.findOwner();
     if (owner !== null) {
@@ -209,11 +218,9 @@
     const task = `${job}.0.0.0`;
     for (let cut = 0; cut < MAX_CRASHES; cut += 1) {
       await fleet.time.advance(CUT_AFTER_MS);
-      const busy = fleet
-        .listHosts()
-        .find((host) => host.hasRun(task) && !fleet.faults.partitionedHosts.has(host.id));
+      const busy = findHost(task);
       if (busy !== undefined) {
-        partitionHost(busy);
+        cutHost(busy, fleet.faults.partitionedHosts);
       }
       await fleet.time.advance(CUT_AFTER_MS);
     }
@@ -221,6 +228,35 @@
     await expectStates([job], JobState.Completed);
   });
 
+  [10, 60, 300].forEach((delayMs) => {
+    [false, true].forEach((isOwnerReplaced) => {
+      const owners = isOwnerReplaced ? 'is replaced after each cut' : 'stays';
+      // Guards against LOST: a job given up for crashes that the next report of its host refutes.
+      it(`gives up no job whose hosts refuse connections ${delayMs} ms after its start, and return (the owner ${owners})`, async () => {
+        await start(6);
+        const job = fleet.submit([{ taskCount: 1, estimateMs: 6_000 }]);
+        const task = `${job}.0.0.0`;
+        for (let cut = 0; cut < MAX_CRASHES; cut += 1) {
+          for (let ms = 0; ms < GIVE_UP_MS && findHost(task) === undefined; ms += 1) {
+            await fleet.time.advance(1);
+          }
+          await fleet.time.advance(delayMs);
+          const busy = findHost(task);
+          if (busy !== undefined) {
+            cutHost(busy, fleet.faults.refusingHosts);
+            busy.closeConnections();
+          }
+          if (isOwnerReplaced) {
+            await fleet.time.advance(CUT_MS - 500);
+            await replaceOwner();
+          }
+        }
+        await fleet.time.advance(2 * RECOVERY_MS);
+        await expectStates([job], JobState.Completed);
+      });
+    });
+  });
+
   it('gives up a repeated job of which the second occurrence crashes hosts', async () => {
     await start(6);
     const repeat = { count: 3, firstDueMs: fleet.time.getWallTime(), intervalMs: 2_000 };
--- a/packages/baobabwell-jobs/src/BaobabwellJobsCrashes.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsCrashes.ts
@@ -15,12 +15,26 @@
  */
 const MAX_CRASHES = 4;
 
+/** Time for which a host that refused connections may return and show that it did not crash, in ms. */
+const REFUTATION_MS = 10_000;
+
+/** A crash as far as it is known when it is recorded. */
+export type CrashEvidence = {
+  /** No other task can have caused the crash. */
+  readonly isAttributed: boolean;
+  /** The host refused connections and is no longer listed; it may only be cut off. */
+  readonly isRefutable: boolean;
+};
+
 /** The crashes of hosts for which a task may be the cause, by the numbers of its runs there. */
 export class TaskCrashes {
   #runs: readonly number[] = [];
 
   #attributedRuns: readonly number[] = [];
 
+  /** Those of the latest runs whose hosts may still return, with the time until which they may, in ms. */
+  readonly #refutableRuns = new Map<number, RunOnHost & { readonly untilMs: number }>();
+
   /** Runs on hosts that are silent: they have crashed, or nothing reaches them. */
   readonly #unconfirmedRuns = new Map<number, RunOnHost>();
 
@@ -39,6 +53,11 @@
     return [...this.#unconfirmedRuns.values()];
   }
 
+  /** Runs under which a host is taken for crashed that may still return. */
+  get refutableRuns(): readonly RunOnHost[] {
+    return [...this.#refutableRuns.values()];
+  }
+
   get suspicion(): CrashSuspicion {
     const count = this.#runs.length + this.#unconfirmedRuns.size;
     if (count === 0) {
@@ -49,24 +68,57 @@
       : CrashSuspicion.Weak;
   }
 
-  /** True when the task has crashed so many hosts that it must not be started again. */
+  /** True when the task has probably crashed so many hosts that it must not be started for now. */
   get areTooMany(): boolean {
     return this.#runs.length + this.#attributedRuns.length >= MAX_CRASHES;
   }
 
+  /** True when the task has crashed so many hosts that it must not be started again. */
+  get areFinal(): boolean {
+    const certain = this.#runs.filter((runNumber) => !this.#refutableRuns.has(runNumber));
+    return certain.length + this.#attributedRuns.length >= MAX_CRASHES;
+  }
+
   /** Records that a host crashed under a run; returns false if that was recorded before. */
-  record(runNumber: number, isAttributed: boolean): boolean {
-    this.#unconfirmedRuns.delete(runNumber);
-    if (this.#runs.includes(runNumber)) {
+  record(run: RunOnHost, { isAttributed, isRefutable }: CrashEvidence, nowMs: number): boolean {
+    this.#unconfirmedRuns.delete(run.number);
+    if (this.#runs.includes(run.number)) {
       return false;
     }
-    this.#runs = [...this.#runs, runNumber].slice(-MAX_CRASHES);
+    this.#runs = [...this.#runs, run.number].slice(-MAX_CRASHES);
     if (isAttributed) {
-      this.#attributedRuns = [...this.#attributedRuns, runNumber].slice(-MAX_CRASHES);
+      this.#attributedRuns = [...this.#attributedRuns, run.number].slice(-MAX_CRASHES);
+    }
+    if (isRefutable) {
+      this.#addRefutable(run, nowMs);
     }
     return true;
   }
 
+  /** Removes the crashes of a host that returned in the same incarnation; returns their runs. */
+  refute(hostId: string, bornMs: number): readonly number[] {
+    const refuted = this.refutableRuns
+      .filter((run) => run.hostId === hostId && run.hostBornMs === bornMs)
+      .map(({ number }) => number);
+    refuted.forEach((runNumber) => this.#refutableRuns.delete(runNumber));
+    this.#runs = this.#runs.filter((runNumber) => !refuted.includes(runNumber));
+    return refuted;
+  }
+
+  /** Makes the crashes final whose hosts have not returned in time. */
+  settle(nowMs: number): void {
+    this.#refutableRuns.forEach(({ untilMs }, runNumber) => {
+      if (nowMs >= untilMs) {
+        this.#refutableRuns.delete(runNumber);
+      }
+    });
+  }
+
+  #addRefutable({ number, hostId, hostBornMs }: RunOnHost, nowMs: number): void {
+    const untilMs = nowMs + REFUTATION_MS;
+    this.#refutableRuns.set(number, { number, hostId, hostBornMs, untilMs });
+  }
+
   /** Adds a run whose host is silent and may have crashed under it. */
   addUnconfirmed(run: RunOnHost): void {
     if (!this.#runs.includes(run.number)) {
@@ -79,8 +131,17 @@
     this.#unconfirmedRuns.delete(runNumber);
   }
 
-  restore(runs: readonly number[], attributedRuns: readonly number[]): void {
-    this.#runs = runs;
-    this.#attributedRuns = attributedRuns;
+  /** Restores crashes that a former owner stored; hosts that may return have the whole time again. */
+  restore(
+    stored: {
+      readonly runs: readonly number[];
+      readonly attributedRuns: readonly number[];
+      readonly refutableRuns: readonly RunOnHost[];
+    },
+    nowMs: number,
+  ): void {
+    this.#runs = stored.runs;
+    this.#attributedRuns = stored.attributedRuns;
+    stored.refutableRuns.forEach((run) => this.#addRefutable(run, nowMs));
   }
 }
--- a/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
@@ -1,3 +1,4 @@
+import type { CrashEvidence } from './BaobabwellJobsCrashes';
 import type { JobRecord } from './BaobabwellJobsModel';
 import type { JobProgress } from './BaobabwellJobsRows';
 import type { Run, Step, Task } from './BaobabwellJobsTracking';
@@ -88,7 +89,7 @@
     }
     restored.storedState = progress.state;
     restored.hasStarted = true;
-    restoreJobProgress(restored, progress);
+    restoreJobProgress(restored, progress, nowMs);
     restored
       .listSteps()
       .flatMap(({ tasks }) => tasks)
@@ -260,25 +261,67 @@
   }
 
   /** Records that the host of a run crashed, and that the task of the run may be the cause. */
-  recordCrash({ task, number }: Run, isAttributed: boolean, nowMs: number): RunEndEffect {
+  recordCrash(run: Run, evidence: CrashEvidence, nowMs: number): RunEndEffect {
+    const { task } = run;
     const { job } = task.step;
     if (
       job.isEnded ||
       task.phase === TaskPhase.Done ||
-      !task.crashes.record(number, isAttributed)
+      !task.crashes.record(run, evidence, nowMs)
     ) {
       return RunEndEffect.None;
     }
     this.addUnsavedJob(job);
-    // Long running tasks are restarted however they end.
-    if (task.crashes.areTooMany && !task.step.spec.isLasting) {
-      job.end(JobState.Failed, nowMs);
+    if (this.#failCrashingTask(task, nowMs)) {
       return RunEndEffect.JobFailed;
     }
     this.#delaySuspect(task, nowMs);
     return RunEndEffect.Requeued;
   }
 
+  /** Fails the job of a task that has crashed too many hosts; returns false if it has not. */
+  #failCrashingTask(task: Task, nowMs: number): boolean {
+    const { job, spec } = task.step;
+    // Long running tasks are restarted however they end.
+    if (!task.crashes.areFinal || spec.isLasting) {
+      return false;
+    }
+    job.end(JobState.Failed, nowMs);
+    this.addUnsavedJob(job);
+    return true;
+  }
+
+  /**
+   * Removes the crashes of a host that is listed again in the same incarnation: it was cut off.
+   *
+   * @returns the runs under which it was taken for crashed.
+   */
+  refuteCrashes(
+    hostId: string,
+    bornMs: number,
+  ): readonly { readonly task: Task; readonly number: number }[] {
+    return [...this.#suspects].flatMap((task) => {
+      const refuted = task.crashes.refute(hostId, bornMs);
+      if (refuted.length > 0) {
+        this.addUnsavedJob(task.step.job);
+      }
+      return refuted.map((number) => ({ task, number }));
+    });
+  }
+
+  /** Makes crashes final whose hosts have not returned; returns the tasks that are given up for them. */
+  settleCrashes(nowMs: number): readonly Task[] {
+    const failed: Task[] = [];
+    this.#suspects.forEach((task) => {
+      task.crashes.settle(nowMs);
+      const isOpen = !task.step.job.isEnded && task.phase !== TaskPhase.Done;
+      if (isOpen && this.#failCrashingTask(task, nowMs)) {
+        failed.push(task);
+      }
+    });
+    return failed;
+  }
+
   /** Records that the host of a run is silent and may have crashed because of its task. */
   recordPossibleCrash(run: Run, nowMs: number): void {
     const { task } = run;
--- a/packages/baobabwell-jobs/src/BaobabwellJobsRows.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRows.ts
@@ -1,3 +1,4 @@
+import type { RunOnHost } from './BaobabwellJobsModel';
 import type { Job, Step, Task } from './BaobabwellJobsTracking';
 
 import { z } from 'zod';
@@ -15,15 +16,21 @@
   z.string(),
 ]);
 
+const runOnHost = z.object({
+  run: z.number().int(),
+  hostId: z.string(),
+  bornMs: z.number().nullable(),
+});
+
 const taskCrashes = z.object({
   index: z.number().int(),
   /** Numbers of the runs under which a host crashed. */
   runs: z.array(z.number().int()),
   attributedRuns: z.array(z.number().int()),
   /** Runs that may exist, stored before their start, or on hosts that may have crashed under them. */
-  starts: z.array(
-    z.object({ run: z.number().int(), hostId: z.string(), bornMs: z.number().nullable() }),
-  ),
+  starts: z.array(runOnHost),
+  /** Those of `runs` whose hosts may return; older builds neither write nor read this. */
+  refutableRuns: z.array(runOnHost).optional(),
 });
 
 const stepProgress = z.object({
@@ -53,16 +60,18 @@
   return parsed.success ? parsed.data : null;
 }
 
+function createRunOnHost({ number, hostId, hostBornMs }: RunOnHost): z.infer<typeof runOnHost> {
+  return { run: number, hostId, bornMs: hostBornMs };
+}
+
 function createTaskCrashes({ index, crashes, runs }: Task): z.infer<typeof taskCrashes> {
+  const { refutableRuns } = crashes;
   return {
     index,
     runs: [...crashes.runs],
     attributedRuns: [...crashes.attributedRuns],
-    starts: [...crashes.unconfirmedRuns, ...runs].map(({ number, hostId, hostBornMs }) => ({
-      run: number,
-      hostId,
-      bornMs: hostBornMs,
-    })),
+    starts: [...crashes.unconfirmedRuns, ...runs].map(createRunOnHost),
+    ...(refutableRuns.length > 0 ? { refutableRuns: refutableRuns.map(createRunOnHost) } : {}),
   };
 }
 
@@ -107,7 +116,7 @@
   };
 }
 
-function restoreStepProgress(step: Step, row: z.infer<typeof stepProgress>): void {
+function restoreStepProgress(step: Step, row: z.infer<typeof stepProgress>, nowMs: number): void {
   const bits = BigInt(`0x${row.done}`);
   step.tasks
     .filter((_, index) => (bits / 2n ** BigInt(index)) % 2n === 1n)
@@ -115,23 +124,28 @@
   row.tasks.forEach(([index, lastRun, failedRuns, checkpoint]) =>
     step.tasks[index]?.restoreProgress(lastRun, failedRuns, checkpoint),
   );
-  row.crashes?.forEach(({ index, runs, attributedRuns, starts }) => {
+  row.crashes?.forEach(({ index, runs, attributedRuns, starts, refutableRuns = [] }) => {
     const task = step.tasks[index];
     if (task !== undefined) {
-      task.crashes.restore(runs, attributedRuns);
+      const refutable = refutableRuns.map(({ run, hostId, bornMs }) => ({
+        number: run,
+        hostId,
+        hostBornMs: bornMs,
+      }));
+      task.crashes.restore({ runs, attributedRuns, refutableRuns: refutable }, nowMs);
       task.storedStarts = starts;
     }
   });
 }
 
 /** Restores the progress of a job that was just read from its persisted row. */
-export function restoreJobProgress(job: Job, progress: JobProgress): void {
+export function restoreJobProgress(job: Job, progress: JobProgress, nowMs: number): void {
   progress.doneOccurrences.forEach((occurrence) => job.doneOccurrences.add(occurrence));
   progress.occurrences.forEach(([occurrence, stepRows]) => {
     job.getOccurrence(occurrence).forEach((step, position) => {
       const row = stepRows[position];
       if (row !== undefined) {
-        restoreStepProgress(step, row);
+        restoreStepProgress(step, row, nowMs);
       }
     });
   });
--- a/packages/baobabwell-jobs/src/BaobabwellJobsTracking.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsTracking.ts
@@ -129,6 +129,11 @@
     this.name = formatTaskName({ jobId: job.record.id, occurrence, step: position, index });
   }
 
+  /** True while the task is not started because it has probably crashed too many hosts. */
+  get isWithheld(): boolean {
+    return this.crashes.areTooMany && !this.step.spec.isLasting;
+  }
+
   /** Adds a run with the given number. */
   addRun(hostId: string, number: number, nowMs: number): Run {
     const run = new Run(this, number, hostId, nowMs);
--- a/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsCrashes.test.ts
+++ b/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsCrashes.test.ts
@@ -29,6 +29,11 @@
   },
 };
 
+const BORN_MS = 70;
+
+/** Time after which a host that refused connections counts as crashed for good, in ms. */
+const SETTLED_MS = 20_000;
+
 const CRASH: Omit<HostCrash, 'runs'> = {
   isConfirmed: true,
   hasCommonCause: false,
@@ -55,10 +60,16 @@
     return run;
   }
 
-  function crash(index: number, number: number, isAttributed: boolean): RunEndEffect {
+  function crash(
+    index: number,
+    number: number,
+    isAttributed: boolean,
+    isRefutable = false,
+  ): RunEndEffect {
     const run = start(index, number);
+    run.hostBornMs = BORN_MS;
     run.task.removeRun(run);
-    return registry.recordCrash(run, isAttributed, 0);
+    return registry.recordCrash(run, { isAttributed, isRefutable }, 0);
   }
 
   function blame(
@@ -138,6 +149,25 @@
     ]);
   });
 
+  it('withholds a task while a host that refused connections may return, then fails its job', () => {
+    const effects = [1, 2, 3, 4].map((number) => crash(0, number, false, number === 4));
+    expect(effects.at(-1)).toEqual(RunEndEffect.Requeued);
+    expect(tasks[0]?.isWithheld).toEqual(true);
+    expect(registry.settleCrashes(1_000)).toEqual([]);
+    expect(registry.settleCrashes(SETTLED_MS).map(({ name }) => name)).toEqual(['a.0.0.0']);
+    expect(tasks[0]?.step.job.state).toEqual(JobState.Failed);
+  });
+
+  it('takes back the crash of a host that returns in the same incarnation only', () => {
+    [1, 2, 3, 4].forEach((number) => crash(0, number, false, number > 2));
+    expect(registry.refuteCrashes('host', BORN_MS + 1)).toEqual([]);
+    expect(registry.refuteCrashes('other', BORN_MS)).toEqual([]);
+    expect(tasks[0]?.isWithheld).toEqual(true);
+    expect(registry.refuteCrashes('host', BORN_MS).map(({ number }) => number)).toEqual([3, 4]);
+    expect([tasks[0]?.crashes.runs, tasks[0]?.isWithheld]).toEqual([[1, 2], false]);
+    expect(registry.settleCrashes(SETTLED_MS)).toEqual([]);
+  });
+
   it('never fails the job of a long running task, and keeps its latest crashes', () => {
     const numbers = Array.from({ length: 10 }, (_, index) => index + 1);
     const effects = numbers.map((number) => crash(4, number, true));
@@ -182,6 +212,19 @@
     expect(later.listSuspects().length).toEqual(2);
   });
 
+  it('restores which hosts may return from the row of a job', () => {
+    [1, 2, 3, 4].forEach((number) => crash(0, number, false, number === 4));
+    const { job } = start(1).task.step;
+    const row = parseJobProgress(JSON.parse(JSON.stringify(createJobProgress(job))));
+    const later = new JobRegistry(() => null);
+    const restored = later.addJob(RECORD, 1);
+    if (row !== null) {
+      later.restoreProgress(restored, row, 2, SETTLED_MS);
+    }
+    expect(later.settleCrashes(SETTLED_MS + 1)).toEqual([]);
+    expect(later.refuteCrashes('host', BORN_MS).length).toEqual(1);
+  });
+
   it('writes rows without crashes as older builds do, and reads theirs', () => {
     const job = start(0).task.step.job;
     const row = createJobProgress(job);
--- a/packages/baobabwell-jobs/src/index.ts
+++ b/packages/baobabwell-jobs/src/index.ts
@@ -1,4 +1,5 @@
 export type { CrashBlame, CrashedRun, HostCrash } from './BaobabwellJobsCrashBlame';
+export type { CrashEvidence } from './BaobabwellJobsCrashes';
 export type {
   JobRecord,
   JobSpec,
--- a/packages/baobabwell-placement/src/BaobabwellPlacement.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacement.ts
@@ -428,7 +428,8 @@
       return [];
     }
     const waiting = step.tasks.filter(
-      ({ phase, notBeforeMs }) => phase === TaskPhase.Waiting && notBeforeMs <= snapshot.nowMs,
+      ({ phase, notBeforeMs, isWithheld }) =>
+        phase === TaskPhase.Waiting && notBeforeMs <= snapshot.nowMs && !isWithheld,
     );
     if (step.spec.isGang) {
       const isComplete = waiting.length === step.spec.taskCount;
--- a/packages/baobabwell-placement/src/BaobabwellPlacementSuspects.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacementSuspects.ts
@@ -14,9 +14,10 @@
 /** Time after the backoff of a task for which a host is reserved for it, in ms. */
 const RESERVATION_MS = 2_000;
 
-function requiresHost({ phase, crashes, notBeforeMs }: Task, nowMs: number): boolean {
+function requiresHost({ phase, crashes, notBeforeMs, isWithheld }: Task, nowMs: number): boolean {
   return (
     phase === TaskPhase.Waiting &&
+    !isWithheld &&
     crashes.suspicion === CrashSuspicion.Strong &&
     nowMs < notBeforeMs + RESERVATION_MS
   );
--- a/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacementCopies.test.ts
+++ b/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacementCopies.test.ts
@@ -124,7 +124,8 @@
           task.addRun(`oven-${number}`, number, 0);
         }
         for (let number = 0; number < crashes; number += 1) {
-          task.crashes.record(100 + number, false);
+          const run = { number: 100 + number, hostId: 'oven', hostBornMs: null };
+          task.crashes.record(run, { isAttributed: false, isRefutable: false }, 0);
         }
         for (let number = 0; number < failures; number += 1) {
           task.recordFailure(200 + number);
--- a/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacementSuspects.test.ts
+++ b/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacementSuspects.test.ts
@@ -43,7 +43,8 @@
       .flatMap(({ tasks }) => tasks)
       .forEach((task: Task, index) => {
         for (let run = 1; run <= (crashCounts[index] ?? 0); run += 1) {
-          task.crashes.record(run, false);
+          const lost = { number: run, hostId: 'oven', hostBornMs: null };
+          task.crashes.record(lost, { isAttributed: false, isRefutable: false }, 0);
         }
       });
     return {
