jobs: no job fails by a limit that its queue never had

What callers saw: a job shown as failed after three failed runs where its queue allows more (LOST: the state failed is for max-attempts failures). Cause: an owner without the queue in its configuration, removed or not read yet, applied a default of three attempts. Change: without the limit the task stays undecided, and nothing of its queue starts; once the limit is known, also after a takeover, it is applied before the next round of placements. The default is gone. Measured: 'fails no job while the limit of its queue is not known, and then by that limit' fails on the code before (job-failed at the third run), passes now. Conclusion: a default for a limit is a limit nobody set.

--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -22,7 +22,7 @@
   START_SURVIVAL_MS,
 } from './BaobabwellControllerConstants';
 import { placeCopies } from './BaobabwellControllerCopyPlacement';
-import { settleCrashes } from './BaobabwellControllerCrashReview';
+import { settleFailures } from './BaobabwellControllerFailureReview';
 import { FairOrder } from './BaobabwellControllerFairOrder';
 import { isHostViewTooOld } from './BaobabwellControllerHostView';
 
@@ -145,7 +145,7 @@
         await this.#wakeSignal.wait(MAX_DISPATCH_WAIT_MS, signal);
       }
       this.#isRequested = false;
-      settleCrashes(this.#context);
+      settleFailures(this.#context);
       const maxVersion = this.#context.startGate.findMaxStartableVersion();
       if (!signal.aborted && maxVersion !== null) {
         const startedAtMs = clock.getNow();
--- a/packages/baobabwell-controller/src/BaobabwellControllerCrashReview.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerFailureReview.ts
@@ -25,11 +25,11 @@
   }
 }
 
-/** Gives up the tasks that have crashed too many hosts, once none of these hosts can return. */
-export function settleCrashes(context: TermContext): void {
+/** Gives up the tasks that failed, or crashed hosts, too often by what is known by now. */
+export function settleFailures(context: TermContext): void {
   const { jobRegistry, clock, requestCommit } = context;
-  jobRegistry.settleCrashes(clock.getNow()).forEach((task) => {
-    stopFailedJob(context, { task, number: task.crashes.runs.at(-1) ?? task.lastRun });
+  jobRegistry.settleFailures(clock.getNow()).forEach((task) => {
+    stopFailedJob(context, { task, number: task.lastRun });
     requestCommit();
   });
 }
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -23,10 +23,10 @@
   QUEUE_POOLS_TABLE,
 } from './BaobabwellControllerConstants';
 import { Copies } from './BaobabwellControllerCopies';
-import { refuteCrashes } from './BaobabwellControllerCrashReview';
 import { Dispatcher } from './BaobabwellControllerDispatcher';
 import { EndedJobs } from './BaobabwellControllerEndedJobs';
 import { Evacuations } from './BaobabwellControllerEvacuations';
+import { refuteCrashes } from './BaobabwellControllerFailureReview';
 import { FleetControlLoop } from './BaobabwellControllerFleetControlLoop';
 import { Handover } from './BaobabwellControllerHandover';
 import { Host, mayBeCarriedOut } from './BaobabwellControllerHost';
--- a/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
@@ -36,8 +36,6 @@
  */
 const SUSPECT_BACKOFF_MS = 1_000;
 
-const DEFAULT_MAX_ATTEMPTS = 3;
-
 /** Registry of all jobs that this owner tracks, with every run that may exist. */
 export class JobRegistry {
   readonly #jobs = new Map<string, Job>();
@@ -54,6 +52,9 @@
   /** Tasks that may crash their hosts. */
   readonly #suspects = new Set<Task>();
 
+  /** Tasks with failed runs of queues whose limit was not known at the last of them. */
+  readonly #undecidedTasks = new Set<Task>();
+
   readonly #unsavedJobs = new Set<Job>();
 
   readonly #getRules: (queue: string) => QueueRules | null;
@@ -90,9 +91,11 @@
     restored.storedState = progress.state;
     restored.hasStarted = true;
     restoreJobProgress(restored, progress, nowMs);
-    restored
-      .listSteps()
-      .flatMap(({ tasks }) => tasks)
+    const tasks = restored.listSteps().flatMap((step) => step.tasks);
+    tasks
+      .filter(({ step, failedRuns }) => failedRuns.length > 0 && !step.spec.isLasting)
+      .forEach((task) => this.#undecidedTasks.add(task));
+    tasks
       .filter(({ crashes, storedStarts }) => crashes.runs.length > 0 || storedStarts.length > 0)
       .forEach((task) => this.#suspects.add(task));
   }
@@ -249,9 +252,8 @@
     }
     task.avoidedHosts.add(run.hostId);
     this.addUnsavedJob(job);
-    const attempts = this.#getRules(job.record.queue)?.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
-    if (task.failedRuns.length >= attempts && task.phase !== TaskPhase.Done) {
-      job.end(JobState.Failed, nowMs);
+    this.#undecidedTasks.add(task);
+    if (this.#failFailingTask(task, nowMs)) {
       return RunEndEffect.JobFailed;
     }
     task.notBeforeMs =
@@ -260,6 +262,25 @@
     return RunEndEffect.Requeued;
   }
 
+  /**
+   * Fails the job of a task of which too many runs failed; returns false if they have not. Without the
+   * limit of its queue the task is left undecided; nothing of the queue is started meanwhile.
+   */
+  #failFailingTask(task: Task, nowMs: number): boolean {
+    const { job } = task.step;
+    const rules = this.#getRules(job.record.queue);
+    if (rules === null) {
+      return false;
+    }
+    this.#undecidedTasks.delete(task);
+    if (task.failedRuns.length < rules.maxAttempts || task.phase === TaskPhase.Done) {
+      return false;
+    }
+    job.end(JobState.Failed, nowMs);
+    this.addUnsavedJob(job);
+    return true;
+  }
+
   /** Records that the host of a run crashed, and that the task of the run may be the cause. */
   recordCrash(run: Run, evidence: CrashEvidence, nowMs: number): RunEndEffect {
     const { task } = run;
@@ -309,9 +330,19 @@
     });
   }
 
-  /** Makes crashes final whose hosts have not returned; returns the tasks that are given up for them. */
-  settleCrashes(nowMs: number): readonly Task[] {
+  /**
+   * Makes crashes final whose hosts have not returned, and applies limits that were not known before;
+   * returns the tasks that are given up for either.
+   */
+  settleFailures(nowMs: number): readonly Task[] {
     const failed: Task[] = [];
+    this.#undecidedTasks.forEach((task) => {
+      if (task.step.job.isEnded) {
+        this.#undecidedTasks.delete(task);
+      } else if (this.#failFailingTask(task, nowMs)) {
+        failed.push(task);
+      }
+    });
     this.#suspects.forEach((task) => {
       task.crashes.settle(nowMs);
       const isOpen = !task.step.job.isEnded && task.phase !== TaskPhase.Done;
--- a/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsCrashes.test.ts
+++ b/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsCrashes.test.ts
@@ -153,8 +153,8 @@
     const effects = [1, 2, 3, 4].map((number) => crash(0, number, false, number === 4));
     expect(effects.at(-1)).toEqual(RunEndEffect.Requeued);
     expect(tasks[0]?.isWithheld).toEqual(true);
-    expect(registry.settleCrashes(1_000)).toEqual([]);
-    expect(registry.settleCrashes(SETTLED_MS).map(({ name }) => name)).toEqual(['a.0.0.0']);
+    expect(registry.settleFailures(1_000)).toEqual([]);
+    expect(registry.settleFailures(SETTLED_MS).map(({ name }) => name)).toEqual(['a.0.0.0']);
     expect(tasks[0]?.step.job.state).toEqual(JobState.Failed);
   });
 
@@ -165,7 +165,7 @@
     expect(tasks[0]?.isWithheld).toEqual(true);
     expect(registry.refuteCrashes('host', BORN_MS).map(({ number }) => number)).toEqual([3, 4]);
     expect([tasks[0]?.crashes.runs, tasks[0]?.isWithheld]).toEqual([[1, 2], false]);
-    expect(registry.settleCrashes(SETTLED_MS)).toEqual([]);
+    expect(registry.settleFailures(SETTLED_MS)).toEqual([]);
   });
 
   it('never fails the job of a long running task, and keeps its latest crashes', () => {
@@ -221,7 +221,7 @@
     if (row !== null) {
       later.restoreProgress(restored, row, 2, SETTLED_MS);
     }
-    expect(later.settleCrashes(SETTLED_MS + 1)).toEqual([]);
+    expect(later.settleFailures(SETTLED_MS + 1)).toEqual([]);
     expect(later.refuteCrashes('host', BORN_MS).length).toEqual(1);
   });
 
--- a/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsRegistry.test.ts
+++ b/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsRegistry.test.ts
@@ -88,6 +88,31 @@
     expect(job.state).toEqual(JobState.Failed);
   });
 
+  // Guards against LOST: a job shown as failed by a limit that its queue never had.
+  it('fails no job while the limit of its queue is not known, and then by that limit', () => {
+    let maxAttempts: number | null = null;
+    const registry = new JobRegistry(() => (maxAttempts === null ? null : { maxAttempts }));
+    const job = registry.addJob(createRecord([{ taskCount: 1 }]), 1);
+    const task = job.getOccurrence(0)[0]?.tasks[0];
+    const effects = [1, 2, 3, 4].map((number) => {
+      const run = task?.addRun('host', number, 0);
+      return run && registry.applyEnd(run, RunEnd.Failed, '', 0);
+    });
+    expect([...new Set(effects)]).toEqual([RunEndEffect.Requeued]);
+    expect(registry.settleFailures(0)).toEqual([]);
+    maxAttempts = 5;
+    expect(registry.settleFailures(0)).toEqual([]);
+    expect(job.state).toEqual(JobState.Queued);
+    const row = parseJobProgress(JSON.parse(JSON.stringify(createJobProgress(job))));
+    const later = new JobRegistry(() => ({ maxAttempts: 4 }));
+    const restored = later.addJob(createRecord([{ taskCount: 1 }]), 1);
+    if (row !== null) {
+      later.restoreProgress(restored, row, 2, 0);
+    }
+    expect(later.settleFailures(0).map(({ name }) => name)).toEqual(['a.0.0.0']);
+    expect(restored.state).toEqual(JobState.Failed);
+  });
+
   it('lists the steps of an occurrence from its due time on', () => {
     const registry = createRegistry();
     const repeat = { count: 2, firstDueMs: 1_000, intervalMs: 500 };
