controller: runs of ended jobs, of removed queues and of copies count against the caps after a takeover

Cause: what a former owner may have running was derived from the tasks that wait, of open jobs, of queues that the configuration names. A run may exist although no such task shows it: its job was cancelled or has failed, its queue was removed, or its task is done and a copy goes on. Change: the row of a job names how many runs of it may exist that no task needs (leftover): those of done tasks, and once the job has ended, all, tracked or not. It is written again once they have ended, so that later takeovers count nothing. PossibleRuns sums them, and the waiting tasks of jobs that ended in this term. Copies that no row shows are bounded by the share of a pool that copies use. Only for organisations with a cap. Not taken: a write for each start; a bound on the age of cancellations, since clocks differ. One row more for a cancelled or failed job that had runs. Conclusion: what may run and what is to be done are two questions; one row has to answer both.

--- a/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
@@ -174,7 +174,8 @@
   }
 
   #createBatch(): Batch {
-    const { jobRegistry, hosts } = this.#context;
+    const { jobRegistry, hosts, possibleRuns } = this.#context;
+    possibleRuns.takeSettledJobs().forEach((job) => jobRegistry.addUnsavedJob(job));
     const addedHosts = [...hosts.values()]
       .filter(
         ({ isRegistered, isReachable, listedWorker, hasClock }) =>
@@ -234,7 +235,10 @@
         ...changed.map((job) => ({
           table: PROGRESS_TABLE,
           key: job.record.id,
-          value: createJobProgress(job) as unknown as JsonValue,
+          value: createJobProgress(
+            job,
+            possibleRuns.countLeftoverRuns(job),
+          ) as unknown as JsonValue,
         })),
         ...addedHosts.map(({ incarnation, pool, bornMs }) => ({
           table: HOSTS_TABLE,
--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -256,6 +256,9 @@
  */
 export const MAX_CRASH_NOTICE_MS = 500;
 
+/** Largest share of the CPU of a pool that copies use. */
+export const MAX_COPY_SHARE = 0.05;
+
 /** Table of what owners pass on to their successors. */
 export const HANDOVER_TABLE = 'handover';
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerCopyPlacement.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCopyPlacement.ts
@@ -5,8 +5,7 @@
 
 import { decideCopies } from '@baobabwell/placement';
 
-/** Largest share of the CPU of a pool that copies use. */
-const MAX_COPY_SHARE = 0.05;
+import { MAX_COPY_SHARE } from './BaobabwellControllerConstants';
 
 type Tickets = ReadonlyMap<string, string> | null;
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -221,7 +221,7 @@
       if (
         queue !== null &&
         queuePools.canStart(queue) &&
-        !possibleRuns.mayRunUnknown(job, queue, unreconciledPools)
+        !possibleRuns.mayRunUnknown(job, unreconciledPools)
       ) {
         jobRegistry
           .listReadySteps(job, wallMs)
--- a/packages/baobabwell-controller/src/BaobabwellControllerJobRows.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerJobRows.ts
@@ -31,11 +31,22 @@
 /** States of jobs that have ended; most rows of a large table have one of them. */
 const ENDED_STATES: readonly JobState[] = Object.values(JobState).filter(isEnded);
 
-/** Finds the state in the row of a job's progress if the job has ended, without parsing the rest. */
+/**
+ * Finds the state in the row of a job's progress if the job has ended and no run of it may exist, without
+ * parsing the rest.
+ */
 function findEndedState(value: JsonValue): JobState | null {
-  const state =
-    typeof value === 'object' && value !== null && 'state' in value ? value.state : null;
-  return ENDED_STATES.find((ended) => ended === state) ?? null;
+  if (typeof value !== 'object' || value === null || !('state' in value)) {
+    return null;
+  }
+  const { state } = value;
+  const hasRuns =
+    'occurrences' in value && Array.isArray(value.occurrences) && value.occurrences.length > 0;
+  return hasRuns ? null : (ENDED_STATES.find((ended) => ended === state) ?? null);
+}
+
+function hasEndedWithoutRuns({ state, occurrences }: JobProgress): boolean {
+  return isEnded(state) && occurrences.length === 0;
 }
 
 function getAcceptedAtMs(value: JsonValue): number | null {
@@ -185,7 +196,7 @@
       acceptedAtMs !== null && clock.getWallTime() - acceptedAtMs > MIN_UNTRACKED_AGE_MS;
     if (
       this.#endedJobs.hasFormer(key) ||
-      (loaded !== null && isOld && isEnded(loaded.progress.state))
+      (loaded !== null && isOld && hasEndedWithoutRuns(loaded.progress))
     ) {
       this.#endedJobs.addFormer(key);
       return;
--- a/packages/baobabwell-controller/src/BaobabwellControllerQueuePools.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerQueuePools.ts
@@ -74,8 +74,13 @@
   }
 
   /** Returns true when a former owner may have started runs of a queue in a pool. */
-  mayHaveFormerRuns({ name, pool: present }: QueueSettings, pool: string): boolean {
-    return pool === present || this.#former === null || this.#former.get(name)?.has(pool) === true;
+  mayHaveFormerRuns(queue: string, pool: string): boolean {
+    const settings = this.#context.getConfiguration()?.queues.find(({ name }) => name === queue);
+    return (
+      pool === settings?.pool ||
+      this.#former === null ||
+      this.#former.get(queue)?.has(pool) === true
+    );
   }
 
   /** Returns true when runs of a queue may start in its pool; has that stored otherwise. */
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -414,9 +414,13 @@
   /** Submits a job: stores it as any process of the fleet does, or after a lag. */
   submit(
     steps: readonly Partial<StepSpec>[],
-    { rowLagMs = 0, repeat = null }: { rowLagMs?: number; repeat?: RepeatSpec | null } = {},
+    {
+      rowLagMs = 0,
+      repeat = null,
+      queue = QUEUE,
+    }: { rowLagMs?: number; repeat?: RepeatSpec | null; queue?: string } = {},
   ): string {
-    const record = this.#createRecord(steps, repeat);
+    const record = { ...this.#createRecord(steps, repeat), queue };
     const { id } = record;
     this.oracle.jobs.set(id, record);
     const putRow = (): void =>
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCopies.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorCopies.test.ts
@@ -58,6 +58,27 @@
     await expectCompleted(job);
   });
 
+  // Guards against QUOTA: a run whose copy has ended goes on on a silent host, and a takeover does not count it.
+  it('counts the runs of a silent host whose copies have ended after a takeover', async () => {
+    await start();
+    const job = fleet.submit([{ ...COPIED, maxPerHost: 2 }]);
+    const [slow] = fleet.listHosts();
+    for (let waits = 0; waits < 400 && countLogged('event=copy-started') === 0; waits += 1) {
+      await fleet.time.advance(10);
+    }
+    fleet.faults.partitionedHosts.add(slow?.id ?? '');
+    for (let waits = 0; waits < 400 && countLogged('event=copy-ended') === 0; waits += 1) {
+      await fleet.time.advance(10);
+    }
+    expect(slow?.hasRun(`${job}.0.0.0`)).toEqual(true);
+    await fleet.stopDaemon(fleet.findOwner() ?? '');
+    await fleet.time.advance(500);
+    const sums = fleet.findOwnerContext()?.possibleRuns.sumUnknownResources();
+    const running = (slow?.countRuns() ?? 0) * 2_000;
+    expect(running).toBeGreaterThan(0);
+    expect(sums?.get('guild')?.cpuMillis ?? 0).toBeGreaterThanOrEqual(running);
+  });
+
   it('keeps both runs when their owner is lost, and stops the other after the first end', async () => {
     await start();
     const job = fleet.submit([{ ...COPIED, taskCount: 4, estimateMs: 4 * TASK_MS, maxPerHost: 1 }]);
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorTakeovers.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorTakeovers.test.ts
@@ -107,6 +107,107 @@
     await expectCompleted([former, next]);
   });
 
+  /** A job that uses the whole cap of its organisation, on hosts that are then silent. */
+  async function startWholeCap(): Promise<string> {
+    await start(12);
+    const job = fleet.submit([{ ...HALF, taskCount: CAP_CPU_MILLIS / HALF.need.cpuMillis }]);
+    await fleet.time.advance(500);
+    listBusyHosts().forEach(({ id }) => fleet.faults.partitionedHosts.add(id));
+    return job;
+  }
+
+  /** Submits another job that uses the whole cap and waits until it is done. */
+  async function expectNextWithinCap(): Promise<void> {
+    const next = fleet.submit([{ ...HALF, taskCount: CAP_CPU_MILLIS / HALF.need.cpuMillis }]);
+    await fleet.time.advance(2 * RECOVERY_MS);
+    await expectCompleted([next]);
+  }
+
+  // Guards against QUOTA: runs of cancelled jobs on silent hosts that a takeover does not count.
+  [
+    { title: 'before a takeover', beforeMs: 400, takeovers: 1 },
+    { title: 'just before a takeover', beforeMs: 1, takeovers: 1 },
+    { title: 'after a takeover', beforeMs: null, takeovers: 1 },
+    { title: 'before two takeovers', beforeMs: 400, takeovers: 2 },
+    { title: 'between two takeovers', beforeMs: null, takeovers: 2 },
+  ].forEach(({ title, beforeMs, takeovers }) => {
+    it(`counts the runs of a job that was cancelled ${title} while its hosts are silent`, async () => {
+      const former = await startWholeCap();
+      if (beforeMs !== null) {
+        fleet.cancel(former);
+        await fleet.time.advance(beforeMs);
+      }
+      const owner = fleet.findOwner() ?? '';
+      await fleet.stopDaemon(owner);
+      await fleet.time.advance(beforeMs === null ? 20 : 500);
+      if (beforeMs === null) {
+        fleet.cancel(former);
+        await fleet.time.advance(300);
+      }
+      if (takeovers > 1) {
+        fleet.startDaemon(owner);
+        await fleet.time.advance(200);
+        await fleet.stopDaemon(fleet.findOwner() ?? '');
+        await fleet.time.advance(500);
+      }
+      await expectNextWithinCap();
+    });
+  });
+
+  it('counts the runs of a job that failed before a takeover while their hosts are silent', async () => {
+    await start(12);
+    const need = { cpuMillis: 1_000, memoryMb: 1_000, gpus: 0 };
+    const former = fleet.submit([
+      { ...HALF, taskCount: 4 },
+      { need, taskCount: 1, estimateMs: 100 },
+    ]);
+    fleet.listHosts().forEach((emulatedHost) => {
+      const host = emulatedHost;
+      host.shouldFailTask = (task) => task === `${former}.0.1.0`;
+    });
+    await fleet.time.advance(50);
+    fleet
+      .listHosts()
+      .filter((host) => [0, 1, 2, 3].some((index) => host.hasRun(`${former}.0.0.${index}`)))
+      .filter((host) => !host.hasRun(`${former}.0.1.0`))
+      .forEach(({ id }) => fleet.faults.partitionedHosts.add(id));
+    await fleet.time.advance(900);
+    expect(await fleet.findState(former)).toEqual(JobState.Failed);
+    await fleet.stopDaemon(fleet.findOwner() ?? '');
+    await fleet.time.advance(500);
+    await expectNextWithinCap();
+  });
+
+  it('counts the runs of a queue that was removed before a takeover while their hosts are silent', async () => {
+    const queues = [...CONFIGURATION.queues, ...CONFIGURATION.queues].map((queue, index) => ({
+      ...queue,
+      name: index === 0 ? queue.name : 'removed',
+    }));
+    await start(12);
+    fleet.configuration = { ...fleet.configuration, version: 2, queues };
+    const taskCount = CAP_CPU_MILLIS / HALF.need.cpuMillis;
+    fleet.submit([{ ...HALF, taskCount }], { queue: 'removed' });
+    await fleet.time.advance(700);
+    expect(listBusyHosts().length).toBeGreaterThan(0);
+    fleet.configuration = { ...fleet.configuration, version: 3, queues: CONFIGURATION.queues };
+    await fleet.time.advance(300);
+    await replaceOwnerOfSilentHosts();
+    await expectNextWithinCap();
+  });
+
+  it('names the runs of a cancelled job in its row until they have ended', async () => {
+    const former = await startWholeCap();
+    fleet.cancel(former);
+    await fleet.time.advance(400);
+    const findRow = () =>
+      JSON.stringify(fleet.rows.list({ table: PROGRESS_TABLE }).find(({ key }) => key === former));
+    expect(findRow().includes('"leftover":5')).toEqual(true);
+    fleet.faults.partitionedHosts.clear();
+    await fleet.time.advance(RECOVERY_MS);
+    expect(findRow().includes('leftover')).toEqual(false);
+    expect(fleet.oracle.violations).toEqual([]);
+  });
+
   it('tracks no job that ended long ago after a takeover, and removes its rows in time', async () => {
     await start(3);
     const done = fleet.submit([{ taskCount: 2 }]);
--- a/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
@@ -46,6 +46,9 @@
    */
   readonly #openJobs = new Set<Job>();
 
+  /** Jobs that ended while runs of theirs may have existed. */
+  readonly #endedJobs = new Set<Job>();
+
   /** Jobs that were added lately, ended ones included. */
   #newJobs: Job[] = [];
 
@@ -84,6 +87,7 @@
     const restored = job;
     restored.progressVersion = version;
     if (isEnded(progress.state)) {
+      restored.hadEnded = true;
       restored.end(progress.state, nowMs);
     } else {
       restored.state = progress.state;
@@ -91,6 +95,9 @@
     restored.storedState = progress.state;
     restored.hasStarted = true;
     restoreJobProgress(restored, progress, nowMs);
+    if (restored.isEnded && restored.listSteps().some((step) => step.formerLeftoverCount > 0)) {
+      this.#endedJobs.add(restored);
+    }
     const tasks = restored.listSteps().flatMap((step) => step.tasks);
     tasks
       .filter(({ step, failedRuns }) => failedRuns.length > 0 && !step.spec.isLasting)
@@ -136,8 +143,24 @@
     return this.#newJobs;
   }
 
+  /** Lists the jobs that ended and of which runs may exist. */
+  listEndedJobs(): ReadonlySet<Job> {
+    return this.#endedJobs;
+  }
+
+  /** Removes an ended job of which no run can exist any more from {@link listEndedJobs}. */
+  removeEndedJob(job: Job): void {
+    this.#endedJobs.delete(job);
+  }
+
+  #endJob(job: Job, state: JobState, nowMs: number): void {
+    job.end(state, nowMs);
+    this.#endedJobs.add(job);
+  }
+
   /** Removes a job that callers no longer query. */
   removeJob(job: Job): void {
+    this.#endedJobs.delete(job);
     this.#openJobs.delete(job);
     this.#jobs.delete(job.record.id);
   }
@@ -164,9 +187,11 @@
 
   /** Lists the steps of all due occurrences that may run now. */
   listReadySteps(job: Job, wallTimeMs: number): readonly Step[] {
-    if (job.isEnded) {
-      return [];
-    }
+    return job.isEnded ? [] : this.listDueSteps(job, wallTimeMs);
+  }
+
+  /** Lists the same steps, also of a job that has ended: those of which runs may exist. */
+  listDueSteps(job: Job, wallTimeMs: number): readonly Step[] {
     const { repeat } = job.record.spec;
     const ready: Step[] = [];
     for (let occurrence = 0; occurrence < job.countOccurrences(); occurrence += 1) {
@@ -191,7 +216,7 @@
     if (job.isEnded) {
       return [];
     }
-    job.end(JobState.Cancelled, nowMs);
+    this.#endJob(job, JobState.Cancelled, nowMs);
     this.addUnsavedJob(job);
     return this.listRuns(job);
   }
@@ -238,7 +263,7 @@
     if (job.getOccurrence(step.occurrence).every((other) => other.isDone())) {
       job.doneOccurrences.add(step.occurrence);
       if (job.doneOccurrences.size === job.countOccurrences()) {
-        job.end(JobState.Completed, nowMs);
+        this.#endJob(job, JobState.Completed, nowMs);
       }
     }
     return RunEndEffect.TaskDone;
@@ -276,7 +301,7 @@
     if (task.failedRuns.length < rules.maxAttempts || task.phase === TaskPhase.Done) {
       return false;
     }
-    job.end(JobState.Failed, nowMs);
+    this.#endJob(job, JobState.Failed, nowMs);
     this.addUnsavedJob(job);
     return true;
   }
@@ -307,7 +332,7 @@
     if (!task.crashes.areFinal || spec.isLasting) {
       return false;
     }
-    job.end(JobState.Failed, nowMs);
+    this.#endJob(job, JobState.Failed, nowMs);
     this.addUnsavedJob(job);
     return true;
   }
--- a/packages/baobabwell-jobs/src/BaobabwellJobsRows.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRows.ts
@@ -43,8 +43,13 @@
   tasks: z.array(taskProgress),
   /** Tasks that may crash their hosts; older builds neither write nor read this. */
   crashes: z.array(taskCrashes).optional(),
+  /** Number of runs that may exist and are not wanted any more; older builds neither write nor read this. */
+  leftover: z.number().int().optional(),
 });
 
+/** Numbers of the runs that may exist and are not wanted any more, by step. */
+export type LeftoverRuns = ReadonlyMap<Step, number>;
+
 const jobProgress = z.object({
   state: z.enum(JobState),
   doneOccurrences: z.array(z.number().int()),
@@ -75,7 +80,13 @@
   };
 }
 
-function createStepProgress({ tasks }: Step): z.infer<typeof stepProgress> {
+function createStepProgress(step: Step, leftoverRuns: LeftoverRuns): z.infer<typeof stepProgress> {
+  const leftover = leftoverRuns.get(step) ?? 0;
+  const leftoverField = leftover > 0 ? { leftover } : {};
+  if (step.job.isEnded) {
+    return { done: '0', tasks: [], ...leftoverField };
+  }
+  const { tasks } = step;
   let bits = 0n;
   tasks.forEach(({ phase }, index) => {
     bits += phase === TaskPhase.Done ? 2n ** BigInt(index) : 0n;
@@ -100,23 +111,34 @@
         checkpoint,
       ]),
     ...(crashes.length > 0 ? { crashes } : {}),
+    ...leftoverField,
   };
 }
 
-/** Creates the progress row of a job; occurrences that are done are stored without detail. */
-export function createJobProgress(job: Job): JobProgress {
+/**
+ * Creates the progress row of a job; occurrences that are done, and all once the job has ended, are stored
+ * without detail unless runs of theirs may exist.
+ */
+export function createJobProgress(job: Job, leftoverRuns: LeftoverRuns = new Map()): JobProgress {
+  const hasLeftover = (step: Step): boolean => (leftoverRuns.get(step) ?? 0) > 0;
   return {
     state: job.state,
     doneOccurrences: [...job.doneOccurrences],
-    occurrences: job.isEnded
-      ? []
-      : [...job.occurrences]
-          .filter(([occurrence]) => !job.doneOccurrences.has(occurrence))
-          .map(([occurrence, steps]) => [occurrence, steps.map(createStepProgress)]),
+    occurrences: [...job.occurrences]
+      .filter(
+        ([occurrence, steps]) =>
+          !(job.isEnded || job.doneOccurrences.has(occurrence)) || steps.some(hasLeftover),
+      )
+      .map(([occurrence, steps]) => [
+        occurrence,
+        steps.map((step) => createStepProgress(step, leftoverRuns)),
+      ]),
   };
 }
 
 function restoreStepProgress(step: Step, row: z.infer<typeof stepProgress>, nowMs: number): void {
+  const restored = step;
+  restored.formerLeftoverCount = row.leftover ?? 0;
   const bits = BigInt(`0x${row.done}`);
   step.tasks
     .filter((_, index) => (bits / 2n ** BigInt(index)) % 2n === 1n)
--- a/packages/baobabwell-jobs/src/BaobabwellJobsTracking.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsTracking.ts
@@ -197,6 +197,12 @@
 
   waitingCount: number;
 
+  /**
+   * Runs that former owners stored as leftover: those of tasks that are done, or of any task once the job
+   * had ended. Their hosts may not have ended them yet.
+   */
+  formerLeftoverCount = 0;
+
   readonly #runsByHost = new Map<string, number>();
 
   constructor(
@@ -232,6 +238,16 @@
   return state === JobState.Completed || state === JobState.Failed || state === JobState.Cancelled;
 }
 
+/**
+ * Counts the tracked runs of a step whose tasks need no run any more: those of tasks that are done, and all
+ * once the job has ended.
+ */
+export function countLeftoverRuns({ job, tasks }: Step): number {
+  return tasks
+    .filter(({ phase }) => job.isEnded || phase === TaskPhase.Done)
+    .reduce((count, { runs }) => count + runs.size, 0);
+}
+
 /** A job with the progress of its tasks. */
 export class Job {
   readonly occurrences = new Map<number, readonly Step[]>();
@@ -245,6 +261,9 @@
 
   hasStarted = false;
 
+  /** True for a job that had ended when this owner read it. */
+  hadEnded = false;
+
   /** Version of the progress row; 0 if there is none. */
   progressVersion = 0;
 
--- a/packages/baobabwell-jobs/src/index.ts
+++ b/packages/baobabwell-jobs/src/index.ts
@@ -11,7 +11,7 @@
   TaskName,
 } from './BaobabwellJobsModel';
 export type { QueueRules } from './BaobabwellJobsRegistry';
-export type { JobProgress } from './BaobabwellJobsRows';
+export type { JobProgress, LeftoverRuns } from './BaobabwellJobsRows';
 
 export { decideCrashBlame } from './BaobabwellJobsCrashBlame';
 export { CrashSuspicion, TaskCrashes } from './BaobabwellJobsCrashes';
@@ -19,4 +19,13 @@
 export { JobRegistry, RunEndEffect } from './BaobabwellJobsRegistry';
 export { addResources, fitsInto, NO_RESOURCES } from './BaobabwellJobsResources';
 export { createJobProgress, parseJobProgress } from './BaobabwellJobsRows';
-export { isEnded, Job, Run, RunPhase, Step, Task, TaskPhase } from './BaobabwellJobsTracking';
+export {
+  countLeftoverRuns,
+  isEnded,
+  Job,
+  Run,
+  RunPhase,
+  Step,
+  Task,
+  TaskPhase,
+} from './BaobabwellJobsTracking';
