jobs: a job waits until a host is known to have started one of its tasks

Cause: a job counted as begun once a start was ordered, also when the host refused it. Change: it counts as begun once a host answered a start, reported a run or an end, or the row of its progress exists. The state that callers see and the order of placements are as before. Conclusion: an order is not its effect.

--- a/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
@@ -87,6 +87,7 @@
           started.answeredAtMs = clock.getNow();
         }
         started.startClockMs = reply.value;
+        task.step.job.hasRun = true;
         if (run.phase === RunPhase.StartSent) {
           started.phase = RunPhase.Running;
         }
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
@@ -345,6 +345,25 @@
     expect(fleet.oracle.violations).toEqual([]);
   });
 
+  // Guards against MIXED: a waiting count of 0 while every start is refused.
+  it('counts jobs as waiting until a host has started one of their tasks', async () => {
+    await start(3);
+    const refusal = createError({ kind: OrderRefusal.Unhealthy, clockMs: null, cause: 'busy' });
+    const hosts = fleet.listHosts();
+    const starts = hosts.map((host) => host.start.bind(host));
+    hosts.forEach((host) => Object.assign(host, { start: () => refusal }));
+    const jobs = Array.from({ length: 5 }, () => fleet.submit([{ taskCount: 2 }]));
+    const count = () => fleet.findOwnerContext()?.jobRegistry.countWaiting('bakes');
+    for (let second = 0; second < 6; second += 1) {
+      await fleet.time.advance(1_000);
+      expect(count()).toEqual(jobs.length);
+    }
+    hosts.forEach((host, index) => Object.assign(host, { start: starts[index] }));
+    await fleet.time.advance(4_000);
+    expect(count()).toEqual(0);
+    await expectCompleted(jobs);
+  });
+
   it('stops all tasks of a cancelled job', async () => {
     await start(2);
     const job = fleet.submit([{ isLasting: true, estimateMs: 0 }]);
--- a/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
@@ -94,6 +94,7 @@
     }
     restored.storedState = progress.state;
     restored.hasStarted = true;
+    restored.hasRun = true;
     restoreJobProgress(restored, progress, nowMs);
     if (restored.isEnded && restored.listSteps().some((step) => step.formerLeftoverCount > 0)) {
       this.#endedJobs.add(restored);
@@ -233,6 +234,7 @@
       task.checkpoint = checkpoint;
     }
     const { job } = task.step;
+    job.hasRun = true;
     if (job.isEnded) {
       return RunEndEffect.None;
     }
@@ -415,11 +417,11 @@
     run.task.removeRun(run);
   }
 
-  /** Counts the accepted jobs of a queue of which no task was started. */
+  /** Counts the accepted jobs of a queue of which no host is known to have started a task. */
   countWaiting(queue: string): number {
     let count = 0;
     this.listOpenJobs().forEach((job) => {
-      if (job.record.queue === queue && !job.hasStarted) {
+      if (job.record.queue === queue && !job.hasRun) {
         count += 1;
       }
     });
--- a/packages/baobabwell-jobs/src/BaobabwellJobsTracking.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsTracking.ts
@@ -83,6 +83,7 @@
 
   /** Records the progress and the reading that the host reported for the run. */
   recordReport(percent: number, reading: number | null, nowMs: number): void {
+    this.task.step.job.hasRun = true;
     if (percent > this.progressPercent) {
       this.progressedAtMs = nowMs;
     }
@@ -259,8 +260,12 @@
   /** State in the persisted row; callers see that a job ended only after the end is persisted. */
   storedState = JobState.Queued;
 
+  /** True once a start of a task was ordered. */
   hasStarted = false;
 
+  /** True once a host is known to have started a task. */
+  hasRun = false;
+
   /** True for a job that had ended when this owner read it. */
   hadEnded = false;
 
