controller: the present pools of queues are looked up once a configuration

Cause: since each open job searched all queues for its pool, in each round of placements while a host had not reported. Change: a map by queue, kept until the configuration changes. Measured: none: no figure of a takeover was taken; the 13 tests of takeovers pass. Conclusion: none.

--- a/packages/baobabwell-controller/src/BaobabwellControllerQueuePools.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerQueuePools.ts
@@ -51,6 +51,12 @@
   /** Rows as the former owner left them; `null` where no owner has stored any. */
   #former: PoolsByQueue | null = null;
 
+  /** Pools of the queues of a configuration; every open job asks for them in each round. */
+  #present: {
+    readonly queues: readonly QueueSettings[] | null;
+    readonly pools: ReadonlyMap<string, string>;
+  } = { queues: null, pools: new Map() };
+
   /** Rows as they are stored now. */
   readonly #stored = new Map<string, ReadonlySet<string>>();
 
@@ -75,14 +81,22 @@
 
   /** Returns true when a former owner may have started runs of a queue in a pool. */
   mayHaveFormerRuns(queue: string, pool: string): boolean {
-    const settings = this.#context.getConfiguration()?.queues.find(({ name }) => name === queue);
     return (
-      pool === settings?.pool ||
+      pool === this.#getPresentPools().get(queue) ||
       this.#former === null ||
       this.#former.get(queue)?.has(pool) === true
     );
   }
 
+  /** Returns the pools of the queues by the present configuration. */
+  #getPresentPools(): ReadonlyMap<string, string> {
+    const queues = this.#context.getConfiguration()?.queues ?? [];
+    if (this.#present.queues !== queues) {
+      this.#present = { queues, pools: new Map(queues.map(({ name, pool }) => [name, pool])) };
+    }
+    return this.#present.pools;
+  }
+
   /** Returns true when runs of a queue may start in its pool; has that stored otherwise. */
   canStart({ name, pool }: QueueSettings): boolean {
     const isStored = this.#stored.get(name)?.has(pool) === true;
