ownership: a takeover that the store shows is used before its transaction is answered

Callers saw work begun anew. Change: the watch goes on beside a transaction that is not answered within 250 ms; a row that names this process, its incarnation and the epoch of its attempt begins the term, with the lease counted from the sending. A process that stops waits for the outcome and releases what it acquired: before, it started a term while it stopped. Not taken: a longer timeout, which every silent connection would cost. Measured: 'begins its term as soon as the store shows its row, and only once' failed before (no term after 900 ms), passes now; tests of ownership, controller, job-emulator and daemon 242 passed. Conclusion: an unknown outcome is settled by what the store shows, as soon as it shows it.

--- a/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
@@ -3,13 +3,13 @@
 import type { WatchableTableService } from '@baobabwell/platform';
 import type { Clock, ClockReading, Result } from '@baobabwell/utils';
 
-import { createHash } from 'node:crypto';
 import { z } from 'zod';
 
 import { TableErrorKind } from '@baobabwell/platform';
 import { createError, getElapsedMs, readClocks, RetryDelay } from '@baobabwell/utils';
 
 import {
+  ACQUISITION_WATCH_MS,
   MAX_FITNESS_DELAY_MS,
   MAX_REFUSED_DELAY_MS,
   MAX_RETRY_DELAY_MS,
@@ -26,6 +26,7 @@
   RENEWAL_KEY,
   RENEWAL_TIMEOUT_MS,
 } from './BaobabwellOwnershipConstants';
+import { getSpread } from './BaobabwellOwnershipSpread';
 
 const ownerRow = z.object({
   name: z.string(),
@@ -40,15 +41,6 @@
 
 const renewalRow = z.object({ epoch: z.number().int(), isLoaded: z.boolean() });
 
-const UINT32_RANGE = 2 ** 32;
-
-/** Returns a fraction from 0 to 1 that differs between candidates and from takeover to takeover. */
-function getSpread(name: string, ownerVersion: number): number {
-  return (
-    createHash('sha256').update(`${name} ${ownerVersion}`).digest().readUInt32BE() / UINT32_RANGE
-  );
-}
-
 /** The daemon that runs the control loops of the fleet, as its row names it. */
 export type Owner = z.infer<typeof ownerRow>;
 
@@ -76,6 +68,13 @@
   readonly isHandover: boolean;
 };
 
+/** A transaction that makes this daemon the owner, until its outcome is known. */
+type Attempt = {
+  readonly owner: Owner;
+  readonly before: Owner | null;
+  readonly sentAt: ClockReading;
+};
+
 /** Receives the start and the end of each term. */
 export type TermListener = {
   readonly startTerm: (term: Term) => void;
@@ -119,6 +118,12 @@
 
   #term: Term | null = null;
 
+  /** The takeover whose transaction is not answered, or `null`. */
+  #acquisition: Promise<void> | null = null;
+
+  /** The latest takeover of this daemon whose outcome is not known, or `null`. */
+  #attempt: Attempt | null = null;
+
   /** Times at which the last successful renewal was sent, on both clocks, in ms. */
   #confirmedRenewalSentAt: ClockReading = { monotonicMs: 0, wallMs: 0 };
 
@@ -197,8 +202,12 @@
       } else {
         retry.reset();
         this.#storeAnsweredAtMs = this.#clock.getNow();
-        if (this.#term === null && this.#isVacant()) {
-          await this.#acquire();
+        if (this.#term === null && this.#acquisition === null && this.#isVacant()) {
+          this.#acquisition = this.#acquire().finally(() => {
+            this.#acquisition = null;
+          });
+          // A slow store may show the row of the new owner before it answers the transaction.
+          await Promise.race([this.#acquisition, this.#clock.wait(ACQUISITION_WATCH_MS, signal)]);
         }
       }
     }
@@ -280,6 +289,8 @@
   /** Stops seeking ownership, and releases it if this daemon is the owner. */
   async stop(): Promise<void> {
     this.#stopped.abort();
+    // A takeover that is stored makes this daemon the owner, also while it stops.
+    await this.#acquisition;
     const term = this.#term;
     if (term === null || this.#owner === null) {
       return;
@@ -299,7 +310,7 @@
   }
 
   async #watchRows(version: number): Promise<number | null> {
-    const waitMs = this.#term === null ? this.#getTakeoverDelayMs() : MAX_WATCH_MS;
+    const waitMs = this.#getWatchMs();
     const reply = await this.#store.waitForChanges(
       OWNERSHIP_TABLE,
       version,
@@ -338,6 +349,25 @@
     if (this.#term !== null && this.#owner?.epoch !== this.#term.epoch) {
       this.endTerm('another daemon is the owner');
     }
+    this.#applyAttempt(version);
+  }
+
+  /**
+   * Begins the term of a takeover whose transaction is not answered but whose row the store shows. Only this
+   * incarnation can have written it.
+   */
+  #applyAttempt(version: number): void {
+    const attempt = this.#attempt;
+    if (attempt === null || this.#owner?.epoch !== attempt.owner.epoch) {
+      return;
+    }
+    const isOwn =
+      this.#isOwnRow() && this.#owner.life === attempt.owner.life && !this.#stopped.signal.aborted;
+    if (isOwn && getElapsedMs(this.#clock, attempt.sentAt) < OWNER_LEASE_MS) {
+      this.#startTerm(attempt, version);
+    } else {
+      this.#attempt = null;
+    }
   }
 
   /**
@@ -376,6 +406,14 @@
     return Math.min(MAX_WATCH_MS, Math.max(0, waitMs + delayMs - sinceRenewalMs));
   }
 
+  /** Returns how long the next watch may wait for a change, in ms. */
+  #getWatchMs(): number {
+    if (this.#acquisition !== null) {
+      return ACQUISITION_WATCH_MS;
+    }
+    return this.#term === null ? this.#getTakeoverDelayMs() : MAX_WATCH_MS;
+  }
+
   #isVacant(): boolean {
     return this.#getTakeoverDelayMs() <= 0;
   }
@@ -394,7 +432,8 @@
       isReleased: false,
       unloadedTerms,
     };
-    const sentAt = readClocks(this.#clock);
+    const attempt: Attempt = { owner, before, sentAt: readClocks(this.#clock) };
+    this.#attempt = attempt;
     const reply = await this.#store.commit({
       conditions: [
         { table: OWNERSHIP_TABLE, key: OWNER_KEY, version: this.#ownerVersion },
@@ -405,31 +444,47 @@
         { table: OWNERSHIP_TABLE, key: RENEWAL_KEY, value: { epoch, isLoaded: false } },
       ],
     });
+    if (this.#attempt !== attempt) {
+      // The watch has shown its row, or that of a later owner, before.
+      return;
+    }
     if (!reply.ok) {
-      // If the outcome is unknown, the watch reads the rows and finds this daemon if it is the owner.
+      // If the outcome is unknown, the watch shows the row if this daemon is the owner.
+      const { kind } = reply.error;
+      this.#attempt =
+        kind === TableErrorKind.Unavailable && reply.error.mayHaveCommitted ? attempt : null;
       this.#renewalSeenAtMs = this.#clock.getNow();
-      this.#wasRefused = reply.error.kind === TableErrorKind.Unavailable;
-      this.#logger.recordInfo('ownership-not-acquired', { epoch, reason: reply.error.kind });
+      this.#wasRefused = kind === TableErrorKind.Unavailable;
+      this.#logger.recordInfo('ownership-not-acquired', { epoch, reason: kind });
       return;
     }
+    this.#startTerm(attempt, reply.value);
+  }
+
+  /** Starts the term of a takeover that is stored. */
+  #startTerm({ owner, before, sentAt }: Attempt, version: number): void {
+    const { name, life, epoch, unloadedTerms } = owner;
+    this.#attempt = null;
     this.#owner = owner;
-    this.#ownerVersion = reply.value;
-    this.#renewalVersion = reply.value;
+    this.#ownerVersion = version;
+    this.#renewalVersion = Math.max(this.#renewalVersion, version);
     this.#confirmedRenewalSentAt = sentAt;
-    this.#confirmedRenewalVersion = reply.value;
+    this.#confirmedRenewalVersion = version;
     this.#renewalSentAtMs = sentAt.monotonicMs;
     // An owner that restarted on the same machine succeeds itself: no other daemon was the owner.
-    const isOwnRestart = before?.name === name && before.life !== incarnation;
+    const isOwnRestart = before?.name === name && before.life !== life;
     const isHandover = before === null || before.isReleased || isOwnRestart;
-    this.#term = { epoch, startVersion: reply.value, isHandover };
+    this.#term = { epoch, startVersion: version, isHandover };
     this.#logger.recordInfo('ownership-acquired', {
       epoch,
       isHandover,
       before: before?.name ?? null,
       unloadedTerms,
-      version: reply.value,
+      version,
     });
-    this.#listener.startTerm(this.#term);
+    if (!this.#stopped.signal.aborted) {
+      this.#listener.startTerm(this.#term);
+    }
   }
 
   #isRenewalDue(): boolean {
--- a/packages/baobabwell-ownership/src/BaobabwellOwnershipConstants.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnershipConstants.ts
@@ -69,6 +69,12 @@
  */
 export const MAX_WATCH_MS = 1_000;
 
+/**
+ * Time for which the transaction of a takeover is waited for before the owner's rows are watched again, and
+ * maximum time of one such watch, in ms.
+ */
+export const ACQUISITION_WATCH_MS = 250;
+
 /** Delay before the first retry after a failed read of the store, in ms. */
 export const MIN_RETRY_DELAY_MS = 100;
 
