controller, daemon: leases on hosts are renewed between two owners

Cause: from the end of a term until the next one was loaded nobody renewed leases on hosts. Callers' servers close meanwhile. The emulator stops a process by the same method. Leases that were granted so count in the expiry of a host that has not reported. Not taken: comparing a host's report with the incarnation in its row, which is that of its first use. A killed owner beside a slow store still ends all.

--- a/packages/baobabwell-controller/src/BaobabwellController.ts
+++ b/packages/baobabwell-controller/src/BaobabwellController.ts
@@ -5,6 +5,7 @@
 
 import { OwnerClient } from '@baobabwell/ingress';
 import { Activity } from '@baobabwell/processor-time';
+import { readClocks } from '@baobabwell/utils';
 
 import { OwnerTerm } from './BaobabwellControllerTerm';
 
@@ -14,6 +15,9 @@
 
   #term: OwnerTerm | null = null;
 
+  /** Settles once this process renews no leases on hosts any more; set when it stops. */
+  #keptLeases: Promise<void> = Promise.resolve();
+
   constructor(options: TermOptions) {
     super();
     this.#options = options;
@@ -31,6 +35,25 @@
     this.#term = null;
   }
 
+  /**
+   * Stops in good order: ends the term and releases the ownership. Leases on hosts are renewed further on,
+   * until a successor does; see {@link waitForLeases}.
+   */
+  async stop(): Promise<void> {
+    const { clock, ownership } = this.#options;
+    const term = this.#term;
+    this.endTerm();
+    const releasedAt = readClocks(clock);
+    const released = ownership.stop();
+    this.#keptLeases = term?.keepLeases(releasedAt) ?? this.#keptLeases;
+    await released;
+  }
+
+  /** Waits until this process has stopped and renews no leases on hosts any more. */
+  async waitForLeases(): Promise<void> {
+    await this.#keptLeases;
+  }
+
   /** Returns the current term if it is loaded and its lease is valid, or `null`. */
   getLoadedTerm(): OwnerTerm | null {
     const isValid = this.#term?.isLoaded === true && this.#options.ownership.canAct();
--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -10,6 +10,21 @@
  */
 export const HOST_LEASE_MS = 2_800;
 
+/**
+ * Interval between two renewals of the lease on a host while a term is not loaded or its ownership is released,
+ * in ms: a call that gets no answer, and the next one, fit into the lease.
+ */
+export const LEASE_KEEP_INTERVAL_MS = 700;
+
+/** Time after the start of a term from which leases are renewed although it is not loaded, in ms. */
+export const LEASE_KEEP_DELAY_MS = 150;
+
+/**
+ * Longest time after the start of a term for which leases are renewed although it is not loaded, in ms: runs of
+ * cancelled jobs go on until it is.
+ */
+export const MAX_LEASE_KEEP_MS = 5_000;
+
 /** Largest fraction by which a host's clock may run slower than the owner's. */
 export const MAX_CLOCK_DRIFT = 0.02;
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -238,7 +238,8 @@
    * @param formerLeasesEndMs monotonic time by which leases of former owners have expired, in ms.
    */
   getExpiredAtMs(formerLeasesEndMs: number): number {
-    return this.isReconciled ? this.#state.getExpiredAtMs() : formerLeasesEndMs;
+    const ownLeasesEndMs = this.#state.getExpiredAtMs();
+    return this.isReconciled ? ownLeasesEndMs : Math.max(formerLeasesEndMs, ownLeasesEndMs);
   }
 
   /**
--- a/packages/baobabwell-controller/src/BaobabwellControllerIncarnationState.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerIncarnationState.ts
@@ -23,8 +23,8 @@
 
   #lastClockMs = 0;
 
-  /** Monotonic time by which leases unknown to this process have expired, in ms. */
-  readonly #unknownLeasesUntilMs: number;
+  /** Monotonic time by which leases that are not recorded here have expired, in ms. */
+  #unknownLeasesUntilMs: number;
 
   constructor(unknownLeasesUntilMs: number) {
     this.#unknownLeasesUntilMs = unknownLeasesUntilMs;
@@ -89,6 +89,11 @@
     return endMs;
   }
 
+  /** Records the monotonic time by which leases that were granted in another way have expired, in ms. */
+  recordOtherLeases(untilMs: number): void {
+    this.#unknownLeasesUntilMs = Math.max(this.#unknownLeasesUntilMs, untilMs);
+  }
+
   /** Returns the monotonic time by which all leases of this incarnation have expired, in ms. */
   getExpiredAtMs(): number {
     if (this.#clock === null || this.#leaseEndMs === 0) {
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -7,6 +7,7 @@
 import type { JobRecord, Run } from '@baobabwell/jobs';
 import type { Term } from '@baobabwell/ownership';
 import type { Row } from '@baobabwell/platform';
+import type { ClockReading } from '@baobabwell/utils';
 
 import { setMaxListeners } from 'node:events';
 
@@ -46,6 +47,7 @@
 import { StartGate } from './BaobabwellControllerStartGate';
 import { restoreStoredStarts } from './BaobabwellControllerStoredStarts';
 import { StoreOutage } from './BaobabwellControllerStoreOutage';
+import { TermLeases } from './BaobabwellControllerTermLeases';
 import { findCommonPosition, TermTables } from './BaobabwellControllerTermTables';
 
 const SECOND_MS = 1_000;
@@ -81,6 +83,8 @@
 
   readonly #storeOutage: StoreOutage;
 
+  readonly #leases: TermLeases;
+
   #isLoaded = false;
 
   constructor(options: TermOptions, term: Term) {
@@ -130,6 +134,7 @@
     };
     this.#runDurations.registerHandover(this.context.handover);
     this.#tables = new TermTables(this.context);
+    this.#leases = new TermLeases(this.context);
     const { endedJobMs } = options.bounds;
     this.#endedJobs = new EndedJobs(this.context, endedJobMs + ENDED_JOB_MARGIN_MS);
     this.#jobRows = new JobRows(this.context, this.#endedJobs);
@@ -187,27 +192,33 @@
   /** Ends the term: no further orders are sent. */
   end(): void {
     this.#abortController.abort();
+    this.#leases.stop();
     this.context.metrics.resetGauges();
   }
 
+  /** Renews the leases on hosts after the term has ended by a release; see {@link TermLeases}. */
+  async keepLeases(releasedAt: ClockReading): Promise<void> {
+    await this.#leases.keepAfterRelease(releasedAt);
+  }
+
   /** Reads the persisted state, then runs the control loops until the term ends. */
   async run(): Promise<void> {
     const { clock, logger, metrics, term, codec, ownership, signal } = this.context;
     const startedAt = readClocks(clock);
     // Not awaited: what the former owner learned may come later or not at all.
     void this.context.handover.load();
+    const hostsRead = this.#leases.loadHosts(this.#tables, startedAt);
     this.#fleetControlLoop.load();
     const jobs = this.#jobRows.load(this.#tables, term.startVersion);
-    const [hosts, workers, requests, queuePools] = await this.#tables.readAll(
-      [HOSTS_TABLE, codec.workersTable, codec.operatorTable, QUEUE_POOLS_TABLE].map((table) => ({
-        table,
-      })),
+    const [workers, requests, queuePools] = await this.#tables.readAll(
+      [codec.workersTable, codec.operatorTable, QUEUE_POOLS_TABLE].map((table) => ({ table })),
       term.startVersion,
     );
-    const jobsPosition = await jobs;
+    const [hosts, jobsPosition] = await Promise.all([hostsRead, jobs]);
     if (signal.aborted) {
       return;
     }
+    this.#leases.finishLoad();
     this.context.queuePools.load(queuePools?.rows ?? []);
     // Without a pause: the first answers of hosts are counted against all hosts of former owners.
     hosts?.rows.forEach((row) => this.#applyHostRow(row));
@@ -299,7 +310,7 @@
     this.#committer.recordHostRow(stored);
     const row = parseHostRow(value);
     if (row !== null) {
-      const host = new Host({ id: key, address: row.address }, row.pool, null, this.#getNow());
+      const host = this.#leases.createHost(key, row);
       this.context.hostMajority.addFormerHost(host);
       this.#addHost(host, { bornMs: row.bornMs, isRegistered: true });
     }
--- a/packages/baobabwell-daemon/src/BaobabwellDaemon.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemon.ts
@@ -7,7 +7,7 @@
 import { DaemonMetrics } from '@baobabwell/metrics';
 import { ProcessorTime } from '@baobabwell/processor-time';
 
-import { controllerPlugin } from './BaobabwellDaemonControllerPlugin';
+import { controllerPlugin, hostLeasesPlugin } from './BaobabwellDaemonControllerPlugin';
 import { eventLoopPlugin } from './BaobabwellDaemonEventLoop';
 import { ingressPlugin } from './BaobabwellDaemonIngressPlugin';
 import { MeasuredStore } from './BaobabwellDaemonMeasuredStore';
@@ -55,6 +55,7 @@
   kernel.use(eventLoopPlugin);
   kernel.use(processorTimePlugin);
   // Plugins close in reverse order: ownership is handed over first, while callers are still served.
+  kernel.use(hostLeasesPlugin);
   kernel.use(ingressPlugin);
   kernel.use(metricsPlugin);
   kernel.use(controllerPlugin);
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
@@ -16,6 +16,7 @@
   ADAPTERS,
   CONFIGURATION,
   CONTROLLER,
+  HOST_LEASES,
   LOGGER,
   MEMBERS,
   METRICS,
@@ -129,6 +130,21 @@
   });
 }
 
+/**
+ * Has a process that stops renew the leases on hosts until its successor does. It is registered before the
+ * servers of callers, which are closed meanwhile and do not wait for it.
+ */
+export const hostLeasesPlugin: Plugin = {
+  name: 'host leases',
+  register(kernel) {
+    const handovers: Promise<void>[] = [];
+    kernel.lifecycle.add('host leases', async () => {
+      await Promise.all(handovers);
+    });
+    return kernel.registerService(HOST_LEASES, () => handovers);
+  },
+};
+
 /** Seeks ownership, runs the controller while this process is the owner, and serves peers. */
 export const controllerPlugin: Plugin = {
   name: 'duties',
@@ -149,13 +165,15 @@
     const ownership = kernel.getService(OWNERSHIP);
     const controller = kernel.getService(CONTROLLER);
     const configuration = kernel.getService(CONFIGURATION);
+    const handovers = kernel.getService(HOST_LEASES);
     kernel.lifecycle.add(
       'duties',
       async () => {
         stopped.abort();
         configuration.stop();
-        controller.endTerm();
-        await ownership.stop();
+        const released = controller.stop();
+        handovers.push(controller.waitForLeases());
+        await released;
       },
       HANDOVER_TIMEOUT_MS,
     );
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonTokens.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonTokens.ts
@@ -21,6 +21,8 @@
 export const PEER_CONNECTOR = createServiceToken<PeerConnector>('peerConnector');
 export const OWNERSHIP = createServiceToken<Ownership>('ownership');
 export const CONTROLLER = createServiceToken<Controller>('controller');
+/** Each settles once a process that stops renews no leases on hosts any more. */
+export const HOST_LEASES = createServiceToken<Promise<void>[]>('hostLeases');
 export const OWNER_CLIENT = createServiceToken<PeerOwnerClient>('ownerClient');
 export const CONFIGURATION = createServiceToken<ConfigurationWatcher>('configuration');
 export const PEERS = createServiceToken<PeerClients>('peers');
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -202,8 +202,9 @@
     return rows.find(({ key }) => key === String(wave))?.value ?? null;
   }
 
-  /** Starts a process; an earlier one of the same name must be dead. */
+  /** Starts a process; an earlier one of the same name must be dead or stopped. */
   startDaemon(name: string): void {
+    this.killDaemon(name);
     const clock = new ProcessClock(this.time);
     const store = new EmulatedJobStore(clock, this.time, this.#random, this.rows);
     const logger = new Logger(LogLevel.Info, { daemon: name }, (line) =>
@@ -267,13 +268,16 @@
     void ownership.runRenewals();
   }
 
-  /** Ends a process in good order: it releases its ownership first. */
+  /**
+   * Ends a process in good order: it releases its ownership first, and ends once it renews no leases on hosts
+   * any more.
+   */
   async stopDaemon(name: string): Promise<void> {
     const daemon = this.#daemons.get(name);
     if (daemon !== undefined) {
-      daemon.controller.endTerm();
-      await this.time.settle(daemon.ownership.stop(), STOP_LIMIT_MS);
-      daemon.clock.kill();
+      const { controller, clock } = daemon;
+      await this.time.settle(controller.stop(), STOP_LIMIT_MS);
+      void controller.waitForLeases().then(() => clock.kill());
     }
   }
 
