daemon: a process that starts is not ended by SIGHUP

Cause: the program listens for SIGHUP once it has loaded and read its settings; a signal before that ended the process. Change: the start script listens before it loads the bundle. What remains: Node.js itself begins without a listener, before the first line of any script. Conclusion: a signal handler belongs before everything that takes time.

--- a/scripts/daemon-start.cjs
+++ b/scripts/daemon-start.cjs
@@ -11,6 +11,9 @@
 const CACHE = join(__dirname, 'baobabwell-daemon.cache');
 const WRITE_CACHE = 'write-cache';
 
+// Without a listener SIGHUP ends a process; the program adds its own once it has read its settings.
+process.on('SIGHUP', () => {});
+
 const source = readFileSync(BUNDLE, 'utf8');
 const script = new Script(`(function (exports, require, module) {${source}\n})`, {
   filename: BUNDLE,
