peers: connections to a process are replaced together once a probe shows that they went silent

Cause: of the connections to another process that go silent in one moment, each cost a call and its timeout of 1 s. Change: each address has connections of its own. After 550 ms without an answer to a call, one small request is sent over an open connection and one over a new one; a peer refuses them at once, as they carry no secret. If the new one is answered and the open one is still silent 250 ms later, the connections are replaced, and idle ones are closed; calls under way stay on theirs. In all other cases nothing changes: a busy process answers both or neither, a call whose handler takes long leaves its connection to itself, and a probe that had to wait for a connection shows nothing. One probe in 1.5 s for each address. Not taken: the probe on a new connection alone, which a call that waits for the store would make a silence. New: log field peer of connections-renewed. Conclusion: two requests at the same moment that differ only in the age of their connection tell silence from lateness.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
@@ -162,7 +162,9 @@
     void configuration.run();
     void configuration.runPeerRequests();
     const secret = await readPeerSecret(store, kernel.clock, logger, stopped.signal);
-    const connector = new HttpPeerConnector(secret);
+    const connector = new HttpPeerConnector(secret, (peer) =>
+      logger.recordWarning('connections-renewed', { service: 'peer', peer }),
+    );
     kernel.lifecycle.add('peer connections', async () => connector.close());
     kernel.registerService(PEER_CONNECTOR, () => connector);
     const router = buildDaemonRouter({
--- a/packages/baobabwell-http/src/index.ts
+++ b/packages/baobabwell-http/src/index.ts
@@ -1,3 +1,4 @@
 export { REQUEST_HEADER_TIMEOUTS, registerRawBodyParser } from './BaobabwellHttp';
 export { createConnector } from './BaobabwellHttpConnector';
+export { ProbedConnections } from './BaobabwellHttpProbing';
 export { RenewedConnections } from './BaobabwellHttpRenewal';
--- a/packages/baobabwell-peers/src/BaobabwellPeersConnector.ts
+++ b/packages/baobabwell-peers/src/BaobabwellPeersConnector.ts
@@ -4,7 +4,7 @@
 import { httpLink } from '@trpc/client';
 import { Agent, fetch, Response } from 'undici';
 
-import { createConnector } from '@baobabwell/http';
+import { createConnector, ProbedConnections } from '@baobabwell/http';
 import { startResponseTimer } from '@baobabwell/utils';
 
 import {
@@ -25,37 +25,48 @@
   abstract close(): Promise<void>;
 }
 
-/** Connects to other entries over HTTP. */
-export class HttpPeerConnector extends PeerConnector {
-  readonly #secret: string;
-
-  readonly #agent = new Agent({
+function openAgent(): Agent {
+  return new Agent({
     connections: MAX_CONNECTIONS_PER_PEER,
     connect: createConnector(PEER_CONNECT_TIMEOUT_MS),
     keepAliveTimeout: PEER_IDLE_TIMEOUT_MS,
     keepAliveMaxTimeout: PEER_IDLE_TIMEOUT_MS,
   });
+}
+
+/** Connects to other entries over HTTP. */
+export class HttpPeerConnector extends PeerConnector {
+  readonly #secret: string;
+
+  readonly #connections: ProbedConnections;
 
-  constructor(secret: string) {
+  /** @param handleRenewal called when the connections to an entry are replaced because they went silent. */
+  constructor(secret: string, handleRenewal: (address: string) => void = () => undefined) {
     super();
     this.#secret = secret;
+    this.#connections = new ProbedConnections({
+      openAgent,
+      // Without the secret, which costs the entry next to nothing.
+      probePath: PEER_PATH,
+      handleRenewal,
+    });
   }
 
   override createLink<Router extends AnyTRPCRouter>(address: string): TRPCLink<Router> {
     const options = {
       url: `http://${address}${PEER_PATH}`,
       headers: { [PEER_SECRET_HEADER]: this.#secret },
-      fetch: this.#createFetch(),
+      fetch: this.#createFetch(address),
     };
     return httpLink(options as unknown as Parameters<typeof httpLink<Router>>[0]);
   }
 
   override async close(): Promise<void> {
-    await this.#agent.destroy();
+    await this.#connections.close();
   }
 
   /** Creates a fetch whose timeout covers the whole response and counts only time for which this process was idle. */
-  #createFetch(): typeof fetch {
+  #createFetch(address: string): typeof fetch {
     return async (input, init) => {
       const timedOut = new AbortController();
       const cancelTimer = startResponseTimer(PEER_REQUEST_TIMEOUT_MS, () =>
@@ -63,9 +74,11 @@
       );
       try {
         const { signal } = timedOut;
-        const response = await fetch(input, { ...init, dispatcher: this.#agent, signal });
-        const body = await response.text();
-        return new Response(body, { status: response.status, headers: response.headers });
+        return await this.#connections.call(address, async (dispatcher) => {
+          const response = await fetch(input, { ...init, dispatcher, signal });
+          const body = await response.text();
+          return new Response(body, { status: response.status, headers: response.headers });
+        });
       } finally {
         cancelTimer();
       }
