--- a/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerContext.ts
@@ -6,6 +6,7 @@
 import type { HostObserver } from './BaobabwellControllerHostObserver';
 import type { HostSilences } from './BaobabwellControllerHostSilences';
 import type { JobRates } from './BaobabwellControllerJobRates';
+import type { LeaseLog } from './BaobabwellControllerLeaseLog';
 import type { PossibleRuns } from './BaobabwellControllerPossibleRuns';
 import type { QueuePools } from './BaobabwellControllerQueuePools';
 import type { RunDurations } from './BaobabwellControllerRunDurations';
@@ -30,6 +31,7 @@
   readonly hostMajority: HostMajority;
   readonly hostObserver: HostObserver;
   readonly hostSilences: HostSilences;
+  readonly leaseLog: LeaseLog;
   readonly possibleRuns: PossibleRuns;
   readonly queuePools: QueuePools;
   /** Waves requested by the operator, by number. */
--- a/packages/baobabwell-controller/src/BaobabwellControllerLeaseKeeper.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerLeaseKeeper.ts
@@ -1,4 +1,5 @@
 import type { Host } from './BaobabwellControllerHost';
+import type { LeaseLog } from './BaobabwellControllerLeaseLog';
 import type { HostOrders } from '@baobabwell/platform';
 import type { Clock } from '@baobabwell/utils';
 
@@ -20,11 +21,14 @@
 
   readonly #canRenew: () => boolean;
 
+  readonly #leaseLog: LeaseLog;
+
   readonly #stopped = new AbortController();
 
   constructor(options: {
     readonly clock: Clock;
     readonly orders: HostOrders;
+    readonly leaseLog: LeaseLog;
     readonly epoch: number;
     /** Returns false once the permission to renew has ended; it is asked before each call. */
     readonly canRenew: () => boolean;
@@ -33,6 +37,7 @@
     this.#orders = options.orders;
     this.#epoch = options.epoch;
     this.#canRenew = options.canRenew;
+    this.#leaseLog = options.leaseLog;
   }
 
   /** Ends all renewals; a call under way is still carried out. */
@@ -82,6 +87,7 @@
           return;
         }
         if (leaseEndMs !== null) {
+          this.#leaseLog.recordRenewal(host, sentAtMs);
           await this.#clock.wait(LEASE_KEEP_INTERVAL_MS, signal);
         }
       }
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -214,6 +214,9 @@
       return;
     }
     hostMajority.recordAnswer(host, sentAtMs);
+    if (order.leaseEndMs !== null) {
+      this.#context.leaseLog.recordRenewal(host, sentAtMs);
+    }
     if (!host.isReachable) {
       this.#context.logger.recordInfo('host-reachable', { host: host.incarnation.id });
       host.failedAttempts = 0;
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -36,6 +36,7 @@
 import { HostSilences } from './BaobabwellControllerHostSilences';
 import { JobRates } from './BaobabwellControllerJobRates';
 import { JobRows } from './BaobabwellControllerJobRows';
+import { LeaseLog } from './BaobabwellControllerLeaseLog';
 import { OfferAdmission } from './BaobabwellControllerOffers';
 import { OperatorRequests } from './BaobabwellControllerOperatorRequests';
 import { PlacementAdviceCache } from './BaobabwellControllerPlacementAdvice';
@@ -116,6 +117,7 @@
         requestDispatch,
       }),
       hostSilences: new HostSilences(),
+      leaseLog: new LeaseLog({ ...options, term }),
       possibleRuns: new PossibleRuns({ ...base, queuePools }),
       queuePools,
       waves: new Map(),
--- a/packages/baobabwell-controller/src/BaobabwellControllerTermLeases.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTermLeases.ts
@@ -17,7 +17,7 @@
 
 type LeaseContext = Pick<
   TermContext,
-  'clock' | 'hosts' | 'orders' | 'ownership' | 'signal' | 'term'
+  'clock' | 'hosts' | 'leaseLog' | 'orders' | 'ownership' | 'signal' | 'term'
 >;
 
 /** Renews the leases on hosts in a term before it is loaded and after its release. */
@@ -108,8 +108,8 @@
   }
 
   #createKeeper(canRenew: () => boolean): LeaseKeeper {
-    const { clock, orders, term } = this.#context;
-    return new LeaseKeeper({ clock, orders, epoch: term.epoch, canRenew });
+    const { clock, orders, term, leaseLog } = this.#context;
+    return new LeaseKeeper({ clock, orders, leaseLog, epoch: term.epoch, canRenew });
   }
 
   async #keep(keeper: LeaseKeeper, hosts: readonly Host[]): Promise<void> {
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
@@ -34,6 +34,8 @@
  */
 const HANDOVER_TIMEOUT_MS = 800;
 
+const MS_PER_S = 1_000;
+
 /** Number of peers asked at once for a newer configuration. */
 const MAX_CONFIGURATION_PEERS = 3;
 
@@ -59,6 +61,7 @@
         metrics.ownerEpoch.set(0);
         kernel.getService(CONTROLLER).endTerm();
       },
+      recordRenewal: (answerMs) => metrics.owner.leases.renewalSeconds.observe(answerMs / MS_PER_S),
     },
   });
 }
--- a/packages/baobabwell-explain/src/BaobabwellExplainTimeline.ts
+++ b/packages/baobabwell-explain/src/BaobabwellExplainTimeline.ts
@@ -74,6 +74,7 @@
 /** Owner and store events that can delay all work. */
 const FLEET_EVENTS = new Set([
   'event-loop-late',
+  'first-lease-renewed',
   'ownership-acquired',
   'ownership-lost',
   'ownership-not-renewed',
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorSlowTakeovers.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorSlowTakeovers.test.ts
@@ -15,6 +15,9 @@
 /** Time after the last loss of an owner for which runs are counted, in ms. */
 const AFTER_MS = 8_000;
 
+/** Bound on the first renewal of a lease, in ms: one answer of the slow store and a call to a host. */
+const MAX_FIRST_LEASE_MS = 350;
+
 const SAMPLE_MS = 20;
 
 const LASTING = { isLasting: true, estimateMs: 0, taskCount: TASK_COUNT };
@@ -83,6 +86,21 @@
     });
   });
 
+  it('log when a term renewed its first lease, before it is loaded', async () => {
+    await startLastingTasks(7, 270, 100);
+    fleet.logLines.length = 0;
+    await expectAllRunOn(1, stopOwner);
+    const events = fleet.logLines.filter((line) =>
+      / event=(first-lease-renewed|term-loaded) .*epoch=2/.test(line),
+    );
+    expect(events.map((line) => / event=(\S+)/.exec(line)?.[1])).toEqual([
+      'first-lease-renewed',
+      'term-loaded',
+    ]);
+    const [, afterMs] = / afterMs=(\d+) isReconciled=false/.exec(events[0] ?? '') ?? [];
+    expect(Number(afterMs) < MAX_FIRST_LEASE_MS).toEqual(true);
+  });
+
   // Guards against TWICE: the former owner renews leases on hosts that its successors do not reach.
   [0, 270].forEach((slowMs) => {
     it(`start no task twice on hosts that only a stopped owner reaches (store later by ${slowMs} ms)`, async () => {
--- a/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetricsOwner.ts
@@ -5,6 +5,7 @@
 
 import { DurationMetrics } from './BaobabwellMetricsDurations';
 import { HostHealthMetrics } from './BaobabwellMetricsHostHealth';
+import { LeaseMetrics } from './BaobabwellMetricsLeases';
 
 const JOB_SECONDS_BUCKETS = [0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60];
 
@@ -48,6 +49,8 @@
 
   readonly termLoadSeconds: Histogram;
 
+  readonly leases: LeaseMetrics;
+
   constructor(registry: Registry) {
     this.#registers = [registry];
     this.jobs = this.#createCounter(
@@ -111,11 +114,7 @@
       'Orders to move or maintain machines, by order and answer.',
       ['order', 'answer'],
     );
-    this.waveMachines = this.#createGauge(
-      'baobabwell_wave_machines',
-      'Machines of a maintenance wave: done and total.',
-      ['wave', 'state'],
-    );
+    this.waveMachines = this.#createWaveGauge();
     this.evacuations = this.#createEvacuationGauge();
     this.terms = this.#createCounter(
       'baobabwell_terms_total',
@@ -127,6 +126,7 @@
       'Time from the start of a term until all rows are loaded.',
       [],
     );
+    this.leases = new LeaseMetrics(registry);
   }
 
   /** Resets the gauges that describe the fleet during the last term. */
@@ -136,6 +136,14 @@
     );
   }
 
+  #createWaveGauge() {
+    return this.#createGauge(
+      'baobabwell_wave_machines',
+      'Machines of a maintenance wave: done and total.',
+      ['wave', 'state'],
+    );
+  }
+
   #createEvacuationGauge() {
     return this.#createGauge(
       'baobabwell_evacuations',
--- a/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
@@ -80,6 +80,8 @@
 export type TermListener = {
   readonly startTerm: (term: Term) => void;
   readonly endTerm: (reason: string) => void;
+  /** Receives the time in which the store confirmed a renewal, in ms. */
+  readonly recordRenewal?: (answerMs: number) => void;
 };
 
 /** Acquires, renews and releases the ownership of the fleet's control loops. */
@@ -395,6 +397,7 @@
       unloadedTerms,
     };
     const sentAt = readClocks(this.#clock);
+    const renewalSeenAtMs = this.#renewalSeenAtMs;
     const reply = await this.#store.commit({
       conditions: [
         { table: OWNERSHIP_TABLE, key: OWNER_KEY, version: this.#ownerVersion },
@@ -426,6 +429,7 @@
       epoch,
       isHandover,
       before: before?.name ?? null,
+      renewalAgeMs: Math.round(sentAt.monotonicMs - renewalSeenAtMs),
       unloadedTerms,
       version: reply.value,
     });
@@ -471,6 +475,7 @@
       });
       return;
     }
+    this.#listener.recordRenewal?.(this.#clock.getNow() - sentAt.monotonicMs);
     if (sentAt.monotonicMs > this.#confirmedRenewalSentAt.monotonicMs) {
       this.#confirmedRenewalSentAt = sentAt;
       this.#confirmedRenewalVersion = Math.max(this.#confirmedRenewalVersion, reply.value);
