--- a/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
@@ -73,12 +73,16 @@
   readonly owner: Owner;
   readonly before: Owner | null;
   readonly sentAt: ClockReading;
+  /** Monotonic time at which the latest renewal of the former owner was seen, in ms. */
+  readonly renewalSeenAtMs: number;
 };
 
 /** Receives the start and the end of each term. */
 export type TermListener = {
   readonly startTerm: (term: Term) => void;
   readonly endTerm: (reason: string) => void;
+  /** Receives the time in which the store confirmed a renewal, in ms. */
+  readonly recordRenewal?: (answerMs: number) => void;
 };
 
 /** Acquires, renews and releases the ownership of the fleet's control loops. */
@@ -432,7 +436,12 @@
       isReleased: false,
       unloadedTerms,
     };
-    const attempt: Attempt = { owner, before, sentAt: readClocks(this.#clock) };
+    const attempt: Attempt = {
+      owner,
+      before,
+      sentAt: readClocks(this.#clock),
+      renewalSeenAtMs: this.#renewalSeenAtMs,
+    };
     this.#attempt = attempt;
     const reply = await this.#store.commit({
       conditions: [
@@ -462,7 +471,7 @@
   }
 
   /** Starts the term of a takeover that is stored. */
-  #startTerm({ owner, before, sentAt }: Attempt, version: number): void {
+  #startTerm({ owner, before, sentAt, renewalSeenAtMs }: Attempt, version: number): void {
     const { name, life, epoch, unloadedTerms } = owner;
     this.#attempt = null;
     this.#owner = owner;
@@ -479,6 +488,7 @@
       epoch,
       isHandover,
       before: before?.name ?? null,
+      renewalAgeMs: Math.round(sentAt.monotonicMs - renewalSeenAtMs),
       unloadedTerms,
       version,
     });
@@ -526,6 +536,7 @@
       });
       return;
     }
+    this.#listener.recordRenewal?.(this.#clock.getNow() - sentAt.monotonicMs);
     if (sentAt.monotonicMs > this.#confirmedRenewalSentAt.monotonicMs) {
       this.#confirmedRenewalSentAt = sentAt;
       this.#confirmedRenewalVersion = Math.max(this.#confirmedRenewalVersion, reply.value);
