daemon, kernel: the grace period begins with SIGTERM, also during a start

Cause: a process waited for the end of its start before it looked at a stop signal. While the store does not answer the start never ends: the process took calls on, did not announce its stop, and was killed at the end of the grace period with its connections open. Change: the signal and the start are waited for together; a kernel that closes starts no further plug-in, and the process opens no server for peers once it stops. Conclusion: a bound that others keep by the clock begins with their signal.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
@@ -162,6 +162,9 @@
     void configuration.run();
     void configuration.runPeerRequests();
     const secret = await readPeerSecret(store, kernel.clock, logger, stopped.signal);
+    if (stopped.signal.aborted) {
+      return;
+    }
     const connector = new HttpPeerConnector(secret);
     kernel.lifecycle.add('peer connections', async () => connector.close());
     kernel.registerService(PEER_CONNECTOR, () => connector);
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonProcess.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonProcess.ts
@@ -50,9 +50,12 @@
     throw error;
   });
   logger.recordInfo('process-starting', { zone, fitness: Number(fitness.toFixed(2)) });
-  await kernel.start();
-  logger.recordInfo('process-started', { upMs: Math.round(process.uptime() * 1_000) });
-  const signal = await stopSignal;
+  const started = kernel.start().then(async () => {
+    logger.recordInfo('process-started', { upMs: Math.round(process.uptime() * 1_000) });
+    return stopSignal;
+  });
+  // The grace period begins with the signal, also while the start waits for the store.
+  const signal = await Promise.race([started, stopSignal]);
   state.recordStop();
   setTimeout(() => {
     logger.recordWarning('process-stop-cut-short');
--- a/packages/baobabwell-kernel/src/BaobabwellKernel.ts
+++ b/packages/baobabwell-kernel/src/BaobabwellKernel.ts
@@ -71,9 +71,12 @@
     this.lifecycle.add(`plug-in ${plugin.name}`, plugin.register(this));
   }
 
-  /** Starts all plug-ins in order of registration. */
+  /** Starts all plug-ins in order of registration, until the kernel closes. */
   async start(): Promise<void> {
     for (const plugin of this.#plugins) {
+      if (this.lifecycle.isClosing) {
+        return;
+      }
       await plugin.start?.(this);
     }
   }
--- a/packages/baobabwell-kernel/src/BaobabwellKernelLifecycle.ts
+++ b/packages/baobabwell-kernel/src/BaobabwellKernelLifecycle.ts
@@ -37,6 +37,11 @@
     this.#clock = clock;
   }
 
+  /** True once closing has begun. */
+  get isClosing(): boolean {
+    return this.#closing !== null;
+  }
+
   /**
    * Adds a resource, which is closed together with the others.
    *
--- a/tests/process/soak/deployment.ts
+++ b/tests/process/soak/deployment.ts
@@ -42,8 +42,8 @@
   });
 }
 
-/** Finds a port from which on several are free on all hosts. */
-async function findPorts(hosts: readonly string[]): Promise<number> {
+/** Finds a port from which on those of a process are free on all hosts. */
+export async function findPorts(hosts: readonly string[]): Promise<number> {
   let base = FIRST_PORT + ((process.pid * PORTS_PER_DAEMON) % PORT_RANGE);
   for (;;) {
     const first = base;
@@ -57,7 +57,8 @@
   }
 }
 
-function createSettings(name: string, host: string, base: number, store: string): unknown {
+/** Creates the settings file of a process. */
+export function createSettings(name: string, host: string, base: number, store: string): unknown {
   return {
     'node-name': name,
     role: 'entry',
