--- a/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
@@ -183,6 +183,9 @@
     void configuration.run();
     void configuration.runPeerRequests();
     const secret = await readPeerSecret(store, kernel.clock, logger, stopped.signal);
+    if (stopped.signal.aborted) {
+      return;
+    }
     const connector = new HttpPeerConnector(secret, (peer) =>
       logger.recordWarning('connections-renewed', { service: 'peer', peer }),
     );
