jobs: the progress row of a job with many occurrences stays within the store's limit

Change: from 8,001 occurrences that are done on, the row holds ranges of them (doneRanges) and an empty list; for jobs of more than 8,000 occurrences it leaves out those that have not made any progress, which are restored the same without it. Older builds do not read doneRanges and would run such occurrences again: they must not be put back while such a job is open. Rows of all other jobs are as before. Not taken: ranges for all jobs, which would change the rows that older builds read. Conclusion: this takes away the known way to a refused row; a refused row still keeps all others from being stored.

--- a/packages/baobabwell-jobs/src/BaobabwellJobsRows.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRows.ts
@@ -9,6 +9,12 @@
 
 const HEX = 16;
 
+/**
+ * Number of occurrences up to which they are listed one by one, as older builds read them. The longest list
+ * stays under the 64 KiB that the store takes for a row.
+ */
+const MAX_LISTED_OCCURRENCES = 8_000;
+
 const taskProgress = z.tuple([
   z.number().int(),
   z.number().int(),
@@ -53,6 +59,8 @@
 const jobProgress = z.object({
   state: z.enum(JobState),
   doneOccurrences: z.array(z.number().int()),
+  /** First and last of consecutive occurrences that are done, in place of a long list; older builds do not read this. */
+  doneRanges: z.array(z.tuple([z.number().int(), z.number().int()])).optional(),
   occurrences: z.array(z.tuple([z.number().int(), z.array(stepProgress)])),
 });
 
@@ -115,24 +123,55 @@
   };
 }
 
+/** Returns true for a step whose progress differs from that of one that has not begun. */
+function hasDetail({ done, tasks, crashes, leftover }: z.infer<typeof stepProgress>): boolean {
+  return done !== '0' || tasks.length > 0 || crashes !== undefined || leftover !== undefined;
+}
+
+function createRanges(numbers: ReadonlySet<number>): [number, number][] {
+  const ranges: [number, number][] = [];
+  [...numbers]
+    .toSorted((left, right) => left - right)
+    .forEach((number) => {
+      const last = ranges.at(-1);
+      if (last?.[1] === number - 1) {
+        last[1] = number;
+      } else {
+        ranges.push([number, number]);
+      }
+    });
+  return ranges;
+}
+
+/** Creates the fields for the occurrences that are done. */
+function createDoneOccurrences({
+  doneOccurrences,
+}: Job): Pick<JobProgress, 'doneOccurrences' | 'doneRanges'> {
+  return doneOccurrences.size <= MAX_LISTED_OCCURRENCES
+    ? { doneOccurrences: [...doneOccurrences] }
+    : { doneOccurrences: [], doneRanges: createRanges(doneOccurrences) };
+}
+
 /**
  * Creates the progress row of a job; occurrences that are done, and all once the job has ended, are stored
  * without detail unless runs of theirs may exist.
  */
 export function createJobProgress(job: Job, leftoverRuns: LeftoverRuns = new Map()): JobProgress {
   const hasLeftover = (step: Step): boolean => (leftoverRuns.get(step) ?? 0) > 0;
+  const listsAll = job.countOccurrences() <= MAX_LISTED_OCCURRENCES;
   return {
     state: job.state,
-    doneOccurrences: [...job.doneOccurrences],
+    ...createDoneOccurrences(job),
     occurrences: [...job.occurrences]
       .filter(
         ([occurrence, steps]) =>
           !(job.isEnded || job.doneOccurrences.has(occurrence)) || steps.some(hasLeftover),
       )
-      .map(([occurrence, steps]) => [
+      .map(([occurrence, steps]): JobProgress['occurrences'][number] => [
         occurrence,
         steps.map((step) => createStepProgress(step, leftoverRuns)),
-      ]),
+      ])
+      .filter(([, steps]) => listsAll || steps.some(hasDetail)),
   };
 }
 
@@ -163,6 +202,11 @@
 /** Restores the progress of a job that was just read from its persisted row. */
 export function restoreJobProgress(job: Job, progress: JobProgress, nowMs: number): void {
   progress.doneOccurrences.forEach((occurrence) => job.doneOccurrences.add(occurrence));
+  progress.doneRanges?.forEach(([first, last]) => {
+    for (let occurrence = first; occurrence <= last; occurrence += 1) {
+      job.doneOccurrences.add(occurrence);
+    }
+  });
   progress.occurrences.forEach(([occurrence, stepRows]) => {
     job.getOccurrence(occurrence).forEach((step, position) => {
       const row = stepRows[position];
