job-emulator: an emulated owner has a processor that can be full

Change: `EmulatedProcessor`: what is due for a process runs when everything before it is done, and its clock is ahead by what runs. `processorCosts` of a fleet gives the time of a run's start, of a request of a peer and of each activity; none by default. `submitOffered` offers a job and stores it unless it is refused.

--- a/packages/baobabwell-emulator/src/BaobabwellEmulatorTime.ts
+++ b/packages/baobabwell-emulator/src/BaobabwellEmulatorTime.ts
@@ -91,7 +91,7 @@
         callback();
       }
     };
-    const cancel = this.#time.startTimer(delayMs, () => this.#handleTimer(run));
+    const cancel = this.#time.startTimer(delayMs, () => this.handleTimer(run));
     return () => {
       isCancelled = true;
       cancel();
@@ -121,7 +121,7 @@
       this.#state = ProcessState.Running;
       const overdue = this.#overdue;
       this.#overdue = [];
-      overdue.forEach((run) => this.#time.startTimer(0, () => this.#handleTimer(run)));
+      overdue.forEach((run) => this.#time.startTimer(0, () => this.handleTimer(run)));
     }
   }
 
@@ -131,7 +131,8 @@
     this.#overdue = [];
   }
 
-  #handleTimer(run: () => void): void {
+  /** Runs what is due, or keeps it while the process is paused. */
+  protected handleTimer(run: () => void): void {
     if (this.#state === ProcessState.Running) {
       run();
     } else if (this.#state === ProcessState.Paused) {
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -1,17 +1,18 @@
+import type { ProcessorCosts } from './BaobabwellJobEmulatorProcessor';
 import type { TableFaults } from './BaobabwellJobEmulatorStore';
 import type { TermContext } from '@baobabwell/controller';
-import type { ListedWorker, MaintenanceWave, WaveState } from '@baobabwell/fleet';
+import type { ProcessClock } from '@baobabwell/emulator';
+import type { ListedWorker, MaintenanceWave } from '@baobabwell/fleet';
 import type { OfferReply } from '@baobabwell/ingress';
 import type { JobRecord, JobState, RepeatSpec, Resources, StepSpec } from '@baobabwell/jobs';
 import type { JsonValue } from '@baobabwell/platform';
 
 import { Controller } from '@baobabwell/controller';
-import { EmulatedTime, ProcessClock } from '@baobabwell/emulator';
+import { EmulatedTime } from '@baobabwell/emulator';
 import { CANCELLED_SUFFIX, getJobPartition, JOBS_TABLE } from '@baobabwell/ingress';
 import { Logger, LogLevel } from '@baobabwell/logging';
 import { DaemonMetrics } from '@baobabwell/metrics';
 import { Ownership } from '@baobabwell/ownership';
-import { ProcessorTime } from '@baobabwell/processor-time';
 import { Random } from '@baobabwell/utils';
 
 import { EmulatedCloud } from './BaobabwellJobEmulatorCloud';
@@ -20,40 +21,36 @@
   CAPACITY,
   CONFIGURATION,
   MAX_ATTEMPTS,
-  PLAIN_STEP,
   POOL,
   QUEUE,
   SPARE_POOL,
 } from './BaobabwellJobEmulatorConfiguration';
-import {
-  CrashRecovery,
-  DRAIN_MS,
-  EVACUATION_MS,
-  EmulatedHost,
-  getGang,
-  HEARTBEAT_MS,
-  MAX_LEASE_MS,
-} from './BaobabwellJobEmulatorHost';
+import { CrashRecovery, EmulatedHost, getGang, HEARTBEAT_MS } from './BaobabwellJobEmulatorHost';
+import { createJobRecord, getAddress, getZone, ID_SEPARATOR } from './BaobabwellJobEmulatorNames';
 import { JobOracle } from './BaobabwellJobEmulatorOracle';
 import { createHostFaults, EmulatedHostOrders } from './BaobabwellJobEmulatorOrders';
 import { EmulatedPeerReports } from './BaobabwellJobEmulatorPeers';
+import {
+  EmulatedProcessor,
+  EmulatedProcessorTime,
+  NO_PROCESSOR_COSTS,
+  ProcessorClock,
+} from './BaobabwellJobEmulatorProcessor';
 import {
   EmulatedJobStore,
   EmulatedRows,
   NO_STORE_FAULTS,
   NO_TABLE_FAULTS,
 } from './BaobabwellJobEmulatorStore';
+import {
+  BOUNDS,
+  CODEC,
+  EVACUATION_PREFIX,
+  OPERATOR_TABLE,
+  STATUS_TABLE,
+} from './BaobabwellJobEmulatorTables';
 import { EmulatedWorkerRows, WORKERS_TABLE } from './BaobabwellJobEmulatorWorkers';
 
-const OPERATOR_TABLE = 'operator';
-const STATUS_TABLE = 'status';
-
-/** Prefix of the operator's rows that evacuate a zone. */
-const EVACUATION_PREFIX = 'evacuate/';
-
-/** Zones over which hosts and machines are spread by the first number in their names. */
-const ZONES = ['north', 'south', 'west'];
-
 /** Time after which the row of a dead host is removed, in ms. */
 const HOST_ROW_LAG_MS = 4_500;
 
@@ -63,32 +60,19 @@
 /** Longest time in which a process releases its ownership, in ms. */
 const STOP_LIMIT_MS = 2_000;
 
-const HEX = 16;
-const ID_LENGTH = 16;
-
-/** Separates the address of a host from the number of its incarnation. */
-const ID_SEPARATOR = '~';
+/** Time after which an offer counts as unanswered, in ms. */
+const OFFER_TIMEOUT_MS = 1_000;
 
 /** One emulated process, a candidate for ownership. */
 type Daemon = {
   readonly name: string;
   readonly clock: ProcessClock;
+  readonly processor: EmulatedProcessor;
   readonly ownership: Ownership;
   readonly controller: Controller;
   readonly store: EmulatedJobStore;
 };
 
-/** Returns the address of a host, which a later incarnation under another id shares. */
-function getAddress(id: string): string {
-  return id.split(ID_SEPARATOR)[0] ?? id;
-}
-
-/** Returns the zone of a host or a machine, which a later worker on the machine shares. */
-function getZone(name: string, zoneCount: number): string {
-  const number = Number(/\d+/.exec(name)?.[0] ?? 0);
-  return ZONES[number % zoneCount] ?? '';
-}
-
 /** Several candidates for ownership, their hosts and their store on one clock. */
 export class EmulatedJobFleet {
   readonly time = new EmulatedTime();
@@ -110,6 +94,9 @@
   /** The operator's configuration, in force at once. */
   configuration = CONFIGURATION;
 
+  /** What the activities of processes started later cost. */
+  processorCosts: ProcessorCosts = NO_PROCESSOR_COSTS;
+
   /** How a host comes back after a task crashed it. */
   crashRecovery = CrashRecovery.SameId;
 
@@ -204,7 +191,8 @@
 
   /** Starts a process; an earlier one of the same name must be dead. */
   startDaemon(name: string): void {
-    const clock = new ProcessClock(this.time);
+    const processor = new EmulatedProcessor(this.time, this.processorCosts);
+    const clock = new ProcessorClock(this.time, processor);
     const store = new EmulatedJobStore(clock, this.time, this.#random, this.rows);
     const logger = new Logger(LogLevel.Info, { daemon: name }, (line) =>
       this.logLines.push(`${this.time.getNow()} ${line}`),
@@ -225,32 +213,14 @@
       clock,
       logger,
       metrics: new DaemonMetrics().owner,
-      processorTime: new ProcessorTime(() => clock.getNow()),
-      bounds: {
-        maxHostLeaseMs: MAX_LEASE_MS,
-        machineOrderDelayMs: 3_000,
-        maintenanceMs: 2_000,
-        cancellationMs: 3_000,
-        endedJobMs: 120_000,
-        drainMs: DRAIN_MS,
-        evacuationMs: EVACUATION_MS,
-        farFactor: 1,
-      },
-      codec: {
-        workersTable: WORKERS_TABLE,
-        operatorTable: OPERATOR_TABLE,
-        statusTable: STATUS_TABLE,
-        decodeWorker: (_id, value) => value as unknown as ListedWorker,
-        decodeEvacuatedZone: (key) =>
-          key.startsWith(EVACUATION_PREFIX) ? key.slice(EVACUATION_PREFIX.length) : null,
-        decodeWave: (_key, value) => value as unknown as MaintenanceWave,
-        getWaveStatusKey: (wave) => String(wave),
-        encodeWaveStatus: (state: WaveState) => ({ state }),
-      },
+      processorTime: new EmulatedProcessorTime(processor),
+      bounds: BOUNDS,
+      codec: CODEC,
       store,
       orders: new EmulatedHostOrders({
         process: name,
         clock,
+        processor,
         sharedClock: this.time,
         random: this.#random,
         faults: this.faults,
@@ -262,7 +232,7 @@
       peerReports: new EmulatedPeerReports(name, this.#daemons, this.processesWithoutPeers),
       getConfiguration: () => this.configuration,
     });
-    this.#daemons.set(name, { name, clock, ownership, controller, store });
+    this.#daemons.set(name, { name, clock, processor, ownership, controller, store });
     void ownership.run();
     void ownership.runRenewals();
   }
@@ -421,22 +391,36 @@
     }: { rowLagMs?: number; repeat?: RepeatSpec | null; queue?: string } = {},
   ): string {
     const record = { ...this.#createRecord(steps, repeat), queue };
-    const { id } = record;
-    this.oracle.jobs.set(id, record);
-    const putRow = (): void =>
-      this.#put(JOBS_TABLE, id, record as unknown as JsonValue, getJobPartition(id));
     if (rowLagMs === 0) {
-      putRow();
+      this.#putJob(record);
     } else {
-      this.time.startTimer(rowLagMs, putRow);
+      this.oracle.jobs.set(record.id, record);
+      this.time.startTimer(rowLagMs, () => this.#putJob(record));
     }
-    return id;
+    return record.id;
   }
 
   /** Asks the owner whether it would admit a job, which is not stored; `null` while there is no owner. */
   async offer(steps: readonly Partial<StepSpec>[]): Promise<OfferReply | null> {
-    const owner = this.#daemons.get(this.findOwner() ?? '');
-    return (await owner?.controller.offer(this.#createRecord(steps, null))) ?? null;
+    return this.#offerRecord(this.#createRecord(steps, null));
+  }
+
+  /**
+   * Offers a job to the owner and stores it unless it is refused, as any process of the fleet does; an
+   * owner that does not answer in time refuses nothing.
+   */
+  async submitOffered(
+    steps: readonly Partial<StepSpec>[],
+  ): Promise<{ readonly id: string; readonly offer: OfferReply | null }> {
+    const record = this.#createRecord(steps, null);
+    const offer = await Promise.race([
+      this.#offerRecord(record),
+      this.time.wait(OFFER_TIMEOUT_MS).then(() => null),
+    ]);
+    if (offer?.isWanted !== false) {
+      this.#putJob(record);
+    }
+    return { id: record.id, offer };
   }
 
   cancel(jobId: string): void {
@@ -447,10 +431,9 @@
 
   /** Finds the state of a job as the owner reports it; `null` while there is no owner. */
   async findState(jobId: string): Promise<JobState | null> {
-    const owner = this.findOwner();
-    return owner === null
-      ? null
-      : ((await this.#daemons.get(owner)?.controller.findState(jobId)) ?? null);
+    const owner = this.#daemons.get(this.findOwner() ?? '');
+    await this.#sendRequest(owner);
+    return (await owner?.controller.findState(jobId)) ?? null;
   }
 
   /** Finds the term context of the owner; `null` while there is no owner. */
@@ -468,19 +451,29 @@
     });
   }
 
+  async #offerRecord(record: JobRecord): Promise<OfferReply | null> {
+    const owner = this.#daemons.get(this.findOwner() ?? '');
+    await this.#sendRequest(owner);
+    return (await owner?.controller.offer(record)) ?? null;
+  }
+
+  /** Waits until a process serves a request of a peer, if requests take its time. */
+  async #sendRequest(owner: Daemon | undefined): Promise<void> {
+    if (owner !== undefined && this.processorCosts.requestMs > 0) {
+      await owner.clock.wait(0);
+      owner.processor.spend(this.processorCosts.requestMs);
+    }
+  }
+
+  #putJob(record: JobRecord): void {
+    const { id } = record;
+    this.oracle.jobs.set(id, record);
+    this.#put(JOBS_TABLE, id, record as unknown as JsonValue, getJobPartition(id));
+  }
+
   #createRecord(steps: readonly Partial<StepSpec>[], repeat: RepeatSpec | null): JobRecord {
     this.#jobCount += 1;
-    return {
-      id: this.#jobCount.toString(HEX).padStart(ID_LENGTH, '0'),
-      queue: QUEUE,
-      organisation: 'guild',
-      acceptedAtMs: this.time.getWallTime(),
-      spec: {
-        payload: '',
-        steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })),
-        repeat,
-      },
-    };
+    return createJobRecord(this.#jobCount, this.time.getWallTime(), steps, repeat);
   }
 
   #recoverCrashedHost(host: EmulatedHost): void {
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOrders.ts
@@ -1,4 +1,5 @@
 import type { EmulatedHost } from './BaobabwellJobEmulatorHost';
+import type { EmulatedProcessor } from './BaobabwellJobEmulatorProcessor';
 import type {
   HoldOrder,
   HostIncarnation,
@@ -83,6 +84,8 @@
 
   readonly #clock: Clock;
 
+  readonly #processor: EmulatedProcessor;
+
   readonly #sharedClock: Clock;
 
   readonly #random: Random;
@@ -94,6 +97,7 @@
   constructor(options: {
     readonly process: string;
     readonly clock: Clock;
+    readonly processor: EmulatedProcessor;
     readonly sharedClock: Clock;
     readonly random: Random;
     readonly faults: HostFaults;
@@ -102,6 +106,7 @@
     super();
     this.#process = options.process;
     this.#clock = options.clock;
+    this.#processor = options.processor;
     this.#sharedClock = options.sharedClock;
     this.#random = options.random;
     this.#faults = options.faults;
@@ -115,6 +120,7 @@
     if (!order.isAllowed()) {
       return createError({ kind: OrderRefusal.NotSent, clockMs: null, cause: 'not allowed' });
     }
+    this.#processor.spendOnStart();
     return this.#send(host.id, OrderKind.Start, async (target, lateMs) =>
       target.start(order, lateMs),
     );
--- a/packages/baobabwell-job-emulator/src/index.ts
+++ b/packages/baobabwell-job-emulator/src/index.ts
@@ -1,5 +1,6 @@
 export type { InvariantViolation } from './BaobabwellJobEmulatorOracle';
 export type { HostFaults } from './BaobabwellJobEmulatorOrders';
+export type { ProcessorCosts } from './BaobabwellJobEmulatorProcessor';
 export type { StoreFaults, TableFaults } from './BaobabwellJobEmulatorStore';
 
 export { CANCEL_MS, CANCELLED_RUN_MS } from './BaobabwellJobEmulatorCancellations';
@@ -15,6 +16,13 @@
 export { CrashRecovery, EmulatedHost } from './BaobabwellJobEmulatorHost';
 export { JobOracle, JobInvariant } from './BaobabwellJobEmulatorOracle';
 export { formatAnswer, formatRoute, OrderKind } from './BaobabwellJobEmulatorOrders';
+export {
+  EmulatedProcessor,
+  EmulatedProcessorTime,
+  NO_PROCESSOR_COSTS,
+  ProcessorClock,
+  scaleCosts,
+} from './BaobabwellJobEmulatorProcessor';
 export {
   EmulatedJobStore,
   EmulatedRows,
