ownership, controller: what the review of the takeover found

Cause: reading by one who had not seen the work. Two attempts may share an epoch: the first, unanswered, could be stored late and be dropped by the conflict of the second, or begin a term whose lease counts from the second sending. A late answer could put an older owner back after a later one was shown. A stop waited for the answer of a takeover whose term had begun already. A lease keeper read the clock after its permission. Change: the lease of a term that the watch shows counts from the first sending for its epoch, which a later conflict does not drop; an attempt ends once a later owner is shown; a stop waits only while there is no term; the keeper reads the clock first. Conclusion: an attempt is known by its epoch, and its permission counts from the first sending.

--- a/packages/baobabwell-controller/src/BaobabwellControllerLeaseKeeper.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerLeaseKeeper.ts
@@ -53,8 +53,12 @@
     const state = isKnown ? host.state : new IncarnationState(this.#clock.getNow());
     let keptBornMs = isKnown ? host.bornMs : null;
     let hasAnswered = isKnown && host.isReachable;
-    while (!signal.aborted && this.#canRenew()) {
+    while (!signal.aborted) {
+      // Before the permission is checked, so that a pause in between makes the lease no longer.
       const sentAtMs = this.#clock.getNow();
+      if (!this.#canRenew()) {
+        return;
+      }
       // The lease of an unresponsive host is not extended, so that its runs expire eventually.
       const leaseEndMs = hasAnswered && state.hasClock ? state.extendLease(sentAtMs) : null;
       host.state.recordOtherLeases(state.getExpiredAtMs());
--- a/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
@@ -73,6 +73,8 @@
   readonly owner: Owner;
   readonly before: Owner | null;
   readonly sentAt: ClockReading;
+  /** Time at which the first transaction for the same epoch was sent: the store may have kept that one. */
+  readonly firstSentAt: ClockReading;
   /** Monotonic time at which the latest renewal of the former owner was seen, in ms. */
   readonly renewalSeenAtMs: number;
 };
@@ -293,8 +295,10 @@
   /** Stops seeking ownership, and releases it if this daemon is the owner. */
   async stop(): Promise<void> {
     this.#stopped.abort();
-    // A takeover that is stored makes this daemon the owner, also while it stops.
-    await this.#acquisition;
+    if (this.#term === null) {
+      // A takeover that is stored makes this daemon the owner, also while it stops.
+      await this.#acquisition;
+    }
     const term = this.#term;
     if (term === null || this.#owner === null) {
       return;
@@ -362,13 +366,14 @@
    */
   #applyAttempt(version: number): void {
     const attempt = this.#attempt;
-    if (attempt === null || this.#owner?.epoch !== attempt.owner.epoch) {
+    if (attempt === null || (this.#owner?.epoch ?? 0) < attempt.owner.epoch) {
       return;
     }
-    const isOwn =
-      this.#isOwnRow() && this.#owner.life === attempt.owner.life && !this.#stopped.signal.aborted;
-    if (isOwn && getElapsedMs(this.#clock, attempt.sentAt) < OWNER_LEASE_MS) {
-      this.#startTerm(attempt, version);
+    const { firstSentAt, owner } = attempt;
+    const isShown =
+      this.#isOwnRow() && this.#owner?.life === owner.life && this.#owner.epoch === owner.epoch;
+    if (isShown && getElapsedMs(this.#clock, firstSentAt) < OWNER_LEASE_MS) {
+      this.#startTerm({ ...attempt, sentAt: firstSentAt }, version);
     } else {
       this.#attempt = null;
     }
@@ -436,10 +441,13 @@
       isReleased: false,
       unloadedTerms,
     };
+    const sentAt = readClocks(this.#clock);
+    const former = this.#attempt?.owner.epoch === epoch ? this.#attempt : null;
     const attempt: Attempt = {
       owner,
       before,
-      sentAt: readClocks(this.#clock),
+      sentAt,
+      firstSentAt: former?.firstSentAt ?? sentAt,
       renewalSeenAtMs: this.#renewalSeenAtMs,
     };
     this.#attempt = attempt;
@@ -460,8 +468,9 @@
     if (!reply.ok) {
       // If the outcome is unknown, the watch shows the row if this daemon is the owner.
       const { kind } = reply.error;
-      this.#attempt =
-        kind === TableErrorKind.Unavailable && reply.error.mayHaveCommitted ? attempt : null;
+      const mayBeStored =
+        former !== null || (kind === TableErrorKind.Unavailable && reply.error.mayHaveCommitted);
+      this.#attempt = mayBeStored ? attempt : null;
       this.#renewalSeenAtMs = this.#clock.getNow();
       this.#wasRefused = kind === TableErrorKind.Unavailable;
       this.#logger.recordInfo('ownership-not-acquired', { epoch, reason: kind });
