ingress, daemon: calls that still wait are answered before a stopping process ends

Cause: a process ends 0.5 s before the end of the grace period, whatever waits; a call whose body came late and whose write the store answers slowly was cut without an answer. Change: 300 ms before that end, and before the time limit of closing callers, every waiting call gets an answer, and later ones at once: reads 503, submissions and cancellations 504, because their outcome is not known; a caller then repeats them elsewhere.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
@@ -2,6 +2,7 @@
 import type { FastifyInstance } from 'fastify';
 
 import { IngressServer, JobSubmissionService } from '@baobabwell/ingress';
+import { createServiceToken } from '@baobabwell/kernel';
 
 import { RelayedStore } from './BaobabwellDaemonRelayedStore';
 import {
@@ -24,6 +25,17 @@
 /** Part of the grace period that is reserved for closing everything else, in ms. */
 const CLOSE_RESERVE_MS = 1_000;
 
+/** Time before the end of the process at which calls that still wait are answered, in ms. */
+const ANSWER_RESERVE_MS = 300;
+
+/** What is open for callers; it outlasts the services of the plug-in, which are removed before it is closed. */
+type OpenIngress = {
+  readonly servers: FastifyInstance[];
+  endCalls: () => void;
+};
+
+const OPEN_INGRESS = createServiceToken<OpenIngress>('openIngress');
+
 function createServer(kernel: Kernel): IngressServer {
   const { store: direct, protocol } = kernel.getService(ADAPTERS);
   const peers = kernel.getService(PEERS);
@@ -67,29 +79,35 @@
 export const ingressPlugin: Plugin = {
   name: 'ingress',
   register(kernel) {
-    const openServers: FastifyInstance[] = [];
+    const open: OpenIngress = { servers: [], endCalls: () => {} };
+    const { clock } = kernel;
     const { graceMs } = kernel.getService(SETTINGS);
     const state = kernel.getService(STATE);
     const closeTimeoutMs = Math.max(CLOSE_RESERVE_MS, graceMs - CLOSE_RESERVE_MS);
     kernel.lifecycle.add(
       'callers',
       async () => {
+        const nowMs = clock.getNow();
+        const endsAtMs = Math.min(nowMs + closeTimeoutMs, state.endsAtMs) - ANSWER_RESERVE_MS;
+        const cancelTimer = clock.startTimer(Math.max(0, endsAtMs - nowMs), () => open.endCalls());
         if (state.isStopping) {
-          await kernel.clock.wait(Math.min(LAME_DUCK_MS, closeTimeoutMs / 2));
+          await clock.wait(Math.min(LAME_DUCK_MS, closeTimeoutMs / 2));
         }
-        await Promise.all(openServers.map(async (server) => server.close()));
+        await Promise.all(open.servers.map(async (server) => server.close()));
+        cancelTimer();
       },
       closeTimeoutMs,
     );
-    return kernel.registerService({ name: 'ingressServers' }, () => openServers);
+    return kernel.registerService(OPEN_INGRESS, () => open);
   },
   async start(kernel) {
     const { callers, readiness } = kernel.getService(SETTINGS);
     const server = createServer(kernel);
-    const openServers = kernel.getService<FastifyInstance[]>({ name: 'ingressServers' });
+    const open = kernel.getService(OPEN_INGRESS);
+    open.endCalls = () => server.endCalls();
     const callerServer = server.buildCallerServer();
     const readinessServer = server.buildReadinessServer();
-    openServers.push(callerServer, readinessServer);
+    open.servers.push(callerServer, readinessServer);
     await Promise.all([callerServer.listen(callers), readinessServer.listen(readiness)]);
   },
 };
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonProcess.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonProcess.ts
@@ -56,7 +56,7 @@
   });
   // The grace period begins with the signal, also while the start waits for the store.
   const signal = await Promise.race([started, stopSignal]);
-  state.recordStop();
+  state.recordStop(clock.getNow() + settings.graceMs - EXIT_RESERVE_MS);
   setTimeout(() => {
     logger.recordWarning('process-stop-cut-short');
     writer.flush();
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonState.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonState.ts
@@ -1,13 +1,18 @@
 /** Holds whether this process is stopping. */
 export class DaemonState {
-  #isStopping = false;
+  #endsAtMs = Infinity;
 
   get isStopping(): boolean {
-    return this.#isStopping;
+    return this.#endsAtMs < Infinity;
   }
 
-  /** Records that the process received a stop signal. */
-  recordStop(): void {
-    this.#isStopping = true;
+  /** Monotonic time at which the process ends in any case, in ms; infinite while it is not stopping. */
+  get endsAtMs(): number {
+    return this.#endsAtMs;
+  }
+
+  /** Records that the process received a stop signal, and when it ends in any case. */
+  recordStop(endsAtMs: number): void {
+    this.#endsAtMs = endsAtMs;
   }
 }
--- a/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
@@ -49,10 +49,33 @@
   readonly recordCall: (call: AnsweredCall) => void;
 };
 
+/** An answer, and what is known of its call. */
+type CallOutcome = {
+  readonly answer: Answer;
+  readonly queue: QueueSettings | null;
+  readonly kind: ClientRequestKind | null;
+  readonly jobId: string | null;
+};
+
+/** Creates the answer to a call whose outcome this process will not learn. */
+function createEndedOutcome({ method }: RawCall): CallOutcome {
+  const reason = 'this process ends';
+  const answer: Answer =
+    method === 'GET'
+      ? { kind: AnswerKind.Unavailable, reason, retryAfterMs: NO_CONFIGURATION_RETRY_AFTER_MS }
+      : { kind: AnswerKind.UnknownOutcome, reason };
+  return { answer, queue: null, kind: null, jobId: null };
+}
+
 /** HTTP server for callers; answers every call with its outcome. */
 export class IngressServer {
   readonly #context: IngressContext;
 
+  /** Calls that wait for their answers; each ends its call. */
+  readonly #waiting = new Set<() => void>();
+
+  #isEnding = false;
+
   constructor(context: IngressContext) {
     this.#context = context;
   }
@@ -81,6 +104,12 @@
     return server;
   }
 
+  /** Answers all calls that wait, and later ones at once, because the process is about to end. */
+  endCalls(): void {
+    this.#isEnding = true;
+    this.#waiting.forEach((end) => end());
+  }
+
   async #handle(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
     const startedAtMs = this.#context.clock.getNow();
     const { protocol } = this.#context;
@@ -93,7 +122,7 @@
       requestId: protocol.findRequestId(request.headers),
       body: Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0),
     };
-    const { answer, queue, kind, jobId } = await this.#answer(call);
+    const { answer, queue, kind, jobId } = await this.#answerBeforeEnd(call);
     const { status, headers, body } = protocol.formatAnswer(answer);
     this.#record(answer, { queue, kind, jobId, requestId: call.requestId, startedAtMs });
     if (this.#context.isStopping()) {
@@ -132,12 +161,20 @@
     }
   }
 
-  async #answer(call: RawCall): Promise<{
-    readonly answer: Answer;
-    readonly queue: QueueSettings | null;
-    readonly kind: ClientRequestKind | null;
-    readonly jobId: string | null;
-  }> {
+  async #answerBeforeEnd(call: RawCall): Promise<CallOutcome> {
+    if (this.#isEnding) {
+      return createEndedOutcome(call);
+    }
+    return new Promise((resolve, reject) => {
+      const end = (): void => resolve(createEndedOutcome(call));
+      this.#waiting.add(end);
+      this.#answer(call)
+        .then(resolve, reject)
+        .finally(() => this.#waiting.delete(end));
+    });
+  }
+
+  async #answer(call: RawCall): Promise<CallOutcome> {
     const configuration = this.#context.getConfiguration();
     const none = { queue: null, kind: null, jobId: null };
     if (configuration === null || this.#context.isOutdated()) {
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
@@ -45,6 +45,9 @@
 }
 
 class UnresponsiveOwner extends OwnerClient {
+  /** True while calls get no answer at all. */
+  isSilent = false;
+
   override async offer(): Promise<null> {
     return null;
   }
@@ -54,7 +57,7 @@
   }
 
   override async countWaiting(): Promise<null> {
-    return null;
+    return this.isSilent ? new Promise(() => {}) : null;
   }
 }
 
@@ -68,6 +71,8 @@
 describe('IngressServer', () => {
   let configuration: FleetConfiguration | null;
   let isOutdated: boolean;
+  let ingress: IngressServer;
+  let owner: UnresponsiveOwner;
   let server: FastifyInstance;
   let calls: AnsweredCall[];
   let lines: string[];
@@ -80,11 +85,12 @@
     lines = [];
     const logger = new Logger(LogLevel.Info, {}, (line) => lines.push(line));
     const store = new EmulatedJobStore(time, time, new Random(1), new EmulatedRows());
-    const ingress = new IngressServer({
+    owner = new UnresponsiveOwner();
+    ingress = new IngressServer({
       protocol: new FakeProtocol(),
       submissions: new JobSubmissionService({
         store,
-        owner: new UnresponsiveOwner(),
+        owner,
         clock: time,
         logger,
       }),
@@ -146,4 +152,18 @@
     );
     expect(performance.now() - startedAt < 10_000).toEqual(true);
   });
+
+  it('answers calls that still wait, and later ones, when the process ends', async () => {
+    owner.isSilent = true;
+    const post = { method: 'POST', url: '/bakes/', headers: { host: 'bakery.example' } } as const;
+    const waiting = [request('/bakes/'), server.inject(post)] as const;
+    await new Promise(setImmediate);
+    ingress.endCalls();
+    const [read, { body }] = await Promise.all(waiting);
+    expect([read, body, await request('/bakes/')]).toEqual([
+      AnswerKind.Unavailable,
+      JSON.stringify({ kind: AnswerKind.UnknownOutcome }),
+      AnswerKind.Unavailable,
+    ]);
+  });
 });
--- a/tests/process/signals.test.ts
+++ b/tests/process/signals.test.ts
@@ -10,7 +10,9 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { promisify } from 'node:util';
 
+import { CallEnd, KeptConnection } from './soak/client';
 import { createSettings, findPorts, GRACE_MS } from './soak/deployment';
+import { createJobBody, createJobId, KEY, PREFIX, QUEUE_HOST, SoakSite } from './soak/site';
 import { SoakStore } from './soak/store';
 
 const TEST_TIMEOUT_MS = 30_000;
@@ -20,6 +22,13 @@
 const SIGNAL_MS = 500;
 
 const POLL_MS = 50;
+const HTTP_GATEWAY_TIMEOUT = 504;
+
+/** Time between the two halves of a call that outlasts its process, in ms. */
+const LATE_BODY_MS = 4_500;
+
+/** Delay of a store whose answer to that call comes after the end of the process, in ms. */
+const SLOW_MS = 1_200;
 
 /** Delay of a store that answers nothing while the test runs, in ms. */
 const NEVER_MS = 120_000;
@@ -104,3 +113,39 @@
     expect(daemon.exitCode).toEqual(0);
   });
 });
+
+describe('SIGTERM to a process with calls', function () {
+  this.timeout(TEST_TIMEOUT_MS);
+
+  let site: SoakSite;
+
+  before(async () => {
+    await runFile('npx', ['tsx', 'scripts/build-daemon.ts']);
+  });
+
+  beforeEach(async () => {
+    site = new SoakSite();
+    const runs = { recordStart: () => {}, recordEnd: () => {} };
+    await site.start({ daemons: 1, workers: 1 }, runs, () => {});
+  });
+
+  afterEach(async () => site.close());
+
+  it('answers a call whose body came late and whose write the store answers too late', async () => {
+    const [daemon] = site.daemons;
+    if (daemon === undefined) {
+      throw new Error('no process was started');
+    }
+    const connection = new KeptConnection(daemon);
+    const body = createJobBody(1, SIGNAL_MS);
+    const path = `${PREFIX}${createJobId(1)}`;
+    const request = { method: 'POST', path, body, pieces: 2, pauseMs: LATE_BODY_MS };
+    const reply = connection.call(request, QUEUE_HOST, KEY);
+    await wait(POLL_MS);
+    site.store.delayMs = SLOW_MS;
+    daemon.terminate();
+    const { end, status } = await reply;
+    connection.close();
+    expect({ end, status }).toEqual({ end: CallEnd.Answered, status: HTTP_GATEWAY_TIMEOUT });
+  });
+});
