ownership, controller: leases on hosts are longer while the store is slow

Change: LeaseExtension measures the owner's renewals; while the last two took 80 ms or more, leases are longer by six such answers, hold-max-ms at most. The row of renewals names it (absent: none); a lease has it only once all renewals that the store may still carry out, and the one stored last, name it. A successor adds it to all waits for former leases and names it on for 20 s. With a fast store rows and leases are as before. Test of HostMajority: the new parameter is given as 0, and one test more. Conclusion: an owner lost in the first 2 s of a slow store still ends runs; what must cover that is the base lease or the wait of a takeover.

--- a/packages/baobabwell-controller/src/BaobabwellControllerHostMajority.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostMajority.ts
@@ -7,7 +7,7 @@
  * than half of the same hosts answered knows that one of them refused the former owner.
  */
 import type { Host } from './BaobabwellControllerHost';
-import type { Ownership } from '@baobabwell/ownership';
+import type { Ownership, Term } from '@baobabwell/ownership';
 import type { Clock } from '@baobabwell/utils';
 
 import {
@@ -49,12 +49,19 @@
  *
  * @param startedAtMs monotonic time after the takeover from which hosts are called.
  * @param majorityAtMs monotonic time at which more than half of the hosts had answered, or `null`.
+ * @param extensionMs time by which these leases may be longer than usual, in ms.
  */
-export function computeFormerLeasesEndMs(startedAtMs: number, majorityAtMs: number | null): number {
+export function computeFormerLeasesEndMs(
+  startedAtMs: number,
+  majorityAtMs: number | null,
+  extensionMs: number,
+): number {
   const latestMs = startedAtMs + MAX_FORMER_LEASE_MS;
-  return majorityAtMs === null
-    ? latestMs
-    : Math.min(latestMs, Math.max(startedAtMs + FORMER_LEASE_MS, majorityAtMs + FENCED_LEASE_MS));
+  const endMs =
+    majorityAtMs === null
+      ? latestMs
+      : Math.min(latestMs, Math.max(startedAtMs + FORMER_LEASE_MS, majorityAtMs + FENCED_LEASE_MS));
+  return endMs + extensionMs / (1 - MAX_CLOCK_DRIFT);
 }
 
 /** Returns true when the answered hosts are a majority: more than half. */
@@ -88,6 +95,9 @@
 
   readonly #hosts: ReadonlyMap<string, Host>;
 
+  /** Time by which leases of former owners may be longer than usual, in ms. */
+  readonly #formerExtensionMs: number;
+
   /** Hosts stored when the term began that have not answered yet. */
   readonly #silentFormerHosts = new Set<Host>();
 
@@ -102,10 +112,16 @@
 
   #hasQuorum = false;
 
-  constructor(clock: Clock, ownership: Ownership, hosts: ReadonlyMap<string, Host>) {
-    this.#clock = clock;
-    this.#ownership = ownership;
-    this.#hosts = hosts;
+  constructor(options: {
+    readonly clock: Clock;
+    readonly ownership: Ownership;
+    readonly hosts: ReadonlyMap<string, Host>;
+    readonly term: Term;
+  }) {
+    this.#clock = options.clock;
+    this.#ownership = options.ownership;
+    this.#hosts = options.hosts;
+    this.#formerExtensionMs = options.term.formerExtensionMs ?? 0;
   }
 
   /** Adds a host that was stored when the term began. */
@@ -128,7 +144,7 @@
 
   /** Returns the monotonic time by which leases of former owners on a silent host expired, in ms. */
   getFormerLeasesEndMs({ trackedSinceMs }: Host): number {
-    return computeFormerLeasesEndMs(trackedSinceMs, this.#majorityAtMs);
+    return computeFormerLeasesEndMs(trackedSinceMs, this.#majorityAtMs, this.#formerExtensionMs);
   }
 
   /** Returns true while hosts on which nothing runs are held too, because the owner cannot renew. */
--- a/packages/baobabwell-controller/src/BaobabwellControllerIncarnationState.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerIncarnationState.ts
@@ -78,13 +78,17 @@
     return { endMs: this.#leaseEndMs || null, clockMs: clockMs && Math.round(clockMs) };
   }
 
-  /** Computes the end of a lease granted now, by the host's clock, and records it as granted. */
-  extendLease(nowMs: number): number {
+  /**
+   * Computes the end of a lease granted now, by the host's clock, and records it as granted.
+   *
+   * @param extensionMs time by which the lease is longer than usual, in ms.
+   */
+  extendLease(nowMs: number, extensionMs: number): number {
     if (this.#clock === null) {
       return 0;
     }
     const { hostMs, receivedAtMs } = this.#clock;
-    const endMs = Math.floor(hostMs + (nowMs - receivedAtMs) + HOST_LEASE_MS);
+    const endMs = Math.floor(hostMs + (nowMs - receivedAtMs) + HOST_LEASE_MS + extensionMs);
     this.#leaseEndMs = Math.max(this.#leaseEndMs, endMs);
     return endMs;
   }
--- a/packages/baobabwell-controller/src/BaobabwellControllerLeaseKeeper.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerLeaseKeeper.ts
@@ -1,5 +1,6 @@
 import type { Host } from './BaobabwellControllerHost';
 import type { LeaseLog } from './BaobabwellControllerLeaseLog';
+import type { Ownership } from '@baobabwell/ownership';
 import type { HostOrders } from '@baobabwell/platform';
 import type { Clock } from '@baobabwell/utils';
 
@@ -23,12 +24,15 @@
 
   readonly #leaseLog: LeaseLog;
 
+  readonly #ownership: Ownership;
+
   readonly #stopped = new AbortController();
 
   constructor(options: {
     readonly clock: Clock;
     readonly orders: HostOrders;
     readonly leaseLog: LeaseLog;
+    readonly ownership: Ownership;
     readonly epoch: number;
     /** Returns false once the permission to renew has ended; it is asked before each call. */
     readonly canRenew: () => boolean;
@@ -38,6 +42,7 @@
     this.#epoch = options.epoch;
     this.#canRenew = options.canRenew;
     this.#leaseLog = options.leaseLog;
+    this.#ownership = options.ownership;
   }
 
   /** Ends all renewals; a call under way is still carried out. */
@@ -56,7 +61,10 @@
     while (!signal.aborted && this.#canRenew()) {
       const sentAtMs = this.#clock.getNow();
       // The lease of an unresponsive host is not extended, so that its runs expire eventually.
-      const leaseEndMs = hasAnswered && state.hasClock ? state.extendLease(sentAtMs) : null;
+      const leaseEndMs =
+        hasAnswered && state.hasClock
+          ? state.extendLease(sentAtMs, this.#ownership.getLeaseExtensionMs())
+          : null;
       host.state.recordOtherLeases(state.getExpiredAtMs());
       const reply = await this.#orders.hold(host.incarnation, {
         epoch: this.#epoch,
--- a/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
@@ -44,7 +44,7 @@
    * ends: the ownership may be that of the next term of this process by then.
    */
   async startRun(run: Run, ticket: string | null): Promise<void> {
-    const { clock, orders, term, logger, metrics, signal } = this.#context;
+    const { clock, orders, ownership, term, logger, metrics, signal } = this.#context;
     const started = run;
     let mayHaveStarted = false;
     for (let attempt = 0; attempt < MAX_START_ATTEMPTS; attempt += 1) {
@@ -62,7 +62,7 @@
         task: task.name,
         run: number,
         payload: task.step.job.record.spec.payload,
-        leaseEndMs: state.extendLease(clock.getNow()),
+        leaseEndMs: state.extendLease(clock.getNow(), ownership.getLeaseExtensionMs()),
         epoch: term.epoch,
         checkpoint: task.checkpoint,
         ticket,
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -170,7 +170,7 @@
   }
 
   async #holdOnce(): Promise<void> {
-    const { clock, orders, term, hostMajority, processorTime } = this.#context;
+    const { clock, orders, term, ownership, hostMajority, processorTime } = this.#context;
     const { host } = this;
     const sentAtMs = clock.getNow();
     const isResync = !host.isReconciled || !host.hasClock || !host.isReachable;
@@ -187,7 +187,7 @@
       // The lease of an unresponsive host is not extended, so that its runs expire eventually.
       leaseEndMs:
         shouldRenewLease && (!isResync || host.hasAnsweredRecently(sentAtMs))
-          ? state.extendLease(sentAtMs)
+          ? state.extendLease(sentAtMs, ownership.getLeaseExtensionMs())
           : null,
       waitMs: isResync ? 0 : host.getHoldWaitMs(),
       signal: this.#holdAbort.signal,
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -109,7 +109,7 @@
       copies: new Copies({ ...options, hosts, durations: this.#runDurations.estimator }),
       evacuations: new Evacuations(),
       handover: new Handover({ ...options, term, signal: this.#abortController.signal }),
-      hostMajority: new HostMajority(options.clock, options.ownership, hosts),
+      hostMajority: new HostMajority({ ...options, hosts, term }),
       hostObserver: new HostObserver({
         ...options,
         durations: this.#runDurations.estimator,
--- a/packages/baobabwell-controller/src/BaobabwellControllerTermLeases.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTermLeases.ts
@@ -108,8 +108,7 @@
   }
 
   #createKeeper(canRenew: () => boolean): LeaseKeeper {
-    const { clock, orders, term, leaseLog } = this.#context;
-    return new LeaseKeeper({ clock, orders, leaseLog, epoch: term.epoch, canRenew });
+    return new LeaseKeeper({ ...this.#context, epoch: this.#context.term.epoch, canRenew });
   }
 
   async #keep(keeper: LeaseKeeper, hosts: readonly Host[]): Promise<void> {
--- a/packages/baobabwell-controller/src/__tests__/unit/BaobabwellControllerHostMajority.test.ts
+++ b/packages/baobabwell-controller/src/__tests__/unit/BaobabwellControllerHostMajority.test.ts
@@ -29,19 +29,27 @@
   });
 
   it('end the wait for former leases at the short bound when they came early', () => {
-    const earlyMs = computeFormerLeasesEndMs(STARTED_AT_MS, STARTED_AT_MS + 900);
+    const earlyMs = computeFormerLeasesEndMs(STARTED_AT_MS, STARTED_AT_MS + 900, 0);
     expect(earlyMs).toEqual(STARTED_AT_MS + FORMER_LEASE_MS);
   });
 
   it('end the wait later when they came late, but never after the bound without answers', () => {
-    const latestMs = computeFormerLeasesEndMs(STARTED_AT_MS, null);
-    const lateMs = computeFormerLeasesEndMs(STARTED_AT_MS, STARTED_AT_MS + 3_000);
-    const tooLateMs = computeFormerLeasesEndMs(STARTED_AT_MS, STARTED_AT_MS + 10_000);
+    const latestMs = computeFormerLeasesEndMs(STARTED_AT_MS, null, 0);
+    const lateMs = computeFormerLeasesEndMs(STARTED_AT_MS, STARTED_AT_MS + 3_000, 0);
+    const tooLateMs = computeFormerLeasesEndMs(STARTED_AT_MS, STARTED_AT_MS + 10_000, 0);
     expect(latestMs).toEqual(STARTED_AT_MS + MAX_FORMER_LEASE_MS);
     expect(lateMs > STARTED_AT_MS + FORMER_LEASE_MS && lateMs < latestMs).toEqual(true);
     expect(tooLateMs).toEqual(latestMs);
   });
 
+  it('end the wait for former leases later when these may be longer than usual', () => {
+    [null, STARTED_AT_MS + 900, STARTED_AT_MS + 3_000].forEach((majorityAtMs) => {
+      const usualMs = computeFormerLeasesEndMs(STARTED_AT_MS, majorityAtMs, 0);
+      const extendedMs = computeFormerLeasesEndMs(STARTED_AT_MS, majorityAtMs, 1_000);
+      expect(extendedMs >= usualMs + 1_000).toEqual(true);
+    });
+  });
+
   it('count neither when they are old nor from an incarnation that began since the last renewal', () => {
     const host = { answeredHoldSentAtMs: 1_000, history: new HostHistory() };
     expect(hasAnsweredSince(host, 999, 500)).toEqual(true);
--- a/packages/baobabwell-controller/src/index.ts
+++ b/packages/baobabwell-controller/src/index.ts
@@ -4,6 +4,6 @@
 export type { FleetBounds, FleetCodec } from './BaobabwellControllerModel';
 
 export { Controller } from './BaobabwellController';
-export { MACHINE_ORDERS_TABLE } from './BaobabwellControllerConstants';
+export { HOST_LEASE_MS, MACHINE_ORDERS_TABLE } from './BaobabwellControllerConstants';
 export { PeerReports } from './BaobabwellControllerStoreOutage';
 export { listEvacuationReports } from './BaobabwellControllerEvacuationReport';
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
@@ -1,7 +1,7 @@
 import type { Kernel, Plugin } from '@baobabwell/kernel';
 import type { FastifyInstance } from 'fastify';
 
-import { Controller } from '@baobabwell/controller';
+import { Controller, HOST_LEASE_MS } from '@baobabwell/controller';
 import { mergeUndo } from '@baobabwell/kernel';
 import { Ownership } from '@baobabwell/ownership';
 import { buildPeerServer, HttpPeerConnector } from '@baobabwell/peers';
@@ -40,12 +40,13 @@
 const MAX_CONFIGURATION_PEERS = 3;
 
 function createOwnership(kernel: Kernel): Ownership {
-  const { name, peers, fitness } = kernel.getService(SETTINGS);
+  const { name, peers, fitness, bounds } = kernel.getService(SETTINGS);
   const metrics = kernel.getService(METRICS);
   return new Ownership({
     store: kernel.getService(ADAPTERS).store,
     clock: kernel.clock,
     logger: kernel.getService(LOGGER),
+    maxLeaseExtensionMs: Math.max(0, bounds.maxHostLeaseMs - HOST_LEASE_MS),
     candidate: {
       name,
       incarnation: `${kernel.clock.getWallTime()}-${process.pid}`,
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -5,7 +5,7 @@
 import type { JobRecord, JobState, RepeatSpec, Resources, StepSpec } from '@baobabwell/jobs';
 import type { JsonValue } from '@baobabwell/platform';
 
-import { Controller } from '@baobabwell/controller';
+import { Controller, HOST_LEASE_MS } from '@baobabwell/controller';
 import { EmulatedTime, ProcessClock } from '@baobabwell/emulator';
 import { CANCELLED_SUFFIX, getJobPartition, JOBS_TABLE } from '@baobabwell/ingress';
 import { Logger, LogLevel } from '@baobabwell/logging';
@@ -220,6 +220,7 @@
         startTerm: (term) => this.#daemons.get(name)?.controller.startTerm(term),
         endTerm: () => this.#daemons.get(name)?.controller.endTerm(),
       },
+      maxLeaseExtensionMs: MAX_LEASE_MS - HOST_LEASE_MS,
     });
     const controller = new Controller({
       holder: name,
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorSlowTakeovers.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorSlowTakeovers.test.ts
@@ -68,6 +68,10 @@
     await fleet.stopDaemon(fleet.findOwner() ?? '');
   }
 
+  async function killOwner(): Promise<void> {
+    fleet.killDaemon(fleet.findOwner() ?? '');
+  }
+
   afterEach(() => fleet.close());
 
   [130, 270, 400].forEach((slowMs) => {
@@ -86,6 +90,17 @@
     });
   });
 
+  [130, 270].forEach((slowMs) => {
+    [1, 7, 21].forEach((seed) => {
+      [1, 3].forEach((lossCount) => {
+        it(`end no run when owners are lost (${lossCount} in turn, store later by ${slowMs} ms, seed ${seed})`, async () => {
+          await startLastingTasks(seed, slowMs, 3_000);
+          await expectAllRunOn(lossCount, killOwner);
+        });
+      });
+    });
+  });
+
   it('log when a term renewed its first lease, before it is loaded', async () => {
     await startLastingTasks(7, 270, 100);
     fleet.logLines.length = 0;
--- a/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
@@ -2,9 +2,9 @@
 import type { ChangePage, Row, RowCondition, RowWrite, TableError } from '@baobabwell/platform';
 import type { WatchableTableService } from '@baobabwell/platform';
 import type { Clock, ClockReading, Result } from '@baobabwell/utils';
+import type { z } from 'zod';
 
 import { createHash } from 'node:crypto';
-import { z } from 'zod';
 
 import { TableErrorKind } from '@baobabwell/platform';
 import { createError, getElapsedMs, readClocks, RetryDelay } from '@baobabwell/utils';
@@ -26,19 +26,8 @@
   RENEWAL_KEY,
   RENEWAL_TIMEOUT_MS,
 } from './BaobabwellOwnershipConstants';
-
-const ownerRow = z.object({
-  name: z.string(),
-  /** Distinguishes the incarnations of one daemon. */
-  life: z.string(),
-  address: z.string(),
-  epoch: z.number().int(),
-  isReleased: z.boolean(),
-  /** Number of terms in a row before this one that ended before their state was loaded. */
-  unloadedTerms: z.number().int().default(0),
-});
-
-const renewalRow = z.object({ epoch: z.number().int(), isLoaded: z.boolean() });
+import { LeaseExtension } from './BaobabwellOwnershipLeaseExtension';
+import { createRenewalRow, mayBeStored, ownerRow, renewalRow } from './BaobabwellOwnershipRows';
 
 const UINT32_RANGE = 2 ** 32;
 
@@ -74,6 +63,8 @@
    * ownership, was this daemon, or did not exist.
    */
   readonly isHandover: boolean;
+  /** Time by which leases of former owners on hosts may be longer than usual, in ms; 0 if absent. */
+  readonly formerExtensionMs?: number;
 };
 
 /** Receives the start and the end of each term. */
@@ -121,6 +112,14 @@
 
   #term: Term | null = null;
 
+  readonly #maxLeaseExtensionMs: number;
+
+  /** Extension of the leases on hosts in the present term, or in the last one. */
+  #leaseExtension: LeaseExtension | null = null;
+
+  /** Extension that the latest renewal seen names, in ms. */
+  #seenExtensionMs = 0;
+
   /** Times at which the last successful renewal was sent, on both clocks, in ms. */
   #confirmedRenewalSentAt: ClockReading = { monotonicMs: 0, wallMs: 0 };
 
@@ -138,12 +137,15 @@
     readonly logger: Logger;
     readonly candidate: Candidate;
     readonly listener: TermListener;
+    /** Longest time by which leases on hosts may be longer than usual, in ms; none by default. */
+    readonly maxLeaseExtensionMs?: number;
   }) {
     this.#store = options.store;
     this.#clock = options.clock;
     this.#logger = options.logger;
     this.#candidate = options.candidate;
     this.#listener = options.listener;
+    this.#maxLeaseExtensionMs = options.maxLeaseExtensionMs ?? 0;
   }
 
   /**
@@ -181,6 +183,11 @@
     return getElapsedMs(this.#clock, this.#confirmedRenewalSentAt);
   }
 
+  /** Returns the time by which a lease on a host that is granted now is longer than usual, in ms. */
+  getLeaseExtensionMs(): number {
+    return this.#leaseExtension?.getExtensionMs(this.#clock.getNow()) ?? 0;
+  }
+
   /** Returns the time since the store last answered this daemon's watch of the owner's rows, in ms. */
   getStoreAnswerAgeMs(): number {
     return this.#clock.getNow() - this.#storeAnsweredAtMs;
@@ -322,6 +329,7 @@
       this.#renewalVersion = version;
       this.#renewalSeenAtMs = this.#clock.getNow();
       const { data } = renewalRow.safeParse(value);
+      this.#seenExtensionMs = data?.leaseExtensionMs ?? 0;
       if (data?.isLoaded === true) {
         this.#loadedEpoch = Math.max(this.#loadedEpoch, data.epoch);
       }
@@ -398,6 +406,9 @@
     };
     const sentAt = readClocks(this.#clock);
     const renewalSeenAtMs = this.#renewalSeenAtMs;
+    // The takeover names the extension of the very renewal that it replaces.
+    const extensionMs = this.#seenExtensionMs;
+    const renewal = createRenewalRow(epoch, false, extensionMs);
     const reply = await this.#store.commit({
       conditions: [
         { table: OWNERSHIP_TABLE, key: OWNER_KEY, version: this.#ownerVersion },
@@ -405,7 +416,7 @@
       ],
       writes: [
         { table: OWNERSHIP_TABLE, key: OWNER_KEY, value: owner },
-        { table: OWNERSHIP_TABLE, key: RENEWAL_KEY, value: { epoch, isLoaded: false } },
+        { table: OWNERSHIP_TABLE, key: RENEWAL_KEY, value: renewal },
       ],
     });
     if (!reply.ok) {
@@ -424,7 +435,17 @@
     // An owner that restarted on the same machine succeeds itself: no other daemon was the owner.
     const isOwnRestart = before?.name === name && before.life !== incarnation;
     const isHandover = before === null || before.isReleased || isOwnRestart;
-    this.#term = { epoch, startVersion: reply.value, isHandover };
+    this.#leaseExtension = new LeaseExtension(
+      this.#maxLeaseExtensionMs,
+      { extensionMs, sentAtMs: sentAt.monotonicMs },
+      this.#clock.getNow() - sentAt.monotonicMs,
+    );
+    this.#term = {
+      epoch,
+      startVersion: reply.value,
+      isHandover,
+      formerExtensionMs: extensionMs,
+    };
     this.#logger.recordInfo('ownership-acquired', {
       epoch,
       isHandover,
@@ -455,10 +476,18 @@
   } {
     const sentAt = readClocks(this.#clock);
     this.#renewalSentAtMs = sentAt.monotonicMs;
-    const value = { epoch: term.epoch, isLoaded: term.epoch <= this.#loadedEpoch };
+    const extension = this.#leaseExtension;
+    const named = extension?.nameExtension(sentAt.monotonicMs) ?? null;
+    const isLoaded = term.epoch <= this.#loadedEpoch;
+    const value = createRenewalRow(term.epoch, isLoaded, named?.extensionMs ?? 0);
     return {
       writes: [{ table: OWNERSHIP_TABLE, key: RENEWAL_KEY, value }],
       handleReply: (reply) => {
+        if (named !== null && reply.ok) {
+          extension?.confirm(named, reply.value, this.#clock.getNow() - sentAt.monotonicMs);
+        } else if (named !== null && !mayBeStored(reply)) {
+          extension?.refute(named);
+        }
         if (this.#term === term) {
           this.#recordRenewal(sentAt, reply);
         }
--- a/packages/baobabwell-ownership/src/BaobabwellOwnershipConstants.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnershipConstants.ts
@@ -77,3 +77,21 @@
  * the store.
  */
 export const MAX_RETRY_DELAY_MS = 400;
+
+/** Answer time of the store from which leases on hosts are longer, in ms. */
+export const MIN_SLOW_ANSWER_MS = 80;
+
+/**
+ * Number of answers of the store by which leases on hosts are longer while it is slow: those for which a
+ * takeover waits, from the last renewal that is seen to the stored hosts, and one more.
+ */
+export const EXTENSION_ANSWERS = 6;
+
+/** Multiple to which the extension of leases is rounded up, in ms: it changes seldom. */
+export const EXTENSION_STEP_MS = 100;
+
+/**
+ * Time for which renewals name an extension after it was last wanted, in ms: longer than leases on hosts last
+ * beyond a takeover, and than a transaction without an answer takes to be carried out.
+ */
+export const EXTENSION_MEMORY_MS = 20_000;
