--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -7,7 +7,7 @@
 import type { JobRecord, JobState, RepeatSpec, Resources, StepSpec } from '@baobabwell/jobs';
 import type { JsonValue } from '@baobabwell/platform';
 
-import { Controller } from '@baobabwell/controller';
+import { Controller, HOST_LEASE_MS } from '@baobabwell/controller';
 import { EmulatedTime } from '@baobabwell/emulator';
 import { CANCELLED_SUFFIX, getJobPartition, JOBS_TABLE } from '@baobabwell/ingress';
 import { Logger, LogLevel } from '@baobabwell/logging';
@@ -25,7 +25,13 @@
   QUEUE,
   SPARE_POOL,
 } from './BaobabwellJobEmulatorConfiguration';
-import { CrashRecovery, EmulatedHost, getGang, HEARTBEAT_MS } from './BaobabwellJobEmulatorHost';
+import {
+  CrashRecovery,
+  EmulatedHost,
+  getGang,
+  HEARTBEAT_MS,
+  MAX_LEASE_MS,
+} from './BaobabwellJobEmulatorHost';
 import { createJobRecord, getAddress, getZone, ID_SEPARATOR } from './BaobabwellJobEmulatorNames';
 import { JobOracle } from './BaobabwellJobEmulatorOracle';
 import { createHostFaults, EmulatedHostOrders } from './BaobabwellJobEmulatorOrders';
@@ -208,6 +214,7 @@
         startTerm: (term) => this.#daemons.get(name)?.controller.startTerm(term),
         endTerm: () => this.#daemons.get(name)?.controller.endTerm(),
       },
+      maxLeaseExtensionMs: MAX_LEASE_MS - HOST_LEASE_MS,
     });
     const controller = new Controller({
       holder: name,
--- a/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
@@ -1,10 +1,9 @@
+import type { Attempt, Candidate, Owner, Term, TermListener } from './BaobabwellOwnershipModel';
 import type { Logger } from '@baobabwell/logging';
 import type { ChangePage, Row, RowCondition, RowWrite, TableError } from '@baobabwell/platform';
 import type { WatchableTableService } from '@baobabwell/platform';
 import type { Clock, ClockReading, Result } from '@baobabwell/utils';
 
-import { z } from 'zod';
-
 import { TableErrorKind } from '@baobabwell/platform';
 import { createError, getElapsedMs, readClocks, RetryDelay } from '@baobabwell/utils';
 
@@ -14,10 +13,8 @@
   MAX_REFUSED_DELAY_MS,
   MAX_RETRY_DELAY_MS,
   MAX_SPREAD_DELAY_MS,
-  MAX_WAIT_DOUBLINGS,
   MAX_WATCH_MS,
   MIN_RETRY_DELAY_MS,
-  MIN_TAKEOVER_MS,
   OWNER_GRACE_MS,
   OWNER_KEY,
   OWNER_LEASE_MS,
@@ -26,66 +23,9 @@
   RENEWAL_KEY,
   RENEWAL_TIMEOUT_MS,
 } from './BaobabwellOwnershipConstants';
-import { getSpread } from './BaobabwellOwnershipSpread';
-
-const ownerRow = z.object({
-  name: z.string(),
-  /** Distinguishes the incarnations of one daemon. */
-  life: z.string(),
-  address: z.string(),
-  epoch: z.number().int(),
-  isReleased: z.boolean(),
-  /** Number of terms in a row before this one that ended before their state was loaded. */
-  unloadedTerms: z.number().int().default(0),
-});
-
-const renewalRow = z.object({ epoch: z.number().int(), isLoaded: z.boolean() });
-
-/** The daemon that runs the control loops of the fleet, as its row names it. */
-export type Owner = z.infer<typeof ownerRow>;
-
-/** The daemon that seeks ownership. */
-export type Candidate = {
-  readonly name: string;
-  readonly incarnation: string;
-  readonly address: string;
-  /**
-   * CPU capacity of the machine relative to that of the largest known machine, 0 to 1; daemons on
-   * larger machines take over first.
-   */
-  readonly fitness: number;
-};
-
-/** One period of ownership. */
-export type Term = {
-  readonly epoch: number;
-  /** Version of the store at which the term began; former owners did not see rows written later. */
-  readonly startVersion: number;
-  /**
-   * No other daemon can have acted as the owner just before: the previous owner released its
-   * ownership, was this daemon, or did not exist.
-   */
-  readonly isHandover: boolean;
-};
-
-/** A transaction that makes this daemon the owner, until its outcome is known. */
-type Attempt = {
-  readonly owner: Owner;
-  readonly before: Owner | null;
-  readonly sentAt: ClockReading;
-  /** Time at which the first transaction for the same epoch was sent: the store may have kept that one. */
-  readonly firstSentAt: ClockReading;
-  /** Monotonic time at which the latest renewal of the former owner was seen, in ms. */
-  readonly renewalSeenAtMs: number;
-};
-
-/** Receives the start and the end of each term. */
-export type TermListener = {
-  readonly startTerm: (term: Term) => void;
-  readonly endTerm: (reason: string) => void;
-  /** Receives the time in which the store confirmed a renewal, in ms. */
-  readonly recordRenewal?: (answerMs: number) => void;
-};
+import { LeaseExtension } from './BaobabwellOwnershipLeaseExtension';
+import { createRenewalRow, mayBeStored, ownerRow, renewalRow } from './BaobabwellOwnershipRows';
+import { getMinTakeoverAgeMs, getSpread } from './BaobabwellOwnershipTakeoverDelay';
 
 /** Acquires, renews and releases the ownership of the fleet's control loops. */
 export class Ownership {
@@ -130,6 +70,14 @@
   /** The latest takeover of this daemon whose outcome is not known, or `null`. */
   #attempt: Attempt | null = null;
 
+  readonly #maxLeaseExtensionMs: number;
+
+  /** Extension of the leases on hosts in the present term, or in the last one. */
+  #leaseExtension: LeaseExtension | null = null;
+
+  /** Extension that the latest renewal seen names, in ms. */
+  #seenExtensionMs = 0;
+
   /** Times at which the last successful renewal was sent, on both clocks, in ms. */
   #confirmedRenewalSentAt: ClockReading = { monotonicMs: 0, wallMs: 0 };
 
@@ -147,12 +95,15 @@
     readonly logger: Logger;
     readonly candidate: Candidate;
     readonly listener: TermListener;
+    /** Longest time by which leases on hosts may be longer than usual, in ms; none by default. */
+    readonly maxLeaseExtensionMs?: number;
   }) {
     this.#store = options.store;
     this.#clock = options.clock;
     this.#logger = options.logger;
     this.#candidate = options.candidate;
     this.#listener = options.listener;
+    this.#maxLeaseExtensionMs = options.maxLeaseExtensionMs ?? 0;
   }
 
   /**
@@ -190,6 +141,11 @@
     return getElapsedMs(this.#clock, this.#confirmedRenewalSentAt);
   }
 
+  /** Returns the time by which a lease on a host that is granted now is longer than usual, in ms. */
+  getLeaseExtensionMs(): number {
+    return this.#leaseExtension?.getExtensionMs(this.#clock.getNow()) ?? 0;
+  }
+
   /** Returns the time since the store last answered this daemon's watch of the owner's rows, in ms. */
   getStoreAnswerAgeMs(): number {
     return this.#clock.getNow() - this.#storeAnsweredAtMs;
@@ -339,6 +295,7 @@
       this.#renewalVersion = version;
       this.#renewalSeenAtMs = this.#clock.getNow();
       const { data } = renewalRow.safeParse(value);
+      this.#seenExtensionMs = data?.leaseExtensionMs ?? 0;
       if (data?.isLoaded === true) {
         this.#loadedEpoch = Math.max(this.#loadedEpoch, data.epoch);
       }
@@ -388,29 +345,13 @@
     return this.#owner?.name === this.#candidate.name;
   }
 
-  /**
-   * Returns the age of the last renewal at which this daemon takes over, in ms. The wait doubles with each
-   * term in a row that was never loaded: where processors are short, a loading owner renews late, and a
-   * takeover would only make the next owner start to load anew.
-   */
-  #getMinTakeoverAgeMs(): number {
-    const owner = this.#owner;
-    if (owner === null || owner.isReleased || this.#isOwnRow()) {
-      return 0;
-    }
-    const isLoaded = owner.epoch <= this.#loadedEpoch;
-    return (
-      MIN_TAKEOVER_MS * 2 ** (isLoaded ? 0 : Math.min(MAX_WAIT_DOUBLINGS, owner.unloadedTerms))
-    );
-  }
-
   /** Returns the time until this daemon may take over, in ms. */
   #getTakeoverDelayMs(): number {
     const { name, fitness } = this.#candidate;
     const maxFitnessDelayMs = MAX_FITNESS_DELAY_MS + (this.#wasRefused ? MAX_REFUSED_DELAY_MS : 0);
     const delayMs =
       maxFitnessDelayMs * (1 - fitness) + MAX_SPREAD_DELAY_MS * getSpread(name, this.#ownerVersion);
-    const waitMs = this.#getMinTakeoverAgeMs();
+    const waitMs = this.#isOwnRow() ? 0 : getMinTakeoverAgeMs(this.#owner, this.#loadedEpoch);
     const sinceRenewalMs = this.#clock.getNow() - this.#renewalSeenAtMs;
     return Math.min(MAX_WATCH_MS, Math.max(0, waitMs + delayMs - sinceRenewalMs));
   }
@@ -449,8 +390,11 @@
       sentAt,
       firstSentAt: former?.firstSentAt ?? sentAt,
       renewalSeenAtMs: this.#renewalSeenAtMs,
+      // The takeover names the extension of the very renewal that it replaces.
+      extensionMs: this.#seenExtensionMs,
     };
     this.#attempt = attempt;
+    const renewal = createRenewalRow(epoch, false, attempt.extensionMs);
     const reply = await this.#store.commit({
       conditions: [
         { table: OWNERSHIP_TABLE, key: OWNER_KEY, version: this.#ownerVersion },
@@ -458,7 +402,7 @@
       ],
       writes: [
         { table: OWNERSHIP_TABLE, key: OWNER_KEY, value: owner },
-        { table: OWNERSHIP_TABLE, key: RENEWAL_KEY, value: { epoch, isLoaded: false } },
+        { table: OWNERSHIP_TABLE, key: RENEWAL_KEY, value: renewal },
       ],
     });
     if (this.#attempt !== attempt) {
@@ -468,9 +412,7 @@
     if (!reply.ok) {
       // If the outcome is unknown, the watch shows the row if this daemon is the owner.
       const { kind } = reply.error;
-      const mayBeStored =
-        former !== null || (kind === TableErrorKind.Unavailable && reply.error.mayHaveCommitted);
-      this.#attempt = mayBeStored ? attempt : null;
+      this.#attempt = former !== null || mayBeStored(reply) ? attempt : null;
       this.#renewalSeenAtMs = this.#clock.getNow();
       this.#wasRefused = kind === TableErrorKind.Unavailable;
       this.#logger.recordInfo('ownership-not-acquired', { epoch, reason: kind });
@@ -480,7 +422,10 @@
   }
 
   /** Starts the term of a takeover that is stored. */
-  #startTerm({ owner, before, sentAt, renewalSeenAtMs }: Attempt, version: number): void {
+  #startTerm(
+    { owner, before, sentAt, renewalSeenAtMs, extensionMs }: Attempt,
+    version: number,
+  ): void {
     const { name, life, epoch, unloadedTerms } = owner;
     this.#attempt = null;
     this.#owner = owner;
@@ -492,7 +437,12 @@
     // An owner that restarted on the same machine succeeds itself: no other daemon was the owner.
     const isOwnRestart = before?.name === name && before.life !== life;
     const isHandover = before === null || before.isReleased || isOwnRestart;
-    this.#term = { epoch, startVersion: version, isHandover };
+    this.#leaseExtension = new LeaseExtension(
+      this.#maxLeaseExtensionMs,
+      { extensionMs, sentAtMs: sentAt.monotonicMs },
+      this.#clock.getNow() - sentAt.monotonicMs,
+    );
+    this.#term = { epoch, startVersion: version, isHandover, formerExtensionMs: extensionMs };
     this.#logger.recordInfo('ownership-acquired', {
       epoch,
       isHandover,
@@ -525,10 +475,18 @@
   } {
     const sentAt = readClocks(this.#clock);
     this.#renewalSentAtMs = sentAt.monotonicMs;
-    const value = { epoch: term.epoch, isLoaded: term.epoch <= this.#loadedEpoch };
+    const extension = this.#leaseExtension;
+    const named = extension?.nameExtension(sentAt.monotonicMs) ?? null;
+    const isLoaded = term.epoch <= this.#loadedEpoch;
+    const value = createRenewalRow(term.epoch, isLoaded, named?.extensionMs ?? 0);
     return {
       writes: [{ table: OWNERSHIP_TABLE, key: RENEWAL_KEY, value }],
       handleReply: (reply) => {
+        if (named !== null && reply.ok) {
+          extension?.confirm(named, reply.value, this.#clock.getNow() - sentAt.monotonicMs);
+        } else if (named !== null && !mayBeStored(reply)) {
+          extension?.refute(named);
+        }
         if (this.#term === term) {
           this.#recordRenewal(sentAt, reply);
         }
--- a/packages/baobabwell-ownership/src/index.ts
+++ b/packages/baobabwell-ownership/src/index.ts
@@ -1,4 +1,4 @@
-export type { Candidate, Owner, Term, TermListener } from './BaobabwellOwnership';
+export type { Candidate, Owner, Term, TermListener } from './BaobabwellOwnershipModel';
 
 export { Ownership } from './BaobabwellOwnership';
 export {
