http: a probe that finds a late process neither closes its connection nor is repeated soon

Cause: found in the review: each process whose call to a full owner had no answer for 550 ms opened a connection, and closed that and the open one when neither was answered, each 1.5 s; the owner, which accepts one connection a turn, had to accept two more. Change: the probe on the open connection is left to its answer for 3 s, and a process that was late is probed again after 6 s. Measured: npx tsx scripts/test.ts packages/baobabwell-peers packages/baobabwell-http, 12 passed; the cost at a full owner has no test. Conclusion: evidence of lateness must not be gathered at the cost of the late process.

--- a/packages/baobabwell-http/src/BaobabwellHttpProbing.ts
+++ b/packages/baobabwell-http/src/BaobabwellHttpProbing.ts
@@ -19,6 +19,12 @@
 /** Shortest interval between two probes of a process, in ms. */
 const PROBE_INTERVAL_MS = 1_500;
 
+/** The same after a probe that showed a late process, in ms: probes must not add to its load. */
+const LATE_PROBE_INTERVAL_MS = 6_000;
+
+/** Time for which the answer on an open connection to a late process is waited for, in ms. */
+const LATE_PROCESS_MS = 3_000;
+
 /** One request whose answer only shows that the connection works; whatever its status says. */
 class ConnectionProbe implements Dispatcher.DispatchHandler {
   isAnswered = false;
@@ -96,8 +102,8 @@
 /** Connections to one process that were opened after the last replacement. */
 type ProbedAgent = {
   agent: Agent;
-  /** Monotonic time of the last probe, in ms. */
-  probedAtMs: number;
+  /** Monotonic time from which the connections may be probed again, in ms. */
+  nextProbeAtMs: number;
 };
 
 /** The connections to each of several processes, replaced together once a probe shows that they are silent. */
@@ -154,7 +160,7 @@
     if (existing !== undefined) {
       return existing;
     }
-    const created = { agent: this.#openAgent(), probedAtMs: -Infinity };
+    const created = { agent: this.#openAgent(), nextProbeAtMs: -Infinity };
     this.#agents.set(address, created);
     return created;
   }
@@ -162,11 +168,10 @@
   async #probe(address: string, silent: Agent): Promise<void> {
     const current = this.#getAgent(address);
     const nowMs = performance.now();
-    const isProbed = nowMs - current.probedAtMs < PROBE_INTERVAL_MS;
-    if (this.#isClosed || isProbed || current.agent !== silent) {
+    if (this.#isClosed || nowMs < current.nextProbeAtMs || current.agent !== silent) {
       return;
     }
-    current.probedAtMs = nowMs;
+    current.nextProbeAtMs = nowMs + PROBE_INTERVAL_MS;
     const fresh = this.#openAgent();
     this.#otherAgents.add(fresh);
     const origin = `http://${address}`;
@@ -177,15 +182,19 @@
       await openProbe.wait(LATE_ANSWER_MS);
     }
     const isSilent = newProbe.isAnswered && openProbe.isSilent();
-    openProbe.abort();
     newProbe.abort();
     if (isSilent && !this.#isClosed) {
+      openProbe.abort();
       current.agent = fresh;
       this.#otherAgents.delete(fresh);
       this.#handleRenewal(address);
       this.#closeOnceIdle(silent);
     } else {
+      current.nextProbeAtMs = nowMs + LATE_PROBE_INTERVAL_MS;
       this.#closeOnceIdle(fresh);
+      // A late process still answers it; closing the connection would only make it accept another one.
+      await openProbe.wait(LATE_PROCESS_MS);
+      openProbe.abort();
     }
   }
 
