--- a/packages/baobabwell-http/src/BaobabwellHttpHostConnections.ts
+++ b/packages/baobabwell-http/src/BaobabwellHttpHostConnections.ts
@@ -7,6 +7,8 @@
 
 import { startResponseTimer } from '@baobabwell/utils';
 
+import { AgentSet } from './BaobabwellHttpAgentSet';
+
 /** Time for which a hold call that timed out stays open for a late answer, in ms. */
 const LATE_HOLD_MS = 1_500;
 
@@ -38,7 +40,7 @@
   readonly #hosts = new Map<string, HostConnection>();
 
   /** Replaced agents, and candidates that were given up, whose last calls have not ended. */
-  readonly #closing = new Set<Agent>();
+  readonly #closing = new AgentSet();
 
   /** @param handleRenewal called when the connections to an address are replaced. */
   constructor(openAgent: () => Agent, handleRenewal: (address: string) => void) {
@@ -68,7 +70,7 @@
     const agents = [...this.#hosts.values()].flatMap(({ agent, candidate }) =>
       candidate === null ? [agent] : [agent, candidate],
     );
-    await Promise.all([...agents, ...this.#closing].map(async (agent) => agent.destroy()));
+    await Promise.all([...agents, ...this.#closing.list()].map(async (agent) => agent.destroy()));
   }
 
   #getHost(address: string): HostConnection {
@@ -93,7 +95,7 @@
     this.#hosts.forEach(({ agent, candidate, usedAtMs }, address) => {
       if (candidate === null && nowMs - usedAtMs > FORGET_MS) {
         this.#hosts.delete(address);
-        this.#closeOnceIdle(agent);
+        this.#closing.closeOnceIdle(agent);
       }
     });
   }
@@ -140,7 +142,7 @@
     } catch (error) {
       if (host.candidate === candidate) {
         tried.candidate = null;
-        this.#closeOnceIdle(candidate);
+        this.#closing.closeOnceIdle(candidate);
       }
       throw error;
     }
@@ -154,22 +156,13 @@
     const decided = host;
     decided.candidate = null;
     if (host.unansweredHold === null) {
-      this.#closeOnceIdle(candidate);
+      this.#closing.closeOnceIdle(candidate);
       return;
     }
     const { agent: silent } = host;
     decided.agent = candidate;
     decided.unansweredHold = null;
     this.#handleRenewal(address);
-    this.#closeOnceIdle(silent);
-  }
-
-  #closeOnceIdle(agent: Agent): void {
-    this.#closing.add(agent);
-    const remove = (): void => {
-      this.#closing.delete(agent);
-    };
-    // An agent that is destroyed meanwhile has nothing left to close.
-    agent.close().then(remove, remove);
+    this.#closing.closeOnceIdle(silent);
   }
 }
--- a/packages/baobabwell-http/src/BaobabwellHttpProbing.ts
+++ b/packages/baobabwell-http/src/BaobabwellHttpProbing.ts
@@ -7,6 +7,8 @@
 
 import { startResponseTimer } from '@baobabwell/utils';
 
+import { AgentSet } from './BaobabwellHttpAgentSet';
+
 /** Time without an answer to a call after which the connections are probed, in ms. */
 const SILENCE_MS = 550;
 
@@ -117,7 +119,7 @@
   readonly #agents = new Map<string, ProbedAgent>();
 
   /** Agents that are being probed or closed, apart from the present ones. */
-  readonly #otherAgents = new Set<Agent>();
+  readonly #otherAgents = new AgentSet();
 
   #isClosed = false;
 
@@ -152,7 +154,9 @@
   async close(): Promise<void> {
     this.#isClosed = true;
     const agents = [...this.#agents.values()].map(({ agent }) => agent);
-    await Promise.all([...agents, ...this.#otherAgents].map(async (agent) => agent.destroy()));
+    await Promise.all(
+      [...agents, ...this.#otherAgents.list()].map(async (agent) => agent.destroy()),
+    );
   }
 
   #getAgent(address: string): ProbedAgent {
@@ -186,24 +190,15 @@
     if (isSilent && !this.#isClosed) {
       openProbe.abort();
       current.agent = fresh;
-      this.#otherAgents.delete(fresh);
+      this.#otherAgents.remove(fresh);
       this.#handleRenewal(address);
-      this.#closeOnceIdle(silent);
+      this.#otherAgents.closeOnceIdle(silent);
     } else {
       current.nextProbeAtMs = nowMs + LATE_PROBE_INTERVAL_MS;
-      this.#closeOnceIdle(fresh);
+      this.#otherAgents.closeOnceIdle(fresh);
       // A late process still answers it; closing the connection would only make it accept another one.
       await openProbe.wait(LATE_PROCESS_MS);
       openProbe.abort();
     }
   }
-
-  #closeOnceIdle(agent: Agent): void {
-    this.#otherAgents.add(agent);
-    const remove = (): void => {
-      this.#otherAgents.delete(agent);
-    };
-    // An agent that is destroyed meanwhile has nothing left to close.
-    agent.close().then(remove, remove);
-  }
 }
--- a/packages/baobabwell-http/src/BaobabwellHttpRenewal.ts
+++ b/packages/baobabwell-http/src/BaobabwellHttpRenewal.ts
@@ -6,6 +6,8 @@
 
 import { startResponseTimer } from '@baobabwell/utils';
 
+import { AgentSet } from './BaobabwellHttpAgentSet';
+
 /** Minimum time without an answer after which the connections are replaced, in ms. */
 const MIN_SILENCE_MS = 550;
 
@@ -66,7 +68,7 @@
   readonly #replacedCalls = new Set<OpenCall<Agents>>();
 
   /** Replaced agents whose last calls have not ended. */
-  readonly #closing = new Set<Agent>();
+  readonly #closing = new AgentSet();
 
   /** Latency of the last answer, in ms. */
   #latencyMs = 0;
@@ -176,7 +178,7 @@
 
   /** Closes all connections immediately. */
   async close(): Promise<void> {
-    const agents = [...Object.values(this.#generation.agents), ...this.#closing];
+    const agents = [...Object.values(this.#generation.agents), ...this.#closing.list()];
     await Promise.all(agents.map(async (agent) => agent.destroy()));
   }
 
@@ -201,7 +203,7 @@
     }
     this.#generation = this.#createGeneration(nowMs);
     this.#handleRenewal();
-    Object.values(silent.agents).forEach((agent) => this.#closeOnceIdle(agent));
+    Object.values(silent.agents).forEach((agent) => this.#closing.closeOnceIdle(agent));
     [...silent.waitingCalls].forEach((abort) => abort());
     const probes = new Map([...silent.openCalls].map(({ queue, probe }) => [queue, probe]));
     silent.openCalls.forEach((call) => this.#replacedCalls.add(call));
@@ -244,13 +246,4 @@
       call.abort();
     }
   }
-
-  #closeOnceIdle(agent: Agent): void {
-    this.#closing.add(agent);
-    const remove = (): void => {
-      this.#closing.delete(agent);
-    };
-    // An agent that is destroyed meanwhile has nothing left to close.
-    agent.close().then(remove, remove);
-  }
 }
