controller, ownership: after a release a term renews leases a second later, while the former owner still does

Change: a term that follows a release renews from 1,000 ms on; one that follows a loss from 150 ms on, as before. Conclusion: who may act early need not act at once.

--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -19,6 +19,12 @@
 /** Time after the start of a term from which leases are renewed although it is not loaded, in ms. */
 export const LEASE_KEEP_DELAY_MS = 150;
 
+/**
+ * The same after a release, in ms: the former owner renews for longer, and calls to all hosts would delay the
+ * load of a term on a small machine.
+ */
+export const RELEASED_LEASE_KEEP_DELAY_MS = 1_000;
+
 /**
  * Longest time after the start of a term for which leases are renewed although it is not loaded, in ms: runs of
  * cancelled jobs go on until it is.
--- a/packages/baobabwell-controller/src/BaobabwellControllerTermLeases.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTermLeases.ts
@@ -10,6 +10,7 @@
   HOSTS_TABLE,
   LEASE_KEEP_DELAY_MS,
   MAX_LEASE_KEEP_MS,
+  RELEASED_LEASE_KEEP_DELAY_MS,
 } from './BaobabwellControllerConstants';
 import { Host } from './BaobabwellControllerHost';
 import { LeaseKeeper } from './BaobabwellControllerLeaseKeeper';
@@ -87,8 +88,9 @@
 
   /** Renews the leases on the stored hosts, unless the term is loaded soon. */
   async #keepUntilLoaded(rows: readonly Row[], startedAt: ClockReading): Promise<void> {
-    const { clock, ownership, signal } = this.#context;
-    await clock.wait(Math.max(0, LEASE_KEEP_DELAY_MS - getElapsedMs(clock, startedAt)), signal);
+    const { clock, ownership, signal, term } = this.#context;
+    const delayMs = term.wasReleased === true ? RELEASED_LEASE_KEEP_DELAY_MS : LEASE_KEEP_DELAY_MS;
+    await clock.wait(Math.max(0, delayMs - getElapsedMs(clock, startedAt)), signal);
     if (signal.aborted || this.#isLoaded) {
       return;
     }
--- a/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnership.ts
@@ -9,10 +9,7 @@
 
 import {
   ACQUISITION_WATCH_MS,
-  MAX_FITNESS_DELAY_MS,
-  MAX_REFUSED_DELAY_MS,
   MAX_RETRY_DELAY_MS,
-  MAX_SPREAD_DELAY_MS,
   MAX_WATCH_MS,
   MIN_RETRY_DELAY_MS,
   OWNER_GRACE_MS,
@@ -25,7 +22,11 @@
 } from './BaobabwellOwnershipConstants';
 import { LeaseExtension } from './BaobabwellOwnershipLeaseExtension';
 import { createRenewalRow, mayBeStored, ownerRow, renewalRow } from './BaobabwellOwnershipRows';
-import { getMinTakeoverAgeMs, getSpread } from './BaobabwellOwnershipTakeoverDelay';
+import {
+  computeTakeoverDelayMs,
+  getMinTakeoverAgeMs,
+  isHandoverBetween,
+} from './BaobabwellOwnershipTakeoverDelay';
 
 /** Acquires, renews and releases the ownership of the fleet's control loops. */
 export class Ownership {
@@ -164,7 +165,7 @@
       } else {
         retry.reset();
         this.#storeAnsweredAtMs = this.#clock.getNow();
-        if (this.#term === null && this.#acquisition === null && this.#isVacant()) {
+        if (this.#term === null && this.#acquisition === null && this.#getTakeoverDelayMs() <= 0) {
           this.#acquisition = this.#acquire().finally(() => {
             this.#acquisition = null;
           });
@@ -347,13 +348,13 @@
 
   /** Returns the time until this daemon may take over, in ms. */
   #getTakeoverDelayMs(): number {
-    const { name, fitness } = this.#candidate;
-    const maxFitnessDelayMs = MAX_FITNESS_DELAY_MS + (this.#wasRefused ? MAX_REFUSED_DELAY_MS : 0);
-    const delayMs =
-      maxFitnessDelayMs * (1 - fitness) + MAX_SPREAD_DELAY_MS * getSpread(name, this.#ownerVersion);
-    const waitMs = this.#isOwnRow() ? 0 : getMinTakeoverAgeMs(this.#owner, this.#loadedEpoch);
-    const sinceRenewalMs = this.#clock.getNow() - this.#renewalSeenAtMs;
-    return Math.min(MAX_WATCH_MS, Math.max(0, waitMs + delayMs - sinceRenewalMs));
+    return computeTakeoverDelayMs({
+      candidate: this.#candidate,
+      ownerVersion: this.#ownerVersion,
+      wasRefused: this.#wasRefused,
+      minAgeMs: this.#isOwnRow() ? 0 : getMinTakeoverAgeMs(this.#owner, this.#loadedEpoch),
+      ageMs: this.#clock.getNow() - this.#renewalSeenAtMs,
+    });
   }
 
   /** Returns how long the next watch may wait for a change, in ms. */
@@ -364,10 +365,6 @@
     return this.#term === null ? this.#getTakeoverDelayMs() : MAX_WATCH_MS;
   }
 
-  #isVacant(): boolean {
-    return this.#getTakeoverDelayMs() <= 0;
-  }
-
   async #acquire(): Promise<void> {
     const { name, incarnation, address } = this.#candidate;
     const before = this.#owner;
@@ -426,7 +423,7 @@
     { owner, before, sentAt, renewalSeenAtMs, extensionMs }: Attempt,
     version: number,
   ): void {
-    const { name, life, epoch, unloadedTerms } = owner;
+    const { epoch, unloadedTerms } = owner;
     this.#attempt = null;
     this.#owner = owner;
     this.#ownerVersion = version;
@@ -434,15 +431,19 @@
     this.#confirmedRenewalSentAt = sentAt;
     this.#confirmedRenewalVersion = version;
     this.#renewalSentAtMs = sentAt.monotonicMs;
-    // An owner that restarted on the same machine succeeds itself: no other daemon was the owner.
-    const isOwnRestart = before?.name === name && before.life !== life;
-    const isHandover = before === null || before.isReleased || isOwnRestart;
+    const isHandover = isHandoverBetween(before, owner);
     this.#leaseExtension = new LeaseExtension(
       this.#maxLeaseExtensionMs,
       { extensionMs, sentAtMs: sentAt.monotonicMs },
       this.#clock.getNow() - sentAt.monotonicMs,
     );
-    this.#term = { epoch, startVersion: version, isHandover, formerExtensionMs: extensionMs };
+    this.#term = {
+      epoch,
+      startVersion: version,
+      isHandover,
+      wasReleased: before?.isReleased === true,
+      formerExtensionMs: extensionMs,
+    };
     this.#logger.recordInfo('ownership-acquired', {
       epoch,
       isHandover,
--- a/packages/baobabwell-ownership/src/BaobabwellOwnershipModel.ts
+++ b/packages/baobabwell-ownership/src/BaobabwellOwnershipModel.ts
@@ -27,6 +27,8 @@
    * ownership, was this daemon, or did not exist.
    */
   readonly isHandover: boolean;
+  /** True if the previous owner released its ownership; it renews leases on hosts for a while then. */
+  readonly wasReleased?: boolean;
   /** Time by which leases of former owners on hosts may be longer than usual, in ms; 0 if absent. */
   readonly formerExtensionMs?: number;
 };
