utils, ingress: a call knows how long its caller waits

Cause: nothing in the deployed program read how long a caller waits for its answer, so that no call had a deadline. Nothing uses it yet. Measured: none: no change of behaviour. Conclusion: none.

--- a/packages/baobabwell-ingress/src/BaobabwellIngressModel.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressModel.ts
@@ -10,6 +10,8 @@
   readonly key: string | null;
   /** Request id sent by the caller; `null` when there is none. */
   readonly requestId: string | null;
+  /** Time for which the caller waits for the answer, in ms; `null` when the caller sent none. */
+  readonly waitMs: number | null;
   readonly body: Buffer;
 };
 
@@ -91,6 +93,9 @@
   /** Finds the request id in the headers of a call. */
   abstract findRequestId(headers: Readonly<Record<string, unknown>>): string | null;
 
+  /** Finds in the headers of a call how long its caller waits for the answer, in ms. */
+  abstract findWaitMs(headers: Readonly<Record<string, unknown>>): number | null;
+
   /** Parses a call to a queue; `remainingPath` is the path after the queue's prefix. */
   abstract parseRequest(call: RawCall, queue: QueueSettings, remainingPath: string): ClientRequest;
 
--- a/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
@@ -120,6 +120,7 @@
       path,
       key: protocol.findKey(request.headers),
       requestId: protocol.findRequestId(request.headers),
+      waitMs: protocol.findWaitMs(request.headers),
       body: Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0),
     };
     const { answer, queue, kind, jobId } = await this.#answerBeforeEnd(call);
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
@@ -35,6 +35,10 @@
     return REQUEST_ID;
   }
 
+  override findWaitMs(): null {
+    return null;
+  }
+
   override parseRequest(): { readonly kind: ClientRequestKind.CountWaiting } {
     return { kind: ClientRequestKind.CountWaiting };
   }
--- a/packages/baobabwell-utils/src/index.ts
+++ b/packages/baobabwell-utils/src/index.ts
@@ -10,6 +10,7 @@
   startRepeatedTimer,
   SystemClock,
 } from './BaobabwellClock';
+export { Deadline } from './BaobabwellDeadline';
 export { FindingList, formatFinding } from './BaobabwellFindings';
 export { checkInvariant, InvariantError } from './BaobabwellInvariant';
 export { Random } from './BaobabwellRandom';
