platform, http, peers: an answer that keeps arriving is not given up; calls to the store have a deadline

Cause: a read of the store had 1,500 ms for the whole answer, a watch 1,500 ms, a request to a peer 1,000 ms. An answer that arrives shows that its connection is not silent, and its latency ends with its first part. Conclusion: a timeout says that nothing arrives; how long a transfer takes depends on its size.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemonMeasuredStore.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonMeasuredStore.ts
@@ -1,5 +1,6 @@
 import type { DaemonMetrics } from '@baobabwell/metrics';
 import type {
+  CallLimits,
   ChangePage,
   Row,
   RowRange,
@@ -28,12 +29,18 @@
     this.#clock = clock;
   }
 
-  override async commit(transaction: Transaction): Promise<Result<number, TableError>> {
-    return this.#measure('commit', async () => this.tables.commit(transaction));
+  override async commit(
+    transaction: Transaction,
+    limits?: CallLimits,
+  ): Promise<Result<number, TableError>> {
+    return this.#measure('commit', async () => this.tables.commit(transaction, limits));
   }
 
-  override async list(range: RowRange): Promise<Result<ChangePage, TableError>> {
-    return this.#measure('list', async () => this.tables.list(range));
+  override async list(
+    range: RowRange,
+    limits?: CallLimits,
+  ): Promise<Result<ChangePage, TableError>> {
+    return this.#measure('list', async () => this.tables.list(range, limits));
   }
 
   override async readPages(
@@ -43,8 +50,12 @@
     return this.#measure('read-pages', async () => this.tables.readPages(range, handle));
   }
 
-  override async read(table: string, key: string): Promise<Result<Row | null, TableError>> {
-    return this.#measure('read', async () => this.tables.read(table, key));
+  override async read(
+    table: string,
+    key: string,
+    limits?: CallLimits,
+  ): Promise<Result<Row | null, TableError>> {
+    return this.#measure('read', async () => this.tables.read(table, key, limits));
   }
 
   override async waitForChanges(
--- a/packages/baobabwell-http/src/BaobabwellHttpRenewal.ts
+++ b/packages/baobabwell-http/src/BaobabwellHttpRenewal.ts
@@ -31,13 +31,20 @@
   readonly openCalls: Set<OpenCall<Agents>>;
 };
 
-/** Sends a call over the given agents; the signal aborts it. */
-type SendCall<Agents, Reply> = (agents: Agents, signal: AbortSignal) => Promise<Reply>;
+/**
+ * Sends a call over the given agents; the signal aborts it. `recordPart` is to be called when a part of the
+ * answer arrives: its connection is not silent then, however long the rest takes.
+ */
+type SendCall<Agents, Reply> = (
+  agents: Agents,
+  signal: AbortSignal,
+  recordPart: () => void,
+) => Promise<Reply>;
 
 /** A call that the service carries out in order with the others of its queue. */
 type QueuedCall<Agents, Reply> = {
   readonly queue: string;
-  readonly send: SendCall<Agents, Reply>;
+  readonly send: (agents: Agents, signal: AbortSignal) => Promise<Reply>;
   /** Sends a call to the same queue that changes nothing; `null` if there is none. */
   readonly probe: ((agents: Agents) => Promise<Reply>) | null;
   /** Returns true if the service replied after the call had had its turn in the queue. */
@@ -81,13 +88,23 @@
   }
 
   /** Sends a call that the service answers at once. A call under way stays on its connection. */
-  async call<Reply>(send: (agents: Agents) => Promise<Reply>): Promise<Reply> {
+  async call<Reply>(
+    send: (agents: Agents, recordPart: () => void) => Promise<Reply>,
+  ): Promise<Reply> {
     const generation = this.#generation;
     const sentAtMs = performance.now();
     const cancelTimer = startResponseTimer(this.#getSilenceMs(), () => this.#renew(generation));
+    let isArriving = false;
+    const recordPart = (): void => {
+      if (!isArriving) {
+        isArriving = true;
+        cancelTimer();
+        this.#latencyMs = performance.now() - sentAtMs;
+      }
+    };
     try {
-      const reply = await send(generation.agents);
-      this.#latencyMs = performance.now() - sentAtMs;
+      const reply = await send(generation.agents, recordPart);
+      recordPart();
       return reply;
     } finally {
       cancelTimer();
@@ -162,7 +179,10 @@
       if (signal.aborted) {
         abort();
       }
-      return await send(generation.agents, abortController.signal);
+      return await send(generation.agents, abortController.signal, () => {
+        cancelTimer();
+        generation.waitingCalls.delete(abort);
+      });
     } catch (error) {
       const isRenewed = generation !== this.#generation && abortController.signal.aborted;
       if (!isRenewed || signal.aborted) {
@@ -173,7 +193,7 @@
       signal.removeEventListener('abort', abort);
       generation.waitingCalls.delete(abort);
     }
-    return send(this.#generation.agents, signal);
+    return send(this.#generation.agents, signal, () => undefined);
   }
 
   /** Closes all connections immediately. */
--- a/packages/baobabwell-peers/src/BaobabwellPeersConnector.ts
+++ b/packages/baobabwell-peers/src/BaobabwellPeersConnector.ts
@@ -1,3 +1,4 @@
+import type { CancelTimer } from '@baobabwell/utils';
 import type { TRPCLink } from '@trpc/client';
 import type { AnyTRPCRouter } from '@trpc/server';
 
@@ -14,6 +15,7 @@
   PEER_PATH,
   PEER_SECRET_HEADER,
   PEER_REQUEST_TIMEOUT_MS,
+  LARGE_BODY_BYTES,
 } from './BaobabwellPeersConstants';
 
 /** Connects to other entries. Tests use an implementation that delays and drops requests. */
@@ -34,6 +36,23 @@
   });
 }
 
+/**
+ * Reads the body of a response. For a large one, `recordPart` is called with each part that arrives: a slow
+ * link carries it for longer than the timeout of a request.
+ */
+async function readBody(response: Response, recordPart: () => void): Promise<string> {
+  const size = Number(response.headers.get('content-length') ?? 0);
+  if (size < LARGE_BODY_BYTES || response.body === null) {
+    return response.text();
+  }
+  const parts: Uint8Array[] = [];
+  for await (const part of response.body) {
+    recordPart();
+    parts.push(part as Uint8Array);
+  }
+  return Buffer.concat(parts).toString('utf8');
+}
+
 /** Connects to other entries over HTTP. */
 export class HttpPeerConnector extends PeerConnector {
   readonly #secret: string;
@@ -69,14 +88,20 @@
   #createFetch(address: string): typeof fetch {
     return async (input, init) => {
       const timedOut = new AbortController();
-      const cancelTimer = startResponseTimer(PEER_REQUEST_TIMEOUT_MS, () =>
-        timedOut.abort(new Error(`no response within ${PEER_REQUEST_TIMEOUT_MS} ms`)),
-      );
+      const startTimer = (): CancelTimer =>
+        startResponseTimer(PEER_REQUEST_TIMEOUT_MS, () =>
+          timedOut.abort(new Error(`no response within ${PEER_REQUEST_TIMEOUT_MS} ms`)),
+        );
+      let cancelTimer = startTimer();
       try {
-        const { signal } = timedOut;
+        const signal =
+          init?.signal == null ? timedOut.signal : AbortSignal.any([timedOut.signal, init.signal]);
         return await this.#connections.call(address, async (dispatcher) => {
           const response = await fetch(input, { ...init, dispatcher, signal });
-          const body = await response.text();
+          const body = await readBody(response, () => {
+            cancelTimer();
+            cancelTimer = startTimer();
+          });
           return new Response(body, { status: response.status, headers: response.headers });
         });
       } finally {
--- a/packages/baobabwell-peers/src/BaobabwellPeersConstants.ts
+++ b/packages/baobabwell-peers/src/BaobabwellPeersConstants.ts
@@ -4,9 +4,12 @@
 /** HTTP header that carries the secret shared by all entries. */
 export const PEER_SECRET_HEADER = 'peer-secret';
 
-/** Maximum duration of one peer request. */
+/** Maximum duration of one peer request, or of each part of a large response, in ms. */
 export const PEER_REQUEST_TIMEOUT_MS = 1_000;
 
+/** Size of a response from which the timeout covers each of its parts, in bytes. */
+export const LARGE_BODY_BYTES = 65_536;
+
 /** Maximum time for opening a connection to a peer. */
 export const PEER_CONNECT_TIMEOUT_MS = 500;
 
--- a/packages/baobabwell-platform/src/BaobabwellPlatformForwarding.ts
+++ b/packages/baobabwell-platform/src/BaobabwellPlatformForwarding.ts
@@ -1,4 +1,4 @@
-import type { TableError, Transaction } from './BaobabwellPlatformTable';
+import type { CallLimits, TableError, Transaction } from './BaobabwellPlatformTable';
 import type { ChangePage, RowRange, WatchError } from './BaobabwellPlatformWatch';
 import type { Result } from '@baobabwell/utils';
 
@@ -13,12 +13,18 @@
     this.tables = tables;
   }
 
-  override async commit(transaction: Transaction): Promise<Result<number, TableError>> {
-    return this.tables.commit(transaction);
+  override async commit(
+    transaction: Transaction,
+    limits?: CallLimits,
+  ): Promise<Result<number, TableError>> {
+    return this.tables.commit(transaction, limits);
   }
 
-  override async list(range: RowRange): Promise<Result<ChangePage, TableError>> {
-    return this.tables.list(range);
+  override async list(
+    range: RowRange,
+    limits?: CallLimits,
+  ): Promise<Result<ChangePage, TableError>> {
+    return this.tables.list(range, limits);
   }
 
   override async readPages(
--- a/packages/baobabwell-platform/src/BaobabwellPlatformTable.ts
+++ b/packages/baobabwell-platform/src/BaobabwellPlatformTable.ts
@@ -1,4 +1,4 @@
-import type { Result } from '@baobabwell/utils';
+import type { Deadline, Result } from '@baobabwell/utils';
 
 /** A value that JSON can represent. */
 export type JsonValue =
@@ -44,6 +44,14 @@
   readonly serviceVersion: number;
 };
 
+/** Limits of a call to the table service. */
+export type CallLimits = {
+  /** End of the time for which the answer is of use. */
+  readonly deadline?: Deadline;
+  /** Aborts the call, which then counts as unanswered. */
+  readonly signal?: AbortSignal;
+};
+
 /** Kinds of failure of the table service. */
 export enum TableErrorKind {
   Conflict = 'conflict',
@@ -67,10 +75,17 @@
 /** The platform's transactional table service. Its promises never reject. */
 export abstract class TableService {
   /** Commits a transaction and returns its version. */
-  abstract commit(transaction: Transaction): Promise<Result<number, TableError>>;
+  abstract commit(
+    transaction: Transaction,
+    limits?: CallLimits,
+  ): Promise<Result<number, TableError>>;
 
   /** Reads one row; returns `null` if it does not exist. */
-  abstract read(table: string, key: string): Promise<Result<Row | null, TableError>>;
+  abstract read(
+    table: string,
+    key: string,
+    limits?: CallLimits,
+  ): Promise<Result<Row | null, TableError>>;
 
   /**
    * Reads the rows of a table whose version is above `version`, oldest first. Removed rows
--- a/packages/baobabwell-platform/src/BaobabwellPlatformWatch.ts
+++ b/packages/baobabwell-platform/src/BaobabwellPlatformWatch.ts
@@ -1,4 +1,4 @@
-import type { Row, RowPage, TableError } from './BaobabwellPlatformTable';
+import type { CallLimits, Row, RowPage, TableError } from './BaobabwellPlatformTable';
 import type { Result } from '@baobabwell/utils';
 
 import { createError, createOk } from '@baobabwell/utils';
@@ -40,7 +40,7 @@
 /** A table service that can list a table and wait for its next change. */
 export abstract class WatchableTableService extends TableService {
   /** Lists the rows of a range as of one point in time, by ascending key. */
-  abstract list(range: RowRange): Promise<Result<ChangePage, TableError>>;
+  abstract list(range: RowRange, limits?: CallLimits): Promise<Result<ChangePage, TableError>>;
 
   /**
    * Reads the rows of a range page by page, each after the one before was handled, so that a table may be
@@ -68,8 +68,12 @@
     signal: AbortSignal,
   ): Promise<Result<ChangePage, WatchError>>;
 
-  override async read(table: string, key: string): Promise<Result<Row | null, TableError>> {
-    const page = await this.list(getKeyRange(table, key));
+  override async read(
+    table: string,
+    key: string,
+    limits?: CallLimits,
+  ): Promise<Result<Row | null, TableError>> {
+    const page = await this.list(getKeyRange(table, key), limits);
     return page.ok ? createOk(page.value.rows.find((row) => row.key === key) ?? null) : page;
   }
 
--- a/packages/baobabwell-platform/src/index.ts
+++ b/packages/baobabwell-platform/src/index.ts
@@ -14,6 +14,7 @@
 } from './BaobabwellPlatformHosts';
 export type { ListedHost, PlatformError } from './BaobabwellPlatformServices';
 export type {
+  CallLimits,
   JsonValue,
   Row,
   RowCondition,
