ingress, daemon: reads of states ask both sources within the time for which the caller waits

Cause: callers got no answer about accepted jobs. A read asked the owner for up to 1,000 ms, then listed rows, then read progress, up to 4 s in all; callers wait 3 s. Reads whose callers had gone still took their turns, eight at a time, and a lost answer was tried again only by a peer. Change: each call has the deadline of its caller and is answered 100 ms before it in any case (reads 503, submissions and cancellations 504). The second source is asked beside the first after a tenth of the wait; after a late answer of the owner the store comes first for 500 ms. Rows and progress are read at once, and an end is known from progress alone. A read is sent again on other connections while no answer arrives. Reads under way follow the share of the store's rate that a process has, at the latency that it sees; a read whose caller has gone is not sent. A job that an earlier call may have stored is not reported as rejected. Conclusion: a wait belongs to a caller; who waits for a source must know what is left of it.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
@@ -57,6 +57,7 @@
     listPeerAddresses: () => members.listPeerAddresses(),
     clock,
     logger,
+    readsPerS: kernel.getService(SETTINGS).storeReadsPerS,
   });
   return new IngressServer({
     protocol,
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonPeers.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonPeers.ts
@@ -11,7 +11,7 @@
   Transaction,
   WatchableTableService,
 } from '@baobabwell/platform';
-import type { Clock, Result } from '@baobabwell/utils';
+import type { CancelTimer, Clock, Deadline, Result } from '@baobabwell/utils';
 import type { TRPCClient } from '@trpc/client';
 
 import { createTRPCClient } from '@trpc/client';
@@ -66,6 +66,9 @@
 /** Client of the procedures of another process. */
 export type PeerClient = TRPCClient<DaemonRouter>;
 
+/** Sends one request to a peer; the signal gives it up. */
+type SendToPeer<Reply> = (client: PeerClient, signal: AbortSignal) => Promise<Reply | null>;
+
 /** Time for which no request is sent to a peer that did not answer, in ms. */
 const UNRESPONSIVE_PEER_BACKOFF_MS = 400;
 
@@ -92,26 +95,48 @@
     this.#getConnector = options.getConnector;
   }
 
-  /** Sends a request to the process at an address, unless it recently failed to answer. */
+  /**
+   * Sends a request to the process at an address, unless it recently failed to answer. At the deadline the
+   * request is given up; that alone says nothing about the process.
+   */
   async request<Reply>(
     address: string,
-    send: (client: PeerClient) => Promise<Reply | null>,
+    send: SendToPeer<Reply>,
+    deadline: Deadline | null = null,
   ): Promise<Reply | null> {
     const connector = this.#getConnector();
     const isBackingOff = this.#clock.getNow() < (this.#backoffUntilMs.get(address) ?? 0);
-    if (connector === null || isBackingOff) {
+    if (connector === null || isBackingOff || deadline?.hasPassed() === true) {
       return null;
     }
+    const { signal, cancelTimer } = this.#startDeadline(deadline);
     try {
-      return await send(this.#getClient(connector, address));
+      return await send(this.#getClient(connector, address), signal);
     } catch (error) {
+      if (signal.aborted) {
+        return null;
+      }
       const cause = error instanceof Error ? error.message : String(error);
       this.#backoffUntilMs.set(address, this.#clock.getNow() + UNRESPONSIVE_PEER_BACKOFF_MS);
       this.#logger.recordWarning('peer-not-answering', { peer: address, cause });
       return null;
+    } finally {
+      cancelTimer();
     }
   }
 
+  #startDeadline(deadline: Deadline | null): {
+    readonly signal: AbortSignal;
+    readonly cancelTimer: CancelTimer;
+  } {
+    const passed = new AbortController();
+    const cancelTimer =
+      deadline === null
+        ? () => undefined
+        : this.#clock.startTimer(deadline.getRemainingMs(), () => passed.abort());
+    return { signal: passed.signal, cancelTimer };
+  }
+
   #getClient(connector: PeerConnector, address: string): PeerClient {
     const existing = this.#clients.get(address);
     if (existing !== undefined) {
@@ -148,30 +173,34 @@
     this.#peers = options.peers;
   }
 
-  override async offer(job: JobRecord): Promise<OfferReply | null> {
+  override async offer(job: JobRecord, deadline?: Deadline): Promise<OfferReply | null> {
     return this.#request(
       async () => this.#local.offer(job),
-      async (client) => client.offer.mutate(job),
+      async (client, signal) => client.offer.mutate(job, { signal }),
+      deadline,
     );
   }
 
-  override async findState(jobId: string): Promise<JobState | null> {
+  override async findState(jobId: string, deadline?: Deadline): Promise<JobState | null> {
     return this.#request(
       async () => this.#local.findState(jobId),
-      async (client) => client.findState.query(jobId),
+      async (client, signal) => client.findState.query(jobId, { signal }),
+      deadline,
     );
   }
 
-  override async countWaiting(queue: string): Promise<number | null> {
+  override async countWaiting(queue: string, deadline?: Deadline): Promise<number | null> {
     return this.#request(
       async () => this.#local.countWaiting(queue),
-      async (client) => client.countWaiting.query(queue),
+      async (client, signal) => client.countWaiting.query(queue, { signal }),
+      deadline,
     );
   }
 
   async #request<Reply>(
     requestLocal: () => Promise<Reply | null>,
-    requestPeer: (client: PeerClient) => Promise<Reply | null>,
+    requestPeer: SendToPeer<Reply>,
+    deadline?: Deadline,
   ): Promise<Reply | null> {
     const owner = this.#getOwner();
     if (owner === null) {
@@ -180,6 +209,6 @@
     if (owner.name === this.#name) {
       return requestLocal();
     }
-    return this.#peers.request(owner.address, requestPeer);
+    return this.#peers.request(owner.address, requestPeer, deadline);
   }
 }
--- /dev/null
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonReadLimiter.ts
@@ -0,0 +1,77 @@
+/**
+ * Load pattern: the store answers late, and callers ask for more than the open connections bring. A fixed
+ * number of reads under way reaches less of the store's rate the slower it is; reads whose callers have gone
+ * then take the turns of later ones.
+ */
+import type { Deadline } from '@baobabwell/utils';
+
+const MS_PER_S = 1_000;
+
+/** Least number of reads under way: while the store is fast, more bring nothing. */
+const MIN_UNDER_WAY = 8;
+
+/** Largest number of reads under way, as many as the client of the store has connections. */
+const MAX_UNDER_WAY = 64;
+
+type WaitingRead = { readonly deadline: Deadline; readonly start: (mayStart: boolean) => void };
+
+/** Returns how many reads may be under way for a process to use its share of the store's rate. */
+export function computeMaxReadsUnderWay(options: {
+  /** Reads that all processes together may make, per second. */
+  readonly readsPerS: number;
+  readonly processCount: number;
+  /** Time until the store answers, in ms. */
+  readonly latencyMs: number;
+}): number {
+  const sharePerS = options.readsPerS / Math.max(1, options.processCount);
+  const underWay = Math.ceil((sharePerS * options.latencyMs) / MS_PER_S);
+  return Math.min(MAX_UNDER_WAY, Math.max(MIN_UNDER_WAY, underWay));
+}
+
+/** Limits the reads that are under way; the others wait in turn, up to their deadlines. */
+export class ReadLimiter {
+  readonly #getMaxUnderWay: () => number;
+
+  readonly #waiting: WaitingRead[] = [];
+
+  #underWayCount = 0;
+
+  constructor(getMaxUnderWay: () => number) {
+    this.#getMaxUnderWay = getMaxUnderWay;
+  }
+
+  /** Sends a read in its turn; returns `null` without sending it when its deadline passed before. */
+  async run<Reply>(deadline: Deadline, send: () => Promise<Reply>): Promise<Reply | null> {
+    const mayStart = await this.#waitForTurn(deadline);
+    if (!mayStart) {
+      return null;
+    }
+    try {
+      return await send();
+    } finally {
+      this.#underWayCount -= 1;
+      this.#startWaiting();
+    }
+  }
+
+  async #waitForTurn(deadline: Deadline): Promise<boolean> {
+    return new Promise((resolve) => {
+      this.#waiting.push({ deadline, start: resolve });
+      this.#startWaiting();
+    });
+  }
+
+  /** Starts waiting reads while there is room. */
+  #startWaiting(): void {
+    const maxUnderWay = this.#getMaxUnderWay();
+    while (this.#underWayCount < maxUnderWay) {
+      const next = this.#waiting.shift();
+      if (next === undefined) {
+        return;
+      }
+      const mayStart = !next.deadline.hasPassed();
+      this.#underWayCount += mayStart ? 1 : 0;
+      next.start(mayStart);
+    }
+  }
+}
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonRelayedStore.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonRelayedStore.ts
@@ -1,14 +1,18 @@
 import type { Logger } from '@baobabwell/logging';
 import type {
+  CallLimits,
   ChangePage,
   RowRange,
   TableError,
   Transaction,
   WatchableTableService,
 } from '@baobabwell/platform';
-import type { Clock, Result } from '@baobabwell/utils';
+import type { Clock, Deadline, Result } from '@baobabwell/utils';
 
 import { ForwardingTableService, TableErrorKind } from '@baobabwell/platform';
+import { createError } from '@baobabwell/utils';
+
+import { computeMaxReadsUnderWay, ReadLimiter } from './BaobabwellDaemonReadLimiter';
 
 /**
  * Minimum time without an answer after which a call is also sent through a peer, in ms; far longer
@@ -37,6 +41,15 @@
 /** Time for which calls go to peers first after the store did not answer this process, in ms. */
 const PEERS_FIRST_MS = 1_000;
 
+/** Minimum time without an answer after which a read is sent again, in ms. */
+const MIN_REPEAT_DELAY_MS = 250;
+
+/** Maximum of that time, in ms. */
+const MAX_REPEAT_DELAY_MS = 750;
+
+/** Maximum number of times that a read is sent. */
+const MAX_READ_ATTEMPTS = 6;
+
 /** Sends calls to the store through another process; `null` means that it did not answer. */
 export type StoreRelay = {
   readonly commit: (
@@ -65,6 +78,10 @@
   return reply !== null && (reply.ok || reply.error.kind === TableErrorKind.Conflict);
 }
 
+function createNotReadError(cause: string): Result<never, TableError> {
+  return createError({ kind: TableErrorKind.Unavailable, mayHaveCommitted: false, cause });
+}
+
 type RelayResult<Value> = {
   readonly reply: Result<Value, TableError> | null;
   /** True if an attempt may have been carried out although no reply confirms it. */
@@ -95,34 +112,104 @@
   /** Latency of the store's last answer to this process, in ms. */
   #lastLatencyMs = 0;
 
+  readonly #reads: ReadLimiter;
+
   constructor(options: {
     readonly direct: WatchableTableService;
     readonly relay: StoreRelay;
     readonly listPeerAddresses: () => readonly string[];
     readonly clock: Clock;
     readonly logger: Logger;
+    /** Reads that all processes together may make, per second. */
+    readonly readsPerS: number;
   }) {
     super(options.direct);
     this.#relay = options.relay;
     this.#listPeerAddresses = options.listPeerAddresses;
     this.#clock = options.clock;
     this.#logger = options.logger;
+    this.#reads = new ReadLimiter(() =>
+      computeMaxReadsUnderWay({
+        readsPerS: options.readsPerS,
+        processCount: options.listPeerAddresses().length + 1,
+        latencyMs: this.#lastLatencyMs,
+      }),
+    );
   }
 
-  override async commit(transaction: Transaction): Promise<Result<number, TableError>> {
+  override async commit(
+    transaction: Transaction,
+    limits: CallLimits = {},
+  ): Promise<Result<number, TableError>> {
     return this.#request(
-      async () => this.tables.commit(transaction),
+      async () => this.tables.commit(transaction, limits),
       async (address) => this.#relay.commit(address, transaction),
     );
   }
 
-  override async list(range: RowRange): Promise<Result<ChangePage, TableError>> {
+  override async list(
+    range: RowRange,
+    limits: CallLimits = {},
+  ): Promise<Result<ChangePage, TableError>> {
+    const { deadline = null } = limits;
+    if (deadline === null) {
+      return this.#list(range, limits);
+    }
+    const reply = await this.#reads.run(deadline, async () => this.#listBefore(range, deadline));
+    return reply ?? createNotReadError('the read waited for others until its deadline');
+  }
+
+  async #list(range: RowRange, limits: CallLimits): Promise<Result<ChangePage, TableError>> {
     return this.#request(
-      async () => this.tables.list(range),
+      async () => this.tables.list(range, limits),
       async (address) => this.#relay.list(address, range),
     );
   }
 
+  /**
+   * Reads rows before a deadline. While no answer arrives, the read is sent again on other connections: a
+   * connection on which an answer was lost delivers no further one.
+   */
+  async #listBefore(range: RowRange, deadline: Deadline): Promise<Result<ChangePage, TableError>> {
+    const done = new AbortController();
+    const limits = { deadline, signal: done.signal };
+    try {
+      return await new Promise((resolve) => {
+        let openCount = 0;
+        const attempt = async (send: () => Promise<Result<ChangePage, TableError>>) => {
+          openCount += 1;
+          const reply = await send();
+          openCount -= 1;
+          if (isAnswer(reply) || openCount === 0) {
+            resolve(reply);
+          }
+        };
+        void attempt(async () => this.#list(range, limits));
+        void this.#repeat(deadline, done.signal, async () =>
+          attempt(async () => this.#measure(async () => this.tables.list(range, limits))),
+        );
+      });
+    } finally {
+      done.abort();
+    }
+  }
+
+  /** Calls `send` at intervals, until the deadline or until `signal` is aborted. */
+  async #repeat(deadline: Deadline, signal: AbortSignal, send: () => Promise<void>): Promise<void> {
+    for (let attempt = 1; attempt < MAX_READ_ATTEMPTS; attempt += 1) {
+      await this.#clock.wait(this.#getRepeatDelayMs(), signal);
+      if (signal.aborted || deadline.hasPassed()) {
+        return;
+      }
+      void send();
+    }
+  }
+
+  #getRepeatDelayMs(): number {
+    const scaledDelayMs = RELAY_DELAY_FACTOR * this.#lastLatencyMs;
+    return Math.min(MAX_REPEAT_DELAY_MS, Math.max(MIN_REPEAT_DELAY_MS, scaledDelayMs));
+  }
+
   async #request<Value>(
     requestDirect: () => Promise<Result<Value, TableError>>,
     requestPeer: (address: string) => Promise<Result<Value, TableError> | null>,
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonSettings.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonSettings.ts
@@ -26,6 +26,8 @@
   readonly graceMs: number;
   /** Longest time after the acknowledgement of a configuration until it is in force everywhere, in ms. */
   readonly configurationMs: number;
+  /** Reads of the store that all processes together may make, per second. */
+  readonly storeReadsPerS: number;
   readonly bounds: FleetBounds;
 };
 
--- a/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonRelayedStore.test.ts
+++ b/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonRelayedStore.test.ts
@@ -13,6 +13,7 @@
 
 const VERSION = 7;
 const CALLS_PER_SECOND = 50;
+const READS_PER_S = 2_000;
 
 /** Latency of a store that is fifty times slower than usual, including some queueing. */
 const SLOW_REPLY_MS = 700;
@@ -77,6 +78,7 @@
       listPeerAddresses: () => ['peer-1', 'peer-2'],
       clock: time,
       logger,
+      readsPerS: READS_PER_S,
     });
     return time.settle(store.commit(TRANSACTION), 10_000);
   }
@@ -109,6 +111,7 @@
       listPeerAddresses: () => ['peer-1', 'peer-2', 'peer-3'],
       clock: time,
       logger,
+      readsPerS: READS_PER_S,
     });
     for (let sent = 0; sent < CALLS_PER_SECOND; sent += 1) {
       await time.settle(store.commit(TRANSACTION), 10_000);
@@ -132,6 +135,7 @@
       listPeerAddresses: () => ['peer-1', 'peer-2'],
       clock: time,
       logger,
+      readsPerS: READS_PER_S,
     });
     for (let sent = 0; sent < 5; sent += 1) {
       await time.settle(store.commit(TRANSACTION), 10_000);
--- /dev/null
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressJobStateReader.ts
@@ -0,0 +1,116 @@
+/**
+ * Load pattern: callers ask for the states of hundreds of jobs while the owner is late or gone and the store
+ * answers late or loses answers. Each source by itself may not answer for longer than callers wait, so the
+ * second one is asked beside the first.
+ */
+import type { Answer } from './BaobabwellIngressModel';
+import type { OwnerClient } from './BaobabwellIngressOwner';
+import type { WatchableTableService } from '@baobabwell/platform';
+import type { Clock, Deadline } from '@baobabwell/utils';
+
+import { isEnded, JobState, parseJobProgress } from '@baobabwell/jobs';
+
+import { findJobRows } from './BaobabwellIngressJobRows';
+import { AnswerKind } from './BaobabwellIngressModel';
+import { PROGRESS_TABLE } from './BaobabwellIngressTables';
+
+/** Share of the caller's time after which the second source is asked beside the first. */
+const SECOND_SOURCE_SHARE = 0.1;
+
+/** Time for which the store is asked first after the owner was late, in ms. */
+const STORE_FIRST_MS = 500;
+
+/** Asks one source; resolves to `null` when it does not know or does not answer. */
+type Source = () => Promise<Answer | null>;
+
+/** Returns the first answer that is not `null`, or `null` once there is none. */
+async function findFirst(answers: readonly Promise<Answer | null>[]): Promise<Answer | null> {
+  return new Promise((resolve, reject) => {
+    let openCount = answers.length;
+    answers.forEach((promise) => {
+      promise.then((answer) => {
+        openCount -= 1;
+        if (answer !== null || openCount === 0) {
+          resolve(answer);
+        }
+      }, reject);
+    });
+  });
+}
+
+/** Reads the states of jobs from the owner and from the store. */
+export class JobStateReader {
+  readonly #store: WatchableTableService;
+
+  readonly #owner: OwnerClient;
+
+  readonly #clock: Clock;
+
+  #storeFirstUntilMs = -Infinity;
+
+  constructor(options: {
+    readonly store: WatchableTableService;
+    readonly owner: OwnerClient;
+    readonly clock: Clock;
+  }) {
+    this.#store = options.store;
+    this.#owner = options.owner;
+    this.#clock = options.clock;
+  }
+
+  /** Reads the state of a job; returns `null` when neither source answers before the deadline. */
+  async read(jobId: string, deadline: Deadline): Promise<Answer | null> {
+    const askOwner = async (): Promise<Answer | null> => this.#askOwner(jobId, deadline);
+    const readStored = async (): Promise<Answer | null> => this.#readStored(jobId, deadline);
+    return this.#clock.getNow() < this.#storeFirstUntilMs
+      ? this.#readBoth(readStored, askOwner, deadline)
+      : this.#readBoth(askOwner, readStored, deadline);
+  }
+
+  /** Asks one source, and the other one once the first has no answer or is late. */
+  async #readBoth(first: Source, second: Source, deadline: Deadline): Promise<Answer | null> {
+    const waitStopped = new AbortController();
+    const firstAnswer = first();
+    const isLate = this.#clock
+      .wait(deadline.getRemainingMs() * SECOND_SOURCE_SHARE, waitStopped.signal)
+      .then((): true => true);
+    const early = await Promise.race([firstAnswer, isLate]);
+    waitStopped.abort();
+    if (early === null) {
+      return second();
+    }
+    return early === true ? findFirst([firstAnswer, second()]) : early;
+  }
+
+  async #askOwner(jobId: string, deadline: Deadline): Promise<Answer | null> {
+    const lateMs = deadline.getRemainingMs() * SECOND_SOURCE_SHARE;
+    const askedAtMs = this.#clock.getNow();
+    const state = await this.#owner.findState(jobId, deadline);
+    const nowMs = this.#clock.getNow();
+    if (nowMs - askedAtMs > lateMs) {
+      this.#storeFirstUntilMs = nowMs + STORE_FIRST_MS;
+    }
+    return state === null ? null : { kind: AnswerKind.State, state };
+  }
+
+  /** Reads what is stored of a job; an end is known from its progress alone. */
+  async #readStored(jobId: string, deadline: Deadline): Promise<Answer | null> {
+    const rowsRead = findJobRows(this.#store, jobId, deadline);
+    const read = await this.#store.read(PROGRESS_TABLE, jobId, { deadline });
+    if (!read.ok) {
+      return null;
+    }
+    const progress = read.value === null ? null : parseJobProgress(read.value.value);
+    const state = progress?.state ?? JobState.Queued;
+    if (isEnded(state)) {
+      return { kind: AnswerKind.State, state };
+    }
+    const rows = await rowsRead;
+    if (rows === null) {
+      return null;
+    }
+    return rows.isStored
+      ? { kind: AnswerKind.State, state: rows.isCancelled ? JobState.Cancelled : state }
+      : { kind: AnswerKind.UnknownJob };
+  }
+}
--- a/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
@@ -5,20 +5,17 @@
 import type { JobRecord, JobSpec } from '@baobabwell/jobs';
 import type { Logger } from '@baobabwell/logging';
 import type { JsonValue, WatchableTableService } from '@baobabwell/platform';
-import type { Clock } from '@baobabwell/utils';
+import type { Clock, Deadline } from '@baobabwell/utils';
 
-import { isEnded, JobState, parseJobProgress } from '@baobabwell/jobs';
 import { TableErrorKind } from '@baobabwell/platform';
 
+import { findJobRows } from './BaobabwellIngressJobRows';
+import { JobStateReader } from './BaobabwellIngressJobStateReader';
 import { AnswerKind } from './BaobabwellIngressModel';
 import { computeDemand, RefusalMemory } from './BaobabwellIngressRefusalMemory';
 import { StoreSilence } from './BaobabwellIngressStoreSilence';
-import {
-  CANCELLED_SUFFIX,
-  getJobPartition,
-  JOBS_TABLE,
-  PROGRESS_TABLE,
-} from './BaobabwellIngressTables';
+import { CANCELLED_SUFFIX, getJobPartition, JOBS_TABLE } from './BaobabwellIngressTables';
+import { WaitingCounts } from './BaobabwellIngressWaitingCounts';
 
 /** Retry delay sent to callers while the store is unavailable, in ms; such outages are short. */
 const STORE_RETRY_AFTER_MS = 1_000;
@@ -29,13 +26,16 @@
 /** Interval between these reads, in ms. */
 const RESOLVE_INTERVAL_MS = 150;
 
+/** Number of transactions that try to store a cancellation. */
+const MAX_CANCEL_ATTEMPTS = 3;
+
 /** Time for which a job with an unknown outcome is remembered, in ms; callers repeat calls sooner. */
 const UNCLEAR_MS = 30_000;
 
-/** Rows of a job that exist in the store. */
-type JobRows = { readonly isStored: boolean; readonly isCancelled: boolean };
-
-/** Submits, reads, cancels and counts jobs for the callers of this process. */
+/**
+ * Submits, reads, cancels and counts jobs for the callers of this process. Calls to the owner and the store
+ * end with the time for which the caller waits.
+ */
 export class JobSubmissionService {
   readonly #store: WatchableTableService;
 
@@ -49,7 +49,11 @@
 
   readonly #silence = new StoreSilence();
 
-  /** Monotonic time at which the outcome of a job's submission was last unknown, in ms. */
+  readonly #states: JobStateReader;
+
+  readonly #waitingCounts: WaitingCounts;
+
+  /** Monotonic time at which a job was last sent to the store, unless it refused the job, in ms. */
   readonly #unclearAtMs = new Map<string, number>();
 
   constructor(options: {
@@ -62,23 +66,44 @@
     this.#owner = options.owner;
     this.#clock = options.clock;
     this.#logger = options.logger;
+    this.#states = new JobStateReader(options);
+    this.#waitingCounts = new WaitingCounts(options.owner, options.clock);
   }
 
-  /** Stores a job unless the owner refuses it. */
+  /**
+   * Stores a job unless the owner refuses it. A job that an earlier call may have stored is not reported as
+   * rejected.
+   */
   async submit(
     queue: QueueSettings,
     organisation: string | null,
     jobId: string,
     spec: JobSpec,
+    deadline: Deadline,
+  ): Promise<Answer> {
+    const wasUnclear = this.#unclearAtMs.has(jobId);
+    const answer = await this.#submitOnce(queue, organisation, jobId, spec, deadline);
+    const isRejected = answer.kind === AnswerKind.Refused || answer.kind === AnswerKind.Unavailable;
+    return isRejected && wasUnclear
+      ? { kind: AnswerKind.UnknownOutcome, reason: answer.reason }
+      : answer;
+  }
+
+  async #submitOnce(
+    queue: QueueSettings,
+    organisation: string | null,
+    jobId: string,
+    spec: JobSpec,
+    deadline: Deadline,
   ): Promise<Answer> {
     const acceptedAtMs = this.#clock.getWallTime();
     const record: JobRecord = { id: jobId, queue: queue.name, organisation, acceptedAtMs, spec };
     const demand = computeDemand(record, queue);
     const known = this.#refusals.find(demand, this.#clock.getNow(), true);
     if (known !== null) {
-      return this.#refuseKnown(jobId, known);
+      return this.#refuseKnown(jobId, known, deadline);
     }
-    const offer = await this.#owner.offer(record);
+    const offer = await this.#owner.offer(record, deadline);
     this.#refusals.add(offer?.refusals ?? [], this.#clock.getNow());
     if (offer !== null && !offer.isWanted) {
       const { reason, retryAfterMs } = offer;
@@ -86,12 +111,18 @@
     }
     const earlier =
       offer === null ? this.#refusals.find(demand, this.#clock.getNow(), false) : null;
-    return earlier === null ? this.#storeJob(record) : this.#refuseKnown(jobId, earlier);
+    return earlier === null
+      ? this.#storeJob(record, deadline)
+      : this.#refuseKnown(jobId, earlier, deadline);
   }
 
   /** Refuses a job as the owner refused a like one, unless an earlier call stored it. */
-  async #refuseKnown(jobId: string, { retryAfterMs }: RecentRefusal): Promise<Answer> {
-    const rows = await this.#readJobRows(jobId);
+  async #refuseKnown(
+    jobId: string,
+    { retryAfterMs }: RecentRefusal,
+    deadline: Deadline,
+  ): Promise<Answer> {
+    const rows = await findJobRows(this.#store, jobId, deadline);
     if (rows === null) {
       return this.#createUnavailableAnswer('submit');
     }
@@ -100,19 +131,21 @@
       : { kind: AnswerKind.Refused, reason: 'like jobs were refused a moment ago', retryAfterMs };
   }
 
-  async #storeJob(record: JobRecord): Promise<Answer> {
+  async #storeJob(record: JobRecord, deadline: Deadline): Promise<Answer> {
     const { id: jobId } = record;
     if (!this.#silence.canSubmit(this.#clock.getNow())) {
       const reason = 'the store did not answer the last submissions';
-      return this.#unclearAtMs.has(jobId)
-        ? { kind: AnswerKind.UnknownOutcome, reason }
-        : { kind: AnswerKind.Unavailable, reason, retryAfterMs: STORE_RETRY_AFTER_MS };
+      return { kind: AnswerKind.Unavailable, reason, retryAfterMs: STORE_RETRY_AFTER_MS };
     }
+    // The caller may be answered before the outcome is known.
+    const wasUnclear = this.#unclearAtMs.has(jobId);
+    this.#recordUnclear(jobId);
     const part = getJobPartition(jobId);
-    const reply = await this.#store.commit({
+    const transaction = {
       conditions: [{ table: JOBS_TABLE, part, key: jobId, version: 0 }],
       writes: [{ table: JOBS_TABLE, part, key: jobId, value: record as unknown as JsonValue }],
-    });
+    };
+    const reply = await this.#store.commit(transaction, { deadline });
     const isAnswered = reply.ok || reply.error.kind === TableErrorKind.Conflict;
     if (isAnswered) {
       this.#silence.record(true, this.#clock.getNow());
@@ -120,84 +153,77 @@
     }
     if (!reply.error.mayHaveCommitted) {
       this.#silence.record(false, this.#clock.getNow());
+      if (!wasUnclear) {
+        this.#unclearAtMs.delete(jobId);
+      }
       return {
         kind: AnswerKind.Unavailable,
         reason: `store: ${reply.error.cause}`,
         retryAfterMs: STORE_RETRY_AFTER_MS,
       };
     }
-    return this.#resolveOutcome(jobId, reply.error.cause);
+    return this.#resolveOutcome(jobId, reply.error.cause, deadline);
   }
 
-  /** Returns the state of a job from the owner, or from the store if the owner has none. */
-  async readState(jobId: string): Promise<Answer> {
-    const ownerState = await this.#owner.findState(jobId);
-    if (ownerState !== null) {
-      return { kind: AnswerKind.State, state: ownerState };
-    }
-    const rows = await this.#readJobRows(jobId);
-    if (rows === null) {
-      return this.#createUnavailableAnswer('state');
-    }
-    return rows.isStored
-      ? this.#readStoredState(jobId, rows.isCancelled)
-      : { kind: AnswerKind.UnknownJob };
+  /** Returns the state of a job. */
+  async readState(jobId: string, deadline: Deadline): Promise<Answer> {
+    return (await this.#states.read(jobId, deadline)) ?? this.#createUnavailableAnswer('state');
   }
 
   /**
    * Cancels a job; a cancellation cannot be undone. It is stored for an unknown job too, since the
    * transaction that stores the job may be carried out later.
    */
-  async cancel(jobId: string): Promise<Answer> {
-    const rows = await this.#readJobRows(jobId);
+  async cancel(jobId: string, deadline: Deadline): Promise<Answer> {
+    const rows = await findJobRows(this.#store, jobId, deadline);
     if (rows === null) {
       return this.#createUnavailableAnswer('cancel');
     }
     const { isStored, isCancelled } = rows;
     const answer: Answer = { kind: isStored ? AnswerKind.Cancelled : AnswerKind.UnknownJob };
-    if (isCancelled) {
-      return answer;
-    }
+    const reason = 'the cancellation may not have been stored';
+    return isCancelled || (await this.#storeCancellation(jobId, deadline))
+      ? answer
+      : { kind: AnswerKind.UnknownOutcome, reason };
+  }
+
+  /** Stores that a job is cancelled, which may be stored twice; returns false without an answer in time. */
+  async #storeCancellation(jobId: string, deadline: Deadline): Promise<boolean> {
     const part = getJobPartition(jobId);
     const key = `${jobId}${CANCELLED_SUFFIX}`;
-    const reply = await this.#store.commit({
+    const transaction = {
       conditions: [],
       writes: [{ table: JOBS_TABLE, part, key, value: this.#clock.getWallTime() }],
-    });
-    if (reply.ok) {
-      return answer;
+    };
+    for (let attempt = 0; attempt < MAX_CANCEL_ATTEMPTS && !deadline.hasPassed(); attempt += 1) {
+      const reply = await this.#store.commit(transaction, { deadline });
+      if (reply.ok) {
+        return true;
+      }
+      this.#logger.recordWarning('cancellation-not-stored', {
+        job: jobId,
+        attempt,
+        kind: reply.error.kind,
+      });
+      await this.#clock.wait(deadline.limit(RESOLVE_INTERVAL_MS));
     }
-    return { kind: AnswerKind.UnknownOutcome, reason: 'the cancellation may not have been stored' };
+    return false;
   }
 
   /** Counts the waiting jobs of a queue. */
-  async countWaiting(queue: string): Promise<Answer> {
-    const count = await this.#owner.countWaiting(queue);
+  async countWaiting(queue: string, deadline: Deadline): Promise<Answer> {
+    const count = await this.#waitingCounts.count(queue, deadline);
     return count === null
       ? this.#createUnavailableAnswer('count')
       : { kind: AnswerKind.WaitingCount, count };
   }
 
-  async #readStoredState(jobId: string, isCancelled: boolean): Promise<Answer> {
-    const read = await this.#store.read(PROGRESS_TABLE, jobId);
-    if (!read.ok) {
-      return this.#createUnavailableAnswer('state');
-    }
-    const progress = read.value === null ? null : parseJobProgress(read.value.value);
-    const state = progress?.state ?? JobState.Queued;
-    const hasEnded = isEnded(state);
-    return {
-      kind: AnswerKind.State,
-      state: isCancelled && !hasEnded ? JobState.Cancelled : state,
-    };
-  }
-
   /** Reads the store again to find out whether a commit with an unknown outcome stored the job. */
-  async #resolveOutcome(jobId: string, cause: string): Promise<Answer> {
+  async #resolveOutcome(jobId: string, cause: string, deadline: Deadline): Promise<Answer> {
     let isAnswered = false;
     for (let attempt = 0; attempt < RESOLVE_ATTEMPTS; attempt += 1) {
       await this.#clock.wait(RESOLVE_INTERVAL_MS);
-      const rows = await this.#readJobRows(jobId);
+      const rows = await findJobRows(this.#store, jobId, deadline);
       isAnswered ||= rows !== null;
       if (rows?.isStored) {
         this.#silence.record(true, this.#clock.getNow());
@@ -206,7 +232,6 @@
       }
     }
     this.#silence.record(isAnswered, this.#clock.getNow());
-    this.#recordUnclear(jobId);
     return { kind: AnswerKind.UnknownOutcome, reason: `store: ${cause}` };
   }
 
@@ -219,23 +244,10 @@
       }
       this.#unclearAtMs.delete(id);
     }
+    this.#unclearAtMs.delete(jobId);
     this.#unclearAtMs.set(jobId, nowMs);
   }
 
-  /** Reads which rows of a job exist; returns `null` when the store does not answer. */
-  async #readJobRows(jobId: string): Promise<JobRows | null> {
-    const part = getJobPartition(jobId);
-    const page = await this.#store.list({ table: JOBS_TABLE, part, from: jobId, to: `${jobId}~` });
-    if (!page.ok) {
-      return null;
-    }
-    const keys = new Set(page.value.rows.map(({ key }) => key));
-    return {
-      isStored: keys.has(jobId),
-      isCancelled: keys.has(`${jobId}${CANCELLED_SUFFIX}`),
-    };
-  }
-
   #createUnavailableAnswer(operation: string): Answer {
     return {
       kind: AnswerKind.Unavailable,
--- a/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
@@ -8,6 +8,7 @@
 import Fastify from 'fastify';
 
 import { registerRawBodyParser, REQUEST_HEADER_TIMEOUTS } from '@baobabwell/http';
+import { Deadline } from '@baobabwell/utils';
 
 import { AnswerKind, ClientRequestKind } from './BaobabwellIngressModel';
 import { findOrganisation, findQueue } from './BaobabwellIngressRouting';
@@ -24,9 +25,19 @@
 /** Idle time after which a connection is closed, in ms; callers' pauses between calls are shorter. */
 const KEEP_ALIVE_TIMEOUT_MS = 15_000;
 
+/** Time for which a caller waits that does not say so, in ms. */
+const DEFAULT_WAIT_MS = 3_000;
+
+/** Time before the end of a caller's wait at which the call is answered in any case, in ms. */
+const ANSWER_RESERVE_MS = 100;
+
 /** Time limit for receiving a whole call, in ms. Callers wait only 3 seconds for an answer. */
 const REQUEST_TIMEOUT_MS = 10_000;
 
+/** Why calls are answered without their outcome. */
+const PROCESS_ENDS = 'this process ends';
+const CALLER_LEAVES = 'no answer within the time for which the caller waits';
+
 /** A call that was answered. */
 export type AnsweredCall = {
   readonly queue: string | null;
@@ -57,9 +68,8 @@
   readonly jobId: string | null;
 };
 
-/** Creates the answer to a call whose outcome this process will not learn. */
-function createEndedOutcome({ method }: RawCall): CallOutcome {
-  const reason = 'this process ends';
+/** Creates the answer to a call whose outcome this process will not learn in time. */
+function createEndedOutcome({ method }: RawCall, reason: string): CallOutcome {
   const answer: Answer =
     method === 'GET'
       ? { kind: AnswerKind.Unavailable, reason, retryAfterMs: NO_CONFIGURATION_RETRY_AFTER_MS }
@@ -72,7 +82,7 @@
   readonly #context: IngressContext;
 
   /** Calls that wait for their answers; each ends its call. */
-  readonly #waiting = new Set<() => void>();
+  readonly #waiting = new Set<(reason: string) => void>();
 
   #isEnding = false;
 
@@ -107,7 +117,7 @@
   /** Answers all calls that wait, and later ones at once, because the process is about to end. */
   endCalls(): void {
     this.#isEnding = true;
-    this.#waiting.forEach((end) => end());
+    this.#waiting.forEach((end) => end(PROCESS_ENDS));
   }
 
   async #handle(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
@@ -164,18 +174,25 @@
 
   async #answerBeforeEnd(call: RawCall): Promise<CallOutcome> {
     if (this.#isEnding) {
-      return createEndedOutcome(call);
+      return createEndedOutcome(call, PROCESS_ENDS);
     }
+    const { clock } = this.#context;
+    const waitMs = call.waitMs ?? DEFAULT_WAIT_MS;
+    const deadline = new Deadline(clock, waitMs - Math.min(ANSWER_RESERVE_MS, waitMs / 2));
     return new Promise((resolve, reject) => {
-      const end = (): void => resolve(createEndedOutcome(call));
+      const end = (reason: string): void => resolve(createEndedOutcome(call, reason));
+      const cancelTimer = clock.startTimer(deadline.getRemainingMs(), () => end(CALLER_LEAVES));
       this.#waiting.add(end);
-      this.#answer(call)
+      this.#answer(call, deadline)
         .then(resolve, reject)
-        .finally(() => this.#waiting.delete(end));
+        .finally(() => {
+          cancelTimer();
+          this.#waiting.delete(end);
+        });
     });
   }
 
-  async #answer(call: RawCall): Promise<CallOutcome> {
+  async #answer(call: RawCall, deadline: Deadline): Promise<CallOutcome> {
     const configuration = this.#context.getConfiguration();
     const none = { queue: null, kind: null, jobId: null };
     if (configuration === null || this.#context.isOutdated()) {
@@ -204,26 +221,27 @@
           organisation,
           request.jobId,
           spec,
+          deadline,
         );
         return { answer, queue, kind, jobId };
       }
       case ClientRequestKind.ReadState:
         return {
-          answer: await this.#context.submissions.readState(request.jobId),
+          answer: await this.#context.submissions.readState(request.jobId, deadline),
           queue,
           kind,
           jobId,
         };
       case ClientRequestKind.Cancel:
         return {
-          answer: await this.#context.submissions.cancel(request.jobId),
+          answer: await this.#context.submissions.cancel(request.jobId, deadline),
           queue,
           kind,
           jobId,
         };
       case ClientRequestKind.CountWaiting:
         return {
-          answer: await this.#context.submissions.countWaiting(queue.name),
+          answer: await this.#context.submissions.countWaiting(queue.name, deadline),
           queue,
           kind,
           jobId,
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressJobSubmissionService.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressJobSubmissionService.test.ts
@@ -8,7 +8,7 @@
 import { EmulatedJobStore, EmulatedRows, NO_STORE_FAULTS } from '@baobabwell/job-emulator';
 import { JobState } from '@baobabwell/jobs';
 import { Logger, LogLevel } from '@baobabwell/logging';
-import { Random } from '@baobabwell/utils';
+import { Deadline, Random } from '@baobabwell/utils';
 
 import {
   AnswerKind,
@@ -32,6 +32,9 @@
   advice: null,
 };
 
+/** Longest time for which the callers of these tests wait, in ms. */
+const WAIT_MS = 20_000;
+
 class ScriptedOwner extends OwnerClient {
   readonly #offer: OfferReply | null;
 
@@ -68,15 +71,20 @@
     });
   }
 
+  function createDeadline(waitMs = WAIT_MS): Deadline {
+    return new Deadline(time, waitMs);
+  }
+
   async function submit(
     service: JobSubmissionService,
     id = '00000000000000a1',
   ): Promise<AnswerKind> {
-    return (await time.settle(service.submit(QUEUE, null, id, SPEC), 20_000)).kind;
+    return (await time.settle(service.submit(QUEUE, null, id, SPEC, createDeadline()), 20_000))
+      .kind;
   }
 
   async function readState(id: string): Promise<AnswerKind> {
-    return (await time.settle(createService().readState(id), 20_000)).kind;
+    return (await time.settle(createService().readState(id, createDeadline()), 20_000)).kind;
   }
 
   beforeEach(() => {
@@ -110,6 +118,28 @@
     expect(answers.every((answer) => allowed.includes(answer))).toEqual(true);
   });
 
+  it('never reports a job as not run that an earlier call may have stored', async () => {
+    const service = createService();
+    rows.faults = { ...NO_STORE_FAULTS, lostFraction: 1 };
+    const first = await time.settle(
+      service.submit(QUEUE, null, '00000000000000a1', SPEC, createDeadline(300)),
+      20_000,
+    );
+    expect(first.kind).toEqual(AnswerKind.UnknownOutcome);
+    rows.faults = { ...NO_STORE_FAULTS, isDown: true };
+    expect(await submit(service)).toEqual(AnswerKind.UnknownOutcome);
+    expect(await submit(service, '00000000000000a2')).toEqual(AnswerKind.Unavailable);
+  });
+
+  it('stores a cancellation again while no answer arrives', async () => {
+    await submit(createService());
+    rows.faults = { ...NO_STORE_FAULTS, lostFraction: 1 };
+    const cancelling = createService().cancel('00000000000000a1', createDeadline());
+    await time.advance(700);
+    rows.faults = NO_STORE_FAULTS;
+    expect((await time.settle(cancelling, 20_000)).kind).toEqual(AnswerKind.Cancelled);
+  });
+
   it('reports a job as not run when the store refuses the commit', async () => {
     rows.faults = { ...NO_STORE_FAULTS, isDown: true };
     expect(await submit(createService())).toEqual(AnswerKind.Unavailable);
@@ -141,7 +171,7 @@
     await submit(service);
     await submit(service);
     const calls = Array.from({ length: 5 }, async (_, index) =>
-      service.submit(QUEUE, null, `00000000000000c${index}`, SPEC),
+      service.submit(QUEUE, null, `00000000000000c${index}`, SPEC, createDeadline()),
     );
     const answers = await time.settle(Promise.all(calls), 20);
     expect(answers.map(({ kind }) => kind)).toEqual(answers.map(() => AnswerKind.Unavailable));
@@ -153,9 +183,15 @@
 
   it('cancels a stored job and reports any other as unknown', async () => {
     await submit(createService());
-    const cancelled = await time.settle(createService().cancel('00000000000000a1'), 20_000);
+    const cancelled = await time.settle(
+      createService().cancel('00000000000000a1', createDeadline()),
+      20_000,
+    );
     expect(cancelled.kind).toEqual(AnswerKind.Cancelled);
-    const unknown = await time.settle(createService().cancel('00000000000000b2'), 20_000);
+    const unknown = await time.settle(
+      createService().cancel('00000000000000b2', createDeadline()),
+      20_000,
+    );
     expect(unknown.kind).toEqual(AnswerKind.UnknownJob);
   });
 
@@ -166,16 +202,19 @@
     const [submission] = rows.unanswered as [Transaction];
     // The store has not applied the submission when the caller cancels it.
     rows = new EmulatedRows();
-    const cancelled = await time.settle(createService().cancel(id), 20_000);
+    const cancelled = await time.settle(createService().cancel(id, createDeadline()), 20_000);
     expect(cancelled.kind).toEqual(AnswerKind.UnknownJob);
     expect(rows.apply(submission)).toEqual(null);
-    const answer = await time.settle(createService().readState(id), 20_000);
+    const answer = await time.settle(createService().readState(id, createDeadline()), 20_000);
     expect(answer).toEqual({ kind: AnswerKind.State, state: JobState.Cancelled });
   });
 
   it('acknowledges no cancellation of an unknown job that may not have been stored', async () => {
     rows.faults = { ...NO_STORE_FAULTS, lostFraction: 1 };
-    const answer = await time.settle(createService().cancel('00000000000000a1'), 20_000);
+    const answer = await time.settle(
+      createService().cancel('00000000000000a1', createDeadline()),
+      20_000,
+    );
     expect(answer.kind).toEqual(AnswerKind.UnknownOutcome);
   });
 
