fleet, controller: queues of a configuration are found by an index

Cause: each offer, end of a job and copy searched the list of queues, and each round of placements and each round of the fleet built a map of them; work grew with the configuration. Change: one index for each configuration. Conclusion: work a call grows with what the call names, not with the configuration.

--- a/packages/baobabwell-controller/src/BaobabwellControllerCopyPlacement.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCopyPlacement.ts
@@ -3,6 +3,7 @@
 import type { Run, Step } from '@baobabwell/jobs';
 import type { Allowance, CopyPool, Placement, PlacementHost } from '@baobabwell/placement';
 
+import { findQueueByName } from '@baobabwell/fleet';
 import { decideCopies } from '@baobabwell/placement';
 
 import { MAX_COPY_SHARE } from './BaobabwellControllerConstants';
@@ -48,8 +49,7 @@
   dispatch: CopyDispatch,
 ): void {
   const { jobRegistry, clock, copies, hosts, queuePools, getConfiguration } = context;
-  const queues = getConfiguration()?.queues ?? [];
-  const findQueue = (name: string) => queues.find((queue) => queue.name === name) ?? null;
+  const findQueue = (name: string) => findQueueByName(getConfiguration(), name);
   const closed = new Set(dispatch.listClosedPools());
   const findOpenQueue = (name: string) => {
     const queue = findQueue(name);
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -6,6 +6,7 @@
 import type { Resources, Run, Step } from '@baobabwell/jobs';
 import type { Allowance, Placement, PlacementHost } from '@baobabwell/placement';
 
+import { findQueueByName } from '@baobabwell/fleet';
 import { HostAdmission } from '@baobabwell/host-health';
 import { CrashSuspicion, RunPhase } from '@baobabwell/jobs';
 import { compareUrgency, decidePlacements, getUrgency } from '@baobabwell/placement';
@@ -213,11 +214,11 @@
       this.#context;
     const nowMs = clock.getNow();
     const wallMs = clock.getWallTime();
-    const queues = new Map(getConfiguration()?.queues.map((queue) => [queue.name, queue]));
+    const configuration = getConfiguration();
     const unreconciledPools = possibleRuns.listUnreconciledPools();
     const ready: UrgentStep[] = [];
     for (const job of jobRegistry.listOpenJobs()) {
-      const queue = queues.get(job.record.queue) ?? null;
+      const queue = findQueueByName(configuration, job.record.queue);
       if (
         queue !== null &&
         queuePools.canStart(queue) &&
--- a/packages/baobabwell-controller/src/BaobabwellControllerJobEnds.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerJobEnds.ts
@@ -2,6 +2,7 @@
 import type { Job, Run, Task } from '@baobabwell/jobs';
 import type { LogFields } from '@baobabwell/logging';
 
+import { findQueueByName } from '@baobabwell/fleet';
 import { JobState } from '@baobabwell/jobs';
 import { ObjectiveResult } from '@baobabwell/metrics';
 import { getObjectiveMs } from '@baobabwell/placement';
@@ -45,10 +46,10 @@
   const { clock, logger, metrics, durations, getConfiguration } = context;
   const { id, spec, queue, acceptedAtMs } = record;
   const tookMs = Math.round(clock.getWallTime() - acceptedAtMs);
-  const settings = getConfiguration()?.queues.find(({ name }) => name === queue);
+  const settings = findQueueByName(getConfiguration(), queue);
   // A repeated job has its own due times, so no objective applies to its duration.
   const objectiveMs =
-    settings === undefined || spec.repeat !== null
+    settings === null || spec.repeat !== null
       ? null
       : Math.round(getObjectiveMs(spec, settings, durations));
   const hasCompleted = state === JobState.Completed;
--- a/packages/baobabwell-controller/src/BaobabwellControllerPoolLoad.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerPoolLoad.ts
@@ -3,6 +3,7 @@
 import type { PoolLoad } from '@baobabwell/fleet';
 import type { Job, Step } from '@baobabwell/jobs';
 
+import { findQueueByName } from '@baobabwell/fleet';
 import { TaskPhase } from '@baobabwell/jobs';
 import { getCpuWork } from '@baobabwell/placement';
 
@@ -65,11 +66,11 @@
   getConfiguration,
 }: TermContext): ReadonlyMap<string, PoolLoad> {
   const loads = new Map<string, MutableLoad>();
-  const pools = new Map(getConfiguration()?.queues.map(({ name, pool }) => [name, pool]));
+  const configuration = getConfiguration();
   const wallMs = clock.getWallTime();
-  pools.forEach((pool) => loads.set(pool, createLoad()));
+  configuration?.queues.forEach(({ pool }) => loads.set(pool, loads.get(pool) ?? createLoad()));
   const findLoad = (job: Job): MutableLoad | undefined =>
-    loads.get(pools.get(job.record.queue) ?? '');
+    loads.get(findQueueByName(configuration, job.record.queue)?.pool ?? '');
   jobRegistry.listArrivedJobs(wallMs - 2 * SECOND_MS).forEach((job) => {
     const load = findLoad(job);
     if (load !== undefined && !job.record.spec.steps.some((step) => step.isLasting)) {
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -11,6 +11,7 @@
 
 import { setMaxListeners } from 'node:events';
 
+import { findQueueByName } from '@baobabwell/fleet';
 import { JOBS_TABLE } from '@baobabwell/ingress';
 import { JobRegistry } from '@baobabwell/jobs';
 import { getWidestStepCpu } from '@baobabwell/placement';
@@ -89,9 +90,8 @@
   #isLoaded = false;
 
   constructor(options: TermOptions, term: Term) {
-    const jobRegistry = new JobRegistry(
-      (name) => options.getConfiguration()?.queues.find((queue) => queue.name === name) ?? null,
-    );
+    const findQueue = (name: string) => findQueueByName(options.getConfiguration(), name);
+    const jobRegistry = new JobRegistry(findQueue);
     const hosts = new Map<string, Host>();
     this.#runDurations = new RunDurations(options);
     const { signal } = this.#abortController;
@@ -170,8 +170,8 @@
   /** Decides whether to admit a job; a job that is already tracked is admitted. */
   offer(record: JobRecord): OfferReply {
     const { jobRegistry, logger, metrics, getConfiguration } = this.context;
-    const queue = getConfiguration()?.queues.find(({ name }) => name === record.queue);
-    if (jobRegistry.findJob(record.id) !== null || queue === undefined) {
+    const queue = findQueueByName(getConfiguration(), record.queue);
+    if (jobRegistry.findJob(record.id) !== null || queue === null) {
       return { isWanted: true, refusals: [] };
     }
     const decision = this.#admission.decide(record, queue);
--- a/packages/baobabwell-fleet/src/index.ts
+++ b/packages/baobabwell-fleet/src/index.ts
@@ -23,4 +23,5 @@
 export { WaveState } from './BaobabwellFleetModel';
 export { decideMoves } from './BaobabwellFleetMoves';
 export { RecentPeaks } from './BaobabwellFleetPeaks';
+export { findQueueByName, getQueuesByName } from './BaobabwellFleetQueues';
 export { decideMaintenance } from './BaobabwellFleetWaves';
