daemon: peers report versions of the configuration, and one of them is asked for it

Cause: a process that the store did not answer in time asked three peers every 250 ms for all of the configuration. Those that had a later one sent some MB, too late; only those that had none counted, so that the process served by a configuration of 30 to 110 s ago and counted as current. Each failed watch had the whole configuration read again. Change: reports hold versions; while a peer knows a later version, a process that can't read it from the store asks one peer at a time for it, and counts as outdated once its own is too old. A watch that failed goes on from the version it knows; only a compacted history has the row read again. Measured: BaobabwellDaemonConfiguration.test.ts, both new tests fail before: the process counts as current; the row is listed again. Conclusion: freshness is told by small messages; what is large is sent once, to who needs it.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemonConfiguration.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonConfiguration.ts
@@ -49,6 +49,14 @@
   record: (report: ConfigurationReport) => void,
 ) => void;
 
+/** Requests a report from one peer; resolves to `null` without an answer. */
+export type RequestConfiguration = (
+  knownVersion: number | null,
+) => Promise<ConfigurationReport | null>;
+
+/** Known version with which a peer reports its version without the configuration, which may be some MB. */
+const ANY_VERSION = Number.MAX_SAFE_INTEGER;
+
 /**
  * Watches the operator's configuration; never applies an older version. Where the store turns this process
  * away, its peers tell what they read there.
@@ -62,6 +70,8 @@
 
   readonly #requestReports: RequestReports;
 
+  readonly #requestConfiguration: RequestConfiguration;
+
   readonly #maxAgeMs: number;
 
   readonly #stopped = new AbortController();
@@ -74,8 +84,16 @@
   /** Monotonic time at which a peer was asked that has reported, in ms. */
   #reportedAtMs = -Infinity;
 
+  /** Latest version that a peer has reported. */
+  #reportedVersion = 0;
+
   #wasOutdated = false;
 
+  /** True from a call to the store without an answer until the next answer. */
+  #isStoreFailing = false;
+
+  #isRequestingConfiguration = false;
+
   /** Version that the store has reached at least, as its answers told. */
   #storeVersion = 0;
 
@@ -86,12 +104,14 @@
     /** Longest time after which a change of the configuration has to be in force, in ms. */
     readonly maxAgeMs: number;
     readonly requestReports: RequestReports;
+    readonly requestConfiguration: RequestConfiguration;
   }) {
     this.#adapters = options.adapters;
     this.#clock = options.clock;
     this.#logger = options.logger;
     this.#maxAgeMs = options.maxAgeMs;
     this.#requestReports = options.requestReports;
+    this.#requestConfiguration = options.requestConfiguration;
   }
 
   getConfiguration(): FleetConfiguration | null {
@@ -104,15 +124,16 @@
   }
 
   /**
-   * Returns true while a change of the configuration may be in force of which this process cannot know:
-   * neither the store nor a peer answers it. While peers answer, none of them knows a later configuration.
+   * Returns true while a change of the configuration may be in force of which this process cannot know: the
+   * store does not answer, and no peer does or one of them knows a later configuration.
    */
   isOutdated(): boolean {
     const ageMs = this.getAgeMs();
+    const hasReports = this.#clock.getNow() - this.#reportedAtMs <= MAX_REPORT_AGE_MS;
     const isOutdated =
       ageMs !== null &&
       ageMs > this.#maxAgeMs - CALL_TRANSIT_MS &&
-      this.#clock.getNow() - this.#reportedAtMs > MAX_REPORT_AGE_MS;
+      (!hasReports || this.#isBehindPeers());
     if (isOutdated !== this.#wasOutdated) {
       this.#wasOutdated = isOutdated;
       const version = this.#configuration?.version ?? null;
@@ -147,7 +168,7 @@
     let version: number | null = null;
     while (!signal.aborted) {
       version = version === null ? await this.#readAll() : await this.#watch(version);
-      if (version !== null) {
+      if (!this.#isStoreFailing) {
         retryDelay.reset();
       } else if (!signal.aborted) {
         await this.#clock.wait(retryDelay.advance(), signal);
@@ -163,9 +184,10 @@
       if (!signal.aborted && (this.getAgeMs() ?? Infinity) > MIN_PEER_REQUEST_AGE_MS) {
         const requestedAtMs = this.#clock.getNow();
         // Not awaited: peers that do not answer must not delay the next request.
-        this.#requestReports(this.#configuration?.version ?? null, (report) =>
-          this.#applyReport(report, requestedAtMs),
-        );
+        this.#requestReports(ANY_VERSION, (report) => this.#applyReport(report, requestedAtMs));
+        if (this.#isBehindPeers() && this.#isStoreFailing) {
+          void this.#readFromPeer();
+        }
       }
     }
   }
@@ -190,6 +212,7 @@
     const { store, codec, configurationKey } = this.#adapters;
     const sentAtMs = this.#clock.getNow();
     const page = await store.list(getKeyRange(codec.operatorTable, configurationKey));
+    this.#isStoreFailing = !page.ok || page.value.version < this.#storeVersion;
     if (!page.ok) {
       this.#logger.recordWarning('configuration-not-read', { reason: page.error.kind });
       return null;
@@ -206,15 +229,18 @@
     return version;
   }
 
+  /** Waits for changes after a version; returns `null` when they can only be seen by reading all rows. */
   async #watch(version: number): Promise<number | null> {
     const { store, codec } = this.#adapters;
     const { signal } = this.#stopped;
     const sentAtMs = this.#clock.getNow();
-    const page = await store.waitForChanges(codec.operatorTable, version, WATCH_TIMEOUT_MS, signal);
+    const waitMs = this.#isStoreFailing ? 0 : WATCH_TIMEOUT_MS;
+    const page = await store.waitForChanges(codec.operatorTable, version, waitMs, signal);
+    this.#isStoreFailing = !page.ok;
     if (page.ok) {
       page.value.rows.forEach((row) => this.#applyRow(row));
       // The store answers without changes only after the whole wait, and so as of its end.
-      const endsAtMs = sentAtMs + WATCH_TIMEOUT_MS;
+      const endsAtMs = sentAtMs + waitMs;
       const isTimedOut = page.value.rows.length === 0 && this.#clock.getNow() >= endsAtMs;
       this.#confirm(isTimedOut ? endsAtMs : sentAtMs);
       this.#storeVersion = Math.max(this.#storeVersion, page.value.version);
@@ -232,7 +258,7 @@
         isHistoryGone,
       });
     }
-    return null;
+    return isHistoryGone ? null : version;
   }
 
   #applyRow({ key, value }: Row): void {
@@ -255,12 +281,31 @@
       this.apply(configuration, 'peer');
     }
     this.#reportedAtMs = Math.max(this.#reportedAtMs, requestedAtMs);
-    if (version >= (this.#configuration?.version ?? 0)) {
+    this.#reportedVersion = Math.max(this.#reportedVersion, version);
+    if (version === this.#configuration?.version) {
       // A busy peer reads the age late; counted from the report's arrival, an old answer would seem new.
       this.#confirm(requestedAtMs - ageMs);
     }
   }
 
+  #isBehindPeers(): boolean {
+    return this.#reportedVersion > (this.#configuration?.version ?? 0);
+  }
+
+  /** Reads the configuration from one peer at a time: each transfer takes its share of the link. */
+  async #readFromPeer(): Promise<void> {
+    if (this.#isRequestingConfiguration) {
+      return;
+    }
+    this.#isRequestingConfiguration = true;
+    const requestedAtMs = this.#clock.getNow();
+    const report = await this.#requestConfiguration(this.#configuration?.version ?? null);
+    this.#isRequestingConfiguration = false;
+    if (report !== null) {
+      this.#applyReport(report, requestedAtMs);
+    }
+  }
+
   #confirm(atMs: number): void {
     this.#confirmedAtMs = Math.max(this.#confirmedAtMs ?? -Infinity, atMs);
   }
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
@@ -131,6 +131,8 @@
     maxAgeMs: configurationMs,
     requestReports: (knownVersion, record) =>
       poll.send(async (client) => client.getConfigurationReport.query(knownVersion), record),
+    requestConfiguration: async (knownVersion) =>
+      poll.requestNext(async (client) => client.getConfigurationReport.query(knownVersion)),
   });
 }
 
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonMemberPoll.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonMemberPoll.ts
@@ -22,6 +22,19 @@
     return this.#members.listPeerAddresses().length > 0;
   }
 
+  /** Sends a request to the next process in turn; returns `null` when it does not answer. */
+  async requestNext<Reply>(
+    request: (client: PeerClient) => Promise<Reply | null>,
+  ): Promise<Reply | null> {
+    const addresses = this.#members.listPeerAddresses();
+    if (addresses.length === 0) {
+      return null;
+    }
+    const address = addresses[this.#nextIndex % addresses.length] as string;
+    this.#nextIndex += 1;
+    return this.#peers.request(address, request);
+  }
+
   /** Sends a request without waiting; each answer is given to `record` when it arrives. */
   send<Reply>(
     request: (client: PeerClient) => Promise<Reply | null>,
--- a/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonConfiguration.test.ts
+++ b/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonConfiguration.test.ts
@@ -31,6 +31,18 @@
   /** Processes that their peers do not reach. */
   let silentPeers: Set<number>;
 
+  /** Versions that were read from peers; `null` where the peer had no later one. */
+  let transfers: (number | null)[];
+
+  /** Time that the transfer of a configuration from a peer takes, in ms. */
+  let transferMs: number;
+
+  function listPeers(own: number): readonly Process[] {
+    return processes.filter(
+      (_, index) => index !== own && !silentPeers.has(index) && !silentPeers.has(own),
+    );
+  }
+
   function put(version: number): void {
     const value = { ...CONFIGURATION, version } as unknown as JsonValue;
     rows.apply({ conditions: [], writes: [{ table: TABLE, key: KEY, value }] });
@@ -50,10 +62,17 @@
       logger: new Logger(LogLevel.Info, {}, (line) => lines.push(line)),
       maxAgeMs: MAX_AGE_MS,
       requestReports: (knownVersion, record) =>
-        processes
-          .filter((_, index) => index !== own && !silentPeers.has(index) && !silentPeers.has(own))
+        listPeers(own)
           .map((peer) => peer.watcher.createReport(knownVersion))
           .forEach((report) => report !== null && record(report)),
+      requestConfiguration: async (knownVersion) => {
+        const peers = listPeers(own);
+        const report =
+          peers[transfers.length % peers.length]?.watcher.createReport(knownVersion) ?? null;
+        transfers.push(report?.configuration?.version ?? null);
+        await time.wait(transferMs);
+        return report;
+      },
     });
     void watcher.run();
     void watcher.runPeerRequests();
@@ -71,6 +90,8 @@
     processes = [];
     lines = [];
     silentPeers = new Set();
+    transfers = [];
+    transferMs = 0;
     put(1);
     [1, 2, 3].forEach(addProcess);
     await time.advance(APPLY_MS);
@@ -147,6 +168,36 @@
     expect([listVersions(), laterAge < APPLY_MS]).toEqual([[2, 2, 2], true]);
   });
 
+  it('reads a later configuration from one peer at a time, and counts as outdated while it arrives', async () => {
+    partition(0);
+    await time.advance(APPLY_MS);
+    transferMs = 2 * MAX_AGE_MS;
+    put(2);
+    await time.advance(MAX_AGE_MS);
+    expect(listVersions()).toEqual([1, 2, 2]);
+    expect(processes.map(({ watcher }) => watcher.isOutdated())).toEqual([true, false, false]);
+    expect(transfers).toEqual([2]);
+    await time.advance(transferMs);
+    expect(listVersions()).toEqual([2, 2, 2]);
+    expect(processes.map(({ watcher }) => watcher.isOutdated())).toEqual([false, false, false]);
+  });
+
+  it('does not read the whole configuration again after a watch that failed', async () => {
+    const [{ store }] = processes as [Process];
+    let listCount = 0;
+    const list = store.list.bind(store);
+    store.list = async (range) => {
+      listCount += 1;
+      return list(range);
+    };
+    store.isPartitioned = true;
+    await time.advance(APPLY_MS);
+    store.isPartitioned = false;
+    put(2);
+    await time.advance(APPLY_MS);
+    expect([listVersions(), listCount]).toEqual([[2, 2, 2], 0]);
+  });
+
   it('never applies an older configuration of a peer', async () => {
     partition(0);
     await time.advance(APPLY_MS);
