tests: reads of states, and other calls, beside an owner in trouble and a slow store

Cause: callers that ask for the states of accepted jobs get 503 or no answer in time while the owner is paused, killed or stopped and the store is slow or loses answers; no test of the project showed it. Change: `run.ts reads` runs the table of troubles with real processes, one line each: 300 jobs are done, then each one's state is asked for at the same time on a new connection. The same for submissions, cancels and counts of waiting jobs. The stand-in store loses a seeded share of its answers, each with its connection. Refused submissions are repeated, so that the number of jobs is the same in each run.

--- a/tests/process/soak.test.ts
+++ b/tests/process/soak.test.ts
@@ -1,9 +1,11 @@
+import type { CallsReport, ReadsTrouble } from './soak/reads';
 import type { SoakReport } from './soak/soak';
 
 import { expect } from 'earl';
 import { execFile } from 'node:child_process';
 import { promisify } from 'node:util';
 
+import { OwnerTrouble, runOtherCalls, runReads } from './soak/reads';
 import { runSoak } from './soak/soak';
 import { runTakeover, TAKEOVER_TASKS } from './soak/takeover';
 
@@ -17,6 +19,15 @@
 /** Time from the first loss of an owner until the end, in ms. */
 const WATCH_MS = 8_000;
 
+/** Number of jobs whose states are read at the same time. */
+const READ_JOBS = 300;
+
+/** Share of the store's answers that are lost while states are read. */
+const LOST_SHARE = 0.4;
+
+/** Least share of the callers that are told the state beside lost answers. */
+const MIN_TOLD_BESIDE_LOST = 0.98;
+
 const runFile = promisify(execFile);
 
 async function loseOwners(
@@ -33,6 +44,23 @@
   return { left, lapsed };
 }
 
+const SLOW: Omit<ReadsTrouble, 'owner'> = {
+  jobs: READ_JOBS,
+  delayMs: SLOW_STORE_MS,
+  lostShare: 0,
+  seed: SEED,
+};
+
+function getToldShare({ told, asked }: CallsReport): number {
+  return asked === 0 ? 0 : told / asked;
+}
+
+/** Counts the submissions, the cancels and the counts that got no answer in time. */
+async function countUnanswered(trouble: ReadsTrouble): Promise<readonly number[]> {
+  const { submissions, cancels, counts } = await runOtherCalls({ ...trouble, jobs: 0 });
+  return [submissions.nothing, cancels.nothing, counts.nothing];
+}
+
 describe('soak of real processes', function () {
   this.timeout(TEST_TIMEOUT_MS);
 
@@ -70,4 +98,27 @@
   it('keeps lasting tasks at work when the owner is killed beside a slow store', async () => {
     expect(await loseOwners(false, 1)).toEqual({ left: TAKEOVER_TASKS, lapsed: 0 });
   });
+
+  it('tells every caller the state of its job while the owner is paused beside a slow store', async () => {
+    expect(getToldShare(await runReads({ ...SLOW, owner: OwnerTrouble.Pause }))).toEqual(1);
+  });
+
+  it('tells every caller the state of its job around a planned stop of the owner beside a slow store', async () => {
+    expect(getToldShare(await runReads({ ...SLOW, owner: OwnerTrouble.Stop }))).toEqual(1);
+  });
+
+  it('tells callers the states of their jobs while the owner is paused and the store loses answers', async () => {
+    const trouble = { ...SLOW, owner: OwnerTrouble.Pause, delayMs: 0, lostShare: LOST_SHARE };
+    const told = getToldShare(await runReads(trouble));
+    expect([told >= MIN_TOLD_BESIDE_LOST, told]).toEqual([true, told]);
+  });
+
+  it('answers submissions, cancels and counts in time while the owner is paused beside a slow store', async () => {
+    expect(await countUnanswered({ ...SLOW, owner: OwnerTrouble.Pause })).toEqual([0, 0, 0]);
+  });
+
+  it('answers submissions, cancels and counts in time while the owner is paused and the store loses answers', async () => {
+    const trouble = { ...SLOW, owner: OwnerTrouble.Pause, delayMs: 0, lostShare: LOST_SHARE };
+    expect(await countUnanswered(trouble)).toEqual([0, 0, 0]);
+  });
 });
--- a/tests/process/soak/deployment.ts
+++ b/tests/process/soak/deployment.ts
@@ -186,6 +186,15 @@
     this.#process?.kill('SIGKILL');
   }
 
+  /** Stops the process from running code until {@link resume} is called. */
+  pause(): void {
+    this.#process?.kill('SIGSTOP');
+  }
+
+  resume(): void {
+    this.#process?.kill('SIGCONT');
+  }
+
   /** Sends SIGHUP, except before a new process can have run the first line of its program. */
   reload(): void {
     if (performance.now() - this.#startedAtMs > BOOT_MS) {
--- a/tests/process/soak/http.ts
+++ b/tests/process/soak/http.ts
@@ -28,13 +28,22 @@
   return text === '' ? {} : (JSON.parse(text) as JsonObject);
 }
 
-/** Opens a JSON server; each answer is sent later by the delay at its time. */
+/** What happens to the answers of a stand-in. */
+export type AnswerTrouble = {
+  /** Returns the time by which an answer is sent later, in ms. */
+  readonly getDelayMs: () => number;
+  /** Returns true if an answer, and all that follows on its connection, is not delivered. */
+  readonly isLost: () => boolean;
+};
+
+/** Opens a JSON server; the trouble at its time befalls each answer. */
 export async function openServer(
   port: number,
   handle: (call: StandInCall) => Promise<StandInReply>,
-  getDelayMs: () => number = () => 0,
+  { getDelayMs, isLost }: AnswerTrouble = { getDelayMs: () => 0, isLost: () => false },
 ): Promise<StandInServer> {
   const sockets = new Set<Socket>();
+  const silentSockets = new WeakSet<Socket>();
   const server = createServer(async (message, response) => {
     try {
       const chunks: Buffer[] = [];
@@ -50,6 +59,10 @@
         body: parseObject(Buffer.concat(chunks).toString('utf8')),
       });
       await wait(getDelayMs());
+      if (silentSockets.has(message.socket) || isLost()) {
+        silentSockets.add(message.socket);
+        return;
+      }
       response.writeHead(reply.status, { 'content-type': 'application/json' });
       response.end(JSON.stringify(reply.body));
     } catch (error) {
--- a/tests/process/soak/run.ts
+++ b/tests/process/soak/run.ts
@@ -1,15 +1,17 @@
 /**
- * Runs seeds of the soak, or the table of takeovers, by hand:
+ * Runs seeds of the soak, or the table of takeovers or of reads, by hand:
  * `npx tsx tests/process/soak/run.ts soak --seed 1 --runs 10 [--no-lapsed]` prints one line a seed and exits with
  * code 1 if an invariant was broken; `npx tsx tests/process/soak/run.ts takeovers [--only FIRST,SECOND]
- * [--runs 3]`.
+ * [--runs 3]`; `npx tsx tests/process/soak/run.ts reads [--only FIRST,SECOND] [--runs 3] [--seed 1]`.
  */
+import type { CallsReport, ReadsTrouble } from './reads';
 import type { SoakReport } from './soak';
 import type { Takeover } from './takeover';
 
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 
+import { OwnerTrouble, runOtherCalls, runReads } from './reads';
 import { runSoak } from './soak';
 import { runTakeover, TAKEOVER_TASKS } from './takeover';
 
@@ -34,6 +36,36 @@
   ['rack-three-kills', { isPlanned: false, losses: 3, crashesRack: true }, [272]],
 ];
 
+const LOST_SHARE = 0.4;
+const { None, Pause, Kill, Stop } = OwnerTrouble;
+
+/** Rows of the table of reads: trouble, the store's delay in ms, share of answers lost, jobs. */
+const READS: readonly (readonly [string, OwnerTrouble, number, number, number])[] = [
+  ['well', None, 0, 0, 300],
+  ['well-272', None, 272, 0, 300],
+  ['well-600', None, 600, 0, 300],
+  ['well-lost', None, 0, LOST_SHARE, 300],
+  ['paused', Pause, 0, 0, 300],
+  ['paused-68', Pause, 68, 0, 300],
+  ['paused-136', Pause, 136, 0, 300],
+  ['paused-272', Pause, 272, 0, 300],
+  ['killed-272', Kill, 272, 0, 300],
+  ['stopped-272', Stop, 272, 0, 300],
+  ['paused-lost', Pause, 0, LOST_SHARE, 300],
+  ['paused-lost-few', Pause, 0, LOST_SHARE, 40],
+  ['paused-272-many', Pause, 272, 0, 900],
+  ['paused-272-few', Pause, 272, 0, 40],
+];
+
+/** Rows of the same table whose calls are submissions, cancels and counts of waiting jobs. */
+const OTHER_CALLS: readonly (readonly [string, OwnerTrouble, number, number, number])[] = [
+  ['calls-well', None, 0, 0, 0],
+  ['calls-paused-272', Pause, 272, 0, 0],
+  ['calls-killed-272', Kill, 272, 0, 0],
+  ['calls-stopped-272', Stop, 272, 0, 0],
+  ['calls-paused-lost', Pause, 0, LOST_SHARE, 0],
+];
+
 function listBroken(report: SoakReport, checksLapsed: boolean): readonly string[] {
   return Object.entries({
     cut: report.cut,
@@ -85,6 +117,28 @@
   }
 }
 
+function formatCalls({ told, asked, refused, other, nothing, p50Ms }: CallsReport): string {
+  return `told=${told}/${asked} 503=${refused} other=${other} nothing=${nothing} p50-ms=${p50Ms}`;
+}
+
+async function runOtherCallsRow(trouble: ReadsTrouble): Promise<string> {
+  const { submissions, cancels, counts } = await runOtherCalls(trouble);
+  const parts = Object.entries({ submissions, cancels, counts });
+  return parts.map(([name, calls]) => `${name}: ${formatCalls(calls)}`).join('; ');
+}
+
+async function runReadsTable(only: readonly string[], runs: number, seed: number): Promise<void> {
+  for (const [name, owner, delayMs, lostShare, jobs] of [...READS, ...OTHER_CALLS]) {
+    const isWanted = only.length === 0 || only.includes(name);
+    for (let run = 0; run < (isWanted ? runs : 0); run += 1) {
+      const trouble = { owner, delayMs, lostShare, jobs, seed: seed + run };
+      const isOther = OTHER_CALLS.some(([other]) => other === name);
+      const line = isOther ? await runOtherCallsRow(trouble) : formatCalls(await runReads(trouble));
+      process.stdout.write(`${name} seed=${trouble.seed} ${line}\n`);
+    }
+  }
+}
+
 const options = await yargs(hideBin(process.argv))
   .option('seed', { type: 'number', default: 1 })
   .option('runs', { type: 'number', default: 1 })
@@ -93,11 +147,11 @@
   .option('only', { type: 'string', default: '' })
   .parse();
 
+const wanted = options.only.split(',').filter((name) => name !== '');
 if (options._[0] === 'takeovers') {
-  await runTakeovers(
-    options.only.split(',').filter((name) => name !== ''),
-    options.runs,
-  );
+  await runTakeovers(wanted, options.runs);
+} else if (options._[0] === 'reads') {
+  await runReadsTable(wanted, options.runs, options.seed);
 } else {
   await runSeeds(options.seed, options.runs, options['duration-ms'] as number, options.lapsed);
 }
--- a/tests/process/soak/site.ts
+++ b/tests/process/soak/site.ts
@@ -65,12 +65,17 @@
 
 /** Store, workers and processes of one run. */
 export class SoakSite {
-  readonly store = new SoakStore();
+  readonly store: SoakStore;
 
   readonly workers: SoakWorker[] = [];
 
   #deployment: SoakDeployment | null = null;
 
+  /** @param seed which answers of the store are lost, if a share of them is. */
+  constructor(seed = 1) {
+    this.store = new SoakStore(seed);
+  }
+
   get daemons(): readonly SoakDaemon[] {
     return this.#deployment?.daemons ?? [];
   }
--- a/tests/process/soak/store.ts
+++ b/tests/process/soak/store.ts
@@ -2,6 +2,8 @@
 
 import { setTimeout as wait } from 'node:timers/promises';
 
+import { Random } from '@baobabwell/utils';
+
 import { openServer } from './http';
 
 const ANSWER_MS = 4;
@@ -33,6 +35,11 @@
   /** Time by which every answer is later than usual, in ms. */
   delayMs = 0;
 
+  /** Share of the answers that are lost, each with its connection. */
+  lostShare = 0;
+
+  readonly #random: Random;
+
   readonly #parts = new Map<string, Map<string, StoredRow>>();
 
   readonly #changes: Change[] = [];
@@ -45,13 +52,16 @@
 
   #server: StandInServer | null = null;
 
+  constructor(seed = 1) {
+    this.#random = new Random(seed);
+  }
+
   /** Opens the store and returns its address. */
   async open(): Promise<string> {
-    this.#server = await openServer(
-      0,
-      async (call) => this.#answer(call),
-      () => this.delayMs,
-    );
+    this.#server = await openServer(0, async (call) => this.#answer(call), {
+      getDelayMs: () => this.delayMs,
+      isLost: () => this.#random.getFraction() < this.lostShare,
+    });
     return `127.0.0.1:${this.#server.port}`;
   }
 
