ingress, daemon: logs and metrics tell late and abandoned answers, and why a process is not ready

Cause: a read that is answered too late, or after its caller has gone, wrote no line, so that an incident's log did not tell 503, late and never apart. A readiness probe that failed by decision (stopping, no configuration) or by lateness of the process wrote nothing. Change: reads of any answer write `call-answered-late` or `call-abandoned` after the wait that their caller sent (3 s without one), beside `call-answered` if they are refused; reads in time still write none. `baobabwell_client_call_timings_total` counts all calls by request and timing. `readiness-changed` names the reason; the context has no `isReady` any more, the server derives it. `readiness-probe-late` tells by how much the event loop was late since the last probe, also by a timer that is still to run. These two, `configuration-outdated` and `configuration-current` use the log's reserve; the lines of calls do not, because they may be many. The new tests were not run on the former code, which lacks the fields that they use. Cost of the added work per call: not measured. Conclusion: a call whose process is killed, or whose answer is never ready, still writes no line; endings by the process's own stop do.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
@@ -8,6 +8,7 @@
 import {
   ADAPTERS,
   CONFIGURATION,
+  EVENT_LOOP_DELAY,
   LOGGER,
   MEMBERS,
   METRICS,
@@ -46,6 +47,7 @@
   const state = kernel.getService(STATE);
   const { clock } = kernel;
   const owner = kernel.getService(OWNER_CLIENT);
+  const loopDelay = kernel.getService(EVENT_LOOP_DELAY);
   const store = new RelayedStore({
     direct,
     relay: {
@@ -65,11 +67,11 @@
     logger,
     getConfiguration: () => configuration.getConfiguration(),
     isOutdated: () => configuration.isOutdated(),
-    isReady: () =>
-      configuration.getConfiguration() !== null && !configuration.isOutdated() && !state.isStopping,
     isStopping: () => state.isStopping,
-    recordCall: ({ queue, request, answer, tookMs }) => {
+    takeLoopDelayMs: () => loopDelay.takeLongestMs(clock.getNow()),
+    recordCall: ({ queue, request, answer, timing, tookMs }) => {
       metrics.clientCalls.inc({ queue: queue ?? '', request: request ?? '', answer });
+      metrics.clientCallTimings.inc({ request: request ?? '', timing });
       metrics.clientCallSeconds.observe({ request: request ?? '' }, tookMs / MS_PER_S);
     },
   });
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonLogReserve.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonLogReserve.ts
@@ -1,11 +1,18 @@
-/** Events that explain why a task was started again; they are rare unless something goes wrong. */
+/**
+ * Events that explain why a task was started again, or why a process received no calls; they are rare
+ * unless something goes wrong.
+ */
 const RESERVED_EVENTS = new Set([
+  'configuration-current',
+  'configuration-outdated',
   'end-ignored',
   'ends-acknowledged-unseen',
   'ends-skipped',
   'event-loop-late',
   'host-lease-lapsed',
   'host-reborn',
+  'readiness-changed',
+  'readiness-probe-late',
   'run-lost',
   'run-vanished',
   'run-crashed',
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonTokens.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonTokens.ts
@@ -1,4 +1,5 @@
 import type { ConfigurationWatcher } from './BaobabwellDaemonConfiguration';
+import type { EventLoopDelay } from './BaobabwellDaemonEventLoop';
 import type { MemberDirectory } from './BaobabwellDaemonMembers';
 import type { PeerClients, PeerOwnerClient } from './BaobabwellDaemonPeers';
 import type { DaemonAdapters, DaemonSettings } from './BaobabwellDaemonSettings';
@@ -25,5 +26,6 @@
 export const HOST_LEASES = createServiceToken<Promise<void>[]>('hostLeases');
 export const OWNER_CLIENT = createServiceToken<PeerOwnerClient>('ownerClient');
 export const CONFIGURATION = createServiceToken<ConfigurationWatcher>('configuration');
+export const EVENT_LOOP_DELAY = createServiceToken<EventLoopDelay>('eventLoopDelay');
 export const PEERS = createServiceToken<PeerClients>('peers');
 export const MEMBERS = createServiceToken<MemberDirectory>('members');
--- a/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonEventLoop.test.ts
+++ b/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonEventLoop.test.ts
@@ -7,7 +7,11 @@
 import { Logger, LogLevel } from '@baobabwell/logging';
 import { DaemonMetrics } from '@baobabwell/metrics';
 
-import { eventLoopPlugin, startEventLoopMonitor } from '../../BaobabwellDaemonEventLoop';
+import {
+  EventLoopDelay,
+  eventLoopPlugin,
+  startEventLoopMonitor,
+} from '../../BaobabwellDaemonEventLoop';
 import { LOGGER, METRICS } from '../../BaobabwellDaemonTokens';
 
 const REAL_TIME = /at=\S+ /;
@@ -17,6 +21,7 @@
   let clock: ProcessClock;
   let metrics: DaemonMetrics;
   let lines: string[];
+  let delay: EventLoopDelay;
   let stop: Undo;
 
   beforeEach(() => {
@@ -25,7 +30,8 @@
     metrics = new DaemonMetrics();
     lines = [];
     const logger = new Logger(LogLevel.Info, {}, (line) => lines.push(line.replace(REAL_TIME, '')));
-    stop = startEventLoopMonitor({ clock, logger, metrics });
+    delay = new EventLoopDelay();
+    stop = startEventLoopMonitor({ clock, logger, metrics, delay });
   });
 
   afterEach(() => stop());
@@ -67,6 +73,15 @@
     expect(lines.length).toEqual(2);
   });
 
+  it('tells the longest delay since it was asked last, also of a timer that is still to run', async () => {
+    await time.advance(1_000);
+    await pause(400);
+    await pause(250);
+    expect(delay.takeLongestMs(clock.getNow())).toEqual(300);
+    expect(delay.takeLongestMs(clock.getNow())).toEqual(0);
+    expect(delay.takeLongestMs(clock.getNow() + 500)).toEqual(400);
+  });
+
   it('measures no more after it was stopped', async () => {
     await time.advance(500);
     stop();
--- a/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
@@ -27,11 +27,39 @@
 /** Time limit for receiving a whole call, in ms. Callers wait only 3 seconds for an answer. */
 const REQUEST_TIMEOUT_MS = 10_000;
 
+/** Time for which a caller is taken to wait that sent none, in ms. */
+const DEFAULT_WAIT_MS = 3_000;
+
+/** Delay of the event loop above which a probe is logged as late, in ms. */
+const MIN_LATE_PROBE_MS = 200;
+
+/** Whether an answer was of use to its caller. */
+export enum AnswerTiming {
+  InTime = 'in-time',
+  /** The caller's wait had passed. */
+  Late = 'late',
+  /** The caller had closed the connection. */
+  Abandoned = 'abandoned',
+}
+
+/** Why a process reports that it is not ready. */
+enum UnreadyReason {
+  Stopping = 'stopping',
+  NoConfiguration = 'no-configuration',
+  Outdated = 'outdated-configuration',
+}
+
+const READ_KINDS: ReadonlySet<ClientRequestKind | null> = new Set([
+  ClientRequestKind.ReadState,
+  ClientRequestKind.CountWaiting,
+]);
+
 /** A call that was answered. */
 export type AnsweredCall = {
   readonly queue: string | null;
   readonly request: ClientRequestKind | null;
   readonly answer: AnswerKind;
+  readonly timing: AnswerTiming;
   readonly tookMs: number;
 };
 
@@ -44,8 +72,9 @@
   readonly getConfiguration: () => FleetConfiguration | null;
   /** Returns true while the configuration may have changed without this process knowing. */
   readonly isOutdated: () => boolean;
-  readonly isReady: () => boolean;
   readonly isStopping: () => boolean;
+  /** Returns the longest delay of the event loop since it was asked for last, in ms. */
+  readonly takeLoopDelayMs: () => number;
   readonly recordCall: (call: AnsweredCall) => void;
 };
 
@@ -67,6 +96,13 @@
   return { answer, queue: null, kind: null, jobId: null };
 }
 
+function getTiming(isLate: boolean, isAbandoned: boolean): AnswerTiming {
+  if (isAbandoned) {
+    return AnswerTiming.Abandoned;
+  }
+  return isLate ? AnswerTiming.Late : AnswerTiming.InTime;
+}
+
 /** HTTP server for callers; answers every call with its outcome. */
 export class IngressServer {
   readonly #context: IngressContext;
@@ -76,6 +112,11 @@
 
   #isEnding = false;
 
+  /** What the last probe was told; `undefined` before the first. */
+  #unreadyReason: UnreadyReason | null | undefined;
+
+  #probedAtMs: number | null = null;
+
   constructor(context: IngressContext) {
     this.#context = context;
   }
@@ -99,7 +140,7 @@
   buildReadinessServer(): FastifyInstance {
     const server = Fastify({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS });
     server.get(this.#context.protocol.readyPath, async (_request, reply) =>
-      reply.code(this.#context.isReady() ? HTTP_OK : HTTP_UNAVAILABLE).send(),
+      reply.code(this.#checkReadiness() ? HTTP_OK : HTTP_UNAVAILABLE).send(),
     );
     return server;
   }
@@ -110,6 +151,35 @@
     this.#waiting.forEach((end) => end());
   }
 
+  #findUnreadyReason(): UnreadyReason | null {
+    if (this.#context.isStopping()) {
+      return UnreadyReason.Stopping;
+    }
+    if (this.#context.getConfiguration() === null) {
+      return UnreadyReason.NoConfiguration;
+    }
+    return this.#context.isOutdated() ? UnreadyReason.Outdated : null;
+  }
+
+  /** Decides the answer to a probe, and logs it if it changes or may be late. */
+  #checkReadiness(): boolean {
+    const { clock, logger } = this.#context;
+    const reason = this.#findUnreadyReason();
+    const isReady = reason === null;
+    if (reason !== this.#unreadyReason) {
+      this.#unreadyReason = reason;
+      logger.recordInfo('readiness-changed', { isReady, reason });
+    }
+    const nowMs = clock.getNow();
+    const sincePreviousMs = this.#probedAtMs === null ? null : Math.round(nowMs - this.#probedAtMs);
+    this.#probedAtMs = nowMs;
+    const loopDelayMs = Math.round(this.#context.takeLoopDelayMs());
+    if (loopDelayMs > MIN_LATE_PROBE_MS) {
+      logger.recordWarning('readiness-probe-late', { loopDelayMs, sincePreviousMs, isReady });
+    }
+    return isReady;
+  }
+
   async #handle(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
     const startedAtMs = this.#context.clock.getNow();
     const { protocol } = this.#context;
@@ -123,9 +193,9 @@
       waitMs: protocol.findWaitMs(request.headers),
       body: Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0),
     };
-    const { answer, queue, kind, jobId } = await this.#answerBeforeEnd(call);
-    const { status, headers, body } = protocol.formatAnswer(answer);
-    this.#record(answer, { queue, kind, jobId, requestId: call.requestId, startedAtMs });
+    const outcome = await this.#answerBeforeEnd(call);
+    const { status, headers, body } = protocol.formatAnswer(outcome.answer);
+    this.#record(outcome, call, { startedAtMs, isAbandoned: reply.raw.destroyed });
     if (this.#context.isStopping()) {
       void reply.header('connection', 'close');
     }
@@ -133,26 +203,29 @@
   }
 
   #record(
-    answer: Answer,
-    call: {
-      readonly queue: QueueSettings | null;
-      readonly kind: ClientRequestKind | null;
-      readonly jobId: string | null;
-      readonly requestId: string | null;
-      readonly startedAtMs: number;
-    },
+    outcome: CallOutcome,
+    { requestId, waitMs: sentWaitMs }: RawCall,
+    { startedAtMs, isAbandoned }: { readonly startedAtMs: number; readonly isAbandoned: boolean },
   ): void {
-    const tookMs = Math.round(this.#context.clock.getNow() - call.startedAtMs);
-    const queue = call.queue?.name ?? null;
-    this.#context.recordCall({ queue, request: call.kind, answer: answer.kind, tookMs });
+    const { answer, kind, jobId } = outcome;
+    const { logger, clock } = this.#context;
+    const tookMs = Math.round(clock.getNow() - startedAtMs);
+    const waitMs = sentWaitMs ?? DEFAULT_WAIT_MS;
+    const queue = outcome.queue?.name ?? null;
+    const timing = getTiming(tookMs > waitMs, isAbandoned);
+    this.#context.recordCall({ queue, request: kind, answer: answer.kind, timing, tookMs });
+    const call = { requestId, job: jobId, queue, request: kind, answer: answer.kind };
+    if (READ_KINDS.has(kind) && timing !== AnswerTiming.InTime) {
+      logger.recordWarning(isAbandoned ? 'call-abandoned' : 'call-answered-late', {
+        ...call,
+        tookMs,
+        waitMs,
+      });
+    }
     const isRead = answer.kind === AnswerKind.State || answer.kind === AnswerKind.WaitingCount;
     if (!isRead) {
-      this.#context.logger.recordInfo('call-answered', {
-        requestId: call.requestId,
-        job: call.jobId,
-        queue,
-        request: call.kind,
-        answer: answer.kind,
+      logger.recordInfo('call-answered', {
+        ...call,
         reason: 'reason' in answer ? answer.reason : null,
         retryAfterMs: 'retryAfterMs' in answer ? answer.retryAfterMs : null,
         problems: 'problems' in answer ? answer.problems.join('; ') : null,
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
@@ -1,7 +1,7 @@
 import type { AnsweredCall, WireAnswer } from '../../index';
 import type { FleetConfiguration } from '@baobabwell/fleet';
 import type { FastifyInstance } from 'fastify';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 
 import { expect } from 'earl';
 import { once } from 'node:events';
@@ -14,6 +14,7 @@
 
 import {
   AnswerKind,
+  AnswerTiming,
   ClientProtocol,
   ClientRequestKind,
   IngressServer,
@@ -35,8 +36,8 @@
     return REQUEST_ID;
   }
 
-  override findWaitMs(): null {
-    return null;
+  override findWaitMs({ 'x-wait': text }: Readonly<Record<string, unknown>>): number | null {
+    return text === undefined ? null : Number(text);
   }
 
   override parseRequest(): { readonly kind: ClientRequestKind.CountWaiting } {
@@ -60,7 +61,14 @@
     return null;
   }
 
-  override async countWaiting(): Promise<null> {
+  /** Waits, and then knows the count. */
+  wait: (() => Promise<void>) | null = null;
+
+  override async countWaiting(): Promise<number | null> {
+    if (this.wait !== null) {
+      await this.wait();
+      return 3;
+    }
     return this.isSilent ? new Promise(() => {}) : null;
   }
 }
@@ -80,9 +88,14 @@
   let server: FastifyInstance;
   let calls: AnsweredCall[];
   let lines: string[];
+  let time: EmulatedTime;
+  let isStopping: boolean;
+  let loopDelayMs: number;
 
   beforeEach(() => {
-    const time = new EmulatedTime();
+    time = new EmulatedTime();
+    isStopping = false;
+    loopDelayMs = 0;
     configuration = CONFIGURATION;
     isOutdated = false;
     calls = [];
@@ -102,8 +115,8 @@
       logger,
       getConfiguration: () => configuration,
       isOutdated: () => isOutdated,
-      isReady: () => true,
-      isStopping: () => false,
+      isStopping: () => isStopping,
+      takeLoopDelayMs: () => loopDelayMs,
       recordCall: (call) => calls.push(call),
     });
     server = ingress.buildCallerServer();
@@ -141,6 +154,91 @@
     expect(line.includes(' configuration=4 ')).toEqual(true);
   });
 
+  async function readLate(tookMs: number, waitMs: string | null): Promise<void> {
+    owner.wait = async () => time.advance(tookMs);
+    const headers = { host: 'bakery.example', ...(waitMs === null ? {} : { 'x-wait': waitMs }) };
+    await server.inject({ url: '/bakes/', headers });
+  }
+
+  it('logs reads that were answered after the wait of their caller, and no other', async () => {
+    await readLate(400, '500');
+    await readLate(3_000, null);
+    expect([lines, calls.map(({ timing }) => timing)]).toEqual([
+      [],
+      [AnswerTiming.InTime, AnswerTiming.InTime],
+    ]);
+    await readLate(501, '500');
+    await readLate(3_001, null);
+    expect(lines.map((line) => line.replace(/^.*event=/, ''))).toEqual([
+      `call-answered-late requestId=${REQUEST_ID} job=null queue=bakes request=count-waiting answer=waiting tookMs=501 waitMs=500`,
+      `call-answered-late requestId=${REQUEST_ID} job=null queue=bakes request=count-waiting answer=waiting tookMs=3001 waitMs=3000`,
+    ]);
+    expect(calls.at(-1)?.timing).toEqual(AnswerTiming.Late);
+  });
+
+  it('logs reads whose caller closed the connection before the answer', async () => {
+    let answer = (): void => {};
+    owner.wait = async () =>
+      new Promise<void>((resolve) => {
+        answer = resolve;
+      });
+    await server.listen({ port: 0, host: '127.0.0.1' });
+    const { port } = server.server.address() as AddressInfo;
+    const isReceived = once(server.server, 'request');
+    const socket = connect(port, '127.0.0.1');
+    const isAccepted = once(server.server, 'connection');
+    socket.write('GET /bakes/ HTTP/1.1\r\nhost: bakery.example\r\n\r\n');
+    const [accepted] = (await isAccepted) as [Socket];
+    await isReceived;
+    await new Promise(setImmediate);
+    socket.destroy();
+    await once(accepted, 'close');
+    answer();
+    await new Promise(setImmediate);
+    expect([calls.map(({ timing }) => timing), lines.length]).toEqual([
+      [AnswerTiming.Abandoned],
+      1,
+    ]);
+    expect(lines[0] ?? '').toInclude(`event=call-abandoned requestId=${REQUEST_ID} `);
+  });
+
+  it('logs each change of readiness with its reason', async () => {
+    const probes = ingress.buildReadinessServer();
+    const statuses: number[] = [];
+    const probe = async (): Promise<void> => {
+      statuses.push((await probes.inject('/ready')).statusCode);
+    };
+    configuration = null;
+    await probe();
+    configuration = CONFIGURATION;
+    await probe();
+    await probe();
+    isOutdated = true;
+    await probe();
+    isStopping = true;
+    await probe();
+    await probe();
+    expect(statuses).toEqual([503, 200, 200, 503, 503, 503]);
+    expect(lines.map((line) => line.replace(/^.*event=/, ''))).toEqual([
+      'readiness-changed isReady=false reason=no-configuration',
+      'readiness-changed isReady=true reason=null',
+      'readiness-changed isReady=false reason=outdated-configuration',
+      'readiness-changed isReady=false reason=stopping',
+    ]);
+  });
+
+  it('logs a probe that may have been answered late because the process was', async () => {
+    const probes = ingress.buildReadinessServer();
+    loopDelayMs = 200;
+    await probes.inject('/ready');
+    await time.advance(1_700);
+    loopDelayMs = 900;
+    await probes.inject('/ready');
+    expect(lines.map((line) => line.replace(/^.*event=/, '')).slice(1)).toEqual([
+      'readiness-probe-late loopDelayMs=900 sincePreviousMs=1700 isReady=true',
+    ]);
+  });
+
   it('closes connections that send an incomplete request header', async function () {
     this.timeout(20_000);
     await server.listen({ port: 0, host: '127.0.0.1' });
--- a/packages/baobabwell-ingress/src/index.ts
+++ b/packages/baobabwell-ingress/src/index.ts
@@ -8,7 +8,7 @@
 export { OwnerClient } from './BaobabwellIngressOwner';
 export { computeDemand, RefusalMemory } from './BaobabwellIngressRefusalMemory';
 export { findOrganisation, findQueue } from './BaobabwellIngressRouting';
-export { IngressServer } from './BaobabwellIngressServer';
+export { AnswerTiming, IngressServer } from './BaobabwellIngressServer';
 export { StoreSilence } from './BaobabwellIngressStoreSilence';
 export {
   CANCELLED_SUFFIX,
--- a/packages/baobabwell-metrics/src/BaobabwellMetricsDaemon.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetricsDaemon.ts
@@ -15,6 +15,13 @@
     registers: [this.registry],
   });
 
+  readonly clientCallTimings = new Counter({
+    name: 'baobabwell_client_call_timings_total',
+    help: 'Answered client calls, by request and whether the answer was in time, late or abandoned.',
+    labelNames: ['request', 'timing'] as const,
+    registers: [this.registry],
+  });
+
   readonly clientCallSeconds = new Histogram({
     name: 'baobabwell_client_call_seconds',
     help: 'Time from receipt to answer of a client call, by request.',
