ingress, daemon: reads and cancels wait for the confirmation of an outdated configuration

Cause: a process whose configuration may be outdated refuses all calls with 503, also reads and cancels of jobs that were accepted before, although one answer of the store or of a peer would settle it; a process that was paused waits up to 0.9 s for its watch, which is answered only at its end if nothing changed. Change: reads and cancels wait for 0.3 of their caller's time. Meanwhile the watcher asks its peers once and reads the row of the configuration, one read at a time for all that wait, repeated with growing delays while somebody waits. As soon as the configuration is confirmed, by this or by the usual watch, all that wait are answered by it; else 503 at the end of that share, early enough for a try elsewhere. Submissions don't wait: they are refused at once and cost their caller nothing elsewhere. What a process that is outdated may do is the same as before: no call is served until it is current, and then by the newest version it knows. Measured: `npx tsx scripts/test.ts packages/baobabwell-ingress packages/baobabwell-daemon`: 55 passed, 0 failed. With the wait taken out of the server and the read on demand out of the watcher 4 of the 6 new tests failed (of the other two one tells that the wait ends in time, one that a current configuration isn't waited for). No run of real processes.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemonConfiguration.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonConfiguration.ts
@@ -76,6 +76,11 @@
 
   #wasOutdated = false;
 
+  /** Calls that wait until the configuration is confirmed. */
+  readonly #waiters = new Set<() => void>();
+
+  #isConfirming = false;
+
   /** Version that the store has reached at least, as its answers told. */
   #storeVersion = 0;
 
@@ -124,6 +129,26 @@
     return isOutdated;
   }
 
+  /**
+   * Waits until the configuration is not outdated, at most for a time in ms. The store and the peers are
+   * asked once for all that wait. Returns false if neither confirmed the configuration in time.
+   */
+  async waitUntilCurrent(maxMs: number): Promise<boolean> {
+    if (!this.isOutdated()) {
+      return true;
+    }
+    return new Promise((resolve) => {
+      const end = (): void => {
+        cancelTimer();
+        this.#waiters.delete(end);
+        resolve(!this.isOutdated());
+      };
+      const cancelTimer = this.#clock.startTimer(maxMs, end);
+      this.#waiters.add(end);
+      void this.#runConfirmation();
+    });
+  }
+
   /** Creates the report for a peer that knows a version; `null` before the first configuration. */
   createReport(knownVersion: number | null): ConfigurationReport | null {
     const ageMs = this.getAgeMs();
@@ -161,11 +186,7 @@
     while (!signal.aborted) {
       await this.#clock.wait(PEER_REQUEST_INTERVAL_MS, signal);
       if (!signal.aborted && (this.getAgeMs() ?? Infinity) > MIN_PEER_REQUEST_AGE_MS) {
-        const requestedAtMs = this.#clock.getNow();
-        // Not awaited: peers that do not answer must not delay the next request.
-        this.#requestReports(this.#configuration?.version ?? null, (report) =>
-          this.#applyReport(report, requestedAtMs),
-        );
+        this.#requestPeerReports();
       }
     }
   }
@@ -186,6 +207,32 @@
     });
   }
 
+  /** Asks some peers; does not wait, because peers that do not answer must not delay the next request. */
+  #requestPeerReports(): void {
+    const requestedAtMs = this.#clock.getNow();
+    this.#requestReports(this.#configuration?.version ?? null, (report) =>
+      this.#applyReport(report, requestedAtMs),
+    );
+  }
+
+  /** Reads the configuration, beside the watch, while somebody waits for its confirmation. */
+  async #runConfirmation(): Promise<void> {
+    const { signal } = this.#stopped;
+    if (this.#isConfirming || signal.aborted) {
+      return;
+    }
+    const retryDelay = new RetryDelay(MIN_RETRY_DELAY_MS, MAX_RETRY_DELAY_MS);
+    this.#isConfirming = true;
+    this.#requestPeerReports();
+    while (this.#waiters.size > 0 && !signal.aborted) {
+      await this.#readAll();
+      if (this.#waiters.size > 0) {
+        await this.#clock.wait(retryDelay.advance(), signal);
+      }
+    }
+    this.#isConfirming = false;
+  }
+
   async #readAll(): Promise<number | null> {
     const { store, codec, configurationKey } = this.#adapters;
     const sentAtMs = this.#clock.getNow();
@@ -259,9 +306,17 @@
       // A busy peer reads the age late; counted from the report's arrival, an old answer would seem new.
       this.#confirm(requestedAtMs - ageMs);
     }
+    this.#endWaiting();
   }
 
   #confirm(atMs: number): void {
     this.#confirmedAtMs = Math.max(this.#confirmedAtMs ?? -Infinity, atMs);
+    this.#endWaiting();
+  }
+
+  #endWaiting(): void {
+    if (this.#waiters.size > 0 && !this.isOutdated()) {
+      this.#waiters.forEach((end) => end());
+    }
   }
 }
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
@@ -67,6 +67,7 @@
     logger,
     getConfiguration: () => configuration.getConfiguration(),
     isOutdated: () => configuration.isOutdated(),
+    waitUntilCurrent: async (maxMs) => configuration.waitUntilCurrent(maxMs),
     isStopping: () => state.isStopping,
     takeLoopDelayMs: () => loopDelay.takeLongestMs(clock.getNow()),
     recordCall: ({ queue, request, answer, timing, tookMs }) => {
--- a/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonConfiguration.test.ts
+++ b/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonConfiguration.test.ts
@@ -113,6 +113,62 @@
     ]);
   });
 
+  it('confirms an outdated configuration by one read of the store for all that wait', async () => {
+    partition(0);
+    silentPeers.add(0);
+    put(2);
+    await time.advance(MAX_AGE_MS);
+    const [{ watcher, store }] = processes as [Process, ...Process[]];
+    let readCount = 0;
+    const list = store.list.bind(store);
+    store.list = async (range) => {
+      readCount += 1;
+      return list(range);
+    };
+    store.isPartitioned = false;
+    let toldCount = 0;
+    const waits = [900, 900, 900].map(async (maxMs) => {
+      const isCurrent = await watcher.waitUntilCurrent(maxMs);
+      toldCount += 1;
+      return isCurrent;
+    });
+    await time.advance(100);
+    expect([toldCount, readCount, listVersions()[0]]).toEqual([3, 1, 2]);
+    expect(await Promise.all(waits)).toEqual([true, true, true]);
+  });
+
+  it('ends the wait for a confirmation as a peer confirms the configuration', async () => {
+    partition(0);
+    silentPeers.add(0);
+    put(2);
+    await time.advance(MAX_AGE_MS);
+    const [{ watcher }] = processes as [Process, ...Process[]];
+    silentPeers.clear();
+    const wait = watcher.waitUntilCurrent(900);
+    await time.advance(0);
+    expect([await wait, listVersions()[0]]).toEqual([true, 2]);
+  });
+
+  it('gives up the wait for a confirmation in time', async () => {
+    partition(0);
+    silentPeers.add(0);
+    await time.advance(MAX_AGE_MS);
+    const [{ watcher }] = processes as [Process, ...Process[]];
+    const startedAtMs = time.getNow();
+    let endedAtMs = Infinity;
+    const wait = watcher.waitUntilCurrent(900).then((isCurrent) => {
+      endedAtMs = time.getNow();
+      return isCurrent;
+    });
+    await time.advance(2_000);
+    expect([await wait, endedAtMs - startedAtMs]).toEqual([false, 900]);
+  });
+
+  it('does not wait while the configuration is current', async () => {
+    const [{ watcher }] = processes as [Process, ...Process[]];
+    expect(await watcher.waitUntilCurrent(900)).toEqual(true);
+  });
+
   it('serves on while the store answers no process: no change can have been acknowledged to one', async () => {
     [0, 1, 2].forEach(partition);
     await time.advance(3 * MAX_AGE_MS);
--- a/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
@@ -30,6 +30,11 @@
 /** Time for which a caller is taken to wait that sent none, in ms. */
 const DEFAULT_WAIT_MS = 3_000;
 
+/** Share of the caller's wait for which a call may wait until an outdated configuration is confirmed. */
+const CONFIRMATION_SHARE = 0.3;
+
+const SUBMISSION_METHOD = 'POST';
+
 /** Delay of the event loop above which a probe is logged as late, in ms. */
 const MIN_LATE_PROBE_MS = 200;
 
@@ -72,6 +77,8 @@
   readonly getConfiguration: () => FleetConfiguration | null;
   /** Returns true while the configuration may have changed without this process knowing. */
   readonly isOutdated: () => boolean;
+  /** Waits, at most for a time in ms, until the configuration is not outdated; returns false if it still is. */
+  readonly waitUntilCurrent: (maxMs: number) => Promise<boolean>;
   readonly isStopping: () => boolean;
   /** Returns the longest delay of the event loop since it was asked for last, in ms. */
   readonly takeLoopDelayMs: () => number;
@@ -248,10 +255,23 @@
     });
   }
 
+  /**
+   * Returns true once the configuration is known not to be outdated. Calls about jobs that were accepted before
+   * wait for that; a submission is refused at once, because its caller may hand the job in elsewhere.
+   */
+  async #isCurrent({ method, waitMs }: RawCall): Promise<boolean> {
+    if (!this.#context.isOutdated()) {
+      return true;
+    }
+    const maxMs = CONFIRMATION_SHARE * (waitMs ?? DEFAULT_WAIT_MS);
+    return method !== SUBMISSION_METHOD && this.#context.waitUntilCurrent(maxMs);
+  }
+
   async #answer(call: RawCall): Promise<CallOutcome> {
+    const isCurrent = await this.#isCurrent(call);
     const configuration = this.#context.getConfiguration();
     const none = { queue: null, kind: null, jobId: null };
-    if (configuration === null || this.#context.isOutdated()) {
+    if (configuration === null || !isCurrent) {
       const reason =
         configuration === null ? 'no configuration yet' : 'the configuration may be outdated';
       const retryAfterMs = NO_CONFIGURATION_RETRY_AFTER_MS;
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
@@ -90,11 +90,15 @@
   let lines: string[];
   let time: EmulatedTime;
   let isStopping: boolean;
+  let confirm: () => boolean;
+  let waitsMs: number[];
   let loopDelayMs: number;
 
   beforeEach(() => {
     time = new EmulatedTime();
     isStopping = false;
+    confirm = () => false;
+    waitsMs = [];
     loopDelayMs = 0;
     configuration = CONFIGURATION;
     isOutdated = false;
@@ -115,6 +119,10 @@
       logger,
       getConfiguration: () => configuration,
       isOutdated: () => isOutdated,
+      waitUntilCurrent: async (maxMs) => {
+        waitsMs.push(maxMs);
+        return confirm();
+      },
       isStopping: () => isStopping,
       takeLoopDelayMs: () => loopDelayMs,
       recordCall: (call) => calls.push(call),
@@ -138,6 +146,35 @@
     );
   });
 
+  it('lets calls about accepted jobs, and no submission, wait for a share of their time until the configuration is confirmed', async () => {
+    isOutdated = true;
+    const headers = { host: 'bakery.example', 'x-wait': '1000' };
+    owner.wait = async () => {};
+    confirm = () => {
+      configuration = { ...CONFIGURATION, version: 5 };
+      return true;
+    };
+    const methods = ['GET', 'DELETE', 'POST'] as const;
+    const kinds: AnswerKind[] = [];
+    for (const method of methods) {
+      const reply = await server.inject({ method, url: '/bakes/', headers });
+      kinds.push(reply.json<{ kind: AnswerKind }>().kind);
+    }
+    expect([kinds, waitsMs]).toEqual([
+      [AnswerKind.WaitingCount, AnswerKind.WaitingCount, AnswerKind.Unavailable],
+      [300, 300],
+    ]);
+  });
+
+  it('serves a call that waited by the configuration that was confirmed, which may have no such queue any more', async () => {
+    isOutdated = true;
+    confirm = () => {
+      configuration = { ...CONFIGURATION, version: 5, queues: [] };
+      return true;
+    };
+    expect(await request('/bakes/')).toEqual(AnswerKind.UnknownQueue);
+  });
+
   it('distinguishes an unknown queue from a process that cannot serve calls', async () => {
     expect(await request('/cakes/')).toEqual(AnswerKind.UnknownQueue);
     expect(await request('/bakes/')).toEqual(AnswerKind.Unavailable);
