tests: the wait of a caller in the table of reads begins as its request is sent

Change: the time counts from the sending, as `KeptConnection` and the header do. The bounds of the tests are the same.

--- a/tests/process/soak/reads.ts
+++ b/tests/process/soak/reads.ts
@@ -53,7 +53,7 @@
   readonly refused: number;
   readonly other: number;
   readonly nothing: number;
-  /** Median of the time until the answer, or until the caller gave up, in ms. */
+  /** Median of the time from the sending until the answer, or until the caller gave up, in ms. */
   readonly p50Ms: number;
 };
 
@@ -72,10 +72,11 @@
 
 async function call(daemon: SoakDaemon, request: CallRequest): Promise<TimedCall> {
   const connection = new KeptConnection(daemon);
-  const startedAtMs = performance.now();
   const record = await connection.call(request, QUEUE_HOST, KEY);
   connection.close();
-  return { ...record, tookMs: record.endedAtMs - startedAtMs };
+  // Callers wait from the moment at which the request was sent, not from that of the connection.
+  const waitsFromMs = Math.min(record.sentAtMs, record.endedAtMs);
+  return { ...record, tookMs: record.endedAtMs - waitsFromMs };
 }
 
 /** Sends all calls at the same time, spread over the processes. */
