--- a/packages/baobabwell-daemon/src/BaobabwellDaemonConfiguration.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonConfiguration.ts
@@ -94,6 +94,14 @@
 
   #isRequestingConfiguration = false;
 
+  /** Version up to which changes were seen; `null` while only a read of all rows shows them. */
+  #watchedVersion: number | null = null;
+
+  /** Calls that wait until the configuration is confirmed. */
+  readonly #waiters = new Set<() => void>();
+
+  #isConfirming = false;
+
   /** Version that the store has reached at least, as its answers told. */
   #storeVersion = 0;
 
@@ -145,6 +153,26 @@
     return isOutdated;
   }
 
+  /**
+   * Waits until the configuration is not outdated, at most for a time in ms. The store and the peers are
+   * asked once for all that wait. Returns false if neither confirmed the configuration in time.
+   */
+  async waitUntilCurrent(maxMs: number): Promise<boolean> {
+    if (!this.isOutdated()) {
+      return true;
+    }
+    return new Promise((resolve) => {
+      const end = (): void => {
+        cancelTimer();
+        this.#waiters.delete(end);
+        resolve(!this.isOutdated());
+      };
+      const cancelTimer = this.#clock.startTimer(maxMs, end);
+      this.#waiters.add(end);
+      void this.#runConfirmation();
+    });
+  }
+
   /** Creates the report for a peer that knows a version; `null` before the first configuration. */
   createReport(knownVersion: number | null): ConfigurationReport | null {
     const ageMs = this.getAgeMs();
@@ -165,9 +193,11 @@
   async run(): Promise<void> {
     const { signal } = this.#stopped;
     const retryDelay = new RetryDelay(MIN_RETRY_DELAY_MS, MAX_RETRY_DELAY_MS);
-    let version: number | null = null;
     while (!signal.aborted) {
-      version = version === null ? await this.#readAll() : await this.#watch(version);
+      this.#watchedVersion =
+        this.#watchedVersion === null
+          ? await this.#readAll()
+          : await this.#watch(this.#watchedVersion);
       if (!this.#isStoreFailing) {
         retryDelay.reset();
       } else if (!signal.aborted) {
@@ -182,12 +212,7 @@
     while (!signal.aborted) {
       await this.#clock.wait(PEER_REQUEST_INTERVAL_MS, signal);
       if (!signal.aborted && (this.getAgeMs() ?? Infinity) > MIN_PEER_REQUEST_AGE_MS) {
-        const requestedAtMs = this.#clock.getNow();
-        // Not awaited: peers that do not answer must not delay the next request.
-        this.#requestReports(ANY_VERSION, (report) => this.#applyReport(report, requestedAtMs));
-        if (this.#isBehindPeers() && this.#isStoreFailing) {
-          void this.#readFromPeer();
-        }
+        this.#askPeers();
       }
     }
   }
@@ -208,6 +233,35 @@
     });
   }
 
+  /**
+   * Asks some peers for what they know, and one for the configuration while the store does not bring a later
+   * one. Does not wait, because peers that do not answer must not delay the next request.
+   */
+  #askPeers(): void {
+    const requestedAtMs = this.#clock.getNow();
+    this.#requestReports(ANY_VERSION, (report) => this.#applyReport(report, requestedAtMs));
+    if (this.#isBehindPeers() && this.#isStoreFailing) {
+      void this.#readFromPeer();
+    }
+  }
+
+  /** Asks peers, beside the watch of the store, while somebody waits for a confirmation. */
+  async #runConfirmation(): Promise<void> {
+    if (this.#isConfirming) {
+      return;
+    }
+    const { signal } = this.#stopped;
+    this.#isConfirming = true;
+    while (this.#waiters.size > 0 && !signal.aborted) {
+      this.#askPeers();
+      if (this.#isStoreFailing && this.#watchedVersion !== null) {
+        await this.#watch(this.#watchedVersion);
+      }
+      await this.#clock.wait(MIN_RETRY_DELAY_MS, signal);
+    }
+    this.#isConfirming = false;
+  }
+
   async #readAll(): Promise<number | null> {
     const { store, codec, configurationKey } = this.#adapters;
     const sentAtMs = this.#clock.getNow();
@@ -286,6 +340,7 @@
       // A busy peer reads the age late; counted from the report's arrival, an old answer would seem new.
       this.#confirm(requestedAtMs - ageMs);
     }
+    this.#endWaiting();
   }
 
   #isBehindPeers(): boolean {
@@ -308,5 +363,12 @@
 
   #confirm(atMs: number): void {
     this.#confirmedAtMs = Math.max(this.#confirmedAtMs ?? -Infinity, atMs);
+    this.#endWaiting();
+  }
+
+  #endWaiting(): void {
+    if (this.#waiters.size > 0 && !this.isOutdated()) {
+      this.#waiters.forEach((end) => end());
+    }
   }
 }
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonRelayedStore.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonRelayedStore.ts
@@ -47,6 +47,9 @@
 /** Maximum of that time, in ms. */
 const MAX_REPEAT_DELAY_MS = 750;
 
+/** Weight of the latest read in the time that reads take. */
+const READ_TIME_WEIGHT = 0.2;
+
 /** Maximum number of times that a read is sent. */
 const MAX_READ_ATTEMPTS = 6;
 
@@ -114,6 +117,9 @@
 
   readonly #reads: ReadLimiter;
 
+  /** Time that reads took of late, with what was sent again, in ms. */
+  #readMs = 0;
+
   constructor(options: {
     readonly direct: WatchableTableService;
     readonly relay: StoreRelay;
@@ -132,7 +138,7 @@
       computeMaxReadsUnderWay({
         readsPerS: options.readsPerS,
         processCount: options.listPeerAddresses().length + 1,
-        latencyMs: this.#lastLatencyMs,
+        latencyMs: Math.max(this.#lastLatencyMs, this.#readMs),
       }),
     );
   }
@@ -173,6 +179,7 @@
   async #listBefore(range: RowRange, deadline: Deadline): Promise<Result<ChangePage, TableError>> {
     const done = new AbortController();
     const limits = { deadline, signal: done.signal };
+    const startedAtMs = this.#clock.getNow();
     try {
       return await new Promise((resolve) => {
         let openCount = 0;
@@ -191,6 +198,8 @@
       });
     } finally {
       done.abort();
+      const tookMs = this.#clock.getNow() - startedAtMs;
+      this.#readMs += READ_TIME_WEIGHT * (tookMs - this.#readMs);
     }
   }
 
