carriers: peers carry the orders of a busy owner to the hosts

CarriedHostOrders sends orders directly as before, or puts them into messages to peers while the event loop is busy and enough hosts have calls; OrderCarrier sends them and returns their results. Nothing of the owner's processor was measured yet.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
@@ -6,6 +6,7 @@
 import { Ownership } from '@baobabwell/ownership';
 import { buildPeerServer, HttpPeerConnector } from '@baobabwell/peers';
 
+import { createCarriedHostOrders, createOrderCarrier } from './BaobabwellDaemonCarriers';
 import { ConfigurationWatcher } from './BaobabwellDaemonConfiguration';
 import { MemberPoll } from './BaobabwellDaemonMemberPoll';
 import { MemberDirectory } from './BaobabwellDaemonMembers';
@@ -69,7 +70,7 @@
 
 function createController(kernel: Kernel): Controller {
   const { name, bounds } = kernel.getService(SETTINGS);
-  const { store, orders, cloud, advisor, codec } = kernel.getService(ADAPTERS);
+  const { store, cloud, advisor, codec } = kernel.getService(ADAPTERS);
   return new Controller({
     holder: name,
     clock: kernel.clock,
@@ -79,7 +80,7 @@
     bounds,
     codec,
     store,
-    orders,
+    orders: createCarriedHostOrders(kernel),
     cloud,
     advisor,
     ownership: kernel.getService(OWNERSHIP),
@@ -195,6 +196,7 @@
     const router = buildDaemonRouter({
       owner: controller,
       store,
+      carrier: createOrderCarrier(kernel),
       getConfigurationReport: (knownVersion) => configuration.createReport(knownVersion),
       getStoreAnswerAgeMs: () => ownership.getStoreAnswerAgeMs(),
     });
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonPeers.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonPeers.ts
@@ -1,4 +1,5 @@
 import type { ConfigurationReport } from './BaobabwellDaemonConfiguration';
+import type { ExchangeReply, OrderCarrier, OrderExchange } from '@baobabwell/carriers';
 import type { OfferReply } from '@baobabwell/ingress';
 import type { JobRecord, JobState } from '@baobabwell/jobs';
 import type { Logger } from '@baobabwell/logging';
@@ -29,11 +30,12 @@
 export function buildDaemonRouter(options: {
   readonly owner: OwnerClient;
   readonly store: WatchableTableService;
+  readonly carrier: OrderCarrier;
   /** Returns what this process knows of the configuration, for a peer that knows a version. */
   readonly getConfigurationReport: (knownVersion: number | null) => ConfigurationReport | null;
   readonly getStoreAnswerAgeMs: () => number;
 }) {
-  const { owner, store, getConfigurationReport, getStoreAnswerAgeMs } = options;
+  const { owner, store, carrier, getConfigurationReport, getStoreAnswerAgeMs } = options;
   return createPeerRouter({
     offer: peerProcedure
       .input(z.custom<JobRecord>(isObject))
@@ -50,6 +52,9 @@
     list: peerProcedure
       .input(z.custom<RowRange>(isObject))
       .query(async ({ input }): Promise<Result<ChangePage, TableError>> => store.list(input)),
+    exchangeOrders: peerProcedure
+      .input(z.custom<OrderExchange>(isObject))
+      .mutation(async ({ input }): Promise<ExchangeReply> => carrier.exchange(input)),
     getConfigurationReport: peerProcedure
       .input(z.number().nullable())
       .query(({ input }): ConfigurationReport | null => getConfigurationReport(input)),
