carriers, job-emulator: carriers by the rate of orders, and an emulated owner whose orders peers carry

One carrier for a full emulated owner was itself full, and orders expired at it: the owner handles replies late, so that what it knew of the carrier's clock was too old by its own delay. Change: one carrier for each 100 orders a second, from 16 hosts with calls on; of several replies the latest moment of the carrier's clocks counts; a run that its host says has ended is no unknown outcome of a lost carrier, so that its host isn't in doubt.

--- a/packages/baobabwell-carriers/src/BaobabwellCarriersChannel.ts
+++ b/packages/baobabwell-carriers/src/BaobabwellCarriersChannel.ts
@@ -46,8 +46,22 @@
   readonly handleLoss: (loss: CarrierLoss) => void;
 };
 
+/** A moment that the clocks of a carrier had reached at a monotonic time of this process. */
 type KnownClock = { readonly clock: ClockReading; readonly readAtMs: number };
 
+/** Returns a moment that the clocks of a carrier have reached since, whichever of both runs slower. */
+function estimateClock({ clock, readAtMs }: KnownClock, nowMs: number): ClockReading {
+  return addTime(clock, (nowMs - readAtMs) * (1 - MAX_CLOCK_DRIFT));
+}
+
+/** Merges an estimate and a reply, which is handled late by a busy process: each is a lower bound. */
+function mergeClocks(estimate: ClockReading, reply: ClockReading): ClockReading {
+  return {
+    monotonicMs: Math.max(estimate.monotonicMs, reply.monotonicMs),
+    wallMs: Math.max(estimate.wallMs, reply.wallMs),
+  };
+}
+
 /** Gives the orders of one epoch to one carrier, with one message under way at a time. */
 export class CarrierChannel {
   readonly #options: ChannelOptions;
@@ -174,7 +188,7 @@
       this.#lose(CarrierLoss.OtherIncarnation);
     } else {
       this.#incarnation = reply.incarnation;
-      this.#known = { clock: reply.clock, readAtMs: this.#options.clock.getNow() };
+      this.#updateClock(reply.clock);
       reply.results.forEach((result) => this.#applyResult(result));
     }
   }
@@ -215,12 +229,18 @@
       }
       this.#lastId += 1;
       this.#sent.set(this.#lastId, order);
-      const sinceReplyMs = (askedAtMs - known.readAtMs) * (1 - MAX_CLOCK_DRIFT);
-      const validUntil = addTime(known.clock, sinceReplyMs + order.validityMs);
+      const validUntil = addTime(estimateClock(known, askedAtMs), order.validityMs);
       return [order.createCarried(this.#lastId, validUntil)];
     });
   }
 
+  #updateClock(reply: ClockReading): void {
+    const readAtMs = this.#options.clock.getNow();
+    const known = this.#known;
+    const clock = known === null ? reply : mergeClocks(estimateClock(known, readAtMs), reply);
+    this.#known = { clock, readAtMs };
+  }
+
   #findKnownClock(): KnownClock | null {
     const known = this.#known;
     const isRecent =
--- a/packages/baobabwell-carriers/src/BaobabwellCarriersConstants.ts
+++ b/packages/baobabwell-carriers/src/BaobabwellCarriersConstants.ts
@@ -10,13 +10,17 @@
 /** Shortest time for which orders are carried, in ms. */
 export const MIN_CARRIAGE_MS = 3_000;
 
-/** Window over which the hosts that get orders are counted, in ms; longer than a hold call waits. */
-export const HOST_WINDOW_MS = 2_000;
+/** Window over which orders and their hosts are counted, in ms; longer than a hold call waits. */
+export const ORDER_WINDOW_MS = 2_000;
 
 /** Interval between two choices of the carriers, in ms. */
 export const CHOICE_INTERVAL_MS = 100;
 
-export const HOSTS_PER_CARRIER = 32;
+/** Number of hosts with calls from which their orders are carried. */
+export const MIN_CARRIED_HOSTS = 16;
+
+/** Number of orders per second for each carrier: more take it longer than they are valid. */
+export const ORDERS_PER_CARRIER = 100;
 
 export const MAX_CARRIERS = 8;
 
--- a/packages/baobabwell-carriers/src/BaobabwellCarriersHostOrders.ts
+++ b/packages/baobabwell-carriers/src/BaobabwellCarriersHostOrders.ts
@@ -21,11 +21,12 @@
 import {
   CARRIER_BACKOFF_MS,
   CHOICE_INTERVAL_MS,
-  HOSTS_PER_CARRIER,
   MAX_CARRIERS,
+  MIN_CARRIED_HOSTS,
+  ORDERS_PER_CARRIER,
 } from './BaobabwellCarriersConstants';
-import { HostCount } from './BaobabwellCarriersHostCount';
 import { CarriageLoad } from './BaobabwellCarriersLoad';
+import { OrderCount } from './BaobabwellCarriersOrderCount';
 import { OpenHold, OpenStart, OpenStop } from './BaobabwellCarriersOrders';
 
 /** Key by which the carriers are chosen among the peers. */
@@ -66,7 +67,7 @@
 
   readonly #load: CarriageLoad;
 
-  readonly #hostCount: HostCount;
+  readonly #orderCount: OrderCount;
 
   readonly #channels = new Map<string, CarrierChannel>();
 
@@ -85,7 +86,7 @@
     super();
     this.#options = options;
     this.#load = new CarriageLoad(options.clock, options.load);
-    this.#hostCount = new HostCount(options.clock);
+    this.#orderCount = new OrderCount(options.clock);
   }
 
   override async start(
@@ -123,7 +124,6 @@
     host: HostIncarnation,
     order: HoldOrder,
   ): Promise<Result<HostReport, OrderError>> {
-    this.#hostCount.record(host.id);
     this.#updateCarriers(order.epoch);
     const channel = this.#findChannel(host, order.epoch);
     if (channel === null) {
@@ -142,6 +142,7 @@
 
   /** Finds the channel that carries the orders for a host; `null` if they are sent directly. */
   #findChannel(host: HostIncarnation, epoch: number): CarrierChannel | null {
+    this.#orderCount.record(host.id);
     const address = epoch === this.#epoch ? findRendezvousOwner(host.id, this.#carriers) : null;
     const channel = address === null ? null : (this.#channels.get(address) ?? null);
     const carrying = channel?.canCarry() === true ? channel : null;
@@ -175,21 +176,26 @@
 
   #chooseCarriers(): readonly string[] {
     const { clock, listPeers } = this.#options;
+    const hosts = this.#orderCount.getHostCount();
+    // Fewer hosts with calls do not end a carriage: the load does.
+    if (hosts < MIN_CARRIED_HOSTS && this.#carriers.length === 0) {
+      return [];
+    }
     const count = Math.min(
       MAX_CARRIERS,
-      Math.floor(this.#hostCount.getCount() / HOSTS_PER_CARRIER),
+      Math.max(1, Math.round(this.#orderCount.getRate() / ORDERS_PER_CARRIER)),
     );
     const nowMs = clock.getNow();
     const present = listPeers().filter(
       (address) => (this.#lostUntilMs.get(address) ?? -Infinity) <= nowMs,
     );
-    return count === 0 ? [] : chooseCarriers(present, count);
+    return chooseCarriers(present, count);
   }
 
   #recordCarriers(carriers: readonly string[]): void {
     const { logger } = this.#options;
     if (carriers.length > 0 && this.#carriers.length === 0) {
-      const hosts = this.#hostCount.getCount();
+      const hosts = this.#orderCount.getHostCount();
       logger.recordInfo('carriage-started', { carriers: carriers.length, hosts });
     } else if (carriers.length === 0 && this.#carriers.length > 0) {
       logger.recordInfo('carriage-stopped', { epoch: this.#epoch });
--- a/packages/baobabwell-carriers/src/BaobabwellCarriersOrders.ts
+++ b/packages/baobabwell-carriers/src/BaobabwellCarriersOrders.ts
@@ -143,7 +143,8 @@
 
   override async repeatDirectly(): Promise<Result<number, OrderError>> {
     const reply = await this.sendDirectly();
-    if (reply.ok) {
+    // The host starts a run that has ended there as little as one that is there.
+    if (reply.ok || reply.error.kind === OrderRefusal.Superseded) {
       return reply;
     }
     // The other copy may still start the run, whatever was answered to this one.
--- a/packages/baobabwell-carriers/src/__tests__/BaobabwellCarriersTestFleet.ts
+++ b/packages/baobabwell-carriers/src/__tests__/BaobabwellCarriersTestFleet.ts
@@ -42,6 +42,9 @@
   /** Runs by host and task: each start that began one. */
   readonly begun: string[] = [];
 
+  /** Tasks whose runs have ended wherever they are started again. */
+  readonly endedTasks = new Set<string>();
+
   /** Routes without answers, as `sender host`; `sender *` for all hosts. */
   readonly silentRoutes = new Set<string>();
 
@@ -87,7 +90,10 @@
       return createError({ kind: OrderRefusal.NotSent, clockMs: null, cause: 'not allowed' });
     }
     const run = `${order.task}#${order.run}`;
-    return this.#send('start', host.id, run, async () => {
+    return this.#send('start', host.id, run, async (): Promise<Result<number, OrderError>> => {
+      if (this.#hosts.endedTasks.has(order.task)) {
+        return createError({ kind: OrderRefusal.Superseded, clockMs: null, cause: 'ended' });
+      }
       if (!this.#hosts.begun.includes(`${host.id} ${run}`)) {
         this.#hosts.begun.push(`${host.id} ${run}`);
       }
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -1,8 +1,8 @@
+import type { EmulatedCarrier } from './BaobabwellJobEmulatorCarriers';
 import type { ProcessorCosts } from './BaobabwellJobEmulatorProcessor';
 import type { TableFaults } from './BaobabwellJobEmulatorStore';
 import type { TermContext } from '@baobabwell/controller';
-import type { ProcessClock } from '@baobabwell/emulator';
-import type { ListedWorker, MaintenanceWave } from '@baobabwell/fleet';
+import type { MaintenanceWave } from '@baobabwell/fleet';
 import type { OfferReply } from '@baobabwell/ingress';
 import type { JobRecord, JobState, RepeatSpec, Resources, StepSpec } from '@baobabwell/jobs';
 import type { JsonValue } from '@baobabwell/platform';
@@ -15,6 +15,7 @@
 import { Ownership } from '@baobabwell/ownership';
 import { Random } from '@baobabwell/utils';
 
+import { createEmulatedCarriage } from './BaobabwellJobEmulatorCarriers';
 import { EmulatedCloud } from './BaobabwellJobEmulatorCloud';
 import {
   CAP_CPU_MILLIS,
@@ -55,7 +56,11 @@
   OPERATOR_TABLE,
   STATUS_TABLE,
 } from './BaobabwellJobEmulatorTables';
-import { EmulatedWorkerRows, WORKERS_TABLE } from './BaobabwellJobEmulatorWorkers';
+import {
+  createListedWorker,
+  EmulatedWorkerRows,
+  WORKERS_TABLE,
+} from './BaobabwellJobEmulatorWorkers';
 
 /** Time after which the row of a dead host is removed, in ms. */
 const HOST_ROW_LAG_MS = 4_500;
@@ -70,10 +75,7 @@
 const OFFER_TIMEOUT_MS = 1_000;
 
 /** One emulated process, a candidate for ownership. */
-type Daemon = {
-  readonly name: string;
-  readonly clock: ProcessClock;
-  readonly processor: EmulatedProcessor;
+type Daemon = EmulatedCarrier & {
   readonly ownership: Ownership;
   readonly controller: Controller;
   readonly store: EmulatedJobStore;
@@ -216,16 +218,16 @@
       },
       maxLeaseExtensionMs: MAX_LEASE_MS - HOST_LEASE_MS,
     });
-    const controller = new Controller({
-      holder: name,
+    const metrics = new DaemonMetrics();
+    const { orders, carrier } = createEmulatedCarriage({
+      name,
+      incarnation: String(this.#incarnationCount),
       clock,
+      processor,
       logger,
-      metrics: new DaemonMetrics().owner,
-      processorTime: new EmulatedProcessorTime(processor),
-      bounds: BOUNDS,
-      codec: CODEC,
-      store,
-      orders: new EmulatedHostOrders({
+      metrics: metrics.carriage,
+      ownership,
+      direct: new EmulatedHostOrders({
         process: name,
         clock,
         processor,
@@ -234,13 +236,27 @@
         faults: this.faults,
         findHost: (id) => this.#hosts.get(id) ?? null,
       }),
+      processes: this.#daemons,
+      isolated: this.processesWithoutPeers,
+    });
+    const controller = new Controller({
+      holder: name,
+      clock,
+      logger,
+      metrics: metrics.owner,
+      processorTime: new EmulatedProcessorTime(processor),
+      bounds: BOUNDS,
+      codec: CODEC,
+      store,
+      orders,
       cloud: this.#cloud,
       advisor: null,
       ownership,
       peerReports: new EmulatedPeerReports(name, this.#daemons, this.processesWithoutPeers),
       getConfiguration: () => this.configuration,
     });
-    this.#daemons.set(name, { name, clock, processor, ownership, controller, store });
+    const parts = { clock, processor, carrier, ownership, controller, store };
+    this.#daemons.set(name, { name, ...parts });
     void ownership.run();
     void ownership.runRenewals();
   }
@@ -337,19 +353,7 @@
       this.#recoverCrashedHost(host);
     };
     this.#hosts.set(id, host);
-    const worker: ListedWorker = {
-      id,
-      address: getAddress(id),
-      pool: POOL,
-      zone,
-      labels: [],
-      capacity,
-      isDraining: false,
-      leavesInMs: null,
-      coldLeftMs: 0,
-      bornMs: host.bornMs,
-    };
-    this.workers.put(worker, rowLagMs);
+    this.workers.put(createListedWorker(host, zone, capacity), rowLagMs);
     return host;
   }
 
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorWorkers.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorWorkers.ts
@@ -1,11 +1,35 @@
 import type { EmulatedHost } from './BaobabwellJobEmulatorHost';
 import type { EmulatedRows } from './BaobabwellJobEmulatorStore';
 import type { ListedWorker } from '@baobabwell/fleet';
+import type { Resources } from '@baobabwell/jobs';
 import type { JsonValue } from '@baobabwell/platform';
 import type { Clock } from '@baobabwell/utils';
 
+import { POOL } from './BaobabwellJobEmulatorConfiguration';
+import { getAddress } from './BaobabwellJobEmulatorNames';
+
 export const WORKERS_TABLE = 'workers';
 
+/** Creates the listing of a host that has just started. */
+export function createListedWorker(
+  { id, bornMs }: EmulatedHost,
+  zone: string,
+  capacity: Resources,
+): ListedWorker {
+  return {
+    id,
+    address: getAddress(id),
+    pool: POOL,
+    zone,
+    labels: [],
+    capacity,
+    isDraining: false,
+    leavesInMs: null,
+    coldLeftMs: 0,
+    bornMs,
+  };
+}
+
 /** Writes the rows in which hosts report about themselves. */
 export class EmulatedWorkerRows {
   readonly #rows: EmulatedRows;
