--- a/packages/baobabwell-carriers/src/BaobabwellCarriersChannel.ts
+++ b/packages/baobabwell-carriers/src/BaobabwellCarriersChannel.ts
@@ -15,6 +15,7 @@
   MAX_CARRIER_FAULTS,
   MAX_CLOCK_AGE_MS,
   MAX_CLOCK_DRIFT,
+  MAX_MESSAGE_ORDERS,
   ORDER_GATHERING_MS,
   START_VALIDITY_MS,
 } from './BaobabwellCarriersConstants';
@@ -210,8 +211,8 @@
     if (known === null) {
       return [];
     }
-    const pending = this.#pending;
-    this.#pending = [];
+    const pending = this.#pending.slice(0, MAX_MESSAGE_ORDERS);
+    this.#pending = this.#pending.slice(MAX_MESSAGE_ORDERS);
     return pending.flatMap((order) => {
       // Before the permission is asked: the order is valid for a time from then.
       const askedAtMs = clock.getNow();
--- a/packages/baobabwell-carriers/src/BaobabwellCarriersConstants.ts
+++ b/packages/baobabwell-carriers/src/BaobabwellCarriersConstants.ts
@@ -45,6 +45,12 @@
 /** Time for which the owner gathers orders before each message, in ms. */
 export const ORDER_GATHERING_MS = 2;
 
+/** Maximum number of orders in a message; peers refuse messages beyond a size. */
+export const MAX_MESSAGE_ORDERS = 100;
+
+/** Maximum length of what a carried start brings to its host, in characters. */
+export const MAX_CARRIED_LENGTH = 4_000;
+
 /** Time after which a carrier that has not answered counts as lost, in ms. */
 export const EXCHANGE_TIMEOUT_MS = 400;
 
--- a/packages/baobabwell-carriers/src/BaobabwellCarriersHostOrders.ts
+++ b/packages/baobabwell-carriers/src/BaobabwellCarriersHostOrders.ts
@@ -21,6 +21,7 @@
 import {
   CARRIER_BACKOFF_MS,
   CHOICE_INTERVAL_MS,
+  MAX_CARRIED_LENGTH,
   MAX_CARRIERS,
   MIN_CARRIED_HOSTS,
   ORDERS_PER_CARRIER,
@@ -93,7 +94,8 @@
     host: HostIncarnation,
     order: StartOrder,
   ): Promise<Result<number, OrderError>> {
-    const channel = this.#findChannel(host, order.epoch);
+    const isLong = order.payload.length + order.checkpoint.length > MAX_CARRIED_LENGTH;
+    const channel = isLong ? null : this.#findChannel(host, order.epoch);
     if (channel === null) {
       return this.#options.direct.start(host, order);
     }
--- a/packages/baobabwell-carriers/src/__tests__/BaobabwellCarriersTestFleet.ts
+++ b/packages/baobabwell-carriers/src/__tests__/BaobabwellCarriersTestFleet.ts
@@ -291,13 +291,14 @@
     task: string,
     isAllowed: () => boolean = () => true,
     epoch = 1,
+    payload = '',
   ): Promise<Result<number, OrderError>> {
     return this.orders.start(
       { id: host, address: host },
       {
         task,
         run: 1,
-        payload: '',
+        payload,
         leaseEndMs: 5_000,
         epoch,
         checkpoint: '',
--- a/packages/baobabwell-carriers/src/__tests__/unit/BaobabwellCarriers.test.ts
+++ b/packages/baobabwell-carriers/src/__tests__/unit/BaobabwellCarriers.test.ts
@@ -96,6 +96,22 @@
     expect(fleet.hosts.listStarts().map(({ sender }) => sender)).toEqual([OWNER]);
   });
 
+  it('share messages of a bounded size, and are sent directly when they are long', async () => {
+    const fleet = new TestFleet(HOST_COUNT, ['a']);
+    await fleet.startCarriage();
+    const starts = Array.from({ length: 250 }, async (_, index) => fleet.start(HOST, `t${index}`));
+    expect(listKinds(await fleet.time.settle(Promise.all(starts), SETTLE_MS))).toEqual(['ok']);
+    const counts = fleet.messages.map(({ message }) => message.orders.length);
+    expect(Math.max(...counts)).toEqual(100);
+    expect(fleet.hosts.begun.length).toEqual(250);
+    fleet.hosts.received.length = 0;
+    await fleet.time.settle(
+      fleet.start(HOST, 'long', () => true, 1, 'x'.repeat(10_000)),
+      SETTLE_MS,
+    );
+    expect(fleet.hosts.listStarts().map(({ sender }) => sender)).toEqual([OWNER]);
+  });
+
   it('are not sent when their permission ended before the message', async () => {
     const fleet = new TestFleet(HOST_COUNT, ['a', 'b']);
     await fleet.startCarriage();
