--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -207,12 +207,11 @@
       this.logLines.push(`${this.time.getNow()} ${line}`),
     );
     this.#incarnationCount += 1;
-    const incarnation = String(this.#incarnationCount);
     const ownership = new Ownership({
       store,
       clock,
       logger,
-      candidate: { name, incarnation, address: name, fitness: 0.5 },
+      candidate: { name, incarnation: String(this.#incarnationCount), address: name, fitness: 0.5 },
       listener: {
         prepareTerm: () => this.#daemons.get(name)?.controller.prepareTerm(),
         startTerm: (term) => this.#daemons.get(name)?.controller.startTerm(term),
@@ -223,7 +222,7 @@
     const metrics = new DaemonMetrics();
     const { orders, carrier } = createEmulatedCarriage({
       name,
-      incarnation,
+      incarnation: String(this.#incarnationCount),
       clock,
       processor,
       logger,
