carriers: a test of a start that waits to be written when its carrier hears of a later owner

Cause: docs/decisions/0073 says that such a start is refused; no test held it. Change: one test. Conclusion: the rule holds, and is held.

--- a/packages/baobabwell-carriers/src/__tests__/unit/BaobabwellCarriers.test.ts
+++ b/packages/baobabwell-carriers/src/__tests__/unit/BaobabwellCarriers.test.ts
@@ -254,6 +254,21 @@
     expect(fleet.hosts.received).toEqual([]);
   });
 
+  it('sends no start that waits to be written once it has heard of a later owner', async () => {
+    const fleet = new TestFleet(HOST_COUNT, ['a', 'b']);
+    await fleet.startCarriage();
+    fleet.hosts.writeDelayMs = 60;
+    const reply = fleet.start(HOST, 't');
+    await fleet.time.advance(20);
+    for (const { carrier } of fleet.peers.values()) {
+      const later = { epoch: 2, channel: 1, sequence: 1, orders: [], abortedIds: [] };
+      void carrier.exchange(later);
+    }
+    expect((await fleet.time.settle(reply, SETTLE_MS)).ok).toEqual(false);
+    await fleet.time.advance(SETTLE_MS);
+    expect(fleet.hosts.listStarts()).toEqual([]);
+  });
+
   it('carries out no message twice, none out of order and none of an earlier channel', async () => {
     const fleet = new TestFleet(HOST_COUNT, ['a', 'b']);
     await fleet.startCarriage();
