--- a/packages/baobabwell-daemon/src/BaobabwellDaemonCarriers.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonCarriers.ts
@@ -26,7 +26,9 @@
   }
 
   override async exchange(address: string, message: OrderExchange): Promise<ExchangeReply | null> {
-    return this.#peers.request(address, async (client) => client.exchangeOrders.mutate(message));
+    return this.#peers.request(address, async (client) => client.exchangeOrders.mutate(message), {
+      ignoresBackoff: true,
+    });
   }
 }
 
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
@@ -51,10 +51,16 @@
   const store = new RelayedStore({
     direct,
     relay: {
-      commit: async (address, transaction) =>
-        peers.request(address, async (client) => client.commit.mutate(transaction)),
-      list: async (address, range) =>
-        peers.request(address, async (client) => client.list.query(range)),
+      commit: async (address, transaction, deadline) =>
+        peers.request(
+          address,
+          async (client, signal) => client.commit.mutate(transaction, { signal }),
+          { deadline },
+        ),
+      list: async (address, range, deadline) =>
+        peers.request(address, async (client, signal) => client.list.query(range, { signal }), {
+          deadline,
+        }),
     },
     listPeerAddresses: () => members.listPeerAddresses(),
     clock,
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonPeers.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonPeers.ts
@@ -74,6 +74,12 @@
 /** Sends one request to a peer; the signal gives it up. */
 type SendToPeer<Reply> = (client: PeerClient, signal: AbortSignal) => Promise<Reply | null>;
 
+type PeerRequestOptions = {
+  readonly deadline?: Deadline | null | undefined;
+  /** True for requests whose sender decides itself whether the peer answers. */
+  readonly ignoresBackoff?: boolean;
+};
+
 /** Time for which no request is sent to a peer that did not answer, in ms. */
 const UNRESPONSIVE_PEER_BACKOFF_MS = 400;
 
@@ -107,10 +113,11 @@
   async request<Reply>(
     address: string,
     send: SendToPeer<Reply>,
-    deadline: Deadline | null = null,
+    { deadline = null, ignoresBackoff = false }: PeerRequestOptions = {},
   ): Promise<Reply | null> {
     const connector = this.#getConnector();
-    const isBackingOff = this.#clock.getNow() < (this.#backoffUntilMs.get(address) ?? 0);
+    const isBackingOff =
+      !ignoresBackoff && this.#clock.getNow() < (this.#backoffUntilMs.get(address) ?? 0);
     if (connector === null || isBackingOff || deadline?.hasPassed() === true) {
       return null;
     }
@@ -214,6 +221,6 @@
     if (owner.name === this.#name) {
       return requestLocal();
     }
-    return this.#peers.request(owner.address, requestPeer, deadline);
+    return this.#peers.request(owner.address, requestPeer, { deadline });
   }
 }
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonReadLimiter.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonReadLimiter.ts
@@ -24,7 +24,7 @@
   readonly latencyMs: number;
 }): number {
   const sharePerS = options.readsPerS / Math.max(1, options.processCount);
-  const underWay = Math.ceil((sharePerS * options.latencyMs) / MS_PER_S);
+  const underWay = Math.floor((sharePerS * options.latencyMs) / MS_PER_S);
   return Math.min(MAX_UNDER_WAY, Math.max(MIN_UNDER_WAY, underWay));
 }
 
@@ -32,15 +32,22 @@
 export class ReadLimiter {
   readonly #getMaxUnderWay: () => number;
 
+  readonly #getLatencyMs: () => number;
+
   readonly #waiting: WaitingRead[] = [];
 
   #underWayCount = 0;
 
-  constructor(getMaxUnderWay: () => number) {
-    this.#getMaxUnderWay = getMaxUnderWay;
+  /** @param options.getLatencyMs returns the time until a read is answered, in ms. */
+  constructor(options: {
+    readonly getMaxUnderWay: () => number;
+    readonly getLatencyMs: () => number;
+  }) {
+    this.#getMaxUnderWay = options.getMaxUnderWay;
+    this.#getLatencyMs = options.getLatencyMs;
   }
 
-  /** Sends a read in its turn; returns `null` without sending it when its deadline passed before. */
+  /** Sends a read in its turn; returns `null` without sending it when its answer would come too late. */
   async run<Reply>(deadline: Deadline, send: () => Promise<Reply>): Promise<Reply | null> {
     const mayStart = await this.#waitForTurn(deadline);
     if (!mayStart) {
@@ -69,7 +76,7 @@
       if (next === undefined) {
         return;
       }
-      const mayStart = !next.deadline.hasPassed();
+      const mayStart = next.deadline.getRemainingMs() > this.#getLatencyMs();
       this.#underWayCount += mayStart ? 1 : 0;
       next.start(mayStart);
     }
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonRelayedStore.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonRelayedStore.ts
@@ -58,10 +58,12 @@
   readonly commit: (
     address: string,
     transaction: Transaction,
+    deadline?: Deadline,
   ) => Promise<Result<number, TableError> | null>;
   readonly list: (
     address: string,
     range: RowRange,
+    deadline?: Deadline,
   ) => Promise<Result<ChangePage, TableError> | null>;
 };
 
@@ -81,6 +83,11 @@
   return reply !== null && (reply.ok || reply.error.kind === TableErrorKind.Conflict);
 }
 
+/** Returns true once nobody waits for the answer of a call any more. */
+function isOver({ deadline, signal }: CallLimits): boolean {
+  return signal?.aborted === true || deadline?.hasPassed() === true;
+}
+
 function createNotReadError(cause: string): Result<never, TableError> {
   return createError({ kind: TableErrorKind.Unavailable, mayHaveCommitted: false, cause });
 }
@@ -134,13 +141,15 @@
     this.#listPeerAddresses = options.listPeerAddresses;
     this.#clock = options.clock;
     this.#logger = options.logger;
-    this.#reads = new ReadLimiter(() =>
-      computeMaxReadsUnderWay({
-        readsPerS: options.readsPerS,
-        processCount: options.listPeerAddresses().length + 1,
-        latencyMs: Math.max(this.#lastLatencyMs, this.#readMs),
-      }),
-    );
+    this.#reads = new ReadLimiter({
+      getMaxUnderWay: () =>
+        computeMaxReadsUnderWay({
+          readsPerS: options.readsPerS,
+          processCount: options.listPeerAddresses().length + 1,
+          latencyMs: this.#getReadLatencyMs(),
+        }),
+      getLatencyMs: () => this.#getReadLatencyMs(),
+    });
   }
 
   override async commit(
@@ -149,7 +158,8 @@
   ): Promise<Result<number, TableError>> {
     return this.#request(
       async () => this.tables.commit(transaction, limits),
-      async (address) => this.#relay.commit(address, transaction),
+      async (address) => this.#relay.commit(address, transaction, limits.deadline),
+      limits,
     );
   }
 
@@ -168,7 +178,8 @@
   async #list(range: RowRange, limits: CallLimits): Promise<Result<ChangePage, TableError>> {
     return this.#request(
       async () => this.tables.list(range, limits),
-      async (address) => this.#relay.list(address, range),
+      async (address) => this.#relay.list(address, range, limits.deadline),
+      limits,
     );
   }
 
@@ -191,6 +202,9 @@
             resolve(reply);
           }
         };
+        void this.#clock
+          .wait(deadline.getRemainingMs(), done.signal)
+          .then(() => resolve(createNotReadError('no answer before the deadline')));
         void attempt(async () => this.#list(range, limits));
         void this.#repeat(deadline, done.signal, async () =>
           attempt(async () => this.#measure(async () => this.tables.list(range, limits))),
@@ -214,6 +228,11 @@
     }
   }
 
+  /** Returns the time until a read is answered or sent again, in ms: it takes another turn of the store then. */
+  #getReadLatencyMs(): number {
+    return Math.max(this.#lastLatencyMs, Math.min(this.#readMs, this.#getRepeatDelayMs()));
+  }
+
   #getRepeatDelayMs(): number {
     const scaledDelayMs = RELAY_DELAY_FACTOR * this.#lastLatencyMs;
     return Math.min(MAX_REPEAT_DELAY_MS, Math.max(MIN_REPEAT_DELAY_MS, scaledDelayMs));
@@ -222,10 +241,11 @@
   async #request<Value>(
     requestDirect: () => Promise<Result<Value, TableError>>,
     requestPeer: (address: string) => Promise<Result<Value, TableError> | null>,
+    limits: CallLimits,
   ): Promise<Result<Value, TableError>> {
     const shouldRelayFirst = this.#clock.getNow() < this.#peersFirstUntilMs;
     const firstRelay = shouldRelayFirst
-      ? await this.#requestPeers(requestPeer)
+      ? await this.#requestPeers(requestPeer, limits)
       : { reply: null, hasUnknownOutcome: false };
     if (firstRelay.reply !== null) {
       return firstRelay.reply;
@@ -240,8 +260,14 @@
     if (isAnswer(earlyReply)) {
       return earlyReply;
     }
-    this.#peersFirstUntilMs = this.#clock.getNow() + PEERS_FIRST_MS;
-    const secondRelay = await this.#requestPeers(requestPeer);
+    // A call that was given up says nothing about the store.
+    const isSilent = !isOver(limits);
+    if (isSilent) {
+      this.#peersFirstUntilMs = this.#clock.getNow() + PEERS_FIRST_MS;
+    }
+    const secondRelay = isSilent
+      ? await this.#requestPeers(requestPeer, limits)
+      : { reply: null, hasUnknownOutcome: false };
     const lastReply = secondRelay.reply ?? (await directReply);
     if (lastReply.ok || lastReply.error.kind === TableErrorKind.Conflict) {
       return lastReply;
@@ -270,15 +296,16 @@
 
   async #requestPeers<Value>(
     requestPeer: (address: string) => Promise<Result<Value, TableError> | null>,
+    limits: CallLimits,
   ): Promise<RelayResult<Value>> {
     const isBackingOff = this.#clock.getNow() < this.#backoffUntilMs;
     if (isBackingOff || this.#openRelayCount >= MAX_CONCURRENT_RELAYS) {
       return { reply: null, hasUnknownOutcome: false };
     }
     this.#openRelayCount += 1;
-    const result = await this.#requestPeersInRotation(requestPeer);
+    const result = await this.#requestPeersInRotation(requestPeer, limits);
     this.#openRelayCount -= 1;
-    if (result.reply === null) {
+    if (result.reply === null && !isOver(limits)) {
       this.#backoffUntilMs = this.#clock.getNow() + RELAY_BACKOFF_MS;
       this.#logger.recordWarning('store-not-relayed', { restMs: RELAY_BACKOFF_MS });
     }
@@ -287,10 +314,12 @@
 
   async #requestPeersInRotation<Value>(
     requestPeer: (address: string) => Promise<Result<Value, TableError> | null>,
+    limits: CallLimits,
   ): Promise<RelayResult<Value>> {
     const peers = this.#listPeerAddresses();
     let hasUnknownAttempt = false;
-    for (let attempt = 0; attempt < Math.min(MAX_RELAY_ATTEMPTS, peers.length); attempt += 1) {
+    const maxAttempts = Math.min(MAX_RELAY_ATTEMPTS, peers.length);
+    for (let attempt = 0; attempt < maxAttempts && !isOver(limits); attempt += 1) {
       const address = peers[this.#nextPeerIndex % peers.length] as string;
       this.#nextPeerIndex += 1;
       const reply = await requestPeer(address);
--- a/packages/baobabwell-ingress/src/BaobabwellIngressJobStateReader.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressJobStateReader.ts
@@ -23,16 +23,29 @@
 /** Asks one source; resolves to `null` when it does not know or does not answer. */
 type Source = () => Promise<Answer | null>;
 
-/** Returns the first answer that is not `null`, or `null` once there is none. */
+/**
+ * Returns true for an answer that needs no other source. A job that one source does not know may be known to
+ * the other one, which may be ahead of it.
+ */
+function isConclusive(answer: Answer | null): boolean {
+  return answer !== null && answer.kind !== AnswerKind.UnknownJob;
+}
+
+/** Returns the first conclusive answer; once there is none, any other one. */
 async function findFirst(answers: readonly Promise<Answer | null>[]): Promise<Answer | null> {
   return new Promise((resolve, reject) => {
     let openCount = answers.length;
+    let inconclusive: Answer | null = null;
     answers.forEach((promise) => {
       promise.then((answer) => {
         openCount -= 1;
-        if (answer !== null || openCount === 0) {
+        if (isConclusive(answer)) {
           resolve(answer);
         }
+        inconclusive ??= answer;
+        if (openCount === 0) {
+          resolve(inconclusive);
+        }
       }, reject);
     });
   });
@@ -76,10 +89,7 @@
       .then((): true => true);
     const early = await Promise.race([firstAnswer, isLate]);
     waitStopped.abort();
-    if (early === null) {
-      return second();
-    }
-    return early === true ? findFirst([firstAnswer, second()]) : early;
+    return early !== true && isConclusive(early) ? early : findFirst([firstAnswer, second()]);
   }
 
   async #askOwner(jobId: string, deadline: Deadline): Promise<Answer | null> {
--- a/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
@@ -133,6 +133,9 @@
 
   async #storeJob(record: JobRecord, deadline: Deadline): Promise<Answer> {
     const { id: jobId } = record;
+    if (deadline.hasPassed()) {
+      return this.#createUnavailableAnswer('submit');
+    }
     if (!this.#silence.canSubmit(this.#clock.getNow())) {
       const reason = 'the store did not answer the last submissions';
       return { kind: AnswerKind.Unavailable, reason, retryAfterMs: STORE_RETRY_AFTER_MS };
@@ -152,7 +155,7 @@
       return { kind: AnswerKind.Accepted };
     }
     if (!reply.error.mayHaveCommitted) {
-      this.#silence.record(false, this.#clock.getNow());
+      this.#recordSilence(deadline);
       if (!wasUnclear) {
         this.#unclearAtMs.delete(jobId);
       }
@@ -222,7 +225,7 @@
   async #resolveOutcome(jobId: string, cause: string, deadline: Deadline): Promise<Answer> {
     let isAnswered = false;
     for (let attempt = 0; attempt < RESOLVE_ATTEMPTS; attempt += 1) {
-      await this.#clock.wait(RESOLVE_INTERVAL_MS);
+      await this.#clock.wait(deadline.limit(RESOLVE_INTERVAL_MS));
       const rows = await findJobRows(this.#store, jobId, deadline);
       isAnswered ||= rows !== null;
       if (rows?.isStored) {
@@ -231,10 +234,23 @@
         return { kind: AnswerKind.Accepted };
       }
     }
-    this.#silence.record(isAnswered, this.#clock.getNow());
+    if (isAnswered) {
+      this.#silence.record(true, this.#clock.getNow());
+    } else {
+      this.#recordSilence(deadline);
+    }
     return { kind: AnswerKind.UnknownOutcome, reason: `store: ${cause}` };
   }
 
+  /** Records a submission without an answer, unless its caller left before the store was late. */
+  #recordSilence(deadline: Deadline): void {
+    if (deadline.hasPassed()) {
+      this.#silence.recordUnused();
+    } else {
+      this.#silence.record(false, this.#clock.getNow());
+    }
+  }
+
   /** Records that a job may be stored although its caller was not told so. */
   #recordUnclear(jobId: string): void {
     const nowMs = this.#clock.getNow();
--- a/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
@@ -28,6 +28,9 @@
 /** Time for which a caller waits that does not say so, in ms. */
 const DEFAULT_WAIT_MS = 3_000;
 
+/** Longest time for which a call is kept, in ms, however long its caller waits. */
+const MAX_WAIT_MS = 60_000;
+
 /** Time before the end of a caller's wait at which the call is answered in any case, in ms. */
 const ANSWER_RESERVE_MS = 100;
 
@@ -254,7 +257,7 @@
       return createEndedOutcome(call, PROCESS_ENDS);
     }
     const { clock } = this.#context;
-    const waitMs = call.waitMs ?? DEFAULT_WAIT_MS;
+    const waitMs = Math.min(call.waitMs ?? DEFAULT_WAIT_MS, MAX_WAIT_MS);
     const deadline = new Deadline(clock, waitMs - Math.min(ANSWER_RESERVE_MS, waitMs / 2));
     return new Promise((resolve, reject) => {
       const end = (reason: string): void => resolve(createEndedOutcome(call, reason));
--- a/packages/baobabwell-ingress/src/BaobabwellIngressStoreSilence.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressStoreSilence.ts
@@ -31,6 +31,11 @@
     return true;
   }
 
+  /** Records that a submission says nothing about the store: its caller left too soon. */
+  recordUnused(): void {
+    this.#isProbing = false;
+  }
+
   /** Records whether the store answered a submission. */
   record(isAnswered: boolean, nowMs: number): void {
     this.#unansweredCount = isAnswered ? 0 : this.#unansweredCount + 1;
--- a/packages/baobabwell-peers/src/BaobabwellPeersConnector.ts
+++ b/packages/baobabwell-peers/src/BaobabwellPeersConnector.ts
@@ -16,6 +16,7 @@
   PEER_SECRET_HEADER,
   PEER_REQUEST_TIMEOUT_MS,
   LARGE_BODY_BYTES,
+  MAX_TRANSFER_MS,
 } from './BaobabwellPeersConstants';
 
 /** Connects to other entries. Tests use an implementation that delays and drops requests. */
@@ -92,6 +93,7 @@
         startResponseTimer(PEER_REQUEST_TIMEOUT_MS, () =>
           timedOut.abort(new Error(`no response within ${PEER_REQUEST_TIMEOUT_MS} ms`)),
         );
+      const startedAtMs = performance.now();
       let cancelTimer = startTimer();
       try {
         const signal =
@@ -99,8 +101,10 @@
         return await this.#connections.call(address, async (dispatcher) => {
           const response = await fetch(input, { ...init, dispatcher, signal });
           const body = await readBody(response, () => {
-            cancelTimer();
-            cancelTimer = startTimer();
+            if (performance.now() - startedAtMs < MAX_TRANSFER_MS) {
+              cancelTimer();
+              cancelTimer = startTimer();
+            }
           });
           return new Response(body, { status: response.status, headers: response.headers });
         });
--- a/packages/baobabwell-peers/src/BaobabwellPeersConstants.ts
+++ b/packages/baobabwell-peers/src/BaobabwellPeersConstants.ts
@@ -10,6 +10,9 @@
 /** Size of a response from which the timeout covers each of its parts, in bytes. */
 export const LARGE_BODY_BYTES = 65_536;
 
+/** Time from which the parts of a large response no longer extend its timeout, in ms. */
+export const MAX_TRANSFER_MS = 20_000;
+
 /** Maximum time for opening a connection to a peer. */
 export const PEER_CONNECT_TIMEOUT_MS = 500;
 
