deploy, scripts: young space of 16 MB; the bundle keeps no names of functions

Callers saw late jobs (SHORT). Conclusion: the largest single part of a full owner was the runtime's own.

--- a/scripts/build-daemon.ts
+++ b/scripts/build-daemon.ts
@@ -6,13 +6,12 @@
 import { copyFile, rm } from 'node:fs/promises';
 import { promisify } from 'node:util';
 
+import { readDaemonFlags } from './daemon-flags';
+
 const BUNDLE = 'target/baobabwell-daemon.cjs';
 const START_SCRIPT = 'target/daemon-start.cjs';
 const CODE_CACHE = 'target/baobabwell-daemon.cache';
 
-/** Must match deploy/system.toml: V8 rejects a code cache created under different flags. */
-const NODE_FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=8', '--single-threaded-gc'];
-
 const runFile = promisify(execFile);
 
 /** Bundles only zod's English error messages; the other languages double the size of the bundle. */
@@ -33,14 +32,14 @@
   target: 'node20',
   format: 'cjs',
   minify: true,
-  keepNames: true,
   plugins: [englishOnly],
   logLevel: 'warning',
 });
 await rm(CODE_CACHE, { force: true });
 await copyFile('scripts/daemon-start.cjs', START_SCRIPT);
 // Without settings the program loads all of its modules and then exits with code 1.
-await runFile(process.execPath, [...NODE_FLAGS, START_SCRIPT, 'write-cache'], {
+// V8 rejects a code cache that was created under other flags.
+await runFile(process.execPath, [...(await readDaemonFlags()), START_SCRIPT, 'write-cache'], {
   env: { PATH: process.env['PATH'] },
 }).catch((error: { readonly code?: number }) => {
   if (error.code !== 1) {
