carriers: removed; orders go to hosts from their owner again

Cause: a carrier may write an order until 200 ms after its permission, by a clock that the owner learns from replies. Starts that a carrier did not answer for left hosts in doubt (49 in 8 s), and carriers were lost when hosts went silent. Conclusion: work that is handed on with a time limit by a process that is late comes back to it.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
@@ -6,7 +6,6 @@
 import { Ownership } from '@baobabwell/ownership';
 import { buildPeerServer, HttpPeerConnector } from '@baobabwell/peers';
 
-import { createCarriedHostOrders, createOrderCarrier } from './BaobabwellDaemonCarriers';
 import { ConfigurationWatcher } from './BaobabwellDaemonConfiguration';
 import { MemberPoll } from './BaobabwellDaemonMemberPoll';
 import { MemberDirectory } from './BaobabwellDaemonMembers';
@@ -71,7 +70,7 @@
 
 function createController(kernel: Kernel): Controller {
   const { name, bounds } = kernel.getService(SETTINGS);
-  const { store, cloud, advisor, codec } = kernel.getService(ADAPTERS);
+  const { store, orders, cloud, advisor, codec } = kernel.getService(ADAPTERS);
   return new Controller({
     holder: name,
     clock: kernel.clock,
@@ -81,7 +80,7 @@
     bounds,
     codec,
     store,
-    orders: createCarriedHostOrders(kernel),
+    orders,
     cloud,
     advisor,
     ownership: kernel.getService(OWNERSHIP),
@@ -199,7 +198,6 @@
     const router = buildDaemonRouter({
       owner: controller,
       store,
-      carrier: createOrderCarrier(kernel),
       getConfigurationReport: (knownVersion) => configuration.createReport(knownVersion),
       getStoreAnswerAgeMs: () => ownership.getStoreAnswerAgeMs(),
     });
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
@@ -55,12 +55,14 @@
         peers.request(
           address,
           async (client, signal) => client.commit.mutate(transaction, { signal }),
-          { deadline },
+          deadline,
         ),
       list: async (address, range, deadline) =>
-        peers.request(address, async (client, signal) => client.list.query(range, { signal }), {
+        peers.request(
+          address,
+          async (client, signal) => client.list.query(range, { signal }),
           deadline,
-        }),
+        ),
     },
     listPeerAddresses: () => members.listPeerAddresses(),
     clock,
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonPeers.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonPeers.ts
@@ -1,5 +1,4 @@
 import type { ConfigurationReport } from './BaobabwellDaemonConfiguration';
-import type { ExchangeReply, OrderCarrier, OrderExchange } from '@baobabwell/carriers';
 import type { OfferReply } from '@baobabwell/ingress';
 import type { JobRecord, JobState } from '@baobabwell/jobs';
 import type { Logger } from '@baobabwell/logging';
@@ -30,12 +29,11 @@
 export function buildDaemonRouter(options: {
   readonly owner: OwnerClient;
   readonly store: WatchableTableService;
-  readonly carrier: OrderCarrier;
   /** Returns what this process knows of the configuration, for a peer that knows a version. */
   readonly getConfigurationReport: (knownVersion: number | null) => ConfigurationReport | null;
   readonly getStoreAnswerAgeMs: () => number;
 }) {
-  const { owner, store, carrier, getConfigurationReport, getStoreAnswerAgeMs } = options;
+  const { owner, store, getConfigurationReport, getStoreAnswerAgeMs } = options;
   return createPeerRouter({
     offer: peerProcedure
       .input(z.custom<JobRecord>(isObject))
@@ -52,9 +50,6 @@
     list: peerProcedure
       .input(z.custom<RowRange>(isObject))
       .query(async ({ input }): Promise<Result<ChangePage, TableError>> => store.list(input)),
-    exchangeOrders: peerProcedure
-      .input(z.custom<OrderExchange>(isObject))
-      .mutation(async ({ input }): Promise<ExchangeReply> => carrier.exchange(input)),
     getConfigurationReport: peerProcedure
       .input(z.number().nullable())
       .query(({ input }): ConfigurationReport | null => getConfigurationReport(input)),
@@ -74,12 +69,6 @@
 /** Sends one request to a peer; the signal gives it up. */
 type SendToPeer<Reply> = (client: PeerClient, signal: AbortSignal) => Promise<Reply | null>;
 
-type PeerRequestOptions = {
-  readonly deadline?: Deadline | null | undefined;
-  /** True for requests whose sender decides itself whether the peer answers. */
-  readonly ignoresBackoff?: boolean;
-};
-
 /** Time for which no request is sent to a peer that did not answer, in ms. */
 const UNRESPONSIVE_PEER_BACKOFF_MS = 400;
 
@@ -113,11 +102,10 @@
   async request<Reply>(
     address: string,
     send: SendToPeer<Reply>,
-    { deadline = null, ignoresBackoff = false }: PeerRequestOptions = {},
+    deadline: Deadline | null = null,
   ): Promise<Reply | null> {
     const connector = this.#getConnector();
-    const isBackingOff =
-      !ignoresBackoff && this.#clock.getNow() < (this.#backoffUntilMs.get(address) ?? 0);
+    const isBackingOff = this.#clock.getNow() < (this.#backoffUntilMs.get(address) ?? 0);
     if (connector === null || isBackingOff || deadline?.hasPassed() === true) {
       return null;
     }
@@ -221,6 +209,6 @@
     if (owner.name === this.#name) {
       return requestLocal();
     }
-    return this.#peers.request(owner.address, requestPeer, { deadline });
+    return this.#peers.request(owner.address, requestPeer, deadline);
   }
 }
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -1,7 +1,7 @@
-import type { EmulatedCarrier } from './BaobabwellJobEmulatorCarriers';
 import type { ProcessorCosts } from './BaobabwellJobEmulatorProcessor';
 import type { TableFaults } from './BaobabwellJobEmulatorStore';
 import type { TermContext } from '@baobabwell/controller';
+import type { ProcessClock } from '@baobabwell/emulator';
 import type { MaintenanceWave } from '@baobabwell/fleet';
 import type { OfferReply } from '@baobabwell/ingress';
 import type { JobRecord, JobState, RepeatSpec, Resources, StepSpec } from '@baobabwell/jobs';
@@ -15,7 +15,6 @@
 import { Ownership } from '@baobabwell/ownership';
 import { Random } from '@baobabwell/utils';
 
-import { createEmulatedCarriage } from './BaobabwellJobEmulatorCarriers';
 import { EmulatedCloud } from './BaobabwellJobEmulatorCloud';
 import {
   CAP_CPU_MILLIS,
@@ -75,7 +74,10 @@
 const OFFER_TIMEOUT_MS = 1_000;
 
 /** One emulated process, a candidate for ownership. */
-type Daemon = EmulatedCarrier & {
+type Daemon = {
+  readonly name: string;
+  readonly clock: ProcessClock;
+  readonly processor: EmulatedProcessor;
   readonly ownership: Ownership;
   readonly controller: Controller;
   readonly store: EmulatedJobStore;
@@ -219,16 +221,16 @@
       },
       maxLeaseExtensionMs: MAX_LEASE_MS - HOST_LEASE_MS,
     });
-    const metrics = new DaemonMetrics();
-    const { orders, carrier } = createEmulatedCarriage({
-      name,
-      incarnation: String(this.#incarnationCount),
+    const controller = new Controller({
+      holder: name,
       clock,
-      processor,
       logger,
-      metrics: metrics.carriage,
-      ownership,
-      direct: new EmulatedHostOrders({
+      metrics: new DaemonMetrics().owner,
+      processorTime: new EmulatedProcessorTime(processor),
+      bounds: BOUNDS,
+      codec: CODEC,
+      store,
+      orders: new EmulatedHostOrders({
         process: name,
         clock,
         processor,
@@ -237,26 +239,13 @@
         faults: this.faults,
         findHost: (id) => this.#hosts.get(id) ?? null,
       }),
-      processes: this.#daemons,
-      isolated: this.processesWithoutPeers,
-    });
-    const controller = new Controller({
-      holder: name,
-      clock,
-      logger,
-      metrics: metrics.owner,
-      processorTime: new EmulatedProcessorTime(processor),
-      bounds: BOUNDS,
-      codec: CODEC,
-      store,
-      orders,
       cloud: this.#cloud,
       advisor: null,
       ownership,
       peerReports: new EmulatedPeerReports(name, this.#daemons, this.processesWithoutPeers),
       getConfiguration: () => this.configuration,
     });
-    this.#daemons.set(name, { name, clock, processor, carrier, ownership, controller, store });
+    this.#daemons.set(name, { name, clock, processor, ownership, controller, store });
     void ownership.run();
     void ownership.runRenewals();
   }
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorProcessor.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorProcessor.ts
@@ -11,33 +11,17 @@
   readonly startMs: number;
   /** For a request of a peer, beside `activitiesMs`. */
   readonly requestMs: number;
-  /** For a message to a carrier of orders, with its answer. */
-  readonly exchangeMs: number;
-  /** For each order in such a message. */
-  readonly carriedOrderMs: number;
-  /** For the start of a run whose order another process carries, beside `activitiesMs`. */
-  readonly carriedStartMs: number;
   /** For each time that an activity is carried out. */
   readonly activitiesMs: Readonly<Partial<Record<Activity, number>>>;
 };
 
-export const NO_PROCESSOR_COSTS: ProcessorCosts = {
-  startMs: 0,
-  requestMs: 0,
-  exchangeMs: 0,
-  carriedOrderMs: 0,
-  carriedStartMs: 0,
-  activitiesMs: {},
-};
+export const NO_PROCESSOR_COSTS: ProcessorCosts = { startMs: 0, requestMs: 0, activitiesMs: {} };
 
 /** Multiplies all costs, as a processor does of which a share is missing. */
 export function scaleCosts(costs: ProcessorCosts, factor: number): ProcessorCosts {
   return {
     startMs: costs.startMs * factor,
     requestMs: costs.requestMs * factor,
-    exchangeMs: costs.exchangeMs * factor,
-    carriedOrderMs: costs.carriedOrderMs * factor,
-    carriedStartMs: costs.carriedStartMs * factor,
     activitiesMs: Object.fromEntries(
       Object.entries(costs.activitiesMs).map(([activity, ms]) => [activity, ms * factor]),
     ),
@@ -57,8 +41,6 @@
 
   #busyUntilMs = 0;
 
-  #spentMs = 0;
-
   #isDraining = false;
 
   constructor(time: EmulatedTime, costs: ProcessorCosts) {
@@ -71,14 +53,8 @@
     return Math.max(this.#time.getNow(), this.#busyUntilMs);
   }
 
-  /** Returns the time that was spent so far, in ms. */
-  getSpentMs(): number {
-    return this.#spentMs;
-  }
-
   /** Spends time: what runs now is done later. */
   spend(costMs: number): void {
-    this.#spentMs += costMs;
     this.#busyUntilMs = this.getNow() + costMs;
   }
 
@@ -90,11 +66,6 @@
     this.spend(this.#costs.requestMs);
   }
 
-  spendOnExchange(orderCount: number, startCount: number): void {
-    const { exchangeMs, carriedOrderMs, carriedStartMs } = this.#costs;
-    this.spend(exchangeMs + orderCount * carriedOrderMs + startCount * carriedStartMs);
-  }
-
   spendOn(activity: Activity): void {
     this.spend(this.#costs.activitiesMs[activity] ?? 0);
   }
--- a/packages/baobabwell-metrics/src/BaobabwellMetricsDaemon.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetricsDaemon.ts
@@ -1,7 +1,6 @@
 /** Metrics of one daemon process. Label values come from the configuration and enums, so their number is bounded. */
 import { Counter, Gauge, Histogram } from 'prom-client';
 
-import { CarriageMetrics } from './BaobabwellMetricsCarriage';
 import { OwnerMetrics } from './BaobabwellMetricsOwner';
 import { ProcessMetrics, SECONDS_BUCKETS } from './BaobabwellMetricsProcess';
 
@@ -9,8 +8,6 @@
 export class DaemonMetrics extends ProcessMetrics {
   readonly owner = new OwnerMetrics(this.registry);
 
-  readonly carriage = new CarriageMetrics(this.registry);
-
   readonly clientCalls = new Counter({
     name: 'baobabwell_client_calls_total',
     help: 'Answered client calls, by queue, request and answer.',
