--- a/packages/baobabwell-controller/src/BaobabwellControllerPossibleRuns.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerPossibleRuns.ts
@@ -89,29 +89,39 @@
    * successor can't tell them by the tasks that are still to be done.
    */
   countLeftoverRuns(job: Job): LeftoverRuns {
-    if (this.#filterCapped([job]).length === 0) {
-      return NO_RUNS;
-    }
-    const isUnknown = this.mayRunUnknown(job, this.listUnreconciledPools());
-    const unknown = isUnknown && job.isEnded ? this.#countUnknownRuns(job) : NO_RUNS;
-    return new Map(
-      job.listSteps().map((step) => {
-        const unseen = isUnknown ? countUnseenLeftover(step) : 0;
-        return [step, countLeftoverRuns(step) + (unknown.get(step) ?? unseen)] as const;
-      }),
-    );
+    const [capped] = this.#filterCapped([job]);
+    return capped === undefined
+      ? NO_RUNS
+      : this.#countLeftoverRuns(capped, this.listUnreconciledPools());
   }
 
   /** Takes the ended jobs of which no run can exist any more: their rows need not name any. */
   takeSettledJobs(): readonly Job[] {
     const { jobRegistry } = this.#context;
-    const settled = [...jobRegistry.listEndedJobs()].filter((job) =>
-      [...this.countLeftoverRuns(job).values()].every((count) => count === 0),
+    const ended = [...jobRegistry.listEndedJobs()];
+    const capped = new Set(this.#filterCapped(ended));
+    const pools = this.listUnreconciledPools();
+    const settled = ended.filter(
+      (job) =>
+        !capped.has(job) ||
+        [...this.#countLeftoverRuns(job, pools).values()].every((count) => count === 0),
     );
     settled.forEach((job) => jobRegistry.removeEndedJob(job));
     return settled;
   }
 
+  /** Counts the leftover runs of a job whose organisation has a cap. */
+  #countLeftoverRuns(job: Job, unreconciledPools: ReadonlySet<string>): LeftoverRuns {
+    const isUnknown = this.mayRunUnknown(job, unreconciledPools);
+    const unknown = isUnknown && job.isEnded ? this.#countUnknownRuns(job) : NO_RUNS;
+    return new Map(
+      job.listSteps().map((step) => {
+        const unseen = isUnknown ? countUnseenLeftover(step) : 0;
+        return [step, countLeftoverRuns(step) + (unknown.get(step) ?? unseen)] as const;
+      }),
+    );
+  }
+
   /** Counts the runs of a job that former owners may have started and no host has reported, by step. */
   #countUnknownRuns(job: Job): LeftoverRuns {
     const { jobRegistry, clock } = this.#context;
