--- a/packages/baobabwell-logging/src/BaobabwellLoggingLineWriter.ts
+++ b/packages/baobabwell-logging/src/BaobabwellLoggingLineWriter.ts
@@ -39,7 +39,10 @@
 
   readonly #droppedByEvent = new Map<string, number>();
 
-  #buffer = '';
+  #buffer: string[] = [];
+
+  /** Length of the buffered lines, in characters. */
+  #bufferLength = 0;
 
   #windowStartMs = 0;
 
@@ -70,7 +73,7 @@
 
   /** Buffers an admitted line and schedules a flush. */
   readonly write = (line: string): void => {
-    this.#buffer += `${line}\n`;
+    this.#addToBuffer(line);
     if (!this.#isFlushScheduled) {
       this.#isFlushScheduled = true;
       this.#clock.startTimer(FLUSH_DELAY_MS, () => this.flush());
@@ -80,21 +83,31 @@
   /** Writes the buffered lines. */
   flush(): void {
     this.#isFlushScheduled = false;
-    const lines = this.#buffer.split('\n').slice(0, -1);
-    this.#buffer = '';
+    const lines = this.#buffer;
+    this.#buffer = [];
+    this.#bufferLength = 0;
     let part = '';
+    let partBytes = 0;
     lines.forEach((line) => {
-      if (part !== '' && Buffer.byteLength(part) + Buffer.byteLength(line) >= MAX_WRITE_BYTES) {
+      const lineBytes = Buffer.byteLength(line);
+      if (part !== '' && partBytes + lineBytes >= MAX_WRITE_BYTES) {
         this.#output.write(part);
         part = '';
+        partBytes = 0;
       }
       part += `${line}\n`;
+      partBytes += lineBytes + 1;
     });
     if (part !== '') {
       this.#output.write(part);
     }
   }
 
+  #addToBuffer(line: string): void {
+    this.#buffer.push(line);
+    this.#bufferLength += line.length + 1;
+  }
+
   #isWithinLimits(event: string, count: number): boolean {
     const pendingBytes = this.#countPendingBytes();
     if (count <= MAX_LINES_PER_EVENT_PER_SECOND && pendingBytes <= MAX_PENDING_BYTES) {
@@ -108,7 +121,7 @@
   }
 
   #countPendingBytes(): number {
-    return this.#output.writableLength + this.#buffer.length;
+    return this.#output.writableLength + this.#bufferLength;
   }
 
   #startWindow(): void {
@@ -124,7 +137,7 @@
     }
     const at = new Date(this.#clock.getWallTime());
     this.#droppedByEvent.forEach((count, event) => {
-      this.#buffer += `${formatEvent(at, 'warn', 'log-lines-dropped', { dropped: event, count })}\n`;
+      this.#addToBuffer(formatEvent(at, 'warn', 'log-lines-dropped', { dropped: event, count }));
     });
     this.#droppedByEvent.clear();
   }
