--- a/packages/baobabwell-kernel/src/BaobabwellKernel.ts
+++ b/packages/baobabwell-kernel/src/BaobabwellKernel.ts
@@ -50,6 +50,9 @@
     strict: true,
   });
 
+  /** Services that were built; the container allocates for each look-up. */
+  readonly #services = new Map<string, unknown>();
+
   readonly #handlers = new Map<object, RegisteredHandler[]>();
 
   readonly #listeners = new Map<object, Set<EventListener<unknown>>>();
@@ -95,6 +98,7 @@
     this.#container.register(token.name, asFunction(() => build(this)).singleton());
     return () => {
       delete this.#container.registrations[token.name];
+      this.#services.delete(token.name);
     };
   }
 
@@ -105,7 +109,10 @@
 
   /** Gets a service, building it on first use. */
   getService<Service>(token: ServiceToken<Service>): Service {
-    return this.#container.resolve<Service>(token.name);
+    if (!this.#services.has(token.name)) {
+      this.#services.set(token.name, this.#container.resolve<Service>(token.name));
+    }
+    return this.#services.get(token.name) as Service;
   }
 
   /** Registers a handler of a command. */
