daemon: reads are sent again only within the share of the store's rate

Change: a read is sent again only while what was sent in the last second is within the share. Conclusion: a limit of a rate has to count what is sent, not who waits.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemonReadLimiter.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonReadLimiter.ts
@@ -1,9 +1,10 @@
 /**
  * Load pattern: the store answers late, and callers ask for more than the open connections bring. A fixed
  * number of reads under way reaches less of the store's rate the slower it is; reads whose callers have gone
- * then take the turns of later ones.
+ * then take the turns of later ones. While the store is silent, reads that are sent again must not pass the
+ * share of its rate either.
  */
-import type { Deadline } from '@baobabwell/utils';
+import type { Clock, Deadline } from '@baobabwell/utils';
 
 const MS_PER_S = 1_000;
 
@@ -28,21 +29,36 @@
   return Math.min(MAX_UNDER_WAY, Math.max(MIN_UNDER_WAY, underWay));
 }
 
-/** Limits the reads that are under way; the others wait in turn, up to their deadlines. */
+/**
+ * Limits the reads that are under way; the others wait in turn, up to their deadlines. A read is sent again only
+ * while what was sent in the last second is within the share of the store's rate.
+ */
 export class ReadLimiter {
   readonly #getMaxUnderWay: () => number;
 
   readonly #getLatencyMs: () => number;
 
+  readonly #getSharePerS: () => number;
+
+  readonly #clock: Clock;
+
+  /** Monotonic times at which reads were sent in the last second, in ms. */
+  readonly #sentAtMs: number[] = [];
+
   readonly #waiting: WaitingRead[] = [];
 
   #underWayCount = 0;
 
-  /** @param options.getLatencyMs returns the time until a read is answered, in ms. */
   constructor(options: {
+    readonly clock: Clock;
     readonly getMaxUnderWay: () => number;
+    /** Returns the time until a read is answered, in ms. */
     readonly getLatencyMs: () => number;
+    /** Returns how many reads this process may send, per second. */
+    readonly getSharePerS: () => number;
   }) {
+    this.#clock = options.clock;
+    this.#getSharePerS = options.getSharePerS;
     this.#getMaxUnderWay = options.getMaxUnderWay;
     this.#getLatencyMs = options.getLatencyMs;
   }
@@ -53,6 +69,7 @@
     if (!mayStart) {
       return null;
     }
+    this.#recordSent();
     try {
       return await send();
     } finally {
@@ -61,6 +78,28 @@
     }
   }
 
+  /** Records that a read is sent again; returns false if it must not be. */
+  startRepeat(): boolean {
+    this.#removeOldSent();
+    if (this.#sentAtMs.length >= this.#getSharePerS()) {
+      return false;
+    }
+    this.#recordSent();
+    return true;
+  }
+
+  #recordSent(): void {
+    this.#removeOldSent();
+    this.#sentAtMs.push(this.#clock.getNow());
+  }
+
+  #removeOldSent(): void {
+    const sinceMs = this.#clock.getNow() - MS_PER_S;
+    while ((this.#sentAtMs[0] ?? Infinity) <= sinceMs) {
+      this.#sentAtMs.shift();
+    }
+  }
+
   async #waitForTurn(deadline: Deadline): Promise<boolean> {
     return new Promise((resolve) => {
       this.#waiting.push({ deadline, start: resolve });
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonRelayedStore.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonRelayedStore.ts
@@ -142,6 +142,8 @@
     this.#clock = options.clock;
     this.#logger = options.logger;
     this.#reads = new ReadLimiter({
+      clock: options.clock,
+      getSharePerS: () => options.readsPerS / (options.listPeerAddresses().length + 1),
       getMaxUnderWay: () =>
         computeMaxReadsUnderWay({
           readsPerS: options.readsPerS,
@@ -224,7 +226,9 @@
       if (signal.aborted || deadline.hasPassed()) {
         return;
       }
-      void send();
+      if (this.#reads.startRepeat()) {
+        void send();
+      }
     }
   }
 
--- a/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonReadLimiter.test.ts
+++ b/packages/baobabwell-daemon/src/__tests__/unit/BaobabwellDaemonReadLimiter.test.ts
@@ -9,7 +9,12 @@
   it('does not send reads whose callers left while they waited, and starts as many as a slower store needs', async () => {
     const time = new EmulatedTime();
     let maxUnderWay = 1;
-    const limiter = new ReadLimiter({ getMaxUnderWay: () => maxUnderWay, getLatencyMs: () => 0 });
+    const limiter = new ReadLimiter({
+      clock: time,
+      getMaxUnderWay: () => maxUnderWay,
+      getLatencyMs: () => 0,
+      getSharePerS: () => Infinity,
+    });
     const sent: string[] = [];
     const run = async (name: string, waitMs: number): Promise<string | null> =>
       limiter.run(new Deadline(time, waitMs), async () => {
