ingress: a late owner is asked for one state at a time

Change: an answer after 100 ms counts as late; 500 ms later one read at a time tries the owner first, the others ask the store first, until the owner answers in time. Conclusion: a source that was late is tried, not asked.

--- a/packages/baobabwell-ingress/src/BaobabwellIngressJobStateReader.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressJobStateReader.ts
@@ -1,7 +1,7 @@
 /**
  * Load pattern: callers ask for the states of hundreds of jobs while the owner is late or gone and the store
  * answers late or loses answers. Each source by itself may not answer for longer than callers wait, so the
- * second one is asked beside the first.
+ * second one is asked beside the first. Reads must not add to the load of an owner that is late already.
  */
 import type { Answer } from './BaobabwellIngressModel';
 import type { OwnerClient } from './BaobabwellIngressOwner';
@@ -17,7 +17,10 @@
 /** Share of the caller's time after which the second source is asked beside the first. */
 const SECOND_SOURCE_SHARE = 0.1;
 
-/** Time for which the store is asked first after the owner was late, in ms. */
+/** Time without an answer after which the owner counts as late, in ms; an idle one answers in a few. */
+const LATE_OWNER_MS = 100;
+
+/** Time after a late answer from which one read at a time tries the owner first again, in ms. */
 const STORE_FIRST_MS = 500;
 
 /** Asks one source; resolves to `null` when it does not know or does not answer. */
@@ -59,7 +62,11 @@
 
   readonly #clock: Clock;
 
-  #storeFirstUntilMs = -Infinity;
+  /** Monotonic time until which all reads ask the store first, in ms; `null` while the owner is not late. */
+  #storeFirstUntilMs: number | null = null;
+
+  /** True while a read waits for an owner that was late before. */
+  #isTryingLateOwner = false;
 
   constructor(options: {
     readonly store: WatchableTableService;
@@ -75,9 +82,22 @@
   async read(jobId: string, deadline: Deadline): Promise<Answer | null> {
     const askOwner = async (): Promise<Answer | null> => this.#askOwner(jobId, deadline);
     const readStored = async (): Promise<Answer | null> => this.#readStored(jobId, deadline);
-    return this.#clock.getNow() < this.#storeFirstUntilMs
-      ? this.#readBoth(readStored, askOwner, deadline)
-      : this.#readBoth(askOwner, readStored, deadline);
+    if (this.#storeFirstUntilMs === null) {
+      return this.#readBoth(askOwner, readStored, deadline);
+    }
+    if (this.#isTryingLateOwner || this.#clock.getNow() < this.#storeFirstUntilMs) {
+      return this.#readBoth(readStored, askOwner, deadline);
+    }
+    return this.#readBoth(async () => this.#tryLateOwner(askOwner), readStored, deadline);
+  }
+
+  async #tryLateOwner(askOwner: Source): Promise<Answer | null> {
+    this.#isTryingLateOwner = true;
+    try {
+      return await askOwner();
+    } finally {
+      this.#isTryingLateOwner = false;
+    }
   }
 
   /** Asks one source, and the other one once the first has no answer or is late. */
@@ -93,13 +113,10 @@
   }
 
   async #askOwner(jobId: string, deadline: Deadline): Promise<Answer | null> {
-    const lateMs = deadline.getRemainingMs() * SECOND_SOURCE_SHARE;
     const askedAtMs = this.#clock.getNow();
     const state = await this.#owner.findState(jobId, deadline);
     const nowMs = this.#clock.getNow();
-    if (nowMs - askedAtMs > lateMs) {
-      this.#storeFirstUntilMs = nowMs + STORE_FIRST_MS;
-    }
+    this.#storeFirstUntilMs = nowMs - askedAtMs > LATE_OWNER_MS ? nowMs + STORE_FIRST_MS : null;
     return state === null ? null : { kind: AnswerKind.State, state };
   }
 
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressJobStateReader.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressJobStateReader.test.ts
@@ -130,6 +130,32 @@
     expect(owner.askedCount).toEqual(2);
   });
 
+  it('sends a late owner one read at a time', async () => {
+    owner.delayMs = 200;
+    owner.state = JobState.Running;
+    storeJob(null);
+    await read();
+    await time.advance(600);
+    const readings = Array.from({ length: 20 }, async () =>
+      reader.read(JOB, new Deadline(time, WAIT_MS)),
+    );
+    await time.settle(Promise.all(readings), 10_000);
+    expect(owner.askedCount).toEqual(2);
+  });
+
+  it('asks the owner first again once it answered in time', async () => {
+    owner.delayMs = 200;
+    owner.state = JobState.Running;
+    storeJob(null);
+    await read();
+    owner.delayMs = 4;
+    await time.advance(600);
+    await read();
+    store.readCount = 0;
+    await Promise.all([read(), read()]);
+    expect([owner.askedCount, store.readCount]).toEqual([4, 0]);
+  });
+
   it('tells an unknown job from a store that does not answer', async () => {
     expect((await read()).answer).toEqual({ kind: AnswerKind.UnknownJob });
     rows.faults = { ...NO_STORE_FAULTS, isDown: true };
