ingress: a call that changed nothing is refused at its deadline, not left unknown

Cause: submissions and cancellations got 504, outcome unknown, at their deadline although nothing of them was sent to the store. Change: `OpenCall` knows whether a call, or an earlier one for the same job, may have changed what is stored; without that the call gets 503, and changes nothing afterwards. In its last 300 ms a process still answers 504, as it does not read the calls then. The test of the end of a process sends a submission in place of a POST that was decoded as a count. Conclusion: "unknown" is for what is unknown.

--- a/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
@@ -1,4 +1,5 @@
 import type { Answer } from './BaobabwellIngressModel';
+import type { OpenCall } from './BaobabwellIngressOpenCall';
 import type { OwnerClient } from './BaobabwellIngressOwner';
 import type { RecentRefusal } from './BaobabwellIngressRefusalMemory';
 import type { QueueSettings } from '@baobabwell/fleet';
@@ -79,10 +80,13 @@
     organisation: string | null,
     jobId: string,
     spec: JobSpec,
-    deadline: Deadline,
+    call: OpenCall,
   ): Promise<Answer> {
     const wasUnclear = this.#unclearAtMs.has(jobId);
-    const answer = await this.#submitOnce(queue, organisation, jobId, spec, deadline);
+    if (wasUnclear) {
+      call.recordEarlierChange();
+    }
+    const answer = await this.#submitOnce(queue, organisation, jobId, spec, call);
     const isRejected = answer.kind === AnswerKind.Refused || answer.kind === AnswerKind.Unavailable;
     return isRejected && wasUnclear
       ? { kind: AnswerKind.UnknownOutcome, reason: answer.reason }
@@ -94,8 +98,9 @@
     organisation: string | null,
     jobId: string,
     spec: JobSpec,
-    deadline: Deadline,
+    call: OpenCall,
   ): Promise<Answer> {
+    const { deadline } = call;
     const acceptedAtMs = this.#clock.getWallTime();
     const record: JobRecord = { id: jobId, queue: queue.name, organisation, acceptedAtMs, spec };
     const demand = computeDemand(record, queue);
@@ -112,7 +117,7 @@
     const earlier =
       offer === null ? this.#refusals.find(demand, this.#clock.getNow(), false) : null;
     return earlier === null
-      ? this.#storeJob(record, deadline)
+      ? this.#storeJob(record, call)
       : this.#refuseKnown(jobId, earlier, deadline);
   }
 
@@ -131,15 +136,16 @@
       : { kind: AnswerKind.Refused, reason: 'like jobs were refused a moment ago', retryAfterMs };
   }
 
-  async #storeJob(record: JobRecord, deadline: Deadline): Promise<Answer> {
+  async #storeJob(record: JobRecord, call: OpenCall): Promise<Answer> {
     const { id: jobId } = record;
-    if (deadline.hasPassed()) {
-      return this.#createUnavailableAnswer('submit');
-    }
+    const { deadline } = call;
     if (!this.#silence.canSubmit(this.#clock.getNow())) {
       const reason = 'the store did not answer the last submissions';
       return { kind: AnswerKind.Unavailable, reason, retryAfterMs: STORE_RETRY_AFTER_MS };
     }
+    if (!call.startChange()) {
+      return this.#createUnavailableAnswer('submit');
+    }
     // The caller may be answered before the outcome is known.
     const wasUnclear = this.#unclearAtMs.has(jobId);
     this.#recordUnclear(jobId);
@@ -177,7 +183,8 @@
    * Cancels a job; a cancellation cannot be undone. It is stored for an unknown job too, since the
    * transaction that stores the job may be carried out later.
    */
-  async cancel(jobId: string, deadline: Deadline): Promise<Answer> {
+  async cancel(jobId: string, call: OpenCall): Promise<Answer> {
+    const { deadline } = call;
     const rows = await findJobRows(this.#store, jobId, deadline);
     if (rows === null) {
       return this.#createUnavailableAnswer('cancel');
@@ -185,6 +192,9 @@
     const { isStored, isCancelled } = rows;
     const answer: Answer = { kind: isStored ? AnswerKind.Cancelled : AnswerKind.UnknownJob };
     const reason = 'the cancellation may not have been stored';
+    if (!isCancelled && !call.startChange()) {
+      return this.#createUnavailableAnswer('cancel');
+    }
     return isCancelled || (await this.#storeCancellation(jobId, deadline))
       ? answer
       : { kind: AnswerKind.UnknownOutcome, reason };
--- a/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
@@ -11,6 +11,7 @@
 import { Deadline } from '@baobabwell/utils';
 
 import { AnswerKind, ClientRequestKind } from './BaobabwellIngressModel';
+import { OpenCall } from './BaobabwellIngressOpenCall';
 import { findOrganisation, findQueue } from './BaobabwellIngressRouting';
 
 const HTTP_OK = 200;
@@ -44,6 +45,7 @@
 /** Share of the caller's wait for which a call may wait until an outdated configuration is confirmed. */
 const CONFIRMATION_SHARE = 0.3;
 
+const READ_METHOD = 'GET';
 const SUBMISSION_METHOD = 'POST';
 
 /** Delay of the event loop above which a probe is logged as late, in ms. */
@@ -105,11 +107,10 @@
 };
 
 /** Creates the answer to a call whose outcome this process will not learn in time. */
-function createEndedOutcome({ method }: RawCall, reason: string): CallOutcome {
-  const answer: Answer =
-    method === 'GET'
-      ? { kind: AnswerKind.Unavailable, reason, retryAfterMs: NO_CONFIGURATION_RETRY_AFTER_MS }
-      : { kind: AnswerKind.UnknownOutcome, reason };
+function createEndedOutcome(mayHaveChanged: boolean, reason: string): CallOutcome {
+  const answer: Answer = mayHaveChanged
+    ? { kind: AnswerKind.UnknownOutcome, reason }
+    : { kind: AnswerKind.Unavailable, reason, retryAfterMs: NO_CONFIGURATION_RETRY_AFTER_MS };
   return { answer, queue: null, kind: null, jobId: null };
 }
 
@@ -254,16 +255,21 @@
 
   async #answerBeforeEnd(call: RawCall): Promise<CallOutcome> {
     if (this.#isEnding) {
-      return createEndedOutcome(call, PROCESS_ENDS);
+      // An earlier call for the same job may have changed what is stored.
+      return createEndedOutcome(call.method !== READ_METHOD, PROCESS_ENDS);
     }
     const { clock } = this.#context;
     const waitMs = Math.min(call.waitMs ?? DEFAULT_WAIT_MS, MAX_WAIT_MS);
     const deadline = new Deadline(clock, waitMs - Math.min(ANSWER_RESERVE_MS, waitMs / 2));
+    const open = new OpenCall(deadline);
     return new Promise((resolve, reject) => {
-      const end = (reason: string): void => resolve(createEndedOutcome(call, reason));
+      const end = (reason: string): void => {
+        open.recordAnswered();
+        resolve(createEndedOutcome(open.mayHaveChanged, reason));
+      };
       const cancelTimer = clock.startTimer(deadline.getRemainingMs(), () => end(CALLER_LEAVES));
       this.#waiting.add(end);
-      this.#answer(call, deadline)
+      this.#answer(call, open)
         .then(resolve, reject)
         .finally(() => {
           cancelTimer();
@@ -284,7 +290,8 @@
     return method !== SUBMISSION_METHOD && this.#context.waitUntilCurrent(maxMs);
   }
 
-  async #answer(call: RawCall, deadline: Deadline): Promise<CallOutcome> {
+  async #answer(call: RawCall, open: OpenCall): Promise<CallOutcome> {
+    const { deadline } = open;
     const isCurrent = await this.#isCurrent(call, deadline);
     const configuration = this.#context.getConfiguration();
     const none = { queue: null, kind: null, jobId: null };
@@ -314,7 +321,7 @@
           organisation,
           request.jobId,
           spec,
-          deadline,
+          open,
         );
         return { answer, queue, kind, jobId };
       }
@@ -327,7 +334,7 @@
         };
       case ClientRequestKind.Cancel:
         return {
-          answer: await this.#context.submissions.cancel(request.jobId, deadline),
+          answer: await this.#context.submissions.cancel(request.jobId, open),
           queue,
           kind,
           jobId,
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressDeadlines.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressDeadlines.test.ts
@@ -11,6 +11,7 @@
 import { TableErrorKind } from '@baobabwell/platform';
 import { createError, Deadline, Random } from '@baobabwell/utils';
 
+import { OpenCall } from '../../BaobabwellIngressOpenCall';
 import { AnswerKind, JobSubmissionService, OwnerClient } from '../../index';
 
 const SPEC = { payload: '', steps: [], repeat: null };
@@ -74,8 +75,8 @@
   let service: JobSubmissionService;
 
   async function submit(id: string, waitMs: number): Promise<AnswerKind> {
-    const deadline = new Deadline(time, waitMs);
-    return (await time.settle(service.submit(QUEUE, null, id, SPEC, deadline), 20_000)).kind;
+    const call = new OpenCall(new Deadline(time, waitMs));
+    return (await time.settle(service.submit(QUEUE, null, id, SPEC, call), 20_000)).kind;
   }
 
   beforeEach(() => {
@@ -91,8 +92,20 @@
 
   it('stores jobs after others whose deadline passed before the store was asked', async () => {
     owner.delayMs = 1_000;
-    const first = service.submit(QUEUE, null, '00000000000000a1', SPEC, new Deadline(time, 600));
-    const second = service.submit(QUEUE, null, '00000000000000a2', SPEC, new Deadline(time, 600));
+    const first = service.submit(
+      QUEUE,
+      null,
+      '00000000000000a1',
+      SPEC,
+      new OpenCall(new Deadline(time, 600)),
+    );
+    const second = service.submit(
+      QUEUE,
+      null,
+      '00000000000000a2',
+      SPEC,
+      new OpenCall(new Deadline(time, 600)),
+    );
     await time.settle(Promise.all([first, second]), 20_000);
     owner.delayMs = 4;
     expect(await submit('00000000000000a3', 2_900)).toEqual(AnswerKind.Accepted);
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressJobSubmissionService.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressJobSubmissionService.test.ts
@@ -10,6 +10,7 @@
 import { Logger, LogLevel } from '@baobabwell/logging';
 import { Deadline, Random } from '@baobabwell/utils';
 
+import { OpenCall } from '../../BaobabwellIngressOpenCall';
 import {
   AnswerKind,
   computeDemand,
@@ -75,12 +76,15 @@
     return new Deadline(time, waitMs);
   }
 
+  function createCall(waitMs = WAIT_MS): OpenCall {
+    return new OpenCall(createDeadline(waitMs));
+  }
+
   async function submit(
     service: JobSubmissionService,
     id = '00000000000000a1',
   ): Promise<AnswerKind> {
-    return (await time.settle(service.submit(QUEUE, null, id, SPEC, createDeadline()), 20_000))
-      .kind;
+    return (await time.settle(service.submit(QUEUE, null, id, SPEC, createCall()), 20_000)).kind;
   }
 
   async function readState(id: string): Promise<AnswerKind> {
@@ -122,7 +126,7 @@
     const service = createService();
     rows.faults = { ...NO_STORE_FAULTS, lostFraction: 1 };
     const first = await time.settle(
-      service.submit(QUEUE, null, '00000000000000a1', SPEC, createDeadline(300)),
+      service.submit(QUEUE, null, '00000000000000a1', SPEC, createCall(300)),
       20_000,
     );
     expect(first.kind).toEqual(AnswerKind.UnknownOutcome);
@@ -134,7 +138,7 @@
   it('stores a cancellation again while no answer arrives', async () => {
     await submit(createService());
     rows.faults = { ...NO_STORE_FAULTS, lostFraction: 1 };
-    const cancelling = createService().cancel('00000000000000a1', createDeadline());
+    const cancelling = createService().cancel('00000000000000a1', createCall());
     await time.advance(700);
     rows.faults = NO_STORE_FAULTS;
     expect((await time.settle(cancelling, 20_000)).kind).toEqual(AnswerKind.Cancelled);
@@ -171,7 +175,7 @@
     await submit(service);
     await submit(service);
     const calls = Array.from({ length: 5 }, async (_, index) =>
-      service.submit(QUEUE, null, `00000000000000c${index}`, SPEC, createDeadline()),
+      service.submit(QUEUE, null, `00000000000000c${index}`, SPEC, createCall()),
     );
     const answers = await time.settle(Promise.all(calls), 20);
     expect(answers.map(({ kind }) => kind)).toEqual(answers.map(() => AnswerKind.Unavailable));
@@ -184,12 +188,12 @@
   it('cancels a stored job and reports any other as unknown', async () => {
     await submit(createService());
     const cancelled = await time.settle(
-      createService().cancel('00000000000000a1', createDeadline()),
+      createService().cancel('00000000000000a1', createCall()),
       20_000,
     );
     expect(cancelled.kind).toEqual(AnswerKind.Cancelled);
     const unknown = await time.settle(
-      createService().cancel('00000000000000b2', createDeadline()),
+      createService().cancel('00000000000000b2', createCall()),
       20_000,
     );
     expect(unknown.kind).toEqual(AnswerKind.UnknownJob);
@@ -202,7 +206,7 @@
     const [submission] = rows.unanswered as [Transaction];
     // The store has not applied the submission when the caller cancels it.
     rows = new EmulatedRows();
-    const cancelled = await time.settle(createService().cancel(id, createDeadline()), 20_000);
+    const cancelled = await time.settle(createService().cancel(id, createCall()), 20_000);
     expect(cancelled.kind).toEqual(AnswerKind.UnknownJob);
     expect(rows.apply(submission)).toEqual(null);
     const answer = await time.settle(createService().readState(id, createDeadline()), 20_000);
@@ -212,7 +216,7 @@
   it('acknowledges no cancellation of an unknown job that may not have been stored', async () => {
     rows.faults = { ...NO_STORE_FAULTS, lostFraction: 1 };
     const answer = await time.settle(
-      createService().cancel('00000000000000a1', createDeadline()),
+      createService().cancel('00000000000000a1', createCall()),
       20_000,
     );
     expect(answer.kind).toEqual(AnswerKind.UnknownOutcome);
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
@@ -1,4 +1,4 @@
-import type { AnsweredCall, WireAnswer } from '../../index';
+import type { AnsweredCall, ClientRequest, RawCall, WireAnswer } from '../../index';
 import type { FleetConfiguration } from '@baobabwell/fleet';
 import type { CancelTimer } from '@baobabwell/utils';
 import type { FastifyInstance } from 'fastify';
@@ -9,7 +9,7 @@
 import { connect } from 'node:net';
 
 import { EmulatedTime } from '@baobabwell/emulator';
-import { EmulatedJobStore, EmulatedRows } from '@baobabwell/job-emulator';
+import { EmulatedJobStore, EmulatedRows, NO_STORE_FAULTS } from '@baobabwell/job-emulator';
 import { Logger, LogLevel } from '@baobabwell/logging';
 import { Random } from '@baobabwell/utils';
 
@@ -24,8 +24,10 @@
 } from '../../index';
 
 const REQUEST_ID = 'r-17';
+const JOB = '00000000000000a1';
+const SPEC = { payload: '', steps: [], repeat: null };
 
-/** Decodes every call as a count of waiting jobs and returns the kind of its answer as the body. */
+/** Decodes calls as submissions and counts of waiting jobs, and returns the kind of their answers as the body. */
 class FakeProtocol extends ClientProtocol {
   override readonly readyPath = '/ready';
 
@@ -41,8 +43,10 @@
     return text === undefined ? null : Number(text);
   }
 
-  override parseRequest(): { readonly kind: ClientRequestKind.CountWaiting } {
-    return { kind: ClientRequestKind.CountWaiting };
+  override parseRequest({ method }: RawCall): ClientRequest {
+    return method === 'POST'
+      ? { kind: ClientRequestKind.Submit, jobId: JOB, spec: SPEC }
+      : { kind: ClientRequestKind.CountWaiting };
   }
 
   override formatAnswer({ kind }: { readonly kind: AnswerKind }): WireAnswer {
@@ -54,7 +58,20 @@
   /** True while calls get no answer at all. */
   isSilent = false;
 
+  /** Time until an offer is given up, in ms. */
+  offerMs = 0;
+
+  readonly #time: EmulatedTime;
+
+  constructor(time: EmulatedTime) {
+    super();
+    this.#time = time;
+  }
+
   override async offer(): Promise<null> {
+    if (this.offerMs > 0) {
+      await this.#time.wait(this.offerMs);
+    }
     return null;
   }
 
@@ -95,6 +112,7 @@
   let isOutdated: boolean;
   let ingress: IngressServer;
   let owner: UnresponsiveOwner;
+  let rows: EmulatedRows;
   let server: FastifyInstance;
   let calls: AnsweredCall[];
   let lines: string[];
@@ -115,8 +133,9 @@
     calls = [];
     lines = [];
     const logger = new Logger(LogLevel.Info, {}, (line) => lines.push(line));
-    const store = new EmulatedJobStore(time, time, new Random(1), new EmulatedRows());
-    owner = new UnresponsiveOwner();
+    rows = new EmulatedRows();
+    const store = new EmulatedJobStore(time, time, new Random(1), rows);
+    owner = new UnresponsiveOwner(time);
     ingress = new IngressServer({
       protocol: new FakeProtocol(),
       submissions: new JobSubmissionService({
@@ -314,6 +333,28 @@
     expect(performance.now() - startedAt < 10_000).toEqual(true);
   });
 
+  async function submit(): Promise<AnswerKind> {
+    const headers = { host: 'bakery.example', 'x-wait': '500' };
+    const reply = server.inject({ method: 'POST', url: '/bakes/', headers });
+    // The call reaches the server in a later turn.
+    await new Promise(setImmediate);
+    await time.advance(3_000);
+    return (await reply).json<{ kind: AnswerKind }>().kind;
+  }
+
+  it('refuses a submission of which nothing was sent before its caller leaves, and sends nothing later', async () => {
+    owner.offerMs = 800;
+    expect(await submit()).toEqual(AnswerKind.Unavailable);
+    expect(rows.version).toEqual(0);
+  });
+
+  it('does not refuse a submission that was sent to a store without an answer', async () => {
+    rows.faults = { ...NO_STORE_FAULTS, lostFraction: 1 };
+    expect(await submit()).toEqual(AnswerKind.UnknownOutcome);
+    owner.offerMs = 800;
+    expect(await submit()).toEqual(AnswerKind.UnknownOutcome);
+  });
+
   it('answers calls that still wait, and later ones, when the process ends', async () => {
     owner.isSilent = true;
     const post = { method: 'POST', url: '/bakes/', headers: { host: 'bakery.example' } } as const;
