daemon, ingress, job-emulator: what reading the change again found

Cause: the share of the store's rate of reads was computed in two places; a cancellation asked twice whether it is stored already; the removal of carriers left EmulatedProcessor.spendOnRequest without a caller. Change: computeReadShare serves both, the cancellation returns early, the method is gone. No change of behaviour.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemonReadLimiter.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonReadLimiter.ts
@@ -16,6 +16,11 @@
 
 type WaitingRead = { readonly deadline: Deadline; readonly start: (mayStart: boolean) => void };
 
+/** Returns the share of the store's rate of reads that one process has, per second. */
+export function computeReadShare(readsPerS: number, processCount: number): number {
+  return readsPerS / Math.max(1, processCount);
+}
+
 /** Returns how many reads may be under way for a process to use its share of the store's rate. */
 export function computeMaxReadsUnderWay(options: {
   /** Reads that all processes together may make, per second. */
@@ -24,7 +29,7 @@
   /** Time until the store answers, in ms. */
   readonly latencyMs: number;
 }): number {
-  const sharePerS = options.readsPerS / Math.max(1, options.processCount);
+  const sharePerS = computeReadShare(options.readsPerS, options.processCount);
   const underWay = Math.floor((sharePerS * options.latencyMs) / MS_PER_S);
   return Math.min(MAX_UNDER_WAY, Math.max(MIN_UNDER_WAY, underWay));
 }
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonRelayedStore.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonRelayedStore.ts
@@ -12,7 +12,11 @@
 import { ForwardingTableService, TableErrorKind } from '@baobabwell/platform';
 import { createError } from '@baobabwell/utils';
 
-import { computeMaxReadsUnderWay, ReadLimiter } from './BaobabwellDaemonReadLimiter';
+import {
+  computeMaxReadsUnderWay,
+  computeReadShare,
+  ReadLimiter,
+} from './BaobabwellDaemonReadLimiter';
 
 /**
  * Minimum time without an answer after which a call is also sent through a peer, in ms; far longer
@@ -141,13 +145,14 @@
     this.#listPeerAddresses = options.listPeerAddresses;
     this.#clock = options.clock;
     this.#logger = options.logger;
+    const getProcessCount = (): number => options.listPeerAddresses().length + 1;
     this.#reads = new ReadLimiter({
       clock: options.clock,
-      getSharePerS: () => options.readsPerS / (options.listPeerAddresses().length + 1),
+      getSharePerS: () => computeReadShare(options.readsPerS, getProcessCount()),
       getMaxUnderWay: () =>
         computeMaxReadsUnderWay({
           readsPerS: options.readsPerS,
-          processCount: options.listPeerAddresses().length + 1,
+          processCount: getProcessCount(),
           latencyMs: this.#getReadLatencyMs(),
         }),
       getLatencyMs: () => this.#getReadLatencyMs(),
--- a/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
@@ -191,11 +191,14 @@
     }
     const { isStored, isCancelled } = rows;
     const answer: Answer = { kind: isStored ? AnswerKind.Cancelled : AnswerKind.UnknownJob };
-    const reason = 'the cancellation may not have been stored';
-    if (!isCancelled && !call.startChange()) {
+    if (isCancelled) {
+      return answer;
+    }
+    if (!call.startChange()) {
       return this.#createUnavailableAnswer('cancel');
     }
-    return isCancelled || (await this.#storeCancellation(jobId, deadline))
+    const reason = 'the cancellation may not have been stored';
+    return (await this.#storeCancellation(jobId, deadline))
       ? answer
       : { kind: AnswerKind.UnknownOutcome, reason };
   }
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorProcessor.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorProcessor.ts
@@ -62,10 +62,6 @@
     this.spend(this.#costs.startMs);
   }
 
-  spendOnRequest(): void {
-    this.spend(this.#costs.requestMs);
-  }
-
   spendOn(activity: Activity): void {
     this.spend(this.#costs.activitiesMs[activity] ?? 0);
   }
