--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -9,6 +9,8 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 
+import { Cloud } from './cloud.mjs';
+import { Proxy } from './proxy.mjs';
 import { Store } from './store.mjs';
 
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), '../..');
@@ -75,7 +77,7 @@
 }
 
 /** The settings of a process, with the fields and figures of DEPLOY.md. */
-function createSettings({ name, host, base, storeAddress }) {
+function createSettings({ name, host, base, storeAddress, cloudAddress }) {
   return {
     'node-name': name,
     role: 'entry',
@@ -127,7 +129,10 @@
       across: false,
       'history-s': 20,
     },
-    'cloud-api': null,
+    'cloud-api':
+      cloudAddress === null
+        ? null
+        : { address: cloudAddress, 'rate-per-s': 64, duties: [], 'duty-per-s': 64 },
   };
 }
 
@@ -215,6 +220,12 @@
     child.on('message', (message) => this.handle(message));
   }
 
+  send(message) {
+    if (this.isUp) {
+      this.#child.send(message);
+    }
+  }
+
   get isUp() {
     return this.#child !== null && this.#child.signalCode === null && this.#child.exitCode === null;
   }
@@ -235,10 +246,17 @@
   }
 }
 
+function describe({ type, how, checkpoint, saved }) {
+  const value = type === 'end' ? saved : checkpoint;
+  return `${type === 'end' ? `: ${how}` : ''}${value ? `, checkpoint ${value}` : ''}`;
+}
+
 /** Store, workers and processes of one run. */
 export class Site {
   store = new Store();
 
+  cloud = new Cloud(this);
+
   daemons = [];
 
   workers = [];
@@ -250,6 +268,9 @@
 
   #heardAtMs = new Map();
 
+  /** Members of the runs of gangs, each with its worker. */
+  #gangs = new Map();
+
   #expiry = null;
 
   #folder = null;
@@ -258,7 +279,8 @@
     this.#recorder = recorder;
   }
 
-  async start({ daemonCount, workerCount }) {
+  /** With `hasCloud`, there are machines, and proxies between each process and the platform. */
+  async start({ daemonCount, workerCount, hasCloud = false }) {
     const storeAddress = await this.store.open(STORE_HOST, 0);
     this.store.onRefused = (reason) => this.#recorder.write(`the store refuses a call: ${reason}`);
     this.store.put('op', 'config', createConfiguration());
@@ -274,7 +296,9 @@
       });
       this.workers.push(worker);
       worker.start();
+      this.cloud.add(`m-${index}`, worker);
     }
+    const cloudAddress = hasCloud ? await this.cloud.open(STORE_HOST) : null;
     const text = await readFile(join(ROOT, 'deploy/system.toml'), 'utf8');
     const args = /^run = "node (.*)"$/m.exec(text)[1].split(' ');
     this.#folder = await mkdtemp(join(tmpdir(), 'review-2-'));
@@ -283,12 +307,21 @@
       const name = `front-zone-a-${index}`;
       const base = await findPorts(host);
       const settingsPath = join(this.#folder, `${name}.yaml`);
-      await writeFile(
-        settingsPath,
-        JSON.stringify(createSettings({ name, host, base, storeAddress })),
+      const proxies = hasCloud ? [new Proxy(storeAddress), new Proxy(cloudAddress)] : [];
+      const [storeProxy, cloudProxy] = await Promise.all(
+        proxies.map(async (proxy) => proxy.open(host)),
       );
+      const settings = createSettings({
+        name,
+        host,
+        base,
+        storeAddress: storeProxy ?? storeAddress,
+        cloudAddress: cloudProxy ?? null,
+      });
+      await writeFile(settingsPath, JSON.stringify(settings));
       const recorder = this.#recorder;
-      this.daemons.push(new Daemon({ name, host, port: base, args, settingsPath, recorder }));
+      const options = { name, host, port: base, args, settingsPath, recorder, proxies };
+      this.daemons.push(new Daemon(options));
     }
     this.daemons.forEach((daemon) => daemon.start());
     await this.#waitUntilReady();
@@ -297,12 +330,44 @@
   async close() {
     clearInterval(this.#expiry);
     await Promise.all([...this.daemons, ...this.workers].map(async (process) => process.close()));
+    this.daemons.forEach(({ proxies }) => proxies.forEach((proxy) => proxy.close()));
+    this.cloud.close();
     this.store.close();
     if (this.#folder !== null) {
       await rm(this.#folder, { recursive: true, force: true });
     }
   }
 
+  /** Returns the process that has acquired the ownership last. */
+  findOwner() {
+    const terms = this.daemons.map((daemon) => {
+      const epochs = [...daemon.output.matchAll(/ownership-acquired[^\n]*?epoch=(\d+)/g)];
+      return { daemon, epoch: Number(epochs.at(-1)?.[1] ?? -1) };
+    });
+    const [latest] = terms.sort((left, right) => right.epoch - left.epoch);
+    return latest.epoch < 0 ? null : latest.daemon;
+  }
+
+  /** Ends a worker as an upkeep of its machine does; a new one joins after a time. */
+  async replaceWorker(worker, afterMs) {
+    await worker.close();
+    this.#heardAtMs.delete(worker.id);
+    this.store.remove('servers', worker.id);
+    this.#recorder.write(`the upkeep of the machine of ${worker.id} begins`);
+    await wait(afterMs);
+    const { host, rack, handle } = worker;
+    const next = new Worker({
+      id: `${worker.id}-next`,
+      host,
+      port: await findFreePort(host),
+      rack,
+      handle,
+    });
+    this.workers.push(next);
+    next.start();
+    return next;
+  }
+
   /** Sends a call of a client; status 0 means that it got no answer. */
   async call(daemon, method, path, body = null) {
     return new Promise((resolve) => {
@@ -372,11 +437,36 @@
       return;
     }
     this.#recorder.write(
-      `${type} ${message.task} run ${message.run} on ${worker}${type === 'end' ? `: ${message.how}` : ''}`,
+      `${type} ${message.task} run ${message.run} on ${worker}${describe(message)}`,
     );
+    if (message.gang > 0) {
+      this.#updateGang(message);
+    }
     this.onRun(message);
   }
 
+  /** Tells the members of a gang that all are present, or that one has ended. */
+  #updateGang({ type, worker, task, run, gang, how }) {
+    const key = `${task.split('.').slice(0, 3).join('.')} ${run}`;
+    const members = this.#gangs.get(key) ?? new Map();
+    this.#gangs.set(key, members);
+    const tell = (told) =>
+      members.forEach((id, member) => {
+        this.workers
+          .find((candidate) => candidate.id === id)
+          ?.send({ type: told, task: member, run });
+      });
+    if (type === 'end') {
+      members.delete(task);
+      tell(how === 'done' ? 'gang-done' : 'gang-ended');
+    } else {
+      members.set(task, worker);
+      if (members.size === gang) {
+        tell('gang-complete');
+      }
+    }
+  }
+
   #removeSilent() {
     const limitMs = performance.now() - MISSED_HEARTBEATS * HEARTBEAT_MS;
     this.#heardAtMs.forEach((atMs, worker) => {
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -12,6 +12,7 @@
 const HOLD_MAX_MS = 6_000;
 const STOP_MS = 20;
 const CHECKPOINT_INTERVAL_MS = 2_000;
+const GANG_WAIT_MS = 3_000;
 const MAX_LISTED_ENDS = 500;
 const CAPACITY = { cpu: 16_000, 'mem-mb': 65_536, gpu: 0 };
 
@@ -25,6 +26,7 @@
 let token = 0;
 let leaseEndMs = 0;
 let sequence = 0;
+let drainEndsAtMs = null;
 
 function getClockMs() {
   return Math.floor(performance.now() - startedAtMs);
@@ -42,13 +44,20 @@
   refusedUpTo.set(task, Math.max(run, refusedUpTo.get(task) ?? 0));
 }
 
-function getCheckpoint(run) {
+function getWorkedMs(run) {
+  return run.workSinceMs === null ? 0 : getClockMs() - run.workSinceMs;
+}
+
+/** Returns the last value that a run has produced: with each interval of work, and at a stop. */
+function getCheckpoint(run, isStopped = false) {
   if (!run.saves) {
     return '';
   }
-  const workedMs = getClockMs() - run.startMs;
-  const saved = Math.floor(workedMs / CHECKPOINT_INTERVAL_MS) * CHECKPOINT_INTERVAL_MS;
-  return saved === 0 ? run.checkpoint : (run.workedMs + saved).toString(16).padStart(16, '0');
+  const workedMs = getWorkedMs(run);
+  const saved = isStopped
+    ? workedMs
+    : Math.floor(workedMs / CHECKPOINT_INTERVAL_MS) * CHECKPOINT_INTERVAL_MS;
+  return saved === 0 ? run.checkpoint : (run.resumedMs + saved).toString(16).padStart(16, '0');
 }
 
 function end(run, how) {
@@ -57,9 +66,10 @@
   }
   runs.delete(run.task);
   endCount += 1;
-  ended.push([endCount, run.task, run.run, how, how === 'stopped' ? getCheckpoint(run) : '']);
+  const saved = how === 'done' ? '' : getCheckpoint(run, how === 'stopped');
+  ended.push([endCount, run.task, run.run, how, saved]);
   refuse(run.task, run.run);
-  report('end', { task: run.task, run: run.run, how });
+  report('end', { task: run.task, run: run.run, how, saved, gang: run.gang });
   waiters.forEach((notify) => notify());
 }
 
@@ -89,20 +99,22 @@
   if (used + step.cpu > CAPACITY.cpu) {
     return reply(409, { reason: 'room' });
   }
-  const workedMs = checkpoint === '' ? 0 : parseInt(checkpoint, 16);
-  const startMs = getClockMs();
+  const gang = step.gang ?? 0;
+  const nowMs = getClockMs();
   runs.set(task, {
     task,
     run,
+    gang,
     cpu: step.cpu,
     saves: step.saves === true,
     checkpoint,
-    workedMs,
-    startMs,
+    resumedMs: checkpoint === '' ? 0 : parseInt(checkpoint, 16),
     workMs: step['work-ms'],
-    endsAtMs: startMs + step['work-ms'] - workedMs,
+    // The members of a gang work from the moment when all are present, which the parent tells.
+    workSinceMs: gang > 0 ? null : nowMs,
+    aloneAtMs: nowMs + GANG_WAIT_MS,
   });
-  report('start', { task, run });
+  report('start', { task, run, checkpoint, gang });
   return reply(200, {});
 }
 
@@ -141,7 +153,7 @@
       run.task,
       run.run,
       getCheckpoint(run),
-      Math.min(99, Math.round((100 * (run.workedMs + getClockMs() - run.startMs)) / run.workMs)),
+      Math.min(99, Math.round((100 * (run.resumedMs + getWorkedMs(run))) / run.workMs)),
       run.cpu,
     ]),
     ended: ended.slice(0, MAX_LISTED_ENDS),
@@ -180,7 +192,10 @@
       zone: 'zone-a',
       version: '1',
       slots: 8,
-      state: 'ready',
+      state: drainEndsAtMs === null ? 'ready' : 'draining',
+      ...(drainEndsAtMs === null
+        ? {}
+        : { 'drain-remaining-ms': Math.max(0, drainEndsAtMs - getClockMs()) }),
       'cold-left-ms': 0,
       sequence,
       capacity: CAPACITY,
@@ -190,6 +205,22 @@
   });
 }
 
+/** What the parent tells: of the other members of a gang, and that the worker is to leave. */
+function handleMessage({ type, task, run, remainingMs }) {
+  const member = runs.get(task);
+  if (type === 'drain') {
+    drainEndsAtMs = getClockMs() + remainingMs;
+    register();
+  } else if (member?.run === run && type === 'gang-complete') {
+    member.workSinceMs ??= getClockMs();
+  } else if (member?.run === run && type === 'gang-ended') {
+    end(member, 'broken');
+  } else if (member?.run === run && type === 'gang-done') {
+    end(member, 'done');
+  }
+}
+
+process.on('message', handleMessage);
 process.on('disconnect', () => process.kill(process.pid));
 await openServer(host, port, handle);
 register();
@@ -199,7 +230,9 @@
   [...runs.values()].forEach((run) => {
     if (nowMs >= leaseEndMs) {
       end(run, 'lapsed');
-    } else if (nowMs >= run.endsAtMs) {
+    } else if (run.workSinceMs === null && nowMs >= run.aloneAtMs) {
+      end(run, 'alone');
+    } else if (run.resumedMs + getWorkedMs(run) >= run.workMs) {
       end(run, 'done');
     }
   });
