--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -136,12 +136,13 @@
   };
 }
 
-function createConfiguration() {
+/** Creates a version of the operator's configuration; all else than its name stays as it is in a route. */
+export function createConfiguration(version = 1, routeName = 'queue-a') {
   return {
-    version: 1,
+    version,
     routes: [
       {
-        name: 'queue-a',
+        name: routeName,
         host: QUEUE_HOST,
         'path-prefix': '/queue-a/',
         service: 'service-a',
@@ -166,6 +167,8 @@
   constructor(options) {
     Object.assign(this, options);
     this.output = '';
+    /** How often the process has ended. */
+    this.endCount = 0;
   }
 
   start() {
@@ -182,7 +185,9 @@
     child.stdout.on('data', collect);
     child.stderr.on('data', collect);
     child.on('exit', (code, signal) => {
-      this.recorder.write(`process ${this.name} ended: code ${code}, signal ${signal}`);
+      this.endCount += 1;
+      const [cause = ''] = /FATAL ERROR.*/.exec(this.output.slice(-20_000)) ?? [];
+      this.recorder.write(`process ${this.name} ended: code ${code}, signal ${signal} ${cause}`);
       setTimeout(() => this.#shouldRun && this.start(), RESTART_MS);
     });
   }
@@ -261,6 +266,9 @@
 
   workers = [];
 
+  /** True if starts and ends are too many to be recorded one by one. */
+  isQuiet = false;
+
   /** Called with each start and end that a worker reports. */
   onRun = () => {};
 
@@ -436,9 +444,11 @@
       this.store.put('servers', worker, row);
       return;
     }
-    this.#recorder.write(
-      `${type} ${message.task} run ${message.run} on ${worker}${describe(message)}`,
-    );
+    if (!this.isQuiet) {
+      this.#recorder.write(
+        `${type} ${message.task} run ${message.run} on ${worker}${describe(message)}`,
+      );
+    }
     if (message.gang > 0) {
       this.#updateGang(message);
     }
