--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -218,8 +218,8 @@
   }
 
   start() {
-    const { id, host, port, rack } = this;
-    const settings = { id, host, port, rack, service: 'service-a' };
+    const { id, host, port, rack, kind } = this;
+    const settings = { id, host, port, rack, kind, service: 'service-a' };
     const child = fork(WORKER, [JSON.stringify(settings)], { stdio: 'ignore' });
     this.#child = child;
     child.on('message', (message) => this.handle(message));
@@ -288,7 +288,7 @@
   }
 
   /** With `hasCloud`, there are machines, and proxies between each process and the platform. */
-  async start({ daemonCount, workerCount, hasCloud = false }) {
+  async start({ daemonCount, workerCount, hasCloud = false, kinds = [] }) {
     const storeAddress = await this.store.open(STORE_HOST, 0);
     this.store.onRefused = (reason) => this.#recorder.write(`the store refuses a call: ${reason}`);
     this.store.put('op', 'config', createConfiguration());
@@ -300,6 +300,7 @@
         host,
         port: await findFreePort(host),
         rack: `r${Math.ceil(index / 4)}`,
+        kind: kinds[index - 1] ?? 'a',
         handle: (message) => this.#handle(message),
       });
       this.workers.push(worker);
@@ -363,12 +364,13 @@
     this.store.remove('servers', worker.id);
     this.#recorder.write(`the upkeep of the machine of ${worker.id} begins`);
     await wait(afterMs);
-    const { host, rack, handle } = worker;
+    const { host, rack, kind, handle } = worker;
     const next = new Worker({
       id: `${worker.id}-next`,
       host,
       port: await findFreePort(host),
       rack,
+      kind,
       handle,
     });
     this.workers.push(next);
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -4,7 +4,7 @@
  */
 import { openServer } from './http.mjs';
 
-const { id, host, port, service, rack } = JSON.parse(process.argv[2]);
+const { id, host, port, service, rack, kind } = JSON.parse(process.argv[2]);
 
 const HEARTBEAT_MS = 1_500;
 const SWEEP_MS = 10;
@@ -27,6 +27,7 @@
 let leaseEndMs = 0;
 let sequence = 0;
 let drainEndsAtMs = null;
+let slowness = 1;
 
 function getClockMs() {
   return Math.floor(performance.now() - startedAtMs);
@@ -44,8 +45,11 @@
   refusedUpTo.set(task, Math.max(run, refusedUpTo.get(task) ?? 0));
 }
 
+/** Returns the work that a run has done here; a slow worker takes a multiple of the usual time for it. */
 function getWorkedMs(run) {
-  return run.workSinceMs === null ? 0 : getClockMs() - run.workSinceMs;
+  return run.workSinceMs === null
+    ? run.doneMs
+    : run.doneMs + (getClockMs() - run.workSinceMs) / slowness;
 }
 
 /** Returns the last value that a run has produced: with each interval of work, and at a stop. */
@@ -57,7 +61,11 @@
   const saved = isStopped
     ? workedMs
     : Math.floor(workedMs / CHECKPOINT_INTERVAL_MS) * CHECKPOINT_INTERVAL_MS;
-  return saved === 0 ? run.checkpoint : (run.resumedMs + saved).toString(16).padStart(16, '0');
+  return saved === 0
+    ? run.checkpoint
+    : Math.round(run.resumedMs + saved)
+        .toString(16)
+        .padStart(16, '0');
 }
 
 function end(run, how) {
@@ -112,6 +120,7 @@
     workMs: step['work-ms'],
     // The members of a gang work from the moment when all are present, which the parent tells.
     workSinceMs: gang > 0 ? null : nowMs,
+    doneMs: 0,
     aloneAtMs: nowMs + GANG_WAIT_MS,
   });
   report('start', { task, run, checkpoint, gang });
@@ -199,18 +208,25 @@
       'cold-left-ms': 0,
       sequence,
       capacity: CAPACITY,
-      labels: ['a', rack],
+      labels: [kind, rack],
       born: bornMs,
     },
   });
 }
 
 /** What the parent tells: of the other members of a gang, and that the worker is to leave. */
-function handleMessage({ type, task, run, remainingMs }) {
+function handleMessage({ type, task, run, remainingMs, factor }) {
   const member = runs.get(task);
   if (type === 'drain') {
     drainEndsAtMs = getClockMs() + remainingMs;
     register();
+  } else if (type === 'slow') {
+    runs.forEach((other) => {
+      const changed = other;
+      changed.doneMs = getWorkedMs(other);
+      changed.workSinceMs = other.workSinceMs === null ? null : getClockMs();
+    });
+    slowness = factor;
   } else if (member?.run === run && type === 'gang-complete') {
     member.workSinceMs ??= getClockMs();
   } else if (member?.run === run && type === 'gang-ended') {
