controller, fleet, jobs: an accepted job goes on when its route is renamed or removed

Cause: a job's row kept the name of its route only, and six places looked it up in the present configuration, each with a way of its own to treat a job without a route. Change: the row keeps the settings of the queue that accepted the job, and findQueueOfJob alone tells to which queue a job belongs. Not taken: a table of former routes written by the owner; an entry may accept by a version that no owner has read. Conclusion: what was accepted carries what is needed to run it; today's configuration only changes it.

--- a/packages/baobabwell-controller/src/BaobabwellController.ts
+++ b/packages/baobabwell-controller/src/BaobabwellController.ts
@@ -1,7 +1,7 @@
 import type { EarlyHosts } from './BaobabwellControllerTermLeases';
 import type { TermOptions } from './BaobabwellControllerTermOptions';
 import type { OfferReply } from '@baobabwell/ingress';
-import type { JobRecord, JobState } from '@baobabwell/jobs';
+import type { JobRecord, JobState, QueueSettings } from '@baobabwell/jobs';
 import type { Term } from '@baobabwell/ownership';
 
 import { OwnerClient } from '@baobabwell/ingress';
@@ -83,7 +83,7 @@
     );
   }
 
-  override async countWaiting(queue: string): Promise<number | null> {
-    return this.getLoadedTerm()?.context.jobRegistry.countWaiting(queue) ?? null;
+  override async countWaiting(queue: QueueSettings): Promise<number | null> {
+    return this.getLoadedTerm()?.countWaiting(queue) ?? null;
   }
 }
--- a/packages/baobabwell-controller/src/BaobabwellControllerCopies.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCopies.ts
@@ -1,7 +1,7 @@
 import type { Host } from './BaobabwellControllerHost';
 import type { TermOptions } from './BaobabwellControllerTermOptions';
 import type { DurationEstimator } from '@baobabwell/durations';
-import type { Run, Task } from '@baobabwell/jobs';
+import type { JobRecord, Run, Task } from '@baobabwell/jobs';
 import type { CopyCandidate } from '@baobabwell/placement';
 
 import { RunEndEffect, RunPhase, TaskPhase } from '@baobabwell/jobs';
@@ -82,7 +82,9 @@
   /** Lists the runs that may get a copy. */
   listCandidates(
     nowMs: number,
-    findQueue: (name: string) => { readonly pool: string; readonly maxAttempts: number } | null,
+    findQueue: (
+      record: JobRecord,
+    ) => { readonly pool: string; readonly maxAttempts: number } | null,
   ): readonly CopyCandidate[] {
     const candidates: CopyCandidate[] = [];
     this.#tasks.forEach((task) => {
@@ -93,7 +95,7 @@
       }
       const { durations } = this.#context;
       const [run] = task.runs;
-      const queue = findQueue(job.record.queue);
+      const queue = findQueue(job.record);
       if (run?.phase !== RunPhase.Running || queue === null) {
         return;
       }
--- a/packages/baobabwell-controller/src/BaobabwellControllerCopyPlacement.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCopyPlacement.ts
@@ -1,9 +1,9 @@
 import type { TermContext } from './BaobabwellControllerContext';
 import type { QueueSettings } from '@baobabwell/fleet';
-import type { Run, Step } from '@baobabwell/jobs';
+import type { JobRecord, Run, Step } from '@baobabwell/jobs';
 import type { Allowance, CopyPool, Placement, PlacementHost } from '@baobabwell/placement';
 
-import { findQueueByName } from '@baobabwell/fleet';
+import { findQueueOfJob } from '@baobabwell/fleet';
 import { decideCopies } from '@baobabwell/placement';
 
 import { MAX_COPY_SHARE } from './BaobabwellControllerConstants';
@@ -49,11 +49,12 @@
   dispatch: CopyDispatch,
 ): void {
   const { jobRegistry, clock, copies, hosts, queuePools, getConfiguration } = context;
-  const findQueue = (name: string) => findQueueByName(getConfiguration(), name);
+  const findQueue = (record: JobRecord) => findQueueOfJob(getConfiguration(), record);
   const closed = new Set(dispatch.listClosedPools());
-  const findOpenQueue = (name: string) => {
-    const queue = findQueue(name);
-    const isOpen = queue !== null && !closed.has(queue.pool) && queuePools.canStart(queue);
+  const findOpenQueue = (record: JobRecord) => {
+    const queue = findQueue(record);
+    const isOpen =
+      queue !== null && !closed.has(queue.pool) && queuePools.canStart(record.queue, queue.pool);
     return isOpen ? queue : null;
   };
   const candidates = copies
@@ -66,7 +67,7 @@
   const findAllowedHosts = (step: Step) => {
     const known = tickets.get(step);
     const found =
-      known === undefined ? dispatch.findTickets(step, findQueue(step.job.record.queue)) : known;
+      known === undefined ? dispatch.findTickets(step, findQueue(step.job.record)) : known;
     tickets.set(step, found);
     return found;
   };
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -6,7 +6,7 @@
 import type { Resources, Run, Step } from '@baobabwell/jobs';
 import type { Allowance, Placement, PlacementHost } from '@baobabwell/placement';
 
-import { findQueueByName } from '@baobabwell/fleet';
+import { findQueueOfJob } from '@baobabwell/fleet';
 import { HostAdmission } from '@baobabwell/host-health';
 import { CrashSuspicion, RunPhase } from '@baobabwell/jobs';
 import { compareUrgency, decidePlacements, getUrgency } from '@baobabwell/placement';
@@ -218,10 +218,10 @@
     const unreconciledPools = possibleRuns.listUnreconciledPools();
     const ready: UrgentStep[] = [];
     for (const job of jobRegistry.listOpenJobs()) {
-      const queue = findQueueByName(configuration, job.record.queue);
+      const queue = findQueueOfJob(configuration, job.record);
       if (
         queue !== null &&
-        queuePools.canStart(queue) &&
+        queuePools.canStart(job.record.queue, queue.pool) &&
         !possibleRuns.mayRunUnknown(job, unreconciledPools)
       ) {
         jobRegistry
--- a/packages/baobabwell-controller/src/BaobabwellControllerEvacuationControlLoop.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerEvacuationControlLoop.ts
@@ -6,6 +6,7 @@
 import type { RelocationHost } from '@baobabwell/placement';
 import type { CloudHost } from '@baobabwell/platform';
 
+import { findQueueOfJob } from '@baobabwell/fleet';
 import { decideRelocations } from '@baobabwell/placement';
 import { CloudHostState } from '@baobabwell/platform';
 
@@ -99,12 +100,12 @@
    * whose hosts an advisor chooses: it may allow no other host with room.
    */
   #listLeaving(host: Host): readonly Run[] {
-    const queues = this.#context.getConfiguration()?.queues ?? [];
+    const configuration = this.#context.getConfiguration();
     return listLongRunning(host).filter(
       ({ task }) =>
         !task.step.spec.isGang &&
         isAvailable(this.#context, task) &&
-        queues.some(({ name, advice }) => name === task.step.job.record.queue && advice === null),
+        findQueueOfJob(configuration, task.step.job.record)?.advice === null,
     );
   }
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerJobEnds.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerJobEnds.ts
@@ -2,7 +2,7 @@
 import type { Job, Run, Task } from '@baobabwell/jobs';
 import type { LogFields } from '@baobabwell/logging';
 
-import { findQueueByName } from '@baobabwell/fleet';
+import { findQueueOfJob } from '@baobabwell/fleet';
 import { JobState } from '@baobabwell/jobs';
 import { ObjectiveResult } from '@baobabwell/metrics';
 import { getObjectiveMs } from '@baobabwell/placement';
@@ -46,7 +46,7 @@
   const { clock, logger, metrics, durations, getConfiguration } = context;
   const { id, spec, queue, acceptedAtMs } = record;
   const tookMs = Math.round(clock.getWallTime() - acceptedAtMs);
-  const settings = findQueueByName(getConfiguration(), queue);
+  const settings = findQueueOfJob(getConfiguration(), record);
   // A repeated job has its own due times, so no objective applies to its duration.
   const objectiveMs =
     settings === null || spec.repeat !== null
--- a/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
@@ -5,6 +5,7 @@
 import type { LogFields } from '@baobabwell/logging';
 import type { AcceptedWork, AdmissionDecision } from '@baobabwell/placement';
 
+import { findQueueOfJob } from '@baobabwell/fleet';
 import { computeDemand, RefusalMemory } from '@baobabwell/ingress';
 import { fitsInto, TaskPhase } from '@baobabwell/jobs';
 import {
@@ -267,11 +268,10 @@
     const configuration = getConfiguration();
     const organisations = configuration?.organisations ?? [];
     const wallMs = clock.getWallTime();
-    const queues = new Map(
-      configuration?.queues
-        .filter((queue) => queue.pool === pool && queue.priority <= priority)
-        .map((queue) => [queue.name, queue]),
-    );
+    const findQueue = (record: JobRecord): QueueSettings | null => {
+      const queue = findQueueOfJob(configuration, record);
+      return queue?.pool === pool && queue.priority <= priority ? queue : null;
+    };
     let totalCpu = 0;
     let totalMemory = 0;
     hosts.forEach((host) => {
@@ -283,8 +283,8 @@
     const accepted: AcceptedWork[] = [];
     let waitingCpuMillis = 0;
     for (const job of jobRegistry.listOpenJobs()) {
-      const queue = queues.get(job.record.queue);
-      if (queue !== undefined && job.record.spec.repeat === null) {
+      const queue = findQueue(job.record);
+      if (queue !== null && job.record.spec.repeat === null) {
         // The first listing creates the tasks of the job.
         jobRegistry.listReadySteps(job, wallMs).forEach(({ spec, waitingCount }) => {
           waitingCpuMillis += spec.isLasting ? 0 : waitingCount * spec.need.cpuMillis;
@@ -294,8 +294,8 @@
     }
     pruneOldest(this.#admitted, ({ atMs }) => nowMs - atMs > STORE_TIME_MS);
     this.#admitted.forEach((admitted) => {
-      const queue = queues.get(admitted.record.queue);
-      if (queue !== undefined && jobRegistry.findJob(admitted.record.id) === null) {
+      const queue = findQueue(admitted.record);
+      if (queue !== null && jobRegistry.findJob(admitted.record.id) === null) {
         accepted.push(this.#createAdmittedWork(admitted, queue.name, cpuMillisPerMb));
         waitingCpuMillis += sumFirstCpu(admitted.record.spec);
       }
--- a/packages/baobabwell-controller/src/BaobabwellControllerPoolLoad.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerPoolLoad.ts
@@ -3,7 +3,7 @@
 import type { PoolLoad } from '@baobabwell/fleet';
 import type { Job, Step } from '@baobabwell/jobs';
 
-import { findQueueByName } from '@baobabwell/fleet';
+import { findQueueOfJob } from '@baobabwell/fleet';
 import { TaskPhase } from '@baobabwell/jobs';
 import { getCpuWork } from '@baobabwell/placement';
 
@@ -69,8 +69,14 @@
   const configuration = getConfiguration();
   const wallMs = clock.getWallTime();
   configuration?.queues.forEach(({ pool }) => loads.set(pool, loads.get(pool) ?? createLoad()));
-  const findLoad = (job: Job): MutableLoad | undefined =>
-    loads.get(findQueueByName(configuration, job.record.queue)?.pool ?? '');
+  const findLoad = ({ record }: Job): MutableLoad | undefined => {
+    const pool = findQueueOfJob(configuration, record)?.pool;
+    // The route of a job may be gone, and with it the last one of its pool.
+    if (pool !== undefined && !loads.has(pool)) {
+      loads.set(pool, createLoad());
+    }
+    return loads.get(pool ?? '');
+  };
   jobRegistry.listArrivedJobs(wallMs - 2 * SECOND_MS).forEach((job) => {
     const load = findLoad(job);
     if (load !== undefined && !job.record.spec.steps.some((step) => step.isLasting)) {
--- a/packages/baobabwell-controller/src/BaobabwellControllerPossibleRuns.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerPossibleRuns.ts
@@ -56,7 +56,7 @@
     const { term, queuePools } = this.#context;
     return (
       acceptedVersion <= term.startVersion &&
-      [...unreconciledPools].some((pool) => queuePools.mayHaveFormerRuns(record.queue, pool))
+      [...unreconciledPools].some((pool) => queuePools.mayHaveFormerRuns(record, pool))
     );
   }
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerQueuePools.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerQueuePools.ts
@@ -1,9 +1,10 @@
 import type { TermContext } from './BaobabwellControllerContext';
-import type { QueueSettings } from '@baobabwell/fleet';
+import type { JobRecord } from '@baobabwell/jobs';
 import type { Row, RowWrite } from '@baobabwell/platform';
 
 import { z } from 'zod';
 
+import { findQueueOfJob } from '@baobabwell/fleet';
 import { RetryDelay, WakeSignal } from '@baobabwell/utils';
 
 import {
@@ -21,6 +22,7 @@
   | 'clock'
   | 'getConfiguration'
   | 'hosts'
+  | 'jobRegistry'
   | 'logger'
   | 'ownership'
   | 'requestDispatch'
@@ -51,12 +53,6 @@
   /** Rows as the former owner left them; `null` where no owner has stored any. */
   #former: PoolsByQueue | null = null;
 
-  /** Pools of the queues of a configuration; every open job asks for them in each round. */
-  #present: {
-    readonly queues: readonly QueueSettings[] | null;
-    readonly pools: ReadonlyMap<string, string>;
-  } = { queues: null, pools: new Map() };
-
   /** Rows as they are stored now. */
   readonly #stored = new Map<string, ReadonlySet<string>>();
 
@@ -79,27 +75,20 @@
     this.#former = rows.length === 0 ? null : new Map(this.#stored);
   }
 
-  /** Returns true when a former owner may have started runs of a queue in a pool. */
-  mayHaveFormerRuns(queue: string, pool: string): boolean {
+  /** Returns true when a former owner may have started runs of a job in a pool. */
+  mayHaveFormerRuns(record: JobRecord, pool: string): boolean {
     return (
-      pool === this.#getPresentPools().get(queue) ||
+      pool === findQueueOfJob(this.#context.getConfiguration(), record)?.pool ||
       this.#former === null ||
-      this.#former.get(queue)?.has(pool) === true
+      this.#former.get(record.queue)?.has(pool) === true
     );
   }
 
-  /** Returns the pools of the queues by the present configuration. */
-  #getPresentPools(): ReadonlyMap<string, string> {
-    const queues = this.#context.getConfiguration()?.queues ?? [];
-    if (this.#present.queues !== queues) {
-      this.#present = { queues, pools: new Map(queues.map(({ name, pool }) => [name, pool])) };
-    }
-    return this.#present.pools;
-  }
-
-  /** Returns true when runs of a queue may start in its pool; has that stored otherwise. */
-  canStart({ name, pool }: QueueSettings): boolean {
-    const isStored = this.#stored.get(name)?.has(pool) === true;
+  /**
+   * Returns true when runs of jobs that were accepted by a queue may start in a pool; has that stored otherwise.
+   */
+  canStart(queue: string, pool: string): boolean {
+    const isStored = this.#stored.get(queue)?.has(pool) === true;
     if (!isStored) {
       this.#wakeSignal.notify();
     }
@@ -130,12 +119,20 @@
 
   /** Lists the queues whose rows differ from where their runs start or may still exist. */
   #listChanges(): PoolsByQueue {
-    const { hosts, getConfiguration } = this.#context;
+    const { hosts, jobRegistry, getConfiguration } = this.#context;
+    const configuration = getConfiguration();
     const next = new Map<string, Set<string>>();
     const add = (queue: string, pool: string): void => {
       next.set(queue, (next.get(queue) ?? new Set()).add(pool));
     };
-    getConfiguration()?.queues.forEach(({ name, pool }) => add(name, pool));
+    configuration?.queues.forEach(({ name, pool }) => add(name, pool));
+    // A job may go on under another name than that by which it was accepted.
+    jobRegistry.listOpenJobs().forEach(({ record }) => {
+      const queue = findQueueOfJob(configuration, record);
+      if (queue !== null) {
+        add(record.queue, queue.pool);
+      }
+    });
     const unreconciledPools = new Set<string>();
     hosts.forEach(({ pool, runs, isReconciled }) => {
       runs.forEach(({ task }) => add(task.step.job.record.queue, pool));
--- a/packages/baobabwell-controller/src/BaobabwellControllerRows.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerRows.ts
@@ -24,9 +24,23 @@
   maxAway: z.number(),
 });
 
+const queueSettings = z.object({
+  name: z.string(),
+  httpHost: z.string(),
+  pathPrefix: z.string(),
+  pool: z.string(),
+  priority: z.number(),
+  maxAttempts: z.number(),
+  stretch: z.number(),
+  targetLatencyMs: z.number(),
+  isOpen: z.boolean(),
+  advice: z.object({ validMs: z.number(), decideMs: z.number(), perHostMs: z.number() }).nullable(),
+});
+
 const jobRecord = z.object({
   id: z.string(),
   queue: z.string(),
+  route: queueSettings.optional(),
   organisation: z.string().nullable(),
   acceptedAtMs: z.number(),
   spec: z.object({
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -3,7 +3,7 @@
 import type { EarlyHosts } from './BaobabwellControllerTermLeases';
 import type { TermOptions } from './BaobabwellControllerTermOptions';
 import type { RereadLimits, TablePosition } from './BaobabwellControllerTermTables';
-import type { ListedWorker } from '@baobabwell/fleet';
+import type { ListedWorker, QueueSettings } from '@baobabwell/fleet';
 import type { OfferReply } from '@baobabwell/ingress';
 import type { JobRecord, Run } from '@baobabwell/jobs';
 import type { Term } from '@baobabwell/ownership';
@@ -12,7 +12,7 @@
 
 import { setMaxListeners } from 'node:events';
 
-import { findQueueByName } from '@baobabwell/fleet';
+import { findQueueByName, findQueueOfJob, hasSameAddress } from '@baobabwell/fleet';
 import { JOBS_TABLE } from '@baobabwell/ingress';
 import { JobRegistry } from '@baobabwell/jobs';
 import { getWidestStepCpu } from '@baobabwell/placement';
@@ -91,8 +91,9 @@
   #isLoaded = false;
 
   constructor(options: TermOptions, term: Term) {
-    const findQueue = (name: string) => findQueueByName(options.getConfiguration(), name);
-    const jobRegistry = new JobRegistry(findQueue);
+    const jobRegistry = new JobRegistry((record) =>
+      findQueueOfJob(options.getConfiguration(), record),
+    );
     const hosts = new Map<string, Host>();
     this.#runDurations = new RunDurations(options);
     const { signal } = this.#abortController;
@@ -166,7 +167,7 @@
   /** Decides whether to admit a job; a job that is already tracked is admitted. */
   offer(record: JobRecord): OfferReply {
     const { jobRegistry, logger, metrics, getConfiguration } = this.context;
-    const queue = findQueueByName(getConfiguration(), record.queue);
+    const queue = findQueueOfJob(getConfiguration(), record);
     if (jobRegistry.findJob(record.id) !== null || queue === null) {
       return { isWanted: true, refusals: [] };
     }
@@ -187,6 +188,17 @@
     return { ...decision, refusals: this.#admission.listRefusals(queue.name) };
   }
 
+  /** Counts the waiting jobs of a queue, which the configuration of this process need not contain yet. */
+  countWaiting(queue: QueueSettings): number {
+    const configuration = this.context.getConfiguration();
+    const known = findQueueByName(configuration, queue.name);
+    const isKnown = known !== null && hasSameAddress(known, queue);
+    const [counted, queues] = isKnown ? [known, configuration] : [queue, { queues: [queue] }];
+    return this.context.jobRegistry.countWaiting(
+      (record) => findQueueOfJob(queues, record) === counted,
+    );
+  }
+
   /** Ends the term: no further orders are sent. */
   end(): void {
     this.#abortController.abort();
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonMetricsPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonMetricsPlugin.ts
@@ -21,9 +21,9 @@
   metrics.configurationVersion.set(settings?.version ?? 0);
   metrics.configurationAgeSeconds.set(ageMs === null ? UNKNOWN_AGE_S : ageMs / SECOND_MS);
   const term = kernel.getService(CONTROLLER).getLoadedTerm();
-  settings?.queues.forEach(({ name }) => {
+  settings?.queues.forEach((queue) => {
     if (term !== null) {
-      metrics.owner.waitingJobs.set({ queue: name }, term.context.jobRegistry.countWaiting(name));
+      metrics.owner.waitingJobs.set({ queue: queue.name }, term.countWaiting(queue));
     }
   });
 }
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonPeers.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonPeers.ts
@@ -1,6 +1,6 @@
 import type { ConfigurationReport } from './BaobabwellDaemonConfiguration';
 import type { OfferReply } from '@baobabwell/ingress';
-import type { JobRecord, JobState } from '@baobabwell/jobs';
+import type { JobRecord, JobState, QueueSettings } from '@baobabwell/jobs';
 import type { Logger } from '@baobabwell/logging';
 import type { Owner } from '@baobabwell/ownership';
 import type { PeerConnector } from '@baobabwell/peers';
@@ -42,7 +42,7 @@
       .input(z.string())
       .query(async ({ input }): Promise<JobState | null> => owner.findState(input)),
     countWaiting: peerProcedure
-      .input(z.string())
+      .input(z.custom<QueueSettings>(isObject))
       .query(async ({ input }): Promise<number | null> => owner.countWaiting(input)),
     commit: peerProcedure
       .input(z.custom<Transaction>(isObject))
@@ -189,7 +189,7 @@
     );
   }
 
-  override async countWaiting(queue: string, deadline?: Deadline): Promise<number | null> {
+  override async countWaiting(queue: QueueSettings, deadline?: Deadline): Promise<number | null> {
     return this.#request(
       async () => this.#local.countWaiting(queue),
       async (client, signal) => client.countWaiting.query(queue, { signal }),
--- a/packages/baobabwell-fleet/src/BaobabwellFleetModel.ts
+++ b/packages/baobabwell-fleet/src/BaobabwellFleetModel.ts
@@ -1,34 +1,4 @@
-import type { Resources } from '@baobabwell/jobs';
-
-/** A queue that callers reach over HTTP. */
-export type QueueSettings = {
-  readonly name: string;
-  /** Name of the HTTP host under which callers reach it. */
-  readonly httpHost: string;
-  readonly pathPrefix: string;
-  /** Pool whose hosts run the tasks of the queue. */
-  readonly pool: string;
-  /**
-   * Priority; 0 is the highest and may preempt tasks of other queues. The controller only orders
-   * waiting steps by it and preempts none.
-   */
-  readonly priority: number;
-  readonly maxAttempts: number;
-  /** The objective of a job is this multiple of its critical path, plus `targetLatencyMs`. */
-  readonly stretch: number;
-  readonly targetLatencyMs: number;
-  /** Callers need no key. */
-  readonly isOpen: boolean;
-  /**
-   * Timing of the advisor that must approve the hosts of a step; `null` if the queue has no
-   * advisor.
-   */
-  readonly advice: {
-    readonly validMs: number;
-    readonly decideMs: number;
-    readonly perHostMs: number;
-  } | null;
-};
+import type { QueueSettings, Resources } from '@baobabwell/jobs';
 
 /** A pool of hosts. */
 export type PoolSettings = {
--- a/packages/baobabwell-fleet/src/index.ts
+++ b/packages/baobabwell-fleet/src/index.ts
@@ -7,10 +7,11 @@
   MaintenanceWave,
   OrganisationSettings,
   PoolSettings,
-  QueueSettings,
 } from './BaobabwellFleetModel';
 export type { MachineMove, MovableMachine, MoveDecision, PoolDemand } from './BaobabwellFleetMoves';
+export type { AcceptedQueue } from './BaobabwellFleetQueues';
 export type { DueMachine, WaveDecision, WaveProgress } from './BaobabwellFleetWaves';
+export type { QueueSettings } from '@baobabwell/jobs';
 
 export { BurstPredictor } from './BaobabwellFleetBurstPrediction';
 export {
@@ -23,5 +24,10 @@
 export { WaveState } from './BaobabwellFleetModel';
 export { decideMoves } from './BaobabwellFleetMoves';
 export { RecentPeaks } from './BaobabwellFleetPeaks';
-export { findQueueByName, getQueuesByName } from './BaobabwellFleetQueues';
+export {
+  findQueueByName,
+  findQueueOfJob,
+  getQueuesByName,
+  hasSameAddress,
+} from './BaobabwellFleetQueues';
 export { decideMaintenance } from './BaobabwellFleetWaves';
--- a/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
@@ -102,7 +102,14 @@
   ): Promise<Answer> {
     const { deadline } = call;
     const acceptedAtMs = this.#clock.getWallTime();
-    const record: JobRecord = { id: jobId, queue: queue.name, organisation, acceptedAtMs, spec };
+    const record: JobRecord = {
+      id: jobId,
+      queue: queue.name,
+      route: queue,
+      organisation,
+      acceptedAtMs,
+      spec,
+    };
     const demand = computeDemand(record, queue);
     const known = this.#refusals.find(demand, this.#clock.getNow(), true);
     if (known !== null) {
@@ -227,7 +234,7 @@
   }
 
   /** Counts the waiting jobs of a queue. */
-  async countWaiting(queue: string, deadline: Deadline): Promise<Answer> {
+  async countWaiting(queue: QueueSettings, deadline: Deadline): Promise<Answer> {
     const count = await this.#waitingCounts.count(queue, deadline);
     return count === null
       ? this.#createUnavailableAnswer('count')
--- a/packages/baobabwell-ingress/src/BaobabwellIngressOwner.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressOwner.ts
@@ -1,5 +1,5 @@
 import type { RecentRefusal } from './BaobabwellIngressRefusalMemory';
-import type { JobRecord, JobState } from '@baobabwell/jobs';
+import type { JobRecord, JobState, QueueSettings } from '@baobabwell/jobs';
 import type { Deadline } from '@baobabwell/utils';
 
 /**
@@ -23,5 +23,5 @@
   abstract findState(jobId: string, deadline?: Deadline): Promise<JobState | null>;
 
   /** Counts the waiting jobs of a queue. */
-  abstract countWaiting(queue: string, deadline?: Deadline): Promise<number | null>;
+  abstract countWaiting(queue: QueueSettings, deadline?: Deadline): Promise<number | null>;
 }
--- a/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
@@ -341,7 +341,7 @@
         };
       case ClientRequestKind.CountWaiting:
         return {
-          answer: await this.#context.submissions.countWaiting(queue.name, deadline),
+          answer: await this.#context.submissions.countWaiting(queue, deadline),
           queue,
           kind,
           jobId,
--- a/packages/baobabwell-ingress/src/BaobabwellIngressWaitingCounts.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressWaitingCounts.ts
@@ -1,4 +1,5 @@
 import type { OwnerClient } from './BaobabwellIngressOwner';
+import type { QueueSettings } from '@baobabwell/fleet';
 import type { Clock, Deadline } from '@baobabwell/utils';
 
 /** Age up to which a count is given again without a request to the owner, in ms. */
@@ -23,17 +24,17 @@
   }
 
   /** Counts the waiting jobs of a queue; returns `null` when no count is recent enough. */
-  async count(queue: string, deadline: Deadline): Promise<number | null> {
-    const fresh = this.#find(queue, FRESH_MS);
+  async count(queue: QueueSettings, deadline: Deadline): Promise<number | null> {
+    const fresh = this.#find(queue.name, FRESH_MS);
     if (fresh !== null) {
       return fresh;
     }
     const askedAtMs = this.#clock.getNow();
     const count = await this.#owner.countWaiting(queue, deadline);
     if (count === null) {
-      return this.#find(queue, MAX_AGE_MS);
+      return this.#find(queue.name, MAX_AGE_MS);
     }
-    this.#known.set(queue, { count, askedAtMs });
+    this.#known.set(queue.name, { count, askedAtMs });
     return count;
   }
 
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -2,13 +2,14 @@
 import type { TableFaults } from './BaobabwellJobEmulatorStore';
 import type { TermContext } from '@baobabwell/controller';
 import type { ProcessClock } from '@baobabwell/emulator';
-import type { MaintenanceWave } from '@baobabwell/fleet';
+import type { MaintenanceWave, QueueSettings } from '@baobabwell/fleet';
 import type { OfferReply } from '@baobabwell/ingress';
 import type { JobRecord, JobState, RepeatSpec, Resources, StepSpec } from '@baobabwell/jobs';
 import type { JsonValue } from '@baobabwell/platform';
 
 import { Controller, HOST_LEASE_MS } from '@baobabwell/controller';
 import { EmulatedTime } from '@baobabwell/emulator';
+import { findQueueByName } from '@baobabwell/fleet';
 import { CANCELLED_SUFFIX, getJobPartition, JOBS_TABLE } from '@baobabwell/ingress';
 import { Logger, LogLevel } from '@baobabwell/logging';
 import { DaemonMetrics } from '@baobabwell/metrics';
@@ -394,7 +395,7 @@
       queue = QUEUE,
     }: { rowLagMs?: number; repeat?: RepeatSpec | null; queue?: string } = {},
   ): string {
-    const record = { ...this.#createRecord(steps, repeat), queue };
+    const record = this.#createRecord(steps, repeat, queue);
     if (rowLagMs === 0) {
       this.#putJob(record);
     } else {
@@ -440,6 +441,12 @@
     return (await owner?.controller.findState(jobId)) ?? null;
   }
 
+  /** Counts the waiting jobs of a queue as the owner reports them; `null` while there is no owner. */
+  async countWaiting(queue: QueueSettings): Promise<number | null> {
+    const owner = this.#daemons.get(this.findOwner() ?? '');
+    return (await owner?.controller.countWaiting(queue)) ?? null;
+  }
+
   /** Finds the term context of the owner; `null` while there is no owner. */
   findOwnerContext(): TermContext | null {
     const owner = this.findOwner();
@@ -475,9 +482,15 @@
     this.#put(JOBS_TABLE, id, record as unknown as JsonValue, getJobPartition(id));
   }
 
-  #createRecord(steps: readonly Partial<StepSpec>[], repeat: RepeatSpec | null): JobRecord {
+  #createRecord(
+    steps: readonly Partial<StepSpec>[],
+    repeat: RepeatSpec | null,
+    queue = QUEUE,
+  ): JobRecord {
     this.#jobCount += 1;
-    return createJobRecord(this.#jobCount, this.time.getWallTime(), steps, repeat);
+    const record = createJobRecord(this.#jobCount, this.time.getWallTime(), steps, repeat);
+    const route = findQueueByName(this.configuration, queue) ?? undefined;
+    return { ...record, queue, route };
   }
 
   #recoverCrashedHost(host: EmulatedHost): void {
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulator.test.ts
@@ -353,7 +353,7 @@
     const starts = hosts.map((host) => host.start.bind(host));
     hosts.forEach((host) => Object.assign(host, { start: () => refusal }));
     const jobs = Array.from({ length: 5 }, () => fleet.submit([{ taskCount: 2 }]));
-    const count = () => fleet.findOwnerContext()?.jobRegistry.countWaiting('bakes');
+    const count = () => fleet.findOwnerContext()?.jobRegistry.countWaiting(() => true);
     for (let second = 0; second < 6; second += 1) {
       await fleet.time.advance(1_000);
       expect(count()).toEqual(jobs.length);
--- a/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
@@ -60,10 +60,10 @@
 
   readonly #unsavedJobs = new Set<Job>();
 
-  readonly #getRules: (queue: string) => QueueRules | null;
+  readonly #findRules: (record: JobRecord) => QueueRules | null;
 
-  constructor(getRules: (queue: string) => QueueRules | null) {
-    this.#getRules = getRules;
+  constructor(findRules: (record: JobRecord) => QueueRules | null) {
+    this.#findRules = findRules;
   }
 
   /** Adds an accepted job, or returns the job unchanged if it is already tracked. */
@@ -295,7 +295,7 @@
    */
   #failFailingTask(task: Task, nowMs: number): boolean {
     const { job } = task.step;
-    const rules = this.#getRules(job.record.queue);
+    const rules = this.#findRules(job.record);
     if (rules === null) {
       return false;
     }
@@ -417,11 +417,11 @@
     run.task.removeRun(run);
   }
 
-  /** Counts the accepted jobs of a queue of which no host is known to have started a task. */
-  countWaiting(queue: string): number {
+  /** Counts those of the accepted jobs of which no host is known to have started a task. */
+  countWaiting(isCounted: (record: JobRecord) => boolean): number {
     let count = 0;
     this.listOpenJobs().forEach((job) => {
-      if (job.record.queue === queue && !job.hasRun) {
+      if (!job.hasRun && isCounted(job.record)) {
         count += 1;
       }
     });
--- a/packages/baobabwell-jobs/src/index.ts
+++ b/packages/baobabwell-jobs/src/index.ts
@@ -3,6 +3,7 @@
 export type {
   JobRecord,
   JobSpec,
+  QueueSettings,
   RepeatSpec,
   Resources,
   RunOnHost,
