--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -180,6 +180,12 @@
 /** Interval between removals of ended jobs, in ms. */
 export const PRUNE_INTERVAL_MS = 20_000;
 
+/** Interval at which ended jobs are reduced to what answers their callers, in ms. */
+export const COMPACTION_INTERVAL_MS = 1_000;
+
+/** Number of start orders without an answer at which no further runs are placed: each takes memory. */
+export const MAX_PENDING_STARTS = 2_000;
+
 /** Run numbers reserved for each term, so that a later owner's run numbers are higher. */
 export const RUNS_PER_TERM = 1_000;
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -16,6 +16,7 @@
 import {
   DISPATCH_DELAY_FACTOR,
   MAX_DISPATCH_WAIT_MS,
+  MAX_PENDING_STARTS,
   MAX_START_STORE_MS,
   MIN_DISPATCH_DELAY_MS,
   RUNS_PER_TERM,
@@ -112,6 +113,12 @@
 
   #copiedAtMs = -Infinity;
 
+  /** Number of start orders that have no answer yet. */
+  #pendingStarts = 0;
+
+  /** True when the last round placed as many tasks as it might: the next one goes on with the answers. */
+  #hasSpentBudget = false;
+
   /** Pools in which a task waited at the end of the last round. */
   #waitingPools: ReadonlySet<string> = new Set();
 
@@ -183,17 +190,34 @@
     const nowMs = this.#context.clock.getNow();
     const tickets = new Map<Step, ReadonlyMap<string, string> | null>();
     steps.forEach(({ step, queue }) => tickets.set(step, this.#findTickets(step, queue)));
+    const startBudget = this.#getStartBudget();
     const placements = decidePlacements({
       hasSuspects: this.#context.jobRegistry.hasSuspects(),
+      startBudget,
       nowMs,
       steps,
       hosts: this.#listHosts(nowMs, new Set(steps.map(({ pool }) => pool))),
       allowances: this.#listAllowances(),
       findAllowedHosts: (step) => tickets.get(step) ?? null,
     });
+    this.#hasSpentBudget = placements.length >= startBudget.left;
     this.#startPlacements(placements, tickets);
   }
 
+  /** Returns how many tasks may be placed: orders without an answer, and runs, take memory. */
+  #getStartBudget(): { readonly left: number; readonly total: number } {
+    const { hosts, getMemoryLimits } = this.#context;
+    let runCount = 0;
+    hosts.forEach(({ runs }) => {
+      runCount += runs.size;
+    });
+    const left = Math.min(
+      MAX_PENDING_STARTS - this.#pendingStarts,
+      getMemoryLimits().runs - runCount,
+    );
+    return { left, total: MAX_PENDING_STARTS };
+  }
+
   #placeCopies(maxVersion: number): void {
     placeCopies(this.#context, maxVersion, {
       listClosedPools: () => [
@@ -364,7 +388,13 @@
       freeCpuMillis: host.getFreeResources().cpuMillis,
       jobsAgeMs: Math.round(this.#context.getJobsAgeMs()),
     });
-    void session.startRun(run, ticket);
+    this.#pendingStarts += 1;
+    void session.startRun(run, ticket).finally(() => {
+      this.#pendingStarts -= 1;
+      if (this.#hasSpentBudget) {
+        this.request();
+      }
+    });
   }
 
   #getNextRun(lastRun: number): number {
--- a/packages/baobabwell-controller/src/BaobabwellControllerJobRows.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerJobRows.ts
@@ -13,6 +13,7 @@
 import { isEnded, JobState, parseJobProgress } from '@baobabwell/jobs';
 
 import {
+  COMPACTION_INTERVAL_MS,
   ENDED_JOB_MARGIN_MS,
   MAX_UNSEEN_AGE_MS,
   MIN_UNTRACKED_AGE_MS,
@@ -252,10 +253,15 @@
 
   /** Removes from memory what callers no longer ask for, until the term ends. */
   async runPruning(): Promise<void> {
-    const { clock, signal } = this.#context;
+    const { clock, signal, jobRegistry } = this.#context;
+    let prunedAtMs = clock.getNow();
     while (!signal.aborted) {
-      await clock.wait(PRUNE_INTERVAL_MS, signal);
-      this.#prune();
+      await clock.wait(COMPACTION_INTERVAL_MS, signal);
+      jobRegistry.compactEndedJobs();
+      if (clock.getNow() - prunedAtMs >= PRUNE_INTERVAL_MS) {
+        prunedAtMs = clock.getNow();
+        this.#prune();
+      }
     }
   }
 
--- a/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOffers.ts
@@ -16,6 +16,7 @@
   WorkQueue,
 } from '@baobabwell/placement';
 
+import { MemoryAdmission } from './BaobabwellControllerMemoryAdmission';
 import { getRunRemainingMs } from './BaobabwellControllerRunDurations';
 
 /** Retry delay of refusals while hosts have not reported to a new owner, in ms. */
@@ -121,13 +122,29 @@
   /** Monotonic time at which each job was offered first, in ms. */
   readonly #firstOffersAtMs = new Map<string, number>();
 
+  readonly #memory: MemoryAdmission;
+
   constructor(context: TermContext, getPoolCapacity: (pool: string) => PoolCapacity) {
     this.#context = context;
+    const { jobRegistry, clock, getMemoryLimits: getLimits } = context;
+    this.#memory = new MemoryAdmission({ jobRegistry, clock, getLimits });
     this.#getPoolCapacity = getPoolCapacity;
   }
 
   /** Decides whether to admit an offered job. */
   decide(record: JobRecord, queue: QueueSettings): AdmissionDecision {
+    const refusal = this.#memory.check(record);
+    if (refusal !== null) {
+      return refusal;
+    }
+    const decision = this.#decideByWork(record, queue);
+    if (decision.isWanted) {
+      this.#memory.add(record);
+    }
+    return decision;
+  }
+
+  #decideByWork(record: JobRecord, queue: QueueSettings): AdmissionDecision {
     const { clock, durations, jobRates } = this.#context;
     const { spec, organisation } = record;
     const nowMs = clock.getNow();
--- a/packages/baobabwell-controller/src/BaobabwellControllerPoolLoad.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerPoolLoad.ts
@@ -4,7 +4,6 @@
 import type { Job, Step } from '@baobabwell/jobs';
 
 import { findQueueOfJob } from '@baobabwell/fleet';
-import { TaskPhase } from '@baobabwell/jobs';
 import { getCpuWork } from '@baobabwell/placement';
 
 const SECOND_MS = 1_000;
@@ -41,7 +40,7 @@
   }
 }
 
-function addStep(load: MutableLoad, { spec, tasks }: Step): void {
+function addStep(load: MutableLoad, { spec, placedCount, waitingCount }: Step): void {
   const changed = load;
   if (spec.isLasting) {
     changed.longRunningCpuMillis += spec.isFilling ? 0 : spec.taskCount * spec.need.cpuMillis;
@@ -50,12 +49,9 @@
     changed.longRunningHosts = Math.max(changed.longRunningHosts, hosts);
     return;
   }
-  tasks.forEach(({ phase }) => {
-    changed.runningCpuMillis += phase === TaskPhase.Placed ? spec.need.cpuMillis : 0;
-    changed.waitingCpuMillis += phase === TaskPhase.Waiting ? spec.need.cpuMillis : 0;
-    const isCurrent = phase === TaskPhase.Placed || phase === TaskPhase.Waiting;
-    changed.currentMemoryMb += isCurrent ? spec.need.memoryMb : 0;
-  });
+  changed.runningCpuMillis += placedCount * spec.need.cpuMillis;
+  changed.waitingCpuMillis += waitingCount * spec.need.cpuMillis;
+  changed.currentMemoryMb += (placedCount + waitingCount) * spec.need.memoryMb;
 }
 
 /** Computes the load of each pool from the demand of its jobs. */
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -14,8 +14,8 @@
 
 import { findQueueByName, findQueueOfJob, hasSameAddress } from '@baobabwell/fleet';
 import { JOBS_TABLE } from '@baobabwell/ingress';
-import { JobRegistry } from '@baobabwell/jobs';
-import { getWidestStepCpu } from '@baobabwell/placement';
+import { JobRegistry, TaskBudget } from '@baobabwell/jobs';
+import { getWidestStepCpu, RefusalCause } from '@baobabwell/placement';
 import { readClocks } from '@baobabwell/utils';
 
 import { Committer } from './BaobabwellControllerCommitter';
@@ -91,8 +91,9 @@
   #isLoaded = false;
 
   constructor(options: TermOptions, term: Term) {
-    const jobRegistry = new JobRegistry((record) =>
-      findQueueOfJob(options.getConfiguration(), record),
+    const jobRegistry = new JobRegistry(
+      (record) => findQueueOfJob(options.getConfiguration(), record),
+      new TaskBudget(options.getMemoryLimits().tasks),
     );
     const hosts = new Map<string, Host>();
     this.#runDurations = new RunDurations(options);
@@ -174,7 +175,9 @@
     const decision = this.#admission.decide(record, queue);
     if (!decision.isWanted) {
       const { cause, reason, retryAfterMs } = decision;
-      this.#fleetControlLoop.recordRefusal(queue.pool, getWidestStepCpu(record.spec));
+      if (cause !== RefusalCause.TooLarge && cause !== RefusalCause.Memory) {
+        this.#fleetControlLoop.recordRefusal(queue.pool, getWidestStepCpu(record.spec));
+      }
       metrics.refusedJobs.inc({ queue: queue.name, reason: cause });
       logger.recordInfo('job-refused', {
         job: record.id,
--- a/packages/baobabwell-controller/src/BaobabwellControllerTermOptions.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTermOptions.ts
@@ -1,6 +1,7 @@
 import type { FleetBounds, FleetCodec } from './BaobabwellControllerModel';
 import type { PeerReports } from './BaobabwellControllerStoreOutage';
 import type { FleetConfiguration } from '@baobabwell/fleet';
+import type { MemoryLimits } from '@baobabwell/jobs';
 import type { Logger } from '@baobabwell/logging';
 import type { OwnerMetrics } from '@baobabwell/metrics';
 import type { Ownership } from '@baobabwell/ownership';
@@ -29,4 +30,6 @@
   readonly ownership: Ownership;
   readonly peerReports: PeerReports;
   readonly getConfiguration: () => FleetConfiguration | null;
+  /** Returns what the smallest process may keep that may become the owner. */
+  readonly getMemoryLimits: () => MemoryLimits;
 };
--- a/packages/baobabwell-controller/src/__tests__/unit/BaobabwellControllerOffers.test.ts
+++ b/packages/baobabwell-controller/src/__tests__/unit/BaobabwellControllerOffers.test.ts
@@ -8,7 +8,7 @@
 
 import { CallerEstimates } from '@baobabwell/durations';
 import { CONFIGURATION, PLAIN_STEP } from '@baobabwell/job-emulator';
-import { JobRegistry } from '@baobabwell/jobs';
+import { computeMemoryLimits, JobRegistry } from '@baobabwell/jobs';
 import { Clock } from '@baobabwell/utils';
 
 import { JobRates } from '../../BaobabwellControllerJobRates';
@@ -72,6 +72,7 @@
       jobRates: new JobRates({ clock, getConfiguration }),
       hosts: new Map(),
       getConfiguration,
+      getMemoryLimits: () => computeMemoryLimits(Infinity),
     } as unknown as TermContext;
     let capacity = createCapacity(10_000);
     const admission = new OfferAdmission(context, () => capacity);
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
@@ -1,7 +1,10 @@
 import type { Kernel, Plugin } from '@baobabwell/kernel';
 import type { FastifyInstance } from 'fastify';
 
+import { getHeapStatistics } from 'node:v8';
+
 import { Controller, HOST_LEASE_MS } from '@baobabwell/controller';
+import { computeMemoryLimits } from '@baobabwell/jobs';
 import { mergeUndo } from '@baobabwell/kernel';
 import { Ownership } from '@baobabwell/ownership';
 import { buildPeerServer, HttpPeerConnector } from '@baobabwell/peers';
@@ -86,6 +89,7 @@
     ownership: kernel.getService(OWNERSHIP),
     peerReports: new MemberReports(kernel.getService(MEMBERS), kernel.getService(PEERS)),
     getConfiguration: () => kernel.getService(CONFIGURATION).getConfiguration(),
+    getMemoryLimits: () => computeMemoryLimits(kernel.getService(MEMBERS).getSmallestHeapBytes()),
   });
 }
 
@@ -115,6 +119,7 @@
     logger: kernel.getService(LOGGER),
     name,
     address: `${peers.host}:${peers.port}`,
+    heapBytes: getHeapStatistics().heap_size_limit,
   });
 }
 
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
@@ -2,6 +2,7 @@
 import type { FastifyInstance } from 'fastify';
 
 import { IngressServer, JobSubmissionService } from '@baobabwell/ingress';
+import { computeMemoryLimits } from '@baobabwell/jobs';
 import { createServiceToken } from '@baobabwell/kernel';
 
 import { RelayedStore } from './BaobabwellDaemonRelayedStore';
@@ -71,7 +72,15 @@
   });
   return new IngressServer({
     protocol,
-    submissions: new JobSubmissionService({ store, owner, clock, logger }),
+    submissions: new JobSubmissionService({
+      store,
+      owner,
+      clock,
+      logger,
+      getMaxUnofferedBytes: () =>
+        computeMemoryLimits(members.getSmallestHeapBytes()).unofferedBytes /
+        (1 + members.listPeerAddresses().length),
+    }),
     clock,
     logger,
     getConfiguration: () => configuration.getConfiguration(),
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonMembers.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonMembers.ts
@@ -12,9 +12,15 @@
 /** Delay after a failure, in ms. */
 const RETRY_DELAY_MS = 500;
 
-const memberRow = z.object({ address: z.string() });
+const memberRow = z.object({
+  address: z.string(),
+  /** Limit of the process's heap, in bytes; older builds store none. */
+  heapBytes: z.number().positive().optional(),
+});
 
-/** Tracks the addresses at which the other processes serve their peers. */
+type MemberRow = z.infer<typeof memberRow>;
+
+/** Tracks the addresses at which the other processes serve their peers, and their memory. */
 export class MemberDirectory {
   readonly #store: WatchableTableService;
 
@@ -26,7 +32,9 @@
 
   readonly #address: string;
 
-  #peerAddresses: readonly string[] = [];
+  readonly #heapBytes: number;
+
+  #peers: readonly MemberRow[] = [];
 
   constructor(options: {
     readonly store: WatchableTableService;
@@ -34,17 +42,28 @@
     readonly logger: Logger;
     readonly name: string;
     readonly address: string;
+    /** Limit of the heap of this process, in bytes. */
+    readonly heapBytes: number;
   }) {
     this.#store = options.store;
     this.#clock = options.clock;
     this.#logger = options.logger;
     this.#name = options.name;
     this.#address = options.address;
+    this.#heapBytes = options.heapBytes;
   }
 
   /** Lists the addresses of the other processes as last read; some may no longer be running. */
   listPeerAddresses(): readonly string[] {
-    return this.#peerAddresses;
+    return this.#peers.map(({ address }) => address);
+  }
+
+  /** Returns the smallest limit of the heap of any process, as far as known, in bytes. */
+  getSmallestHeapBytes(): number {
+    return Math.min(
+      this.#heapBytes,
+      ...this.#peers.map(({ heapBytes }) => heapBytes ?? this.#heapBytes),
+    );
   }
 
   /** Registers this process as a member and reads the other members until `signal` is aborted. */
@@ -54,10 +73,10 @@
       isRegistered ||= await this.#registerMember();
       const page = await this.#store.list({ table: MEMBERS_TABLE });
       if (page.ok) {
-        this.#peerAddresses = page.value.rows
+        this.#peers = page.value.rows
           .filter(({ key }) => key !== this.#name)
-          .map(({ value }) => memberRow.safeParse(value).data?.address ?? null)
-          .filter((address) => address !== null);
+          .map(({ value }) => memberRow.safeParse(value).data ?? null)
+          .filter((row) => row !== null);
       } else {
         this.#logger.recordWarning('members-not-read', { reason: page.error.kind });
       }
@@ -66,7 +85,7 @@
   }
 
   async #registerMember(): Promise<boolean> {
-    const value = { address: this.#address };
+    const value = { address: this.#address, heapBytes: this.#heapBytes };
     const reply = await this.#store.commit({
       conditions: [],
       writes: [{ table: MEMBERS_TABLE, key: this.#name, value }],
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonStatus.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonStatus.ts
@@ -1,10 +1,10 @@
 import type { TermContext } from '@baobabwell/controller';
-import type { Job, JobState, RunPhase, Step } from '@baobabwell/jobs';
+import type { Job, RunPhase } from '@baobabwell/jobs';
 import type { Owner } from '@baobabwell/ownership';
 import type { FastifyInstance } from 'fastify';
 
 import { listEvacuationReports } from '@baobabwell/controller';
-import { TaskPhase } from '@baobabwell/jobs';
+import { countTasks, JobState } from '@baobabwell/jobs';
 
 const HTTP_NOT_FOUND = 404;
 const HTTP_CONFLICT = 409;
@@ -62,17 +62,10 @@
   readonly getContext: () => TermContext | null;
 };
 
-function countTasks(steps: readonly Step[], phase: TaskPhase): number {
-  return steps.reduce(
-    (sum, { tasks }) => sum + tasks.filter((task) => task.phase === phase).length,
-    0,
-  );
-}
-
 function buildJobStatus({ jobRegistry, clock }: TermContext, job: Job): JobStatus {
   const { id, queue, organisation, acceptedAtMs, spec } = job.record;
   const steps = job.listSteps();
-  const tasksPerOccurrence = spec.steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
+  const tasksPerOccurrence = countTasks(spec);
   return {
     id,
     queue,
@@ -80,8 +73,11 @@
     state: job.getVisibleState(),
     ageMs: Math.round(clock.getWallTime() - acceptedAtMs),
     taskCount: tasksPerOccurrence * job.countOccurrences(),
-    doneCount: countTasks(steps, TaskPhase.Done),
-    waitingCount: countTasks(steps, TaskPhase.Waiting),
+    doneCount:
+      job.state === JobState.Completed
+        ? tasksPerOccurrence * job.countOccurrences()
+        : steps.reduce((sum, step) => sum + step.doneCount, 0),
+    waitingCount: steps.reduce((sum, step) => sum + step.waitingCount, 0),
     runCount: jobRegistry.listRuns(job).length,
   };
 }
--- a/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
@@ -8,6 +8,7 @@
 import type { JsonValue, WatchableTableService } from '@baobabwell/platform';
 import type { Clock, Deadline } from '@baobabwell/utils';
 
+import { estimateJobBytes } from '@baobabwell/jobs';
 import { TableErrorKind } from '@baobabwell/platform';
 
 import { findJobRows } from './BaobabwellIngressJobRows';
@@ -21,6 +22,9 @@
 /** Retry delay sent to callers while the store is unavailable, in ms; such outages are short. */
 const STORE_RETRY_AFTER_MS = 1_000;
 
+/** Retry delay sent to callers while no owner answers, in ms; a takeover takes about as long. */
+const OWNER_RETRY_AFTER_MS = 3_000;
+
 /** Number of reads that try to resolve a commit with an unknown outcome. */
 const RESOLVE_ATTEMPTS = 3;
 
@@ -54,6 +58,11 @@
 
   readonly #waitingCounts: WaitingCounts;
 
+  readonly #getMaxUnofferedBytes: () => number;
+
+  /** Memory of the jobs that were stored since the owner last answered an offer, in bytes. */
+  #unofferedBytes = 0;
+
   /** Monotonic time at which a job was last sent to the store, unless it refused the job, in ms. */
   readonly #unclearAtMs = new Map<string, number>();
 
@@ -62,11 +71,16 @@
     readonly owner: OwnerClient;
     readonly clock: Clock;
     readonly logger: Logger;
+    /**
+     * Returns the memory of the jobs that this process may store while no owner answers offers, in bytes.
+     */
+    readonly getMaxUnofferedBytes: () => number;
   }) {
     this.#store = options.store;
     this.#owner = options.owner;
     this.#clock = options.clock;
     this.#logger = options.logger;
+    this.#getMaxUnofferedBytes = options.getMaxUnofferedBytes;
     this.#states = new JobStateReader(options);
     this.#waitingCounts = new WaitingCounts(options.owner, options.clock);
   }
@@ -121,26 +135,48 @@
       const { reason, retryAfterMs } = offer;
       return { kind: AnswerKind.Refused, reason, retryAfterMs };
     }
-    const earlier =
-      offer === null ? this.#refusals.find(demand, this.#clock.getNow(), false) : null;
+    if (offer !== null) {
+      this.#unofferedBytes = 0;
+      return this.#storeJob(record, call);
+    }
+    const earlier = this.#refusals.find(demand, this.#clock.getNow(), false);
     return earlier === null
-      ? this.#storeJob(record, call)
+      ? this.#storeUnoffered(record, call)
       : this.#refuseKnown(jobId, earlier, deadline);
   }
 
+  /** Stores a job that no owner admitted, unless the next owner might lack memory for it. */
+  async #storeUnoffered(record: JobRecord, call: OpenCall): Promise<Answer> {
+    const bytes = estimateJobBytes(record.spec);
+    if (this.#unofferedBytes + bytes > this.#getMaxUnofferedBytes()) {
+      const known = { retryAfterMs: OWNER_RETRY_AFTER_MS, kind: AnswerKind.Unavailable } as const;
+      const reason = 'no owner answers, and too much was accepted without one';
+      return this.#refuseUnlessStored(record.id, { ...known, reason }, call.deadline);
+    }
+    this.#unofferedBytes += bytes;
+    return this.#storeJob(record, call);
+  }
+
   /** Refuses a job as the owner refused a like one, unless an earlier call stored it. */
   async #refuseKnown(
     jobId: string,
     { retryAfterMs }: RecentRefusal,
     deadline: Deadline,
   ): Promise<Answer> {
+    const reason = 'like jobs were refused a moment ago';
+    return this.#refuseUnlessStored(
+      jobId,
+      { kind: AnswerKind.Refused, reason, retryAfterMs },
+      deadline,
+    );
+  }
+
+  async #refuseUnlessStored(jobId: string, refusal: Answer, deadline: Deadline): Promise<Answer> {
     const rows = await findJobRows(this.#store, jobId, deadline);
     if (rows === null) {
       return this.#createUnavailableAnswer('submit');
     }
-    return rows.isStored
-      ? { kind: AnswerKind.Accepted }
-      : { kind: AnswerKind.Refused, reason: 'like jobs were refused a moment ago', retryAfterMs };
+    return rows.isStored ? { kind: AnswerKind.Accepted } : refusal;
   }
 
   async #storeJob(record: JobRecord, call: OpenCall): Promise<Answer> {
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressDeadlines.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressDeadlines.test.ts
@@ -87,6 +87,7 @@
       owner,
       clock: time,
       logger: new Logger(LogLevel.Error, {}, () => undefined),
+      getMaxUnofferedBytes: () => Infinity,
     });
   });
 
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressJobSubmissionService.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressJobSubmissionService.test.ts
@@ -6,7 +6,7 @@
 
 import { EmulatedTime } from '@baobabwell/emulator';
 import { EmulatedJobStore, EmulatedRows, NO_STORE_FAULTS } from '@baobabwell/job-emulator';
-import { JobState } from '@baobabwell/jobs';
+import { estimateJobBytes, JobState } from '@baobabwell/jobs';
 import { Logger, LogLevel } from '@baobabwell/logging';
 import { Deadline, Random } from '@baobabwell/utils';
 
@@ -60,6 +60,7 @@
 describe('JobSubmissionService', () => {
   let time: EmulatedTime;
   let rows: EmulatedRows;
+  let maxUnofferedBytes: number;
 
   function createService(
     offer: OfferReply | null = { isWanted: true, refusals: [] },
@@ -69,6 +70,7 @@
       owner: new ScriptedOwner(offer),
       clock: time,
       logger: new Logger(LogLevel.Error, {}, () => undefined),
+      getMaxUnofferedBytes: () => maxUnofferedBytes,
     });
   }
 
@@ -94,6 +96,7 @@
   beforeEach(() => {
     time = new EmulatedTime();
     rows = new EmulatedRows();
+    maxUnofferedBytes = Infinity;
   });
 
   it('accepts a job once it is stored, and accepts its repeated submission', async () => {
@@ -106,6 +109,24 @@
     expect(await submit(createService(null))).toEqual(AnswerKind.Accepted);
   });
 
+  // Guards against an owner that ends for want of memory: nobody sums what is stored without an owner.
+  it('refuses what a later owner may lack memory for while none answers, and nothing that is stored', async () => {
+    maxUnofferedBytes = 2 * estimateJobBytes(SPEC);
+    const service = createService(null);
+    const ids = [1, 2, 3].map((number) => `00000000000000a${number}`);
+    const answers: AnswerKind[] = [];
+    for (const id of [...ids, ids[0] ?? '']) {
+      answers.push(await submit(service, id));
+    }
+    expect(answers).toEqual([
+      AnswerKind.Accepted,
+      AnswerKind.Accepted,
+      AnswerKind.Unavailable,
+      AnswerKind.Accepted,
+    ]);
+    expect(await readState(ids[2] ?? '')).toEqual(AnswerKind.UnknownJob);
+  });
+
   it('does not store a refused job', async () => {
     const refusal = { isWanted: false, reason: 'full', retryAfterMs: 1_000, refusals: [] } as const;
     expect(await submit(createService(refusal))).toEqual(AnswerKind.Refused);
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
@@ -143,6 +143,7 @@
         owner,
         clock: time,
         logger,
+        getMaxUnofferedBytes: () => Infinity,
       }),
       clock: time,
       logger,
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -11,6 +11,7 @@
 import { EmulatedTime } from '@baobabwell/emulator';
 import { findQueueByName } from '@baobabwell/fleet';
 import { CANCELLED_SUFFIX, getJobPartition, JOBS_TABLE } from '@baobabwell/ingress';
+import { computeMemoryLimits } from '@baobabwell/jobs';
 import { Logger, LogLevel } from '@baobabwell/logging';
 import { DaemonMetrics } from '@baobabwell/metrics';
 import { Ownership } from '@baobabwell/ownership';
@@ -71,6 +72,9 @@
 /** Longest time in which a process releases its ownership, in ms. */
 const STOP_LIMIT_MS = 2_000;
 
+/** Limit of the heap of a process, in bytes. */
+const HEAP_BYTES = 200_000_000;
+
 /** Time after which an offer counts as unanswered, in ms. */
 const OFFER_TIMEOUT_MS = 1_000;
 
@@ -105,6 +109,9 @@
   /** The operator's configuration, in force at once. */
   configuration = CONFIGURATION;
 
+  /** What an owner may keep in memory. */
+  memoryLimits = computeMemoryLimits(HEAP_BYTES);
+
   /** What the activities of processes started later cost. */
   processorCosts: ProcessorCosts = NO_PROCESSOR_COSTS;
 
@@ -245,6 +252,7 @@
       ownership,
       peerReports: new EmulatedPeerReports(name, this.#daemons, this.processesWithoutPeers),
       getConfiguration: () => this.configuration,
+      getMemoryLimits: () => this.memoryLimits,
     });
     this.#daemons.set(name, { name, clock, processor, ownership, controller, store });
     void ownership.run();
@@ -416,8 +424,9 @@
    */
   async submitOffered(
     steps: readonly Partial<StepSpec>[],
+    repeat: RepeatSpec | null = null,
   ): Promise<{ readonly id: string; readonly offer: OfferReply | null }> {
-    const record = this.#createRecord(steps, null);
+    const record = this.#createRecord(steps, repeat);
     const offer = await Promise.race([
       this.#offerRecord(record),
       this.time.wait(OFFER_TIMEOUT_MS).then(() => null),
--- a/packages/baobabwell-jobs/src/BaobabwellJobsCrashes.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsCrashes.ts
@@ -18,6 +18,8 @@
 /** Time for which a host that refused connections may return and show that it did not crash, in ms. */
 const REFUTATION_MS = 10_000;
 
+const NO_RUNS: readonly number[] = [];
+
 /** A crash as far as it is known when it is recorded. */
 export type CrashEvidence = {
   /** No other task can have caused the crash. */
@@ -28,15 +30,15 @@
 
 /** The crashes of hosts for which a task may be the cause, by the numbers of its runs there. */
 export class TaskCrashes {
-  #runs: readonly number[] = [];
+  #runs = NO_RUNS;
 
-  #attributedRuns: readonly number[] = [];
+  #attributedRuns = NO_RUNS;
 
   /** Those of the latest runs whose hosts may still return, with the time until which they may, in ms. */
-  readonly #refutableRuns = new Map<number, RunOnHost & { readonly untilMs: number }>();
+  #refutableRuns: Map<number, RunOnHost & { readonly untilMs: number }> | null = null;
 
   /** Runs on hosts that are silent: they have crashed, or nothing reaches them. */
-  readonly #unconfirmedRuns = new Map<number, RunOnHost>();
+  #unconfirmedRuns: Map<number, RunOnHost> | null = null;
 
   /** Latest runs under which a host crashed: as many as suffice to give a task up. */
   get runs(): readonly number[] {
@@ -50,16 +52,16 @@
 
   /** Runs whose hosts are silent and may have crashed under them. */
   get unconfirmedRuns(): readonly RunOnHost[] {
-    return [...this.#unconfirmedRuns.values()];
+    return [...(this.#unconfirmedRuns?.values() ?? [])];
   }
 
   /** Runs under which a host is taken for crashed that may still return. */
   get refutableRuns(): readonly RunOnHost[] {
-    return [...this.#refutableRuns.values()];
+    return [...(this.#refutableRuns?.values() ?? [])];
   }
 
   get suspicion(): CrashSuspicion {
-    const count = this.#runs.length + this.#unconfirmedRuns.size;
+    const count = this.#runs.length + (this.#unconfirmedRuns?.size ?? 0);
     if (count === 0) {
       return CrashSuspicion.None;
     }
@@ -75,13 +77,13 @@
 
   /** True when the task has crashed so many hosts that it must not be started again. */
   get areFinal(): boolean {
-    const certain = this.#runs.filter((runNumber) => !this.#refutableRuns.has(runNumber));
+    const certain = this.#runs.filter((runNumber) => this.#refutableRuns?.has(runNumber) !== true);
     return certain.length + this.#attributedRuns.length >= MAX_CRASHES;
   }
 
   /** Records that a host crashed under a run; returns false if that was recorded before. */
   record(run: RunOnHost, { isAttributed, isRefutable }: CrashEvidence, nowMs: number): boolean {
-    this.#unconfirmedRuns.delete(run.number);
+    this.#unconfirmedRuns?.delete(run.number);
     if (this.#runs.includes(run.number)) {
       return false;
     }
@@ -100,35 +102,37 @@
     const refuted = this.refutableRuns
       .filter((run) => run.hostId === hostId && run.hostBornMs === bornMs)
       .map(({ number }) => number);
-    refuted.forEach((runNumber) => this.#refutableRuns.delete(runNumber));
+    refuted.forEach((runNumber) => this.#refutableRuns?.delete(runNumber));
     this.#runs = this.#runs.filter((runNumber) => !refuted.includes(runNumber));
     return refuted;
   }
 
   /** Makes the crashes final whose hosts have not returned in time. */
   settle(nowMs: number): void {
-    this.#refutableRuns.forEach(({ untilMs }, runNumber) => {
+    this.#refutableRuns?.forEach(({ untilMs }, runNumber) => {
       if (nowMs >= untilMs) {
-        this.#refutableRuns.delete(runNumber);
+        this.#refutableRuns?.delete(runNumber);
       }
     });
   }
 
   #addRefutable({ number, hostId, hostBornMs }: RunOnHost, nowMs: number): void {
     const untilMs = nowMs + REFUTATION_MS;
+    this.#refutableRuns ??= new Map();
     this.#refutableRuns.set(number, { number, hostId, hostBornMs, untilMs });
   }
 
   /** Adds a run whose host is silent and may have crashed under it. */
   addUnconfirmed(run: RunOnHost): void {
     if (!this.#runs.includes(run.number)) {
+      this.#unconfirmedRuns ??= new Map();
       this.#unconfirmedRuns.set(run.number, run);
     }
   }
 
   /** Removes a run whose host turned out not to have crashed under it. */
   removeUnconfirmed(runNumber: number): void {
-    this.#unconfirmedRuns.delete(runNumber);
+    this.#unconfirmedRuns?.delete(runNumber);
   }
 
   /** Restores crashes that a former owner stored; hosts that may return have the whole time again. */
--- a/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
@@ -4,6 +4,7 @@
 import type { Run, Step, Task } from './BaobabwellJobsTracking';
 
 import { CrashSuspicion } from './BaobabwellJobsCrashes';
+import { countLongRunningTasks, getMaxOpenOccurrences, TaskBudget } from './BaobabwellJobsMemory';
 import { JobState, parseTaskName, RunEnd } from './BaobabwellJobsModel';
 import { restoreJobProgress } from './BaobabwellJobsRows';
 import { isEnded, Job, TaskPhase } from './BaobabwellJobsTracking';
@@ -49,6 +50,17 @@
   /** Jobs that ended while runs of theirs may have existed. */
   readonly #endedJobs = new Set<Job>();
 
+  /** Jobs that have ended and are still tracked in full. */
+  readonly #detailedJobs = new Set<Job>();
+
+  /** Memory that the jobs which have not ended take at most, in bytes. */
+  #openBytes = 0;
+
+  /** The same of all jobs that have ended so far. */
+  #endedBytes = 0;
+
+  #openLongRunningTasks = 0;
+
   /** Jobs that were added lately, ended ones included. */
   #newJobs: Job[] = [];
 
@@ -62,8 +74,30 @@
 
   readonly #findRules: (record: JobRecord) => QueueRules | null;
 
-  constructor(findRules: (record: JobRecord) => QueueRules | null) {
+  readonly #budget: TaskBudget;
+
+  /** @param budget counts the tasks that are tracked one by one. */
+  constructor(
+    findRules: (record: JobRecord) => QueueRules | null,
+    budget = new TaskBudget(Infinity),
+  ) {
     this.#findRules = findRules;
+    this.#budget = budget;
+  }
+
+  /** Memory that the jobs which have not ended take at most, in bytes. */
+  get openBytes(): number {
+    return this.#openBytes;
+  }
+
+  /** The same of all jobs that have ended so far, in bytes. */
+  get endedBytes(): number {
+    return this.#endedBytes;
+  }
+
+  /** Number of long running tasks of jobs that have not ended. */
+  get openLongRunningTasks(): number {
+    return this.#openLongRunningTasks;
   }
 
   /** Adds an accepted job, or returns the job unchanged if it is already tracked. */
@@ -72,10 +106,12 @@
     if (existing !== undefined) {
       return existing;
     }
-    const job = new Job(record, version);
+    const job = new Job(record, version, this.#budget);
     this.#jobs.set(record.id, job);
     this.#openJobs.add(job);
     this.#newJobs.push(job);
+    this.#openBytes += job.bytes;
+    this.#openLongRunningTasks += countLongRunningTasks(record.spec);
     return job;
   }
 
@@ -88,7 +124,7 @@
     restored.progressVersion = version;
     if (isEnded(progress.state)) {
       restored.hadEnded = true;
-      restored.end(progress.state, nowMs);
+      this.#recordEnd(restored, progress.state, nowMs);
     } else {
       restored.state = progress.state;
     }
@@ -118,6 +154,9 @@
     if (parsed === null || job === null || parsed.occurrence >= job.countOccurrences()) {
       return null;
     }
+    if (job.isEnded) {
+      this.#detailedJobs.add(job);
+    }
     return job.getOccurrence(parsed.occurrence)[parsed.step]?.tasks[parsed.index] ?? null;
   }
 
@@ -155,13 +194,33 @@
   }
 
   #endJob(job: Job, state: JobState, nowMs: number): void {
-    job.end(state, nowMs);
+    this.#recordEnd(job, state, nowMs);
     this.#endedJobs.add(job);
   }
 
+  #recordEnd(job: Job, state: JobState, nowMs: number): void {
+    job.end(state, nowMs);
+    this.#detailedJobs.add(job);
+    this.#openBytes -= job.bytes;
+    this.#endedBytes += job.bytes;
+    this.#openLongRunningTasks -= countLongRunningTasks(job.record.spec);
+  }
+
+  /** Keeps of the jobs whose end is stored, and of which no run can exist any more, what answers a caller. */
+  compactEndedJobs(): void {
+    this.#detailedJobs.forEach((job) => {
+      const isSettled = isEnded(job.storedState) && !this.#endedJobs.has(job);
+      if (isSettled && job.compact()) {
+        this.#detailedJobs.delete(job);
+      }
+    });
+  }
+
   /** Removes a job that callers no longer query. */
   removeJob(job: Job): void {
     this.#endedJobs.delete(job);
+    this.#detailedJobs.delete(job);
+    job.compact();
     this.#openJobs.delete(job);
     this.#jobs.delete(job.record.id);
   }
@@ -191,16 +250,27 @@
     return job.isEnded ? [] : this.listDueSteps(job, wallTimeMs);
   }
 
-  /** Lists the same steps, also of a job that has ended: those of which runs may exist. */
+  /**
+   * Lists the same steps, also of a job that has ended: those of which runs may exist. Due occurrences are worked
+   * off some at a time, and those of all jobs as far as memory suffices.
+   */
   listDueSteps(job: Job, wallTimeMs: number): readonly Step[] {
     const { repeat } = job.record.spec;
+    const { doneOccurrences } = job;
     const ready: Step[] = [];
-    for (let occurrence = 0; occurrence < job.countOccurrences(); occurrence += 1) {
-      if (repeat !== null && wallTimeMs < repeat.firstDueMs + occurrence * repeat.intervalMs) {
+    const count = job.countOccurrences();
+    let leftCount = getMaxOpenOccurrences(job.record.spec);
+    for (let next = doneOccurrences.firstMissing; next < count && leftCount > 0; next += 1) {
+      const isDue = repeat === null || wallTimeMs >= repeat.firstDueMs + next * repeat.intervalMs;
+      if (!isDue) {
         break;
       }
-      if (!job.doneOccurrences.has(occurrence)) {
-        ready.push(...this.#filterReadySteps(job.getOccurrence(occurrence)));
+      if (!doneOccurrences.has(next)) {
+        if (!job.canTrack(next)) {
+          break;
+        }
+        leftCount -= 1;
+        ready.push(...this.#filterReadySteps(job.getOccurrence(next)));
       }
     }
     return ready;
@@ -233,11 +303,15 @@
     if (checkpoint !== '') {
       task.checkpoint = checkpoint;
     }
-    const { job } = task.step;
+    const { job, occurrence } = task.step;
     job.hasRun = true;
     if (job.isEnded) {
       return RunEndEffect.None;
     }
+    if (job.doneOccurrences.has(occurrence)) {
+      job.removeOccurrence(occurrence);
+      return RunEndEffect.None;
+    }
     if (end === RunEnd.Done) {
       return this.#applyDone(task, nowMs);
     }
@@ -245,7 +319,7 @@
       return this.#applyFailure(run, nowMs);
     }
     if (end === RunEnd.Failed) {
-      task.avoidedHosts.add(run.hostId);
+      task.addAvoidedHost(run.hostId);
     }
     return RunEndEffect.Requeued;
   }
@@ -266,6 +340,8 @@
       job.doneOccurrences.add(step.occurrence);
       if (job.doneOccurrences.size === job.countOccurrences()) {
         this.#endJob(job, JobState.Completed, nowMs);
+      } else {
+        job.removeOccurrence(step.occurrence);
       }
     }
     return RunEndEffect.TaskDone;
@@ -277,7 +353,7 @@
     if (!task.recordFailure(run.number)) {
       return RunEndEffect.Requeued;
     }
-    task.avoidedHosts.add(run.hostId);
+    task.addAvoidedHost(run.hostId);
     this.addUnsavedJob(job);
     this.#undecidedTasks.add(task);
     if (this.#failFailingTask(task, nowMs)) {
--- a/packages/baobabwell-jobs/src/BaobabwellJobsRows.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRows.ts
@@ -9,6 +9,9 @@
 
 const HEX = 16;
 
+/** Bits of a hexadecimal digit. */
+const DIGIT_BITS = 4;
+
 /**
  * Number of occurrences up to which they are listed one by one, as older builds read them. The longest list
  * stays under the 64 KiB that the store takes for a row.
@@ -73,6 +76,29 @@
   return parsed.success ? parsed.data : null;
 }
 
+/** Formats the tasks that are done as a bit set in hexadecimal, the first task in its lowest bit. */
+function formatDone(tasks: readonly Task[]): string {
+  const digits: string[] = [];
+  let digit = 0;
+  tasks.forEach(({ phase }, index) => {
+    digit += phase === TaskPhase.Done ? 2 ** (index % DIGIT_BITS) : 0;
+    if (index % DIGIT_BITS === DIGIT_BITS - 1 || index === tasks.length - 1) {
+      digits.push(digit.toString(HEX));
+      digit = 0;
+    }
+  });
+  return digits
+    .toReversed()
+    .join('')
+    .replace(/^0+(?=.)/, '');
+}
+
+/** Returns true if the task with an index is in such a bit set. */
+function isInDone(done: string, index: number): boolean {
+  const digit = done.at(-1 - Math.floor(index / DIGIT_BITS)) ?? '0';
+  return Math.floor(parseInt(digit, HEX) / 2 ** (index % DIGIT_BITS)) % 2 === 1;
+}
+
 function createRunOnHost({ number, hostId, hostBornMs }: RunOnHost): z.infer<typeof runOnHost> {
   return { run: number, hostId, bornMs: hostBornMs };
 }
@@ -95,10 +121,6 @@
     return { done: '0', tasks: [], ...leftoverField };
   }
   const { tasks } = step;
-  let bits = 0n;
-  tasks.forEach(({ phase }, index) => {
-    bits += phase === TaskPhase.Done ? 2n ** BigInt(index) : 0n;
-  });
   const crashes = tasks
     .filter(
       ({ phase, crashes: { suspicion } }) =>
@@ -106,7 +128,7 @@
     )
     .map(createTaskCrashes);
   return {
-    done: bits.toString(HEX),
+    done: formatDone(tasks),
     tasks: tasks
       .filter(
         ({ phase, failedRuns, checkpoint }) =>
@@ -128,28 +150,16 @@
   return done !== '0' || tasks.length > 0 || crashes !== undefined || leftover !== undefined;
 }
 
-function createRanges(numbers: ReadonlySet<number>): [number, number][] {
-  const ranges: [number, number][] = [];
-  [...numbers]
-    .toSorted((left, right) => left - right)
-    .forEach((number) => {
-      const last = ranges.at(-1);
-      if (last?.[1] === number - 1) {
-        last[1] = number;
-      } else {
-        ranges.push([number, number]);
-      }
-    });
-  return ranges;
-}
-
 /** Creates the fields for the occurrences that are done. */
 function createDoneOccurrences({
   doneOccurrences,
 }: Job): Pick<JobProgress, 'doneOccurrences' | 'doneRanges'> {
   return doneOccurrences.size <= MAX_LISTED_OCCURRENCES
-    ? { doneOccurrences: [...doneOccurrences] }
-    : { doneOccurrences: [], doneRanges: createRanges(doneOccurrences) };
+    ? { doneOccurrences: [...doneOccurrences.list()] }
+    : {
+        doneOccurrences: [],
+        doneRanges: doneOccurrences.listRanges().map(([first, last]) => [first, last]),
+      };
 }
 
 /**
@@ -158,7 +168,6 @@
  */
 export function createJobProgress(job: Job, leftoverRuns: LeftoverRuns = new Map()): JobProgress {
   const hasLeftover = (step: Step): boolean => (leftoverRuns.get(step) ?? 0) > 0;
-  const listsAll = job.countOccurrences() <= MAX_LISTED_OCCURRENCES;
   return {
     state: job.state,
     ...createDoneOccurrences(job),
@@ -171,17 +180,14 @@
         occurrence,
         steps.map((step) => createStepProgress(step, leftoverRuns)),
       ])
-      .filter(([, steps]) => listsAll || steps.some(hasDetail)),
+      .filter(([, steps]) => steps.some(hasDetail)),
   };
 }
 
 function restoreStepProgress(step: Step, row: z.infer<typeof stepProgress>, nowMs: number): void {
   const restored = step;
   restored.formerLeftoverCount = row.leftover ?? 0;
-  const bits = BigInt(`0x${row.done}`);
-  step.tasks
-    .filter((_, index) => (bits / 2n ** BigInt(index)) % 2n === 1n)
-    .forEach((task) => task.recordDone());
+  step.tasks.filter((_, index) => isInDone(row.done, index)).forEach((task) => task.recordDone());
   row.tasks.forEach(([index, lastRun, failedRuns, checkpoint]) =>
     step.tasks[index]?.restoreProgress(lastRun, failedRuns, checkpoint),
   );
@@ -202,11 +208,7 @@
 /** Restores the progress of a job that was just read from its persisted row. */
 export function restoreJobProgress(job: Job, progress: JobProgress, nowMs: number): void {
   progress.doneOccurrences.forEach((occurrence) => job.doneOccurrences.add(occurrence));
-  progress.doneRanges?.forEach(([first, last]) => {
-    for (let occurrence = first; occurrence <= last; occurrence += 1) {
-      job.doneOccurrences.add(occurrence);
-    }
-  });
+  progress.doneRanges?.forEach(([first, last]) => job.doneOccurrences.addRange(first, last));
   progress.occurrences.forEach(([occurrence, stepRows]) => {
     job.getOccurrence(occurrence).forEach((step, position) => {
       const row = stepRows[position];
--- a/packages/baobabwell-jobs/src/BaobabwellJobsTracking.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsTracking.ts
@@ -1,7 +1,15 @@
 import type { JobRecord, StepSpec, StoredStart } from './BaobabwellJobsModel';
 
 import { TaskCrashes } from './BaobabwellJobsCrashes';
+import { countTasks, estimateJobBytes, TaskBudget } from './BaobabwellJobsMemory';
 import { formatTaskName, JobState } from './BaobabwellJobsModel';
+import { OccurrenceSet } from './BaobabwellJobsOccurrences';
+
+// A task that nothing has happened to shares these, as most of the tasks that wait and that are done.
+const NO_RUNS: ReadonlySet<Run> = new Set();
+const NO_NUMBERS: readonly number[] = [];
+const NO_HOSTS: ReadonlySet<string> = new Set();
+const NO_STARTS: readonly StoredStart[] = [];
 
 /** Phase of a task. */
 export enum TaskPhase {
@@ -63,6 +71,8 @@
   /** True for a run that resumes from a checkpoint. */
   readonly isResumed: boolean;
 
+  readonly key: string;
+
   /** Monotonic time at which progress last rose, in ms. */
   progressedAtMs: number;
 
@@ -75,10 +85,7 @@
   ) {
     this.progressedAtMs = startSentAtMs;
     this.isResumed = task.checkpoint !== '';
-  }
-
-  get key(): string {
-    return `${this.task.name}#${this.number}`;
+    this.key = `${task.name}#${number}`;
   }
 
   /** Records the progress and the reading that the host reported for the run. */
@@ -97,27 +104,24 @@
 
 /** A task with all its runs that may exist on hosts. */
 export class Task {
-  readonly name: string;
-
   phase = TaskPhase.Waiting;
 
   /** Numbers of the runs that ended as failed. */
-  failedRuns: readonly number[] = [];
+  failedRuns = NO_NUMBERS;
 
   lastRun = 0;
 
   checkpoint = '';
 
-  readonly runs = new Set<Run>();
+  #runs = NO_RUNS;
 
-  /** Hosts on which a run of this task failed; other hosts are preferred. */
-  readonly avoidedHosts = new Set<string>();
+  #avoidedHosts = NO_HOSTS;
 
   /** Crashes of hosts that the task may have caused. */
   readonly crashes = new TaskCrashes();
 
   /** Runs that a former owner stored before their start, until they are tracked. */
-  storedStarts: readonly StoredStart[] = [];
+  storedStarts = NO_STARTS;
 
   /** Monotonic time before which the task is not started again, in ms. */
   notBeforeMs = 0;
@@ -125,9 +129,31 @@
   constructor(
     readonly step: Step,
     readonly index: number,
-  ) {
-    const { job, occurrence, position } = step;
-    this.name = formatTaskName({ jobId: job.record.id, occurrence, step: position, index });
+  ) {}
+
+  get name(): string {
+    const { job, occurrence, position } = this.step;
+    return formatTaskName({
+      jobId: job.record.id,
+      occurrence,
+      step: position,
+      index: this.index,
+    });
+  }
+
+  /** Runs that may exist on hosts. */
+  get runs(): ReadonlySet<Run> {
+    return this.#runs;
+  }
+
+  /** Hosts on which a run of this task failed; other hosts are preferred. */
+  get avoidedHosts(): ReadonlySet<string> {
+    return this.#avoidedHosts;
+  }
+
+  /** Adds a host that other hosts are preferred to. */
+  addAvoidedHost(hostId: string): void {
+    this.#avoidedHosts = new Set([...this.#avoidedHosts, hostId]);
   }
 
   /** True while the task is not started because it has probably crashed too many hosts. */
@@ -138,7 +164,7 @@
   /** Adds a run with the given number. */
   addRun(hostId: string, number: number, nowMs: number): Run {
     const run = new Run(this, number, hostId, nowMs);
-    this.runs.add(run);
+    this.#runs = new Set([...this.#runs, run]);
     this.lastRun = Math.max(this.lastRun, number);
     if (this.phase === TaskPhase.Waiting) {
       this.phase = TaskPhase.Placed;
@@ -150,9 +176,11 @@
 
   /** Removes a run that can no longer exist on its host. */
   removeRun(run: Run): void {
-    if (!this.runs.delete(run)) {
+    if (!this.#runs.has(run)) {
       return;
     }
+    this.#runs =
+      this.#runs.size === 1 ? NO_RUNS : new Set([...this.#runs].filter((other) => other !== run));
     this.step.addRunsOnHost(run.hostId, -1);
     if (this.phase === TaskPhase.Placed && this.runs.size === 0) {
       this.phase = TaskPhase.Waiting;
@@ -220,6 +248,16 @@
     return this.doneCount === this.spec.taskCount;
   }
 
+  /** Number of tasks of which at least one run may exist on a host. */
+  get placedCount(): number {
+    return this.spec.taskCount - this.doneCount - this.waitingCount;
+  }
+
+  /** Returns true while a run of the step may exist on a host. */
+  get hasRuns(): boolean {
+    return this.#runsByHost.size > 0;
+  }
+
   countRunsOnHost(hostId: string): number {
     return this.#runsByHost.get(hostId) ?? 0;
   }
@@ -251,9 +289,13 @@
 
 /** A job with the progress of its tasks. */
 export class Job {
+  /** The steps of the occurrences that are tracked task by task. */
   readonly occurrences = new Map<number, readonly Step[]>();
 
-  readonly doneOccurrences = new Set<number>();
+  readonly doneOccurrences = new OccurrenceSet();
+
+  /** Memory that the job takes at most, in bytes. */
+  readonly bytes: number;
 
   state = JobState.Queued;
 
@@ -275,11 +317,27 @@
   /** Monotonic time at which the job ended, in ms. */
   endedAtMs: number | null = null;
 
-  /** @param acceptedVersion version of the store at which the job was accepted. */
+  #record: JobRecord;
+
+  readonly #budget: TaskBudget;
+
+  /**
+   * @param acceptedVersion version of the store at which the job was accepted.
+   * @param budget counts the tasks that are tracked one by one.
+   */
   constructor(
-    readonly record: JobRecord,
+    record: JobRecord,
     readonly acceptedVersion: number,
-  ) {}
+    budget = new TaskBudget(Infinity),
+  ) {
+    this.#record = record;
+    this.#budget = budget;
+    this.bytes = estimateJobBytes(record.spec);
+  }
+
+  get record(): JobRecord {
+    return this.#record;
+  }
 
   get isEnded(): boolean {
     return isEnded(this.state);
@@ -290,6 +348,11 @@
     return this.record.spec.repeat?.count ?? 1;
   }
 
+  /** Returns true when the steps of an occurrence are tracked, or memory suffices to track them. */
+  canTrack(occurrence: number): boolean {
+    return this.occurrences.has(occurrence) || this.#budget.canAdd(countTasks(this.record.spec));
+  }
+
   /** Returns the steps of an occurrence; the first call creates them. */
   getOccurrence(occurrence: number): readonly Step[] {
     const existing = this.occurrences.get(occurrence);
@@ -299,10 +362,33 @@
     const steps = this.record.spec.steps.map(
       (spec, position) => new Step(this, occurrence, position, spec),
     );
+    if (this.doneOccurrences.has(occurrence)) {
+      steps.forEach(({ tasks }) => tasks.forEach((task) => task.recordDone()));
+    }
     this.occurrences.set(occurrence, steps);
+    this.#budget.add(countTasks(this.record.spec));
     return steps;
   }
 
+  /** Stops tracking the steps of an occurrence of which no run can exist any more. */
+  removeOccurrence(occurrence: number): void {
+    const steps = this.occurrences.get(occurrence);
+    const mayRun = steps?.some((step) => step.hasRuns || step.formerLeftoverCount > 0);
+    if (mayRun === false) {
+      this.occurrences.delete(occurrence);
+      this.#budget.remove(countTasks(this.record.spec));
+    }
+  }
+
+  /** Keeps of an ended job what answers a caller; returns false while runs of it may exist. */
+  compact(): boolean {
+    [...this.occurrences.keys()].forEach((occurrence) => this.removeOccurrence(occurrence));
+    if (this.#record.spec.payload !== '') {
+      this.#record = { ...this.#record, spec: { ...this.#record.spec, payload: '' } };
+    }
+    return this.occurrences.size === 0;
+  }
+
   /** Lists the steps of all occurrences that were created so far. */
   listSteps(): readonly Step[] {
     return [...this.occurrences.values()].flat();
--- a/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsRows.test.ts
+++ b/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsRows.test.ts
@@ -51,8 +51,7 @@
     if (row !== null) {
       later.restoreProgress(again, row, 2, 0);
     }
-    const sort = (numbers: ReadonlySet<number>) => [...numbers].toSorted((a, b) => a - b);
-    expect(sort(again.doneOccurrences)).toEqual(sort(job.doneOccurrences));
+    expect(again.doneOccurrences.list()).toEqual(job.doneOccurrences.list());
     const begun = again.getOccurrence(OCCURRENCES - 10)[0]?.tasks[0];
     expect([begun?.checkpoint, begun?.failedRuns]).toEqual(['half', [1]]);
     expect(later.listDueSteps(again, OCCURRENCES).map(({ occurrence }) => occurrence)).toEqual(
--- a/packages/baobabwell-jobs/src/index.ts
+++ b/packages/baobabwell-jobs/src/index.ts
@@ -12,11 +12,20 @@
   TaskName,
 } from './BaobabwellJobsModel';
 export type { QueueRules } from './BaobabwellJobsRegistry';
+export type { MemoryLimits } from './BaobabwellJobsMemory';
 export type { JobProgress, LeftoverRuns } from './BaobabwellJobsRows';
 
 export { decideCrashBlame } from './BaobabwellJobsCrashBlame';
 export { CrashSuspicion, TaskCrashes } from './BaobabwellJobsCrashes';
+export {
+  computeMemoryLimits,
+  countLongRunningTasks,
+  countTasks,
+  estimateJobBytes,
+  TaskBudget,
+} from './BaobabwellJobsMemory';
 export { formatTaskName, JobState, parseTaskName, RunEnd } from './BaobabwellJobsModel';
+export { OccurrenceSet } from './BaobabwellJobsOccurrences';
 export { JobRegistry, RunEndEffect } from './BaobabwellJobsRegistry';
 export { addResources, fitsInto, NO_RESOURCES } from './BaobabwellJobsResources';
 export { createJobProgress, parseJobProgress } from './BaobabwellJobsRows';
--- a/packages/baobabwell-placement/src/BaobabwellPlacement.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacement.ts
@@ -418,23 +418,55 @@
   return placements;
 }
 
+/** Lists waiting tasks of a step that may start now, at most a number of them. */
+function listWaiting({ tasks, waitingCount }: Step, nowMs: number, maxCount: number): Task[] {
+  const waiting: Task[] = [];
+  let leftCount = waitingCount;
+  for (const task of tasks) {
+    if (leftCount === 0 || waiting.length >= maxCount) {
+      break;
+    }
+    if (task.phase === TaskPhase.Waiting) {
+      leftCount -= 1;
+      if (task.notBeforeMs <= nowMs && !task.isWithheld) {
+        waiting.push(task);
+      }
+    }
+  }
+  return waiting;
+}
+
 /** Decides which waiting tasks start now and on which hosts. */
 export function decidePlacements(snapshot: PlacementSnapshot): readonly Placement[] {
   const tracker = new CapacityTracker(snapshot);
   const unplaced = new UnplacedRequirements();
+  const { left, total } = snapshot.startBudget ?? { left: Infinity, total: Infinity };
+  let budget = left;
+  const place = (step: Step, pool: string): readonly Placement[] => {
+    const { isGang, taskCount } = step.spec;
+    if (!isGang) {
+      // A wide step leaves half of what may start to the steps behind it.
+      const waiting = listWaiting(step, snapshot.nowMs, Math.ceil(budget / 2));
+      return placeTasks(step, waiting, pool, tracker, unplaced);
+    }
+    const waiting = listWaiting(step, snapshot.nowMs, Infinity);
+    if (waiting.length < taskCount) {
+      return [];
+    }
+    if (taskCount > budget && budget < total) {
+      // The members start together: steps behind them wait until enough orders are answered.
+      budget = 0;
+      return [];
+    }
+    return placeGang(step, waiting, pool, tracker);
+  };
   return snapshot.steps.flatMap(({ step, pool }) => {
     // Most steps of a full pool end here.
-    if (!tracker.mayFit(step, pool)) {
+    if (budget <= 0 || !tracker.mayFit(step, pool)) {
       return [];
     }
-    const waiting = step.tasks.filter(
-      ({ phase, notBeforeMs, isWithheld }) =>
-        phase === TaskPhase.Waiting && notBeforeMs <= snapshot.nowMs && !isWithheld,
-    );
-    if (step.spec.isGang) {
-      const isComplete = waiting.length === step.spec.taskCount;
-      return isComplete ? placeGang(step, waiting, pool, tracker) : [];
-    }
-    return placeTasks(step, waiting, pool, tracker, unplaced);
+    const placements = place(step, pool);
+    budget -= placements.length;
+    return placements;
   });
 }
--- a/packages/baobabwell-placement/src/BaobabwellPlacementAdmission.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacementAdmission.ts
@@ -43,8 +43,10 @@
 
 /** Reason for which a job is refused. */
 export enum RefusalCause {
-  /** A task is larger than any host. */
+  /** A task is larger than any host, or the job is larger than any owner can track. */
   TooLarge = 'too-large',
+  /** The owner has no memory left for the job. */
+  Memory = 'memory',
   /** The job could not be done in time. */
   TooLate = 'too-late',
   /** The job could not be done in time because of what its own organisation sent. */
--- a/packages/baobabwell-placement/src/BaobabwellPlacementModel.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacementModel.ts
@@ -36,6 +36,8 @@
   readonly nowMs: number;
   /** Hosts by pool. */
   readonly hosts: ReadonlyMap<string, readonly PlacementHost[]>;
+  /** Number of tasks that may be placed now, and when no start is pending. No limit if it is missing. */
+  readonly startBudget?: { readonly left: number; readonly total: number };
   /** False when no task may crash its hosts. */
   readonly hasSuspects?: boolean;
   /** Steps in the order in which their tasks are placed, with their pool. */
--- a/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacement.test.ts
+++ b/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacement.test.ts
@@ -138,4 +138,40 @@
     });
     expect(placed.map(({ hostId }) => hostId)).toEqual(['a1', 'a1', 'a3', 'a3']);
   });
+
+  describe('with a limit on starts', () => {
+    const tiny = { need: { cpuMillis: 1, memoryMb: 1, gpus: 0 } };
+
+    function countPlaced(
+      specs: readonly Partial<StepSpec>[],
+      startBudget: PlacementSnapshot['startBudget'],
+    ): Readonly<Record<string, number>> {
+      const counts: Record<string, number> = {};
+      listPlaced({ ...createSnapshot(specs), startBudget }).forEach((task) => {
+        const [job = ''] = task.split('.');
+        counts[job] = (counts[job] ?? 0) + 1;
+      });
+      return counts;
+    }
+
+    // Guards against orders without an answer that take all memory.
+    it('places no more tasks, and leaves half of them to the steps behind a wide one', () => {
+      const specs = [{ ...tiny, taskCount: 100 }, { ...tiny, taskCount: 100 }, tiny];
+      expect(countPlaced(specs, { left: 20, total: 20 })).toEqual({ j0: 10, j1: 5, j2: 1 });
+      expect(countPlaced(specs, { left: 0, total: 20 })).toEqual({});
+      expect(countPlaced(specs, { left: -5, total: 20 })).toEqual({});
+      expect(countPlaced(specs, undefined)).toEqual({ j0: 100, j1: 100, j2: 1 });
+    });
+
+    // Guards against gangs for which there is never enough left.
+    it('has the steps behind a gang wait until its members can start together', () => {
+      const specs = [
+        { ...tiny, taskCount: 12, isGang: true },
+        { ...tiny, taskCount: 4 },
+      ];
+      expect(countPlaced(specs, { left: 8, total: 20 })).toEqual({});
+      expect(countPlaced(specs, { left: 16, total: 20 })).toEqual({ j0: 12, j1: 2 });
+      expect(countPlaced(specs, { left: 8, total: 8 })).toEqual({ j0: 12 });
+    });
+  });
 });
