host-health, placement, controller: an ejection ends without probes too

Cause: an ejection ended with two sound probes of at most a quarter of the host's CPU whose durations compare. Where work is larger, lasts or is a gang, no probe ever came. Change: what no other host may run may run on an ejected host; a probe that is not used may be any task, and the host is admitted after some time without one. Not taken: ejected hosts for whatever waits long: a burst would send its work to a host that fails it. Conclusion: no state may end with an event alone that may never come.

--- a/packages/baobabwell-controller/src/BaobabwellControllerCopyPlacement.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCopyPlacement.ts
@@ -37,7 +37,13 @@
   return new Map(
     [...listHosts(pools)].map(([pool, poolHosts]) => {
       const maxCpuMillis = (capacities.get(pool) ?? 0) * MAX_COPY_SHARE;
-      return [pool, { hosts: poolHosts, cpuMillis: maxCpuMillis - copies.sumCopiesCpu(pool) }];
+      return [
+        pool,
+        {
+          hosts: poolHosts.filter(({ ejectedOffer }) => ejectedOffer === null),
+          cpuMillis: maxCpuMillis - copies.sumCopiesCpu(pool),
+        },
+      ];
     }),
   );
 }
--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -4,11 +4,11 @@
 import type { HostSession } from './BaobabwellControllerSession';
 import type { QueueSettings } from '@baobabwell/fleet';
 import type { Resources, Run, Step } from '@baobabwell/jobs';
-import type { Allowance, Placement, PlacementHost } from '@baobabwell/placement';
+import type { Allowance, EjectedHostOffer, Placement, PlacementHost } from '@baobabwell/placement';
 
 import { findQueueOfJob } from '@baobabwell/fleet';
-import { HostAdmission } from '@baobabwell/host-health';
-import { CrashSuspicion, RunPhase } from '@baobabwell/jobs';
+import { HostAdmission, SoleAdmission } from '@baobabwell/host-health';
+import { CrashSuspicion, NO_RESOURCES, RunPhase } from '@baobabwell/jobs';
 import { compareUrgency, decidePlacements, getUrgency } from '@baobabwell/placement';
 import { Activity } from '@baobabwell/processor-time';
 import { WakeSignal } from '@baobabwell/utils';
@@ -51,15 +51,42 @@
   return startClockMs === null || answeredAtMs === null || nowMs - answeredAtMs < START_SURVIVAL_MS;
 }
 
-/** Returns the resources for small work on a host that is tried again; none while a probe runs there. */
-function getProbeResources(host: Host): Resources {
+/** What an ejected host may receive. */
+type EjectedAdmission = {
+  readonly admission: HostAdmission;
+  readonly soleAdmission: SoleAdmission;
+};
+
+/** Returns the resources that a host offers to probes; none while one runs there. */
+function getProbeResources(host: Host, admission: HostAdmission): Resources {
+  if (host.hasShortRuns || admission === HostAdmission.None) {
+    return NO_RESOURCES;
+  }
   const free = host.getFreeResources();
   const { cpuMillis, memoryMb } = host.getCapacity();
-  const hasProbe = host.runs.size > host.longRunningCount;
+  return admission === HostAdmission.AnyProbe
+    ? free
+    : {
+        cpuMillis: Math.min(free.cpuMillis, cpuMillis * PROBE_SHARE),
+        memoryMb: Math.min(free.memoryMb, memoryMb * PROBE_SHARE),
+        gpus: 0,
+      };
+}
+
+/** Returns what a host offers; `null` for one that offers all that is free. */
+function createEjectedOffer(
+  host: Host,
+  { admission, soleAdmission }: EjectedAdmission,
+): EjectedHostOffer | null {
+  if (admission === HostAdmission.Full) {
+    return null;
+  }
+  const isProbe = soleAdmission === SoleAdmission.Probe && !host.hasShortRuns;
+  const soleProbeCount = isProbe ? 1 : 0;
   return {
-    cpuMillis: hasProbe ? 0 : Math.min(free.cpuMillis, cpuMillis * PROBE_SHARE),
-    memoryMb: hasProbe ? 0 : Math.min(free.memoryMb, memoryMb * PROBE_SHARE),
-    gpus: 0,
+    probeResources: getProbeResources(host, admission),
+    probeCount: admission === HostAdmission.AnyProbe ? 1 : Infinity,
+    soleCount: soleAdmission === SoleAdmission.Full ? Infinity : soleProbeCount,
   };
 }
 
@@ -73,7 +100,7 @@
   host: Host,
   nowMs: number,
   startingAtMs: number | null,
-  admission: HostAdmission,
+  ejectedAdmission: EjectedAdmission,
 ): PlacementHost {
   const startingRuns =
     startingAtMs === null
@@ -83,8 +110,9 @@
     id: host.incarnation.id,
     pool: host.pool,
     labels: host.listedWorker?.labels ?? [],
-    freeResources:
-      admission === HostAdmission.Probe ? getProbeResources(host) : host.getFreeResources(),
+    freeResources: host.getFreeResources(),
+    shortTaskResources: host.getShortTaskResources(),
+    ejectedOffer: createEjectedOffer(host, ejectedAdmission),
     servingCount: host.servingCount,
     bestEffortCount: host.bestEffortCount,
     coldLeftMs: host.getColdLeftMs(nowMs),
@@ -294,10 +322,13 @@
     const hasSuspects = this.#context.jobRegistry.hasSuspects();
     pools.forEach((pool) => hostObserver.updatePool(pool));
     this.#context.hosts.forEach((host) => {
-      const admission = hostObserver.getAdmission(host.incarnation.id);
-      if (pools.has(host.pool) && admission !== HostAdmission.None && host.canTakeWork(nowMs)) {
+      if (pools.has(host.pool) && host.canTakeWork(nowMs)) {
+        const { id } = host.incarnation;
+        const admission = hostObserver.getAdmission(id);
+        const soleAdmission = hostObserver.getSoleAdmission(id);
         const hosts = byPool.get(host.pool) ?? [];
-        hosts.push(createPlacementHost(host, nowMs, hasSuspects ? nowMs : null, admission));
+        const startingAtMs = hasSuspects ? nowMs : null;
+        hosts.push(createPlacementHost(host, nowMs, startingAtMs, { admission, soleAdmission }));
         byPool.set(host.pool, hosts);
       }
     });
--- a/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHost.ts
@@ -2,7 +2,7 @@
 import type { Resources, Run } from '@baobabwell/jobs';
 import type { HostIncarnation, HostReport } from '@baobabwell/platform';
 
-import { RunPhase } from '@baobabwell/jobs';
+import { addResources, RunPhase } from '@baobabwell/jobs';
 
 import {
   HOLD_WAIT_MS,
@@ -97,8 +97,8 @@
 
   #longRunningCount = 0;
 
-  /** CPU reserved for long running tasks, in thousandths of a core. */
-  #longRunningCpuMillis = 0;
+  /** Resources reserved for long running tasks. */
+  #longRunningUsed: Resources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
 
   constructor(
     readonly incarnation: HostIncarnation,
@@ -282,10 +282,25 @@
     return this.#longRunningCount;
   }
 
+  /** True while runs may be on the host that end by themselves. */
+  get hasShortRuns(): boolean {
+    return this.runs.size > this.#longRunningCount;
+  }
+
+  /** Returns the capacity that long running tasks have not reserved. */
+  getShortTaskResources(): Resources {
+    const { cpuMillis, memoryMb, gpus } = this.getCapacity();
+    return {
+      cpuMillis: cpuMillis - this.#longRunningUsed.cpuMillis,
+      memoryMb: memoryMb - this.#longRunningUsed.memoryMb,
+      gpus: gpus - this.#longRunningUsed.gpus,
+    };
+  }
+
   /** Returns the CPU for tasks that are not long running, in thousandths of a core. */
   getShortTaskCpuMillis(): number {
     // The capacity may have shrunk below what long running tasks use.
-    return Math.max(0, this.getCapacity().cpuMillis - this.#longRunningCpuMillis);
+    return Math.max(0, this.getShortTaskResources().cpuMillis);
   }
 
   /** Returns how long a hold call may wait for the end of a run, in ms. */
@@ -328,12 +343,14 @@
     this.#servingCount += tailTargetMs > 0 ? factor : 0;
     this.#bestEffortCount += isFilling ? factor : 0;
     this.#longRunningCount += isLasting ? factor : 0;
-    this.#longRunningCpuMillis += isLasting && !isFilling ? factor * need.cpuMillis : 0;
-    const { cpuMillis, memoryMb, gpus } = this.#used;
-    this.#used = {
-      cpuMillis: cpuMillis + (isFilling ? 0 : factor * need.cpuMillis),
-      memoryMb: memoryMb + factor * need.memoryMb,
-      gpus: gpus + factor * need.gpus,
+    const change = {
+      cpuMillis: isFilling ? 0 : factor * need.cpuMillis,
+      memoryMb: factor * need.memoryMb,
+      gpus: factor * need.gpus,
     };
+    this.#used = addResources(this.#used, change);
+    if (isLasting) {
+      this.#longRunningUsed = addResources(this.#longRunningUsed, change);
+    }
   }
 }
--- a/packages/baobabwell-controller/src/BaobabwellControllerHostObserver.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerHostObserver.ts
@@ -1,7 +1,13 @@
 import type { Host } from './BaobabwellControllerHost';
 import type { TermOptions } from './BaobabwellControllerTermOptions';
 import type { DurationEstimator } from '@baobabwell/durations';
-import type { HealthHost, HostInPool, StepKey, HostAdmission } from '@baobabwell/host-health';
+import type {
+  HealthHost,
+  HostAdmission,
+  HostInPool,
+  SoleAdmission,
+  StepKey,
+} from '@baobabwell/host-health';
 import type { Run, Step, StepSpec } from '@baobabwell/jobs';
 
 import { HostHealth } from '@baobabwell/host-health';
@@ -53,10 +59,10 @@
         metrics.hostHealth.ejections.inc({ pool, fault });
         logger.recordWarning('host-ejected', { host: hostId, pool, fault, group });
       },
-      recordAdmitted: (hostId) => {
+      recordAdmitted: (hostId, ground) => {
         const pool = context.hosts.get(hostId)?.pool ?? '';
         metrics.hostHealth.admissions.inc({ pool });
-        logger.recordInfo('host-admitted', { host: hostId, pool });
+        logger.recordInfo('host-admitted', { host: hostId, pool, ground });
         requestDispatch();
       },
     });
@@ -75,7 +81,10 @@
       this.#health.recordFailure(hostInPool, key, nowMs);
     } else if (end === RunEnd.Done) {
       this.#health.recordDone(hostInPool, key, nowMs);
-      this.#recordDuration(host, run, { percent: FULL_PERCENT, isEnded: true });
+      const isTimed = this.#recordDuration(host, run, { percent: FULL_PERCENT, isEnded: true });
+      if (!isTimed) {
+        this.#health.recordUntimedDone(hostInPool.id, nowMs);
+      }
     }
     if (step.isDone() || step.job.isEnded) {
       this.#health.removeStep(key.step);
@@ -111,18 +120,27 @@
           id: incarnation.id,
           groups: [...(listedWorker?.labels ?? []), listedWorker?.zone ?? ''],
         }));
-    this.#health.update(pool, listHosts, clock.getNow());
+    const nowMs = clock.getNow();
+    this.#health.update(pool, listHosts, nowMs);
+    const hasProbe = (hostId: string): boolean => hosts.get(hostId)?.hasShortRuns === true;
+    this.#health.admitUnprobed(pool, hasProbe, nowMs);
   }
 
   getAdmission(hostId: string): HostAdmission {
     return this.#health.getAdmission(hostId, this.#context.clock.getNow());
   }
 
+  /** Returns how much work a host may receive that no other host may run. */
+  getSoleAdmission(hostId: string): SoleAdmission {
+    return this.#health.getSoleAdmission(hostId, this.#context.clock.getNow());
+  }
+
+  /** Records how long a run took; returns false if that does not compare with others. */
   #recordDuration(
     host: Host,
     { task, answeredAtMs, startSentAtMs }: Run,
     { percent, isEnded }: { readonly percent: number; readonly isEnded: boolean },
-  ): void {
+  ): boolean {
     const { step } = task;
     const { durations, clock } = this.#context;
     // The start of a run of a former owner is not known.
@@ -130,11 +148,12 @@
     const nowMs = clock.getNow();
     const isCold = host.getColdLeftMs(nowMs) > 0;
     if (answeredAtMs === null || isAdopted || isCold || !isComparable(step.spec)) {
-      return;
+      return false;
     }
     const durationMs = ((nowMs - answeredAtMs) * FULL_PERCENT) / percent;
     const expectedMs = durations.getExpectedMs(step.job.record.queue, step.spec);
     const ratio = durationMs / Math.max(1, expectedMs);
     this.#health.recordDuration(getHostInPool(host), getStepKey(step), { ratio, isEnded }, nowMs);
+    return true;
   }
 }
--- a/packages/baobabwell-host-health/src/BaobabwellHostHealth.ts
+++ b/packages/baobabwell-host-health/src/BaobabwellHostHealth.ts
@@ -2,6 +2,7 @@
 import type { HostInPool, StepKey } from './BaobabwellHostHealthRecords';
 
 import { decideEjections } from './BaobabwellHostHealthEjections';
+import { HostFault } from './BaobabwellHostHealthModel';
 import { HostRecords } from './BaobabwellHostHealthRecords';
 
 /** Time after which an ejected host receives its first probe, in ms; it doubles with each failed probe. */
@@ -14,6 +15,15 @@
 /** Multiple of the usual duration up to which a probe counts as sound. */
 const MAX_SOUND_SLOWNESS = 2;
 
+/**
+ * Time after which a host without a probe is offered work of any size, and after as much again is admitted: work
+ * of the right size, or work that ends, may never come.
+ */
+const UNUSED_PROBE_MS = 1_500;
+
+/** Longest time between two tasks on a failing host that no other host may run, in ms. */
+const MAX_SOLE_DELAY_MS = 2_000;
+
 /** Interval at which the ejected hosts of a pool are decided, in ms. */
 const UPDATE_INTERVAL_MS = 250;
 
@@ -22,6 +32,17 @@
   Full = 'full',
   /** Small work only, to find out whether the host is sound again. */
   Probe = 'probe',
+  /** One task of any size, for the same reason. */
+  AnyProbe = 'any-probe',
+  None = 'none',
+}
+
+/** How much work a host may receive that no other host may run. */
+export enum SoleAdmission {
+  /** A slow host is better than none. */
+  Full = 'full',
+  /** One task at a time: each that fails is one attempt less. */
+  Probe = 'probe',
   None = 'none',
 }
 
@@ -30,12 +51,22 @@
   readonly probeAtMs: number;
   readonly probeDelayMs: number;
   readonly soundProbes: number;
+  /** Monotonic time of the ejection, or of the end of the latest run since then, in ms. */
+  readonly lastEndAtMs: number;
 };
 
+/** Why an ejected host is admitted again. */
+export enum AdmissionGround {
+  /** Its probes were sound. */
+  Sound = 'sound',
+  /** No work came that could have been a probe. */
+  Unprobed = 'unprobed',
+}
+
 /** Receives what changes. */
 export type HostHealthListener = {
   readonly recordEjected: (hostId: string, ejection: Ejection) => void;
-  readonly recordAdmitted: (hostId: string) => void;
+  readonly recordAdmitted: (hostId: string, ground: AdmissionGround) => void;
 };
 
 /** Ejects bad hosts from their pools, and admits them again after sound probes. */
@@ -109,6 +140,7 @@
           probeAtMs: nowMs + FIRST_PROBE_DELAY_MS,
           probeDelayMs: FIRST_PROBE_DELAY_MS,
           soundProbes: 0,
+          lastEndAtMs: nowMs,
         });
         this.#listener.recordEjected(id, ejection);
       }
@@ -121,7 +153,44 @@
     if (ejected === undefined) {
       return HostAdmission.Full;
     }
-    return nowMs >= ejected.probeAtMs ? HostAdmission.Probe : HostAdmission.None;
+    if (nowMs < ejected.probeAtMs) {
+      return HostAdmission.None;
+    }
+    return nowMs < ejected.probeAtMs + UNUSED_PROBE_MS
+      ? HostAdmission.Probe
+      : HostAdmission.AnyProbe;
+  }
+
+  /** Returns how much work a host may receive that no other host may run. */
+  getSoleAdmission(hostId: string, nowMs: number): SoleAdmission {
+    const ejected = this.#ejected.get(hostId);
+    if (ejected === undefined || ejected.fault === HostFault.Slow) {
+      return SoleAdmission.Full;
+    }
+    const fromMs = Math.min(ejected.probeAtMs, ejected.lastEndAtMs + MAX_SOLE_DELAY_MS);
+    return nowMs >= fromMs ? SoleAdmission.Probe : SoleAdmission.None;
+  }
+
+  /**
+   * Admits the ejected hosts of a pool on which no probe has ended for some time, and none is under way.
+   *
+   * @param hasProbe tells whether work that ends is on a host.
+   */
+  admitUnprobed(pool: string, hasProbe: (hostId: string) => boolean, nowMs: number): void {
+    this.#ejected.forEach((host, id) => {
+      const isUnprobed = nowMs >= host.probeAtMs + 2 * UNUSED_PROBE_MS;
+      if (host.pool === pool && isUnprobed && !hasProbe(id)) {
+        this.removeHost(id);
+        this.#listener.recordAdmitted(id, AdmissionGround.Unprobed);
+      }
+    });
+  }
+
+  /** Records a run that was done, of a step whose durations do not compare. */
+  recordUntimedDone(hostId: string, nowMs: number): void {
+    if (this.#ejected.get(hostId)?.fault === HostFault.Failing) {
+      this.#recordProbe(hostId, true, nowMs);
+    }
   }
 
   /** Lists the ejected hosts of a pool. */
@@ -141,8 +210,13 @@
   }
 
   #recordProbe(hostId: string, isSound: boolean, nowMs: number): void {
-    const host = this.#ejected.get(hostId);
-    if (host === undefined || nowMs < host.probeAtMs) {
+    const ejected = this.#ejected.get(hostId);
+    if (ejected === undefined) {
+      return;
+    }
+    const host = { ...ejected, lastEndAtMs: nowMs };
+    this.#ejected.set(hostId, host);
+    if (nowMs < host.probeAtMs) {
       // Runs that started before the ejection say nothing new.
       return;
     }
@@ -154,10 +228,10 @@
     }
     const soundProbes = host.soundProbes + 1;
     if (soundProbes < SOUND_PROBES) {
-      this.#ejected.set(hostId, { ...host, soundProbes });
+      this.#ejected.set(hostId, { ...host, soundProbes, probeAtMs: nowMs });
       return;
     }
     this.removeHost(hostId);
-    this.#listener.recordAdmitted(hostId);
+    this.#listener.recordAdmitted(hostId, AdmissionGround.Sound);
   }
 }
--- a/packages/baobabwell-host-health/src/__tests__/unit/BaobabwellHostHealth.test.ts
+++ b/packages/baobabwell-host-health/src/__tests__/unit/BaobabwellHostHealth.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl';
 import fastCheck from 'fast-check';
 
-import { decideEjections, HostAdmission, HostFault, HostHealth } from '../../index';
+import { decideEjections, HostAdmission, HostFault, HostHealth, SoleAdmission } from '../../index';
 
 const POOL = 'ovens';
 
@@ -148,3 +148,78 @@
     );
   });
 });
+
+describe('ejected hosts without probes', () => {
+  let pool: ObservedPool;
+
+  function admitUnprobed(hasProbe = false): void {
+    pool.health.admitUnprobed(POOL, () => hasProbe, pool.nowMs);
+  }
+
+  function getSole(id: string): SoleAdmission {
+    return pool.health.getSoleAdmission(id, pool.nowMs);
+  }
+
+  beforeEach(() => {
+    pool = new ObservedPool(createHosts(20));
+    for (let job = 0; job < 3; job += 1) {
+      pool.fail('oven-3', `job-${job}`);
+      pool.finish('oven-4', `job-${job}`);
+      pool.advance(300);
+    }
+    pool.lines.length = 0;
+  });
+
+  // Guards against LOST: a host that is out for good where no work comes that could be a probe.
+  it('are offered work of any size after some time, and are admitted after as much again', () => {
+    const seen: string[] = [];
+    for (let waitedMs = 0; waitedMs < 6_000; waitedMs += 100) {
+      pool.advance(100);
+      admitUnprobed();
+      const admission = pool.getAdmission('oven-3');
+      if (seen.at(-1) !== admission) {
+        seen.push(admission);
+      }
+    }
+    const { None, Probe, AnyProbe, Full } = HostAdmission;
+    expect([seen, pool.lines.length]).toEqual([[None, Probe, AnyProbe, Full], 1]);
+  });
+
+  it('stay ejected while a probe is under way, and after one that failed', () => {
+    pool.advance(5_000);
+    admitUnprobed(true);
+    expect(pool.getAdmission('oven-3')).toEqual(HostAdmission.AnyProbe);
+    pool.fail('oven-3', 'probe');
+    admitUnprobed();
+    expect([pool.getAdmission('oven-3'), pool.lines]).toEqual([HostAdmission.None, []]);
+  });
+
+  it('run one task at a time that only they may run while they fail, seconds apart', () => {
+    expect(getSole('oven-4')).toEqual(SoleAdmission.Full);
+    expect(getSole('oven-3')).toEqual(SoleAdmission.None);
+    for (let failures = 0; failures < 5; failures += 1) {
+      pool.advance(2_000);
+      expect(getSole('oven-3')).toEqual(SoleAdmission.Probe);
+      pool.fail('oven-3', `sole-${failures}`);
+      expect(getSole('oven-3')).toEqual(SoleAdmission.None);
+    }
+  });
+
+  it('run all that only they may run while they are slow', () => {
+    const slow = new ObservedPool(createHosts(20));
+    for (let job = 0; job < 4; job += 1) {
+      slow.finish('oven-3', `job-${job}`, 6);
+      slow.finish('oven-4', `job-${job}`);
+      slow.advance(300);
+    }
+    expect(slow.getAdmission('oven-3')).toEqual(HostAdmission.None);
+    expect(slow.health.getSoleAdmission('oven-3', slow.nowMs)).toEqual(SoleAdmission.Full);
+  });
+
+  it('are admitted after sound runs of steps whose durations do not compare', () => {
+    pool.advance(2_000);
+    pool.health.recordUntimedDone('oven-3', pool.nowMs);
+    pool.health.recordUntimedDone('oven-3', pool.nowMs);
+    expect(pool.getAdmission('oven-3')).toEqual(HostAdmission.Full);
+  });
+});
--- a/packages/baobabwell-placement/src/BaobabwellPlacement.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacement.ts
@@ -30,10 +30,15 @@
   startingCount: number;
   /** Step of the suspect that starts on the host in this pass. */
   suspectStep: Step | null;
+  /** What is left of the offer of an ejected host. */
+  probeCpuMillis: number;
+  probeMemoryMb: number;
+  probeCount: number;
+  soleCount: number;
 };
 
 function createHostCapacity(host: PlacementHost): HostCapacity {
-  const { servingCount, bestEffortCount, runCount, startingCount } = host;
+  const { servingCount, bestEffortCount, runCount, startingCount, ejectedOffer } = host;
   return {
     host,
     ...host.freeResources,
@@ -43,14 +48,54 @@
     runCount,
     startingCount,
     suspectStep: null,
+    probeCpuMillis: ejectedOffer?.probeResources.cpuMillis ?? Infinity,
+    probeMemoryMb: ejectedOffer?.probeResources.memoryMb ?? Infinity,
+    probeCount: ejectedOffer?.probeCount ?? Infinity,
+    soleCount: ejectedOffer?.soleCount ?? Infinity,
   };
 }
 
+/** Returns true for a host that is not ejected. */
+function isAdmitted({ host }: HostCapacity): boolean {
+  return host.ejectedOffer === null;
+}
+
+/** Returns true if a task of a step requires no more than some resources. */
+function fitsStep({ spec: { need, isFilling } }: Step, free: Resources): boolean {
+  return (
+    (isFilling || need.cpuMillis <= free.cpuMillis) &&
+    need.memoryMb <= free.memoryMb &&
+    need.gpus <= free.gpus
+  );
+}
+
+/** Returns true if a host offers a task of a step as much as it requires, although it may be ejected. */
+function fitsOffer(step: Step, capacity: HostCapacity): boolean {
+  const { probeCpuMillis: cpuMillis, probeMemoryMb: memoryMb, probeCount, gpus } = capacity;
+  return probeCount > 0 && fitsStep(step, { cpuMillis, memoryMb, gpus });
+}
+
+/** Returns the largest amounts of each resource. */
+function findLargest(all: readonly Resources[]): Resources {
+  const largest = { cpuMillis: -Infinity, memoryMb: -Infinity, gpus: -Infinity };
+  all.forEach(({ cpuMillis, memoryMb, gpus }) => {
+    largest.cpuMillis = Math.max(largest.cpuMillis, cpuMillis);
+    largest.memoryMb = Math.max(largest.memoryMb, memoryMb);
+    largest.gpus = Math.max(largest.gpus, gpus);
+  });
+  return largest;
+}
+
 /** A host that fits the tasks of a step, with its score. */
 type Candidate = { readonly capacity: HostCapacity; readonly farPenalty: number; score: number };
 
 /** Hosts that fit the tasks of one step; only what is placed in the meantime changes them. */
-type HostSearch = { readonly candidates: Candidate[]; lastChosen: Candidate | null };
+type HostSearch = {
+  readonly candidates: Candidate[];
+  /** Only ejected hosts may run the tasks. */
+  readonly isSole: boolean;
+  lastChosen: Candidate | null;
+};
 
 /** Share of a pool's free resources that the waiting tasks require, by dimension; they add up to 1. */
 type Scarcity = { readonly cpu: number; readonly memory: number };
@@ -118,6 +163,12 @@
   /** Largest free amounts on any host of a pool when the pass began; later ones are smaller. */
   readonly #largestFree = new Map<string, Resources>();
 
+  /** Largest free amounts on any ejected host of a pool, for tasks that no other host may run. */
+  readonly #largestSole = new Map<string, Resources>();
+
+  /** Whether only ejected hosts may run a step, by pool and by what the step requires. */
+  readonly #areSole = new Map<string, boolean>();
+
   /** CPU per memory of all free resources, in thousandths of a core per MB. */
   readonly #cpuMillisPerMb: number;
 
@@ -133,7 +184,7 @@
     let cpuMillis = 0;
     let memoryMb = 1;
     this.#capacities.forEach((capacities) =>
-      capacities.forEach((capacity) => {
+      capacities.filter(isAdmitted).forEach((capacity) => {
         cpuMillis += Math.max(0, capacity.cpuMillis);
         memoryMb += Math.max(0, capacity.memoryMb);
       }),
@@ -142,13 +193,34 @@
   }
 
   /** Returns false if no host of the pool can have room for a task of the step. */
-  mayFit({ spec: { need, isFilling } }: Step, pool: string): boolean {
-    const free = this.#getLargestFree(pool);
-    return (
-      (isFilling || need.cpuMillis <= free.cpuMillis) &&
-      need.memoryMb <= free.memoryMb &&
-      need.gpus <= free.gpus
+  mayFit(step: Step, pool: string): boolean {
+    if (fitsStep(step, this.#getLargestFree(pool))) {
+      return true;
+    }
+    const sole = this.#largestSole.get(pool);
+    return sole !== undefined && fitsStep(step, sole) && this.#isSole(step, pool);
+  }
+
+  /** Returns true if no host of the pool may ever run a task of the step that is not ejected. */
+  #isSole(step: Step, pool: string): boolean {
+    const { hostLabel, need, isFilling } = step.spec;
+    const allowed = this.#snapshot.findAllowedHosts(step);
+    const key = [pool, hostLabel, need.cpuMillis, need.memoryMb, need.gpus, isFilling].join(' ');
+    const known = allowed === null ? this.#areSole.get(key) : undefined;
+    if (known !== undefined) {
+      return known;
+    }
+    const isSole = !(this.#capacities.get(pool) ?? []).some(
+      (capacity) =>
+        isAdmitted(capacity) &&
+        allowed?.has(capacity.host.id) !== false &&
+        (hostLabel === null || capacity.host.labels.includes(hostLabel)) &&
+        fitsStep(step, capacity.host.shortTaskResources),
     );
+    if (allowed === null) {
+      this.#areSole.set(key, isSole);
+    }
+    return isSole;
   }
 
   #getLargestFree(pool: string): Resources {
@@ -156,13 +228,21 @@
     if (existing !== undefined) {
       return existing;
     }
-    const largest = { cpuMillis: -Infinity, memoryMb: -Infinity, gpus: -Infinity };
-    (this.#capacities.get(pool) ?? []).forEach(({ cpuMillis, memoryMb, gpus }) => {
-      largest.cpuMillis = Math.max(largest.cpuMillis, cpuMillis);
-      largest.memoryMb = Math.max(largest.memoryMb, memoryMb);
-      largest.gpus = Math.max(largest.gpus, gpus);
-    });
+    const capacities = this.#capacities.get(pool) ?? [];
+    const largest = findLargest(
+      capacities
+        .filter(({ probeCount }) => probeCount > 0)
+        .map(({ cpuMillis, memoryMb, gpus, probeCpuMillis, probeMemoryMb }) => ({
+          cpuMillis: Math.min(cpuMillis, probeCpuMillis),
+          memoryMb: Math.min(memoryMb, probeMemoryMb),
+          gpus,
+        })),
+    );
     this.#largestFree.set(pool, largest);
+    const sole = capacities.filter((capacity) => !isAdmitted(capacity) && capacity.soleCount > 0);
+    if (sole.length > 0) {
+      this.#largestSole.set(pool, findLargest(sole));
+    }
     return largest;
   }
 
@@ -174,16 +254,17 @@
     const candidates: Candidate[] = [];
     const scarcity = this.#getScarcity(pool);
     const rack = step.spec.prefersOneRack ? findRoomiestRack(step, capacities) : null;
+    const isSole = this.#largestSole.has(pool) && this.#isSole(step, pool);
     capacities.forEach((capacity) => {
       const isAllowed = allowed?.has(capacity.host.id) !== false;
-      if (task !== undefined && isAllowed && this.#hasRoom(step, capacity)) {
+      if (task !== undefined && isAllowed && this.#hasRoom(step, capacity, isSole)) {
         const isFar = rack !== null && getRackKey(capacity.host) !== rack;
         const farPenalty = isFar ? FAR_RACK_PENALTY : 0;
         const score = this.#getScore(step, capacity, scarcity) + farPenalty;
         candidates.push({ capacity, farPenalty, score });
       }
     });
-    return { candidates, lastChosen: null };
+    return { candidates, isSole, lastChosen: null };
   }
 
   /** Finds the best host for a task, or `null` if no host fits it. */
@@ -192,7 +273,7 @@
     const { lastChosen } = search;
     if (lastChosen !== null) {
       const { capacity } = lastChosen;
-      if (this.#hasRoom(task.step, capacity)) {
+      if (this.#hasRoom(task.step, capacity, search.isSole)) {
         lastChosen.score =
           this.#getScore(task.step, capacity, this.#getScarcity(pool)) + lastChosen.farPenalty;
       } else {
@@ -238,7 +319,11 @@
       updated.suspectStep = factor === 1 ? step : null;
     }
     updated.cpuMillis -= isFilling ? 0 : factor * need.cpuMillis;
+    updated.probeCpuMillis -= isFilling ? 0 : factor * need.cpuMillis;
     updated.memoryMb -= factor * need.memoryMb;
+    updated.probeMemoryMb -= factor * need.memoryMb;
+    updated.probeCount -= factor;
+    updated.soleCount -= factor;
     updated.gpus -= factor * need.gpus;
     updated.bestEffortCount += isFilling ? factor : 0;
     updated.servingCount += tailTargetMs > 0 ? factor : 0;
@@ -260,7 +345,8 @@
     }
     const free = { cpu: 1, memory: 1 };
     const needs = { cpu: 0, memory: 0 };
-    (this.#capacities.get(pool) ?? []).forEach(({ cpuMillis, memoryMb }) => {
+    const admitted = (this.#capacities.get(pool) ?? []).filter(isAdmitted);
+    admitted.forEach(({ cpuMillis, memoryMb }) => {
       free.cpu += Math.max(0, cpuMillis);
       free.memory += Math.max(0, memoryMb);
     });
@@ -280,12 +366,14 @@
   }
 
   /** Returns true if a task of the step fits on the host, whatever else starts there. */
-  #hasRoom(step: Step, { host, cpuMillis, memoryMb, gpus, stepCounts }: HostCapacity): boolean {
-    const { need, isFilling, hostLabel, maxPerHost } = step.spec;
-    if ((!isFilling && need.cpuMillis > cpuMillis) || need.memoryMb > memoryMb) {
+  #hasRoom(step: Step, capacity: HostCapacity, isSole: boolean): boolean {
+    const { host, stepCounts } = capacity;
+    const { hostLabel, maxPerHost } = step.spec;
+    const isOffered = isSole ? capacity.soleCount > 0 : fitsOffer(step, capacity);
+    if (!isOffered || !fitsStep(step, capacity)) {
       return false;
     }
-    if (need.gpus > gpus || (hostLabel !== null && !host.labels.includes(hostLabel))) {
+    if (hostLabel !== null && !host.labels.includes(hostLabel)) {
       return false;
     }
     const count = step.countRunsOnHost(host.id) + (stepCounts.get(step) ?? 0);
@@ -332,9 +420,9 @@
     }
     score += getColdShare(step, host) * COLD_SCORE;
     // Memory counts as much as the CPU that a host of the pool has beside it.
-    const free =
-      scarcity.cpu * capacity.cpuMillis +
-      scarcity.memory * capacity.memoryMb * this.#cpuMillisPerMb;
+    const cpuMillis = Math.min(capacity.cpuMillis, capacity.probeCpuMillis);
+    const memoryMb = Math.min(capacity.memoryMb, capacity.probeMemoryMb);
+    const free = scarcity.cpu * cpuMillis + scarcity.memory * memoryMb * this.#cpuMillisPerMb;
     // Hosts that long running tasks keep in the pool anyway are filled first.
     return score + free / 100 - (host.hasLongRunning ? 1_000 : 0);
   }
--- a/packages/baobabwell-placement/src/BaobabwellPlacementModel.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacementModel.ts
@@ -1,5 +1,14 @@
 import type { Resources, Step, Task } from '@baobabwell/jobs';
 
+/** What a host offers that is ejected from its pool. */
+export type EjectedHostOffer = {
+  /** Resources for tasks that may run elsewhere, and the number of such tasks. */
+  readonly probeResources: Resources;
+  readonly probeCount: number;
+  /** Number of tasks that no host may run that is not ejected. */
+  readonly soleCount: number;
+};
+
 /** A host on which tasks may be placed. */
 export type PlacementHost = {
   readonly id: string;
@@ -7,6 +16,10 @@
   readonly labels: readonly string[];
   /** Resources that no run has reserved. */
   readonly freeResources: Resources;
+  /** Resources that long running tasks have not reserved. */
+  readonly shortTaskResources: Resources;
+  /** What the host offers while it is ejected; `null` for a host that offers all that is free. */
+  readonly ejectedOffer: EjectedHostOffer | null;
   /** Number of serving tasks on the host; best-effort tasks prefer hosts with fewer of them. */
   readonly servingCount: number;
   readonly bestEffortCount: number;
--- a/packages/baobabwell-placement/src/BaobabwellPlacementSuspects.ts
+++ b/packages/baobabwell-placement/src/BaobabwellPlacementSuspects.ts
@@ -48,7 +48,9 @@
     return reserved;
   }
   countTasks(snapshot).forEach((count, pool) => {
-    const hosts = snapshot.hosts.get(pool) ?? [];
+    const hosts = (snapshot.hosts.get(pool) ?? []).filter(
+      ({ ejectedOffer }) => ejectedOffer === null,
+    );
     const maxCount = Math.max(1, Math.floor(hosts.length * MAX_RESERVED_SHARE));
     hosts
       .toSorted(compareLoad)
--- a/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacement.test.ts
+++ b/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacement.test.ts
@@ -19,6 +19,8 @@
   pool: 'ovens',
   labels: ['a'],
   freeResources: { cpuMillis: 4_000, memoryMb: 1_000, gpus: 0 },
+  shortTaskResources: { cpuMillis: 4_000, memoryMb: 1_000, gpus: 0 },
+  ejectedOffer: null,
   servingCount: 0,
   bestEffortCount: 0,
   coldLeftMs: 0,
@@ -174,4 +176,62 @@
       expect(countPlaced(specs, { left: 8, total: 8 })).toEqual({ j0: 12 });
     });
   });
+
+  describe('with an ejected host', () => {
+    const offer = {
+      probeResources: { cpuMillis: 1_000, memoryMb: 250, gpus: 0 },
+      probeCount: Infinity,
+      soleCount: Infinity,
+    };
+    const ejected: PlacementHost = {
+      ...HOST,
+      id: 'oven-2',
+      labels: ['a', 'b'],
+      ejectedOffer: offer,
+    };
+    const full: PlacementHost = {
+      ...HOST,
+      freeResources: { cpuMillis: 0, memoryMb: 0, gpus: 0 },
+    };
+
+    function countPlaced(
+      spec: Partial<StepSpec>,
+      hosts: readonly PlacementHost[],
+    ): readonly string[] {
+      const placements = decidePlacements({
+        ...createSnapshot([spec]),
+        hosts: new Map([['ovens', hosts]]),
+      });
+      return placements.map(({ hostId }) => hostId);
+    }
+
+    it('places small tasks there as probes', () => {
+      expect(countPlaced({ taskCount: 3 }, [full, ejected])).toEqual(['oven-2']);
+      expect(countPlaced(HIGH_CPU, [full, ejected])).toEqual([]);
+      const any = { ...offer, probeResources: ejected.freeResources, probeCount: 1 };
+      const open = { ...ejected, ejectedOffer: any };
+      expect(countPlaced({ ...HIGH_CPU, taskCount: 3 }, [full, open])).toEqual(['oven-2']);
+    });
+
+    // Guards against LOST: tasks that wait for a host that is admitted again by their end only.
+    it('places tasks there that no other host may run', () => {
+      const labelled = { ...HIGH_CPU, hostLabel: 'b' };
+      expect(countPlaced(labelled, [full, ejected])).toEqual(['oven-2']);
+      expect(countPlaced({ ...labelled, isLasting: true }, [HOST, ejected])).toEqual(['oven-2']);
+      const small = { ...HOST, shortTaskResources: { ...HOST.freeResources, cpuMillis: 2_000 } };
+      expect(
+        countPlaced(HIGH_CPU, [{ ...full, ...small, freeResources: full.freeResources }, ejected]),
+      ).toEqual(['oven-2']);
+    });
+
+    it('places one such task at a time there, or none, while the host fails', () => {
+      const labelled = { taskCount: 3, hostLabel: 'b' };
+      const withSole = (soleCount: number) => ({
+        ...ejected,
+        ejectedOffer: { ...offer, probeCount: 0, soleCount },
+      });
+      expect(countPlaced(labelled, [HOST, withSole(1)])).toEqual(['oven-2']);
+      expect(countPlaced(labelled, [HOST, withSole(0)])).toEqual([]);
+    });
+  });
 });
--- a/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacementCopies.test.ts
+++ b/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacementCopies.test.ts
@@ -18,6 +18,8 @@
     pool: POOL,
     labels: ['a', id === 'oven-0' || id === 'oven-1' ? 'rack-1' : 'rack-2'],
     freeResources: { cpuMillis: 16_000, memoryMb: 64_000, gpus: 0 },
+    shortTaskResources: { cpuMillis: 16_000, memoryMb: 64_000, gpus: 0 },
+    ejectedOffer: null,
     coldLeftMs: 0,
     servingCount: 0,
     bestEffortCount: 0,
--- a/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacementSuspects.test.ts
+++ b/packages/baobabwell-placement/src/__tests__/unit/BaobabwellPlacementSuspects.test.ts
@@ -13,6 +13,8 @@
   pool: 'ovens',
   labels: [],
   freeResources: { cpuMillis: 10_000, memoryMb: 100_000, gpus: 0 },
+  shortTaskResources: { cpuMillis: 10_000, memoryMb: 100_000, gpus: 0 },
+  ejectedOffer: null,
   servingCount: 0,
   bestEffortCount: 0,
   coldLeftMs: 0,
--- a/packages/baobabwell-placement/src/index.ts
+++ b/packages/baobabwell-placement/src/index.ts
@@ -2,6 +2,7 @@
 export type { CopyCandidate, CopyPool, CopySnapshot } from './BaobabwellPlacementCopies';
 export type {
   Allowance,
+  EjectedHostOffer,
   AllowedHosts,
   Placement,
   PlacementHost,
