ingress: a call that ends before it is sent ends its probe of a silent store

While the store is silent one submission at a time probes it; one whose time ended just before it was sent never ended the probe. Evidence: "stores jobs again after a call ended just before it would have probed a silent store" failed on the parent, passes now. Change: such a call says nothing about the store, and ends its probe. Measured: the test above.

--- a/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
@@ -187,6 +187,7 @@
       return { kind: AnswerKind.Unavailable, reason, retryAfterMs: STORE_RETRY_AFTER_MS };
     }
     if (!call.startChange()) {
+      this.#silence.recordUnused();
       return this.#createUnavailableAnswer('submit');
     }
     // The caller may be answered before the outcome is known.
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressDeadlines.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressDeadlines.test.ts
@@ -5,7 +5,7 @@
 import { expect } from 'earl';
 
 import { EmulatedTime } from '@baobabwell/emulator';
-import { EmulatedJobStore, EmulatedRows } from '@baobabwell/job-emulator';
+import { EmulatedJobStore, EmulatedRows, NO_STORE_FAULTS } from '@baobabwell/job-emulator';
 import { JobState } from '@baobabwell/jobs';
 import { Logger, LogLevel } from '@baobabwell/logging';
 import { TableErrorKind } from '@baobabwell/platform';
@@ -73,6 +73,7 @@
   let time: EmulatedTime;
   let owner: LateOwner;
   let service: JobSubmissionService;
+  let rows: EmulatedRows;
 
   async function submit(id: string, waitMs: number): Promise<AnswerKind> {
     const call = new OpenCall(new Deadline(time, waitMs));
@@ -82,8 +83,9 @@
   beforeEach(() => {
     time = new EmulatedTime();
     owner = new LateOwner(time);
+    rows = new EmulatedRows();
     service = new JobSubmissionService({
-      store: new LimitedStore(time, time, new Random(1), new EmulatedRows()),
+      store: new LimitedStore(time, time, new Random(1), rows),
       owner,
       clock: time,
       logger: new Logger(LogLevel.Error, {}, () => undefined),
@@ -120,4 +122,19 @@
       state: JobState.Running,
     });
   });
+
+  // Guards against a process that refuses all submissions for good: the probe of a silent store never ended.
+  it('stores jobs again after a call ended just before it would have probed a silent store', async () => {
+    rows.faults = { ...NO_STORE_FAULTS, isDown: true };
+    for (const number of [1, 2, 3]) {
+      await submit(`00000000000000a${number}`, 2_900);
+    }
+    await time.advance(1_000);
+    owner.delayMs = 1_000;
+    expect(await submit('00000000000000a4', 600)).toEqual(AnswerKind.Unavailable);
+    rows.faults = NO_STORE_FAULTS;
+    owner.delayMs = 4;
+    await time.advance(2_000);
+    expect(await submit('00000000000000a5', 2_900)).toEqual(AnswerKind.Accepted);
+  });
 });
