controller: a host with an order that was lost takes work again without a list

A host whose move was ordered and not answered took no work until a list of machines showed the effect; while the interface gave no list that was for good. Evidence: "take work again when an order for them was lost and the list stays unavailable" failed on the parent, passes now. Change: the cordon ends with the time in which an order takes effect, as the pending order did once a list came. Measured: the test above.

--- a/packages/baobabwell-controller/src/BaobabwellControllerMachineInventory.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerMachineInventory.ts
@@ -82,13 +82,17 @@
     ).length;
   }
 
-  /** Lists the hosts whose machines have a pending order for a move or maintenance. */
+  /**
+   * Lists the hosts whose machines have a pending order for a move or maintenance that may still be carried
+   * out: a list that shows its effect may not come.
+   */
   listOrderedHosts(): ReadonlySet<string> {
-    return new Set(
-      this.#machines
-        .filter(({ machine }) => this.isPending(machine))
-        .flatMap(({ hostId }) => hostId ?? []),
-    );
+    const nowMs = this.#context.clock.getNow();
+    const mayBeCarriedOut = ({ machine }: CloudHost): boolean => {
+      const sentAtMs = this.#pendingOrders.get(machine)?.sentAtMs ?? -Infinity;
+      return nowMs - sentAtMs <= MACHINE_ORDER_TIMEOUT_MS;
+    };
+    return new Set(this.#machines.filter(mayBeCarriedOut).flatMap(({ hostId }) => hostId ?? []));
   }
 
   /** Returns true for a machine in a spare pool, where it is switched off and runs nothing. */
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorCloud.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorCloud.ts
@@ -35,6 +35,9 @@
   /** True while the list of machines is not available; orders are carried out. */
   isListUnavailable = false;
 
+  /** True while orders are neither answered nor carried out. */
+  losesOrders = false;
+
   /** Highest number of machines that were down for maintenance at once. */
   maxDownCount = 0;
 
@@ -122,6 +125,9 @@
   override async move(order: CloudOrder, pool: string): Promise<Result<null, CloudError>> {
     await this.#clock.wait(CALL_LATENCY_MS);
     this.#recordOrder(order);
+    if (this.losesOrders) {
+      return createError({ kind: CloudRefusal.Unanswered, cause: 'not available' });
+    }
     const machine = this.#machines.get(order.machine);
     if (machine?.state !== CloudHostState.Up) {
       return createError({ kind: CloudRefusal.Busy, cause: 'busy' });
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorMachines.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorMachines.test.ts
@@ -214,4 +214,23 @@
     expect(fleet.oracle.violations).toEqual([]);
     expect(cloud.countMaintained(WAVE.number)).toEqual(machines.length);
   });
+
+  // Guards against LOST: a host that takes no work for as long as no list shows what became of an order for it.
+  it('take work again when an order for them was lost and the list stays unavailable', async () => {
+    fleet = new EmulatedJobFleet(SEED, 6);
+    const cloud = fleet.createCloud(0);
+    fleet.startDaemon('a');
+    cloud.losesOrders = true;
+    for (let waits = 0; waits < 400 && cloud.countOrders() === 0; waits += 1) {
+      await fleet.time.advance(10);
+    }
+    cloud.isListUnavailable = true;
+    expect(cloud.countOrders()).toBeGreaterThan(0);
+    const listCordoned = () =>
+      [...(fleet.findOwnerContext()?.hosts.values() ?? [])].filter(({ isCordoned }) => isCordoned);
+    await fleet.time.advance(200);
+    expect(listCordoned().length).toBeGreaterThan(0);
+    await fleet.time.advance(9_000);
+    expect(listCordoned()).toEqual([]);
+  });
 });
