http: connections of calls that are given up are reset

Cause: the socket of an aborted call is closed, and the kernel delivers what it was given before once the partition has healed. Change: sockets that are destroyed with an error are reset, for calls to hosts, machines, the store, the advisor and peers alike. Not taken: a longer wait before the first order of a term; a partition has no longest time. Conclusion: giving a call up has to mean that nothing of it arrives later.

--- a/packages/baobabwell-http/src/BaobabwellHttpConnector.ts
+++ b/packages/baobabwell-http/src/BaobabwellHttpConnector.ts
@@ -1,12 +1,25 @@
 import type { buildConnector } from 'undici';
 
-import { connect } from 'node:net';
+import { Socket } from 'node:net';
 
 import { startResponseTimer } from '@baobabwell/utils';
 
 /** Idle time after which TCP keep-alive probes are sent, in ms. */
 const KEEP_ALIVE_DELAY_MS = 60_000;
 
+/**
+ * A connection that is reset when it is given up. Closing it would leave the kernel to deliver what was sent
+ * before: behind a partition an order would arrive long after its sender has given it up.
+ */
+class ResetSocket extends Socket {
+  override destroy(error?: Error): this {
+    if (error !== undefined && !this.destroyed && !this.connecting) {
+      this.resetAndDestroy();
+    }
+    return super.destroy(error);
+  }
+}
+
 /**
  * Creates a function that opens plain TCP connections for undici. The built-in connect timeout counts time
  * for which this process was busy as silence of the other side; this one does not.
@@ -14,7 +27,7 @@
 export function createConnector(timeoutMs: number): buildConnector.connector {
   return ({ hostname, port }, callback) => {
     let isOpening = true;
-    const socket = connect({
+    const socket = new ResetSocket().connect({
       host: hostname,
       port: Number(port),
       noDelay: true,
