jobs, controller: the members of a run of a gang resume from one checkpoint

Cause: a checkpoint belonged to a task alone and was read at each attempt of a start. Change: a step keeps the latest new value of any member, and a run fixes its checkpoint when it is placed. Conclusion: what a run starts with is decided once, for all members.

--- a/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerOrders.ts
@@ -64,7 +64,7 @@
         payload: task.step.job.record.spec.payload,
         leaseEndMs: state.extendLease(clock.getNow(), ownership.getLeaseExtensionMs()),
         epoch: term.epoch,
-        checkpoint: task.checkpoint,
+        checkpoint: run.checkpoint,
         ticket,
         isAllowed: () => this.#canStart(run),
       });
--- a/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerSession.ts
@@ -332,10 +332,7 @@
       if (trackedRun !== null) {
         trackedRun.recordReport(progressPercent, reading, nowMs);
         this.#context.hostObserver.recordProgress(host, trackedRun);
-        const { task: trackedTask } = trackedRun;
-        if (checkpoint !== '') {
-          trackedTask.checkpoint = checkpoint;
-        }
+        trackedRun.task.recordCheckpoint(checkpoint);
       }
     });
     if (!report.isPartial) {
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -30,11 +30,16 @@
 import {
   CrashRecovery,
   EmulatedHost,
-  getGang,
   HEARTBEAT_MS,
   MAX_LEASE_MS,
 } from './BaobabwellJobEmulatorHost';
-import { createJobRecord, getAddress, getZone, ID_SEPARATOR } from './BaobabwellJobEmulatorNames';
+import {
+  createJobRecord,
+  getAddress,
+  getGang,
+  getZone,
+  ID_SEPARATOR,
+} from './BaobabwellJobEmulatorNames';
 import { JobOracle } from './BaobabwellJobEmulatorOracle';
 import { createHostFaults, EmulatedHostOrders } from './BaobabwellJobEmulatorOrders';
 import { EmulatedPeerReports } from './BaobabwellJobEmulatorPeers';
@@ -346,7 +351,7 @@
     host.shouldCrashOnTask = (task) => this.crashingTasks.has(task);
     host.onCrash = (task) => {
       if (this.oracle.findStep(task)?.isGang === true) {
-        this.#hosts.forEach((other) => other.endGangMembers(getGang(task)));
+        this.endGangMembers(task);
       }
       this.#recoverCrashedHost(host);
     };
@@ -383,6 +388,11 @@
     });
   }
 
+  /** Ends the members of a gang whose other member ended, as the hosts do among themselves. */
+  endGangMembers(task: string): void {
+    this.#hosts.forEach((host) => host.endGangMembers(getGang(task)));
+  }
+
   /** Crashes hosts in the same moment; they come back as after a crash by a task. */
   crashHosts(ids: readonly string[]): void {
     ids.forEach((id) => {
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorHost.ts
@@ -14,6 +14,7 @@
 import { OrderRefusal } from '@baobabwell/platform';
 import { createError, createOk } from '@baobabwell/utils';
 
+import { getGang } from './BaobabwellJobEmulatorNames';
 import { fits } from './BaobabwellJobEmulatorOracle';
 
 /** Longest lease that a host grants, in ms. */
@@ -25,6 +26,9 @@
 /** Maximum number of ends in one report. */
 const MAX_REPORTED_ENDS = 500;
 
+/** Work after which a run has a new checkpoint, in ms. */
+const CHECKPOINT_MS = 500;
+
 /** Time until a stopped run has ended, in ms. */
 const STOP_MS = 150;
 
@@ -52,6 +56,8 @@
   readonly startedAtMs: number;
   /** Duration of the whole run, in ms; `null` for a long running task. */
   readonly durationMs: number | null;
+  /** Checkpoint from which the run resumed; '' if it began anew. */
+  readonly checkpoint: string;
   isStopping: boolean;
 };
 
@@ -75,11 +81,6 @@
   None = 'none',
 }
 
-/** Returns the name of the step of a task: the members of a gang share it. */
-export function getGang(task: string): string {
-  return task.slice(0, task.lastIndexOf('.'));
-}
-
 /** One incarnation of a host: its active runs, its ended runs and its lease. */
 export class EmulatedHost {
   /** Actual duration of runs as a multiple of their estimate. */
@@ -259,6 +260,7 @@
       isDrained: this.drainingSinceMs !== null && nowMs - lateMs > this.drainingSinceMs + DRAIN_MS,
       isEvacuated: nowMs - lateMs > evacuatedAtMs + EVACUATION_MS,
     });
+    this.#oracle.recordResumption(order, nowMs);
     const durationMs = (step?.estimateMs ?? 0) * this.durationFactor;
     const cancel =
       step?.isLasting === true
@@ -272,6 +274,7 @@
       cancel,
       startedAtMs: this.#clock.getNow(),
       durationMs: step?.isLasting === true ? null : durationMs,
+      checkpoint: order.checkpoint,
       isStopping: false,
     });
     if (this.shouldCrashOnTask(order.task)) {
@@ -318,18 +321,26 @@
       bornMs: this.bornMs,
       ended: this.#ended.slice(0, MAX_REPORTED_ENDS),
       isPartial: this.#ended.length >= MAX_REPORTED_ENDS,
-      active: (this.shouldHideRuns ? [] : [...this.#runs.values()]).map(
-        ({ task, run, startedAtMs, durationMs }) => ({
-          task,
-          run,
-          checkpoint: '',
-          progressPercent: this.#getProgressPercent(startedAtMs, durationMs),
-          reading: null,
-        }),
-      ),
+      active: (this.shouldHideRuns ? [] : [...this.#runs.values()]).map((hostRun) => ({
+        task: hostRun.task,
+        run: hostRun.run,
+        checkpoint: this.#getCheckpoint(hostRun, RunEnd.Done),
+        progressPercent: this.#getProgressPercent(hostRun.startedAtMs, hostRun.durationMs),
+        reading: null,
+      })),
     });
   }
 
+  /** Returns the latest checkpoint of a run; a stop produces a new one. */
+  #getCheckpoint({ task, startedAtMs, checkpoint }: HostRun, end: RunEnd): string {
+    if (this.#oracle.findStep(task)?.keepsCheckpoints !== true) {
+      return '';
+    }
+    const workedMs = this.#clock.getNow() - startedAtMs;
+    const savedMs = end === RunEnd.Stopped ? workedMs : workedMs - (workedMs % CHECKPOINT_MS);
+    return savedMs === 0 ? checkpoint : `${task}@${startedAtMs + savedMs}`;
+  }
+
   #getProgressPercent(startedAtMs: number, durationMs: number | null): number {
     const elapsedMs = this.#clock.getNow() - startedAtMs;
     if (durationMs === null) {
@@ -437,7 +448,8 @@
     this.#runs.delete(task);
     this.#highestEndedRuns.set(task, Math.max(run.run, this.#highestEndedRuns.get(task) ?? 0));
     this.#endCount += 1;
-    this.#ended.push({ position: this.#endCount, task, run: run.run, end, checkpoint: '' });
+    const checkpoint = this.#getCheckpoint(run, end);
+    this.#ended.push({ position: this.#endCount, task, run: run.run, end, checkpoint });
     this.#oracle.recordEnd(task, this.id, end, this.#clock.getNow());
     if (this.shouldKeepAcknowledgedPosition) {
       this.#forgetEnds(this.#acknowledgedPosition);
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorNames.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorNames.ts
@@ -22,6 +22,11 @@
   return ZONES[number % zoneCount] ?? '';
 }
 
+/** Returns the name of the step of a task: the members of a gang share it. */
+export function getGang(task: string): string {
+  return task.slice(0, task.lastIndexOf('.'));
+}
+
 /** Creates the record of a numbered job. */
 export function createJobRecord(
   number: number,
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOracle.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorOracle.ts
@@ -1,9 +1,11 @@
 import type { JobRecord, Resources, StepSpec } from '@baobabwell/jobs';
+import type { StartOrder } from '@baobabwell/platform';
 
 import { formatTaskName, parseTaskName, RunEnd } from '@baobabwell/jobs';
 
 import { AvailabilityTracker } from './BaobabwellJobEmulatorAvailability';
 import { CancellationTracker } from './BaobabwellJobEmulatorCancellations';
+import { getGang } from './BaobabwellJobEmulatorNames';
 
 /** Invariants that the oracle checks against the starts and ends on the hosts. */
 export enum JobInvariant {
@@ -35,6 +37,8 @@
   SparesEvacuatedDataCentres = 'spares-evacuated-data-centres',
   /** Only tasks of submitted jobs start. */
   RunsOnlySubmitted = 'runs-what-was-asked',
+  /** The members of one run of a gang resume from the same checkpoint. */
+  ResumesGangTogether = 'resumes-gang-together',
   /** No task starts some time after the cancelling of its job was acknowledged. */
   StartsNoCancelledJob = 'starts-no-cancelled-job',
 }
@@ -116,6 +120,9 @@
 
   readonly #tasks = new Map<string, TaskTrace>();
 
+  /** Checkpoint from which the first member of each run of a gang resumed. */
+  readonly #gangCheckpoints = new Map<string, string>();
+
   readonly #usedCpuByOrganisation = new Map<string, number>();
 
   constructor(maxAttempts: number, capCpuMillis: number) {
@@ -211,6 +218,22 @@
     }
   }
 
+  /** Records the checkpoint from which a task resumes, '' if it begins anew. */
+  recordResumption(
+    { task, run, checkpoint }: Pick<StartOrder, 'task' | 'run' | 'checkpoint'>,
+    atMs: number,
+  ): void {
+    if (this.findStep(task)?.isGang === true) {
+      const key = `${getGang(task)}#${run}`;
+      const known = this.#gangCheckpoints.get(key) ?? checkpoint;
+      this.#gangCheckpoints.set(key, known);
+      if (known !== checkpoint) {
+        const detail = `from "${checkpoint}", another member from "${known}"`;
+        this.#addViolation(JobInvariant.ResumesGangTogether, task, atMs, detail);
+      }
+    }
+  }
+
   /** Records that a task crashed its host. */
   recordCrash(task: string): void {
     this.#getTrace(task).crashes += 1;
--- a/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRegistry.ts
@@ -300,9 +300,7 @@
   applyEnd(run: Run, end: RunEnd, checkpoint: string, nowMs: number): RunEndEffect {
     const { task } = run;
     task.removeRun(run);
-    if (checkpoint !== '') {
-      task.checkpoint = checkpoint;
-    }
+    task.recordCheckpoint(checkpoint);
     const { job, occurrence } = task.step;
     job.hasRun = true;
     if (job.isEnded) {
--- a/packages/baobabwell-jobs/src/BaobabwellJobsRows.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRows.ts
@@ -138,7 +138,7 @@
         index,
         lastRun,
         [...failedRuns],
-        checkpoint,
+        step.spec.isGang ? step.gangCheckpoint : checkpoint,
       ]),
     ...(crashes.length > 0 ? { crashes } : {}),
     ...leftoverField,
--- a/packages/baobabwell-jobs/src/BaobabwellJobsTracking.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsTracking.ts
@@ -68,8 +68,8 @@
   /** True for a run that was started beside another run of its task. */
   isCopy = false;
 
-  /** True for a run that resumes from a checkpoint. */
-  readonly isResumed: boolean;
+  /** Checkpoint from which the run resumes; '' if it begins anew. */
+  readonly checkpoint: string;
 
   readonly key: string;
 
@@ -84,10 +84,15 @@
     readonly startSentAtMs: number,
   ) {
     this.progressedAtMs = startSentAtMs;
-    this.isResumed = task.checkpoint !== '';
+    this.checkpoint = task.resumedCheckpoint;
     this.key = `${task.name}#${number}`;
   }
 
+  /** True for a run that resumes from a checkpoint. */
+  get isResumed(): boolean {
+    return this.checkpoint !== '';
+  }
+
   /** Records the progress and the reading that the host reported for the run. */
   recordReport(percent: number, reading: number | null, nowMs: number): void {
     this.task.step.job.hasRun = true;
@@ -111,7 +116,7 @@
 
   lastRun = 0;
 
-  checkpoint = '';
+  #checkpoint = '';
 
   #runs = NO_RUNS;
 
@@ -146,6 +151,24 @@
     return this.#runs;
   }
 
+  /** Latest checkpoint that a host reported; '' if there is none. */
+  get checkpoint(): string {
+    return this.#checkpoint;
+  }
+
+  /** Checkpoint from which the next run resumes: the members of a gang have to resume from one of them. */
+  get resumedCheckpoint(): string {
+    return this.step.spec.isGang ? this.step.gangCheckpoint : this.#checkpoint;
+  }
+
+  /** Records the checkpoint that a host reported, '' if it reported none. */
+  recordCheckpoint(checkpoint: string): void {
+    if (checkpoint !== '' && checkpoint !== this.#checkpoint) {
+      this.#checkpoint = checkpoint;
+      this.step.gangCheckpoint = checkpoint;
+    }
+  }
+
   /** Hosts on which a run of this task failed; other hosts are preferred. */
   get avoidedHosts(): ReadonlySet<string> {
     return this.#avoidedHosts;
@@ -201,7 +224,7 @@
   restoreProgress(lastRun: number, failedRuns: readonly number[], checkpoint: string): void {
     this.lastRun = lastRun;
     this.failedRuns = failedRuns;
-    this.checkpoint = checkpoint;
+    this.recordCheckpoint(checkpoint);
   }
 
   /** Records that the task is done; returns false if that was recorded before. */
@@ -226,6 +249,9 @@
 
   waitingCount: number;
 
+  /** Latest new checkpoint of any task; that of one member is valid for its whole gang. */
+  gangCheckpoint = '';
+
   /**
    * Runs that former owners stored as leftover: those of tasks that are done, or of any task once the job
    * had ended. Their hosts may not have ended them yet.
