http: a refused connection fails with its cause

Cause: called resetAndDestroy also where a connection was never opened; the error of the connect was lost, and calls waited for ever. Change: only opened connections are reset.

--- a/packages/baobabwell-http/src/BaobabwellHttpConnector.ts
+++ b/packages/baobabwell-http/src/BaobabwellHttpConnector.ts
@@ -12,8 +12,18 @@
  * before: behind a partition an order would arrive long after its sender has given it up.
  */
 class ResetSocket extends Socket {
+  #isOpen = false;
+
+  constructor() {
+    super();
+    this.once('connect', () => {
+      this.#isOpen = true;
+    });
+  }
+
   override destroy(error?: Error): this {
-    if (error !== undefined && !this.destroyed && !this.connecting) {
+    if (error !== undefined && this.#isOpen && this.writable) {
+      this.#isOpen = false;
       this.resetAndDestroy();
     }
     return super.destroy(error);
