--- a/packages/baobabwell-controller/src/BaobabwellController.ts
+++ b/packages/baobabwell-controller/src/BaobabwellController.ts
@@ -10,6 +10,7 @@
 
 import { OwnerTerm } from './BaobabwellControllerTerm';
 import { readEarlyHosts } from './BaobabwellControllerTermLeases';
+import { countWaitingJobs } from './BaobabwellControllerWaitingJobs';
 
 /** Runs the terms of this daemon and answers calls to the owner while it is the owner. */
 export class Controller extends OwnerClient {
@@ -84,6 +85,7 @@
   }
 
   override async countWaiting(queue: QueueSettings): Promise<number | null> {
-    return this.getLoadedTerm()?.countWaiting(queue) ?? null;
+    const term = this.getLoadedTerm();
+    return term && countWaitingJobs(term.context, queue);
   }
 }
--- a/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerTerm.ts
@@ -3,7 +3,7 @@
 import type { EarlyHosts } from './BaobabwellControllerTermLeases';
 import type { TermOptions } from './BaobabwellControllerTermOptions';
 import type { RereadLimits, TablePosition } from './BaobabwellControllerTermTables';
-import type { ListedWorker, QueueSettings } from '@baobabwell/fleet';
+import type { ListedWorker } from '@baobabwell/fleet';
 import type { OfferReply } from '@baobabwell/ingress';
 import type { JobRecord, Run } from '@baobabwell/jobs';
 import type { Term } from '@baobabwell/ownership';
@@ -12,7 +12,7 @@
 
 import { setMaxListeners } from 'node:events';
 
-import { findQueueByName, findQueueOfJob, hasSameAddress } from '@baobabwell/fleet';
+import { findQueueOfJob } from '@baobabwell/fleet';
 import { JOBS_TABLE } from '@baobabwell/ingress';
 import { JobRegistry, TaskBudget } from '@baobabwell/jobs';
 import { getWidestStepCpu, RefusalCause } from '@baobabwell/placement';
@@ -191,17 +191,6 @@
     return { ...decision, refusals: this.#admission.listRefusals(queue.name) };
   }
 
-  /** Counts the waiting jobs of a queue, which the configuration of this process need not contain yet. */
-  countWaiting(queue: QueueSettings): number {
-    const configuration = this.context.getConfiguration();
-    const known = findQueueByName(configuration, queue.name);
-    const isKnown = known !== null && hasSameAddress(known, queue);
-    const [counted, queues] = isKnown ? [known, configuration] : [queue, { queues: [queue] }];
-    return this.context.jobRegistry.countWaiting(
-      (record) => findQueueOfJob(queues, record) === counted,
-    );
-  }
-
   /** Ends the term: no further orders are sent. */
   end(): void {
     this.#abortController.abort();
--- a/packages/baobabwell-controller/src/index.ts
+++ b/packages/baobabwell-controller/src/index.ts
@@ -7,3 +7,4 @@
 export { HOST_LEASE_MS, MACHINE_ORDERS_TABLE } from './BaobabwellControllerConstants';
 export { PeerReports } from './BaobabwellControllerStoreOutage';
 export { listEvacuationReports } from './BaobabwellControllerEvacuationReport';
+export { countWaitingJobs } from './BaobabwellControllerWaitingJobs';
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonMetricsPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonMetricsPlugin.ts
@@ -2,6 +2,7 @@
 
 import Fastify from 'fastify';
 
+import { countWaitingJobs } from '@baobabwell/controller';
 import { registerMetricsRoutes } from '@baobabwell/metrics';
 
 import { registerStatusRoutes } from './BaobabwellDaemonStatus';
@@ -23,7 +24,7 @@
   const term = kernel.getService(CONTROLLER).getLoadedTerm();
   settings?.queues.forEach((queue) => {
     if (term !== null) {
-      metrics.owner.waitingJobs.set({ queue: queue.name }, term.countWaiting(queue));
+      metrics.owner.waitingJobs.set({ queue: queue.name }, countWaitingJobs(term.context, queue));
     }
   });
 }
--- a/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
+++ b/packages/baobabwell-job-emulator/src/BaobabwellJobEmulatorFleet.ts
@@ -1,20 +1,16 @@
+import type { Daemon } from './BaobabwellJobEmulatorDaemon';
 import type { ProcessorCosts } from './BaobabwellJobEmulatorProcessor';
 import type { TableFaults } from './BaobabwellJobEmulatorStore';
 import type { TermContext } from '@baobabwell/controller';
-import type { ProcessClock } from '@baobabwell/emulator';
 import type { MaintenanceWave, QueueSettings } from '@baobabwell/fleet';
 import type { OfferReply } from '@baobabwell/ingress';
 import type { JobRecord, JobState, RepeatSpec, Resources, StepSpec } from '@baobabwell/jobs';
 import type { JsonValue } from '@baobabwell/platform';
 
-import { Controller, HOST_LEASE_MS } from '@baobabwell/controller';
 import { EmulatedTime } from '@baobabwell/emulator';
 import { findQueueByName } from '@baobabwell/fleet';
 import { CANCELLED_SUFFIX, getJobPartition, JOBS_TABLE } from '@baobabwell/ingress';
 import { computeMemoryLimits } from '@baobabwell/jobs';
-import { Logger, LogLevel } from '@baobabwell/logging';
-import { DaemonMetrics } from '@baobabwell/metrics';
-import { Ownership } from '@baobabwell/ownership';
 import { Random } from '@baobabwell/utils';
 
 import { EmulatedCloud } from './BaobabwellJobEmulatorCloud';
@@ -27,12 +23,8 @@
   QUEUE,
   SPARE_POOL,
 } from './BaobabwellJobEmulatorConfiguration';
-import {
-  CrashRecovery,
-  EmulatedHost,
-  HEARTBEAT_MS,
-  MAX_LEASE_MS,
-} from './BaobabwellJobEmulatorHost';
+import { createDaemon } from './BaobabwellJobEmulatorDaemon';
+import { CrashRecovery, EmulatedHost, HEARTBEAT_MS } from './BaobabwellJobEmulatorHost';
 import {
   createJobRecord,
   getAddress,
@@ -41,27 +33,11 @@
   ID_SEPARATOR,
 } from './BaobabwellJobEmulatorNames';
 import { JobOracle } from './BaobabwellJobEmulatorOracle';
-import { createHostFaults, EmulatedHostOrders } from './BaobabwellJobEmulatorOrders';
+import { createHostFaults } from './BaobabwellJobEmulatorOrders';
 import { EmulatedPeerReports } from './BaobabwellJobEmulatorPeers';
-import {
-  EmulatedProcessor,
-  EmulatedProcessorTime,
-  NO_PROCESSOR_COSTS,
-  ProcessorClock,
-} from './BaobabwellJobEmulatorProcessor';
-import {
-  EmulatedJobStore,
-  EmulatedRows,
-  NO_STORE_FAULTS,
-  NO_TABLE_FAULTS,
-} from './BaobabwellJobEmulatorStore';
-import {
-  BOUNDS,
-  CODEC,
-  EVACUATION_PREFIX,
-  OPERATOR_TABLE,
-  STATUS_TABLE,
-} from './BaobabwellJobEmulatorTables';
+import { NO_PROCESSOR_COSTS } from './BaobabwellJobEmulatorProcessor';
+import { EmulatedRows, NO_STORE_FAULTS, NO_TABLE_FAULTS } from './BaobabwellJobEmulatorStore';
+import { EVACUATION_PREFIX, OPERATOR_TABLE, STATUS_TABLE } from './BaobabwellJobEmulatorTables';
 import {
   createListedWorker,
   EmulatedWorkerRows,
@@ -83,16 +59,6 @@
 /** Time after which an offer counts as unanswered, in ms. */
 const OFFER_TIMEOUT_MS = 1_000;
 
-/** One emulated process, a candidate for ownership. */
-type Daemon = {
-  readonly name: string;
-  readonly clock: ProcessClock;
-  readonly processor: EmulatedProcessor;
-  readonly ownership: Ownership;
-  readonly controller: Controller;
-  readonly store: EmulatedJobStore;
-};
-
 /** Several candidates for ownership, their hosts and their store on one clock. */
 export class EmulatedJobFleet {
   readonly time = new EmulatedTime();
@@ -215,53 +181,25 @@
   /** Starts a process; an earlier one of the same name must be dead or stopped. */
   startDaemon(name: string): void {
     this.killDaemon(name);
-    const processor = new EmulatedProcessor(this.time, this.processorCosts);
-    const clock = new ProcessorClock(this.time, processor);
-    const store = new EmulatedJobStore(clock, this.time, this.#random, this.rows);
-    const logger = new Logger(LogLevel.Info, { daemon: name }, (line) =>
-      this.logLines.push(`${this.time.getNow()} ${line}`),
-    );
     this.#incarnationCount += 1;
-    const ownership = new Ownership({
-      store,
-      clock,
-      logger,
-      candidate: { name, incarnation: String(this.#incarnationCount), address: name, fitness: 0.5 },
-      listener: {
-        prepareTerm: () => this.#daemons.get(name)?.controller.prepareTerm(),
-        startTerm: (term) => this.#daemons.get(name)?.controller.startTerm(term),
-        endTerm: () => this.#daemons.get(name)?.controller.endTerm(),
-      },
-      maxLeaseExtensionMs: MAX_LEASE_MS - HOST_LEASE_MS,
-    });
-    const controller = new Controller({
-      holder: name,
-      clock,
-      logger,
-      metrics: new DaemonMetrics().owner,
-      processorTime: new EmulatedProcessorTime(processor),
-      bounds: BOUNDS,
-      codec: CODEC,
-      store,
-      orders: new EmulatedHostOrders({
-        process: name,
-        clock,
-        processor,
-        sharedClock: this.time,
-        random: this.#random,
-        faults: this.faults,
-        findHost: (id) => this.#hosts.get(id) ?? null,
-      }),
+    const daemon = createDaemon({
+      name,
+      incarnation: String(this.#incarnationCount),
+      time: this.time,
+      random: this.#random,
+      rows: this.rows,
+      faults: this.faults,
+      processorCosts: this.processorCosts,
       cloud: this.#cloud,
-      advisor: null,
-      ownership,
       peerReports: new EmulatedPeerReports(name, this.#daemons, this.processesWithoutPeers),
+      findHost: (id) => this.#hosts.get(id) ?? null,
       getConfiguration: () => this.configuration,
       getMemoryLimits: () => this.memoryLimits,
+      recordLine: (line) => this.logLines.push(line),
     });
-    this.#daemons.set(name, { name, clock, processor, ownership, controller, store });
-    void ownership.run();
-    void ownership.runRenewals();
+    this.#daemons.set(name, daemon);
+    void daemon.ownership.run();
+    void daemon.ownership.runRenewals();
   }
 
   /**
--- a/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorRoutes.test.ts
+++ b/packages/baobabwell-job-emulator/src/__tests__/unit/BaobabwellJobEmulatorRoutes.test.ts
@@ -167,7 +167,7 @@
     const jobs = Array.from({ length: 5 }, () => fleet.submit([{ taskCount: 2 }]));
     await fleet.time.advance(500);
     const renamed = { ...QUEUE, name: RENAMED };
-    const count = (queue: QueueSettings) => fleet.countWaiting(queue);
+    const count = async (queue: QueueSettings) => fleet.countWaiting(queue);
     expect([await count(QUEUE), await count(renamed)]).toEqual([jobs.length, jobs.length]);
     rename(fleet);
     expect([await count(QUEUE), await count(renamed)]).toEqual([jobs.length, jobs.length]);
