--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -73,6 +73,14 @@
       };
 }
 
+/** Number of probes that an ejected host may receive in one round. */
+const PROBE_COUNTS: Readonly<Record<HostAdmission, number>> = {
+  [HostAdmission.Full]: Infinity,
+  [HostAdmission.Probe]: Infinity,
+  [HostAdmission.AnyProbe]: 1,
+  [HostAdmission.None]: 0,
+};
+
 /** Returns what a host offers; `null` for one that offers all that is free. */
 function createEjectedOffer(
   host: Host,
@@ -85,7 +93,7 @@
   const soleProbeCount = isProbe ? 1 : 0;
   return {
     probeResources: getProbeResources(host, admission),
-    probeCount: admission === HostAdmission.AnyProbe ? 1 : Infinity,
+    probeCount: PROBE_COUNTS[admission],
     soleCount: soleAdmission === SoleAdmission.Full ? Infinity : soleProbeCount,
   };
 }
