jobs, controller: no row of progress is longer than the store takes

What callers would see: no job is completed any more. Change: a row that would be too long leaves out checkpoints first, then the tasks with fewest failed runs, and is logged; a transaction holds no more rows than fit into its length. Not taken: rows of details beside it. Conclusion: what is stored is bounded as what is kept.

--- a/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
@@ -14,6 +14,7 @@
   COMMIT_BATCHING_MS,
   COMMIT_RETRY_MS,
   HOSTS_TABLE,
+  MAX_COMMIT_BYTES,
   MAX_COMMIT_ENTRIES,
   MAX_COMMIT_HOSTS,
   MAX_COMMIT_RETRY_MS,
@@ -193,7 +194,9 @@
     // An added host takes one entry; a removed host and a job take two, for their condition and their row.
     const hostEntries = addedHosts.length + 2 * removedHosts.length;
     const jobCount = Math.floor((MAX_COMMIT_ENTRIES - hostEntries) / 2);
-    const changed = [...jobRegistry.listUnsavedJobs()].slice(0, jobCount);
+    const unsaved = [...jobRegistry.listUnsavedJobs()].slice(0, jobCount);
+    const progressWrites = this.#createProgressWrites(unsaved);
+    const changed = unsaved.slice(0, progressWrites.length);
     const hasAllChanges = changed.length === jobRegistry.listUnsavedJobs().size;
     changed.forEach((job) => jobRegistry.removeUnsavedJob(job));
     removedHosts.forEach((hostId) => this.#removedHosts.delete(hostId));
@@ -232,14 +235,7 @@
         })),
       ],
       writes: [
-        ...changed.map((job) => ({
-          table: PROGRESS_TABLE,
-          key: job.record.id,
-          value: createJobProgress(
-            job,
-            possibleRuns.countLeftoverRuns(job),
-          ) as unknown as JsonValue,
-        })),
+        ...progressWrites,
         ...addedHosts.map(({ incarnation, pool, bornMs }) => ({
           table: HOSTS_TABLE,
           key: incarnation.id,
@@ -250,6 +246,26 @@
     };
   }
 
+  /** Creates the rows of jobs, of as many as fit into one transaction. */
+  #createProgressWrites(jobs: readonly Job[]): readonly RowWrite[] {
+    const { logger, possibleRuns } = this.#context;
+    const writes: RowWrite[] = [];
+    let bytes = 0;
+    for (const job of jobs) {
+      const progress = createJobProgress(job, possibleRuns.countLeftoverRuns(job));
+      bytes += Buffer.byteLength(JSON.stringify(progress));
+      if (bytes > MAX_COMMIT_BYTES && writes.length > 0) {
+        break;
+      }
+      if (progress.isShortened === true) {
+        logger.recordWarning('progress-shortened', { job: job.record.id });
+      }
+      const value = progress as unknown as JsonValue;
+      writes.push({ table: PROGRESS_TABLE, key: job.record.id, value });
+    }
+    return writes;
+  }
+
   #recordStored(batch: Batch, version: number): void {
     const { jobRegistry, requestDispatch } = this.#context;
     batch.jobs.forEach(({ job, state, notifyStored }) => {
--- a/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerConstants.ts
@@ -114,6 +114,12 @@
  */
 export const MAX_COMMIT_ENTRIES = 97;
 
+/**
+ * Maximum length of the rows of jobs in one transaction, in bytes: the store takes 1 MB, in which rows are
+ * encoded with a third more.
+ */
+export const MAX_COMMIT_BYTES = 600_000;
+
 /** Maximum number of host rows in one transaction; the other entries are left for jobs. */
 export const MAX_COMMIT_HOSTS = 40;
 
--- a/packages/baobabwell-jobs/src/BaobabwellJobsRows.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRows.ts
@@ -18,6 +18,9 @@
  */
 const MAX_LISTED_OCCURRENCES = 8_000;
 
+/** Longest row of a job's progress, in bytes; the store takes 64 KiB and refuses a transaction with a longer one. */
+const MAX_PROGRESS_BYTES = 60_000;
+
 const taskProgress = z.tuple([
   z.number().int(),
   z.number().int(),
@@ -65,6 +68,8 @@
   /** First and last of consecutive occurrences that are done, in place of a long list; older builds do not read this. */
   doneRanges: z.array(z.tuple([z.number().int(), z.number().int()])).optional(),
   occurrences: z.array(z.tuple([z.number().int(), z.array(stepProgress)])),
+  /** Tasks with a checkpoint or few failed runs are missing: the row would have been too long with them. */
+  isShortened: z.boolean().optional(),
 });
 
 /** Persisted progress of a job. */
@@ -162,11 +167,7 @@
       };
 }
 
-/**
- * Creates the progress row of a job; occurrences that are done, and all once the job has ended, are stored
- * without detail unless runs of theirs may exist.
- */
-export function createJobProgress(job: Job, leftoverRuns: LeftoverRuns = new Map()): JobProgress {
+function buildJobProgress(job: Job, leftoverRuns: LeftoverRuns): JobProgress {
   const hasLeftover = (step: Step): boolean => (leftoverRuns.get(step) ?? 0) > 0;
   return {
     state: job.state,
@@ -184,6 +185,52 @@
   };
 }
 
+function fitsRow(progress: JobProgress): boolean {
+  return Buffer.byteLength(JSON.stringify(progress)) <= MAX_PROGRESS_BYTES;
+}
+
+/** Leaves out the checkpoints, and the tasks with fewer failed runs than a number. */
+function omitTasks(progress: JobProgress, minFailedRuns: number): JobProgress {
+  return {
+    ...progress,
+    isShortened: true,
+    occurrences: progress.occurrences.map(([occurrence, steps]) => [
+      occurrence,
+      steps.map((step) => ({
+        ...step,
+        tasks: step.tasks
+          .filter(([, , failedRuns]) => failedRuns.length >= minFailedRuns)
+          .map(([index, lastRun, failedRuns]) => [index, lastRun, failedRuns, '']),
+      })),
+    ]),
+  };
+}
+
+/**
+ * Shortens a row that the store would refuse, and with it all that is stored beside it. The tasks that are next
+ * to the limit of failed runs are left out last; the others are tried more often if the owner is lost.
+ */
+function shortenProgress(progress: JobProgress): JobProgress {
+  let shortened = progress;
+  const failedCounts = progress.occurrences.flatMap(([, steps]) =>
+    steps.flatMap(({ tasks }) => tasks.map(([, , failedRuns]) => failedRuns.length)),
+  );
+  const maxCount = failedCounts.reduce((most, count) => Math.max(most, count), 0);
+  for (let minCount = 1; minCount <= maxCount + 1 && !fitsRow(shortened); minCount += 1) {
+    shortened = omitTasks(progress, minCount);
+  }
+  return shortened;
+}
+
+/**
+ * Creates the progress row of a job; occurrences that are done, and all once the job has ended, are stored
+ * without detail unless runs of theirs may exist.
+ */
+export function createJobProgress(job: Job, leftoverRuns: LeftoverRuns = new Map()): JobProgress {
+  const progress = buildJobProgress(job, leftoverRuns);
+  return fitsRow(progress) ? progress : shortenProgress(progress);
+}
+
 function restoreStepProgress(step: Step, row: z.infer<typeof stepProgress>, nowMs: number): void {
   const restored = step;
   restored.formerLeftoverCount = row.leftover ?? 0;
--- a/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsMemory.test.ts
+++ b/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsMemory.test.ts
@@ -155,6 +155,32 @@
     expect([job.state, job.doneOccurrences.size]).toEqual([JobState.Completed, 5_000]);
   });
 
+  // Guards against a row that the store refuses, with every transaction that holds it: no job is completed then.
+  it('keeps a row that the store takes when thousands of tasks fail or have checkpoints', () => {
+    const spec = createSpec({ taskCount: 100_000, keepsCheckpoints: true });
+    const job = registry.addJob(createRecord('a', spec), 1);
+    const [step] = registry.listReadySteps(job, WALL_MS);
+    const fail = (index: number, run: number) => {
+      const task = step?.tasks[index];
+      if (task !== undefined) {
+        registry.applyEnd(task.addRun('host', run, 0), RunEnd.Failed, `saved-${index}`, 0);
+      }
+    };
+    for (let index = 0; index < 20_000; index += 1) {
+      fail(index, 1);
+    }
+    fail(7, 2);
+    const text = JSON.stringify(createJobProgress(job));
+    expect(Buffer.byteLength(text)).toBeLessThanOrEqual(MAX_ROW_BYTES);
+    const later = new JobRegistry(() => ({ maxAttempts: 3 }));
+    const again = later.addJob(createRecord('a', spec), 1);
+    const row = parseJobProgress(JSON.parse(text));
+    if (row !== null) {
+      later.restoreProgress(again, row, 2, 0);
+    }
+    expect([row?.isShortened, again.listSteps()[0]?.tasks[7]?.failedRuns]).toEqual([true, [1, 2]]);
+  });
+
   it('restores which of 100,000 tasks are done from a row that the store takes', () => {
     const spec = createSpec({ taskCount: 100_000 });
     const job = registry.addJob(createRecord('a', spec), 1);
