ingress, platform: a job whose row the store would not take is refused at once

What callers saw: none reported. A job of about 190 steps or more got 504, and again at each repetition: the store refuses its row, and the outcome counted as unknown. Cause: nothing compared a job with the length of a row. Evidence: "refuses a job whose row the store would not take, and tells that it never fits" failed on, passes now. Change: 429 with the reason before the job is offered; the length comes from the settings (row-bytes). Conclusion: what can't be served is refused at once.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
@@ -77,6 +77,7 @@
       owner,
       clock,
       logger,
+      maxRowBytes: kernel.getService(SETTINGS).storeRowBytes,
       getMaxUnofferedBytes: () =>
         computeMemoryLimits(members.getSmallestHeapBytes()).unofferedBytes /
         (1 + members.listPeerAddresses().length),
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonSettings.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonSettings.ts
@@ -28,6 +28,8 @@
   readonly configurationMs: number;
   /** Reads of the store that all processes together may make, per second. */
   readonly storeReadsPerS: number;
+  /** Longest value of a row of the store, in bytes. */
+  readonly storeRowBytes: number;
   readonly bounds: FleetBounds;
 };
 
--- a/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
@@ -25,6 +25,9 @@
 /** Retry delay sent to callers while no owner answers, in ms; a takeover takes about as long. */
 const OWNER_RETRY_AFTER_MS = 3_000;
 
+/** Retry delay sent to callers whose job is larger than a row, in ms. */
+const TOO_LARGE_RETRY_AFTER_MS = 60_000;
+
 /** Number of reads that try to resolve a commit with an unknown outcome. */
 const RESOLVE_ATTEMPTS = 3;
 
@@ -58,6 +61,8 @@
 
   readonly #waitingCounts: WaitingCounts;
 
+  readonly #maxRowBytes: number;
+
   readonly #getMaxUnofferedBytes: () => number;
 
   /** Memory of the jobs that were stored since the owner last answered an offer, in bytes. */
@@ -71,6 +76,8 @@
     readonly owner: OwnerClient;
     readonly clock: Clock;
     readonly logger: Logger;
+    /** Longest value of a row that the store takes, in bytes. */
+    readonly maxRowBytes: number;
     /**
      * Returns the memory of the jobs that this process may store while no owner answers offers, in bytes.
      */
@@ -80,6 +87,7 @@
     this.#owner = options.owner;
     this.#clock = options.clock;
     this.#logger = options.logger;
+    this.#maxRowBytes = options.maxRowBytes;
     this.#getMaxUnofferedBytes = options.getMaxUnofferedBytes;
     this.#states = new JobStateReader(options);
     this.#waitingCounts = new WaitingCounts(options.owner, options.clock);
@@ -124,6 +132,11 @@
       acceptedAtMs,
       spec,
     };
+    const rowBytes = Buffer.byteLength(JSON.stringify(record));
+    if (rowBytes > this.#maxRowBytes) {
+      const reason = `the job takes ${rowBytes} of ${this.#maxRowBytes} bytes; it never fits`;
+      return { kind: AnswerKind.Refused, reason, retryAfterMs: TOO_LARGE_RETRY_AFTER_MS };
+    }
     const demand = computeDemand(record, queue);
     const known = this.#refusals.find(demand, this.#clock.getNow(), true);
     if (known !== null) {
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressDeadlines.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressDeadlines.test.ts
@@ -89,6 +89,7 @@
       owner,
       clock: time,
       logger: new Logger(LogLevel.Error, {}, () => undefined),
+      maxRowBytes: 65_536,
       getMaxUnofferedBytes: () => Infinity,
     });
   });
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressJobSubmissionService.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressJobSubmissionService.test.ts
@@ -5,7 +5,12 @@
 import { expect } from 'earl';
 
 import { EmulatedTime } from '@baobabwell/emulator';
-import { EmulatedJobStore, EmulatedRows, NO_STORE_FAULTS } from '@baobabwell/job-emulator';
+import {
+  EmulatedJobStore,
+  EmulatedRows,
+  NO_STORE_FAULTS,
+  PLAIN_STEP,
+} from '@baobabwell/job-emulator';
 import { estimateJobBytes, JobState } from '@baobabwell/jobs';
 import { Logger, LogLevel } from '@baobabwell/logging';
 import { Deadline, Random } from '@baobabwell/utils';
@@ -70,6 +75,7 @@
       owner: new ScriptedOwner(offer),
       clock: time,
       logger: new Logger(LogLevel.Error, {}, () => undefined),
+      maxRowBytes: 65_536,
       getMaxUnofferedBytes: () => maxUnofferedBytes,
     });
   }
@@ -127,6 +133,26 @@
     expect(await readState(ids[2] ?? '')).toEqual(AnswerKind.UnknownJob);
   });
 
+  // Guards against a job that gets 504 for ever: the store takes no row that is so long.
+  it('refuses a job whose row the store would not take, and tells that it never fits', async () => {
+    const submitSteps = async (count: number) => {
+      const spec = { ...SPEC, steps: Array.from({ length: count }, () => PLAIN_STEP) };
+      const submitting = createService().submit(
+        QUEUE,
+        null,
+        '00000000000000b1',
+        spec,
+        createCall(),
+      );
+      return time.settle(submitting, 20_000);
+    };
+    const refused = await submitSteps(400);
+    expect(refused.kind === AnswerKind.Refused && refused.reason.includes('never fits')).toEqual(
+      true,
+    );
+    expect((await submitSteps(150)).kind).toEqual(AnswerKind.Accepted);
+  });
+
   it('does not store a refused job', async () => {
     const refusal = { isWanted: false, reason: 'full', retryAfterMs: 1_000, refusals: [] } as const;
     expect(await submit(createService(refusal))).toEqual(AnswerKind.Refused);
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
@@ -143,6 +143,7 @@
         owner,
         clock: time,
         logger,
+        maxRowBytes: 65_536,
         getMaxUnofferedBytes: () => Infinity,
       }),
       clock: time,
