--- a/tests/process/soak/site.ts
+++ b/tests/process/soak/site.ts
@@ -25,13 +25,13 @@
 const LASTING_CPU = 1_300;
 const SHORT_CPU = 500;
 
-/** Creates the operator's configuration; a second queue is there in every other version. */
+/** Creates the operator's configuration: each version renames the queues; a second one is there in every other. */
 export function createConfiguration(version: number): unknown {
   const names = version % 2 === 0 ? ['queue-a', 'queue-b'] : ['queue-a'];
   return {
     version,
     routes: names.map((name) => ({
-      name,
+      name: `${name}-${version}`,
       host: QUEUE_HOST,
       'path-prefix': `/${name}/`,
       service: 'service-a',
