jobs: memory suffices for all large jobs that are accepted

Cause: found in reading the change again. Admission accepted large jobs up to all of the bytes for jobs, and an owner tracked them up to 0.8 of the tasks in these bytes: of two jobs of 145,000 tasks, both accepted on a heap of 200 MB, the second stood still until the first had ended (LOST). Change: the share that large jobs leave to small ones comes on top. Conclusion: what is accepted and what is tracked are one bound.

--- a/packages/baobabwell-jobs/src/BaobabwellJobsMemory.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsMemory.ts
@@ -51,12 +51,13 @@
 /** Computes what an owner may keep in a heap. */
 export function computeMemoryLimits(heapBytes: number): MemoryLimits {
   const runs = Math.floor((heapBytes * RUNS_SHARE) / RUN_BYTES);
-  const tasks = Math.floor((heapBytes * JOBS_SHARE) / TASK_BYTES);
+  // Large jobs have to fit as far as they are accepted, within their share.
+  const acceptedTasks = Math.floor((heapBytes * JOBS_SHARE) / TASK_BYTES);
   return {
     jobBytes: heapBytes * JOBS_SHARE,
     unofferedBytes: heapBytes * UNOFFERED_SHARE,
-    tasks,
-    jobTasks: Math.min(MAX_JOB_TASKS, Math.floor(tasks * LARGE_JOB_SHARE)),
+    tasks: Math.ceil(acceptedTasks / LARGE_JOB_SHARE),
+    jobTasks: Math.min(MAX_JOB_TASKS, acceptedTasks),
     gangTasks: Math.min(MAX_GANG_TASKS, runs),
     runs,
     longRunningTasks: Math.floor(runs * LONG_RUNNING_SHARE),
--- a/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsMemory.test.ts
+++ b/packages/baobabwell-jobs/src/__tests__/unit/BaobabwellJobsMemory.test.ts
@@ -135,6 +135,16 @@
     expect(listTracked()).toEqual(['b', 'c']);
   });
 
+  // Guards against LOST: an accepted job that waits for memory which admission counted as its own.
+  it('suffices for all that admission accepts at the same time', () => {
+    const { jobBytes, tasks } = computeMemoryLimits(200_000_000);
+    registry = new JobRegistry(() => ({ maxAttempts: 3 }), new TaskBudget(tasks));
+    const spec = createSpec({ taskCount: 145_000 });
+    const jobs = ['a', 'b'].map((id) => registry.addJob(createRecord(id, spec), 1));
+    expect(registry.openBytes).toBeLessThanOrEqual(jobBytes);
+    expect(jobs.map((job) => registry.listReadySteps(job, WALL_MS).length)).toEqual([1, 1]);
+  });
+
   it('works off due occurrences some at a time, and all of them', () => {
     const spec = createSpec({ taskCount: 1 }, 5_000);
     const job = registry.addJob(createRecord('a', spec), 1);
