daemon, controller: limits of memory follow from the members once they are read

Cause: found in reading the change again. Two places computed the limits from the smallest heap, one of them in each round of placements, over all members; a host between two probes was excluded twice. Change: the member directory computes them when it has read the members; the number of probes alone excludes such a host. No behaviour changes. Measured: types and linter pass; tests of daemon, of placement and of ejections in the emulator: 69 passed, 0 failed.

--- a/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerDispatcher.ts
@@ -59,7 +59,7 @@
 
 /** Returns the resources that a host offers to probes; none while one runs there. */
 function getProbeResources(host: Host, admission: HostAdmission): Resources {
-  if (host.hasShortRuns || admission === HostAdmission.None) {
+  if (host.hasShortRuns) {
     return NO_RESOURCES;
   }
   const free = host.getFreeResources();
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonControllerPlugin.ts
@@ -4,7 +4,6 @@
 import { getHeapStatistics } from 'node:v8';
 
 import { Controller, HOST_LEASE_MS } from '@baobabwell/controller';
-import { computeMemoryLimits } from '@baobabwell/jobs';
 import { mergeUndo } from '@baobabwell/kernel';
 import { Ownership } from '@baobabwell/ownership';
 import { buildPeerServer, HttpPeerConnector } from '@baobabwell/peers';
@@ -89,7 +88,7 @@
     ownership: kernel.getService(OWNERSHIP),
     peerReports: new MemberReports(kernel.getService(MEMBERS), kernel.getService(PEERS)),
     getConfiguration: () => kernel.getService(CONFIGURATION).getConfiguration(),
-    getMemoryLimits: () => computeMemoryLimits(kernel.getService(MEMBERS).getSmallestHeapBytes()),
+    getMemoryLimits: () => kernel.getService(MEMBERS).getMemoryLimits(),
   });
 }
 
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
@@ -2,7 +2,6 @@
 import type { FastifyInstance } from 'fastify';
 
 import { IngressServer, JobSubmissionService } from '@baobabwell/ingress';
-import { computeMemoryLimits } from '@baobabwell/jobs';
 import { createServiceToken } from '@baobabwell/kernel';
 
 import { RelayedStore } from './BaobabwellDaemonRelayedStore';
@@ -79,8 +78,7 @@
       logger,
       maxRowBytes: kernel.getService(SETTINGS).storeRowBytes,
       getMaxUnofferedBytes: () =>
-        computeMemoryLimits(members.getSmallestHeapBytes()).unofferedBytes /
-        (1 + members.listPeerAddresses().length),
+        members.getMemoryLimits().unofferedBytes / (1 + members.listPeerAddresses().length),
     }),
     clock,
     logger,
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonMembers.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonMembers.ts
@@ -1,9 +1,12 @@
+import type { MemoryLimits } from '@baobabwell/jobs';
 import type { Logger } from '@baobabwell/logging';
 import type { WatchableTableService } from '@baobabwell/platform';
 import type { Clock } from '@baobabwell/utils';
 
 import { z } from 'zod';
 
+import { computeMemoryLimits } from '@baobabwell/jobs';
+
 const MEMBERS_TABLE = 'members';
 
 /** Interval between two reads of the members, in ms; they change only with the set of machines. */
@@ -18,8 +21,6 @@
   heapBytes: z.number().positive().optional(),
 });
 
-type MemberRow = z.infer<typeof memberRow>;
-
 /** Tracks the addresses at which the other processes serve their peers, and their memory. */
 export class MemberDirectory {
   readonly #store: WatchableTableService;
@@ -34,7 +35,9 @@
 
   readonly #heapBytes: number;
 
-  #peers: readonly MemberRow[] = [];
+  #peerAddresses: readonly string[] = [];
+
+  #memoryLimits: MemoryLimits;
 
   constructor(options: {
     readonly store: WatchableTableService;
@@ -51,19 +54,17 @@
     this.#name = options.name;
     this.#address = options.address;
     this.#heapBytes = options.heapBytes;
+    this.#memoryLimits = computeMemoryLimits(options.heapBytes);
   }
 
   /** Lists the addresses of the other processes as last read; some may no longer be running. */
   listPeerAddresses(): readonly string[] {
-    return this.#peers.map(({ address }) => address);
+    return this.#peerAddresses;
   }
 
-  /** Returns the smallest limit of the heap of any process, as far as known, in bytes. */
-  getSmallestHeapBytes(): number {
-    return Math.min(
-      this.#heapBytes,
-      ...this.#peers.map(({ heapBytes }) => heapBytes ?? this.#heapBytes),
-    );
+  /** Returns what the process with the smallest heap may keep, as far as the others are known. */
+  getMemoryLimits(): MemoryLimits {
+    return this.#memoryLimits;
   }
 
   /** Registers this process as a member and reads the other members until `signal` is aborted. */
@@ -73,10 +74,13 @@
       isRegistered ||= await this.#registerMember();
       const page = await this.#store.list({ table: MEMBERS_TABLE });
       if (page.ok) {
-        this.#peers = page.value.rows
+        const peers = page.value.rows
           .filter(({ key }) => key !== this.#name)
           .map(({ value }) => memberRow.safeParse(value).data ?? null)
           .filter((row) => row !== null);
+        this.#peerAddresses = peers.map(({ address }) => address);
+        const heapBytes = peers.map((peer) => peer.heapBytes ?? Infinity);
+        this.#memoryLimits = computeMemoryLimits(Math.min(this.#heapBytes, ...heapBytes));
       } else {
         this.#logger.recordWarning('members-not-read', { reason: page.error.kind });
       }
