jobs, controller: the length of a row of progress is measured once

Cause: found in reading the change again. Each saved job was formatted once to see whether its row fits, and again for the length of the transaction. Change: createProgressRow gives both. No behaviour changes.

--- a/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
+++ b/packages/baobabwell-controller/src/BaobabwellControllerCommitter.ts
@@ -5,7 +5,7 @@
 import type { JsonValue, Row, RowCondition, RowWrite, TableError } from '@baobabwell/platform';
 
 import { PROGRESS_TABLE } from '@baobabwell/ingress';
-import { createJobProgress, parseJobProgress } from '@baobabwell/jobs';
+import { createProgressRow, parseJobProgress } from '@baobabwell/jobs';
 import { TableErrorKind } from '@baobabwell/platform';
 import { Activity } from '@baobabwell/processor-time';
 import { RetryDelay, WakeSignal } from '@baobabwell/utils';
@@ -252,8 +252,9 @@
     const writes: RowWrite[] = [];
     let bytes = 0;
     for (const job of jobs) {
-      const progress = createJobProgress(job, possibleRuns.countLeftoverRuns(job));
-      bytes += Buffer.byteLength(JSON.stringify(progress));
+      const row = createProgressRow(job, possibleRuns.countLeftoverRuns(job));
+      const { progress } = row;
+      bytes += row.bytes;
       if (bytes > MAX_COMMIT_BYTES && writes.length > 0) {
         break;
       }
--- a/packages/baobabwell-jobs/src/BaobabwellJobsRows.ts
+++ b/packages/baobabwell-jobs/src/BaobabwellJobsRows.ts
@@ -185,8 +185,11 @@
   };
 }
 
-function fitsRow(progress: JobProgress): boolean {
-  return Buffer.byteLength(JSON.stringify(progress)) <= MAX_PROGRESS_BYTES;
+/** The row of a job's progress, and its length in bytes. */
+export type ProgressRow = { readonly progress: JobProgress; readonly bytes: number };
+
+function measureRow(progress: JobProgress): ProgressRow {
+  return { progress, bytes: Buffer.byteLength(JSON.stringify(progress)) };
 }
 
 /** Leaves out the checkpoints, and the tasks with fewer failed runs than a number. */
@@ -210,14 +213,19 @@
  * Shortens a row that the store would refuse, and with it all that is stored beside it. The tasks that are next
  * to the limit of failed runs are left out last; the others are tried more often if the owner is lost.
  */
-function shortenProgress(progress: JobProgress): JobProgress {
-  let shortened = progress;
+function shortenRow(row: ProgressRow): ProgressRow {
+  const { progress } = row;
+  let shortened = row;
   const failedCounts = progress.occurrences.flatMap(([, steps]) =>
     steps.flatMap(({ tasks }) => tasks.map(([, , failedRuns]) => failedRuns.length)),
   );
   const maxCount = failedCounts.reduce((most, count) => Math.max(most, count), 0);
-  for (let minCount = 1; minCount <= maxCount + 1 && !fitsRow(shortened); minCount += 1) {
-    shortened = omitTasks(progress, minCount);
+  for (
+    let minCount = 1;
+    minCount <= maxCount + 1 && shortened.bytes > MAX_PROGRESS_BYTES;
+    minCount += 1
+  ) {
+    shortened = measureRow(omitTasks(progress, minCount));
   }
   return shortened;
 }
@@ -226,9 +234,14 @@
  * Creates the progress row of a job; occurrences that are done, and all once the job has ended, are stored
  * without detail unless runs of theirs may exist.
  */
+export function createProgressRow(job: Job, leftoverRuns: LeftoverRuns): ProgressRow {
+  const row = measureRow(buildJobProgress(job, leftoverRuns));
+  return row.bytes <= MAX_PROGRESS_BYTES ? row : shortenRow(row);
+}
+
+/** Creates that row without its length. */
 export function createJobProgress(job: Job, leftoverRuns: LeftoverRuns = new Map()): JobProgress {
-  const progress = buildJobProgress(job, leftoverRuns);
-  return fitsRow(progress) ? progress : shortenProgress(progress);
+  return createProgressRow(job, leftoverRuns).progress;
 }
 
 function restoreStepProgress(step: Step, row: z.infer<typeof stepProgress>, nowMs: number): void {
--- a/packages/baobabwell-jobs/src/index.ts
+++ b/packages/baobabwell-jobs/src/index.ts
@@ -13,7 +13,7 @@
 } from './BaobabwellJobsModel';
 export type { QueueRules } from './BaobabwellJobsRegistry';
 export type { MemoryLimits } from './BaobabwellJobsMemory';
-export type { JobProgress, LeftoverRuns } from './BaobabwellJobsRows';
+export type { JobProgress, LeftoverRuns, ProgressRow } from './BaobabwellJobsRows';
 
 export { decideCrashBlame } from './BaobabwellJobsCrashBlame';
 export { CrashSuspicion, TaskCrashes } from './BaobabwellJobsCrashes';
@@ -28,7 +28,7 @@
 export { OccurrenceSet } from './BaobabwellJobsOccurrences';
 export { JobRegistry, RunEndEffect } from './BaobabwellJobsRegistry';
 export { addResources, fitsInto, NO_RESOURCES } from './BaobabwellJobsResources';
-export { createJobProgress, parseJobProgress } from './BaobabwellJobsRows';
+export { createJobProgress, createProgressRow, parseJobProgress } from './BaobabwellJobsRows';
 export {
   countLeftoverRuns,
   isEnded,
