ingress: at most 1,000 refusals are remembered

Cause: refusals of the last two seconds were kept without a bound, and each new one was compared with all; a caller with a key chooses jobs of which none covers another. Change: the latest 1,000 are kept. A job that a forgotten one covers is offered to the owner again. Measured: none: a bound on what is kept; read, not shown by a crowd.

--- a/packages/baobabwell-ingress/src/BaobabwellIngressRefusalMemory.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressRefusalMemory.ts
@@ -36,6 +36,9 @@
 /** The same while the owner does not answer, in ms. */
 const MAX_UNANSWERED_AGE_MS = 2_000;
 
+/** Number of refusals that are remembered; a job that an older one covers is offered again. */
+const MAX_REMEMBERED = 1_000;
+
 /** Number of refusals of one queue that are passed on. */
 const MAX_REFUSALS = 16;
 
@@ -91,7 +94,7 @@
         nowMs - known.refusedAtMs <= MAX_UNANSWERED_AGE_MS &&
         !added.some((newer) => isCovered(known, newer, 0)),
     );
-    this.#refusals = [...kept, ...added];
+    this.#refusals = [...kept, ...added].slice(-MAX_REMEMBERED);
   }
 
   /** Lists the refusals of a queue that still apply, the latest first. */
