connection-limits, ingress: what clients make a process keep is bounded

Callers saw: processes that ended (heap limit), took memory beyond the machine's, or all descriptors, beside clients that keep to no limits; then nothing from that process. Cause: bodies were kept whole and chunk by chunk before their queue, key or limit was looked at; all requests that had arrived became calls at once; nothing bounded a sum over clients. Change: a bound on connections, calls under way and bytes over all clients, from the memory and the descriptors of the machine; the parser is given one request at a time; submissions are read once queue and key are known, into blocks. At a bound the connection closes that has waited longest for its client; none with a call under way. A submission that may have been accepted before is not denied: 413 asks the store, and 504 stands where the job is not known. The servers for probes and metrics have small limits of their own. Way not taken: refusing new connections at the bound; it keeps ordinary callers out.

--- a/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonIngressPlugin.ts
@@ -4,6 +4,7 @@
 import { IngressServer, JobSubmissionService } from '@baobabwell/ingress';
 import { createServiceToken } from '@baobabwell/kernel';
 
+import { createCallerTable, limitServiceConnections } from './BaobabwellDaemonClientLimits';
 import { RelayedStore } from './BaobabwellDaemonRelayedStore';
 import {
   ADAPTERS,
@@ -70,6 +71,7 @@
     readsPerS: kernel.getService(SETTINGS).storeReadsPerS,
   });
   return new IngressServer({
+    connections: createCallerTable(kernel),
     protocol,
     submissions: new JobSubmissionService({
       store,
@@ -127,6 +129,7 @@
     open.endCalls = () => server.endCalls();
     const callerServer = server.buildCallerServer();
     const readinessServer = server.buildReadinessServer();
+    limitServiceConnections(kernel, 'readiness', readinessServer.server);
     open.servers.push(callerServer, readinessServer);
     await Promise.all([callerServer.listen(callers), readinessServer.listen(readiness)]);
   },
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonMetricsPlugin.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonMetricsPlugin.ts
@@ -3,13 +3,18 @@
 import Fastify from 'fastify';
 
 import { countWaitingJobs } from '@baobabwell/controller';
+import { REQUEST_HEADER_TIMEOUTS } from '@baobabwell/http';
 import { registerMetricsRoutes } from '@baobabwell/metrics';
 
+import { limitServiceConnections } from './BaobabwellDaemonClientLimits';
 import { registerStatusRoutes } from './BaobabwellDaemonStatus';
 import { CONFIGURATION, CONTROLLER, METRICS, OWNERSHIP, SETTINGS } from './BaobabwellDaemonTokens';
 
 const SECOND_MS = 1_000;
 
+/** Time limit for receiving a whole request, in ms. */
+const REQUEST_TIMEOUT_MS = 10_000;
+
 /** Configuration age reported until a configuration has been read. */
 const UNKNOWN_AGE_S = -1;
 
@@ -38,7 +43,8 @@
   async start(kernel) {
     const metrics = kernel.getService(METRICS);
     metrics.startTime.set(kernel.clock.getWallTime() / SECOND_MS);
-    const server = Fastify();
+    const server = Fastify({ http: REQUEST_HEADER_TIMEOUTS, requestTimeout: REQUEST_TIMEOUT_MS });
+    limitServiceConnections(kernel, 'metrics', server.server);
     registerMetricsRoutes(server, metrics);
     registerStatusRoutes(server, {
       getOwner: () => kernel.getService(OWNERSHIP).getOwner(),
--- a/packages/baobabwell-daemon/src/BaobabwellDaemonSettings.ts
+++ b/packages/baobabwell-daemon/src/BaobabwellDaemonSettings.ts
@@ -1,3 +1,4 @@
+import type { ProcessResources } from '@baobabwell/connection-limits';
 import type { FleetBounds, FleetCodec } from '@baobabwell/controller';
 import type { FleetConfiguration } from '@baobabwell/fleet';
 import type { ClientProtocol } from '@baobabwell/ingress';
@@ -22,6 +23,8 @@
   readonly metrics: ListenAddress;
   /** CPU capacity of this machine relative to that of the largest known machine, 0 to 1. */
   readonly fitness: number;
+  /** Memory and descriptors that the machine gives to this process. */
+  readonly resources: ProcessResources;
   /** Time from the stop signal until the process is killed, in ms. */
   readonly graceMs: number;
   /** Longest time after the acknowledgement of a configuration until it is in force everywhere, in ms. */
--- a/packages/baobabwell-http/src/BaobabwellHttp.ts
+++ b/packages/baobabwell-http/src/BaobabwellHttp.ts
@@ -8,6 +8,14 @@
   connectionsCheckingInterval: 1_000,
 };
 
+/** Registers a parser that leaves every request body to the handler, whatever its content type. */
+export function registerUnreadBodyParser(server: FastifyInstance): void {
+  server.removeAllContentTypeParsers();
+  server.addContentTypeParser('*', (_request, _body, done) => {
+    done(null);
+  });
+}
+
 /** Registers a parser that reads every request body as a buffer, whatever its content type. */
 export function registerRawBodyParser(server: FastifyInstance): void {
   server.removeAllContentTypeParsers();
--- a/packages/baobabwell-http/src/index.ts
+++ b/packages/baobabwell-http/src/index.ts
@@ -1,4 +1,8 @@
-export { REQUEST_HEADER_TIMEOUTS, registerRawBodyParser } from './BaobabwellHttp';
+export {
+  REQUEST_HEADER_TIMEOUTS,
+  registerRawBodyParser,
+  registerUnreadBodyParser,
+} from './BaobabwellHttp';
 export { createConnector } from './BaobabwellHttpConnector';
 export { HostConnections } from './BaobabwellHttpHostConnections';
 export { ProbedConnections } from './BaobabwellHttpProbing';
--- a/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressJobSubmissionService.ts
@@ -231,6 +231,27 @@
     return this.#resolveOutcome(jobId, reply.error.cause, deadline);
   }
 
+  /**
+   * Refuses a submission whose body is too large. An earlier one with the same id may have been accepted, which
+   * is not denied.
+   */
+  async refuseTooLarge(jobId: string | null, deadline: Deadline): Promise<Answer> {
+    const answer: Answer = { kind: AnswerKind.TooLarge, reason: 'the body is too large' };
+    if (jobId === null) {
+      return answer;
+    }
+    const rows = await findJobRows(this.#store, jobId, deadline);
+    if (rows?.isStored === true) {
+      return { kind: AnswerKind.Accepted };
+    }
+    if (rows === null || this.#unclearAtMs.has(jobId)) {
+      const reason =
+        'the body is too large, and it is not known whether the job was accepted before';
+      return { kind: AnswerKind.UnknownOutcome, reason };
+    }
+    return answer;
+  }
+
   /** Returns the state of a job. */
   async readState(jobId: string, deadline: Deadline): Promise<Answer> {
     return (await this.#states.read(jobId, deadline)) ?? this.#createUnavailableAnswer('state');
--- a/packages/baobabwell-ingress/src/BaobabwellIngressModel.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressModel.ts
@@ -12,7 +12,10 @@
   readonly requestId: string | null;
   /** Time for which the caller waits for the answer, in ms; `null` when the caller sent none. */
   readonly waitMs: number | null;
+  /** The body; empty for a call that has none, or one that is too large. */
   readonly body: Buffer;
+  /** True if the body is larger than the configuration allows. */
+  readonly isTooLarge: boolean;
 };
 
 /** Kind of a call to a queue. */
@@ -53,6 +56,8 @@
   UnknownQueue = 'unknown-queue',
   UnknownKey = 'unknown-key',
   Invalid = 'invalid',
+  /** The body is larger than the configuration allows; nothing was done. */
+  TooLarge = 'too-large',
 }
 
 /** Answer to a call, with the reason that is logged. */
@@ -65,7 +70,7 @@
       readonly retryAfterMs: number;
     }
   | { readonly kind: AnswerKind.Invalid; readonly problems: readonly string[] }
-  | { readonly kind: AnswerKind.UnknownOutcome; readonly reason: string }
+  | { readonly kind: AnswerKind.UnknownOutcome | AnswerKind.TooLarge; readonly reason: string }
   | {
       readonly kind:
         | AnswerKind.Accepted
@@ -96,6 +101,9 @@
   /** Finds in the headers of a call how long its caller waits for the answer, in ms. */
   abstract findWaitMs(headers: Readonly<Record<string, unknown>>): number | null;
 
+  /** Finds the id of the job that a call is about; `remainingPath` is the path after the queue's prefix. */
+  abstract findJobId(remainingPath: string): string | null;
+
   /** Parses a call to a queue; `remainingPath` is the path after the queue's prefix. */
   abstract parseRequest(call: RawCall, queue: QueueSettings, remainingPath: string): ClientRequest;
 
--- a/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
+++ b/packages/baobabwell-ingress/src/BaobabwellIngressServer.ts
@@ -1,28 +1,31 @@
 import type { JobSubmissionService } from './BaobabwellIngressJobSubmissionService';
 import type { Answer, ClientProtocol, RawCall } from './BaobabwellIngressModel';
+import type { ConnectionTable } from '@baobabwell/connection-limits';
 import type { FleetConfiguration, QueueSettings } from '@baobabwell/fleet';
 import type { Logger } from '@baobabwell/logging';
-import type { Clock } from '@baobabwell/utils';
+import type { Clock, Result } from '@baobabwell/utils';
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import type { IncomingMessage } from 'node:http';
 
 import Fastify from 'fastify';
 
-import { registerRawBodyParser, REQUEST_HEADER_TIMEOUTS } from '@baobabwell/http';
-import { Deadline } from '@baobabwell/utils';
+import {
+  answerClientError,
+  BodyEnd,
+  findConnection,
+  limitConnections,
+  readBody,
+} from '@baobabwell/connection-limits';
+import { registerUnreadBodyParser, REQUEST_HEADER_TIMEOUTS } from '@baobabwell/http';
+import { createError, createOk, Deadline } from '@baobabwell/utils';
 
 import { AnswerKind, ClientRequestKind } from './BaobabwellIngressModel';
 import { OpenCall } from './BaobabwellIngressOpenCall';
-import { findOrganisation, findQueue } from './BaobabwellIngressRouting';
+import { NO_CONFIGURATION_RETRY_AFTER_MS, routeCall } from './BaobabwellIngressRouting';
 
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 
-/** Retry delay sent to callers while this process has no configuration, or an outdated one, in ms. */
-const NO_CONFIGURATION_RETRY_AFTER_MS = 1_000;
-
-/** Maximum size of a body that the server reads before a configuration's limit applies, in bytes. */
-const MAX_BODY_BYTES = 1_048_576;
-
 /** Idle time after which a connection is closed, in ms; callers' pauses between calls are shorter. */
 const KEEP_ALIVE_TIMEOUT_MS = 15_000;
 
@@ -38,9 +41,15 @@
 /** Time limit for receiving a whole call, in ms. Callers wait only 3 seconds for an answer. */
 const REQUEST_TIMEOUT_MS = 10_000;
 
+/** Time after which a connection is closed on which nothing moves, in ms; no call is kept as long. */
+const CONNECTION_TIMEOUT_MS = 75_000;
+
 /** Why calls are answered without their outcome. */
 const PROCESS_ENDS = 'this process ends';
 const CALLER_LEAVES = 'no answer within the time for which the caller waits';
+const TOO_MANY_CALLS = 'too many calls are under way';
+
+const NO_BODY = Buffer.alloc(0);
 
 /** Share of the caller's wait for which a call may wait until an outdated configuration is confirmed. */
 const CONFIRMATION_SHARE = 0.3;
@@ -83,6 +92,8 @@
 
 /** Dependencies of the server and state of the process that it reports. */
 export type IngressContext = {
+  /** Connections of callers, and what they keep. */
+  readonly connections: ConnectionTable;
   readonly protocol: ClientProtocol;
   readonly submissions: JobSubmissionService;
   readonly clock: Clock;
@@ -106,6 +117,9 @@
   readonly jobId: string | null;
 };
 
+/** What is read of a submission. */
+type SubmittedBody = Pick<RawCall, 'body' | 'isTooLarge'>;
+
 /** Creates the answer to a call whose outcome this process will not learn in time. */
 function createEndedOutcome(mayHaveChanged: boolean, reason: string): CallOutcome {
   const answer: Answer = mayHaveChanged
@@ -142,21 +156,27 @@
   /** Builds the server for callers. The code that calls this starts listening and closes it. */
   buildCallerServer(): FastifyInstance {
     const server = Fastify({
-      bodyLimit: MAX_BODY_BYTES,
+      connectionTimeout: CONNECTION_TIMEOUT_MS,
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       requestTimeout: REQUEST_TIMEOUT_MS,
       http: REQUEST_HEADER_TIMEOUTS,
       exposeHeadRoutes: false,
       return503OnClosing: false,
+      clientErrorHandler: answerClientError,
     });
-    registerRawBodyParser(server);
+    limitConnections(server.server, this.#context.connections);
+    registerUnreadBodyParser(server);
     server.all('*', async (request, reply) => this.#handle(request, reply));
     return server;
   }
 
   /** Builds the server for the platform's readiness probe. */
   buildReadinessServer(): FastifyInstance {
-    const server = Fastify({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS });
+    const server = Fastify({
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      http: REQUEST_HEADER_TIMEOUTS,
+    });
     server.get(this.#context.protocol.readyPath, async (_request, reply) =>
       reply.code(this.#checkReadiness() ? HTTP_OK : HTTP_UNAVAILABLE).send(),
     );
@@ -199,19 +219,24 @@
   }
 
   async #handle(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
-    const startedAtMs = this.#context.clock.getNow();
     const { protocol } = this.#context;
     const [path = ''] = request.url.split('?');
-    const call: RawCall = {
+    const head = {
       method: request.method,
       httpHost: (request.headers.host ?? '').replace(/:\d+$/, ''),
       path,
       key: protocol.findKey(request.headers),
       requestId: protocol.findRequestId(request.headers),
       waitMs: protocol.findWaitMs(request.headers),
-      body: Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0),
     };
-    const outcome = await this.#answerBeforeEnd(call);
+    const read = await this.#readSubmission(request.raw, head);
+    if (read === null) {
+      // The connection ended before the call was whole.
+      return reply.hijack();
+    }
+    const startedAtMs = this.#context.clock.getNow();
+    const call = { ...head, ...(read.ok ? read.value : { body: NO_BODY, isTooLarge: false }) };
+    const outcome = read.ok ? await this.#answerWithin(request.raw, call) : read.error;
     const { status, headers, body } = protocol.formatAnswer(outcome.answer);
     this.#record(outcome, call, { startedAtMs, isAbandoned: reply.raw.destroyed });
     if (this.#context.isStopping()) {
@@ -253,6 +278,46 @@
     }
   }
 
+  /**
+   * Reads the body of a submission, once it is known that the submission has a queue and may use it. Other calls
+   * need none. Returns `null` if the connection ends first.
+   */
+  async #readSubmission(
+    request: IncomingMessage,
+    head: Omit<RawCall, keyof SubmittedBody>,
+  ): Promise<Result<SubmittedBody, CallOutcome> | null> {
+    if (head.method !== SUBMISSION_METHOD) {
+      return createOk({ body: NO_BODY, isTooLarge: false });
+    }
+    const configuration = this.#context.getConfiguration();
+    const routed = routeCall(configuration, !this.#context.isOutdated(), head);
+    if (!routed.ok) {
+      return createError({ ...routed.error, kind: null, jobId: null });
+    }
+    const read = await readBody(request, configuration?.maxBodyBytes ?? 0);
+    switch (read.end) {
+      case BodyEnd.Whole:
+        return createOk({ body: read.body, isTooLarge: false });
+      case BodyEnd.TooLarge:
+        return createOk({ body: NO_BODY, isTooLarge: true });
+      default:
+        return null;
+    }
+  }
+
+  /** Answers a call, unless too many are under way. */
+  async #answerWithin(request: IncomingMessage, call: RawCall): Promise<CallOutcome> {
+    const endCall = this.#context.connections.startCall(findConnection(request), call.body.length);
+    if (endCall === null) {
+      return createEndedOutcome(call.method !== READ_METHOD, TOO_MANY_CALLS);
+    }
+    try {
+      return await this.#answerBeforeEnd(call);
+    } finally {
+      endCall();
+    }
+  }
+
   async #answerBeforeEnd(call: RawCall): Promise<CallOutcome> {
     if (this.#isEnding) {
       // An earlier call for the same job may have changed what is stored.
@@ -293,22 +358,15 @@
   async #answer(call: RawCall, open: OpenCall): Promise<CallOutcome> {
     const { deadline } = open;
     const isCurrent = await this.#isCurrent(call, deadline);
-    const configuration = this.#context.getConfiguration();
-    const none = { queue: null, kind: null, jobId: null };
-    if (configuration === null || !isCurrent) {
-      const reason =
-        configuration === null ? 'no configuration yet' : 'the configuration may be outdated';
-      const retryAfterMs = NO_CONFIGURATION_RETRY_AFTER_MS;
-      return { answer: { kind: AnswerKind.Unavailable, reason, retryAfterMs }, ...none };
-    }
-    const routed = findQueue(configuration.queues, call.httpHost, call.path);
-    if (routed === null) {
-      return { answer: { kind: AnswerKind.UnknownQueue }, ...none };
+    const routed = routeCall(this.#context.getConfiguration(), isCurrent, call);
+    if (!routed.ok) {
+      return { ...routed.error, kind: null, jobId: null };
     }
-    const { queue, remainingPath } = routed;
-    const organisation = call.key === null ? null : findOrganisation(configuration, call.key);
-    if (organisation === null && !queue.isOpen) {
-      return { answer: { kind: AnswerKind.UnknownKey }, ...none, queue };
+    const { queue, remainingPath, organisation } = routed.value;
+    if (call.isTooLarge) {
+      const jobId = this.#context.protocol.findJobId(remainingPath);
+      const answer = await this.#context.submissions.refuseTooLarge(jobId, deadline);
+      return { answer, queue, kind: ClientRequestKind.Submit, jobId };
     }
     const request = this.#context.protocol.parseRequest(call, queue, remainingPath);
     const jobId = 'jobId' in request ? request.jobId : null;
--- a/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
+++ b/packages/baobabwell-ingress/src/__tests__/unit/BaobabwellIngressServer.test.ts
@@ -1,4 +1,5 @@
 import type { AnsweredCall, ClientRequest, RawCall, WireAnswer } from '../../index';
+import type { Release } from '@baobabwell/connection-limits';
 import type { FleetConfiguration } from '@baobabwell/fleet';
 import type { CancelTimer } from '@baobabwell/utils';
 import type { FastifyInstance } from 'fastify';
@@ -8,6 +9,7 @@
 import { once } from 'node:events';
 import { connect } from 'node:net';
 
+import { computeClientLimits, ConnectionTable } from '@baobabwell/connection-limits';
 import { EmulatedTime } from '@baobabwell/emulator';
 import { EmulatedJobStore, EmulatedRows, NO_STORE_FAULTS } from '@baobabwell/job-emulator';
 import { Logger, LogLevel } from '@baobabwell/logging';
@@ -25,6 +27,7 @@
 
 const REQUEST_ID = 'r-17';
 const JOB = '00000000000000a1';
+const MAX_CALLS = 100;
 const SPEC = { payload: '', steps: [], repeat: null };
 
 /** Decodes calls as submissions and counts of waiting jobs, and returns the kind of their answers as the body. */
@@ -43,6 +46,10 @@
     return text === undefined ? null : Number(text);
   }
 
+  override findJobId(): string {
+    return JOB;
+  }
+
   override parseRequest({ method }: RawCall): ClientRequest {
     return method === 'POST'
       ? { kind: ClientRequestKind.Submit, jobId: JOB, spec: SPEC }
@@ -105,6 +112,7 @@
   queues: [{ name: 'bakes', httpHost: 'bakery.example', pathPrefix: '/bakes/', isOpen: true }],
   pools: [],
   organisations: [],
+  maxBodyBytes: 1_000,
 } as unknown as FleetConfiguration;
 
 describe('IngressServer', () => {
@@ -121,6 +129,7 @@
   let confirm: () => boolean;
   let waitsMs: number[];
   let loopDelayMs: number;
+  let connections: ConnectionTable;
 
   beforeEach(() => {
     time = new LateClock();
@@ -136,7 +145,12 @@
     rows = new EmulatedRows();
     const store = new EmulatedJobStore(time, time, new Random(1), rows);
     owner = new UnresponsiveOwner(time);
+    connections = new ConnectionTable(
+      computeClientLimits({ memoryBytes: 350_000_000, descriptors: 200 + 2 * MAX_CALLS }),
+      { recordStart: () => {}, recordEnd: () => {}, recordReached: () => {} },
+    );
     ingress = new IngressServer({
+      connections,
       protocol: new FakeProtocol(),
       submissions: new JobSubmissionService({
         store,
@@ -222,6 +236,49 @@
     expect(line.includes(' configuration=4 ')).toEqual(true);
   });
 
+  async function submitBody(size: number, queue = 'bakes'): Promise<AnswerKind> {
+    const headers = { host: 'bakery.example' };
+    const payload = 'x'.repeat(size);
+    const replied = server.inject({ method: 'POST', url: `/${queue}/`, headers, payload });
+    let isAnswered = false;
+    void replied.then(() => {
+      isAnswered = true;
+    });
+    while (!isAnswered) {
+      await time.advance(10);
+      await new Promise(setImmediate);
+    }
+    return (await replied).json<{ kind: AnswerKind }>().kind;
+  }
+
+  it('refuses a body that is too large, unless a job of its id was accepted before', async () => {
+    const kinds = [
+      await submitBody(1_001),
+      await submitBody(1_001, 'cakes'),
+      await submitBody(1_000),
+    ];
+    expect([...kinds, await submitBody(1_001)]).toEqual([
+      AnswerKind.TooLarge,
+      AnswerKind.UnknownQueue,
+      AnswerKind.Accepted,
+      AnswerKind.Accepted,
+    ]);
+  });
+
+  it('denies no submission while too many calls are under way', async () => {
+    const endCalls: (Release | null)[] = [];
+    for (let call = 0; call < MAX_CALLS; call += 1) {
+      endCalls.push(connections.startCall(null, 0));
+    }
+    const refused = [await request('/bakes/'), await submitBody(10)];
+    endCalls.forEach((end) => end?.());
+    expect([...refused, await submitBody(10)]).toEqual([
+      AnswerKind.Unavailable,
+      AnswerKind.UnknownOutcome,
+      AnswerKind.Accepted,
+    ]);
+  });
+
   async function readLate(tookMs: number, waitMs: string | null): Promise<void> {
     // Counts of earlier calls are too old by then.
     await time.advance(2_000);
--- a/packages/baobabwell-metrics/src/BaobabwellMetricsDaemon.ts
+++ b/packages/baobabwell-metrics/src/BaobabwellMetricsDaemon.ts
@@ -30,6 +30,27 @@
     registers: [this.registry],
   });
 
+  readonly clientLimits = new Gauge({
+    name: 'baobabwell_client_limit',
+    help: 'Bound of the sum over all clients, by limit.',
+    labelNames: ['limit'] as const,
+    registers: [this.registry],
+  });
+
+  readonly clientUsage = new Gauge({
+    name: 'baobabwell_client_usage',
+    help: 'Sum over all clients, by limit.',
+    labelNames: ['limit'] as const,
+    registers: [this.registry],
+  });
+
+  readonly clientLimitsReached = new Counter({
+    name: 'baobabwell_client_limit_reached_total',
+    help: 'Connections closed and calls refused because a limit for clients was reached, by limit.',
+    labelNames: ['limit'] as const,
+    registers: [this.registry],
+  });
+
   readonly ownerEpoch = new Gauge({
     name: 'baobabwell_owner_epoch',
     help: 'Epoch of the ownership term of this process; 0 while it is not the owner.',
--- a/packages/baobabwell-peers/src/BaobabwellPeersServer.ts
+++ b/packages/baobabwell-peers/src/BaobabwellPeersServer.ts
@@ -6,6 +6,8 @@
 import Fastify from 'fastify';
 import { timingSafeEqual } from 'node:crypto';
 
+import { REQUEST_HEADER_TIMEOUTS } from '@baobabwell/http';
+
 import { PEER_PATH, PEER_SECRET_HEADER } from './BaobabwellPeersConstants';
 import { callPeerProcedure } from './BaobabwellPeersTrpc';
 
@@ -76,6 +78,7 @@
 ): Promise<FastifyInstance> {
   const server = Fastify({
     forceCloseConnections: true,
+    http: REQUEST_HEADER_TIMEOUTS,
     routerOptions: { maxParamLength: MAX_PARAMETER_LENGTH },
   });
   server.addHook('onRequest', async (request, reply) =>
--- a/tests/process/soak/deployment.ts
+++ b/tests/process/soak/deployment.ts
@@ -57,8 +57,19 @@
   }
 }
 
+/** Limits of the machine of a process. */
+export type MachineLimits = { readonly 'memory-mb': number; readonly 'max-fds': number };
+
+const MACHINE_LIMITS: MachineLimits = { 'memory-mb': 350, 'max-fds': 4_100 };
+
 /** Creates the settings file of a process. */
-export function createSettings(name: string, host: string, base: number, store: string): unknown {
+export function createSettings(
+  name: string,
+  host: string,
+  base: number,
+  store: string,
+  machine: MachineLimits = MACHINE_LIMITS,
+): unknown {
   return {
     'node-name': name,
     role: 'entry',
@@ -72,7 +83,7 @@
     'internal-ports': [base + 2, base + 4],
     'seed-addrs': [],
     bootstrap: true,
-    limits: { 'cpu-share': 0.675, cores: 1, 'memory-mb': 350 },
+    limits: { 'cpu-share': 0.675, cores: 1, ...machine },
     bounds: {
       'config-apply-ms': CONFIG_APPLY_MS,
       'max-stretch-ms': 5_000,
@@ -107,6 +118,9 @@
 
   output = '';
 
+  /** How the last process ended; '' before the first end. */
+  lastExit = '';
+
   #process: ChildProcess | null = null;
 
   #shouldRun = true;
@@ -152,7 +166,8 @@
     child.stdout.on('data', collect);
     child.stderr.on('data', collect);
     child.on('exit', (code, signal) => {
-      this.#recordExit(this.name, this.#isEndPlanned, `code ${code}, signal ${signal}`);
+      this.lastExit = `code ${code}, signal ${signal}`;
+      this.#recordExit(this.name, this.#isEndPlanned, this.lastExit);
       if (this.#shouldRun) {
         setTimeout(() => {
           if (this.#shouldRun) {
@@ -163,6 +178,11 @@
     });
   }
 
+  /** Returns the id of the process that was started last. */
+  getProcessId(): number | null {
+    return this.#process?.pid ?? null;
+  }
+
   isUp(): boolean {
     return this.#process?.exitCode === null && this.#process.signalCode === null;
   }
@@ -259,17 +279,19 @@
   count: number,
   storeAddress: string,
   recordExit: ExitListener,
+  machine?: MachineLimits,
 ): Promise<SoakDeployment> {
   const folder = await mkdtemp(join(tmpdir(), 'baobabwell-soak-'));
   const args = await readRunArguments();
   const hosts = Array.from({ length: count }, (_, index) => `127.0.2.${index + 1}`);
-  const port = await findPorts(hosts);
+  const base = await findPorts(hosts);
   const daemons: SoakDaemon[] = [];
   for (const [index, host] of hosts.entries()) {
     const name = `front-zone-a-${index + 1}`;
     const settingsPath = join(folder, `${name}.yaml`);
-    await writeFile(settingsPath, JSON.stringify(createSettings(name, host, port, storeAddress)));
-    daemons.push(new SoakDaemon({ name, host, port, args, settingsPath, recordExit }));
+    const settings = createSettings(name, host, base, storeAddress, machine);
+    await writeFile(settingsPath, JSON.stringify(settings));
+    daemons.push(new SoakDaemon({ name, host, port: base, args, settingsPath, recordExit }));
   }
   daemons.forEach((daemon) => daemon.start());
   const pollMs = 50;
--- a/tests/process/soak/site.ts
+++ b/tests/process/soak/site.ts
@@ -1,4 +1,4 @@
-import type { ExitListener, SoakDaemon, SoakDeployment } from './deployment';
+import type { ExitListener, MachineLimits, SoakDaemon, SoakDeployment } from './deployment';
 import type { RunListener } from './worker';
 
 import { setTimeout as wait } from 'node:timers/promises';
@@ -81,7 +81,12 @@
   }
 
   async start(
-    sizes: { readonly daemons: number; readonly workers: number },
+    sizes: {
+      readonly daemons: number;
+      readonly workers: number;
+      /** Limits of the machines, if other than usual. */
+      readonly machine?: MachineLimits;
+    },
     runs: RunListener,
     recordExit: ExitListener,
   ): Promise<void> {
@@ -93,7 +98,7 @@
       await worker.start();
       this.workers.push(worker);
     }
-    this.#deployment = await startDeployment(sizes.daemons, address, recordExit);
+    this.#deployment = await startDeployment(sizes.daemons, address, recordExit, sizes.machine);
   }
 
   async close(): Promise<void> {
