connection-limits: a header that ends with a line feed alone ends the part that is parsed

Callers saw: nothing yet; found while reading the change. The parser takes an empty line without a carriage return, and the search for the end of a header did not, so that 300 requests in one packet became 300 calls at once. Change: both kinds of empty lines end a part. Evidence: the unit test (300 requests, at most one handled at a time) saw 300 before, 1 after.

--- a/packages/baobabwell-connection-limits/src/BaobabwellConnectionLimitsConnection.ts
+++ b/packages/baobabwell-connection-limits/src/BaobabwellConnectionLimitsConnection.ts
@@ -3,7 +3,8 @@
 
 import { Duplex } from 'node:stream';
 
-const HEADER_END = '\r\n\r\n';
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 
 /** Most bytes that the parser is given of one connection in a turn of the event loop. */
 const TURN_BYTES = 8_192;
@@ -25,6 +26,19 @@
 
 type OpenRequest = { readonly request: IncomingMessage; readonly response: ServerResponse };
 
+/** Finds the end of the first header, in bytes; the parser takes an empty line with or without a carriage return. */
+function findHeaderEnd(bytes: Buffer): number | null {
+  let lineEnd = bytes.indexOf(LINE_FEED);
+  while (lineEnd >= 0) {
+    const next = bytes[lineEnd + 1] === CARRIAGE_RETURN ? lineEnd + 2 : lineEnd + 1;
+    if (bytes[next] === LINE_FEED) {
+      return next + 1;
+    }
+    lineEnd = bytes.indexOf(LINE_FEED, lineEnd + 1);
+  }
+  return null;
+}
+
 /** Learns what a connection keeps. */
 export type ConnectionOwner = {
   /** The connection keeps this many bytes in memory. */
@@ -218,8 +232,7 @@
 
   /** Gives the parser bytes up to the end of a header, so that it finds one request at a time. */
   #feedPart(unparsed: Buffer, maxBytes: number): number {
-    const headerEnd = unparsed.subarray(0, maxBytes).indexOf(HEADER_END);
-    const size = headerEnd < 0 ? maxBytes : headerEnd + HEADER_END.length;
+    const size = findHeaderEnd(unparsed.subarray(0, maxBytes)) ?? maxBytes;
     const part = unparsed.subarray(0, size);
     this.#unparsed = size < unparsed.length ? unparsed.subarray(size) : null;
     this.#countPart(part);
--- a/packages/baobabwell-connection-limits/src/__tests__/unit/BaobabwellConnectionLimits.test.ts
+++ b/packages/baobabwell-connection-limits/src/__tests__/unit/BaobabwellConnectionLimits.test.ts
@@ -124,6 +124,12 @@
     expect([maxHandlers, table.getUsed(ClientLimit.Bytes)]).toEqual([1, 0]);
   });
 
+  it('hand on one request at a time although headers end with a line feed alone', async () => {
+    const client = await open('GET / HTTP/1.1\r\nhost: a\r\n\n'.repeat(300));
+    await waitUntil(() => client.received.split('whole 0').length > 300);
+    expect(maxHandlers).toEqual(1);
+  });
+
   it('close the connection that has waited longest for its client, and none with a call', async () => {
     const [calling, silent] = [await open(get('/wait')), await open()];
     await open();
