--- a/packages/baobabwell-connection-limits/src/__tests__/unit/BaobabwellConnectionLimits.test.ts
+++ b/packages/baobabwell-connection-limits/src/__tests__/unit/BaobabwellConnectionLimits.test.ts
@@ -196,6 +196,20 @@
     expect(client.received).toInclude('too-large 0');
   });
 
+  it('serve a body that waits for its expectation, an upgrade, and a read with a body', async () => {
+    const client = await open(
+      'POST / HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\n',
+    );
+    await waitUntil(() => client.received.includes('100 Continue'));
+    client.socket.write('ab');
+    await waitUntil(() => client.received.includes('whole 2'));
+    client.socket.write('GET / HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n');
+    await waitUntil(() => client.received.includes('whole 0'));
+    client.socket.write(`GET / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc${get('/')}`);
+    await waitUntil(() => client.received.split('whole 0').length === 3);
+    expect(client.received).toInclude('whole 3');
+  });
+
   it('serve the next request after a body that is too large', async () => {
     const client = await open(post(MAX_BODY_BYTES + 1), 'x'.repeat(MAX_BODY_BYTES + 1), get('/'));
     await waitUntil(() => client.received.includes('whole 0'));
