--- a/tests/process/clients.test.ts
+++ b/tests/process/clients.test.ts
@@ -13,6 +13,9 @@
 const END_MS = 10_000;
 const POLL_MS = 50;
 
+/** Path of a queue that only the second configuration has. */
+const ADDED_PREFIX = '/queue-b/';
+
 /** Number of connections of the crowd of each kind. */
 const CROWDS: readonly (readonly [CrowdKind, number])[] = [
   [CrowdKind.SmallChunks, 20],
@@ -97,9 +100,11 @@
     crowded.site.store.put('op', 'config', createConfiguration(2));
     await wait(PRESS_MS);
     const [target] = crowded.listTargets(CrowdTarget.Other);
-    const isBeside = target !== undefined && (await crowded.isOrdinaryAnswered(target));
+    const isBeside =
+      target !== undefined && (await crowded.isOrdinaryAnswered(target, ADDED_PREFIX));
     await crowded.endCrowds();
-    const isAfterwards = target !== undefined && (await crowded.isOrdinaryAnswered(target));
+    const isAfterwards =
+      target !== undefined && (await crowded.isOrdinaryAnswered(target, ADDED_PREFIX));
     expect(crowded.report(isBeside, isAfterwards)).toEqual(HELD);
   });
 });
--- a/tests/process/crowd/site.ts
+++ b/tests/process/crowd/site.ts
@@ -135,8 +135,8 @@
   }
 
   /** Submits a small job as ordinary callers do, again until it is accepted or the time is over. */
-  async isOrdinaryAnswered({ host, port }: SoakDaemon): Promise<boolean> {
-    const path = `${PREFIX}${createJobId(this.#nextJob)}`;
+  async isOrdinaryAnswered({ host, port }: SoakDaemon, prefix = PREFIX): Promise<boolean> {
+    const path = `${prefix}${createJobId(this.#nextJob)}`;
     this.#nextJob += 1;
     const body = createJobBody(1, ORDINARY_TASK_MS);
     const untilMs = performance.now() + ORDINARY_MS;
