--- a/review/lib-3/daemons.mjs
+++ b/review/lib-3/daemons.mjs
@@ -34,7 +34,7 @@
   }
 }
 
-function createSettings(name, host, base, { store, cloud }) {
+function createSettings(name, host, base, { store, advisor }) {
   return {
     'node-name': name,
     role: 'entry',
@@ -73,15 +73,16 @@
       'reads-per-s': 2_000,
       'row-bytes': 65_536,
     },
-    'cloud-api': cloud === undefined ? null : { address: cloud },
+    'cloud-api': null,
+    advice: advisor ?? null,
   };
 }
 
 /** The processes of the deploy file, each on a loopback address of its own. */
 export class Daemons {
-  constructor({ count, store, cloud, record }) {
+  constructor({ count, store, advisor, record }) {
     this.count = count;
-    this.services = { store, cloud };
+    this.services = { store, advisor };
     this.record = record;
     this.processes = [];
     this.isClosing = false;
--- a/review/lib-3/site.mjs
+++ b/review/lib-3/site.mjs
@@ -1,6 +1,7 @@
 import { writeFile } from 'node:fs/promises';
 import { setTimeout as wait } from 'node:timers/promises';
 
+import { Advisor } from './advisor.mjs';
 import { Daemons } from './daemons.mjs';
 import { callOnce } from './http.mjs';
 import { Store } from './store.mjs';
@@ -12,7 +13,7 @@
 const DEADLINE_MS = 3_000;
 
 /** Creates the operator's configuration of one service with one queue. */
-export function createConfiguration(version) {
+export function createConfiguration(version, advice = null) {
   return {
     version,
     routes: [
@@ -25,6 +26,15 @@
         'max-attempts': 4,
         stretch: 20,
         'target-latency-ms': 20_000,
+        ...(advice === null
+          ? {}
+          : {
+              advice: {
+                'decide-ms': advice.decideMs,
+                'period-ms': advice.periodMs,
+                'valid-ms': advice.validMs,
+              },
+            }),
       },
     ],
     services: [{ name: SERVICE, spare: false, 'admission-check': true }],
@@ -35,10 +45,10 @@
 
 /** Creates the body of a job; `ms` is how long a task works, and is not told the system but by an estimate. */
 export function createBody(steps, schedule = {}) {
-  const text = { steps: steps.map(({ cpu, 'mem-mb': memory, ms }) => ({ cpu, memory, ms })) };
+  const text = { steps: steps.map(({ cpu, ms, advised }) => ({ cpu, ms, advised })) };
   return JSON.stringify({
     spec: JSON.stringify(text),
-    steps: steps.map(({ ms, ...step }) => ({ ...step, 'estimate-ms': ms })),
+    steps: steps.map(({ ms, advised: _, ...step }) => ({ ...step, 'estimate-ms': ms })),
     ...schedule,
   });
 }
@@ -83,9 +93,17 @@
     return this.jobs.get(id);
   }
 
-  async start({ daemons, workers }) {
+  async start({ daemons, workers, advice = null }) {
     const store = await this.store.open();
-    this.store.put('op', 'config', createConfiguration(1));
+    this.store.put('op', 'config', createConfiguration(1, advice));
+    if (advice !== null) {
+      this.advisor = new Advisor({
+        ...advice,
+        findWorker: (id) => this.workers.find((worker) => worker.id === id),
+        record: (line) => this.record(line),
+      });
+    }
+    const advisor = await this.advisor?.open();
     const events = {
       recordStart: (worker, run) => this.recordStart(worker, run),
       recordEnd: (worker, run, how) => this.recordEnd(worker, run, how),
@@ -93,12 +111,19 @@
     for (let index = 0; index < workers; index += 1) {
       const rack = `r${1 + Math.floor(index / 4)}`;
       const id = `worker-${index + 1}`;
-      const worker = new Worker({ id, rack, service: SERVICE, store: this.store, events });
+      const worker = new Worker({
+        id,
+        rack,
+        service: SERVICE,
+        store: this.store,
+        events,
+        tickets: this.advisor,
+      });
       await worker.start();
       this.workers.push(worker);
     }
     const record = (line) => this.record(line);
-    this.daemons = new Daemons({ count: daemons, store, record });
+    this.daemons = new Daemons({ count: daemons, store, advisor, record });
     await this.daemons.start();
     this.record(`${daemons} processes are ready, ${workers} workers`);
   }
@@ -177,6 +202,7 @@
     await writeFile(this.recordPath, `${this.lines.join('\n')}\n`);
     await this.daemons?.close();
     this.workers.forEach((worker) => worker.close());
+    this.advisor?.close();
     this.store.close();
   }
 }
--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -17,13 +17,15 @@
  * without a time a task lasts.
  */
 export class Worker {
-  constructor({ id, rack, service, store, events }) {
+  constructor({ id, rack, service, store, events, tickets = null }) {
     this.id = id;
     this.rack = rack;
     this.service = service;
     this.store = store;
     this.events = events;
+    this.tickets = tickets;
     this.port = 0;
+    this.refusals = 0;
     this.isUp = false;
     this.waiters = new Set();
     this.reset();
@@ -76,6 +78,12 @@
     this.server.close();
   }
 
+  /** A ticket is valid for all tasks of its step, during this life of the worker. */
+  isTicketValid(task, ticket) {
+    const step = task.split('.').slice(0, 3).join('.');
+    return this.tickets?.isValid(ticket, { step, worker: this.id, bornMs: this.bornMs }) === true;
+  }
+
   getClockMs() {
     return Math.floor(performance.now() - this.startedAtMs);
   }
@@ -163,7 +171,7 @@
     this.leaseEndMs = Math.max(this.leaseEndMs, Math.min(deadlineMs, longestMs));
   }
 
-  startRun({ task, run, spec, 'deadline-ms': deadlineMs }) {
+  startRun({ task, run, spec, ticket, 'deadline-ms': deadlineMs }) {
     if (this.runs.get(task)?.run === run) {
       return this.reply(200, {});
     }
@@ -175,6 +183,10 @@
       return this.reply(409, { reason: 'old' });
     }
     const need = JSON.parse(spec).steps[Number(task.split('.')[2])];
+    if (need.advised && !this.isTicketValid(task, ticket)) {
+      this.refusals += 1;
+      return this.reply(409, { reason: 'ticket' });
+    }
     if (this.getUsedCpu() + need.cpu > CAPACITY.cpu) {
       return this.reply(409, { reason: 'room' });
     }
